Lay out the Maven modules and the model

Cause: nothing was there. The model holds the aggregates (Worker, Job) with their own rules and the records that the other layers exchange, without input or output. Ruled out: one module for all (the arrows model <- logic <- adapters <- programs would rest on good will alone). Before: no code. Conclusion: the layers above can be built on it.

--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/capacity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Integer amounts of processors, memory and accelerators.
+ */
+package org.monsoonrelay.model.capacity;
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/host/HostKind.java
@@ -0,0 +1,14 @@
+package org.monsoonrelay.model.host;
+
+/**
+ * What a host of the platform is for.
+ */
+public enum HostKind {
+
+	/** Runs tasks under leases. */
+	WORKER,
+
+	/** Serves callers' requests. */
+	BACKEND_SERVER
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/AttemptId.java
@@ -0,0 +1,36 @@
+package org.monsoonrelay.model.job;
+
+/**
+ * One attempt at one task of a job. Immutable; unique over the life of the cell because
+ * the attempt number only grows.
+ *
+ * @param job the job
+ * @param task index of the task, from 0
+ * @param attempt number of the attempt, from 1
+ */
+public record AttemptId(JobId job, int task, int attempt) {
+
+	private static final char SEPARATOR = '/';
+
+	/**
+	 * Read the form that {@link #toString()} gives.
+	 * @param text the form {@code name@run/task/attempt}
+	 * @return the identity
+	 * @throws IllegalArgumentException if the text has another form
+	 */
+	public static AttemptId parse(String text) {
+		int last = text.lastIndexOf(SEPARATOR);
+		int middle = text.lastIndexOf(SEPARATOR, last - 1);
+		if (middle <= 0) {
+			throw new IllegalArgumentException("not an attempt id (name@run/task/attempt): " + text);
+		}
+		return new AttemptId(JobId.parse(text.substring(0, middle)), Integer.parseInt(text.substring(middle + 1, last)),
+				Integer.parseInt(text.substring(last + 1)));
+	}
+
+	@Override
+	public String toString() {
+		return this.job.toString() + SEPARATOR + this.task + SEPARATOR + this.attempt;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobRecord.java
@@ -0,0 +1,23 @@
+package org.monsoonrelay.model.job;
+
+import java.util.List;
+
+/**
+ * Durable form of a job's progress: one row a job. Immutable.
+ *
+ * @param queueEpoch epoch of the queue owner that wrote it
+ * @param writeId identity of the write, to settle a lost answer by reading back
+ * @param tasks the tasks that have left their first state
+ */
+public record JobRecord(long queueEpoch, String writeId, List<TaskRecord> tasks) {
+
+	/**
+	 * No progress yet.
+	 */
+	public static final JobRecord NONE = new JobRecord(0, "", List.of());
+
+	public JobRecord {
+		tasks = List.copyOf(tasks);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The job aggregate: tasks of one declared workload and their attempts.
+ */
+package org.monsoonrelay.model.job;
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Sessions of scheduler instances and the ownership that hangs on them.
+ */
+package org.monsoonrelay.model.membership;
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Outcomes of a caller's request.
+ */
+package org.monsoonrelay.model.request;
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/worker/Worker.java
@@ -0,0 +1,204 @@
+package org.monsoonrelay.model.worker;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.job.AttemptId;
+
+/**
+ * What one worker has committed. Invariant: the sum of reservations and grants never
+ * exceeds the capacity, in any component and under any order of calls; a call that would
+ * break this is refused and changes nothing. A worker accepts no commitment before its
+ * first report, because only the report tells what already runs there. Not thread-safe:
+ * confined to the control thread of the rack's owner.
+ */
+public final class Worker {
+
+	private final WorkerId id;
+
+	private final Resources capacity;
+
+	private final Map<AttemptId, Commitment> commitments = new HashMap<>();
+
+	private Resources committed = Resources.NONE;
+
+	private String incarnation = "";
+
+	private boolean reported;
+
+	private boolean leaving;
+
+	public Worker(WorkerId id, Resources capacity) {
+		this.id = id;
+		this.capacity = capacity;
+	}
+
+	/**
+	 * Reserve room for an attempt until a deadline.
+	 * @param attempt the attempt
+	 * @param size what the task asks for
+	 * @param deadline when the reservation lapses unless it is granted before
+	 * @return {@code true} if the room is held; {@code false} if nothing changed
+	 */
+	public boolean reserve(AttemptId attempt, Resources size, Instant deadline) {
+		if (this.commitments.containsKey(attempt)) {
+			return true;
+		}
+		if (!accepts(size)) {
+			return false;
+		}
+		add(attempt, new Commitment(size, Optional.of(deadline)));
+		return true;
+	}
+
+	/**
+	 * Turn a reservation into a grant that stays until it is released.
+	 * @param attempt the attempt
+	 * @return {@code true} if a reservation or grant was there
+	 */
+	public boolean grant(AttemptId attempt) {
+		Commitment held = this.commitments.get(attempt);
+		if (held == null) {
+			return false;
+		}
+		this.commitments.put(attempt, new Commitment(held.size(), Optional.empty()));
+		return true;
+	}
+
+	/**
+	 * Give back what an attempt holds. Idempotent.
+	 * @param attempt the attempt
+	 */
+	public void release(AttemptId attempt) {
+		Commitment held = this.commitments.remove(attempt);
+		if (held != null) {
+			this.committed = this.committed.minus(held.size());
+		}
+	}
+
+	/**
+	 * Release the reservations whose deadline has come.
+	 * @param now the current time
+	 * @return the attempts released
+	 */
+	public List<AttemptId> lapse(Instant now) {
+		List<AttemptId> lapsed = this.commitments.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().hasLapsed(now))
+			.map(Map.Entry::getKey)
+			.toList();
+		lapsed.forEach(this::release);
+		return lapsed;
+	}
+
+	/**
+	 * Take in the worker's own word of what runs there. Running attempts that are not
+	 * known yet are adopted as grants. A worker that runs more than its capacity keeps
+	 * refusing new work until it has drained.
+	 * @param reportedIncarnation the worker's incarnation
+	 * @param running sizes of the attempts that run there
+	 * @return attempts granted here under an earlier incarnation, which the worker has
+	 * lost
+	 */
+	public List<AttemptId> report(String reportedIncarnation, Map<AttemptId, Resources> running) {
+		List<AttemptId> lost = List.of();
+		if (!this.incarnation.equals(reportedIncarnation)) {
+			lost = this.commitments.keySet().stream().filter((attempt) -> !running.containsKey(attempt)).toList();
+			lost.forEach(this::release);
+			this.incarnation = reportedIncarnation;
+		}
+		running.forEach(this::adopt);
+		this.reported = true;
+		return lost;
+	}
+
+	/**
+	 * Tell whether new work of a size can be committed now.
+	 * @param size what the task asks for
+	 * @return {@code true} if there is room and the worker takes new work
+	 */
+	public boolean accepts(Resources size) {
+		return this.reported && !this.leaving && isWithinCapacity() && free().covers(size);
+	}
+
+	/**
+	 * Mark the worker as leaving: what runs goes on, nothing new is committed.
+	 * @param isLeaving whether it leaves
+	 */
+	public void setLeaving(boolean isLeaving) {
+		this.leaving = isLeaving;
+	}
+
+	/**
+	 * What is left of the capacity.
+	 * @return the room left, nothing if the worker runs more than its capacity
+	 */
+	public Resources free() {
+		return isWithinCapacity() ? this.capacity.minus(this.committed) : Resources.NONE;
+	}
+
+	private boolean isWithinCapacity() {
+		return this.capacity.covers(this.committed);
+	}
+
+	private void adopt(AttemptId attempt, Resources size) {
+		Commitment held = this.commitments.get(attempt);
+		if (held == null) {
+			add(attempt, new Commitment(size, Optional.empty()));
+		}
+		else {
+			grant(attempt);
+		}
+	}
+
+	private void add(AttemptId attempt, Commitment commitment) {
+		this.committed = this.committed.plus(commitment.size());
+		this.commitments.put(attempt, commitment);
+	}
+
+	public WorkerId id() {
+		return this.id;
+	}
+
+	public Resources capacity() {
+		return this.capacity;
+	}
+
+	public Resources committed() {
+		return this.committed;
+	}
+
+	public String incarnation() {
+		return this.incarnation;
+	}
+
+	public boolean isReported() {
+		return this.reported;
+	}
+
+	public boolean isLeaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * The attempts that hold a reservation or a grant.
+	 * @return a copy
+	 */
+	public Collection<AttemptId> attempts() {
+		return List.copyOf(this.commitments.keySet());
+	}
+
+	private record Commitment(Resources size, Optional<Instant> deadline) {
+
+		boolean hasLapsed(Instant now) {
+			return this.deadline.filter((at) -> !now.isBefore(at)).isPresent();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/CellText.java
@@ -0,0 +1,63 @@
+package org.monsoonrelay.model.workload;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * The operators' whole text. Immutable.
+ *
+ * @param cell the cell's name
+ * @param policy weights of the measures
+ * @param teams teams with their quotas
+ * @param services declared services
+ * @param batchRuns declared batch runs
+ * @param jobs declared all-at-once jobs
+ */
+public record CellText(String cell, PolicyWeights policy, List<Team> teams, List<ServiceDeclaration> services,
+		List<RunDeclaration> batchRuns, List<RunDeclaration> jobs) {
+
+	/**
+	 * A text that declares nothing.
+	 */
+	public static final CellText EMPTY = new CellText("", PolicyWeights.EVEN, List.of(), List.of(), List.of(),
+			List.of());
+
+	public CellText {
+		policy = (policy != null) ? policy : PolicyWeights.EVEN;
+		teams = (teams != null) ? List.copyOf(teams) : List.of();
+		services = (services != null) ? List.copyOf(services) : List.of();
+		batchRuns = (batchRuns != null) ? List.copyOf(batchRuns) : List.of();
+		jobs = (jobs != null) ? List.copyOf(jobs) : List.of();
+	}
+
+	/**
+	 * All declared work in the form that placement works on.
+	 * @return the workloads
+	 */
+	public List<Workload> workloads() {
+		Stream<Workload> longRunning = this.services.stream().map(ServiceDeclaration::workload);
+		Stream<Workload> batch = this.batchRuns.stream().map((run) -> run.workload(WorkloadKind.BATCH));
+		Stream<Workload> gangs = this.jobs.stream().map((run) -> run.workload(WorkloadKind.GANG));
+		return Stream.of(longRunning, batch, gangs).flatMap((stream) -> stream).toList();
+	}
+
+	/**
+	 * Find a service by name.
+	 * @param name the service's name
+	 * @return the service, if declared
+	 */
+	public Optional<ServiceDeclaration> service(String name) {
+		return this.services.stream().filter((service) -> service.name().equals(name)).findFirst();
+	}
+
+	/**
+	 * Find a team by name.
+	 * @param name the team's name
+	 * @return the team, if declared
+	 */
+	public Optional<Team> team(String name) {
+		return this.teams.stream().filter((team) -> team.name().equals(name)).findFirst();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/PolicyWeights.java
@@ -0,0 +1,17 @@
+package org.monsoonrelay.model.workload;
+
+/**
+ * How much an operator values each measure against the others. Immutable.
+ *
+ * @param waiting weight of waiting time
+ * @param packing weight of packing
+ * @param controlCost weight of control cost
+ */
+public record PolicyWeights(int waiting, int packing, int controlCost) {
+
+	/**
+	 * All measures alike.
+	 */
+	public static final PolicyWeights EVEN = new PolicyWeights(1, 1, 1);
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/ServiceDeclaration.java
@@ -0,0 +1,37 @@
+package org.monsoonrelay.model.workload;
+
+import java.util.List;
+
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.job.JobId;
+
+/**
+ * A declared service: replicas on workers and operations on backend servers. Immutable.
+ *
+ * @param name the service's name
+ * @param team the team it counts against
+ * @param replicas number of long-running tasks
+ * @param size what each replica asks for
+ * @param dependsOn names of the workloads it needs
+ * @param operations what callers may ask for
+ * @param targets declared targets
+ */
+public record ServiceDeclaration(String name, String team, int replicas, Resources size, List<String> dependsOn,
+		List<Operation> operations, List<Target> targets) {
+
+	public ServiceDeclaration {
+		dependsOn = (dependsOn != null) ? List.copyOf(dependsOn) : List.of();
+		operations = (operations != null) ? List.copyOf(operations) : List.of();
+		targets = (targets != null) ? List.copyOf(targets) : List.of();
+	}
+
+	/**
+	 * The form that placement works on.
+	 * @return the workload
+	 */
+	public Workload workload() {
+		return new Workload(new JobId(this.name, JobId.SERVICE_RUN), WorkloadKind.SERVICE, this.team, this.replicas,
+				this.size, 0, false, false, this.dependsOn, this.targets);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/Team.java
@@ -0,0 +1,14 @@
+package org.monsoonrelay.model.workload;
+
+import org.monsoonrelay.model.capacity.Resources;
+
+/**
+ * A team that shares the cell. Immutable.
+ *
+ * @param name the team's name
+ * @param quota the most that its tasks may hold at once
+ * @param weight its share when teams compete, at least 1
+ */
+public record Team(String name, Resources quota, int weight) {
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What operators declare: services, batch runs, jobs, teams and targets.
+ */
+package org.monsoonrelay.model.workload;
