--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
@@ -0,0 +1,72 @@
+package org.monsoonrelay.adapters.http;
+
+import java.util.function.Consumer;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.netty.NettyServer;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * One HTTP server of a process: Jooby on Netty. Thread-safe once started.
+ */
+public final class HttpServer implements AutoCloseable {
+
+	private static final int IO_THREADS = 4;
+
+	private static final int WORKER_THREADS = 16;
+
+	private final Jooby application = new Jooby();
+
+	private final NettyServer server = new NettyServer();
+
+	private final HostAddress address;
+
+	/**
+	 * Create a server.
+	 * @param address where to listen
+	 * @param maximumBodyBytes the largest request body accepted
+	 * @param routes adds the routes
+	 */
+	public HttpServer(HostAddress address, int maximumBodyBytes, Consumer<Jooby> routes) {
+		this.address = address;
+		ServerOptions options = new ServerOptions();
+		options.setHost(address.host());
+		options.setPort(address.port());
+		options.setMaxRequestSize(maximumBodyBytes);
+		options.setIoThreads(IO_THREADS);
+		options.setWorkerThreads(WORKER_THREADS);
+		options.setDefaultHeaders(false);
+		this.application.setServerOptions(options);
+		this.application.setExecutionMode(ExecutionMode.EVENT_LOOP);
+		routes.accept(this.application);
+	}
+
+	/**
+	 * Listen.
+	 * @throws IllegalStateException if the address cannot be bound
+	 */
+	public void start() {
+		try {
+			this.server.start(this.application);
+		}
+		catch (RuntimeException ex) {
+			throw new IllegalStateException("cannot listen at " + this.address + ": " + rootMessage(ex), ex);
+		}
+	}
+
+	private static String rootMessage(Throwable failure) {
+		Throwable root = failure;
+		while (root.getCause() != null) {
+			root = root.getCause();
+		}
+		return root.getMessage();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/Program.java
@@ -0,0 +1,51 @@
+package org.monsoonrelay.adapters.logging;
+
+import java.io.PrintStream;
+
+import org.monsoonrelay.adapters.settings.SettingsException;
+import picocli.CommandLine;
+
+/**
+ * Runs a program's command and turns what stops it into one clear line and an exit code.
+ * Stateless and thread-safe.
+ */
+public final class Program {
+
+	/** All went well. */
+	public static final int OK = 0;
+
+	/** Something that was asked for did not happen. */
+	public static final int FAILED = 1;
+
+	/** The command line, a text or the settings have faults. */
+	public static final int INVALID = 2;
+
+	/** A process or the platform cannot be reached. */
+	public static final int UNREACHABLE = 3;
+
+	/** Another edit came first. */
+	public static final int CONFLICT = 4;
+
+	/** It is not known whether what was asked for happened. */
+	public static final int UNSETTLED = 5;
+
+	private Program() {
+	}
+
+	/**
+	 * Run a command.
+	 * @param command the picocli command
+	 * @param arguments the arguments
+	 * @param errors where the clear line goes
+	 * @return the exit code
+	 */
+	public static int run(Object command, String[] arguments, PrintStream errors) {
+		CommandLine line = new CommandLine(command);
+		line.setExecutionExceptionHandler((ex, failed, parsed) -> {
+			errors.println(failed.getCommandName() + ": " + ex.getMessage());
+			return (ex instanceof SettingsException) ? INVALID : FAILED;
+		});
+		return line.execute(arguments);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Logs as JSON lines.
+ */
+package org.monsoonrelay.adapters.logging;
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between the command line and the schedulers.
+ */
+package org.monsoonrelay.adapters.operator;
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -0,0 +1,184 @@
+package org.monsoonrelay.adapters.peer;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Hello;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * Connections to the other processes: one duplex connection a pair, opened when first
+ * needed and used in both directions. A connection on which nothing arrives for the
+ * silence limit is closed, so that a silent one does not outlive its use. Thread-safe.
+ */
+public final class PeerNetwork implements AutoCloseable {
+
+	private static final int NETWORK_THREADS = 2;
+
+	private static final int MAXIMUM_FRAME_BYTES = 32 * 1024 * 1024;
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+	private static final Duration SILENCE_LIMIT = Duration.ofSeconds(4);
+
+	private static final Duration PING_AFTER = Duration.ofSeconds(1);
+
+	private final PeerIdentity self;
+
+	private final String secret;
+
+	private final PeerHandler handler;
+
+	private final EventLoopGroup group = new NioEventLoopGroup(NETWORK_THREADS, new DefaultThreadFactory("peer", true));
+
+	private final Map<HostAddress, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
+
+	private Channel server;
+
+	public PeerNetwork(PeerIdentity self, String secret, PeerHandler handler) {
+		this.self = self;
+		this.secret = secret;
+		this.handler = handler;
+	}
+
+	/**
+	 * Listen for peers.
+	 * @throws IllegalStateException if the address cannot be bound
+	 */
+	public void listen() {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(initializer(null));
+		var bound = bootstrap.bind(this.self.address().host(), this.self.address().port()).awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new IllegalStateException(
+					"cannot listen for peers at " + this.self.address() + ": " + bound.cause().getMessage(),
+					bound.cause());
+		}
+		this.server = bound.channel();
+	}
+
+	/**
+	 * Send a request.
+	 * @param peer where the peer listens
+	 * @param body the request's body
+	 * @param timeout how long to wait for the reply
+	 * @return the reply; fails with {@link PeerException} if none came
+	 */
+	public CompletableFuture<Envelope> request(HostAddress peer, Envelope.Builder body, Duration timeout) {
+		return connection(peer).thenCompose((connection) -> connection.request(body, timeout));
+	}
+
+	/**
+	 * Send a one-way message, if a connection is there or can be made.
+	 * @param peer where the peer listens
+	 * @param body the message's body
+	 */
+	public void tell(HostAddress peer, Envelope.Builder body) {
+		connection(peer).thenAccept((connection) -> connection.tell(body));
+	}
+
+	private CompletableFuture<PeerConnection> connection(HostAddress peer) {
+		return this.connections.computeIfAbsent(peer, this::connect);
+	}
+
+	private CompletableFuture<PeerConnection> connect(HostAddress peer) {
+		CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
+		Bootstrap bootstrap = new Bootstrap().group(this.group)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.handler(initializer(ready));
+		bootstrap.connect(peer.host(), peer.port()).addListener((done) -> {
+			if (!done.isSuccess()) {
+				ready.completeExceptionally(new PeerException("cannot reach peer " + peer, done.cause()));
+			}
+		});
+		ready.whenComplete((connection, failure) -> {
+			if (failure != null) {
+				this.connections.remove(peer, ready);
+			}
+			else {
+				connection.onClose(() -> this.connections.remove(peer, ready));
+			}
+		});
+		return ready;
+	}
+
+	private ChannelInitializer<SocketChannel> initializer(CompletableFuture<PeerConnection> ready) {
+		return new ChannelInitializer<>() {
+			@Override
+			protected void initChannel(SocketChannel channel) {
+				channel.pipeline()
+					.addLast(new IdleStateHandler(SILENCE_LIMIT.toMillis(), PING_AFTER.toMillis(), 0,
+							TimeUnit.MILLISECONDS))
+					.addLast(new ProtobufVarint32FrameDecoder())
+					.addLast(new FrameLimit(MAXIMUM_FRAME_BYTES))
+					.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
+					.addLast(new ProtobufVarint32LengthFieldPrepender())
+					.addLast(new ProtobufEncoder())
+					.addLast(new PeerConnection(PeerNetwork.this, channel, ready));
+			}
+		};
+	}
+
+	Hello hello() {
+		return Hello.newBuilder()
+			.setSession(this.self.session())
+			.setRole(this.self.role())
+			.setFailureDomain(this.self.failureDomain())
+			.setAddress(this.self.address().toString())
+			.setSecret(this.secret)
+			.build();
+	}
+
+	String secret() {
+		return this.secret;
+	}
+
+	PeerHandler handler() {
+		return this.handler;
+	}
+
+	/**
+	 * Use an accepted connection for requests to that peer, too.
+	 * @param peer the peer
+	 * @param connection the connection
+	 */
+	void adopt(PeerIdentity peer, PeerConnection connection) {
+		CompletableFuture<PeerConnection> ready = CompletableFuture.completedFuture(connection);
+		if (this.connections.putIfAbsent(peer.address(), ready) == null) {
+			connection.onClose(() -> this.connections.remove(peer.address(), ready));
+		}
+	}
+
+	@Override
+	public void close() {
+		if (this.server != null) {
+			this.server.close();
+		}
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading and checking a process's settings.
+ */
+package org.monsoonrelay.adapters.settings;
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
@@ -0,0 +1,146 @@
+package org.monsoonrelay.gateway;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.monsoonrelay.adapters.http.HealthRoutes;
+import org.monsoonrelay.adapters.http.HttpServer;
+import org.monsoonrelay.adapters.node.ControlFollower;
+import org.monsoonrelay.adapters.peer.PeerIdentity;
+import org.monsoonrelay.adapters.peer.PeerNetwork;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Announcement;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Empty;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.platform.HttpBackendClient;
+import org.monsoonrelay.adapters.platform.HttpPlatform;
+import org.monsoonrelay.logic.control.ControlLog;
+import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * One gateway process: composition only. Thread-safe; one timer thread does the periodic
+ * work, traffic runs on the servers' and clients' threads.
+ */
+final class Gateway {
+
+	private static final System.Logger LOGGER = System.getLogger(Gateway.class.getName());
+
+	private static final String ROLE = "gateway";
+
+	private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
+	private static final int EXPIRE_MILLIS = 10;
+
+	private static final int POLL_MILLIS = 1000;
+
+	private static final int DRAIN_CHECK_MILLIS = 10;
+
+	private final GatewaySettings settings;
+
+	private final ControlTracker tracker = new ControlTracker();
+
+	private final ControlFollower follower;
+
+	private final HttpPlatform platform;
+
+	private final GatewayServices services;
+
+	private final CallerRoutes callerRoutes;
+
+	private final PeerNetwork network;
+
+	private final HttpServer callers;
+
+	private final HttpServer admin;
+
+	private final String session = UUID.randomUUID().toString();
+
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "timer"));
+
+	Gateway(GatewaySettings settings) {
+		this.settings = settings;
+		Clock clock = Clock.systemUTC();
+		MetricRegistry metrics = new MetricRegistry();
+		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
+		this.follower = new ControlFollower(new ControlLog(this.platform, this.platform, clock), this.tracker);
+		this.services = new GatewayServices(settings, this.tracker, new HttpBackendClient(clock), clock);
+		this.callerRoutes = new CallerRoutes(this.services, clock, () -> UUID.randomUUID().toString(), metrics);
+		PeerIdentity self = new PeerIdentity(this.session, ROLE, settings.node().failureDomain(),
+				settings.node().peer());
+		this.network = new PeerNetwork(self, settings.node().secret(), this::handle);
+		this.callers = new HttpServer(settings.caller(), MAXIMUM_BODY_BYTES, this.callerRoutes::addTo);
+		this.admin = new HttpServer(settings.admin(), MAXIMUM_BODY_BYTES,
+				new HealthRoutes(metrics, this::notReady)::addTo);
+	}
+
+	void start() {
+		this.network.listen();
+		this.admin.start();
+		this.callers.start();
+		this.timer.scheduleWithFixedDelay(this::poll, 0, POLL_MILLIS, TimeUnit.MILLISECONDS);
+		this.timer.scheduleWithFixedDelay(this.services::expire, EXPIRE_MILLIS, EXPIRE_MILLIS, TimeUnit.MILLISECONDS);
+		LOGGER.log(System.Logger.Level.INFO, "gateway {0} listens for callers at {1}", this.settings.node().name(),
+				this.settings.callerAddress());
+	}
+
+	private Optional<String> notReady() {
+		if (this.tracker.inForce().head().version() == 0) {
+			return Optional.of("no text is in force yet");
+		}
+		return this.services.hasHosts() ? Optional.empty() : Optional.of("the host list has not been read yet");
+	}
+
+	private void poll() {
+		this.follower.poll();
+		this.platform.read().thenAccept(this.services::update).exceptionally((failure) -> null);
+		Envelope.Builder announcement = Envelope.newBuilder()
+			.setAnnouncement(Announcement.newBuilder()
+				.setSession(this.session)
+				.setRole(ROLE)
+				.setAddress(this.settings.node().peerAddress())
+				.setFailureDomain(this.settings.node().failureDomain())
+				.setVersion(this.tracker.inForce().head().version()));
+		for (HostAddress peer : this.settings.node().peerAddresses()) {
+			this.network.tell(peer, announcement.clone());
+		}
+	}
+
+	private CompletableFuture<Envelope.Builder> handle(PeerIdentity from, Envelope request) {
+		if (request.hasAnnouncement()) {
+			this.follower.announced(this.network, from.address(), request.getAnnouncement().getVersion());
+		}
+		Envelope.Builder reply = request.hasStateRequest() ? this.follower.state()
+				: Envelope.newBuilder().setEmpty(Empty.getDefaultInstance());
+		return CompletableFuture.completedFuture(reply);
+	}
+
+	/**
+	 * Refuse new requests, wait for those in flight, then close.
+	 */
+	void drain() {
+		this.callerRoutes.stop();
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainMillis());
+		CompletableFuture<Void> drained = new CompletableFuture<>();
+		this.timer.scheduleWithFixedDelay(() -> {
+			if (this.services.unfinished() == 0 || System.nanoTime() - end > 0) {
+				drained.complete(null);
+			}
+		}, 0, DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+		drained.join();
+		this.callers.close();
+		this.admin.close();
+		this.network.close();
+		this.timer.shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayMain.java
@@ -0,0 +1,47 @@
+package org.monsoonrelay.gateway;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import org.monsoonrelay.adapters.logging.Program;
+import org.monsoonrelay.adapters.node.Shutdown;
+import org.monsoonrelay.adapters.settings.SettingsReader;
+import org.monsoonrelay.logic.platform.Json;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * The gateway's command line.
+ */
+@Command(name = "monsoonrelay-gateway", mixinStandardHelpOptions = true, version = "0.1.0",
+		description = "Takes callers' requests and forwards them to backend servers.")
+public final class GatewayMain implements Callable<Integer> {
+
+	@Option(names = "--settings", required = true, description = "JSON file with the settings.")
+	private Path settingsFile;
+
+	@Option(names = "--print-settings", description = "Check the settings, print them and exit.")
+	private boolean printSettings;
+
+	/**
+	 * Run a gateway until it is told to stop.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		System.exit(Program.run(new GatewayMain(), arguments, System.err));
+	}
+
+	@Override
+	public Integer call() {
+		GatewaySettings settings = new SettingsReader<>(GatewaySettings.class, "gateway-settings.schema.json")
+			.read(this.settingsFile);
+		if (this.printSettings) {
+			System.out.println(Json.write(settings));
+			return Program.OK;
+		}
+		Gateway gateway = new Gateway(settings);
+		gateway.start();
+		return new Shutdown().await(gateway::drain);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayServices.java
@@ -0,0 +1,97 @@
+package org.monsoonrelay.gateway;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.logic.routing.BackendClient;
+import org.monsoonrelay.logic.routing.BackendPool;
+import org.monsoonrelay.logic.routing.ForwardedRequest;
+import org.monsoonrelay.logic.routing.RetryBudget;
+import org.monsoonrelay.logic.routing.ServiceRouter;
+import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.host.HostKind;
+import org.monsoonrelay.model.request.RequestOutcome;
+import org.monsoonrelay.model.workload.ServiceDeclaration;
+
+/**
+ * The routers of the declared services. Thread-safe.
+ */
+final class GatewayServices {
+
+	static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+	private static final double RETRY_SHARE = 0.1;
+
+	private static final double RETRY_RESERVE = 20;
+
+	private final GatewaySettings settings;
+
+	private final ControlTracker tracker;
+
+	private final BackendClient client;
+
+	private final InstantSource clock;
+
+	private final Map<String, ServiceRouter> routers = new ConcurrentHashMap<>();
+
+	private volatile HostList hosts = new HostList(0, List.of());
+
+	GatewayServices(GatewaySettings settings, ControlTracker tracker, BackendClient client, InstantSource clock) {
+		this.settings = settings;
+		this.tracker = tracker;
+		this.client = client;
+		this.clock = clock;
+	}
+
+	Optional<ServiceDeclaration> declaration(String service) {
+		return this.tracker.inForce().text().service(service);
+	}
+
+	CompletableFuture<RequestOutcome> route(ForwardedRequest request) {
+		return this.routers.computeIfAbsent(request.service(), this::router).route(request);
+	}
+
+	private ServiceRouter router(String service) {
+		BackendPool pool = new BackendPool(this.settings.slotsPerBackendServer(), this.settings.node().failureDomain(),
+				this.clock, RandomSource.XO_RO_SHI_RO_128_PP.create());
+		pool.update(backendServers(this.hosts, service));
+		return new ServiceRouter(pool, this.client, new RetryBudget(RETRY_SHARE, RETRY_RESERVE), this.clock,
+				this.settings.maximumWaiting(), Duration.ofMillis(this.settings.attemptLimitMillis()));
+	}
+
+	void update(HostList list) {
+		if (list.version() < this.hosts.version()) {
+			return;
+		}
+		this.hosts = list;
+		this.routers.forEach((service, router) -> router.pool().update(backendServers(list, service)));
+	}
+
+	private static List<Host> backendServers(HostList list, String service) {
+		return list.hosts()
+			.stream()
+			.filter((host) -> host.kind() == HostKind.BACKEND_SERVER && host.service().equals(service))
+			.toList();
+	}
+
+	void expire() {
+		this.routers.values().forEach(ServiceRouter::expire);
+	}
+
+	int unfinished() {
+		return this.routers.values().stream().mapToInt((router) -> router.waiting() + router.inFlight()).sum();
+	}
+
+	boolean hasHosts() {
+		return !this.hosts.hosts().isEmpty();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/OutcomeProblems.java
@@ -0,0 +1,35 @@
+package org.monsoonrelay.gateway;
+
+import io.jooby.StatusCode;
+import org.monsoonrelay.adapters.http.Problem;
+import org.monsoonrelay.model.request.NotRunReason;
+
+/**
+ * Problems that tell callers why a request was not run. Stateless and thread-safe.
+ */
+final class OutcomeProblems {
+
+	private OutcomeProblems() {
+	}
+
+	static Problem notRun(NotRunReason reason) {
+		return switch (reason) {
+			case UNKNOWN_SERVICE -> notRun(StatusCode.NOT_FOUND_CODE, "The text in force declares no such service.");
+			case UNKNOWN_OPERATION -> notRun(StatusCode.NOT_FOUND_CODE, "The service declares no such operation.");
+			case INVALID_REQUEST -> notRun(StatusCode.BAD_REQUEST_CODE,
+					"The deadline header is not a number of " + "milliseconds between 0 and 600000.");
+			case DEADLINE -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "No slot came free before the deadline.");
+			case OVERLOAD -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "More urgent requests fill all slots.");
+			case NO_BACKEND_SERVER ->
+				notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "No backend server took the request.");
+			case PLATFORM_UNAVAILABLE -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE,
+					"The platform cannot be reached, and this operation may not be repeated.");
+			case STOPPING -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "This entry host is stopping.");
+		};
+	}
+
+	private static Problem notRun(int status, String detail) {
+		return Problem.of("not-run", "The request was not run", status, detail);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The gateway: takes callers' requests and forwards them to backend servers.
+ */
+package org.monsoonrelay.gateway;
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/Digest.java
@@ -0,0 +1,31 @@
+package org.monsoonrelay.logic.control;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Names objects after their content.
+ */
+public final class Digest {
+
+	private Digest() {
+	}
+
+	/**
+	 * SHA-256 of a text.
+	 * @param text the text
+	 * @return the digest in hexadecimal
+	 */
+	public static String of(String text) {
+		try {
+			MessageDigest sha = MessageDigest.getInstance("SHA-256");
+			return HexFormat.of().formatHex(sha.digest(text.getBytes(StandardCharsets.UTF_8)));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is part of every Java platform", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/InForce.java
@@ -0,0 +1,21 @@
+package org.monsoonrelay.logic.control;
+
+import org.monsoonrelay.model.control.ControlHead;
+import org.monsoonrelay.model.control.ControlState;
+import org.monsoonrelay.model.workload.CellText;
+
+/**
+ * One version of the control state with its text read. Immutable.
+ *
+ * @param head the head of the version
+ * @param state the state of the version
+ * @param text the text in it
+ */
+public record InForce(ControlHead head, ControlState state, CellText text) {
+
+	/**
+	 * Before the first version.
+	 */
+	public static final InForce NOTHING = new InForce(ControlHead.NONE, ControlState.NONE, CellText.EMPTY);
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Telling live sessions from lapsed ones and planning who owns what.
+ */
+package org.monsoonrelay.logic.membership;
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/CommitResult.java
@@ -0,0 +1,28 @@
+package org.monsoonrelay.logic.platform;
+
+import java.util.Map;
+
+/**
+ * Outcome of a transaction whose answer arrived. Immutable.
+ */
+public sealed interface CommitResult {
+
+	/**
+	 * All writes took effect.
+	 *
+	 * @param versions the new version of each row
+	 */
+	record Committed(Map<String, Long> versions) implements CommitResult {
+
+	}
+
+	/**
+	 * No write took effect.
+	 *
+	 * @param versions the present version of each row whose condition failed, 0 if absent
+	 */
+	record Conflict(Map<String, Long> versions) implements CommitResult {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
@@ -0,0 +1,62 @@
+package org.monsoonrelay.logic.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+
+/**
+ * The one JSON mapping of the project. Thread-safe.
+ */
+public final class Json {
+
+	/**
+	 * Mapper that refuses duplicate keys and unknown properties.
+	 */
+	public static final ObjectMapper MAPPER = JsonMapper.builder()
+		.addModule(new JavaTimeModule())
+		.enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+		.disable(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.build();
+
+	private Json() {
+	}
+
+	/**
+	 * Write a value that the project itself made.
+	 * @param value the value
+	 * @return its JSON text
+	 */
+	public static String write(Object value) {
+		try {
+			return MAPPER.writeValueAsString(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("value cannot be written as JSON: " + value.getClass(), ex);
+		}
+	}
+
+	/**
+	 * Read a value that the project itself wrote.
+	 * @param <T> type of the value
+	 * @param text the JSON text
+	 * @param type type of the value
+	 * @return the value
+	 * @throws IllegalArgumentException if the text does not hold such a value
+	 */
+	public static <T> T read(String text, Class<T> type) {
+		try {
+			return MAPPER.readValue(text, type);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("not a " + type.getSimpleName() + ": " + ex.getOriginalMessage(), ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobStatus.java
@@ -0,0 +1,30 @@
+package org.monsoonrelay.logic.queue;
+
+import java.util.List;
+import java.util.Map;
+
+import org.monsoonrelay.model.job.JobId;
+import org.monsoonrelay.model.job.TaskRecord;
+import org.monsoonrelay.model.job.TaskState;
+import org.monsoonrelay.model.workload.WorkloadKind;
+
+/**
+ * What operators read of a job. Immutable.
+ *
+ * @param id the job
+ * @param kind how its tasks belong together
+ * @param team its team
+ * @param declared number of declared tasks
+ * @param counts number of tasks in each state
+ * @param waitReason why tasks wait
+ * @param tasks the tasks
+ */
+public record JobStatus(JobId id, WorkloadKind kind, String team, int declared, Map<TaskState, Integer> counts,
+		WaitReason waitReason, List<TaskRecord> tasks) {
+
+	public JobStatus {
+		counts = Map.copyOf(counts);
+		tasks = List.copyOf(tasks);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
@@ -0,0 +1,424 @@
+package org.monsoonrelay.logic.rack;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.logic.placement.AttemptEvent;
+import org.monsoonrelay.logic.placement.AttemptEventKind;
+import org.monsoonrelay.logic.placement.PackingPolicy;
+import org.monsoonrelay.logic.placement.PlacementPolicy;
+import org.monsoonrelay.logic.placement.RackSummary;
+import org.monsoonrelay.logic.placement.Reservation;
+import org.monsoonrelay.logic.placement.ReservationRequest;
+import org.monsoonrelay.logic.placement.SpreadPolicy;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.host.HostKind;
+import org.monsoonrelay.model.host.HostState;
+import org.monsoonrelay.model.job.AttemptId;
+import org.monsoonrelay.model.worker.Worker;
+import org.monsoonrelay.model.worker.WorkerId;
+import org.monsoonrelay.model.workload.WorkloadKind;
+
+/**
+ * Owner of racks: reserves room, starts and stops attempts on workers, renews leases and
+ * keeps events for the queue owners until they are acknowledged. Invariants: no worker's
+ * commitments exceed its capacity; a worker takes no new work before it has reported
+ * under the present ownership; an ended attempt is forgotten at the worker only after its
+ * queue owner has acknowledged the end. Not thread-safe: confined to the control thread,
+ * which is also the executor for the workers' answers.
+ */
+public final class RackManager {
+
+	private final WorkerAgents agents;
+
+	private final Executor control;
+
+	private final InstantSource clock;
+
+	private final LongSupplier monotonicNanos;
+
+	private final Duration lease;
+
+	private final Map<String, Rack> racks = new TreeMap<>();
+
+	private final Map<AttemptId, AttemptEvent> outbox = new LinkedHashMap<>();
+
+	private final Map<AttemptId, WorkerSlot> slotByAttempt = new HashMap<>();
+
+	private HostList hosts = new HostList(0, List.of());
+
+	public RackManager(WorkerAgents agents, Executor control, InstantSource clock, LongSupplier monotonicNanos,
+			Duration lease) {
+		this.agents = agents;
+		this.control = control;
+		this.clock = clock;
+		this.monotonicNanos = monotonicNanos;
+		this.lease = lease;
+	}
+
+	/**
+	 * Begin to own a rack. Its workers take no new work until they have reported.
+	 * @param rack the rack
+	 * @param epoch epoch of the ownership
+	 */
+	public void own(String rack, long epoch) {
+		Rack present = this.racks.get(rack);
+		if (present == null || present.epoch < epoch) {
+			this.racks.put(rack, new Rack(rack, epoch));
+			populate();
+		}
+	}
+
+	/**
+	 * Cease to own a rack. What runs there goes on under its next owner.
+	 * @param rack the rack
+	 */
+	public void disown(String rack) {
+		Rack removed = this.racks.remove(rack);
+		if (removed == null) {
+			return;
+		}
+		Collection<WorkerSlot> gone = removed.slots.values();
+		Set<AttemptId> attempts = this.slotByAttempt.entrySet()
+			.stream()
+			.filter((entry) -> gone.contains(entry.getValue()))
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		this.slotByAttempt.keySet().removeAll(attempts);
+		this.outbox.keySet().removeAll(attempts);
+	}
+
+	/**
+	 * Take in a reading of the host list. A reading older than one seen before is left
+	 * out.
+	 * @param list the reading
+	 */
+	public void update(HostList list) {
+		if (list.version() < this.hosts.version()) {
+			return;
+		}
+		this.hosts = list;
+		populate();
+		Set<String> listed = list.hosts().stream().map(Host::name).collect(Collectors.toSet());
+		for (Rack rack : this.racks.values()) {
+			rack.slots.values()
+				.stream()
+				.filter((slot) -> !listed.contains(slot.host().name()))
+				.toList()
+				.forEach((slot) -> remove(rack, slot));
+		}
+	}
+
+	private void populate() {
+		for (Host host : this.hosts.hosts()) {
+			Rack rack = this.racks.get(host.rack());
+			if (host.kind() == HostKind.WORKER && rack != null) {
+				WorkerSlot slot = rack.slots.computeIfAbsent(new WorkerId(host.name()),
+						(id) -> new WorkerSlot(host, this.monotonicNanos.getAsLong()));
+				slot.update(host, host.state() == HostState.LEAVING);
+			}
+		}
+	}
+
+	private void remove(Rack rack, WorkerSlot slot) {
+		rack.slots.remove(slot.worker().id());
+		slot.eventsForAll(AttemptEventKind.GONE).forEach((event) -> post(event, slot));
+	}
+
+	/**
+	 * Reserve room for as many of the attempts as fit.
+	 * @param request the request
+	 * @return the reservations; attempts without one hold nothing
+	 */
+	public List<Reservation> reserve(ReservationRequest request) {
+		Rack rack = this.racks.get(request.rack());
+		if (rack == null) {
+			return List.of();
+		}
+		List<Reservation> reserved = new ArrayList<>();
+		for (AttemptId attempt : request.attempts()) {
+			place(rack, request, attempt).ifPresent(reserved::add);
+		}
+		return reserved;
+	}
+
+	private Optional<Reservation> place(Rack rack, ReservationRequest request, AttemptId attempt) {
+		WorkerSlot held = this.slotByAttempt.get(attempt);
+		if (held != null) {
+			return Optional.of(new Reservation(attempt, held.worker().id(), held.worker().incarnation()));
+		}
+		PlacementPolicy policy = (request.kind() == WorkloadKind.SERVICE) ? new SpreadPolicy() : new PackingPolicy();
+		Optional<Worker> chosen = policy.choose(attempt.job(), request.size(), rack.usableWorkers());
+		if (chosen.isEmpty() || !chosen.get().reserve(attempt, request.size(), request.deadline())) {
+			return Optional.empty();
+		}
+		WorkerSlot slot = rack.slots.get(chosen.get().id());
+		slot.teamOf(attempt, request.team());
+		this.slotByAttempt.put(attempt, slot);
+		if (request.startAtOnce()) {
+			start(new StartTask(attempt, request.team(), request.size(), request.runMillis()));
+		}
+		return Optional.of(new Reservation(attempt, chosen.get().id(), chosen.get().incarnation()));
+	}
+
+	/**
+	 * Start a reserved attempt. Idempotent.
+	 * @param start the order
+	 * @return {@code true} if the reservation was still held
+	 */
+	public boolean start(StartTask start) {
+		WorkerSlot slot = this.slotByAttempt.get(start.attempt());
+		if (slot == null || !slot.worker().grant(start.attempt())) {
+			return false;
+		}
+		slot.order(start);
+		return true;
+	}
+
+	/**
+	 * Stop an attempt, or make sure that it never starts. The outcome follows as an
+	 * event.
+	 * @param attempt the attempt
+	 * @param worker the worker it was placed on
+	 * @param team the team it counts against
+	 */
+	public void stop(AttemptId attempt, WorkerId worker, String team) {
+		WorkerSlot slot = this.slotByAttempt.get(attempt);
+		if (slot == null) {
+			slot = slotOf(worker);
+		}
+		if (slot != null) {
+			slot.teamOf(attempt, team);
+			this.slotByAttempt.put(attempt, slot);
+			slot.orderStop(attempt);
+		}
+	}
+
+	private WorkerSlot slotOf(WorkerId worker) {
+		return this.racks.values()
+			.stream()
+			.map((rack) -> rack.slots.get(worker))
+			.filter(Objects::nonNull)
+			.findFirst()
+			.orElse(null);
+	}
+
+	/**
+	 * Give back reservations that were never started. Idempotent.
+	 * @param attempts the attempts
+	 */
+	public void release(Collection<AttemptId> attempts) {
+		for (AttemptId attempt : attempts) {
+			WorkerSlot slot = this.slotByAttempt.remove(attempt);
+			if (slot != null) {
+				slot.worker().release(attempt);
+			}
+		}
+	}
+
+	/**
+	 * Find out what became of an attempt that is in doubt. The outcome follows as an
+	 * event.
+	 * @param attempt the attempt
+	 * @param worker the worker it was placed on
+	 * @param incarnation the worker's incarnation then
+	 * @param team the team it counts against
+	 */
+	public void resolve(AttemptId attempt, WorkerId worker, String incarnation, String team) {
+		WorkerSlot slot = slotOf(worker);
+		if (slot == null) {
+			return;
+		}
+		slot.teamOf(attempt, team);
+		if (!slot.worker().isReported() || slot.isSilent()) {
+			return;
+		}
+		if (slot.worker().attempts().contains(attempt)) {
+			if (slot.announcedRunning(attempt)) {
+				this.outbox.putIfAbsent(attempt, slot.event(attempt, AttemptEventKind.RUNNING));
+			}
+		}
+		else if (!slot.worker().incarnation().equals(incarnation)) {
+			post(slot.event(attempt, AttemptEventKind.GONE), slot);
+		}
+		else {
+			this.slotByAttempt.put(attempt, slot);
+			slot.orderStop(attempt);
+		}
+	}
+
+	/**
+	 * Post again all that is known of a team's attempts, for a new queue owner.
+	 * @param team the team
+	 */
+	public void claim(String team) {
+		for (Map.Entry<AttemptId, WorkerSlot> entry : Map.copyOf(this.slotByAttempt).entrySet()) {
+			WorkerSlot slot = entry.getValue();
+			boolean runs = slot.announcedRunning(entry.getKey());
+			if (runs && slot.team(entry.getKey()).equals(team) && !this.outbox.containsKey(entry.getKey())) {
+				this.outbox.put(entry.getKey(), slot.event(entry.getKey(), AttemptEventKind.RUNNING));
+			}
+		}
+	}
+
+	/**
+	 * Send a heartbeat to every worker, and release reservations that have lapsed.
+	 */
+	public void heartbeat() {
+		for (Rack rack : this.racks.values()) {
+			for (WorkerSlot slot : rack.slots.values()) {
+				slot.worker().lapse(this.clock.instant()).forEach(this.slotByAttempt::remove);
+				slot.checkSilence(this.monotonicNanos.getAsLong(), this.lease.toNanos())
+					.forEach((event) -> post(event, slot));
+				call(rack, slot);
+			}
+		}
+	}
+
+	/**
+	 * Send the orders that cannot wait for the next heartbeat.
+	 */
+	public void sendOrders() {
+		for (Rack rack : this.racks.values()) {
+			rack.slots.values().stream().filter(WorkerSlot::wantsUrgentCall).forEach((slot) -> call(rack, slot));
+		}
+	}
+
+	private void call(Rack rack, WorkerSlot slot) {
+		if (slot.isCallInFlight()) {
+			return;
+		}
+		slot.setCallInFlight(true);
+		WorkerCommand command = slot.command(rack.epoch, this.lease.toMillis());
+		this.agents.send(slot.host(), command).whenCompleteAsync((report, failure) -> {
+			slot.setCallInFlight(false);
+			if (report != null && this.racks.get(rack.name) == rack) {
+				answered(rack, slot, command, report);
+			}
+		}, this.control);
+	}
+
+	private void answered(Rack rack, WorkerSlot slot, WorkerCommand command, WorkerReport report) {
+		if (!report.accepted()) {
+			disown(rack.name);
+			return;
+		}
+		for (AttemptEvent event : slot.take(report, command, this.monotonicNanos.getAsLong())) {
+			post(event, slot);
+		}
+	}
+
+	private void post(AttemptEvent event, WorkerSlot slot) {
+		WorkerSlot before = this.slotByAttempt.put(event.attempt(), slot);
+		boolean known = before == slot && event.kind() == AttemptEventKind.RUNNING
+				&& slot.announcedRunning(event.attempt());
+		if (!known || this.outbox.containsKey(event.attempt())) {
+			this.outbox.put(event.attempt(), event);
+		}
+	}
+
+	/**
+	 * Events not yet acknowledged, by team.
+	 * @return the events
+	 */
+	public Map<String, List<AttemptEvent>> events() {
+		return this.outbox.values()
+			.stream()
+			.collect(Collectors.groupingBy((event) -> this.slotByAttempt.get(event.attempt()).team(event.attempt())));
+	}
+
+	/**
+	 * A queue owner has taken in an event and, where it has to last, made it durable.
+	 * @param event the event
+	 */
+	public void acknowledge(AttemptEvent event) {
+		if (!event.equals(this.outbox.get(event.attempt()))) {
+			return;
+		}
+		this.outbox.remove(event.attempt());
+		WorkerSlot slot = this.slotByAttempt.get(event.attempt());
+		if (event.kind() == AttemptEventKind.RUNNING) {
+			slot.announceRunning(event.attempt());
+		}
+		else if (event.kind() != AttemptEventKind.LAPSED) {
+			this.slotByAttempt.remove(event.attempt());
+			slot.forget(event.attempt());
+		}
+	}
+
+	/**
+	 * What queue owners sample.
+	 * @return a summary of each owned rack
+	 */
+	public List<RackSummary> summaries() {
+		return this.racks.values().stream().map(Rack::summary).toList();
+	}
+
+	/**
+	 * The workers of the owned racks.
+	 * @return the workers; they belong to the control thread
+	 */
+	public List<Worker> workers() {
+		return this.racks.values()
+			.stream()
+			.flatMap((rack) -> rack.slots.values().stream())
+			.map(WorkerSlot::worker)
+			.toList();
+	}
+
+	private static final class Rack {
+
+		private final String name;
+
+		private final long epoch;
+
+		private final Map<WorkerId, WorkerSlot> slots = new TreeMap<>();
+
+		Rack(String name, long epoch) {
+			this.name = name;
+			this.epoch = epoch;
+		}
+
+		List<Worker> usableWorkers() {
+			return this.slots.values().stream().filter(WorkerSlot::isUsable).map(WorkerSlot::worker).toList();
+		}
+
+		RackSummary summary() {
+			Resources capacity = Resources.NONE;
+			Resources free = Resources.NONE;
+			int largest = 0;
+			List<Worker> usable = usableWorkers();
+			for (Worker worker : usable) {
+				capacity = capacity.plus(worker.capacity());
+				free = free.plus(worker.free());
+				largest = Math.max(largest, worker.free().processors());
+			}
+			String domain = this.slots.values()
+				.stream()
+				.findFirst()
+				.map((slot) -> slot.host().failureDomain())
+				.orElse("");
+			boolean settled = this.slots.values()
+				.stream()
+				.allMatch((slot) -> slot.worker().isReported() || slot.isSilent());
+			return new RackSummary(this.name, domain, this.epoch, usable.size(), capacity, free, largest, settled);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/WorkerCommand.java
@@ -0,0 +1,27 @@
+package org.monsoonrelay.logic.rack;
+
+import java.util.List;
+
+import org.monsoonrelay.model.job.AttemptId;
+
+/**
+ * What a rack's owner sends to a worker: renews the lease and carries orders. Every part
+ * is idempotent, so that a command whose answer was lost is sent again. Immutable.
+ *
+ * @param epoch epoch of the rack's ownership; a worker refuses one below the highest it
+ * has seen
+ * @param leaseMillis how long the lease lasts, in milliseconds
+ * @param starts attempts to start
+ * @param stops attempts to stop, or never to start
+ * @param forget ended attempts that need not be reported any more
+ */
+public record WorkerCommand(long epoch, long leaseMillis, List<StartTask> starts, List<AttemptId> stops,
+		List<AttemptId> forget) {
+
+	public WorkerCommand {
+		starts = List.copyOf(starts);
+		stops = List.copyOf(stops);
+		forget = List.copyOf(forget);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/AttemptResult.java
@@ -0,0 +1,51 @@
+package org.monsoonrelay.logic.routing;
+
+import java.util.List;
+
+import org.monsoonrelay.model.request.RequestOutcome.HeaderLine;
+
+/**
+ * How one attempt at a backend server ended. Immutable.
+ */
+public sealed interface AttemptResult {
+
+	/**
+	 * The whole answer arrived.
+	 *
+	 * @param status the status
+	 * @param headers the headers
+	 * @param body the whole body
+	 */
+	record Whole(int status, List<HeaderLine> headers, byte[] body) implements AttemptResult {
+
+	}
+
+	/**
+	 * The backend server said that it has not started the request.
+	 *
+	 * @param leaving whether it is leaving, otherwise it is full
+	 */
+	record Refused(boolean leaving) implements AttemptResult {
+
+	}
+
+	/**
+	 * No byte of the request was sent.
+	 *
+	 * @param detail what went wrong
+	 */
+	record NotSent(String detail) implements AttemptResult {
+
+	}
+
+	/**
+	 * The request was sent, at least in part, and no whole answer came.
+	 *
+	 * @param timedOut whether time ran out, otherwise the connection broke
+	 * @param detail what went wrong
+	 */
+	record Broken(boolean timedOut, String detail) implements AttemptResult {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/RetryBudget.java
@@ -0,0 +1,46 @@
+package org.monsoonrelay.logic.routing;
+
+/**
+ * Bounds retries to a share of the requests, so that an outage does not multiply load.
+ * Invariant: over any time, retries are at most the reserve plus the share of the
+ * requests. Thread-safe.
+ */
+public final class RetryBudget {
+
+	private final double share;
+
+	private final double reserve;
+
+	private double tokens;
+
+	/**
+	 * Create a budget.
+	 * @param share retries allowed for each request, between 0 and 1
+	 * @param reserve the most retries that can be saved up
+	 */
+	public RetryBudget(double share, double reserve) {
+		this.share = share;
+		this.reserve = reserve;
+		this.tokens = reserve;
+	}
+
+	/**
+	 * A request has come in.
+	 */
+	public synchronized void request() {
+		this.tokens = Math.min(this.reserve, this.tokens + this.share);
+	}
+
+	/**
+	 * Ask for a retry.
+	 * @return {@code true} if the budget allows it
+	 */
+	public synchronized boolean tryRetry() {
+		if (this.tokens < 1) {
+			return false;
+		}
+		this.tokens--;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
@@ -0,0 +1,194 @@
+package org.monsoonrelay.logic.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.monsoonrelay.model.host.HostAddress;
+import org.monsoonrelay.model.request.NotRunReason;
+import org.monsoonrelay.model.request.RequestOutcome;
+
+/**
+ * Routes the requests of one service. A request takes a free slot or waits, ordered by
+ * class and deadline; one that cannot make its deadline is refused at once. Invariants: a
+ * request that may not be repeated is on the wire at most once; "not run" is said only if
+ * no byte reached a backend server or the server itself refused before it started; each
+ * slot taken is given back once. Thread-safe.
+ */
+public final class ServiceRouter {
+
+	private static final Duration MINIMUM_RETRY_AFTER = Duration.ofSeconds(1);
+
+	private final BackendPool pool;
+
+	private final BackendClient client;
+
+	private final RetryBudget retries;
+
+	private final InstantSource clock;
+
+	private final int maximumWaiting;
+
+	private final Duration attemptLimit;
+
+	private final AtomicLong sequence = new AtomicLong();
+
+	private final TreeSet<WaitingRequest> waiting = new TreeSet<>(WaitingRequest.ORDER);
+
+	public ServiceRouter(BackendPool pool, BackendClient client, RetryBudget retries, InstantSource clock,
+			int maximumWaiting, Duration attemptLimit) {
+		this.pool = pool;
+		this.client = client;
+		this.retries = retries;
+		this.clock = clock;
+		this.maximumWaiting = maximumWaiting;
+		this.attemptLimit = attemptLimit;
+	}
+
+	/**
+	 * Route a request.
+	 * @param request the request
+	 * @return its outcome; never fails
+	 */
+	public CompletableFuture<RequestOutcome> route(ForwardedRequest request) {
+		WaitingRequest arrived = new WaitingRequest(request, this.sequence.incrementAndGet());
+		this.retries.request();
+		if (!this.clock.instant().isBefore(request.deadline())) {
+			refuse(arrived, NotRunReason.DEADLINE);
+		}
+		else if (!this.pool.hasServers()) {
+			refuse(arrived, NotRunReason.NO_BACKEND_SERVER);
+		}
+		else {
+			enqueue(arrived).ifPresent((shed) -> refuse(shed, NotRunReason.OVERLOAD));
+			dispatch();
+		}
+		return arrived.outcome();
+	}
+
+	private synchronized Optional<WaitingRequest> enqueue(WaitingRequest arrived) {
+		this.waiting.add(arrived);
+		return (this.waiting.size() > this.maximumWaiting) ? Optional.of(this.waiting.pollLast()) : Optional.empty();
+	}
+
+	/**
+	 * Refuse requests whose deadline has come while they waited, and give free slots to
+	 * the others. To be called regularly.
+	 */
+	public void expire() {
+		Instant now = this.clock.instant();
+		List<WaitingRequest> late = new ArrayList<>();
+		synchronized (this) {
+			this.waiting.removeIf((entry) -> {
+				boolean isLate = !now.isBefore(entry.request().deadline());
+				if (isLate) {
+					late.add(entry);
+				}
+				return isLate;
+			});
+		}
+		late.forEach((entry) -> refuse(entry, NotRunReason.DEADLINE));
+		dispatch();
+	}
+
+	private void dispatch() {
+		Optional<Dispatched> next = next();
+		while (next.isPresent()) {
+			attempt(next.get().request(), next.get().server());
+			next = next();
+		}
+	}
+
+	private synchronized Optional<Dispatched> next() {
+		for (WaitingRequest candidate : this.waiting) {
+			Optional<HostAddress> server = this.pool.acquire(candidate.tried());
+			if (server.isPresent()) {
+				this.waiting.remove(candidate);
+				return Optional.of(new Dispatched(candidate, server.get()));
+			}
+			if (candidate.tried().isEmpty()) {
+				return Optional.empty();
+			}
+		}
+		return Optional.empty();
+	}
+
+	private void attempt(WaitingRequest waitingRequest, HostAddress server) {
+		ForwardedRequest request = waitingRequest.request();
+		Instant limit = this.clock.instant().plus(this.attemptLimit);
+		boolean canRepeat = request.operation().repeatable() && limit.isBefore(request.deadline());
+		Instant giveUpAt = canRepeat ? limit : request.deadline();
+		this.client.send(server, request, giveUpAt).whenComplete((result, failure) -> {
+			AttemptResult ended = (result != null) ? result
+					: new AttemptResult.Broken(false, String.valueOf(failure.getMessage()));
+			this.pool.release(server, ended);
+			waitingRequest.tried().add(server);
+			conclude(waitingRequest, ended);
+			dispatch();
+		});
+	}
+
+	private void conclude(WaitingRequest ended, AttemptResult result) {
+		if (result instanceof AttemptResult.Whole whole) {
+			ended.outcome().complete(new RequestOutcome.Answered(whole.status(), whole.headers(), whole.body()));
+			return;
+		}
+		if (result instanceof AttemptResult.Broken) {
+			ended.markMayHaveRun();
+		}
+		boolean mayGoOn = !ended.mayHaveRun() || ended.request().operation().repeatable();
+		boolean inTime = this.clock.instant().isBefore(ended.request().deadline());
+		boolean refusedByServer = result instanceof AttemptResult.Refused;
+		if (mayGoOn && inTime && (refusedByServer || this.retries.tryRetry())) {
+			if (refusedByServer) {
+				ended.tried().clear();
+			}
+			enqueue(ended).ifPresent((shed) -> refuse(shed, NotRunReason.OVERLOAD));
+			return;
+		}
+		refuse(ended, inTime ? NotRunReason.NO_BACKEND_SERVER : NotRunReason.DEADLINE);
+	}
+
+	private void refuse(WaitingRequest refused, NotRunReason reason) {
+		if (refused.mayHaveRun()) {
+			refused.outcome().complete(new RequestOutcome.Unknown("an attempt was sent and brought no whole answer"));
+			return;
+		}
+		refused.outcome().complete(new RequestOutcome.NotRun(reason, MINIMUM_RETRY_AFTER));
+	}
+
+	/**
+	 * Number of requests that wait for a slot.
+	 * @return the count
+	 */
+	public synchronized int waiting() {
+		return this.waiting.size();
+	}
+
+	/**
+	 * Number of requests on the wire.
+	 * @return the count
+	 */
+	public int inFlight() {
+		return this.pool.inFlight();
+	}
+
+	/**
+	 * The backend servers of the service.
+	 * @return the pool
+	 */
+	public BackendPool pool() {
+		return this.pool;
+	}
+
+	private record Dispatched(WaitingRequest request, HostAddress server) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Routing callers' requests: slots, queues, retries and membership of backend servers.
+ */
+package org.monsoonrelay.logic.routing;
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading and checking the operators' text.
+ */
+package org.monsoonrelay.logic.text;
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/AttemptId.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/AttemptId.java
@@ -2,13 +2,13 @@
 
 /**
  * One attempt at one task of a job. Immutable; unique over the life of the cell because
- * the attempt number only grows.
+ * the attempt number only grows and carries the epoch of the queue's owner.
  *
  * @param job the job
  * @param task index of the task, from 0
- * @param attempt number of the attempt, from 1
+ * @param attempt number of the attempt, the epoch of the queue's owner in its high bits
  */
-public record AttemptId(JobId job, int task, int attempt) {
+public record AttemptId(JobId job, int task, long attempt) {
 
 	private static final char SEPARATOR = '/';
 
@@ -25,7 +25,7 @@
 			throw new IllegalArgumentException("not an attempt id (name@run/task/attempt): " + text);
 		}
 		return new AttemptId(JobId.parse(text.substring(0, middle)), Integer.parseInt(text.substring(middle + 1, last)),
-				Integer.parseInt(text.substring(last + 1)));
+				Long.parseLong(text.substring(last + 1)));
 	}
 
 	@Override
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -23,6 +23,8 @@
 
 	private static final int MAXIMUM_FAILURES = 5;
 
+	private static final int EPOCH_SHIFT = 20;
+
 	private static final int MAXIMUM_BACKOFF_DOUBLINGS = 6;
 
 	private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
@@ -33,7 +35,10 @@
 
 	private final Instant readySince;
 
-	public Job(Workload workload, JobRecord recorded, Instant now) {
+	private final long queueEpoch;
+
+	public Job(Workload workload, JobRecord recorded, long queueEpoch, Instant now) {
+		this.queueEpoch = queueEpoch;
 		this.workload = workload;
 		this.readySince = now;
 		IntStream.range(0, workload.tasks()).forEach((index) -> this.tasks.add(new Task()));
@@ -81,7 +86,7 @@
 		if (task.state != TaskState.WAITING) {
 			throw new IllegalStateException("task " + index + " of " + id() + " is " + task.state);
 		}
-		task.attempt++;
+		task.attempt = Math.max(task.attempt + 1, this.queueEpoch << EPOCH_SHIFT);
 		task.state = TaskState.RESERVED;
 		task.worker = "";
 		task.incarnation = "";
@@ -274,16 +279,15 @@
 
 	/**
 	 * Durable form of the progress.
-	 * @param queueEpoch epoch of the queue's owner
 	 * @param writeId identity of the write
 	 * @return the record
 	 */
-	public JobRecord toRecord(long queueEpoch, String writeId) {
+	public JobRecord toRecord(String writeId) {
 		List<TaskRecord> changed = IntStream.range(0, this.tasks.size())
 			.filter((index) -> this.tasks.get(index).attempt > 0 || this.tasks.get(index).state != TaskState.WAITING)
 			.mapToObj((index) -> this.tasks.get(index).toRecord(index))
 			.toList();
-		return new JobRecord(queueEpoch, writeId, changed);
+		return new JobRecord(this.queueEpoch, writeId, changed);
 	}
 
 	private boolean move(AttemptId attempt, TaskState from, TaskState to) {
@@ -332,7 +336,7 @@
 
 		private TaskState state = TaskState.WAITING;
 
-		private int attempt;
+		private long attempt;
 
 		private int failures;
 
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/TaskRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/TaskRecord.java
@@ -10,6 +10,6 @@
  * @param incarnation incarnation of that worker, empty if none
  * @param failures how often the task failed
  */
-public record TaskRecord(int task, int attempt, TaskState state, String worker, String incarnation, int failures) {
+public record TaskRecord(int task, long attempt, TaskState state, String worker, String incarnation, int failures) {
 
 }
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/CellStatusCollector.java
@@ -0,0 +1,98 @@
+package org.monsoonrelay.scheduler;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+
+import org.monsoonrelay.adapters.operator.CellStatus;
+import org.monsoonrelay.adapters.operator.ProcessStatus;
+import org.monsoonrelay.adapters.peer.PeerNetwork;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Announcement;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusRequest;
+import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.queue.JobStatus;
+import org.monsoonrelay.logic.queue.QueueManager;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * Gathers the status of the whole cell from all schedulers that can be reached.
+ * Thread-safe: state is read on the control thread.
+ */
+final class CellStatusCollector {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+	private final String session;
+
+	private final SchedulerSettings settings;
+
+	private final QueueManager queues;
+
+	private final ControlTracker tracker;
+
+	private final Executor control;
+
+	private final PeerDirectory peers;
+
+	private final PeerNetwork network;
+
+	CellStatusCollector(String session, SchedulerSettings settings, QueueManager queues, ControlTracker tracker,
+			Executor control, PeerDirectory peers, PeerNetwork network) {
+		this.session = session;
+		this.settings = settings;
+		this.queues = queues;
+		this.tracker = tracker;
+		this.control = control;
+		this.peers = peers;
+		this.network = network;
+	}
+
+	CompletableFuture<CellStatus> collect() {
+		return CompletableFuture.supplyAsync(this::ask, this.control).thenCompose((reply) -> reply);
+	}
+
+	private CompletableFuture<CellStatus> ask() {
+		List<ProcessStatus> processes = new ArrayList<>();
+		processes.add(new ProcessStatus(this.settings.node().peerAddress(), SchedulerNode.ROLE,
+				this.settings.node().failureDomain(), this.tracker.inForce().head().version()));
+		TreeMap<String, JobStatus> jobs = new TreeMap<>();
+		this.queues.status().forEach((status) -> jobs.put(status.id().toString(), status));
+		List<String> missing = new ArrayList<>();
+		List<CompletableFuture<Void>> answers = new ArrayList<>();
+		for (Announcement peer : this.peers.announcements()) {
+			processes
+				.add(new ProcessStatus(peer.getAddress(), peer.getRole(), peer.getFailureDomain(), peer.getVersion()));
+			if (peer.getRole().equals(SchedulerNode.ROLE)) {
+				answers.add(askPeer(peer, jobs, missing));
+			}
+		}
+		List<String> heard = processes.stream().map(ProcessStatus::address).toList();
+		this.settings.node().peers().stream().filter((address) -> !heard.contains(address)).forEach(missing::add);
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+			.thenApplyAsync((done) -> new CellStatus(this.tracker.inForce().head().version(),
+					this.tracker.inForce().state().textVersion(), processes, missing, List.copyOf(jobs.values())),
+					this.control);
+	}
+
+	private CompletableFuture<Void> askPeer(Announcement peer, TreeMap<String, JobStatus> jobs, List<String> missing) {
+		Envelope.Builder request = Envelope.newBuilder().setStatusRequest(StatusRequest.getDefaultInstance());
+		return this.network.request(HostAddress.parse(peer.getAddress()), request, TIMEOUT)
+			.handleAsync((reply, failure) -> {
+				if (failure != null) {
+					missing.add(peer.getAddress());
+				}
+				else {
+					for (JobStatus status : Json.read(reply.getStatusReply().getStatusJson(), JobStatus[].class)) {
+						jobs.put(status.id().toString(), status);
+					}
+				}
+				return null;
+			}, this.control);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
@@ -0,0 +1,136 @@
+package org.monsoonrelay.scheduler;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.StatusCode;
+import org.monsoonrelay.adapters.http.Problem;
+import org.monsoonrelay.adapters.operator.EditReply;
+import org.monsoonrelay.adapters.operator.EditRequest;
+import org.monsoonrelay.adapters.operator.StateMessage;
+import org.monsoonrelay.logic.control.ControlLog;
+import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.control.Edit;
+import org.monsoonrelay.logic.control.EditOutcome;
+import org.monsoonrelay.logic.control.InForce;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.scheduler.SchedulerSettings.OperatorCredential;
+
+/**
+ * The operators' side. Every route needs an operator's credential, compared in constant
+ * time. Thread-safe.
+ */
+final class OperatorRoutes {
+
+	private static final String BEARER = "Bearer ";
+
+	private static final int MAXIMUM_PAGE = 500;
+
+	private final SchedulerSettings settings;
+
+	private final ControlLog log;
+
+	private final ControlTracker tracker;
+
+	private final CellStatusCollector status;
+
+	OperatorRoutes(SchedulerSettings settings, ControlLog log, ControlTracker tracker, CellStatusCollector status) {
+		this.settings = settings;
+		this.log = log;
+		this.tracker = tracker;
+		this.status = status;
+	}
+
+	void addTo(Jooby application) {
+		application.post("/operator/edits", (context) -> authorized(context, this::edit));
+		application.get("/operator/state", (context) -> authorized(context,
+				(operator, call) -> respond(call, CompletableFuture.completedFuture(stateMessage()))));
+		application.get("/operator/status",
+				(context) -> authorized(context, (operator, call) -> respond(call, this.status.collect())));
+		application.get("/operator/audit", (context) -> authorized(context, (operator, call) -> respond(call,
+				this.log.audit(call.query("after").longValue(0), call.query("limit").intValue(MAXIMUM_PAGE)))));
+		application.error((context, cause, code) -> Problem
+			.of("invalid-request", "Invalid request", code.value(), String.valueOf(cause.getMessage()))
+			.send(context));
+	}
+
+	private Object authorized(Context context, Action action) throws Exception {
+		String header = context.header("Authorization").value("");
+		byte[] shown = header.getBytes(StandardCharsets.UTF_8);
+		Optional<OperatorCredential> operator = Optional.empty();
+		for (OperatorCredential candidate : this.settings.operators()) {
+			byte[] expected = (BEARER + candidate.token()).getBytes(StandardCharsets.UTF_8);
+			if (MessageDigest.isEqual(shown, expected)) {
+				operator = Optional.of(candidate);
+			}
+		}
+		if (operator.isEmpty()) {
+			Problem
+				.of("unauthorized", "Unauthorized", StatusCode.UNAUTHORIZED_CODE,
+						"The operator's credential is missing or wrong.")
+				.send(context);
+			return context;
+		}
+		return action.run(operator.get().name(), context);
+	}
+
+	private Object edit(String operator, Context context) throws Exception {
+		EditRequest request = Json.read(context.body().value(), EditRequest.class);
+		OptionalLong expected = (request.expectedTextVersion() != null) ? OptionalLong.of(request.expectedTextVersion())
+				: OptionalLong.empty();
+		Edit edit = new Edit(request.editId(), request.kind(), operator, request.text(), request.targets(), expected);
+		return respond(context, this.log.submit(edit).thenApply(OperatorRoutes::reply));
+	}
+
+	private static EditReply reply(EditOutcome outcome) {
+		if (outcome instanceof EditOutcome.Accepted accepted) {
+			return new EditReply(EditReply.Outcome.ACCEPTED, accepted.version(), null, List.of(), "");
+		}
+		if (outcome instanceof EditOutcome.Conflict conflict) {
+			return new EditReply(EditReply.Outcome.CONFLICT, 0, conflict.winner(), List.of(), "");
+		}
+		if (outcome instanceof EditOutcome.Invalid invalid) {
+			return new EditReply(EditReply.Outcome.INVALID, 0, null, invalid.faults(), "");
+		}
+		if (outcome instanceof EditOutcome.Unsettled unsettled) {
+			return new EditReply(EditReply.Outcome.UNSETTLED, 0, null, List.of(), unsettled.detail());
+		}
+		return new EditReply(EditReply.Outcome.UNAVAILABLE, 0, null, List.of(),
+				((EditOutcome.Unavailable) outcome).detail());
+	}
+
+	private StateMessage stateMessage() {
+		InForce present = this.tracker.inForce();
+		return new StateMessage(present.head().version(), present.state().textVersion(), present.state().text());
+	}
+
+	private static Object respond(Context context, CompletableFuture<?> value) throws Exception {
+		return context.detach((detached) -> value.whenComplete((result, failure) -> {
+			if (failure != null) {
+				Problem
+					.of("platform-unavailable", "The platform did not answer", StatusCode.SERVICE_UNAVAILABLE_CODE,
+							String.valueOf(failure.getMessage()))
+					.send(detached);
+				return;
+			}
+			detached.setResponseHeader("Content-Type", "application/json");
+			detached.send(Json.write(result));
+		}));
+	}
+
+	/**
+	 * What a route does once the operator is known.
+	 */
+	private interface Action {
+
+		Object run(String operator, Context context) throws Exception;
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerDirectory.java
@@ -0,0 +1,73 @@
+package org.monsoonrelay.scheduler;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Announcement;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * What peers have announced of late. Not thread-safe: confined to the control thread.
+ */
+final class PeerDirectory {
+
+	private final long lapseNanos;
+
+	private final Map<String, Heard> bySession = new TreeMap<>();
+
+	PeerDirectory(long lapseNanos) {
+		this.lapseNanos = lapseNanos;
+	}
+
+	void heard(Announcement announcement, long nowNanos) {
+		this.bySession.put(announcement.getSession(), new Heard(announcement, nowNanos));
+	}
+
+	/**
+	 * Drop peers that have been silent too long.
+	 * @param nowNanos monotonic time
+	 * @return their sessions
+	 */
+	List<String> dropSilent(long nowNanos) {
+		List<String> silent = this.bySession.entrySet()
+			.stream()
+			.filter((entry) -> nowNanos - entry.getValue().atNanos() > this.lapseNanos)
+			.map(Map.Entry::getKey)
+			.toList();
+		silent.forEach(this.bySession::remove);
+		return silent;
+	}
+
+	Optional<HostAddress> address(String session) {
+		return Optional.ofNullable(this.bySession.get(session))
+			.map((heard) -> HostAddress.parse(heard.announcement().getAddress()));
+	}
+
+	Optional<String> ownerOfTeam(String team) {
+		return this.bySession.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().announcement().getTeamsList().contains(team))
+			.map(Map.Entry::getKey)
+			.findFirst();
+	}
+
+	Set<String> satisfied() {
+		Set<String> names = new HashSet<>();
+		this.bySession.values().forEach((heard) -> names.addAll(heard.announcement().getSatisfiedList()));
+		return names;
+	}
+
+	Collection<Announcement> announcements() {
+		return this.bySession.values().stream().map(Heard::announcement).toList();
+	}
+
+	private record Heard(Announcement announcement, long atNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerMessages.java
@@ -0,0 +1,123 @@
+package org.monsoonrelay.scheduler;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.adapters.peer.PeerCodec;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.AttemptEvents;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Empty;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.ResolveRequest;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.StartReply;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusReply;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.StopRequest;
+import org.monsoonrelay.logic.placement.AttemptEvent;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.queue.QueueManager;
+import org.monsoonrelay.logic.rack.RackManager;
+import org.monsoonrelay.logic.rack.StartTask;
+import org.monsoonrelay.model.job.AttemptId;
+import org.monsoonrelay.model.worker.WorkerId;
+
+/**
+ * Answers the other schedulers' messages. Handlers run on the control thread; thread-safe
+ * to call.
+ */
+final class SchedulerMessages {
+
+	private static final int ACKNOWLEDGE_WITHIN_MILLIS = 400;
+
+	private final RackManager racks;
+
+	private final QueueManager queues;
+
+	private final ScheduledExecutorService control;
+
+	private final InstantSource clock;
+
+	SchedulerMessages(RackManager racks, QueueManager queues, ScheduledExecutorService control, InstantSource clock) {
+		this.racks = racks;
+		this.queues = queues;
+		this.control = control;
+		this.clock = clock;
+	}
+
+	CompletableFuture<Envelope.Builder> handle(Envelope request) {
+		return CompletableFuture.supplyAsync(() -> dispatch(request), this.control).thenCompose((reply) -> reply);
+	}
+
+	private CompletableFuture<Envelope.Builder> dispatch(Envelope request) {
+		return switch (request.getBodyCase()) {
+			case RESERVE_REQUEST -> now(Envelope.newBuilder()
+				.setReserveReply(PeerCodec.encodeReservations(
+						this.racks.reserve(PeerCodec.decode(request.getReserveRequest(), this.clock.instant())))));
+			case START_REQUEST -> now(Envelope.newBuilder().setStartReply(start(request)));
+			case RELEASE_REQUEST -> {
+				this.racks
+					.release(request.getReleaseRequest().getAttemptsList().stream().map(AttemptId::parse).toList());
+				yield empty();
+			}
+			case STOP_REQUEST -> {
+				StopRequest stop = request.getStopRequest();
+				this.racks.stop(AttemptId.parse(stop.getAttempt()), new WorkerId(stop.getWorker()), stop.getTeam());
+				yield empty();
+			}
+			case RESOLVE_REQUEST -> {
+				ResolveRequest resolve = request.getResolveRequest();
+				this.racks.resolve(AttemptId.parse(resolve.getAttempt()), new WorkerId(resolve.getWorker()),
+						resolve.getIncarnation(), resolve.getTeam());
+				yield empty();
+			}
+			case QUEUE_CLAIM -> {
+				this.racks.claim(request.getQueueClaim().getTeam());
+				yield empty();
+			}
+			case ATTEMPT_EVENTS -> events(request.getAttemptEvents());
+			case STATUS_REQUEST -> now(Envelope.newBuilder()
+				.setStatusReply(StatusReply.newBuilder().setStatusJson(Json.write(this.queues.status()))));
+			default -> empty();
+		};
+	}
+
+	private StartReply start(Envelope request) {
+		List<StartTask> starts = request.getStartRequest().getStartsList().stream().map(PeerCodec::decode).toList();
+		return StartReply.newBuilder()
+			.addAllRefused(starts.stream()
+				.filter((start) -> !this.racks.start(start))
+				.map((start) -> start.attempt().toString())
+				.toList())
+			.build();
+	}
+
+	private CompletableFuture<Envelope.Builder> events(AttemptEvents message) {
+		List<AttemptEvent> events = PeerCodec.decode(message);
+		List<AttemptEvent> acknowledged = new ArrayList<>();
+		CompletableFuture<Void> all = new CompletableFuture<>();
+		for (AttemptEvent event : events) {
+			this.queues.take(event, message.getTeam(), (done) -> {
+				acknowledged.add(done);
+				if (acknowledged.size() == events.size()) {
+					all.complete(null);
+				}
+			});
+		}
+		return all.completeOnTimeout(null, ACKNOWLEDGE_WITHIN_MILLIS, TimeUnit.MILLISECONDS)
+			.thenApplyAsync(
+					(done) -> Envelope.newBuilder()
+						.setAttemptEvents(PeerCodec.encodeEvents(message.getTeam(), List.copyOf(acknowledged))),
+					this.control);
+	}
+
+	private static CompletableFuture<Envelope.Builder> now(Envelope.Builder reply) {
+		return CompletableFuture.completedFuture(reply);
+	}
+
+	private static CompletableFuture<Envelope.Builder> empty() {
+		return now(Envelope.newBuilder().setEmpty(Empty.getDefaultInstance()));
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -0,0 +1,331 @@
+package org.monsoonrelay.scheduler;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.simple.RandomSource;
+import org.monsoonrelay.adapters.http.HealthRoutes;
+import org.monsoonrelay.adapters.http.HttpServer;
+import org.monsoonrelay.adapters.node.ControlFollower;
+import org.monsoonrelay.adapters.peer.PeerCodec;
+import org.monsoonrelay.adapters.peer.PeerIdentity;
+import org.monsoonrelay.adapters.peer.PeerNetwork;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Announcement;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.QueueClaim;
+import org.monsoonrelay.adapters.platform.HttpPlatform;
+import org.monsoonrelay.adapters.platform.HttpWorkerAgents;
+import org.monsoonrelay.logic.control.ControlLog;
+import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.placement.AttemptEvent;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.logic.platform.TableKeys;
+import org.monsoonrelay.logic.queue.JobJournal;
+import org.monsoonrelay.logic.queue.QueueManager;
+import org.monsoonrelay.logic.queue.RackDirectory;
+import org.monsoonrelay.logic.rack.RackManager;
+import org.monsoonrelay.model.host.HostAddress;
+import org.monsoonrelay.model.host.HostKind;
+import org.monsoonrelay.model.membership.Ownership;
+import org.monsoonrelay.model.membership.SessionRecord;
+import org.monsoonrelay.model.workload.Team;
+
+/**
+ * One scheduler process: composition, and the timetable of the control thread. All
+ * control state is touched by the control thread alone; traffic threads hand it tasks.
+ */
+final class SchedulerNode {
+
+	private static final System.Logger LOGGER = System.getLogger(SchedulerNode.class.getName());
+
+	static final String ROLE = "scheduler";
+
+	private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration WORKER_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration ACTIVATION_LIMIT = Duration.ofSeconds(10);
+
+	private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final int TICK_MILLIS = 50;
+
+	private static final int SECOND_MILLIS = 1000;
+
+	private final SchedulerSettings settings;
+
+	private final String session = UUID.randomUUID().toString();
+
+	private final ScheduledExecutorService control = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control"));
+
+	private final ControlTracker tracker = new ControlTracker();
+
+	private final ControlLog controlLog;
+
+	private final ControlFollower follower;
+
+	private final HttpPlatform platform;
+
+	private final PeerNetwork network;
+
+	private final PeerDirectory peers;
+
+	private final RackDirectory racks;
+
+	private final RackManager rackManager;
+
+	private final QueueManager queueManager;
+
+	private final OwnershipKeeper ownership;
+
+	private final SchedulerMessages messages;
+
+	private final HttpServer operators;
+
+	private final Map<String, Long> claimedSinceNanos = new HashMap<>();
+
+	private final Set<String> deliveriesInFlight = new HashSet<>();
+
+	private HostList hosts = new HostList(0, List.of());
+
+	SchedulerNode(SchedulerSettings settings) {
+		this.settings = settings;
+		Clock clock = Clock.systemUTC();
+		MetricRegistry metrics = new MetricRegistry();
+		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
+		this.controlLog = new ControlLog(this.platform, this.platform, clock);
+		this.follower = new ControlFollower(this.controlLog, this.tracker);
+		this.peers = new PeerDirectory(Duration.ofMillis(settings.sessionLapseMillis()).toNanos());
+		this.racks = new RackDirectory(RandomSource.XO_RO_SHI_RO_128_PP.create());
+		this.rackManager = new RackManager(new HttpWorkerAgents(WORKER_TIMEOUT), this.control, clock, System::nanoTime,
+				Duration.ofMillis(settings.workerLeaseMillis()));
+		PeerIdentity self = new PeerIdentity(this.session, ROLE, settings.node().failureDomain(),
+				settings.node().peer());
+		this.network = new PeerNetwork(self, settings.node().secret(), this::handle);
+		PeerRackOwners owners = new PeerRackOwners(this.session, this.rackManager, this.racks, this.peers, this.network,
+				clock);
+		this.queueManager = new QueueManager(owners, this.racks, (onConflict) -> new JobJournal(this.platform,
+				this.control, () -> UUID.randomUUID().toString(), onConflict), this.control, clock);
+		this.ownership = new OwnershipKeeper(
+				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), this.platform,
+				this.control, System::nanoTime, Duration.ofMillis(settings.sessionLapseMillis()), this::owner);
+		this.messages = new SchedulerMessages(this.rackManager, this.queueManager, this.control, clock);
+		OperatorRoutes routes = new OperatorRoutes(settings, this.controlLog, this.tracker, new CellStatusCollector(
+				this.session, settings, this.queueManager, this.tracker, this.control, this.peers, this.network));
+		HealthRoutes health = new HealthRoutes(metrics, this::notReady);
+		this.operators = new HttpServer(settings.operator(), MAXIMUM_BODY_BYTES, (application) -> {
+			health.addTo(application);
+			routes.addTo(application);
+		});
+	}
+
+	void start() {
+		this.network.listen();
+		this.operators.start();
+		this.tracker.onChange((next) -> this.control.execute(() -> this.queueManager.update(next)));
+		every(SECOND_MILLIS, this::second);
+		every(TICK_MILLIS, this::tick);
+		LOGGER.log(System.Logger.Level.INFO, "scheduler {0} listens for operators at {1}", this.settings.node().name(),
+				this.settings.operatorAddress());
+	}
+
+	private void every(int millis, Runnable task) {
+		this.control.scheduleWithFixedDelay(() -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				LOGGER.log(System.Logger.Level.ERROR, "an invariant is broken; the process stops", ex);
+				Runtime.getRuntime().halt(1);
+			}
+		}, 0, millis, TimeUnit.MILLISECONDS);
+	}
+
+	private Optional<String> notReady() {
+		return (this.hosts.version() > 0) ? Optional.empty() : Optional.of("the host list has not been read yet");
+	}
+
+	private void second() {
+		this.follower.poll();
+		this.platform.read().thenAcceptAsync(this::update, this.control).exceptionally((failure) -> null);
+		this.ownership.round(wanted());
+		this.peers.dropSilent(System.nanoTime()).forEach(this.racks::drop);
+		this.racks.update(this.session, this.rackManager.summaries());
+		this.queueManager.satisfiedElsewhere(this.peers.satisfied());
+		this.rackManager.heartbeat();
+		announce();
+		activate();
+	}
+
+	private void tick() {
+		this.queueManager.tick();
+		this.rackManager.sendOrders();
+		deliverEvents();
+	}
+
+	private void update(HostList list) {
+		if (list.version() >= this.hosts.version()) {
+			this.hosts = list;
+			this.rackManager.update(list);
+		}
+	}
+
+	private Map<String, String> wanted() {
+		Map<String, String> wanted = new HashMap<>();
+		this.hosts.hosts()
+			.stream()
+			.filter((host) -> host.kind() == HostKind.WORKER)
+			.forEach((host) -> wanted.put(TableKeys.RACKS + host.rack(), host.failureDomain()));
+		for (Team team : this.tracker.inForce().text().teams()) {
+			wanted.put(TableKeys.QUEUES + team.name(), "");
+		}
+		return wanted;
+	}
+
+	private void owner(String key, Ownership owned, boolean own) {
+		if (key.startsWith(TableKeys.RACKS)) {
+			String rack = key.substring(TableKeys.RACKS.length());
+			if (own) {
+				this.rackManager.own(rack, owned.epoch());
+			}
+			else {
+				this.rackManager.disown(rack);
+			}
+			return;
+		}
+		String team = key.substring(TableKeys.QUEUES.length());
+		if (!own) {
+			this.queueManager.disown(team);
+			this.claimedSinceNanos.remove(team);
+		}
+		else {
+			this.queueManager.own(team, owned.epoch());
+			this.claimedSinceNanos.putIfAbsent(team, System.nanoTime());
+		}
+	}
+
+	private void announce() {
+		Announcement.Builder announcement = Announcement.newBuilder()
+			.setSession(this.session)
+			.setRole(ROLE)
+			.setAddress(this.settings.node().peerAddress())
+			.setFailureDomain(this.settings.node().failureDomain())
+			.setVersion(this.tracker.inForce().head().version())
+			.addAllTeams(this.queueManager.teams())
+			.addAllSatisfied(this.queueManager.satisfied());
+		this.rackManager.summaries().forEach((summary) -> announcement.addRacks(PeerCodec.encode(summary)));
+		Envelope.Builder envelope = Envelope.newBuilder().setAnnouncement(announcement);
+		for (HostAddress peer : this.settings.node().peerAddresses()) {
+			this.network.tell(peer, envelope.clone());
+		}
+	}
+
+	private void activate() {
+		long listed = this.hosts.hosts()
+			.stream()
+			.filter((host) -> host.kind() == HostKind.WORKER)
+			.map((host) -> host.rack())
+			.distinct()
+			.count();
+		boolean allKnown = this.racks.isSettled() && this.racks.size() >= listed;
+		long now = System.nanoTime();
+		for (Map.Entry<String, Long> entry : this.claimedSinceNanos.entrySet()) {
+			String team = entry.getKey();
+			long waited = now - entry.getValue();
+			if (this.queueManager.isActive(team)) {
+				continue;
+			}
+			boolean claimed = waited > 2 * TimeUnit.MILLISECONDS.toNanos(SECOND_MILLIS);
+			if ((allKnown && claimed) || waited > ACTIVATION_LIMIT.toNanos()) {
+				this.queueManager.activate(team);
+			}
+			else {
+				claim(team);
+			}
+		}
+	}
+
+	private void claim(String team) {
+		this.rackManager.claim(team);
+		Envelope.Builder claim = Envelope.newBuilder().setQueueClaim(QueueClaim.newBuilder().setTeam(team));
+		this.settings.node().peerAddresses().forEach((peer) -> this.network.tell(peer, claim.clone()));
+	}
+
+	private void deliverEvents() {
+		this.rackManager.events().forEach((team, events) -> {
+			if (this.queueManager.teams().contains(team)) {
+				new ArrayList<>(events)
+					.forEach((event) -> this.queueManager.take(event, team, this.rackManager::acknowledge));
+				return;
+			}
+			Optional<HostAddress> owner = this.peers.ownerOfTeam(team).flatMap(this.peers::address);
+			if (owner.isPresent() && this.deliveriesInFlight.add(team)) {
+				deliver(owner.get(), team, events);
+			}
+		});
+	}
+
+	private void deliver(HostAddress owner, String team, List<AttemptEvent> events) {
+		Envelope.Builder request = Envelope.newBuilder().setAttemptEvents(PeerCodec.encodeEvents(team, events));
+		this.network.request(owner, request, PEER_TIMEOUT).whenCompleteAsync((reply, failure) -> {
+			this.deliveriesInFlight.remove(team);
+			if (failure == null) {
+				PeerCodec.decode(reply.getAttemptEvents()).forEach(this.rackManager::acknowledge);
+			}
+		}, this.control);
+	}
+
+	private CompletableFuture<Envelope.Builder> handle(PeerIdentity from, Envelope request) {
+		if (request.hasAnnouncement()) {
+			Announcement announcement = request.getAnnouncement();
+			this.follower.announced(this.network, from.address(), announcement.getVersion());
+			this.control.execute(() -> heard(announcement));
+		}
+		if (request.hasStateRequest()) {
+			return CompletableFuture.completedFuture(this.follower.state());
+		}
+		return this.messages.handle(request);
+	}
+
+	private void heard(Announcement announcement) {
+		this.peers.heard(announcement, System.nanoTime());
+		if (announcement.getRole().equals(ROLE)) {
+			this.racks.update(announcement.getSession(), PeerCodec.decodeSummaries(announcement.getRacksList()));
+		}
+	}
+
+	/**
+	 * Give up the session, then close. What runs on workers goes on under the next owner.
+	 */
+	void drain() {
+		try {
+			CompletableFuture.supplyAsync(this.ownership::release, this.control)
+				.thenCompose((released) -> released)
+				.orTimeout(this.settings.drainMillis(), TimeUnit.MILLISECONDS)
+				.exceptionally((failure) -> null)
+				.join();
+		}
+		finally {
+			this.operators.close();
+			this.network.close();
+			this.control.shutdownNow();
+		}
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The scheduler: places tasks on workers and answers operators.
+ */
+package org.monsoonrelay.scheduler;
