--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
@@ -38,7 +38,7 @@
 		options.setIoThreads(IO_THREADS);
 		options.setWorkerThreads(WORKER_THREADS);
 		options.setDefaultHeaders(false);
-		this.application.setServerOptions(options);
+		this.server.setOptions(options);
 		this.application.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		routes.accept(this.application);
 	}
--- /dev/null
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+package org.monsoonrelay.cli;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -46,6 +46,8 @@
 
 	private static final Duration GANG_RETRY = Duration.ofMillis(300);
 
+	private static final Duration RESOLVE_INTERVAL = Duration.ofSeconds(1);
+
 	private static final int MAXIMUM_STARTS_A_TICK = 4096;
 
 	private final RackOwners rackOwners;
@@ -66,6 +68,8 @@
 
 	private final Map<JobId, Instant> gangNotBefore = new HashMap<>();
 
+	private Instant resolveNotBefore = Instant.MIN;
+
 	private Set<String> satisfiedElsewhere = Set.of();
 
 	private InForce inForce = InForce.NOTHING;
@@ -238,6 +242,7 @@
 	 */
 	public void tick() {
 		Set<String> satisfied = satisfied();
+		resolveDoubts();
 		int budget = MAXIMUM_STARTS_A_TICK;
 		for (Map.Entry<String, Queue> entry : this.queues.entrySet()) {
 			loadMissing(entry.getKey());
@@ -251,7 +256,6 @@
 		Resources used = queue.used();
 		int started = 0;
 		for (Job job : queue.inOrder()) {
-			resolveDoubts(job);
 			WaitReason reason = blockedBy(queue, job, satisfied);
 			if (reason != WaitReason.NONE || started >= budget) {
 				this.waitReasons.put(job.id(), reason);
@@ -446,6 +450,15 @@
 		refused.forEach(job::gone);
 	}
 
+	private void resolveDoubts() {
+		Instant now = this.clock.instant();
+		if (now.isBefore(this.resolveNotBefore)) {
+			return;
+		}
+		this.resolveNotBefore = now.plus(RESOLVE_INTERVAL);
+		this.queues.values().forEach((queue) -> queue.jobs.values().forEach(this::resolveDoubts));
+	}
+
 	private void resolveDoubts(Job job) {
 		if (!job.counts().containsKey(TaskState.IN_DOUBT)) {
 			return;
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -102,7 +102,7 @@
 
 	private final Set<String> deliveriesInFlight = new HashSet<>();
 
-	private HostList hosts = new HostList(0, List.of());
+	private volatile HostList hosts = new HostList(0, List.of());
 
 	SchedulerNode(SchedulerSettings settings) {
 		this.settings = settings;
--- /dev/null
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CallerAnswer.java
@@ -0,0 +1,34 @@
+package org.monsoonrelay.standin;
+
+/**
+ * What a caller got for one request. Immutable.
+ *
+ * @param name the request's name
+ * @param operation the operation asked for
+ * @param kind what came
+ */
+public record CallerAnswer(String name, String operation, Kind kind) {
+
+	/**
+	 * Kinds of answers.
+	 */
+	public enum Kind {
+
+		/** The whole answer to the request. */
+		ANSWERED,
+
+		/** The word that it was not run. */
+		NOT_RUN,
+
+		/** The word that it may have run. */
+		UNKNOWN,
+
+		/** Another request's answer. */
+		CROSSED,
+
+		/** No answer. */
+		LOST
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskCounts.java
@@ -0,0 +1,19 @@
+package org.monsoonrelay.standin;
+
+import java.util.Map;
+
+/**
+ * What the workers have counted. Immutable.
+ *
+ * @param started attempts started
+ * @param finished attempts that ended well
+ * @param running attempts that run now
+ * @param overlapping times a task was started while another attempt at it ran
+ * @param finishedTwice tasks that ended well more than once
+ * @param overCommitted starts refused because the worker had no room
+ * @param finishedTasksByJob number of different tasks that ended well, by job
+ */
+public record TaskCounts(int started, int finished, int running, int overlapping, int finishedTwice, int overCommitted,
+		Map<String, Integer> finishedTasksByJob) {
+
+}
--- /dev/null
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/WorkerStandin.java
@@ -0,0 +1,150 @@
+package org.monsoonrelay.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.adapters.platform.HttpWorkerAgents.AttemptMessage;
+import org.monsoonrelay.adapters.platform.HttpWorkerAgents.CommandMessage;
+import org.monsoonrelay.adapters.platform.HttpWorkerAgents.ReportMessage;
+import org.monsoonrelay.logic.rack.AttemptPhase;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.job.AttemptId;
+
+/**
+ * One worker: runs tasks under leases and fences commands by epoch. A start is refused
+ * for an attempt that was stopped or has ended. Thread-safe.
+ */
+final class WorkerStandin {
+
+	private final Host host;
+
+	private final ScheduledExecutorService timer;
+
+	private final TaskLog log;
+
+	private final Map<AttemptId, Entry> attempts = new LinkedHashMap<>();
+
+	private final Map<String, Long> forgotten = new HashMap<>();
+
+	private long highestEpoch;
+
+	private WorkerFault fault = WorkerFault.NONE;
+
+	WorkerStandin(Host host, ScheduledExecutorService timer, TaskLog log) {
+		this.host = host;
+		this.timer = timer;
+		this.log = log;
+	}
+
+	/**
+	 * Take a command.
+	 * @param command the command
+	 * @return the report, or {@code null} if no answer is to be given
+	 */
+	synchronized ReportMessage command(CommandMessage command) {
+		if (this.fault.agentFrozen()) {
+			return null;
+		}
+		boolean accepted = command.epoch() >= this.highestEpoch;
+		if (accepted) {
+			this.highestEpoch = command.epoch();
+			command.forget().forEach((attempt) -> forget(AttemptId.parse(attempt)));
+			command.stops().forEach((attempt) -> stop(AttemptId.parse(attempt)));
+			command.starts().forEach(this::start);
+		}
+		if (this.fault.loseAnswers() > 0) {
+			this.fault = new WorkerFault(false, this.fault.failsAll(), this.fault.loseAnswers() - 1);
+			return null;
+		}
+		return report(accepted);
+	}
+
+	private ReportMessage report(boolean accepted) {
+		List<AttemptMessage> reported = new ArrayList<>();
+		this.attempts.forEach((attempt, entry) -> reported
+			.add(new AttemptMessage(attempt.toString(), entry.team, entry.size, 0, entry.phase)));
+		return new ReportMessage(this.host.incarnation(), this.highestEpoch, accepted, reported);
+	}
+
+	private void start(AttemptMessage order) {
+		AttemptId attempt = AttemptId.parse(order.attempt());
+		boolean ended = attempt.attempt() <= this.forgotten.getOrDefault(task(attempt), 0L);
+		if (this.attempts.containsKey(attempt)) {
+			return;
+		}
+		boolean fits = this.host.capacity().covers(used().plus(order.size()));
+		if (ended || !fits) {
+			if (!fits) {
+				this.log.overCommitted();
+			}
+			this.attempts.put(attempt, new Entry(order.team(), order.size(), AttemptPhase.STOPPED));
+			return;
+		}
+		this.attempts.put(attempt, new Entry(order.team(), order.size(), AttemptPhase.RUNNING));
+		this.log.started(attempt);
+		if (this.fault.failsAll()) {
+			end(attempt, AttemptPhase.FAILED);
+		}
+		else if (order.runMillis() > 0) {
+			this.timer.schedule(() -> end(attempt, AttemptPhase.FINISHED), order.runMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private Resources used() {
+		Resources used = Resources.NONE;
+		for (Entry entry : this.attempts.values()) {
+			if (entry.phase == AttemptPhase.RUNNING) {
+				used = used.plus(entry.size);
+			}
+		}
+		return used;
+	}
+
+	private void stop(AttemptId attempt) {
+		if (this.attempts.containsKey(attempt)) {
+			end(attempt, AttemptPhase.STOPPED);
+		}
+		else {
+			this.attempts.put(attempt, new Entry("", Resources.NONE, AttemptPhase.STOPPED));
+		}
+	}
+
+	private synchronized void end(AttemptId attempt, AttemptPhase phase) {
+		Entry entry = this.attempts.get(attempt);
+		if (entry != null && entry.phase == AttemptPhase.RUNNING) {
+			this.attempts.put(attempt, new Entry(entry.team, entry.size, phase));
+			this.log.ended(attempt, phase == AttemptPhase.FINISHED);
+		}
+	}
+
+	private void forget(AttemptId attempt) {
+		Entry entry = this.attempts.get(attempt);
+		if (entry != null && entry.phase != AttemptPhase.RUNNING) {
+			this.attempts.remove(attempt);
+			this.forgotten.merge(task(attempt), attempt.attempt(), Math::max);
+		}
+	}
+
+	private static String task(AttemptId attempt) {
+		return attempt.job().toString() + '/' + attempt.task();
+	}
+
+	synchronized void setFault(WorkerFault next) {
+		this.fault = next;
+	}
+
+	Host host() {
+		return this.host;
+	}
+
+	private record Entry(String team, Resources size, AttemptPhase phase) {
+
+	}
+
+}
