Split the placer from the queue manager; test the path and the layers

Cause: QueueManager held ordering, placing and recovery in 690 lines, too many for several hands. Placer and TeamQueue now stand alone, no rule changed. A test cell holds its loopback network by a socket, since two cells whose pids agree modulo 200 would have met on the same addresses.

--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
@@ -0,0 +1,70 @@
+package org.monsoonrelay.logic.queue;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.job.Job;
+import org.monsoonrelay.model.job.JobId;
+
+/**
+ * The jobs of one team under one ownership. Places nothing until it is active. Not
+ * thread-safe: confined to the control thread.
+ */
+final class TeamQueue {
+
+	private final long epoch;
+
+	private final Map<JobId, Job> jobs = new TreeMap<>();
+
+	private final Set<JobId> loading = new HashSet<>();
+
+	private boolean active;
+
+	TeamQueue(long epoch) {
+		this.epoch = epoch;
+	}
+
+	Resources used() {
+		Resources used = Resources.NONE;
+		for (Job job : this.jobs.values()) {
+			used = used.plus(job.workload().size().times(job.openAttempts().size()));
+		}
+		return used;
+	}
+
+	List<Job> inOrder() {
+		return this.jobs.values()
+			.stream()
+			.sorted(Comparator.comparing((Job job) -> !job.workload().urgent())
+				.thenComparing((job) -> job.workload().kind())
+				.thenComparing(Job::readySince)
+				.thenComparing(Job::id))
+			.toList();
+	}
+
+	long epoch() {
+		return this.epoch;
+	}
+
+	Map<JobId, Job> jobs() {
+		return this.jobs;
+	}
+
+	Set<JobId> loading() {
+		return this.loading;
+	}
+
+	boolean isActive() {
+		return this.active;
+	}
+
+	void activate() {
+		this.active = true;
+	}
+
+}
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellLayout.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellLayout.java
@@ -1,8 +1,12 @@
 package org.monsoonrelay.standin;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.host.Host;
@@ -25,12 +29,21 @@
 
 	private static final List<String> FAILURE_DOMAINS = List.of("domain-a", "domain-b", "domain-c");
 
+	private static final int FIRST_NETWORK = 20;
+
+	private static final int NETWORKS = 200;
+
+	private static final int HOLD_PORT = 9999;
+
+	private static final List<ServerSocket> HELD = new CopyOnWriteArrayList<>();
+
 	private static final int WORKERS_A_RACK = 8;
 
 	private static final Resources WORKER_CAPACITY = new Resources(32, 131_072, 0);
 
 	/**
-	 * A layout on a loopback network that follows from this process's identity.
+	 * A layout on a loopback network that no other cell uses. The network is held until
+	 * this process ends.
 	 * @param gateways number of gateways
 	 * @param schedulers number of schedulers
 	 * @param workers number of workers
@@ -39,8 +52,24 @@
 	 * @return the layout
 	 */
 	public static CellLayout of(int gateways, int schedulers, int workers, int backendServers, String service) {
-		int network = 20 + (int) (ProcessHandle.current().pid() % 200);
-		return new CellLayout(network, gateways, schedulers, workers, backendServers, service);
+		int first = (int) (ProcessHandle.current().pid() % NETWORKS);
+		for (int offset = 0; offset < NETWORKS; offset++) {
+			int network = FIRST_NETWORK + (first + offset) % NETWORKS;
+			if (hold(network)) {
+				return new CellLayout(network, gateways, schedulers, workers, backendServers, service);
+			}
+		}
+		throw new IllegalStateException("no loopback network is free");
+	}
+
+	private static boolean hold(int network) {
+		try {
+			HELD.add(new ServerSocket(HOLD_PORT, 1, InetAddress.getByName("127." + network + ".0.1")));
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
 	}
 
 	static String failureDomain(int index) {
--- /dev/null
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the layers and of the path across processes.
+ */
+package org.monsoonrelay.systemtests;
