Bound a peer request's whole time

Cause: the timeout of a request began only once the connection stood; towards a frozen peer that accepts and never greets, the request hung until the silence limit of 4 s and failed as a closed connection. Also by reading: the connection was made inside computeIfAbsent, where a connect that fails at once would have changed the same map entry from within; the entry is now put first and connected after. Ruled out: shortening the silence limit, which would cut connections of paused peers that come back. Before: endAtTheirTimeoutWhenThePeerNeverGreets failed (cause PeerException after 4.0 s instead of TimeoutException), 4 tests, 1 failed. After: 4 tests, 0 failed. The entry handling had no failing run of its own.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -83,11 +83,12 @@
 	 * Send a request.
 	 * @param peer where the peer listens
 	 * @param body the request's body
-	 * @param timeout how long to wait for the reply
-	 * @return the reply; fails with {@link PeerException} if none came
+	 * @param timeout how long to wait for the reply, the time to connect included
+	 * @return the reply; fails if none came in time
 	 */
 	public CompletableFuture<Envelope> request(HostAddress peer, Envelope.Builder body, Duration timeout) {
-		return connection(peer).thenCompose((connection) -> connection.request(body, timeout));
+		return connection(peer).thenCompose((connection) -> connection.request(body, timeout))
+			.orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -100,11 +101,16 @@
 	}
 
 	private CompletableFuture<PeerConnection> connection(HostAddress peer) {
-		return this.connections.computeIfAbsent(peer, this::connect);
+		CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
+		CompletableFuture<PeerConnection> present = this.connections.putIfAbsent(peer, ready);
+		if (present != null) {
+			return present;
+		}
+		connect(peer, ready);
+		return ready;
 	}
 
-	private CompletableFuture<PeerConnection> connect(HostAddress peer) {
-		CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
+	private void connect(HostAddress peer, CompletableFuture<PeerConnection> ready) {
 		Bootstrap bootstrap = new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -123,7 +129,6 @@
 				connection.onClose(() -> this.connections.remove(peer, ready));
 			}
 		});
-		return ready;
 	}
 
 	private ChannelInitializer<SocketChannel> initializer(CompletableFuture<PeerConnection> ready) {
--- /dev/null
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -0,0 +1,126 @@
+package org.monsoonrelay.adapters.peer;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Empty;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusReply;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusRequest;
+import org.monsoonrelay.model.host.HostAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+class PeerNetworkTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private static final String SECRET = "cell-secret";
+
+	private final HostAddress firstAddress = freeAddress();
+
+	private final HostAddress secondAddress = freeAddress();
+
+	private final PeerNetwork first = network("first", this.firstAddress, SECRET);
+
+	private final PeerNetwork second = network("second", this.secondAddress, SECRET);
+
+	@AfterEach
+	void close() {
+		this.first.close();
+		this.second.close();
+	}
+
+	private String ask(HostAddress peer) {
+		return this.first.request(peer, question(), TIMEOUT).join().getStatusReply().getStatusJson();
+	}
+
+	private static Envelope.Builder question() {
+		return Envelope.newBuilder().setStatusRequest(StatusRequest.getDefaultInstance());
+	}
+
+	private static PeerNetwork network(String name, HostAddress address, String secret) {
+		PeerIdentity identity = new PeerIdentity(name, "scheduler", "domain-a", address);
+		return new PeerNetwork(identity, secret,
+				(from, request) -> CompletableFuture.completedFuture(answer(name, request)));
+	}
+
+	private static Envelope.Builder answer(String name, Envelope request) {
+		return request.hasStatusRequest()
+				? Envelope.newBuilder().setStatusReply(StatusReply.newBuilder().setStatusJson(name))
+				: Envelope.newBuilder().setEmpty(Empty.getDefaultInstance());
+	}
+
+	private static HostAddress freeAddress() {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return new HostAddress("127.0.0.1", socket.getLocalPort());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("no port is free", ex);
+		}
+	}
+
+	@Nested
+	class Requests {
+
+		@Test
+		void areAnsweredByThePeerThatIsAsked() {
+			PeerNetworkTests.this.second.listen();
+
+			assertThat(ask(PeerNetworkTests.this.secondAddress)).isEqualTo("second");
+		}
+
+		@Test
+		void useTheConnectionThatThePeerOpened() throws IOException {
+			PeerNetworkTests.this.second.listen();
+			ask(PeerNetworkTests.this.secondAddress);
+
+			CompletableFuture<Envelope> back = PeerNetworkTests.this.second.request(PeerNetworkTests.this.firstAddress,
+					question(), TIMEOUT);
+
+			assertThat(back.join().getStatusReply().getStatusJson()).isEqualTo("first");
+		}
+
+		@Test
+		void endAtTheirTimeoutWhenThePeerNeverGreets() throws IOException {
+			HostAddress frozen = PeerNetworkTests.this.firstAddress;
+			try (ServerSocket silent = new ServerSocket(frozen.port(), 1, InetAddress.getByName(frozen.host()))) {
+				CompletableFuture<Envelope> reply = PeerNetworkTests.this.second.request(frozen, question(),
+						Duration.ofMillis(100));
+
+				Throwable failure = catchThrowable(reply::join);
+
+				assertThat(failure).isInstanceOf(CompletionException.class).hasCauseInstanceOf(TimeoutException.class);
+				assertThat(silent.isBound()).isTrue();
+			}
+		}
+
+	}
+
+	@Nested
+	class Peers {
+
+		@Test
+		void areReachedAgainAfterTheyWereDown() {
+			for (int round = 0; round < 50; round++) {
+				CompletableFuture<Envelope> refused = PeerNetworkTests.this.first
+					.request(PeerNetworkTests.this.secondAddress, question(), TIMEOUT);
+				assertThat(catchThrowable(refused::join)).isNotNull();
+			}
+			PeerNetworkTests.this.second.listen();
+
+			assertThat(ask(PeerNetworkTests.this.secondAddress)).isEqualTo("second");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the peer network over loopback.
+ */
+package org.monsoonrelay.adapters.peer;
