Forget a silent peer connection before it is closed

Cause: closing is asynchronous, so a request sent right after the one that timed out could still take the dying connection and fail with 'peer connection is closed'. The time to connect and the time to answer share one end. Ruled out: a retry inside request, which could send a message twice.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerConnection.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerConnection.java
@@ -61,7 +61,7 @@
 					reply.completeExceptionally(new PeerException("peer connection is closed", written.cause()));
 				}
 			});
-		return reply.orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS).whenComplete((envelope, failure) -> {
+		return reply.orTimeout(timeout.toNanos(), TimeUnit.NANOSECONDS).whenComplete((envelope, failure) -> {
 			this.open.remove(id);
 			if (failure instanceof TimeoutException) {
 				closeIfSilentSince(startedNanos);
@@ -74,6 +74,7 @@
 		long pings = 2 * this.network.timings().pingAfter().toNanos();
 		boolean longEnough = System.nanoTime() - startedNanos > pings;
 		if (longEnough && this.lastReadNanos - startedNanos < 0) {
+			this.network.forget(this);
 			this.channel.close();
 		}
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -90,8 +90,10 @@
 	 * @return the reply; fails if none came in time
 	 */
 	public CompletableFuture<Envelope> request(HostAddress peer, Envelope.Builder body, Duration timeout) {
-		return connection(peer).thenCompose((connection) -> connection.request(body, timeout))
-			.orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+		long endNanos = System.nanoTime() + timeout.toNanos();
+		return connection(peer).copy()
+			.orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+			.thenCompose((connection) -> connection.request(body, Duration.ofNanos(endNanos - System.nanoTime())));
 	}
 
 	/**
@@ -161,6 +163,15 @@
 			.build();
 	}
 
+	/**
+	 * Use a connection no more, at once and before it is closed.
+	 * @param connection the connection
+	 */
+	void forget(PeerConnection connection) {
+		this.connections.values()
+			.removeIf((ready) -> ready.isDone() && !ready.isCompletedExceptionally() && ready.join() == connection);
+	}
+
 	String secret() {
 		return this.secret;
 	}
