Move the scheduling of teams out of the queue manager

Cause: the queue manager mixed which tasks are placed in a round with events, recovery and status, at 436 lines. Conclusion: QueueManager keeps events, recovery and status; TeamScheduler decides what is placed. verify of model and logic passes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,14 +15,12 @@
 
 import org.monsoonrelay.logic.control.InForce;
 import org.monsoonrelay.logic.placement.AttemptEvent;
-import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
 import org.monsoonrelay.model.job.JobId;
 import org.monsoonrelay.model.job.TaskRecord;
 import org.monsoonrelay.model.job.TaskState;
 import org.monsoonrelay.model.worker.WorkerId;
-import org.monsoonrelay.model.workload.Team;
 import org.monsoonrelay.model.workload.Workload;
 import org.monsoonrelay.model.workload.WorkloadKind;
 
@@ -36,12 +35,12 @@
 
 	private static final Duration RESOLVE_INTERVAL = Duration.ofSeconds(1);
 
-	private static final int MAXIMUM_STARTS_A_TICK = 4096;
-
 	private final RackOwners rackOwners;
 
 	private final Placer placer;
 
+	private final TeamScheduler scheduler;
+
 	private final JobJournal journal;
 
 	private final Executor control;
@@ -50,8 +49,6 @@
 
 	private final Map<String, TeamQueue> queues = new TreeMap<>();
 
-	private final Map<JobId, WaitReason> waitReasons = new HashMap<>();
-
 	private Instant resolveNotBefore = Instant.MIN;
 
 	private Set<String> satisfiedElsewhere = Set.of();
@@ -63,6 +60,7 @@
 		this.rackOwners = rackOwners;
 		this.journal = journals.create(this::reload);
 		this.placer = new Placer(rackOwners, racks, this.journal, control, clock);
+		this.scheduler = new TeamScheduler(this.placer, this.journal, clock);
 		this.control = control;
 		this.clock = clock;
 	}
@@ -106,7 +104,7 @@
 	private void drop(JobId id) {
 		this.journal.forget(id);
 		this.placer.forget(id);
-		this.waitReasons.remove(id);
+		this.scheduler.forget(id);
 	}
 
 	/**
@@ -219,80 +217,14 @@
 	 * Place what can be placed and write what has to last.
 	 */
 	public void tick() {
-		Set<String> satisfied = satisfied();
+		Set<String> satisfied = new HashSet<>(this.satisfiedElsewhere);
+		satisfied.addAll(satisfied());
 		resolveDoubts();
-		int budget = MAXIMUM_STARTS_A_TICK;
-		for (Map.Entry<String, TeamQueue> entry : this.queues.entrySet()) {
-			loadMissing(entry.getKey());
-			budget -= schedule(entry.getKey(), entry.getValue(), satisfied, budget);
-		}
+		this.queues.keySet().forEach(this::loadMissing);
+		this.scheduler.round(this.queues, this.inForce, satisfied);
 		this.journal.flush();
 	}
 
-	private int schedule(String team, TeamQueue queue, Set<String> satisfied, int budget) {
-		Resources quota = this.inForce.text().team(team).map(Team::quota).orElse(Resources.NONE);
-		Resources used = queue.used();
-		int started = 0;
-		for (Job job : queue.inOrder()) {
-			WaitReason reason = blockedBy(queue, job, satisfied);
-			if (reason != WaitReason.NONE || started >= budget) {
-				this.waitReasons.put(job.id(), reason);
-				continue;
-			}
-			List<Integer> placeable = job.placeable(this.clock.instant());
-			int fits = withinQuota(quota, used, job.workload().size(), placeable.size());
-			List<Integer> chosen = placeable.subList(0, Math.min(fits, budget - started));
-			int placed = this.placer.place(job, chosen);
-			used = used.plus(job.workload().size().times(placed));
-			started += placed;
-			this.waitReasons.put(job.id(), reasonAfter(job, placeable.size(), fits, placed));
-		}
-		return started;
-	}
-
-	private WaitReason blockedBy(TeamQueue queue, Job job, Set<String> satisfied) {
-		if (job.isFinal() || !this.inForce.state().permits(job.id())) {
-			return (job.isFinal()) ? WaitReason.NONE : WaitReason.RECOVERING;
-		}
-		if (!queue.isActive()) {
-			return WaitReason.RECOVERING;
-		}
-		boolean ready = job.workload()
-			.dependsOn()
-			.stream()
-			.allMatch((name) -> satisfied.contains(name) || this.satisfiedElsewhere.contains(name));
-		if (!ready) {
-			return WaitReason.DEPENDENCY;
-		}
-		if (job.workload().once() && !this.journal.isAvailable()) {
-			return WaitReason.PLATFORM_UNAVAILABLE;
-		}
-		return WaitReason.NONE;
-	}
-
-	private static WaitReason reasonAfter(Job job, int placeable, int fits, int placed) {
-		if (job.counts().containsKey(TaskState.IN_DOUBT)) {
-			return WaitReason.WORKER_SILENT;
-		}
-		if (placeable == 0) {
-			return job.counts().containsKey(TaskState.WAITING) ? WaitReason.BACKOFF : WaitReason.NONE;
-		}
-		if (fits < placeable) {
-			return WaitReason.QUOTA;
-		}
-		return (placed < placeable) ? WaitReason.NO_ROOM : WaitReason.NONE;
-	}
-
-	private static int withinQuota(Resources quota, Resources used, Resources size, int wanted) {
-		int fits = 0;
-		Resources sum = used;
-		while (fits < wanted && quota.covers(sum.plus(size))) {
-			sum = sum.plus(size);
-			fits++;
-		}
-		return fits;
-	}
-
 	private void resolveDoubts() {
 		Instant now = this.clock.instant();
 		if (now.isBefore(this.resolveNotBefore)) {
@@ -397,7 +329,7 @@
 			.stream()
 			.flatMap((queue) -> queue.jobs().values().stream())
 			.map((job) -> new JobStatus(job.id(), job.workload().kind(), job.workload().team(), job.workload().tasks(),
-					job.counts(), this.waitReasons.getOrDefault(job.id(), WaitReason.NONE), job.tasks()))
+					job.counts(), this.scheduler.waitReason(job.id()), job.tasks()))
 			.toList();
 	}
 
