Keep each attempt to one exchange

Cause: OkHttp repeats a request by itself when a 503 says Retry-After: 0, even with retryOnConnectionFailure(false); it takes whatever waits on a pooled connection for the answer to the next request; it reads a body without a length up to the end of the connection; a header with a character beyond ASCII made send() throw, which would have kept the slot for ever; a timed-out connection was closed, its silent siblings stayed in the pool.

Now a network interceptor hides Retry-After, refuses a connection on which an answer waits, and drops an answer that was read before its request. Each backend server has a pool of its own; a timeout retires all its connections. An answer is at most 4 MiB.

Before (client of the first path, 16 tests): 7 failures, 1 error, among them - two answers to one request: expected Broken, was Whole[...] (crossed) - stray answer on an idle connection: expected NotSent, was Whole[...] - 503 with Retry-After: 0: expected size 1 but was 2 requests on the wire - silent pool: expected Whole, was Broken[timedOut=true, detail=timeout] - no length: expected Broken, was Whole[status=200, ...] - IllegalArgumentException: Unexpected char 0xe3 at 2 in Guest value On scratch copies: retryOnConnectionFailure(true): pooled connection that dies after the request was written: expected Broken, was Whole. Cut bodies taken as they are: expected Broken, was Whole (Content-Length and chunks). Mark ignored: expected Broken, was NotSent[unexpected end of stream]. After: 16 run, 0 failed. The late answer alone did not fail before.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
@@ -1,27 +1,29 @@
 package org.monsoonrelay.adapters.platform;
 
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.NoRouteToHostException;
-import java.net.SocketTimeoutException;
+import java.io.InterruptedIOException;
+import java.net.Proxy;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import okhttp3.Call;
 import okhttp3.Callback;
-import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
+import okhttp3.Headers;
 import okhttp3.HttpUrl;
-import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okhttp3.internal.http.HttpHeaders;
 import okhttp3.internal.http.HttpMethod;
 import org.monsoonrelay.logic.routing.AttemptResult;
 import org.monsoonrelay.logic.routing.BackendClient;
@@ -31,8 +33,10 @@
 
 /**
  * The backend servers over HTTP. Each call sends its request at most once: OkHttp's own
- * repeats are off. A call is answered whole only after its whole body has been read.
- * Thread-safe.
+ * repeats are off. "Not sent" is said only before the first byte of the request. A call
+ * is answered whole only after its whole body has been read, and only if the answer says
+ * where it ends. An answer that comes after its attempt was given up finds its connection
+ * closed. Thread-safe.
  */
 public final class HttpBackendClient implements BackendClient {
 
@@ -42,99 +46,162 @@
 	 */
 	public static final String NOT_STARTED = "Monsoonrelay-Not-Started";
 
+	/**
+	 * Header with the identity of the request. A backend server may echo it; an answer
+	 * with another request's identity is never passed on.
+	 */
+	public static final String REQUEST_ID = "Monsoonrelay-Request-Id";
+
+	/** The largest answer that is passed on. */
+	public static final int MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
+
 	private static final String LEAVING = "leaving";
 
-	private static final int MAXIMUM_CALLS = 512;
+	private static final String ACCEPT_ENCODING = "Accept-Encoding";
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-	private final OkHttpClient client;
+	private static final Duration NO_TIMEOUT = Duration.ZERO;
+
+	private final OkHttpClient base;
 
 	private final InstantSource clock;
 
+	private final Map<HostAddress, ServerConnections> connections = new ConcurrentHashMap<>();
+
 	public HttpBackendClient(InstantSource clock) {
 		this.clock = clock;
 		Dispatcher dispatcher = new Dispatcher();
-		dispatcher.setMaxRequests(MAXIMUM_CALLS);
-		dispatcher.setMaxRequestsPerHost(MAXIMUM_CALLS);
-		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
-			.connectionPool(new ConnectionPool(MAXIMUM_CALLS, 1, TimeUnit.MINUTES))
+		dispatcher.setMaxRequests(Integer.MAX_VALUE);
+		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
+		this.base = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.socketFactory(new CountingSocketFactory())
+			.eventListenerFactory((call) -> call.request().tag(SentMark.class))
+			.addNetworkInterceptor(new SingleExchange())
+			.proxy(Proxy.NO_PROXY)
 			.retryOnConnectionFailure(false)
 			.followRedirects(false)
 			.followSslRedirects(false)
 			.connectTimeout(CONNECT_TIMEOUT)
+			.readTimeout(NO_TIMEOUT)
+			.writeTimeout(NO_TIMEOUT)
 			.build();
 	}
 
 	@Override
 	public CompletableFuture<AttemptResult> send(HostAddress server, ForwardedRequest request, Instant giveUpAt) {
-		CompletableFuture<AttemptResult> result = new CompletableFuture<>();
-		long millis = Math.max(1, Duration.between(this.clock.instant(), giveUpAt).toMillis());
 		SentMark sent = new SentMark();
-		Call call = this.client.newBuilder()
-			.eventListener(sent)
-			.readTimeout(millis, TimeUnit.MILLISECONDS)
-			.callTimeout(millis, TimeUnit.MILLISECONDS)
-			.build()
-			.newCall(toHttp(server, request));
+		Request toSend;
+		try {
+			toSend = toHttp(server, request, sent);
+		}
+		catch (IllegalArgumentException ex) {
+			return CompletableFuture.completedFuture(new AttemptResult.NotSent(String.valueOf(ex.getMessage())));
+		}
+		ServerConnections pooled = this.connections.computeIfAbsent(server,
+				(address) -> new ServerConnections(this.base));
+		OkHttpClient client = pooled.client();
+		Call call = client.newCall(toSend);
+		call.timeout()
+			.timeout(Math.max(1, Duration.between(this.clock.instant(), giveUpAt).toMillis()), TimeUnit.MILLISECONDS);
+		CompletableFuture<AttemptResult> result = new CompletableFuture<>();
 		call.enqueue(new Callback() {
 			@Override
 			public void onFailure(Call failed, IOException ex) {
-				result.complete(failure(sent, ex));
+				end(failure(sent, ex));
 			}
 
 			@Override
 			public void onResponse(Call answered, Response response) {
-				result.complete(read(response));
+				end(read(request, response));
+			}
+
+			private void end(AttemptResult ended) {
+				boolean timedOut = ended instanceof AttemptResult.Broken broken && broken.timedOut();
+				pooled.ended(client, timedOut);
+				result.complete(ended);
 			}
 		});
 		return result;
 	}
 
-	private static Request toHttp(HostAddress server, ForwardedRequest request) {
+	/**
+	 * Forget the connections to servers that are not in service any more.
+	 * @param servers those that are
+	 */
+	public void retain(Set<HostAddress> servers) {
+		this.connections.entrySet().removeIf((entry) -> {
+			boolean gone = !servers.contains(entry.getKey());
+			if (gone) {
+				entry.getValue().close();
+			}
+			return gone;
+		});
+	}
+
+	private static Request toHttp(HostAddress server, ForwardedRequest request, SentMark sent) {
 		HttpUrl url = HttpUrl.get(server.url())
 			.newBuilder()
 			.addPathSegment(request.operation().name())
 			.encodedQuery(request.query().isEmpty() ? null : request.query())
 			.build();
-		Request.Builder builder = new Request.Builder().url(url);
-		MediaType type = null;
-		for (HeaderLine header : request.headers()) {
-			if (header.name().equalsIgnoreCase("Content-Type")) {
-				type = MediaType.parse(header.value());
-			}
-			else {
-				builder.addHeader(header.name(), header.value());
-			}
+		Headers.Builder headers = new Headers.Builder();
+		request.headers().forEach((header) -> headers.addUnsafeNonAscii(header.name(), header.value()));
+		headers.set(REQUEST_ID, request.id());
+		if (headers.get(ACCEPT_ENCODING) == null) {
+			headers.set(ACCEPT_ENCODING, "identity");
 		}
 		boolean hasBody = HttpMethod.permitsRequestBody(request.method())
 				&& (request.body().length > 0 || HttpMethod.requiresRequestBody(request.method()));
-		return builder.method(request.method(), hasBody ? RequestBody.create(request.body(), type) : null).build();
+		return new Request.Builder().url(url)
+			.headers(headers.build())
+			.method(request.method(), hasBody ? RequestBody.create(request.body()) : null)
+			.tag(SentMark.class, sent)
+			.build();
 	}
 
 	private static AttemptResult failure(SentMark sent, IOException ex) {
-		boolean connecting = ex instanceof ConnectException || ex instanceof NoRouteToHostException;
-		if (connecting || !sent.mayHaveSent()) {
-			return new AttemptResult.NotSent(String.valueOf(ex.getMessage()));
-		}
-		boolean timedOut = ex instanceof SocketTimeoutException || "timeout".equals(ex.getMessage());
-		return new AttemptResult.Broken(timedOut, String.valueOf(ex.getMessage()));
+		return sent.mayHaveSent() ? broken(ex) : new AttemptResult.NotSent(String.valueOf(ex.getMessage()));
+	}
+
+	private static AttemptResult broken(IOException ex) {
+		return new AttemptResult.Broken(ex instanceof InterruptedIOException, String.valueOf(ex.getMessage()));
 	}
 
-	private static AttemptResult read(Response response) {
+	private static AttemptResult read(ForwardedRequest request, Response response) {
 		try (response) {
+			String answeredId = response.header(REQUEST_ID);
+			if (answeredId != null && !answeredId.equals(request.id())) {
+				return new AttemptResult.Broken(false, "the answer belongs to another request");
+			}
 			String notStarted = response.header(NOT_STARTED);
 			if (notStarted != null) {
 				return new AttemptResult.Refused(LEAVING.equals(notStarted));
 			}
-			byte[] body = response.body().bytes();
-			List<HeaderLine> headers = new ArrayList<>();
-			response.headers().forEach((pair) -> headers.add(new HeaderLine(pair.getFirst(), pair.getSecond())));
-			return new AttemptResult.Whole(response.code(), headers, body);
+			return whole(response);
 		}
 		catch (IOException ex) {
-			return new AttemptResult.Broken(ex instanceof SocketTimeoutException, String.valueOf(ex.getMessage()));
+			return broken(ex);
+		}
+	}
+
+	private static AttemptResult whole(Response response) throws IOException {
+		boolean chunked = "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
+		if (response.body().contentLength() < 0 && !chunked && HttpHeaders.promisesBody(response)) {
+			return new AttemptResult.Broken(false, "the answer does not say where it ends");
 		}
+		if (response.body().source().request(MAXIMUM_ANSWER_BYTES + 1L)) {
+			return new AttemptResult.Broken(false, "the answer is larger than " + MAXIMUM_ANSWER_BYTES + " bytes");
+		}
+		byte[] body = response.body().bytes();
+		List<HeaderLine> headers = new ArrayList<>();
+		response.headers().forEach((pair) -> headers.add(returned(pair.getFirst(), pair.getSecond())));
+		return new AttemptResult.Whole(response.code(), headers, body);
+	}
+
+	private static HeaderLine returned(String name, String value) {
+		boolean hidden = name.equals(SingleExchange.HIDDEN_RETRY_AFTER);
+		return new HeaderLine(hidden ? SingleExchange.RETRY_AFTER : name, value);
 	}
 
 }
