Keep jobs' and workers' rules under any order of messages

A reported size was left out when another had been reserved. Ruled out: numbering the workers' reports; a past incarnation is enough while one call at a time is in flight to a worker. Conclusion: a task notes up to which attempt the end is certain, a task no longer declared keeps its attempt until then, and a worker knows its past incarnations. Counts of states, open attempts and replicas are kept instead of counted, and identities compare without building strings.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/SpreadPolicy.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/SpreadPolicy.java
@@ -17,13 +17,9 @@
 	public Optional<Worker> choose(JobId job, Resources size, Collection<Worker> workers) {
 		return workers.stream()
 			.filter((worker) -> worker.accepts(size))
-			.min(Comparator.comparingLong((Worker worker) -> replicas(job, worker))
+			.min(Comparator.comparingInt((Worker worker) -> worker.attemptsOf(job))
 				.thenComparingDouble(PackingPolicy::freeShare)
 				.thenComparing(Worker::id));
 	}
 
-	private static long replicas(JobId job, Worker worker) {
-		return worker.attempts().stream().filter((attempt) -> attempt.job().equals(job)).count();
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
@@ -32,7 +32,7 @@
 	Resources used() {
 		Resources used = Resources.NONE;
 		for (Job job : this.jobs.values()) {
-			used = used.plus(job.workload().size().times(job.openAttempts().size()));
+			used = used.plus(job.workload().size().times(job.openCount()));
 		}
 		return used;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamScheduler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamScheduler.java
@@ -95,11 +95,11 @@
 	}
 
 	private static WaitReason reasonAfter(Job job, int placeable, int fits, int placed) {
-		if (job.counts().containsKey(TaskState.IN_DOUBT)) {
+		if (job.count(TaskState.IN_DOUBT) > 0) {
 			return WaitReason.WORKER_SILENT;
 		}
 		if (placeable == 0) {
-			return job.counts().containsKey(TaskState.WAITING) ? WaitReason.BACKOFF : WaitReason.NONE;
+			return (job.count(TaskState.WAITING) > 0) ? WaitReason.BACKOFF : WaitReason.NONE;
 		}
 		if (fits < placeable) {
 			return WaitReason.QUOTA;
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -2,11 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.IntStream;
 
 import org.monsoonrelay.model.worker.WorkerId;
 import org.monsoonrelay.model.workload.Workload;
@@ -31,7 +28,7 @@
 
 	private Workload workload;
 
-	private final List<Task> tasks = new ArrayList<>();
+	private final TaskList tasks;
 
 	private final Instant readySince;
 
@@ -41,26 +38,17 @@
 		this.queueEpoch = queueEpoch;
 		this.workload = workload;
 		this.readySince = now;
-		IntStream.range(0, workload.tasks()).forEach((index) -> this.tasks.add(new Task()));
+		this.tasks = new TaskList(workload.tasks());
 		recorded.tasks().forEach(this::restore);
 	}
 
 	private void restore(TaskRecord recorded) {
-		while (this.tasks.size() <= recorded.task()) {
-			this.tasks.add(new Task());
-		}
-		Task task = this.tasks.get(recorded.task());
-		task.attempt = recorded.attempt();
-		task.state = recorded.state();
-		task.worker = recorded.worker();
-		task.incarnation = recorded.incarnation();
-		task.failures = recorded.failures();
-		if (task.state == TaskState.RESERVED) {
-			task.state = TaskState.WAITING;
-		}
-		if (task.state.mayRun()) {
-			task.state = this.workload.once() ? TaskState.IN_DOUBT : TaskState.WAITING;
+		boolean mayRun = recorded.state().mayRun();
+		TaskState restored = recorded.state();
+		if (restored == TaskState.RESERVED || mayRun) {
+			restored = (mayRun && this.workload.once()) ? TaskState.IN_DOUBT : TaskState.WAITING;
 		}
+		this.tasks.restore(recorded, restored, this.workload.once() && !mayRun);
 	}
 
 	/**
@@ -69,10 +57,17 @@
 	 * @return the indexes, ascending
 	 */
 	public List<Integer> placeable(Instant now) {
-		return IntStream.range(0, this.workload.tasks())
-			.filter((index) -> this.tasks.get(index).isPlaceable(now))
-			.boxed()
-			.toList();
+		return placeable(now, Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Indexes of the first tasks that may be given a new attempt now.
+	 * @param now the current time
+	 * @param limit the most to return
+	 * @return the indexes, ascending
+	 */
+	public List<Integer> placeable(Instant now, int limit) {
+		return this.tasks.due(now, limit);
 	}
 
 	/**
@@ -83,14 +78,12 @@
 	 */
 	public AttemptId open(int index) {
 		Task task = this.tasks.get(index);
-		if (task.state != TaskState.WAITING) {
-			throw new IllegalStateException("task " + index + " of " + id() + " is " + task.state);
+		if (task.state() != TaskState.WAITING) {
+			throw new IllegalStateException("task " + index + " of " + id() + " is " + task.state());
 		}
-		task.attempt = Math.max(task.attempt + 1, this.queueEpoch << EPOCH_SHIFT);
-		task.state = TaskState.RESERVED;
-		task.worker = "";
-		task.incarnation = "";
-		return new AttemptId(id(), index, task.attempt);
+		task.advance(Math.max(task.attempt() + 1, this.queueEpoch << EPOCH_SHIFT));
+		this.tasks.set(task, TaskState.RESERVED);
+		return attemptOf(task);
 	}
 
 	/**
@@ -101,12 +94,11 @@
 	 * @return {@code true} if the attempt is still the open one
 	 */
 	public boolean reservedOn(AttemptId attempt, WorkerId worker, String incarnation) {
-		Task task = this.tasks.get(attempt.task());
-		if (task.attempt != attempt.attempt() || task.state != TaskState.RESERVED) {
+		Task task = taskOf(attempt);
+		if (task.attempt() != attempt.attempt() || task.state() != TaskState.RESERVED) {
 			return false;
 		}
-		task.worker = worker.value();
-		task.incarnation = incarnation;
+		task.placedOn(worker.value(), incarnation);
 		return true;
 	}
 
@@ -116,25 +108,27 @@
 	 * @return {@code true} if it is the open one and was reserved
 	 */
 	public boolean starting(AttemptId attempt) {
-		return move(attempt, TaskState.RESERVED, TaskState.STARTING);
+		Task task = taskOf(attempt);
+		if (task.attempt() != attempt.attempt() || task.state() != TaskState.RESERVED) {
+			return false;
+		}
+		this.tasks.set(task, TaskState.STARTING);
+		return true;
 	}
 
 	/**
-	 * A worker runs the attempt.
+	 * A worker runs the attempt. A message that comes after the attempt's end changes
+	 * nothing.
 	 * @param attempt the attempt
 	 * @param worker the worker that says so
 	 */
 	public void running(AttemptId attempt, WorkerId worker) {
 		Task task = taskOf(attempt);
-		if (task.attempt < attempt.attempt() && !task.state.isFinal()) {
-			task.attempt = attempt.attempt();
-			task.state = TaskState.RUNNING;
-			task.worker = worker.value();
-		}
-		else if (task.attempt == attempt.attempt() && !task.state.isFinal()) {
-			task.state = TaskState.RUNNING;
-			task.worker = worker.value();
+		if (!concernsLast(task, attempt)) {
+			return;
 		}
+		task.runsOn(worker.value());
+		this.tasks.set(task, TaskState.RUNNING);
 	}
 
 	/**
@@ -144,11 +138,12 @@
 	 */
 	public boolean finished(AttemptId attempt) {
 		Task task = taskOf(attempt);
-		if (task.attempt > attempt.attempt() || task.state.isFinal()) {
+		if (!concernsLast(task, attempt)) {
 			return false;
 		}
-		task.attempt = attempt.attempt();
-		task.state = (this.workload.kind() != WorkloadKind.SERVICE) ? TaskState.FINISHED : TaskState.WAITING;
+		task.end();
+		boolean isService = this.workload.kind() == WorkloadKind.SERVICE;
+		this.tasks.set(task, isService ? TaskState.WAITING : TaskState.FINISHED);
 		return true;
 	}
 
@@ -160,17 +155,13 @@
 	 */
 	public boolean failed(AttemptId attempt, Instant now) {
 		Task task = taskOf(attempt);
-		if (task.attempt != attempt.attempt() || !(task.state.mayRun() || task.state == TaskState.RESERVED)) {
+		if (!concernsLast(task, attempt)) {
 			return false;
 		}
-		task.failures++;
-		if (task.failures >= MAXIMUM_FAILURES && this.workload.kind() != WorkloadKind.SERVICE) {
-			task.state = TaskState.FAILED;
-			return true;
-		}
-		task.state = TaskState.WAITING;
-		int doublings = Math.min(task.failures - 1, MAXIMUM_BACKOFF_DOUBLINGS);
-		task.notBefore = now.plus(FIRST_BACKOFF.multipliedBy(1L << doublings));
+		int doublings = Math.min(task.failures(), MAXIMUM_BACKOFF_DOUBLINGS);
+		task.fail(now.plus(FIRST_BACKOFF.multipliedBy(1L << doublings)));
+		boolean isLast = task.failures() >= MAXIMUM_FAILURES && this.workload.kind() != WorkloadKind.SERVICE;
+		this.tasks.set(task, isLast ? TaskState.FAILED : TaskState.WAITING);
 		return true;
 	}
 
@@ -182,11 +173,15 @@
 	 */
 	public boolean gone(AttemptId attempt) {
 		Task task = taskOf(attempt);
-		if (task.attempt != attempt.attempt() || task.state.isFinal() || task.state == TaskState.WAITING) {
+		if (!concernsLast(task, attempt)) {
 			return false;
 		}
-		task.state = TaskState.WAITING;
-		return true;
+		boolean wasOpen = task.isOpen();
+		task.end();
+		if (wasOpen) {
+			this.tasks.set(task, TaskState.WAITING);
+		}
+		return wasOpen;
 	}
 
 	/**
@@ -197,11 +192,11 @@
 	 */
 	public boolean lapsed(AttemptId attempt) {
 		Task task = taskOf(attempt);
-		if (task.attempt != attempt.attempt() || !task.state.mayRun()) {
+		if (task.attempt() != attempt.attempt() || !task.state().mayRun()) {
 			return false;
 		}
-		task.state = this.workload.once() ? TaskState.IN_DOUBT : TaskState.WAITING;
-		return task.state == TaskState.WAITING;
+		this.tasks.set(task, this.workload.once() ? TaskState.IN_DOUBT : TaskState.WAITING);
+		return task.state() == TaskState.WAITING;
 	}
 
 	/**
@@ -210,29 +205,28 @@
 	 */
 	public List<AttemptId> cancel() {
 		List<AttemptId> open = openAttempts();
-		this.tasks.stream().filter((task) -> !task.state.isFinal()).forEach((task) -> task.state = TaskState.CANCELLED);
+		this.tasks.all()
+			.filter((task) -> !task.state().isFinal())
+			.forEach((task) -> this.tasks.set(task, TaskState.CANCELLED));
 		return open;
 	}
 
 	/**
-	 * Take in a changed declaration of the same workload. A service may grow or shrink.
+	 * Take in a changed declaration of the same workload, which may grow or shrink. A
+	 * task that is no longer declared keeps its attempt until its end is known, and one
+	 * that may run unseen is in doubt once it must not run twice.
 	 * @param declared the declaration in force
 	 * @return the attempts that are no longer declared and have to be stopped
 	 */
 	public List<AttemptId> redeclare(Workload declared) {
 		this.workload = declared;
-		while (this.tasks.size() < declared.tasks()) {
-			this.tasks.add(new Task());
+		if (declared.tasks() != this.tasks.declared()) {
+			this.tasks.declare(declared.tasks());
 		}
-		List<AttemptId> surplus = new ArrayList<>();
-		for (int index = declared.tasks(); index < this.tasks.size(); index++) {
-			Task task = this.tasks.get(index);
-			if (task.state.mayRun() || task.state == TaskState.RESERVED) {
-				surplus.add(new AttemptId(id(), index, task.attempt));
-				task.state = TaskState.WAITING;
-			}
+		if (declared.once()) {
+			this.tasks.all().filter(Task::mayRunUnseen).forEach((task) -> this.tasks.set(task, TaskState.IN_DOUBT));
 		}
-		return surplus;
+		return this.tasks.all().skip(declared.tasks()).filter(Task::isOpen).map(this::attemptOf).toList();
 	}
 
 	/**
@@ -240,14 +234,15 @@
 	 * @return the attempts
 	 */
 	public List<AttemptId> openAttempts() {
-		List<AttemptId> open = new ArrayList<>();
-		for (int index = 0; index < this.tasks.size(); index++) {
-			Task task = this.tasks.get(index);
-			if (task.state.mayRun() || task.state == TaskState.RESERVED) {
-				open.add(new AttemptId(id(), index, task.attempt));
-			}
-		}
-		return open;
+		return this.tasks.all().filter(Task::isOpen).map(this::attemptOf).toList();
+	}
+
+	/**
+	 * Number of attempts that hold a reservation or may run.
+	 * @return the count
+	 */
+	public int openCount() {
+		return this.tasks.openCount();
 	}
 
 	/**
@@ -255,9 +250,16 @@
 	 * @return the counts; states without tasks are missing
 	 */
 	public Map<TaskState, Integer> counts() {
-		Map<TaskState, Integer> counts = new EnumMap<>(TaskState.class);
-		this.tasks.stream().limit(this.workload.tasks()).forEach((task) -> counts.merge(task.state, 1, Integer::sum));
-		return counts;
+		return this.tasks.counts();
+	}
+
+	/**
+	 * Number of declared tasks in a state.
+	 * @param state the state
+	 * @return the count
+	 */
+	public int count(TaskState state) {
+		return this.tasks.count(state);
 	}
 
 	/**
@@ -265,7 +267,8 @@
 	 * @return {@code true} if all tasks are final
 	 */
 	public boolean isFinal() {
-		return this.tasks.stream().limit(this.workload.tasks()).allMatch((task) -> task.state.isFinal());
+		return count(TaskState.FINISHED) + count(TaskState.FAILED) + count(TaskState.CANCELLED) == this.tasks
+			.declared();
 	}
 
 	/**
@@ -274,7 +277,7 @@
 	 */
 	public boolean satisfiesDependents() {
 		TaskState wanted = (this.workload.kind() != WorkloadKind.SERVICE) ? TaskState.FINISHED : TaskState.RUNNING;
-		return this.tasks.stream().limit(this.workload.tasks()).allMatch((task) -> task.state == wanted);
+		return count(wanted) == this.tasks.declared();
 	}
 
 	/**
@@ -283,29 +286,38 @@
 	 * @return the record
 	 */
 	public JobRecord toRecord(String writeId) {
-		List<TaskRecord> changed = IntStream.range(0, this.tasks.size())
-			.filter((index) -> this.tasks.get(index).attempt > 0 || this.tasks.get(index).state != TaskState.WAITING)
-			.mapToObj((index) -> this.tasks.get(index).toRecord(index))
+		List<TaskRecord> changed = this.tasks.all()
+			.filter((task) -> task.attempt() > 0 || task.state() != TaskState.WAITING)
+			.map(Task::toRecord)
 			.toList();
 		return new JobRecord(this.queueEpoch, writeId, changed);
 	}
 
-	private boolean move(AttemptId attempt, TaskState from, TaskState to) {
-		Task task = taskOf(attempt);
-		if (task.attempt != attempt.attempt() || task.state != from) {
+	/**
+	 * Tell whether a message is about the last attempt and can still change something. An
+	 * attempt with a higher number was opened by a later owner and becomes the last.
+	 * @param task the task
+	 * @param attempt the attempt that the message is about
+	 * @return {@code false} if the message changes nothing
+	 */
+	private static boolean concernsLast(Task task, AttemptId attempt) {
+		if (attempt.attempt() < task.attempt() || task.hasEnded(attempt.attempt()) || task.state().isFinal()) {
 			return false;
 		}
-		task.state = to;
+		if (attempt.attempt() > task.attempt()) {
+			task.advance(attempt.attempt());
+		}
 		return true;
 	}
 
 	private Task taskOf(AttemptId attempt) {
-		while (this.tasks.size() <= attempt.task()) {
-			this.tasks.add(new Task());
-		}
 		return this.tasks.get(attempt.task());
 	}
 
+	private AttemptId attemptOf(Task task) {
+		return new AttemptId(id(), task.index(), task.attempt());
+	}
+
 	public JobId id() {
 		return this.workload.id();
 	}
@@ -319,7 +331,7 @@
 	}
 
 	public TaskState state(int index) {
-		return this.tasks.get(index).state;
+		return this.tasks.get(index).state();
 	}
 
 	/**
@@ -327,33 +339,7 @@
 	 * @return all declared tasks in order
 	 */
 	public List<TaskRecord> tasks() {
-		return IntStream.range(0, this.workload.tasks())
-			.mapToObj((index) -> this.tasks.get(index).toRecord(index))
-			.toList();
-	}
-
-	private static final class Task {
-
-		private TaskState state = TaskState.WAITING;
-
-		private long attempt;
-
-		private int failures;
-
-		private String worker = "";
-
-		private String incarnation = "";
-
-		private Instant notBefore = Instant.MIN;
-
-		boolean isPlaceable(Instant now) {
-			return this.state == TaskState.WAITING && !now.isBefore(this.notBefore);
-		}
-
-		TaskRecord toRecord(int index) {
-			return new TaskRecord(index, this.attempt, this.state, this.worker, this.incarnation, this.failures);
-		}
-
+		return this.tasks.declaredTasks().map(Task::toRecord).toList();
 	}
 
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobId.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobId.java
@@ -32,7 +32,8 @@
 
 	@Override
 	public int compareTo(JobId other) {
-		return toString().compareTo(other.toString());
+		int byName = this.name.compareTo(other.name);
+		return (byName != 0) ? byName : this.run.compareTo(other.run);
 	}
 
 	@Override
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/worker/Worker.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/worker/Worker.java
@@ -3,12 +3,15 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.job.AttemptId;
+import org.monsoonrelay.model.job.JobId;
 
 /**
  * What one worker has committed. Invariant: the sum of reservations and grants never
@@ -25,6 +28,10 @@
 
 	private final Map<AttemptId, Commitment> commitments = new HashMap<>();
 
+	private final Map<JobId, Integer> attemptsByJob = new HashMap<>();
+
+	private final Set<String> pastIncarnations = new HashSet<>();
+
 	private Resources committed = Resources.NONE;
 
 	private String incarnation = "";
@@ -78,6 +85,7 @@
 		Commitment held = this.commitments.remove(attempt);
 		if (held != null) {
 			this.committed = this.committed.minus(held.size());
+			this.attemptsByJob.computeIfPresent(attempt.job(), (job, count) -> (count > 1) ? count - 1 : null);
 		}
 	}
 
@@ -98,18 +106,23 @@
 
 	/**
 	 * Take in the worker's own word of what runs there. Running attempts that are not
-	 * known yet are adopted as grants. A worker that runs more than its capacity keeps
-	 * refusing new work until it has drained.
+	 * known yet are adopted as grants, with the size the worker names. A worker that runs
+	 * more than its capacity keeps refusing new work until it has drained. A late report
+	 * of an earlier incarnation changes nothing.
 	 * @param reportedIncarnation the worker's incarnation
 	 * @param running sizes of the attempts that run there
 	 * @return attempts granted here under an earlier incarnation, which the worker has
 	 * lost
 	 */
 	public List<AttemptId> report(String reportedIncarnation, Map<AttemptId, Resources> running) {
+		if (this.pastIncarnations.contains(reportedIncarnation)) {
+			return List.of();
+		}
 		List<AttemptId> lost = List.of();
 		if (!this.incarnation.equals(reportedIncarnation)) {
 			lost = this.commitments.keySet().stream().filter((attempt) -> !running.containsKey(attempt)).toList();
 			lost.forEach(this::release);
+			this.pastIncarnations.add(this.incarnation);
 			this.incarnation = reportedIncarnation;
 		}
 		running.forEach(this::adopt);
@@ -147,17 +160,13 @@
 	}
 
 	private void adopt(AttemptId attempt, Resources size) {
-		Commitment held = this.commitments.get(attempt);
-		if (held == null) {
-			add(attempt, new Commitment(size, Optional.empty()));
-		}
-		else {
-			grant(attempt);
-		}
+		release(attempt);
+		add(attempt, new Commitment(size, Optional.empty()));
 	}
 
 	private void add(AttemptId attempt, Commitment commitment) {
 		this.committed = this.committed.plus(commitment.size());
+		this.attemptsByJob.merge(attempt.job(), 1, Integer::sum);
 		this.commitments.put(attempt, commitment);
 	}
 
@@ -193,6 +202,24 @@
 		return List.copyOf(this.commitments.keySet());
 	}
 
+	/**
+	 * Number of attempts of a job that hold a reservation or a grant.
+	 * @param job the job
+	 * @return the count
+	 */
+	public int attemptsOf(JobId job) {
+		return this.attemptsByJob.getOrDefault(job, 0);
+	}
+
+	/**
+	 * Tell whether an attempt holds a reservation or a grant.
+	 * @param attempt the attempt
+	 * @return {@code true} if it does
+	 */
+	public boolean holds(AttemptId attempt) {
+		return this.commitments.containsKey(attempt);
+	}
+
 	private record Commitment(Resources size, Optional<Instant> deadline) {
 
 		boolean hasLapsed(Instant now) {
--- /dev/null
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobTests.java
@@ -0,0 +1,197 @@
+package org.monsoonrelay.model.job;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.worker.WorkerId;
+import org.monsoonrelay.model.workload.Workload;
+import org.monsoonrelay.model.workload.WorkloadKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class JobTests {
+
+	private static final int TASKS = 3;
+
+	private static final WorkerId WORKER = new WorkerId("worker-1");
+
+	private static final Instant START = Instant.parse("2026-12-02T00:00:00Z");
+
+	private static Workload declared(int tasks, boolean once) {
+		return new Workload(new JobId("wages", "1"), WorkloadKind.BATCH, "crew", tasks, new Resources(1, 1, 0), 1000,
+				once, false, List.of(), List.of());
+	}
+
+	@Group
+	class UnderAnyOrderDuplicatesAndLossesOfMessages {
+
+		@Property(seed = "1", tries = 5000)
+		void aTaskThatMustRunOnceIsNeverPlacedWhileAnEarlierAttemptMayRun(
+				@ForAll @Size(max = 80) List<@IntRange(max = 9999) Integer> steps) {
+			Cell cell = new Cell(true);
+			steps.forEach(cell::step);
+			assertThat(cell.overlaps).isZero();
+		}
+
+		@Property(seed = "2", tries = 5000)
+		void aTaskHasOneOpenAttemptAtMostAndNeverLeavesAFinalState(
+				@ForAll @Size(max = 80) List<@IntRange(max = 9999) Integer> steps, @ForAll boolean once) {
+			Cell cell = new Cell(once);
+			for (int step : steps) {
+				Map<Integer, TaskState> before = cell.finalStates();
+				boolean restarted = cell.step(step);
+				long tasks = cell.job.openAttempts().stream().map(AttemptId::task).distinct().count();
+				assertThat(cell.job.openAttempts()).hasSize((int) tasks);
+				assertThat(restarted || cell.finalStates().entrySet().containsAll(before.entrySet())).isTrue();
+			}
+		}
+
+		@Property(seed = "3", tries = 5000)
+		void anAttemptThatEndedIsNeverTakenForARunningOne(
+				@ForAll @Size(max = 80) List<@IntRange(max = 9999) Integer> steps, @ForAll boolean once) {
+			Cell cell = new Cell(once);
+			for (int step : steps) {
+				cell.step(step);
+				assertThat(cell.job.openAttempts()).noneMatch(cell.endsTakenIn::contains);
+			}
+		}
+
+		@Property(seed = "4", tries = 2000)
+		void countsAndOpenAttemptsFollowTheTasks(@ForAll @Size(max = 80) List<@IntRange(max = 9999) Integer> steps,
+				@ForAll boolean once) {
+			Cell cell = new Cell(once);
+			for (int step : steps) {
+				cell.step(step);
+				Map<TaskState, Integer> counted = new HashMap<>();
+				cell.job.tasks().forEach((task) -> counted.merge(task.state(), 1, Integer::sum));
+				assertThat(cell.job.counts()).isEqualTo(counted);
+				assertThat(cell.job.isFinal()).isEqualTo(counted.keySet().stream().allMatch(TaskState::isFinal));
+			}
+		}
+
+	}
+
+	/**
+	 * What is true at the workers, and messages that tell of it late, twice or never.
+	 */
+	private static final class Cell {
+
+		private final boolean once;
+
+		private final List<AttemptId> ordered = new ArrayList<>();
+
+		private final List<AttemptId> running = new ArrayList<>();
+
+		private final List<Message> mail = new ArrayList<>();
+
+		private final Set<AttemptId> endsTakenIn = new HashSet<>();
+
+		private Job job;
+
+		private JobRecord durable = JobRecord.NONE;
+
+		private long epoch = 1;
+
+		private int overlaps;
+
+		Cell(boolean once) {
+			this.once = once;
+			this.job = new Job(declared(TASKS, once), this.durable, this.epoch, START);
+		}
+
+		boolean step(int number) {
+			int pick = number / 12;
+			switch (number % 12) {
+				case 0, 1, 2 -> place();
+				case 3, 4 -> {
+					if (!this.ordered.isEmpty()) {
+						AttemptId started = this.ordered.remove(pick % this.ordered.size());
+						this.running.add(started);
+						this.mail.add(new Message(started, Kind.RUNNING));
+					}
+				}
+				case 5 -> end(this.running, pick, (pick % 2 == 0) ? Kind.FINISHED : Kind.FAILED);
+				case 6 -> end(this.ordered, pick, Kind.GONE);
+				case 7, 8 -> {
+					if (!this.mail.isEmpty()) {
+						deliver(this.mail.get(pick % this.mail.size()));
+					}
+				}
+				case 9 -> this.job.openAttempts().stream().limit(1).forEach(this.job::lapsed);
+				case 10 -> this.job.redeclare(declared(1 + pick % TASKS, this.once));
+				default -> {
+					this.epoch++;
+					this.endsTakenIn.clear();
+					this.job = new Job(declared(TASKS, this.once), this.durable, this.epoch, START);
+					return true;
+				}
+			}
+			return false;
+		}
+
+		private void place() {
+			Instant now = START.plusSeconds(3600);
+			for (int task : this.job.placeable(now)) {
+				boolean mayRun = this.running.stream().anyMatch((attempt) -> attempt.task() == task)
+						|| this.ordered.stream().anyMatch((attempt) -> attempt.task() == task);
+				this.overlaps += mayRun ? 1 : 0;
+				AttemptId attempt = this.job.open(task);
+				assertThat(this.job.reservedOn(attempt, WORKER, "incarnation-1")).isTrue();
+				assertThat(this.job.starting(attempt)).isTrue();
+				this.ordered.add(attempt);
+			}
+			this.durable = this.job.toRecord("write");
+		}
+
+		private void end(List<AttemptId> from, int pick, Kind kind) {
+			if (!from.isEmpty()) {
+				this.mail.add(new Message(from.remove(pick % from.size()), kind));
+			}
+		}
+
+		private void deliver(Message message) {
+			switch (message.kind) {
+				case RUNNING -> this.job.running(message.attempt, WORKER);
+				case FINISHED -> this.job.finished(message.attempt);
+				case FAILED -> this.job.failed(message.attempt, START);
+				case GONE -> this.job.gone(message.attempt);
+			}
+			if (message.kind != Kind.RUNNING) {
+				this.endsTakenIn.add(message.attempt);
+			}
+		}
+
+		Map<Integer, TaskState> finalStates() {
+			Map<Integer, TaskState> states = new HashMap<>();
+			for (int task = 0; task < TASKS; task++) {
+				if (this.job.state(task).isFinal()) {
+					states.put(task, this.job.state(task));
+				}
+			}
+			return states;
+		}
+
+	}
+
+	private enum Kind {
+
+		RUNNING, FINISHED, FAILED, GONE
+
+	}
+
+	private record Message(AttemptId attempt, Kind kind) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the job aggregate.
+ */
+package org.monsoonrelay.model.job;
--- /dev/null
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/worker/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the worker aggregate.
+ */
+package org.monsoonrelay.model.worker;
