Mend five faults between a rack's owner and its workers

Cause: first focused tests of RackManager over fake workers. Before: "Tests run: 13, Failures: 4, Errors: 1": a reservation that lapsed on a silent worker left its event without a slot, "NullPointer Cannot invoke WorkerSlot.team(...) because the return value of Map.get(Object) is null", which stops the process as a broken invariant; owning a rack again under a higher epoch answered from the former places, "Expecting empty but was: [Reservation[attempt=wages@1/0/1, worker=w1, incarnation=incarnation-1]]"; a start that arrived late at a new incarnation ran an attempt already told GONE (RackManagerTests:186, runs not empty); a new owner of a rack whose worker stays silent never told LAPSED (:108); a host that left the list did not end what was only to be stopped there (:128). Mend: own() drops the former ownership; places and events are forgotten together; commands name the worker's incarnation and a worker of another one starts nothing; resolve answers LAPSED for a silent worker. Ruled out: refusing late starts by a clock at the worker; incarnation and epoch order them without one.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpWorkerAgents.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpWorkerAgents.java
@@ -39,15 +39,16 @@
 	 *
 	 * @param epoch epoch of the rack's ownership
 	 * @param leaseMillis length of the lease in milliseconds
+	 * @param incarnation the worker's incarnation that the starts are for
 	 * @param starts attempts to start
 	 * @param stops attempts to stop
 	 * @param forget ended attempts to forget
 	 */
-	public record CommandMessage(long epoch, long leaseMillis, List<AttemptMessage> starts, List<String> stops,
-			List<String> forget) {
+	public record CommandMessage(long epoch, long leaseMillis, String incarnation, List<AttemptMessage> starts,
+			List<String> stops, List<String> forget) {
 
 		static CommandMessage of(WorkerCommand command) {
-			return new CommandMessage(command.epoch(), command.leaseMillis(),
+			return new CommandMessage(command.epoch(), command.leaseMillis(), command.incarnation(),
 					command.starts().stream().map(AttemptMessage::of).toList(),
 					command.stops().stream().map(AttemptId::toString).toList(),
 					command.forget().stream().map(AttemptId::toString).toList());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
@@ -25,10 +25,8 @@
 import org.monsoonrelay.logic.placement.ReservationRequest;
 import org.monsoonrelay.logic.placement.SpreadPolicy;
 import org.monsoonrelay.logic.platform.HostList;
-import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.host.Host;
 import org.monsoonrelay.model.host.HostKind;
-import org.monsoonrelay.model.host.HostState;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.worker.Worker;
 import org.monsoonrelay.model.worker.WorkerId;
@@ -78,7 +76,8 @@
 	 */
 	public void own(String rack, long epoch) {
 		Rack present = this.racks.get(rack);
-		if (present == null || present.epoch < epoch) {
+		if (present == null || present.epoch() < epoch) {
+			disown(rack);
 			this.racks.put(rack, new Rack(rack, epoch));
 			populate();
 		}
@@ -93,7 +92,7 @@
 		if (removed == null) {
 			return;
 		}
-		Collection<WorkerSlot> gone = removed.slots.values();
+		Collection<WorkerSlot> gone = removed.slots();
 		Set<AttemptId> attempts = this.slotByAttempt.entrySet()
 			.stream()
 			.filter((entry) -> gone.contains(entry.getValue()))
@@ -116,7 +115,7 @@
 		populate();
 		Set<String> listed = list.hosts().stream().map(Host::name).collect(Collectors.toSet());
 		for (Rack rack : this.racks.values()) {
-			rack.slots.values()
+			rack.slots()
 				.stream()
 				.filter((slot) -> !listed.contains(slot.host().name()))
 				.toList()
@@ -128,16 +127,14 @@
 		for (Host host : this.hosts.hosts()) {
 			Rack rack = this.racks.get(host.rack());
 			if (host.kind() == HostKind.WORKER && rack != null) {
-				WorkerSlot slot = rack.slots.computeIfAbsent(new WorkerId(host.name()),
-						(id) -> new WorkerSlot(host, this.monotonicNanos.getAsLong()));
-				slot.update(host, host.state() == HostState.LEAVING);
+				rack.put(host, this.monotonicNanos.getAsLong());
 			}
 		}
 	}
 
 	private void remove(Rack rack, WorkerSlot slot) {
-		rack.slots.remove(slot.worker().id());
-		slot.eventsForAll(AttemptEventKind.GONE).forEach((event) -> post(event, slot));
+		rack.remove(slot.worker().id());
+		slot.gone().forEach((event) -> post(event, slot));
 	}
 
 	/**
@@ -167,7 +164,7 @@
 		if (chosen.isEmpty() || !chosen.get().reserve(attempt, request.size(), request.deadline())) {
 			return Optional.empty();
 		}
-		WorkerSlot slot = rack.slots.get(chosen.get().id());
+		WorkerSlot slot = rack.slot(chosen.get().id());
 		slot.teamOf(attempt, request.team());
 		this.slotByAttempt.put(attempt, slot);
 		if (request.startAtOnce()) {
@@ -212,7 +209,7 @@
 	private WorkerSlot slotOf(WorkerId worker) {
 		return this.racks.values()
 			.stream()
-			.map((rack) -> rack.slots.get(worker))
+			.map((rack) -> rack.slot(worker))
 			.filter(Objects::nonNull)
 			.findFirst()
 			.orElse(null);
@@ -224,13 +221,19 @@
 	 */
 	public void release(Collection<AttemptId> attempts) {
 		for (AttemptId attempt : attempts) {
-			WorkerSlot slot = this.slotByAttempt.remove(attempt);
+			WorkerSlot slot = this.slotByAttempt.get(attempt);
 			if (slot != null) {
 				slot.worker().release(attempt);
+				forget(attempt);
 			}
 		}
 	}
 
+	private void forget(AttemptId attempt) {
+		this.slotByAttempt.remove(attempt);
+		this.outbox.remove(attempt);
+	}
+
 	/**
 	 * Find out what became of an attempt that is in doubt. The outcome follows as an
 	 * event.
@@ -245,7 +248,11 @@
 			return;
 		}
 		slot.teamOf(attempt, team);
-		if (!slot.worker().isReported() || slot.isSilent()) {
+		if (slot.isSilent()) {
+			post(slot.event(attempt, AttemptEventKind.LAPSED), slot);
+			return;
+		}
+		if (!slot.worker().isReported()) {
 			return;
 		}
 		if (slot.worker().attempts().contains(attempt)) {
@@ -281,8 +288,8 @@
 	 */
 	public void heartbeat() {
 		for (Rack rack : this.racks.values()) {
-			for (WorkerSlot slot : rack.slots.values()) {
-				slot.worker().lapse(this.clock.instant()).forEach(this.slotByAttempt::remove);
+			for (WorkerSlot slot : rack.slots()) {
+				slot.worker().lapse(this.clock.instant()).forEach(this::forget);
 				slot.checkSilence(this.monotonicNanos.getAsLong(), this.lease.toNanos())
 					.forEach((event) -> post(event, slot));
 				call(rack, slot);
@@ -295,7 +302,7 @@
 	 */
 	public void sendOrders() {
 		for (Rack rack : this.racks.values()) {
-			rack.slots.values().stream().filter(WorkerSlot::wantsUrgentCall).forEach((slot) -> call(rack, slot));
+			rack.slots().stream().filter(WorkerSlot::wantsUrgentCall).forEach((slot) -> call(rack, slot));
 		}
 	}
 
@@ -304,10 +311,10 @@
 			return;
 		}
 		slot.setCallInFlight(true);
-		WorkerCommand command = slot.command(rack.epoch, this.lease.toMillis());
+		WorkerCommand command = slot.command(rack.epoch(), this.lease.toMillis());
 		this.agents.send(slot.host(), command).whenCompleteAsync((report, failure) -> {
 			slot.setCallInFlight(false);
-			if (report != null && this.racks.get(rack.name) == rack) {
+			if (report != null && this.racks.get(rack.name()) == rack) {
 				answered(rack, slot, command, report);
 			}
 		}, this.control);
@@ -315,7 +322,7 @@
 
 	private void answered(Rack rack, WorkerSlot slot, WorkerCommand command, WorkerReport report) {
 		if (!report.accepted()) {
-			disown(rack.name);
+			disown(rack.name());
 			return;
 		}
 		for (AttemptEvent event : slot.take(report, command, this.monotonicNanos.getAsLong())) {
@@ -359,6 +366,9 @@
 			this.slotByAttempt.remove(event.attempt());
 			slot.forget(event.attempt());
 		}
+		else if (!slot.worker().attempts().contains(event.attempt())) {
+			this.slotByAttempt.remove(event.attempt());
+		}
 	}
 
 	/**
@@ -374,51 +384,7 @@
 	 * @return the workers; they belong to the control thread
 	 */
 	public List<Worker> workers() {
-		return this.racks.values()
-			.stream()
-			.flatMap((rack) -> rack.slots.values().stream())
-			.map(WorkerSlot::worker)
-			.toList();
-	}
-
-	private static final class Rack {
-
-		private final String name;
-
-		private final long epoch;
-
-		private final Map<WorkerId, WorkerSlot> slots = new TreeMap<>();
-
-		Rack(String name, long epoch) {
-			this.name = name;
-			this.epoch = epoch;
-		}
-
-		List<Worker> usableWorkers() {
-			return this.slots.values().stream().filter(WorkerSlot::isUsable).map(WorkerSlot::worker).toList();
-		}
-
-		RackSummary summary() {
-			Resources capacity = Resources.NONE;
-			Resources free = Resources.NONE;
-			int largest = 0;
-			List<Worker> usable = usableWorkers();
-			for (Worker worker : usable) {
-				capacity = capacity.plus(worker.capacity());
-				free = free.plus(worker.free());
-				largest = Math.max(largest, worker.free().processors());
-			}
-			String domain = this.slots.values()
-				.stream()
-				.findFirst()
-				.map((slot) -> slot.host().failureDomain())
-				.orElse("");
-			boolean settled = this.slots.values()
-				.stream()
-				.allMatch((slot) -> slot.worker().isReported() || slot.isSilent());
-			return new RackSummary(this.name, domain, this.epoch, usable.size(), capacity, free, largest, settled);
-		}
-
+		return this.racks.values().stream().flatMap((rack) -> rack.slots().stream()).map(WorkerSlot::worker).toList();
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/WorkerSlot.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/WorkerSlot.java
@@ -71,8 +71,8 @@
 
 	WorkerCommand command(long epoch, long leaseMillis) {
 		this.urgentCall = false;
-		return new WorkerCommand(epoch, leaseMillis, List.copyOf(this.starts.values()), List.copyOf(this.stops),
-				List.copyOf(this.forget));
+		return new WorkerCommand(epoch, leaseMillis, this.worker.incarnation(), List.copyOf(this.starts.values()),
+				List.copyOf(this.stops), List.copyOf(this.forget));
 	}
 
 	/**
@@ -95,6 +95,7 @@
 		List<AttemptId> lost = this.worker.report(report.incarnation(), running);
 		for (AttemptId attempt : lost) {
 			this.starts.remove(attempt);
+			this.stops.remove(attempt);
 			events.add(event(attempt, AttemptEventKind.GONE));
 		}
 		Set<AttemptId> known = new HashSet<>();
@@ -144,10 +145,20 @@
 		return eventsForAll(AttemptEventKind.LAPSED);
 	}
 
-	List<AttemptEvent> eventsForAll(AttemptEventKind kind) {
+	private List<AttemptEvent> eventsForAll(AttemptEventKind kind) {
 		return this.worker.attempts().stream().map((attempt) -> event(attempt, kind)).toList();
 	}
 
+	/**
+	 * The host is gone, and with it all that ran or was to be stopped there.
+	 * @return events for the queue owners
+	 */
+	List<AttemptEvent> gone() {
+		Set<AttemptId> attempts = new LinkedHashSet<>(this.worker.attempts());
+		attempts.addAll(this.stops);
+		return attempts.stream().map((attempt) -> event(attempt, AttemptEventKind.GONE)).toList();
+	}
+
 	AttemptEvent event(AttemptId attempt, AttemptEventKind kind) {
 		return new AttemptEvent(attempt, kind, this.worker.id());
 	}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/ManualTime.java
@@ -0,0 +1,50 @@
+package org.monsoonrelay.logic.fakes;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+
+/**
+ * Wall clock and monotonic clock of one process, moved by hand. Not thread-safe.
+ */
+public final class ManualTime implements InstantSource {
+
+	private Instant now;
+
+	private long nanos;
+
+	public ManualTime(Instant start) {
+		this.now = start;
+	}
+
+	@Override
+	public Instant instant() {
+		return this.now;
+	}
+
+	/**
+	 * Monotonic time.
+	 * @return nanoseconds since the start
+	 */
+	public long nanos() {
+		return this.nanos;
+	}
+
+	/**
+	 * Let time pass on both clocks.
+	 * @param time how much
+	 */
+	public void advance(Duration time) {
+		this.now = this.now.plus(time);
+		this.nanos += time.toNanos();
+	}
+
+	/**
+	 * Set the wall clock, which the monotonic clock does not follow.
+	 * @param instant the new time
+	 */
+	public void setWallClock(Instant instant) {
+		this.now = instant;
+	}
+
+}
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/WorkerStandin.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/WorkerStandin.java
@@ -56,7 +56,9 @@
 			this.highestEpoch = command.epoch();
 			command.forget().forEach((attempt) -> forget(AttemptId.parse(attempt)));
 			command.stops().forEach((attempt) -> stop(AttemptId.parse(attempt)));
-			command.starts().forEach(this::start);
+			if (command.incarnation().equals(this.host.incarnation())) {
+				command.starts().forEach(this::start);
+			}
 		}
 		if (this.fault.loseAnswers() > 0) {
 			this.fault = new WorkerFault(false, this.fault.failsAll(), this.fault.loseAnswers() - 1);
