Make each edit take effect at most once and record refusals

Cause: a lost answer was settled by one reading of edits/VERSION. If the row was absent, the write was called not made although it could still arrive; a repeat through another host was made again when another edit had landed in between; a stale read of the head named a winner that had not won; unknown names in stop and cancel were accepted.

Ruled out: a fencing write on the head before each verdict (one transaction more for each lost answer, and its own answer can be lost); reading edits/VERSION alone (it cannot tell a late write from none). Instead each transaction also writes edit-ids/ID, which must not exist before; the next try reads the head and then that row.

A change costs one transaction of three rows, one object and three reads.

Conflicts and refused edits now leave an entry of their own in the trail, which has filters and pages.

--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/AuditCommand.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/AuditCommand.java
@@ -1,10 +1,13 @@
 package org.monsoonrelay.cli;
 
-import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import org.monsoonrelay.adapters.logging.Program;
+import org.monsoonrelay.logic.control.AuditPage;
+import org.monsoonrelay.logic.control.AuditQuery;
 import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.model.control.EditKind;
 import org.monsoonrelay.model.control.EditRecord;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -19,28 +22,43 @@
 	@Mixin
 	private Connection connection;
 
-	@Option(names = "--after", paramLabel = "VERSION", defaultValue = "0",
-			description = "Begin after this version. Default: ${DEFAULT-VALUE}.")
-	private long after;
+	@Option(names = "--after", paramLabel = "VERSION", defaultValue = "",
+			description = "Begin after this version, or where an earlier page ended.")
+	private String after;
 
 	@Option(names = "--limit", paramLabel = "N", defaultValue = "100",
 			description = "The most entries to read. Default: ${DEFAULT-VALUE}.")
 	private int limit;
 
+	@Option(names = "--operator", paramLabel = "NAME", description = "Only edits of this operator.")
+	private String operator;
+
+	@Option(names = "--kind", paramLabel = "KIND", description = "Only edits of this kind: ${COMPLETION-CANDIDATES}.")
+	private EditKind kind;
+
 	@Option(names = "--json", description = "Print JSON.")
 	private boolean json;
 
 	@Override
 	public Integer call() {
-		List<EditRecord> entries = this.connection.client().audit(this.after, this.limit);
+		AuditPage page = this.connection.client()
+			.audit(new AuditQuery(this.after, Optional.ofNullable(this.operator), Optional.ofNullable(this.kind),
+					this.limit));
 		if (this.json) {
-			System.out.println(Json.write(entries));
+			System.out.println(Json.write(page));
+			return Program.OK;
 		}
-		else {
-			entries.forEach((entry) -> System.out.println(entry.version() + " " + entry.at() + " " + entry.operator()
-					+ " " + entry.kind() + " " + String.join(",", entry.targets())));
+		page.entries().forEach((entry) -> System.out.println(line(entry)));
+		if (!page.next().isEmpty()) {
+			System.err.println("more entries follow: --after " + page.next());
 		}
 		return Program.OK;
 	}
 
+	private static String line(EditRecord entry) {
+		String targets = entry.targets().isEmpty() ? "" : " " + String.join(",", entry.targets());
+		return entry.version() + " " + entry.at() + " " + entry.operator() + " " + entry.kind() + targets + " "
+				+ entry.result();
+	}
+
 }
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/OperatorClient.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/OperatorClient.java
@@ -1,6 +1,8 @@
 package org.monsoonrelay.cli;
 
 import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,8 +17,9 @@
 import org.monsoonrelay.adapters.operator.EditReply;
 import org.monsoonrelay.adapters.operator.EditRequest;
 import org.monsoonrelay.adapters.operator.StateMessage;
+import org.monsoonrelay.logic.control.AuditPage;
+import org.monsoonrelay.logic.control.AuditQuery;
 import org.monsoonrelay.logic.platform.Json;
-import org.monsoonrelay.model.control.EditRecord;
 
 /**
  * Calls the operators' side of the entry hosts, the next one when one is down. An edit
@@ -54,8 +57,16 @@
 		return Json.read(call("/operator/status", null), CellStatus.class);
 	}
 
-	List<EditRecord> audit(long after, int limit) {
-		return List.of(Json.read(call("/operator/audit?after=" + after + "&limit=" + limit, null), EditRecord[].class));
+	AuditPage audit(AuditQuery query) {
+		StringBuilder path = new StringBuilder("/operator/audit?limit=").append(query.limit());
+		path.append("&after=").append(encode(query.after()));
+		query.operator().ifPresent((operator) -> path.append("&operator=").append(encode(operator)));
+		query.kind().ifPresent((kind) -> path.append("&kind=").append(kind));
+		return Json.read(call(path.toString(), null), AuditPage.class);
+	}
+
+	private static String encode(String value) {
+		return URLEncoder.encode(value, StandardCharsets.UTF_8);
 	}
 
 	EditReply edit(EditRequest request) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/ControlLog.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/ControlLog.java
@@ -18,21 +18,33 @@
 import org.monsoonrelay.logic.platform.TableService;
 import org.monsoonrelay.logic.text.CellTextParser;
 import org.monsoonrelay.logic.text.CheckedText;
+import org.monsoonrelay.logic.text.TextFault;
 import org.monsoonrelay.model.control.ControlHead;
 import org.monsoonrelay.model.control.ControlState;
 import org.monsoonrelay.model.control.EditKind;
 import org.monsoonrelay.model.control.EditRecord;
+import org.monsoonrelay.model.control.EditResult;
 
 /**
  * Accepts operators' edits: the state goes to the object store under its digest, then one
- * transaction writes the head and the entry of the audit trail. The head's row decides
- * between edits that race. A lost answer is settled by reading the entry back.
- * Thread-safe; keeps no state of its own.
+ * transaction writes the head, the entry of the audit trail and a row under the edit's
+ * identity. Invariants: the head's row decides between edits that race; an edit takes
+ * effect at most once, however often and through however many hosts it is submitted,
+ * because the row under its identity must not exist before; nothing is called not made
+ * while a write of it may still arrive. Thread-safe; keeps no state of its own.
+ * <p>
+ * A lost answer needs no special reading: the next try reads the head and then the row
+ * under the identity. Once the head has moved, an earlier write can no longer land, and
+ * if it landed before, that row is there. Objects are named by their content and put
+ * again before each commit, so that the store may delete those that no head has named for
+ * longer than a try takes.
  */
 public final class ControlLog {
 
 	private static final int MAXIMUM_TRIES = 12;
 
+	private static final int MAXIMUM_DOUBTFUL_TRIES = 2;
+
 	private static final String OBJECT_PREFIX = "control/";
 
 	private final TableService table;
@@ -41,16 +53,19 @@
 
 	private final InstantSource clock;
 
+	private final AuditTrail trail;
+
 	private final CellTextParser parser = new CellTextParser();
 
 	public ControlLog(TableService table, ObjectStore objects, InstantSource clock) {
 		this.table = table;
 		this.objects = objects;
 		this.clock = clock;
+		this.trail = new AuditTrail(table);
 	}
 
 	/**
-	 * Submit an edit.
+	 * Submit an edit. Idempotent by the edit's identity.
 	 * @param edit the edit
 	 * @return what became of it; never fails
 	 */
@@ -58,10 +73,11 @@
 		if (edit.kind() == EditKind.APPLY) {
 			CheckedText checked = this.parser.parse(edit.text());
 			if (checked.text().isEmpty()) {
-				return CompletableFuture.completedFuture(new EditOutcome.Invalid(checked.faults()));
+				return head().thenCompose((head) -> refuse(edit, head, checked.faults()))
+					.exceptionally((failure) -> new EditOutcome.Invalid(checked.faults()));
 			}
 		}
-		return attempt(edit, MAXIMUM_TRIES).exceptionally(ControlLog::unavailable);
+		return attempt(edit, new Tries(MAXIMUM_TRIES, false));
 	}
 
 	/**
@@ -88,37 +104,44 @@
 
 	/**
 	 * Read a page of the audit trail.
-	 * @param afterVersion the version after which to begin
-	 * @param limit the most entries to return
-	 * @return the entries, oldest first
+	 * @param query which entries
+	 * @return the page
 	 */
-	public CompletableFuture<List<EditRecord>> audit(long afterVersion, int limit) {
-		return this.table.scan(TableKeys.EDITS, TableKeys.edit(afterVersion), limit)
-			.thenApply((rows) -> rows.stream().map((row) -> Json.read(row.value(), EditRecord.class)).toList());
+	public CompletableFuture<AuditPage> audit(AuditQuery query) {
+		return this.trail.page(query);
 	}
 
-	private CompletableFuture<EditOutcome> attempt(Edit edit, int triesLeft) {
-		return this.table.read(TableKeys.HEAD).thenCompose((row) -> {
-			ControlHead head = row.map(ControlLog::headOf).orElse(ControlHead.NONE);
-			long rowVersion = row.map(Row::version).orElse(ConditionalWrite.ABSENT);
-			return state(head).thenCompose((state) -> build(edit, triesLeft, head, rowVersion, state));
-		});
+	private CompletableFuture<EditOutcome> attempt(Edit edit, Tries tries) {
+		return this.table.read(TableKeys.HEAD)
+			.thenCompose((head) -> this.table.read(TableKeys.editId(edit.editId()))
+				.thenCompose(
+						(own) -> own.map((row) -> accepted(headOf(row))).orElseGet(() -> decide(edit, tries, head))))
+			.exceptionally((failure) -> notMade(tries, cause(failure).getMessage()));
 	}
 
-	private CompletableFuture<EditOutcome> build(Edit edit, int triesLeft, ControlHead head, long rowVersion,
-			ControlState state) {
-		if (head.editId().equals(edit.editId())) {
-			return CompletableFuture.completedFuture(new EditOutcome.Accepted(head.version()));
-		}
+	private CompletableFuture<EditOutcome> decide(Edit edit, Tries tries, Optional<Row> row) {
+		ControlHead head = row.map(ControlLog::headOf).orElse(ControlHead.NONE);
+		long rowVersion = row.map(Row::version).orElse(ConditionalWrite.ABSENT);
+		return state(head).thenCompose((state) -> decide(edit, tries, new Present(head, rowVersion, state)));
+	}
+
+	private CompletableFuture<EditOutcome> decide(Edit edit, Tries tries, Present present) {
 		OptionalLong expected = edit.expectedTextVersion();
-		if (expected.isPresent() && expected.getAsLong() != state.textVersion()) {
-			return conflict(edit, state.textVersion());
+		long textVersion = present.state().textVersion();
+		if (expected.isPresent() && expected.getAsLong() != textVersion) {
+			boolean staleRead = expected.getAsLong() > textVersion;
+			return (staleRead && tries.left() > 1) ? attempt(edit, tries.next()) : conflict(edit, present);
+		}
+		List<TextFault> faults = new TargetCheck(present.state(), this.parser.accepted(present.state().text()))
+			.faults(edit.kind(), edit.targets());
+		if (!faults.isEmpty()) {
+			return refuse(edit, present.head(), faults);
 		}
-		ControlState next = next(edit, head.version() + 1, state);
-		if (edit.kind() != EditKind.APPLY && next.equals(state)) {
-			return CompletableFuture.completedFuture(new EditOutcome.Accepted(head.version()));
+		ControlState next = next(edit, present.head().version() + 1, present.state());
+		if (edit.kind() != EditKind.APPLY && next.equals(present.state())) {
+			return accepted(present.head());
 		}
-		return write(edit, triesLeft, head, rowVersion, next);
+		return write(edit, tries, present, next);
 	}
 
 	private static ControlState next(Edit edit, long version, ControlState state) {
@@ -130,67 +153,96 @@
 		};
 	}
 
-	private CompletableFuture<EditOutcome> write(Edit edit, int triesLeft, ControlHead head, long rowVersion,
-			ControlState next) {
+	private CompletableFuture<EditOutcome> write(Edit edit, Tries tries, Present present, ControlState next) {
 		String content = Json.write(next);
-		String digest = Digest.of(content);
-		ControlHead newHead = new ControlHead(head.version() + 1, digest, edit.editId());
-		EditRecord entry = new EditRecord(newHead.version(), edit.editId(), edit.kind(), edit.operator(),
-				this.clock.instant(), edit.targets(), digest);
-		List<ConditionalWrite> writes = List.of(new ConditionalWrite(TableKeys.HEAD, Json.write(newHead), rowVersion),
-				new ConditionalWrite(TableKeys.edit(newHead.version()), Json.write(entry), ConditionalWrite.ABSENT));
-		return this.objects.put(OBJECT_PREFIX + digest, content)
-			.thenCompose((stored) -> this.table.commit(writes))
-			.handle((result, failure) -> settle(edit, triesLeft, newHead, result, failure))
-			.thenCompose((outcome) -> outcome);
-	}
-
-	private CompletableFuture<EditOutcome> settle(Edit edit, int triesLeft, ControlHead head, CommitResult result,
+		ControlHead head = new ControlHead(present.head().version() + 1, Digest.of(content), edit.editId());
+		List<ConditionalWrite> writes = List.of(
+				new ConditionalWrite(TableKeys.HEAD, Json.write(head), present.rowVersion()),
+				AuditTrail.accepted(entry(edit, head, EditResult.ACCEPTED)),
+				new ConditionalWrite(TableKeys.editId(edit.editId()), Json.write(head), ConditionalWrite.ABSENT));
+		return this.objects.put(OBJECT_PREFIX + head.stateDigest(), content)
+			.thenCompose((stored) -> this.table.commit(writes)
+				.handle((result, failure) -> settle(edit, tries, head, result, failure))
+				.thenCompose((outcome) -> outcome));
+	}
+
+	private CompletableFuture<EditOutcome> settle(Edit edit, Tries tries, ControlHead head, CommitResult result,
 			Throwable failure) {
 		if (result instanceof CommitResult.Committed) {
-			return CompletableFuture.completedFuture(new EditOutcome.Accepted(head.version()));
+			return accepted(head);
 		}
 		if (result != null) {
-			return retry(edit, triesLeft);
+			return (tries.left() > 1) ? attempt(edit, tries.next())
+					: CompletableFuture.completedFuture(notMade(tries, "other edits kept coming first"));
 		}
-		return this.table.read(TableKeys.edit(head.version())).handle((row, unread) -> {
-			if (unread != null) {
-				return CompletableFuture.<EditOutcome>completedFuture(
-						new EditOutcome.Unsettled("the answer was lost and the table cannot be read back"));
+		boolean certain = cause(failure) instanceof PlatformException platform && !platform.mayHaveTakenEffect();
+		Tries doubtful = certain ? tries : tries.inDoubt();
+		return (!certain && doubtful.left() > 0) ? attempt(edit, doubtful)
+				: CompletableFuture.completedFuture(notMade(doubtful, cause(failure).getMessage()));
+	}
+
+	private CompletableFuture<EditOutcome> conflict(Edit edit, Present present) {
+		long textVersion = present.state().textVersion();
+		return this.table.read(TableKeys.edit(textVersion)).thenCompose((row) -> {
+			if (row.isEmpty()) {
+				return CompletableFuture
+					.completedFuture(new EditOutcome.Unavailable("no text of the expected version is in force"));
 			}
-			boolean ours = row.map((found) -> Json.read(found.value(), EditRecord.class).editId())
-				.filter(edit.editId()::equals)
-				.isPresent();
-			return ours ? CompletableFuture.<EditOutcome>completedFuture(new EditOutcome.Accepted(head.version()))
-					: CompletableFuture.<EditOutcome>completedFuture(unavailable(failure));
-		}).thenCompose((outcome) -> outcome);
+			EditRecord winner = Json.read(row.get().value(), EditRecord.class);
+			return this.trail.turnedDown(entry(edit, present.head(), EditResult.CONFLICT))
+				.thenApply((done) -> new EditOutcome.Conflict(winner));
+		});
 	}
 
-	private CompletableFuture<EditOutcome> retry(Edit edit, int triesLeft) {
-		if (triesLeft <= 1) {
-			return CompletableFuture.completedFuture(new EditOutcome.Unavailable("other edits kept coming first"));
-		}
-		return attempt(edit, triesLeft - 1);
+	private CompletableFuture<EditOutcome> refuse(Edit edit, ControlHead head, List<TextFault> faults) {
+		return this.trail.turnedDown(entry(edit, head, EditResult.REFUSED))
+			.thenApply((done) -> new EditOutcome.Invalid(faults));
 	}
 
-	private CompletableFuture<EditOutcome> conflict(Edit edit, long textVersion) {
-		return this.table.read(TableKeys.edit(textVersion)).thenApply((row) -> {
-			Optional<EditRecord> winner = row.map((found) -> Json.read(found.value(), EditRecord.class));
-			if (winner.filter((record) -> record.editId().equals(edit.editId())).isPresent()) {
-				return new EditOutcome.Accepted(textVersion);
-			}
-			return winner.<EditOutcome>map(EditOutcome.Conflict::new)
-				.orElseGet(() -> new EditOutcome.Unavailable("the text in force has version " + textVersion));
-		});
+	private EditRecord entry(Edit edit, ControlHead head, EditResult result) {
+		return new EditRecord(head.version(), edit.editId(), edit.kind(), edit.operator(), this.clock.instant(),
+				edit.targets(), head.stateDigest(), result);
+	}
+
+	private static CompletableFuture<EditOutcome> accepted(ControlHead head) {
+		return CompletableFuture.completedFuture(new EditOutcome.Accepted(head.version()));
 	}
 
-	private static EditOutcome unavailable(Throwable failure) {
-		Throwable cause = (failure.getCause() != null) ? failure.getCause() : failure;
-		return new EditOutcome.Unavailable("nothing was changed: " + cause.getMessage());
+	private static EditOutcome notMade(Tries tries, String reason) {
+		return tries.doubt()
+				? new EditOutcome.Unsettled("an answer was lost and the table cannot be read back: " + reason)
+				: new EditOutcome.Unavailable("nothing was changed: " + reason);
+	}
+
+	private static Throwable cause(Throwable failure) {
+		return (failure.getCause() != null) ? failure.getCause() : failure;
 	}
 
 	private static ControlHead headOf(Row row) {
 		return Json.read(row.value(), ControlHead.class);
 	}
 
+	/**
+	 * What an edit is decided against.
+	 */
+	private record Present(ControlHead head, long rowVersion, ControlState state) {
+
+	}
+
+	/**
+	 * How often an edit may be tried yet, and whether an earlier write of it may still
+	 * take effect.
+	 */
+	private record Tries(int left, boolean doubt) {
+
+		Tries next() {
+			return new Tries(this.left - 1, this.doubt);
+		}
+
+		Tries inDoubt() {
+			return new Tries(this.doubt ? this.left - 1 : MAXIMUM_DOUBTFUL_TRIES, true);
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableKeys.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableKeys.java
@@ -13,6 +13,9 @@
 	/** Prefix of the audit trail. */
 	public static final String EDITS = "edits/";
 
+	/** Prefix of the edits by their own identity. */
+	public static final String EDIT_IDS = "edit-ids/";
+
 	/** Prefix of the sessions. */
 	public static final String SESSIONS = "sessions/";
 
@@ -43,6 +46,26 @@
 		return String.format("%s%012d", EDITS, version);
 	}
 
+	/**
+	 * Key of an audit entry of an edit that was turned down; it sorts behind the version
+	 * that stood then.
+	 * @param version the version that stood
+	 * @param editId the edit
+	 * @return the key
+	 */
+	public static String turnedDown(long version, String editId) {
+		return edit(version) + '/' + editId;
+	}
+
+	/**
+	 * Key of the row that an accepted edit leaves under its own identity.
+	 * @param editId the edit
+	 * @return the key
+	 */
+	public static String editId(String editId) {
+		return EDIT_IDS + editId;
+	}
+
 	/**
 	 * Key of a job's progress.
 	 * @param id the job
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/PlatformFake.java
@@ -0,0 +1,171 @@
+package org.monsoonrelay.logic.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.monsoonrelay.logic.platform.CommitResult;
+import org.monsoonrelay.logic.platform.ConditionalWrite;
+import org.monsoonrelay.logic.platform.ObjectStore;
+import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.logic.platform.Row;
+import org.monsoonrelay.logic.platform.TableService;
+
+/**
+ * Table and object store in memory with faults. Answers come at once, on the caller's
+ * thread; not thread-safe.
+ */
+final class PlatformFake implements TableService, ObjectStore {
+
+	final Map<String, String> objects = new HashMap<>();
+
+	private final TreeMap<String, Row> rows = new TreeMap<>();
+
+	private final Map<String, Optional<Row>> staleReads = new HashMap<>();
+
+	private final Deque<CommitFault> commitFaults = new ArrayDeque<>();
+
+	private final List<List<ConditionalWrite>> delayed = new ArrayList<>();
+
+	private Runnable beforeCommit = () -> {
+	};
+
+	boolean down;
+
+	int commits;
+
+	int reads;
+
+	int puts;
+
+	long bytesWritten;
+
+	private long version;
+
+	/**
+	 * What happens to a commit.
+	 */
+	enum CommitFault {
+
+		/** It takes effect and the answer is lost. */
+		ANSWER_LOST,
+
+		/** It takes effect, the answer is lost, and nothing answers afterwards. */
+		ANSWER_LOST_THEN_DOWN,
+
+		/** The answer is lost, and it takes effect only when told to. */
+		DELAYED,
+
+		/** It never arrives, for certain. */
+		REFUSED
+
+	}
+
+	void failNextCommit(CommitFault fault) {
+		this.commitFaults.add(fault);
+	}
+
+	void beforeNextCommit(Runnable action) {
+		this.beforeCommit = action;
+	}
+
+	void nextReadIsStale(String key, Optional<Row> old) {
+		this.staleReads.put(key, old);
+	}
+
+	Optional<Row> row(String key) {
+		return Optional.ofNullable(this.rows.get(key));
+	}
+
+	List<Row> rows(String prefix) {
+		return this.rows.tailMap(prefix).values().stream().filter((row) -> row.key().startsWith(prefix)).toList();
+	}
+
+	void arriveLate() {
+		this.delayed.forEach(this::write);
+		this.delayed.clear();
+	}
+
+	@Override
+	public CompletableFuture<Optional<Row>> read(String key) {
+		this.reads++;
+		if (this.down) {
+			return lost(true);
+		}
+		Optional<Row> stale = this.staleReads.remove(key);
+		return CompletableFuture.completedFuture((stale != null) ? stale : row(key));
+	}
+
+	@Override
+	public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+		this.reads++;
+		return this.down ? lost(true) : CompletableFuture.completedFuture(
+				rows(prefix).stream().filter((row) -> row.key().compareTo(after) > 0).limit(limit).toList());
+	}
+
+	@Override
+	public CompletableFuture<CommitResult> commit(List<ConditionalWrite> writes) {
+		Runnable hook = this.beforeCommit;
+		this.beforeCommit = () -> {
+		};
+		hook.run();
+		CommitFault fault = this.commitFaults.poll();
+		this.commits++;
+		if (this.down || fault == CommitFault.REFUSED) {
+			return lost(fault == null);
+		}
+		if (fault == CommitFault.DELAYED) {
+			this.delayed.add(writes);
+			return lost(true);
+		}
+		CommitResult result = write(writes);
+		this.down = fault == CommitFault.ANSWER_LOST_THEN_DOWN;
+		return (fault != null) ? lost(true) : CompletableFuture.completedFuture(result);
+	}
+
+	private CommitResult write(List<ConditionalWrite> writes) {
+		Map<String, Long> conflicts = new HashMap<>();
+		writes.forEach((write) -> {
+			long found = row(write.key()).map(Row::version).orElse(ConditionalWrite.ABSENT);
+			if (found != write.expectedVersion()) {
+				conflicts.put(write.key(), found);
+			}
+		});
+		if (!conflicts.isEmpty()) {
+			return new CommitResult.Conflict(conflicts);
+		}
+		this.version++;
+		writes.forEach((write) -> {
+			this.bytesWritten += write.value().length();
+			this.rows.put(write.key(), new Row(write.key(), write.value(), this.version));
+		});
+		return new CommitResult.Committed(Map.of());
+	}
+
+	@Override
+	public CompletableFuture<Void> put(String name, String content) {
+		this.puts++;
+		if (this.down) {
+			return lost(true);
+		}
+		this.objects.put(name, content);
+		return CompletableFuture.completedFuture(null);
+	}
+
+	@Override
+	public CompletableFuture<Optional<String>> get(String name) {
+		this.reads++;
+		return this.down ? lost(true) : CompletableFuture.completedFuture(Optional.ofNullable(this.objects.get(name)));
+	}
+
+	private static <T> CompletableFuture<T> lost(boolean mayHaveTakenEffect) {
+		return CompletableFuture.failedFuture(new PlatformException("no answer", mayHaveTakenEffect, null));
+	}
+
+}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
@@ -14,12 +14,14 @@
 import org.monsoonrelay.adapters.operator.EditReply;
 import org.monsoonrelay.adapters.operator.EditRequest;
 import org.monsoonrelay.adapters.operator.StateMessage;
+import org.monsoonrelay.logic.control.AuditQuery;
 import org.monsoonrelay.logic.control.ControlLog;
 import org.monsoonrelay.logic.control.ControlTracker;
 import org.monsoonrelay.logic.control.Edit;
 import org.monsoonrelay.logic.control.EditOutcome;
 import org.monsoonrelay.logic.control.InForce;
 import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.model.control.EditKind;
 import org.monsoonrelay.scheduler.SchedulerSettings.OperatorCredential;
 
 /**
@@ -53,8 +55,8 @@
 				(operator, call) -> respond(call, CompletableFuture.completedFuture(stateMessage()))));
 		application.get("/operator/status",
 				(context) -> authorized(context, (operator, call) -> respond(call, this.status.collect())));
-		application.get("/operator/audit", (context) -> authorized(context, (operator, call) -> respond(call,
-				this.log.audit(call.query("after").longValue(0), call.query("limit").intValue(MAXIMUM_PAGE)))));
+		application.get("/operator/audit",
+				(context) -> authorized(context, (operator, call) -> respond(call, this.log.audit(auditQuery(call)))));
 		application.error((context, cause, code) -> Problem
 			.of("invalid-request", "Invalid request", code.value(), String.valueOf(cause.getMessage()))
 			.send(context));
@@ -80,6 +82,12 @@
 		return action.run(operator.get().name(), context);
 	}
 
+	private static AuditQuery auditQuery(Context call) {
+		int limit = Math.max(1, Math.min(MAXIMUM_PAGE, call.query("limit").intValue(MAXIMUM_PAGE)));
+		return new AuditQuery(call.query("after").value(""), call.query("operator").toOptional(),
+				call.query("kind").toOptional().map(EditKind::valueOf), limit);
+	}
+
 	private Object edit(String operator, Context context) throws Exception {
 		EditRequest request = Json.read(context.body().value(), EditRequest.class);
 		OptionalLong expected = (request.expectedTextVersion() != null) ? OptionalLong.of(request.expectedTextVersion())
