Prove that a version in force is never reverted

Cause: following the head lay in the adapters beside the peer network and had no test.

Ruled out: a lock around poll and fetch, which would let a silent peer hold up the platform's answer. The two stay apart, one reading in flight each.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/PlatformFake.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/PlatformFake.java
@@ -38,6 +38,8 @@
 
 	boolean down;
 
+	boolean throwsAtOnce;
+
 	int commits;
 
 	int reads;
@@ -95,6 +97,9 @@
 	@Override
 	public CompletableFuture<Optional<Row>> read(String key) {
 		this.reads++;
+		if (this.throwsAtOnce) {
+			throw new IllegalStateException("the client is closed");
+		}
 		if (this.down) {
 			return lost(true);
 		}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/VersionFollowerTests.java
@@ -0,0 +1,194 @@
+package org.monsoonrelay.logic.control;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.logic.platform.Row;
+import org.monsoonrelay.logic.platform.TableKeys;
+import org.monsoonrelay.model.control.EditKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class VersionFollowerTests {
+
+	private final PlatformFake platform = new PlatformFake();
+
+	private final ControlLog log = new ControlLog(this.platform, this.platform, () -> Instant.EPOCH);
+
+	private final Node node = new Node();
+
+	private void edit(String cell) {
+		String text = "{\"cell\": \"" + cell
+				+ "\", \"teams\": [{\"name\": \"crew\", \"weight\": 1, \"quota\": {\"processors\": 1, \"memoryMiB\": 1, "
+				+ "\"accelerators\": 0}}]}";
+		Edit edit = new Edit(cell, EditKind.APPLY, "ana", text, List.of(), OptionalLong.empty());
+		assertThat(this.log.submit(edit).join()).isInstanceOf(EditOutcome.Accepted.class);
+	}
+
+	@Nested
+	class FromThePlatform {
+
+		@Test
+		void acceptedVersionIsInForceAfterOnePoll() {
+			edit("first");
+			VersionFollowerTests.this.node.follower.poll();
+
+			assertThat(VersionFollowerTests.this.node.cell()).isEqualTo("first");
+		}
+
+		@Test
+		void staleReadOfTheHeadNeverRevertsAVersion() {
+			edit("first");
+			Optional<Row> old = VersionFollowerTests.this.platform.row(TableKeys.HEAD);
+			edit("second");
+			Node node = VersionFollowerTests.this.node;
+			node.follower.poll();
+			VersionFollowerTests.this.platform.nextReadIsStale(TableKeys.HEAD, old);
+			node.follower.poll();
+
+			assertThat(node.cell()).isEqualTo("second");
+			assertThat(node.versions).containsExactly(2L);
+		}
+
+		@Test
+		void lateAnswerOfAPeerNeverRevertsAVersion() {
+			edit("first");
+			Node node = VersionFollowerTests.this.node;
+			ControlVersion first = new Node().polled();
+			CompletableFuture<ControlVersion> late = new CompletableFuture<>();
+			node.follower.announced(1, () -> late);
+			edit("second");
+			node.follower.poll();
+			late.complete(first);
+
+			assertThat(node.cell()).isEqualTo("second");
+			assertThat(node.versions).containsExactly(2L);
+		}
+
+		@Test
+		void clientThatFailsAtOnceDoesNotEndThePolling() {
+			edit("first");
+			PlatformFake platform = VersionFollowerTests.this.platform;
+			platform.throwsAtOnce = true;
+			VersionFollowerTests.this.node.follower.poll();
+			platform.throwsAtOnce = false;
+			VersionFollowerTests.this.node.follower.poll();
+
+			assertThat(VersionFollowerTests.this.node.cell()).isEqualTo("first");
+		}
+
+	}
+
+	@Nested
+	class FromPeers {
+
+		@Test
+		void processRestartedDuringAnOutageTakesTheHighestVersionOfAnyPeer() {
+			edit("first");
+			ControlVersion first = new Node().polled();
+			edit("second");
+			ControlVersion second = new Node().polled();
+			VersionFollowerTests.this.platform.down = true;
+			Node restarted = VersionFollowerTests.this.node;
+			restarted.follower.poll();
+			restarted.hears(first);
+			restarted.hears(second);
+			restarted.hears(first);
+
+			assertThat(restarted.cell()).isEqualTo("second");
+			assertThat(restarted.versions).containsExactly(1L, 2L);
+		}
+
+		@Test
+		void domainCutOffGoesOnAndTakesTheNewVersionWhenHealed() {
+			edit("first");
+			Node cut = VersionFollowerTests.this.node;
+			cut.follower.poll();
+			VersionFollowerTests.this.platform.down = true;
+			cut.follower.poll();
+			assertThat(cut.cell()).isEqualTo("first");
+			VersionFollowerTests.this.platform.down = false;
+			edit("second");
+			cut.follower.poll();
+
+			assertThat(cut.cell()).isEqualTo("second");
+			assertThat(cut.versions).containsExactly(1L, 2L);
+		}
+
+		@Test
+		void onlyOneFetchIsInFlightAndTheNextAnnouncementRetries() {
+			edit("first");
+			ControlVersion first = new Node().polled();
+			Node node = VersionFollowerTests.this.node;
+			List<CompletableFuture<ControlVersion>> fetches = new ArrayList<>();
+			for (int peer = 0; peer < 3; peer++) {
+				node.follower.announced(1, () -> node.fetch(fetches));
+			}
+			assertThat(fetches).hasSize(1);
+			fetches.get(0).completeExceptionally(new PlatformException("the peer is gone", false, null));
+			node.follower.announced(1, () -> {
+				throw new IllegalStateException("the network is closing");
+			});
+			node.follower.announced(1, () -> node.fetch(fetches));
+			fetches.get(1).complete(first);
+
+			assertThat(node.cell()).isEqualTo("first");
+		}
+
+		@Test
+		void anEqualOrLowerVersionIsNotFetched() {
+			edit("first");
+			Node node = VersionFollowerTests.this.node;
+			node.follower.poll();
+			List<CompletableFuture<ControlVersion>> fetches = new ArrayList<>();
+			node.follower.announced(1, () -> node.fetch(fetches));
+
+			assertThat(fetches).isEmpty();
+		}
+
+	}
+
+	/**
+	 * One process with its version in force and all the versions it ever had.
+	 */
+	private final class Node {
+
+		private final ControlTracker tracker = new ControlTracker();
+
+		private final VersionFollower follower = new VersionFollower(VersionFollowerTests.this.log, this.tracker);
+
+		private final List<Long> versions = new ArrayList<>();
+
+		Node() {
+			this.tracker.onChange((next) -> this.versions.add(next.head().version()));
+		}
+
+		ControlVersion polled() {
+			this.follower.poll();
+			InForce present = this.tracker.inForce();
+			return new ControlVersion(present.head(), present.state());
+		}
+
+		void hears(ControlVersion version) {
+			this.follower.announced(version.head().version(), () -> CompletableFuture.completedFuture(version));
+		}
+
+		CompletableFuture<ControlVersion> fetch(List<CompletableFuture<ControlVersion>> fetches) {
+			fetches.add(new CompletableFuture<>());
+			return fetches.get(fetches.size() - 1);
+		}
+
+		String cell() {
+			return this.tracker.inForce().text().cell();
+		}
+
+	}
+
+}
