Keep when a job finished, durably

Cause: a finish_by target could not be judged, because nothing kept the time at which a job finished. Job notes it when the last task's end is taken in and the record carries it, so that a later owner of the queue tells the same instant.

Ruled out: taking the present time when a report is asked for, which would call a job late whose owner was asked late; and the workers' clocks, since nothing compares clocks between hosts. The instant is the queue owner's, so a finish that is learnt late counts from when it was learnt.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -303,6 +303,7 @@
 	}
 
 	private void durably(Job job, boolean changed, Runnable acknowledge) {
+		job.noteFinish(this.clock.instant());
 		if (changed || this.journal.isPending(job.id())) {
 			this.journal.mark(job, acknowledge);
 		}
@@ -329,7 +330,7 @@
 			.stream()
 			.flatMap((queue) -> queue.jobs().values().stream())
 			.map((job) -> new JobStatus(job.id(), job.workload().kind(), job.workload().team(), job.workload().tasks(),
-					job.counts(), this.scheduler.waitReason(job.id()), job.tasks()))
+					job.counts(), this.scheduler.waitReason(job.id()), job.tasks(), job.finishedAt().orElse(null)))
 			.toList();
 	}
 
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 import org.monsoonrelay.model.worker.WorkerId;
@@ -37,12 +38,15 @@
 
 	private final long queueEpoch;
 
+	private Instant finishedAt;
+
 	public Job(Workload workload, JobRecord recorded, long queueEpoch, Instant now) {
 		this.queueEpoch = queueEpoch;
 		this.workload = workload;
 		this.readySince = now;
 		IntStream.range(0, workload.tasks()).forEach((index) -> this.tasks.add(new Task()));
 		recorded.tasks().forEach(this::restore);
+		this.finishedAt = recorded.finishedAt();
 	}
 
 	private void restore(TaskRecord recorded) {
@@ -277,6 +281,24 @@
 		return this.tasks.stream().limit(this.workload.tasks()).allMatch((task) -> task.state == wanted);
 	}
 
+	/**
+	 * Note when the job finished, unless it is noted already or has not finished.
+	 * @param now the current time
+	 */
+	public void noteFinish(Instant now) {
+		if (this.finishedAt == null && this.workload.kind() != WorkloadKind.SERVICE && satisfiesDependents()) {
+			this.finishedAt = now;
+		}
+	}
+
+	/**
+	 * When the queue's owner learnt that all tasks had finished.
+	 * @return the instant, empty before
+	 */
+	public Optional<Instant> finishedAt() {
+		return Optional.ofNullable(this.finishedAt);
+	}
+
 	/**
 	 * Durable form of the progress.
 	 * @param writeId identity of the write
@@ -287,7 +309,7 @@
 			.filter((index) -> this.tasks.get(index).attempt > 0 || this.tasks.get(index).state != TaskState.WAITING)
 			.mapToObj((index) -> this.tasks.get(index).toRecord(index))
 			.toList();
-		return new JobRecord(this.queueEpoch, writeId, changed);
+		return new JobRecord(this.queueEpoch, writeId, changed, this.finishedAt);
 	}
 
 	private boolean move(AttemptId attempt, TaskState from, TaskState to) {
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobRecord.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.model.job;
 
+import java.time.Instant;
 import java.util.List;
 
 /**
@@ -8,8 +9,10 @@
  * @param queueEpoch epoch of the queue owner that wrote it
  * @param writeId identity of the write, to settle a lost answer by reading back
  * @param tasks the tasks that have left their first state
+ * @param finishedAt when the queue's owner learnt that all tasks had finished,
+ * {@code null} before
  */
-public record JobRecord(long queueEpoch, String writeId, List<TaskRecord> tasks) {
+public record JobRecord(long queueEpoch, String writeId, List<TaskRecord> tasks, Instant finishedAt) {
 
 	/**
 	 * No progress yet.
@@ -20,4 +23,8 @@
 		tasks = List.copyOf(tasks);
 	}
 
+	public JobRecord(long queueEpoch, String writeId, List<TaskRecord> tasks) {
+		this(queueEpoch, writeId, tasks, null);
+	}
+
 }
--- /dev/null
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the progress of jobs.
+ */
+package org.monsoonrelay.model.job;
