--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.monsoonrelay.model.worker.WorkerId;
 import org.monsoonrelay.model.workload.Workload;
@@ -34,12 +35,15 @@
 
 	private final long queueEpoch;
 
+	private Instant finishedAt;
+
 	public Job(Workload workload, JobRecord recorded, long queueEpoch, Instant now) {
 		this.queueEpoch = queueEpoch;
 		this.workload = workload;
 		this.readySince = now;
 		this.tasks = new TaskList(workload.tasks());
 		recorded.tasks().forEach(this::restore);
+		this.finishedAt = recorded.finishedAt();
 	}
 
 	private void restore(TaskRecord recorded) {
@@ -280,6 +284,24 @@
 		return count(wanted) == this.tasks.declared();
 	}
 
+	/**
+	 * Note when the job finished, unless it is noted already or has not finished.
+	 * @param now the current time
+	 */
+	public void noteFinish(Instant now) {
+		if (this.finishedAt == null && this.workload.kind() != WorkloadKind.SERVICE && satisfiesDependents()) {
+			this.finishedAt = now;
+		}
+	}
+
+	/**
+	 * When the queue's owner learnt that all tasks had finished.
+	 * @return the instant, empty before
+	 */
+	public Optional<Instant> finishedAt() {
+		return Optional.ofNullable(this.finishedAt);
+	}
+
 	/**
 	 * Durable form of the progress.
 	 * @param writeId identity of the write
@@ -290,7 +312,7 @@
 			.filter((task) -> task.attempt() > 0 || task.state() != TaskState.WAITING)
 			.map(Task::toRecord)
 			.toList();
-		return new JobRecord(this.queueEpoch, writeId, changed);
+		return new JobRecord(this.queueEpoch, writeId, changed, this.finishedAt);
 	}
 
 	/**
