--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptFollowUp.java
@@ -0,0 +1,211 @@
+package org.monsoonrelay.logic.queue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.job.AttemptId;
+import org.monsoonrelay.model.job.Job;
+import org.monsoonrelay.model.job.TaskRecord;
+import org.monsoonrelay.model.job.TaskState;
+import org.monsoonrelay.model.worker.WorkerId;
+
+/**
+ * Asks after attempts of which nothing certain is known, and repeats stops until the end
+ * is known, because a message or a rack's owner may be lost. Invariants: an attempt in
+ * doubt is given up only when a host list at least as new as the one known at its record
+ * lacks its worker; no clock but this process's own is read. Not thread-safe: confined to
+ * the control thread.
+ */
+final class AttemptFollowUp {
+
+	private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+	private static final Duration STOP_INTERVAL = Duration.ofSeconds(5);
+
+	private static final int MAXIMUM_MESSAGES = 1000;
+
+	private final RackOwners rackOwners;
+
+	private final RackDirectory racks;
+
+	private final InstantSource clock;
+
+	private final Map<String, Long> epochs = new HashMap<>();
+
+	private final Set<AttemptId> unconfirmed = new LinkedHashSet<>();
+
+	private final Map<AttemptId, Stop> stops = new LinkedHashMap<>();
+
+	private HostList hosts = new HostList(0, List.of());
+
+	private Map<String, String> rackByWorker = Map.of();
+
+	private Instant notBefore = Instant.MIN;
+
+	AttemptFollowUp(RackOwners rackOwners, RackDirectory racks, InstantSource clock) {
+		this.rackOwners = rackOwners;
+		this.racks = racks;
+		this.clock = clock;
+	}
+
+	void update(HostList list) {
+		if (list.version() >= this.hosts.version()) {
+			this.hosts = list;
+			this.rackByWorker = list.hosts().stream().collect(Collectors.toMap(Host::name, Host::rack, (a, b) -> b));
+		}
+	}
+
+	/**
+	 * Tell whether a worker is in the host list, so that its leaving the list can be
+	 * seen.
+	 * @param worker the worker
+	 * @return {@code true} also if no list has been read yet
+	 */
+	boolean isListed(WorkerId worker) {
+		return this.hosts.version() == 0 || this.rackByWorker.containsKey(worker.value());
+	}
+
+	long hostsVersion() {
+		return (this.hosts.version() > 0) ? this.hosts.version() : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Send a stop, and again until the attempt has ended.
+	 * @param attempt the attempt
+	 * @param worker the worker it was placed on, empty if not known
+	 * @param team the team it counts against
+	 */
+	void stop(AttemptId attempt, WorkerId worker, String team) {
+		repeatStop(attempt, worker, team);
+		this.rackOwners.stop(rackOf(worker.value()), attempt, worker, team);
+	}
+
+	/**
+	 * Repeat a stop that has been sent until the attempt has ended.
+	 * @param attempt the attempt
+	 * @param worker the worker it was placed on, empty if not known
+	 * @param team the team it counts against
+	 */
+	void repeatStop(AttemptId attempt, WorkerId worker, String team) {
+		if (!worker.value().isEmpty()) {
+			this.stops.put(attempt, new Stop(worker, team, this.clock.instant().plus(STOP_INTERVAL)));
+		}
+	}
+
+	private String rackOf(String worker) {
+		return this.rackByWorker.getOrDefault(worker, "");
+	}
+
+	/**
+	 * A rack's owner has told of an attempt.
+	 * @param attempt the attempt
+	 * @param ended whether it has ended
+	 */
+	void heard(AttemptId attempt, boolean ended) {
+		this.unconfirmed.remove(attempt);
+		if (ended) {
+			this.stops.remove(attempt);
+		}
+	}
+
+	/**
+	 * Ask after what is in doubt, at most once a second.
+	 * @param jobs the owned jobs
+	 * @param gone told of attempts whose worker is gone for certain
+	 */
+	void round(Collection<Job> jobs, BiConsumer<Job, AttemptId> gone) {
+		Instant now = this.clock.instant();
+		if (now.isBefore(this.notBefore)) {
+			return;
+		}
+		this.notBefore = now.plus(INTERVAL);
+		doubtChangedRacks(jobs);
+		int asked = 0;
+		for (Job job : jobs) {
+			if (asked < MAXIMUM_MESSAGES && job.counts().keySet().stream().anyMatch(TaskState::mayRun)) {
+				asked += followUp(job, gone);
+			}
+		}
+		repeatStops(now);
+	}
+
+	private void doubtChangedRacks(Collection<Job> jobs) {
+		Set<String> changed = this.racks.epochs()
+			.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getValue().equals(this.epochs.getOrDefault(entry.getKey(), entry.getValue())))
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		this.epochs.putAll(this.racks.epochs());
+		if (changed.isEmpty()) {
+			return;
+		}
+		for (Job job : jobs) {
+			for (TaskRecord task : job.tasks()) {
+				if (task.state().mayRun() && changed.contains(rackOf(task.worker()))) {
+					this.unconfirmed.add(new AttemptId(job.id(), task.task(), task.attempt()));
+				}
+			}
+		}
+	}
+
+	private int followUp(Job job, BiConsumer<Job, AttemptId> gone) {
+		int asked = 0;
+		for (TaskRecord task : job.tasks()) {
+			AttemptId attempt = new AttemptId(job.id(), task.task(), task.attempt());
+			if (task.state() == TaskState.IN_DOUBT && hasLeft(job, task)) {
+				gone.accept(job, attempt);
+			}
+			else if (task.state() == TaskState.IN_DOUBT
+					|| (task.state().mayRun() && this.unconfirmed.contains(attempt))) {
+				this.rackOwners.resolve(rackOf(task.worker()), attempt, new WorkerId(task.worker()), task.incarnation(),
+						job.workload().team());
+				asked++;
+			}
+			else {
+				this.unconfirmed.remove(attempt);
+			}
+		}
+		return asked;
+	}
+
+	private boolean hasLeft(Job job, TaskRecord task) {
+		return this.hosts.version() > 0 && this.hosts.version() >= job.hostsVersion()
+				&& !this.rackByWorker.containsKey(task.worker());
+	}
+
+	private void repeatStops(Instant now) {
+		Map<AttemptId, Stop> due = new LinkedHashMap<>();
+		for (Iterator<Map.Entry<AttemptId, Stop>> all = this.stops.entrySet().iterator(); all.hasNext();) {
+			Map.Entry<AttemptId, Stop> entry = all.next();
+			if (due.size() >= MAXIMUM_MESSAGES || now.isBefore(entry.getValue().notBefore())) {
+				break;
+			}
+			due.put(entry.getKey(), entry.getValue());
+			all.remove();
+		}
+		due.forEach((attempt, stop) -> {
+			if (isListed(stop.worker())) {
+				stop(attempt, stop.worker(), stop.team());
+			}
+		});
+	}
+
+	private record Stop(WorkerId worker, String team, Instant notBefore) {
+
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobJournal.java
@@ -19,6 +19,7 @@
 import org.monsoonrelay.logic.platform.Row;
 import org.monsoonrelay.logic.platform.TableKeys;
 import org.monsoonrelay.logic.platform.TableService;
+import org.monsoonrelay.logic.platform.WriteBudget;
 import org.monsoonrelay.model.job.Job;
 import org.monsoonrelay.model.job.JobId;
 import org.monsoonrelay.model.job.JobRecord;
@@ -41,6 +42,8 @@
 
 	private final Consumer<JobId> onConflict;
 
+	private final WriteBudget budget;
+
 	private final Map<JobId, Long> versions = new HashMap<>();
 
 	private final Map<JobId, Pending> pending = new LinkedHashMap<>();
@@ -55,7 +58,15 @@
 
 	private long commits;
 
+	private long hostsVersion = Long.MAX_VALUE;
+
 	public JobJournal(TableService table, Executor control, Supplier<String> writeIds, Consumer<JobId> onConflict) {
+		this(table, control, writeIds, onConflict, WriteBudget.unlimited());
+	}
+
+	public JobJournal(TableService table, Executor control, Supplier<String> writeIds, Consumer<JobId> onConflict,
+			WriteBudget budget) {
+		this.budget = budget;
 		this.table = table;
 		this.control = control;
 		this.writeIds = writeIds;
@@ -76,11 +87,15 @@
 	}
 
 	/**
-	 * Have a job's present progress written with the next group commit.
+	 * Have a job's present progress written with the next group commit. A retired job is
+	 * not written any more.
 	 * @param job the job
 	 * @param whenDurable runs once it is durable
 	 */
 	public void mark(Job job, Runnable whenDurable) {
+		if (job.isRetired()) {
+			return;
+		}
 		this.pending.computeIfAbsent(job.id(), (id) -> new Pending(job, new ArrayList<>())).callbacks.add(whenDurable);
 	}
 
@@ -97,23 +112,25 @@
 		if (this.inFlight || this.pending.isEmpty()) {
 			return;
 		}
+		int rows = Math.min(MAXIMUM_ROWS, this.budget.available());
+		if (rows == 0) {
+			return;
+		}
 		Map<JobId, Pending> batch = new LinkedHashMap<>();
-		this.pending.entrySet()
-			.stream()
-			.limit(MAXIMUM_ROWS)
-			.forEach((entry) -> batch.put(entry.getKey(), entry.getValue()));
+		this.pending.entrySet().stream().limit(rows).forEach((entry) -> batch.put(entry.getKey(), entry.getValue()));
 		this.pending.keySet().removeAll(batch.keySet());
 		String writeId = this.writeIds.get();
 		List<ConditionalWrite> writes = batch.values().stream().map((entry) -> write(entry.job, writeId)).toList();
 		this.inFlight = true;
 		this.writing.addAll(batch.keySet());
 		this.commits++;
+		this.budget.spend(batch.size());
 		this.table.commit(writes)
 			.whenCompleteAsync((result, failure) -> committed(batch, writeId, result, failure), this.control);
 	}
 
 	private ConditionalWrite write(Job job, String writeId) {
-		return new ConditionalWrite(TableKeys.job(job.id()), Json.write(job.toRecord(writeId)),
+		return new ConditionalWrite(TableKeys.job(job.id()), Json.write(job.toRecord(writeId, this.hostsVersion)),
 				this.versions.getOrDefault(job.id(), ConditionalWrite.ABSENT));
 	}
 
@@ -130,6 +147,9 @@
 		}
 		else if (result instanceof CommitResult.Conflict conflict) {
 			batch.forEach((id, entry) -> {
+				if (entry.job.isRetired()) {
+					return;
+				}
 				if (conflict.versions().containsKey(TableKeys.job(id))) {
 					this.onConflict.accept(id);
 				}
@@ -174,11 +194,17 @@
 	}
 
 	private void durable(JobId id, Pending entry, long version) {
+		if (entry.job.isRetired()) {
+			return;
+		}
 		this.versions.put(id, version);
 		entry.callbacks.forEach(Runnable::run);
 	}
 
 	private void requeue(JobId id, Pending entry) {
+		if (entry.job.isRetired()) {
+			return;
+		}
 		Pending later = this.pending.get(id);
 		if (later != null) {
 			entry.callbacks.addAll(later.callbacks);
@@ -195,6 +221,14 @@
 		this.versions.remove(id);
 	}
 
+	/**
+	 * Note the version of the host list, which each record carries from now on.
+	 * @param version the version
+	 */
+	public void knownHosts(long version) {
+		this.hostsVersion = version;
+	}
+
 	/**
 	 * Tell whether a job has progress that is not durable yet.
 	 * @param id the job
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Placer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Placer.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Predicate;
 
 import org.monsoonrelay.logic.placement.Reservation;
 import org.monsoonrelay.logic.placement.ReservationRequest;
@@ -44,16 +45,20 @@
 
 	private final InstantSource clock;
 
+	private final Predicate<WorkerId> listed;
+
 	private final Map<JobId, Map<AttemptId, String>> rackByAttempt = new HashMap<>();
 
 	private final Map<JobId, Instant> gangNotBefore = new HashMap<>();
 
-	Placer(RackOwners rackOwners, RackDirectory racks, JobJournal journal, Executor control, InstantSource clock) {
+	Placer(RackOwners rackOwners, RackDirectory racks, JobJournal journal, Executor control, InstantSource clock,
+			Predicate<WorkerId> listed) {
 		this.rackOwners = rackOwners;
 		this.racks = racks;
 		this.journal = journal;
 		this.control = control;
 		this.clock = clock;
+		this.listed = listed;
 	}
 
 	void forget(JobId id) {
@@ -129,6 +134,7 @@
 			List<AttemptId> refused = new ArrayList<>(attempts);
 			reserved.forEach((reservation) -> refused.remove(reservation.attempt()));
 			refused.forEach(job::gone);
+			reserved.forEach((held) -> job.reservedOn(held.attempt(), held.worker(), held.incarnation()));
 			if (!atOnce) {
 				record(job, Map.of(rack, reserved));
 			}
@@ -171,6 +177,10 @@
 	}
 
 	private void record(Job job, Map<String, List<Reservation>> reservedByRack) {
+		if (job.workload().once() && !reservedByRack.values().stream().flatMap(List::stream).allMatch(this::isListed)) {
+			giveUp(job, reservedByRack);
+			return;
+		}
 		List<AttemptId> held = new ArrayList<>();
 		reservedByRack.values().forEach((reservations) -> reservations.forEach((reservation) -> {
 			if (job.reservedOn(reservation.attempt(), reservation.worker(), reservation.incarnation())
@@ -189,13 +199,25 @@
 		}
 	}
 
+	private boolean isListed(Reservation reservation) {
+		return this.listed.test(reservation.worker());
+	}
+
+	private void giveUp(Job job, Map<String, List<Reservation>> reservedByRack) {
+		reservedByRack.forEach((rack, reservations) -> {
+			List<AttemptId> attempts = reservations.stream().map(Reservation::attempt).toList();
+			this.rackOwners.release(rack, attempts);
+			attempts.forEach(job::gone);
+		});
+	}
+
 	private void start(Job job, Map<String, List<Reservation>> reservedByRack, List<AttemptId> held) {
 		Workload workload = job.workload();
 		reservedByRack.forEach((rack, reservations) -> {
 			List<StartTask> starts = reservations.stream()
 				.map(Reservation::attempt)
 				.filter(held::contains)
-				.filter((attempt) -> job.state(attempt.task()) == TaskState.STARTING)
+				.filter(job::isStarting)
 				.map((attempt) -> new StartTask(attempt, workload.team(), workload.size(), workload.runMillis()))
 				.toList();
 			if (!starts.isEmpty()) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
@@ -15,9 +16,12 @@
 
 import org.monsoonrelay.logic.control.InForce;
 import org.monsoonrelay.logic.placement.AttemptEvent;
+import org.monsoonrelay.logic.placement.AttemptEventKind;
+import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
 import org.monsoonrelay.model.job.JobId;
+import org.monsoonrelay.model.job.JobRecord;
 import org.monsoonrelay.model.job.TaskRecord;
 import org.monsoonrelay.model.job.TaskState;
 import org.monsoonrelay.model.worker.WorkerId;
@@ -33,14 +37,14 @@
  */
 public final class QueueManager {
 
-	private static final Duration RESOLVE_INTERVAL = Duration.ofSeconds(1);
-
-	private final RackOwners rackOwners;
+	private static final Duration LOAD_INTERVAL = Duration.ofSeconds(1);
 
 	private final Placer placer;
 
 	private final TeamScheduler scheduler;
 
+	private final AttemptFollowUp followUp;
+
 	private final JobJournal journal;
 
 	private final Executor control;
@@ -49,7 +53,11 @@
 
 	private final Map<String, TeamQueue> queues = new TreeMap<>();
 
-	private Instant resolveNotBefore = Instant.MIN;
+	private final Map<JobId, Job> superseded = new HashMap<>();
+
+	private Map<JobId, Workload> declared = Map.of();
+
+	private Instant loadNotBefore = Instant.MIN;
 
 	private Set<String> satisfiedElsewhere = Set.of();
 
@@ -57,9 +65,9 @@
 
 	public QueueManager(RackOwners rackOwners, RackDirectory racks, JobJournalFactory journals, Executor control,
 			InstantSource clock) {
-		this.rackOwners = rackOwners;
 		this.journal = journals.create(this::reload);
-		this.placer = new Placer(rackOwners, racks, this.journal, control, clock);
+		this.followUp = new AttemptFollowUp(rackOwners, racks, clock);
+		this.placer = new Placer(rackOwners, racks, this.journal, control, clock, this.followUp::isListed);
 		this.scheduler = new TeamScheduler(this.placer, this.journal, clock);
 		this.control = control;
 		this.clock = clock;
@@ -74,6 +82,7 @@
 	public void own(String team, long epoch) {
 		TeamQueue present = this.queues.get(team);
 		if (present == null || present.epoch() < epoch) {
+			disown(team);
 			this.queues.put(team, new TeamQueue(epoch));
 			loadMissing(team);
 		}
@@ -97,14 +106,25 @@
 	public void disown(String team) {
 		TeamQueue removed = this.queues.remove(team);
 		if (removed != null) {
-			removed.jobs().keySet().forEach(this::drop);
+			removed.jobs().values().forEach(this::drop);
 		}
 	}
 
-	private void drop(JobId id) {
-		this.journal.forget(id);
-		this.placer.forget(id);
-		this.scheduler.forget(id);
+	private void drop(Job job) {
+		job.retire();
+		this.journal.forget(job.id());
+		this.placer.forget(job.id());
+		this.scheduler.forget(job.id());
+	}
+
+	/**
+	 * Take in a reading of the host list. A reading older than one seen before is left
+	 * out.
+	 * @param list the reading
+	 */
+	public void update(HostList list) {
+		this.followUp.update(list);
+		this.journal.knownHosts(this.followUp.hostsVersion());
 	}
 
 	/**
@@ -113,40 +133,42 @@
 	 */
 	public void update(InForce next) {
 		this.inForce = next;
-		this.queues.keySet().forEach(this::loadMissing);
-		Map<JobId, Workload> declared = next.text()
+		this.declared = next.text()
 			.workloads()
 			.stream()
 			.collect(Collectors.toMap(Workload::id, (workload) -> workload));
+		this.queues.keySet().forEach(this::loadMissing);
 		for (TeamQueue queue : this.queues.values()) {
-			List.copyOf(queue.jobs().values()).forEach((job) -> adapt(queue, job, declared.get(job.id())));
+			List.copyOf(queue.jobs().values()).forEach((job) -> adapt(queue, job));
 		}
 	}
 
-	private void adapt(TeamQueue queue, Job job, Workload declared) {
-		if (declared == null || !this.inForce.state().permits(job.id())) {
-			if (!job.isFinal()) {
-				Map<AttemptId, WorkerId> workers = workers(job);
-				job.cancel().forEach((attempt) -> this.placer.stop(job, attempt, workers.get(attempt)));
-				this.journal.mark(job, () -> removeIfUndeclared(queue, job));
-			}
-			else {
-				removeIfUndeclared(queue, job);
-			}
+	private void adapt(TeamQueue queue, Job job) {
+		Workload workload = this.declared.get(job.id());
+		Map<AttemptId, WorkerId> workers = workers(job);
+		if (workload != null && this.inForce.state().permits(job.id())) {
+			job.redeclare(workload).forEach((attempt) -> stop(job, attempt, workers));
 			return;
 		}
-		Map<AttemptId, WorkerId> workers = workers(job);
-		job.redeclare(declared).forEach((attempt) -> this.placer.stop(job, attempt, workers.get(attempt)));
+		if (job.isFinal()) {
+			removeIfUndeclared(queue, job);
+			return;
+		}
+		job.cancel().forEach((attempt) -> stop(job, attempt, workers));
+		if (!this.inForce.state().cancelled().contains(job.id().toString())) {
+			this.journal.mark(job, () -> removeIfUndeclared(queue, job));
+		}
+	}
+
+	private void stop(Job job, AttemptId attempt, Map<AttemptId, WorkerId> workers) {
+		this.placer.stop(job, attempt, workers.get(attempt));
+		this.followUp.repeatStop(attempt, workers.get(attempt), job.workload().team());
 	}
 
 	private void removeIfUndeclared(TeamQueue queue, Job job) {
-		boolean declared = this.inForce.text()
-			.workloads()
-			.stream()
-			.anyMatch((workload) -> workload.id().equals(job.id()));
-		if (!declared && job.isFinal() && job.workload().kind() != WorkloadKind.SERVICE) {
+		if (!this.declared.containsKey(job.id()) && job.isFinal() && job.workload().kind() != WorkloadKind.SERVICE) {
 			queue.jobs().remove(job.id());
-			drop(job.id());
+			drop(job);
 		}
 	}
 
@@ -160,33 +182,44 @@
 
 	private void loadMissing(String team) {
 		TeamQueue queue = this.queues.get(team);
-		for (Workload workload : this.inForce.text().workloads()) {
+		for (Workload workload : this.declared.values()) {
 			boolean wanted = workload.team().equals(team) && !queue.jobs().containsKey(workload.id());
 			if (wanted && queue.loading().add(workload.id())) {
-				load(team, queue, workload);
+				load(team, queue, workload.id());
 			}
 		}
+		queue.declaredBeforeLoading(this.declared.keySet());
 	}
 
-	private void load(String team, TeamQueue queue, Workload workload) {
-		this.journal.load(workload.id()).whenCompleteAsync((record, failure) -> {
-			queue.loading().remove(workload.id());
-			if (this.queues.get(team) != queue || failure != null) {
+	private void load(String team, TeamQueue queue, JobId id) {
+		this.journal.load(id).whenCompleteAsync((record, failure) -> {
+			queue.loading().remove(id);
+			Workload workload = this.declared.get(id);
+			if (this.queues.get(team) != queue || workload == null) {
 				return;
 			}
-			Job job = new Job(workload, record, queue.epoch(), this.clock.instant());
-			queue.jobs().put(workload.id(), job);
-			if (!this.inForce.state().permits(job.id())) {
-				adapt(queue, job, null);
+			if (failure == null) {
+				add(queue, workload, record);
+			}
+			else if (!workload.once() && queue.isNew(id)) {
+				add(queue, workload, JobRecord.NONE);
 			}
 		}, this.control);
 	}
 
+	private void add(TeamQueue queue, Workload workload, JobRecord record) {
+		Job job = new Job(workload, record, queue.epoch(), this.clock.instant());
+		Optional.ofNullable(this.superseded.remove(job.id())).ifPresent(job::succeed);
+		queue.jobs().put(job.id(), job);
+		adapt(queue, job);
+	}
+
 	private void reload(JobId id) {
 		for (Map.Entry<String, TeamQueue> entry : this.queues.entrySet()) {
 			Job removed = entry.getValue().jobs().remove(id);
 			if (removed != null) {
-				drop(id);
+				drop(removed);
+				this.superseded.put(id, removed);
 				loadMissing(entry.getKey());
 			}
 		}
@@ -219,32 +252,24 @@
 	public void tick() {
 		Set<String> satisfied = new HashSet<>(this.satisfiedElsewhere);
 		satisfied.addAll(satisfied());
-		resolveDoubts();
-		this.queues.keySet().forEach(this::loadMissing);
+		followUp();
 		this.scheduler.round(this.queues, this.inForce, satisfied);
 		this.journal.flush();
 	}
 
-	private void resolveDoubts() {
+	private void followUp() {
 		Instant now = this.clock.instant();
-		if (now.isBefore(this.resolveNotBefore)) {
-			return;
-		}
-		this.resolveNotBefore = now.plus(RESOLVE_INTERVAL);
-		this.queues.values().forEach((queue) -> queue.jobs().values().forEach(this::resolveDoubts));
-	}
-
-	private void resolveDoubts(Job job) {
-		if (!job.counts().containsKey(TaskState.IN_DOUBT)) {
-			return;
+		if (!now.isBefore(this.loadNotBefore)) {
+			this.loadNotBefore = now.plus(LOAD_INTERVAL);
+			this.queues.keySet().forEach(this::loadMissing);
 		}
-		for (TaskRecord task : job.tasks()) {
-			if (task.state() == TaskState.IN_DOUBT) {
-				AttemptId attempt = new AttemptId(job.id(), task.task(), task.attempt());
-				this.rackOwners.resolve("", attempt, new WorkerId(task.worker()), task.incarnation(),
-						job.workload().team());
+		List<Job> jobs = this.queues.values().stream().flatMap((queue) -> queue.jobs().values().stream()).toList();
+		this.followUp.round(jobs, (job, attempt) -> {
+			if (job.gone(attempt)) {
+				this.journal.mark(job, () -> {
+				});
 			}
-		}
+		});
 	}
 
 	/**
@@ -255,9 +280,10 @@
 	 */
 	public void take(AttemptEvent event, String team, Consumer<AttemptEvent> acknowledge) {
 		TeamQueue queue = this.queues.get(team);
-		if (queue == null || !queue.loading().isEmpty()) {
+		if (queue == null || queue.loading().contains(event.attempt().job())) {
 			return;
 		}
+		this.followUp.heard(event.attempt(), isEnd(event.kind()));
 		Job job = queue.jobs().get(event.attempt().job());
 		if (job == null) {
 			if (isUndeclared(event.attempt().job())) {
@@ -270,15 +296,16 @@
 	}
 
 	private boolean isUndeclared(JobId id) {
-		return this.inForce.head().version() > 0
-				&& this.inForce.text().workloads().stream().noneMatch((workload) -> workload.id().equals(id));
+		return this.inForce.head().version() > 0 && !this.declared.containsKey(id);
+	}
+
+	private static boolean isEnd(AttemptEventKind kind) {
+		return kind != AttemptEventKind.RUNNING && kind != AttemptEventKind.LAPSED;
 	}
 
 	private void stopUnwanted(AttemptEvent event, String team) {
-		switch (event.kind()) {
-			case RUNNING, LAPSED -> this.rackOwners.stop("", event.attempt(), event.worker(), team);
-			default -> {
-			}
+		if (!isEnd(event.kind())) {
+			this.followUp.stop(event.attempt(), event.worker(), team);
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
@@ -108,6 +108,16 @@
 		return !this.entries.isEmpty() && this.entries.values().stream().allMatch((entry) -> entry.summary.settled());
 	}
 
+	/**
+	 * Epochs of the racks' ownerships, as their summaries say.
+	 * @return the epoch of each known rack
+	 */
+	public Map<String, Long> epochs() {
+		Map<String, Long> epochs = new TreeMap<>();
+		this.entries.forEach((rack, entry) -> epochs.put(rack, entry.summary.epoch()));
+		return epochs;
+	}
+
 	/**
 	 * Number of racks known.
 	 * @return the count
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
@@ -23,6 +23,8 @@
 
 	private final Set<JobId> loading = new HashSet<>();
 
+	private final Set<JobId> declaredAtFirst = new HashSet<>();
+
 	private boolean active;
 
 	TeamQueue(long epoch) {
@@ -59,6 +61,26 @@
 		return this.loading;
 	}
 
+	/**
+	 * Note what is declared when the queue is first loaded.
+	 * @param declared the jobs of all teams
+	 */
+	void declaredBeforeLoading(Set<JobId> declared) {
+		if (this.declaredAtFirst.isEmpty()) {
+			this.declaredAtFirst.addAll(declared);
+		}
+	}
+
+	/**
+	 * Tell whether a job was declared after the queue was first loaded, so that it can
+	 * have no progress yet.
+	 * @param id the job
+	 * @return {@code true} if it is new
+	 */
+	boolean isNew(JobId id) {
+		return !this.declaredAtFirst.isEmpty() && !this.declaredAtFirst.contains(id);
+	}
+
 	boolean isActive() {
 		return this.active;
 	}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeScheduler.java
@@ -0,0 +1,204 @@
+package org.monsoonrelay.logic.fakes;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.monsoonrelay.logic.placement.AttemptEvent;
+import org.monsoonrelay.logic.placement.Reservation;
+import org.monsoonrelay.logic.placement.ReservationRequest;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.logic.platform.WriteBudget;
+import org.monsoonrelay.logic.queue.JobJournal;
+import org.monsoonrelay.logic.queue.QueueManager;
+import org.monsoonrelay.logic.queue.RackDirectory;
+import org.monsoonrelay.logic.queue.RackOwners;
+import org.monsoonrelay.logic.rack.RackManager;
+import org.monsoonrelay.logic.rack.StartTask;
+import org.monsoonrelay.model.job.AttemptId;
+import org.monsoonrelay.model.worker.WorkerId;
+
+/**
+ * The real managers of one scheduler over the fakes, driven by hand. Its queue side
+ * reaches its own racks, or those of another scheduler. Not thread-safe.
+ */
+public final class FakeScheduler implements RackOwners {
+
+	private static final Duration LEASE = Duration.ofSeconds(3);
+
+	private final ManualExecutor control = new ManualExecutor();
+
+	private final ManualTime time;
+
+	private final RackDirectory directory = new RackDirectory(RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+
+	private final RackManager racks;
+
+	private final QueueManager queues;
+
+	private final Map<String, Integer> writeIds = new HashMap<>();
+
+	private JobJournal journal;
+
+	private FakeScheduler reached = this;
+
+	private boolean stopsLost;
+
+	private boolean reserveHeld;
+
+	private final List<Runnable> held = new ArrayList<>();
+
+	public FakeScheduler(String name, FakeTable table, FakeWorkers workers, ManualTime time) {
+		this.time = time;
+		this.racks = new RackManager(workers, this.control, time, time::nanos, LEASE);
+		this.queues = new QueueManager(this, this.directory, (onConflict) -> {
+			this.journal = new JobJournal(table, this.control,
+					() -> name + '-' + this.writeIds.merge(name, 1, Integer::sum), onConflict,
+					new WriteBudget(time::nanos, 300));
+			return this.journal;
+		}, this.control, time);
+	}
+
+	/**
+	 * Let this scheduler's queues use the racks of another one.
+	 * @param other the owner of the racks
+	 */
+	public void useRacksOf(FakeScheduler other) {
+		this.reached = other;
+	}
+
+	/**
+	 * Take in a reading of the host list.
+	 * @param list the reading
+	 */
+	public void hosts(HostList list) {
+		this.racks.update(list);
+		this.queues.update(list);
+	}
+
+	/**
+	 * One second of the scheduler's timetable, time included.
+	 */
+	public void second() {
+		this.time.advance(Duration.ofSeconds(1));
+		work();
+	}
+
+	/**
+	 * Several seconds.
+	 * @param count how many
+	 */
+	public void seconds(int count) {
+		for (int index = 0; index < count; index++) {
+			second();
+		}
+	}
+
+	/**
+	 * All that a scheduler does in a second, at the present time.
+	 */
+	public void work() {
+		this.reached.racks.heartbeat();
+		this.reached.control.drain();
+		for (int tick = 0; tick < 4; tick++) {
+			tick();
+		}
+	}
+
+	/**
+	 * One tick: events, placement, writes and orders.
+	 */
+	public void tick() {
+		deliver(this.reached.racks);
+		this.directory.update("owner", this.reached.racks.summaries());
+		this.queues.tick();
+		this.control.drain();
+		this.reached.racks.sendOrders();
+		this.reached.control.drain();
+		deliver(this.reached.racks);
+		this.control.drain();
+	}
+
+	private void deliver(RackManager from) {
+		from.events().forEach((team, events) -> {
+			if (this.queues.teams().contains(team)) {
+				List<AttemptEvent> copy = List.copyOf(events);
+				copy.forEach((event) -> this.queues.take(event, team, from::acknowledge));
+			}
+		});
+	}
+
+	@Override
+	public CompletableFuture<List<Reservation>> reserve(ReservationRequest request) {
+		CompletableFuture<List<Reservation>> answer = new CompletableFuture<>();
+		List<Reservation> reserved = this.reached.racks.reserve(request);
+		if (this.reserveHeld) {
+			this.held.add(() -> answer.complete(reserved));
+		}
+		else {
+			answer.complete(reserved);
+		}
+		return answer;
+	}
+
+	@Override
+	public CompletableFuture<List<AttemptId>> start(String rack, List<StartTask> starts) {
+		return CompletableFuture.completedFuture(
+				starts.stream().filter((start) -> !this.reached.racks.start(start)).map(StartTask::attempt).toList());
+	}
+
+	@Override
+	public void release(String rack, Collection<AttemptId> attempts) {
+		this.reached.racks.release(attempts);
+	}
+
+	@Override
+	public void stop(String rack, AttemptId attempt, WorkerId worker, String team) {
+		if (!this.stopsLost) {
+			this.reached.racks.stop(attempt, worker, team);
+		}
+	}
+
+	@Override
+	public void resolve(String rack, AttemptId attempt, WorkerId worker, String incarnation, String team) {
+		this.reached.racks.resolve(attempt, worker, incarnation, team);
+	}
+
+	/**
+	 * Hold back the answers to reservations until they are let go.
+	 * @param isHeld whether to hold them; {@code false} lets all go
+	 */
+	public void setReserveHeld(boolean isHeld) {
+		this.reserveHeld = isHeld;
+		if (!isHeld) {
+			this.held.forEach(Runnable::run);
+			this.held.clear();
+		}
+	}
+
+	public void setStopsLost(boolean areLost) {
+		this.stopsLost = areLost;
+	}
+
+	public RackManager racks() {
+		return this.racks;
+	}
+
+	public QueueManager queues() {
+		return this.queues;
+	}
+
+	public JobJournal journal() {
+		return this.journal;
+	}
+
+	public ManualExecutor control() {
+		return this.control;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeTable.java
@@ -0,0 +1,154 @@
+package org.monsoonrelay.logic.fakes;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.monsoonrelay.logic.platform.CommitResult;
+import org.monsoonrelay.logic.platform.ConditionalWrite;
+import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.logic.platform.Row;
+import org.monsoonrelay.logic.platform.TableService;
+
+/**
+ * The table in memory, with its faults: down, answers lost after the write, writes that
+ * take effect late. Not thread-safe.
+ */
+public final class FakeTable implements TableService {
+
+	private final NavigableMap<String, Row> rows = new TreeMap<>();
+
+	private final List<List<ConditionalWrite>> late = new ArrayList<>();
+
+	private long version;
+
+	private boolean down;
+
+	private boolean answersLost;
+
+	private boolean commitsLate;
+
+	private int commits;
+
+	private int rowsWritten;
+
+	private int rowsRead;
+
+	@Override
+	public CompletableFuture<Optional<Row>> read(String key) {
+		if (this.down) {
+			return noAnswer(false);
+		}
+		this.rowsRead++;
+		return CompletableFuture.completedFuture(row(key));
+	}
+
+	@Override
+	public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+		if (this.down) {
+			return noAnswer(false);
+		}
+		List<Row> found = this.rows.values()
+			.stream()
+			.filter((row) -> row.key().startsWith(prefix) && row.key().compareTo(after) > 0)
+			.limit(limit)
+			.toList();
+		this.rowsRead += found.size();
+		return CompletableFuture.completedFuture(found);
+	}
+
+	@Override
+	public CompletableFuture<CommitResult> commit(List<ConditionalWrite> writes) {
+		if (this.down) {
+			return noAnswer(false);
+		}
+		if (this.commitsLate) {
+			this.late.add(writes);
+			return noAnswer(true);
+		}
+		CommitResult result = apply(writes);
+		return this.answersLost ? noAnswer(true) : CompletableFuture.completedFuture(result);
+	}
+
+	private CommitResult apply(List<ConditionalWrite> writes) {
+		Map<String, Long> conflicts = new HashMap<>();
+		for (ConditionalWrite write : writes) {
+			long found = row(write.key()).map(Row::version).orElse(ConditionalWrite.ABSENT);
+			if (found != write.expectedVersion()) {
+				conflicts.put(write.key(), found);
+			}
+		}
+		if (!conflicts.isEmpty()) {
+			return new CommitResult.Conflict(conflicts);
+		}
+		this.version++;
+		this.commits++;
+		this.rowsWritten += writes.size();
+		Map<String, Long> versions = new HashMap<>();
+		for (ConditionalWrite write : writes) {
+			this.rows.put(write.key(), new Row(write.key(), write.value(), this.version));
+			versions.put(write.key(), this.version);
+		}
+		return new CommitResult.Committed(versions);
+	}
+
+	private static <T> CompletableFuture<T> noAnswer(boolean mayHaveTakenEffect) {
+		return CompletableFuture.failedFuture(new PlatformException("no answer", mayHaveTakenEffect, null));
+	}
+
+	/**
+	 * The row as it is, whatever the faults.
+	 * @param key the key
+	 * @return the row, if it exists
+	 */
+	public Optional<Row> row(String key) {
+		return Optional.ofNullable(this.rows.get(key));
+	}
+
+	/**
+	 * All rows under a prefix, whatever the faults.
+	 * @param prefix the prefix
+	 * @return the rows
+	 */
+	public List<Row> rows(String prefix) {
+		return this.rows.values().stream().filter((row) -> row.key().startsWith(prefix)).toList();
+	}
+
+	/**
+	 * Let the held writes take effect, as far as their conditions still hold.
+	 */
+	public void landLateCommits() {
+		this.late.forEach(this::apply);
+		this.late.clear();
+	}
+
+	public void setDown(boolean isDown) {
+		this.down = isDown;
+	}
+
+	public void setAnswersLost(boolean areLost) {
+		this.answersLost = areLost;
+	}
+
+	public void setCommitsLate(boolean areLate) {
+		this.commitsLate = areLate;
+	}
+
+	public int commits() {
+		return this.commits;
+	}
+
+	public int rowsWritten() {
+		return this.rowsWritten;
+	}
+
+	public int rowsRead() {
+		return this.rowsRead;
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeWorkers.java
@@ -89,6 +89,14 @@
 			.toList();
 	}
 
+	/**
+	 * Commands that reached workers.
+	 * @return the count
+	 */
+	public int commands() {
+		return this.workers.values().stream().mapToInt(FakeWorker::commands).sum();
+	}
+
 	/**
 	 * End all that runs, well.
 	 */
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/OnceOnlyTests.java
@@ -0,0 +1,251 @@
+package org.monsoonrelay.logic.queue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.monsoonrelay.logic.fakes.CellData;
+import org.monsoonrelay.logic.fakes.FakeScheduler;
+import org.monsoonrelay.logic.fakes.FakeTable;
+import org.monsoonrelay.logic.fakes.FakeWorkers;
+import org.monsoonrelay.logic.fakes.ManualTime;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.model.job.TaskState;
+import org.monsoonrelay.model.worker.Worker;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tasks that must run once: runs are counted at the workers.
+ */
+class OnceOnlyTests {
+
+	private static final Instant START = Instant.parse("2026-06-01T00:00:00Z");
+
+	private static final HostList HOSTS = CellData.hosts(5, CellData.worker("w1", "r1"), CellData.worker("w2", "r1"));
+
+	private final ManualTime time = new ManualTime(START);
+
+	private final FakeTable table = new FakeTable();
+
+	private final FakeWorkers workers = new FakeWorkers();
+
+	private FakeScheduler scheduler = newScheduler("first", 1);
+
+	private FakeScheduler newScheduler(String name, long epoch) {
+		FakeScheduler created = new FakeScheduler(name, this.table, this.workers, this.time);
+		created.hosts(HOSTS);
+		created.racks().own("r1", epoch);
+		return created;
+	}
+
+	@BeforeEach
+	void settle() {
+		this.scheduler.work();
+	}
+
+	private void declare(FakeScheduler scheduler, int tasks, long epoch) {
+		scheduler.queues().update(CellData.inForce(1, CellData.run("wages", tasks, true)));
+		scheduler.queues().own(CellData.TEAM, epoch);
+		scheduler.control().drain();
+		scheduler.queues().activate(CellData.TEAM);
+	}
+
+	private Map<TaskState, Integer> counts(FakeScheduler scheduler) {
+		return scheduler.queues().status().get(0).counts();
+	}
+
+	private FakeWorkers.FakeWorker busyWorker() {
+		return this.workers.worker((this.workers.worker("w1").runningHere() > 0) ? "w1" : "w2");
+	}
+
+	private void assertNoTaskRanTwice(int tasks) {
+		assertThat(this.workers.runs().values()).hasSize(tasks).containsOnly(1);
+	}
+
+	private static int held(Worker worker) {
+		return worker.attempts().size();
+	}
+
+	@Nested
+	class AWorkerThatGoesSilent {
+
+		@BeforeEach
+		void runOneTask() {
+			declare(OnceOnlyTests.this.scheduler, 1, 1);
+			OnceOnlyTests.this.scheduler.seconds(2);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsOnlyKeys(TaskState.RUNNING);
+			busyWorker().setUnreachable(true);
+		}
+
+		@Test
+		void keepsItsTaskInDoubtHoweverLongItTakes() {
+			OnceOnlyTests.this.scheduler.seconds(600);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsOnlyKeys(TaskState.IN_DOUBT);
+			assertThat(OnceOnlyTests.this.scheduler.queues().status().get(0).waitReason())
+				.isEqualTo(WaitReason.WORKER_SILENT);
+			assertNoTaskRanTwice(1);
+		}
+
+		@Test
+		void hasItsTaskTakenUpWhenItComesBack() {
+			FakeWorkers.FakeWorker busy = busyWorker();
+			OnceOnlyTests.this.scheduler.seconds(10);
+			busy.setUnreachable(false);
+			OnceOnlyTests.this.scheduler.seconds(2);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsOnlyKeys(TaskState.RUNNING);
+			OnceOnlyTests.this.workers.finishAll();
+			OnceOnlyTests.this.scheduler.seconds(3);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsOnlyKeys(TaskState.FINISHED);
+			assertNoTaskRanTwice(1);
+		}
+
+		@Test
+		void freesItsTaskByItsNewIncarnation() {
+			FakeWorkers.FakeWorker busy = busyWorker();
+			OnceOnlyTests.this.scheduler.seconds(10);
+			busy.restart();
+			busy.setUnreachable(false);
+			OnceOnlyTests.this.scheduler.seconds(4);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsOnlyKeys(TaskState.RUNNING);
+			assertThat(OnceOnlyTests.this.workers.mostAtOnce()).isOne();
+		}
+
+		@Test
+		void freesItsTaskWhenItLeavesTheListUnderANewOwner() {
+			FakeWorkers.FakeWorker busy = busyWorker();
+			String other = (busy == OnceOnlyTests.this.workers.worker("w1")) ? "w2" : "w1";
+			busy.restart();
+			FakeScheduler successor = newScheduler("second", 2);
+			successor.hosts(CellData.hosts(6, CellData.worker(other, "r1")));
+			declare(successor, 1, 2);
+			successor.seconds(4);
+			assertThat(counts(successor)).containsOnlyKeys(TaskState.RUNNING);
+			assertThat(OnceOnlyTests.this.workers.mostAtOnce()).isOne();
+		}
+
+		@Test
+		void keepsItsTaskInDoubtUnderAListOlderThanTheRecord() {
+			FakeScheduler successor = new FakeScheduler("second", OnceOnlyTests.this.table, OnceOnlyTests.this.workers,
+					OnceOnlyTests.this.time);
+			successor.racks().own("r1", 2);
+			successor.hosts(CellData.hosts(4));
+			declare(successor, 1, 2);
+			successor.seconds(10);
+			assertThat(counts(successor)).containsOnlyKeys(TaskState.IN_DOUBT);
+		}
+
+	}
+
+	@Nested
+	class TheRecordBeforeTheStart {
+
+		@Test
+		void holdsTheStartBackWhileTheStoreIsDown() {
+			OnceOnlyTests.this.table.setDown(true);
+			declare(OnceOnlyTests.this.scheduler, 3, 1);
+			OnceOnlyTests.this.scheduler.seconds(30);
+			assertThat(OnceOnlyTests.this.workers.runs()).isEmpty();
+			OnceOnlyTests.this.table.setDown(false);
+			OnceOnlyTests.this.scheduler.seconds(10);
+			assertNoTaskRanTwice(3);
+		}
+
+		@Test
+		void isSettledByReadingBackWhenItsAnswerIsLost() {
+			declare(OnceOnlyTests.this.scheduler, 3, 1);
+			OnceOnlyTests.this.table.setAnswersLost(true);
+			OnceOnlyTests.this.scheduler.seconds(1);
+			OnceOnlyTests.this.table.setAnswersLost(false);
+			OnceOnlyTests.this.scheduler.seconds(4);
+			assertNoTaskRanTwice(3);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsEntry(TaskState.RUNNING, 3);
+		}
+
+		@Test
+		void thatTakesEffectLateNeverLeadsToASecondStart() {
+			declare(OnceOnlyTests.this.scheduler, 1, 1);
+			OnceOnlyTests.this.table.setCommitsLate(true);
+			OnceOnlyTests.this.scheduler.tick();
+			OnceOnlyTests.this.table.setCommitsLate(false);
+			OnceOnlyTests.this.table.landLateCommits();
+			OnceOnlyTests.this.scheduler.seconds(20);
+			assertThat(counts(OnceOnlyTests.this.scheduler)).containsOnlyKeys(TaskState.RUNNING);
+			assertThat(OnceOnlyTests.this.workers.mostAtOnce()).isOne();
+			assertThat(OnceOnlyTests.this.workers.running()).hasSize(1);
+		}
+
+		@Test
+		void ofASchedulerKilledBeforeTheStartIsResolvedByItsSuccessor() {
+			declare(OnceOnlyTests.this.scheduler, 2, 1);
+			OnceOnlyTests.this.scheduler.queues().tick();
+			OnceOnlyTests.this.scheduler.control().drain();
+			OnceOnlyTests.this.scheduler.queues().tick();
+			assertThat(OnceOnlyTests.this.table.rows("jobs/")).hasSize(1);
+			assertThat(OnceOnlyTests.this.workers.runs()).isEmpty();
+			OnceOnlyTests.this.scheduler.control().clear();
+			FakeScheduler successor = newScheduler("second", 2);
+			declare(successor, 2, 2);
+			successor.seconds(6);
+			assertThat(counts(successor)).containsEntry(TaskState.RUNNING, 2);
+			assertNoTaskRanTwice(2);
+		}
+
+	}
+
+	@Nested
+	class TwoOwnersOfOneQueue {
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 1, 2, 3 })
+		void neverStartATaskTwice(int head) {
+			FakeScheduler second = newScheduler("second", 1);
+			second.useRacksOf(OnceOnlyTests.this.scheduler);
+			declare(OnceOnlyTests.this.scheduler, 4, 1);
+			declare(second, 4, 2);
+			for (int round = 0; round < 40; round++) {
+				boolean firstLeads = ((round >> (head & 1)) & 1) == (head >> 1);
+				(firstLeads ? OnceOnlyTests.this.scheduler : second).tick();
+				(firstLeads ? second : OnceOnlyTests.this.scheduler).tick();
+				OnceOnlyTests.this.time.advance(Duration.ofMillis(500));
+				OnceOnlyTests.this.scheduler.work();
+			}
+			assertNoTaskRanTwice(4);
+		}
+
+		@Test
+		void oneOfThemFrozenWhileItsReservationIsAnsweredStartsNothing() {
+			declare(OnceOnlyTests.this.scheduler, 1, 1);
+			OnceOnlyTests.this.scheduler.setReserveHeld(true);
+			OnceOnlyTests.this.scheduler.tick();
+			FakeScheduler successor = newScheduler("second", 2);
+			declare(successor, 1, 2);
+			successor.seconds(3);
+			assertNoTaskRanTwice(1);
+			OnceOnlyTests.this.scheduler.setReserveHeld(false);
+			OnceOnlyTests.this.scheduler.seconds(20);
+			assertNoTaskRanTwice(1);
+		}
+
+		@Test
+		void aFrozenOneThatOwnsTheQueueAgainLetsOldAnswersGo() {
+			declare(OnceOnlyTests.this.scheduler, 1, 1);
+			OnceOnlyTests.this.scheduler.setReserveHeld(true);
+			OnceOnlyTests.this.scheduler.tick();
+			OnceOnlyTests.this.scheduler.queues().disown(CellData.TEAM);
+			declare(OnceOnlyTests.this.scheduler, 1, 3);
+			OnceOnlyTests.this.scheduler.setReserveHeld(false);
+			OnceOnlyTests.this.scheduler.seconds(20);
+			assertNoTaskRanTwice(1);
+			int granted = OnceOnlyTests.this.scheduler.racks().workers().stream().mapToInt(OnceOnlyTests::held).sum();
+			assertThat(granted).isOne();
+		}
+
+	}
+
+}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -35,10 +35,18 @@
 
 	private final long queueEpoch;
 
+	private final long hostsVersion;
+
 	private Instant finishedAt;
 
+	private long attemptFloor;
+
+	private boolean retired;
+
 	public Job(Workload workload, JobRecord recorded, long queueEpoch, Instant now) {
 		this.queueEpoch = queueEpoch;
+		this.hostsVersion = recorded.hostsVersion();
+		this.attemptFloor = queueEpoch << EPOCH_SHIFT;
 		this.workload = workload;
 		this.readySince = now;
 		this.tasks = new TaskList(workload.tasks());
@@ -85,7 +93,7 @@
 		if (task.state() != TaskState.WAITING) {
 			throw new IllegalStateException("task " + index + " of " + id() + " is " + task.state());
 		}
-		task.advance(Math.max(task.attempt() + 1, this.queueEpoch << EPOCH_SHIFT));
+		task.advance(Math.max(task.attempt() + 1, this.attemptFloor));
 		this.tasks.set(task, TaskState.RESERVED);
 		return attemptOf(task);
 	}
@@ -99,7 +107,8 @@
 	 */
 	public boolean reservedOn(AttemptId attempt, WorkerId worker, String incarnation) {
 		Task task = taskOf(attempt);
-		if (task.attempt() != attempt.attempt() || task.state() != TaskState.RESERVED) {
+		boolean asked = task.state() == TaskState.RESERVED || task.state() == TaskState.STARTING;
+		if (this.retired || task.attempt() != attempt.attempt() || !asked) {
 			return false;
 		}
 		task.placedOn(worker.value(), incarnation);
@@ -113,13 +122,23 @@
 	 */
 	public boolean starting(AttemptId attempt) {
 		Task task = taskOf(attempt);
-		if (task.attempt() != attempt.attempt() || task.state() != TaskState.RESERVED) {
+		if (this.retired || task.attempt() != attempt.attempt() || task.state() != TaskState.RESERVED) {
 			return false;
 		}
 		this.tasks.set(task, TaskState.STARTING);
 		return true;
 	}
 
+	/**
+	 * Tell whether an attempt may be started now.
+	 * @param attempt the attempt
+	 * @return {@code true} if it is the open one and nothing has ended it since
+	 */
+	public boolean isStarting(AttemptId attempt) {
+		Task task = taskOf(attempt);
+		return !this.retired && task.attempt() == attempt.attempt() && task.state() == TaskState.STARTING;
+	}
+
 	/**
 	 * A worker runs the attempt. A message that comes after the attempt's end changes
 	 * nothing.
@@ -302,17 +321,52 @@
 		return Optional.ofNullable(this.finishedAt);
 	}
 
+	/**
+	 * Another object stands for the job from now on, because it was loaded anew or its
+	 * queue has another owner. Answers still under way to this object start nothing.
+	 */
+	public void retire() {
+		this.retired = true;
+	}
+
+	/**
+	 * Tell whether another object stands for the job.
+	 * @return {@code true} after {@link #retire()}
+	 */
+	public boolean isRetired() {
+		return this.retired;
+	}
+
+	/**
+	 * Open attempts only above all that another object opened for the same job, so that
+	 * no two attempts share a number.
+	 * @param former the other object
+	 */
+	public void succeed(Job former) {
+		long last = former.tasks.all().mapToLong(Task::attempt).max().orElse(0);
+		this.attemptFloor = Math.max(this.attemptFloor, last + 1);
+	}
+
+	/**
+	 * Version of the host list that the writer of the loaded record knew.
+	 * @return the version
+	 */
+	public long hostsVersion() {
+		return this.hostsVersion;
+	}
+
 	/**
 	 * Durable form of the progress.
 	 * @param writeId identity of the write
+	 * @param knownHosts version of the host list known now
 	 * @return the record
 	 */
-	public JobRecord toRecord(String writeId) {
+	public JobRecord toRecord(String writeId, long knownHosts) {
 		List<TaskRecord> changed = this.tasks.all()
 			.filter((task) -> task.attempt() > 0 || task.state() != TaskState.WAITING)
 			.map(Task::toRecord)
 			.toList();
-		return new JobRecord(this.queueEpoch, writeId, changed, this.finishedAt);
+		return new JobRecord(this.queueEpoch, writeId, knownHosts, changed, this.finishedAt);
 	}
 
 	/**
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/JobRecord.java
@@ -8,23 +8,22 @@
  *
  * @param queueEpoch epoch of the queue owner that wrote it
  * @param writeId identity of the write, to settle a lost answer by reading back
+ * @param hostsVersion version of the host list known to the writer; a worker missing from
+ * an older list is not gone
  * @param tasks the tasks that have left their first state
  * @param finishedAt when the queue's owner learnt that all tasks had finished,
  * {@code null} before
  */
-public record JobRecord(long queueEpoch, String writeId, List<TaskRecord> tasks, Instant finishedAt) {
+public record JobRecord(long queueEpoch, String writeId, long hostsVersion, List<TaskRecord> tasks,
+		Instant finishedAt) {
 
 	/**
 	 * No progress yet.
 	 */
-	public static final JobRecord NONE = new JobRecord(0, "", List.of());
+	public static final JobRecord NONE = new JobRecord(0, "", 0, List.of(), null);
 
 	public JobRecord {
 		tasks = List.copyOf(tasks);
 	}
 
-	public JobRecord(long queueEpoch, String writeId, List<TaskRecord> tasks) {
-		this(queueEpoch, writeId, tasks, null);
-	}
-
 }
--- a/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobFinishTests.java
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobFinishTests.java
@@ -25,7 +25,7 @@
 		assertThat(this.job.finishedAt()).isEmpty();
 		finish(1, START.plusSeconds(2));
 		this.job.noteFinish(START.plusSeconds(3));
-		Job taken = new Job(this.roster, this.job.toRecord("w"), 2, START.plusSeconds(9));
+		Job taken = new Job(this.roster, this.job.toRecord("w", 1), 2, START.plusSeconds(9));
 		taken.noteFinish(START.plusSeconds(9));
 
 		assertThat(taken.finishedAt()).contains(START.plusSeconds(2));
--- a/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobTests.java
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobTests.java
@@ -151,7 +151,7 @@
 				assertThat(this.job.starting(attempt)).isTrue();
 				this.ordered.add(attempt);
 			}
-			this.durable = this.job.toRecord("write");
+			this.durable = this.job.toRecord("write", 1);
 		}
 
 		private void end(List<AttemptId> from, int pick, Kind kind) {
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -183,6 +183,7 @@
 		if (list.version() >= this.hosts.version()) {
 			this.hosts = list;
 			this.rackManager.update(list);
+			this.queueManager.update(list);
 		}
 	}
 
