Name every fault of a text at once, and none by a crash

Cause: a chain of 20,000 dependencies overflowed the stack; a value that fits the schema but no type (an instant such as 2026-13-45T00:00:00Z) threw out of the check; references were not looked at while the schema had faults; a cycle was named once for each workload on it; the schema's own wording named the parent of an unknown key and quoted regular expressions.

Ruled out: pruning faulty entries and checking the rest, which makes false "not declared" faults. The references are checked on a lenient reading and pass over what is left out. Cycles are found depth first without recursion.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
@@ -25,6 +26,9 @@
 		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.build();
 
+	private static final ObjectReader LENIENT = MAPPER.reader()
+		.without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
 	private Json() {
 	}
 
@@ -59,4 +63,16 @@
 		}
 	}
 
+	/**
+	 * Read a value that others wrote, passing over unknown properties.
+	 * @param <T> type of the value
+	 * @param text the JSON text
+	 * @param type type of the value
+	 * @return the value
+	 * @throws JsonProcessingException if the text does not hold such a value
+	 */
+	public static <T> T readLeniently(String text, Class<T> type) throws JsonProcessingException {
+		return LENIENT.forType(type).readValue(text);
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/CellTextParser.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/CellTextParser.java
@@ -1,8 +1,10 @@
 package org.monsoonrelay.logic.text;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.model.workload.CellText;
 
@@ -14,18 +16,23 @@
 	private static final SchemaCheck SCHEMA = new SchemaCheck(CellTextParser.class, "cell-text.schema.json");
 
 	/**
-	 * Check a text against the schema, then its references.
+	 * Check a text against the schema and its references.
 	 * @param document the text
 	 * @return the text or its faults
 	 */
 	public CheckedText parse(String document) {
-		List<TextFault> faults = SCHEMA.check(document);
-		if (!faults.isEmpty()) {
+		List<TextFault> faults = new ArrayList<>(SCHEMA.check(document));
+		try {
+			CellText text = Json.readLeniently(document, CellText.class);
+			faults.addAll(new ReferenceCheck(text).faults());
+			return new CheckedText(faults.isEmpty() ? Optional.of(text) : Optional.empty(), faults);
+		}
+		catch (JsonProcessingException ex) {
+			if (faults.isEmpty()) {
+				faults.add(SchemaCheck.bindingFault(ex));
+			}
 			return new CheckedText(Optional.empty(), faults);
 		}
-		CellText text = Json.read(document, CellText.class);
-		List<TextFault> references = new ReferenceCheck(text).faults();
-		return new CheckedText(references.isEmpty() ? Optional.of(text) : Optional.empty(), references);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/ReferenceCheck.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/ReferenceCheck.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,8 +20,8 @@
 
 /**
  * Checks what a schema cannot: names used twice, teams and dependencies that are not
- * declared, cycles, work that its team's quota can never hold. Not thread-safe; one
- * instance checks one text.
+ * declared, cycles, work that its team's quota can never hold. What a text with faults of
+ * other kinds leaves out is passed over. Not thread-safe; one instance checks one text.
  */
 final class ReferenceCheck {
 
@@ -30,7 +31,7 @@
 
 	private final Map<String, String> pointerByName = new HashMap<>();
 
-	private final Map<String, List<String>> dependencies = new HashMap<>();
+	private final Map<String, List<String>> dependencies = new LinkedHashMap<>();
 
 	ReferenceCheck(CellText text) {
 		this.text = text;
@@ -48,26 +49,25 @@
 	}
 
 	private void checkTeams() {
-		Set<String> names = new HashSet<>();
-		for (int index = 0; index < this.text.teams().size(); index++) {
-			String name = this.text.teams().get(index).name();
-			if (!names.add(name)) {
-				fault("/teams/" + index + "/name", "team '" + name + "' is declared twice");
+		names("/teams/", "team", this.text.teams().stream().map(Team::name).toList());
+	}
+
+	private Set<String> names(String prefix, String what, List<String> names) {
+		Set<String> distinct = new HashSet<>();
+		for (int index = 0; index < names.size(); index++) {
+			String name = names.get(index);
+			if (name != null && !distinct.add(name)) {
+				fault(prefix + index + "/name", what + " '" + name + "' is declared twice");
 			}
 		}
+		return distinct;
 	}
 
 	private void checkService(String pointer, ServiceDeclaration service) {
 		declare(pointer, service.name(), service.dependsOn());
 		checkQuota(pointer, service.team(), service.size(), 1);
-		Set<String> operations = new HashSet<>();
-		for (int index = 0; index < service.operations().size(); index++) {
-			Operation operation = service.operations().get(index);
-			if (!operations.add(operation.name())) {
-				fault(pointer + "/operations/" + index + "/name",
-						"operation '" + operation.name() + "' is declared twice");
-			}
-		}
+		Set<String> operations = names(pointer + "/operations/", "operation",
+				service.operations().stream().map(Operation::name).toList());
 		checkTargets(pointer, service.targets(), operations);
 	}
 
@@ -82,25 +82,39 @@
 	}
 
 	private void declare(String pointer, String name, List<String> dependsOn) {
+		if (name == null) {
+			return;
+		}
 		String earlier = this.pointerByName.putIfAbsent(name, pointer);
 		if (earlier != null) {
 			fault(pointer + "/name", "'" + name + "' is already declared at " + earlier);
 		}
-		this.dependencies.put(name, dependsOn);
+		else {
+			this.dependencies.put(name, dependsOn);
+		}
 	}
 
 	private void checkQuota(String pointer, String teamName, Resources size, int together) {
+		if (teamName == null || size == null) {
+			return;
+		}
 		Optional<Team> team = this.text.team(teamName);
 		if (team.isEmpty()) {
 			fault(pointer + "/team", "team '" + teamName + "' is not declared");
 		}
-		else if (!team.get().quota().covers(size.times(together))) {
+		else if (team.get().quota() != null && !covers(team.get().quota(), size, together)) {
 			fault(pointer + "/size", "can never run: " + together + " task(s) of " + size
 					+ " exceed the quota of team '" + teamName + "' " + team.get().quota());
 		}
 	}
 
+	private static boolean covers(Resources quota, Resources size, long count) {
+		return size.processors() * count <= quota.processors() && size.memoryMiB() * count <= quota.memoryMiB()
+				&& size.accelerators() * count <= quota.accelerators();
+	}
+
 	private void checkTargets(String pointer, List<Target> targets, Set<String> operations) {
+		names(pointer + "/targets/", "target", targets.stream().map(Target::name).toList());
 		for (int index = 0; index < targets.size(); index++) {
 			Target target = targets.get(index);
 			String place = pointer + "/targets/" + index;
@@ -110,7 +124,7 @@
 			if (target.kind() == TargetKind.FINISH_BY && target.by() == null) {
 				fault(place, "a finish_by target needs 'by'");
 			}
-			if (target.kind() != TargetKind.FINISH_BY && target.withinMillis() <= 0) {
+			if (target.kind() != null && target.kind() != TargetKind.FINISH_BY && target.withinMillis() <= 0) {
 				fault(place, "this target needs 'withinMillis'");
 			}
 		}
@@ -118,25 +132,18 @@
 
 	private void checkDependencies() {
 		this.dependencies.forEach((name, needed) -> {
-			String pointer = this.pointerByName.get(name) + "/dependsOn";
 			for (int index = 0; index < needed.size(); index++) {
 				if (!this.dependencies.containsKey(needed.get(index))) {
-					fault(pointer + "/" + index, "'" + needed.get(index) + "' is not declared");
+					fault(place(name, index), "'" + needed.get(index) + "' is not declared");
 				}
 			}
-			if (reaches(name, name, new HashSet<>())) {
-				fault(pointer, "'" + name + "' depends on itself");
-			}
 		});
+		new CycleCheck(this.dependencies)
+			.forEach((closing, way) -> fault(place(closing.name(), closing.index()), "closes a cycle: " + way));
 	}
 
-	private boolean reaches(String from, String wanted, Set<String> seen) {
-		for (String next : this.dependencies.getOrDefault(from, List.of())) {
-			if (next.equals(wanted) || (seen.add(next) && reaches(next, wanted, seen))) {
-				return true;
-			}
-		}
-		return false;
+	private String place(String name, int index) {
+		return this.pointerByName.get(name) + "/dependsOn/" + index;
 	}
 
 	private void fault(String pointer, String reason) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/SchemaCheck.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/text/SchemaCheck.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.networknt.schema.JsonSchema;
 import com.networknt.schema.JsonSchemaFactory;
@@ -20,6 +21,8 @@
  */
 public final class SchemaCheck {
 
+	private static final String REASON_KEYWORD = "x-reason";
+
 	private final JsonSchema schema;
 
 	/**
@@ -32,7 +35,10 @@
 		if (stream == null) {
 			throw new IllegalStateException("schema is missing: " + resource);
 		}
-		SchemaValidatorsConfig config = SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER).build();
+		SchemaValidatorsConfig config = SchemaValidatorsConfig.builder()
+			.pathType(PathType.JSON_POINTER)
+			.errorMessageKeyword(REASON_KEYWORD)
+			.build();
 		this.schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(stream, config);
 	}
 
@@ -47,18 +53,42 @@
 			if (tree.isMissingNode()) {
 				return List.of(new TextFault("", "the document is empty"));
 			}
-			return this.schema.validate(tree).stream().map(this::fault).sorted(byPlace()).toList();
+			return this.schema.validate(tree).stream().map(SchemaCheck::fault).sorted(byPlace()).toList();
 		}
 		catch (JsonProcessingException ex) {
 			return List.of(syntaxFault(ex));
 		}
 	}
 
-	private TextFault fault(ValidationMessage message) {
+	private static TextFault fault(ValidationMessage message) {
 		String pointer = message.getInstanceLocation().toString();
+		return switch (message.getType()) {
+			case "additionalProperties" -> new TextFault(pointer + "/" + message.getProperty(), "unknown key");
+			case "required" -> new TextFault(pointer, "'" + message.getProperty() + "' is missing");
+			default -> new TextFault(pointer, reason(pointer, message));
+		};
+	}
+
+	private static String reason(String pointer, ValidationMessage message) {
 		String text = message.getMessage();
-		String reason = text.startsWith(pointer + ": ") ? text.substring(pointer.length() + 2) : text;
-		return new TextFault(pointer, reason);
+		return text.startsWith(pointer + ": ") ? text.substring(pointer.length() + 2) : text;
+	}
+
+	/**
+	 * The fault of a document that fits the schema but not the type behind it.
+	 * @param ex why it could not be bound
+	 * @return the fault with its place
+	 */
+	public static TextFault bindingFault(JsonProcessingException ex) {
+		if (!(ex instanceof JsonMappingException mapping)) {
+			return syntaxFault(ex);
+		}
+		StringBuilder pointer = new StringBuilder();
+		for (JsonMappingException.Reference step : mapping.getPath()) {
+			pointer.append('/').append((step.getFieldName() != null) ? step.getFieldName() : step.getIndex());
+		}
+		return new TextFault(pointer.toString(),
+				mapping.getOriginalMessage().lines().findFirst().orElse("cannot be read"));
 	}
 
 	private static TextFault syntaxFault(JsonProcessingException ex) {
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/text/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of reading and checking the operators' text.
+ */
+package org.monsoonrelay.logic.text;
