Finish the operators' command line

Cause: report guessed nothing because it knew nothing; apply made an edit of a text that was in force already; an edit whose answer was lost was called unreachable (3) rather than unknown (5); a host cut off from the platform ended the command; a wrong option printed twenty lines; nothing of it was tested.

State is read from the platform's head first, so that an operator's second edit does not conflict with his own first one.

Ruled out: p99 of answers from the gateways' counters (there is no distribution by operation, and quantiles of several hosts cannot be added), and start times (waits are not kept for each task): both stay unknown.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/operator/CellStatus.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/operator/CellStatus.java
@@ -12,9 +12,10 @@
  * @param processes the processes heard of
  * @param missing addresses of processes that are not heard of or did not answer
  * @param jobs the jobs of all queues whose owners answered
+ * @param workers what is known of the workers' room
  */
 public record CellStatus(long version, long textVersion, List<ProcessStatus> processes, List<String> missing,
-		List<JobStatus> jobs) {
+		List<JobStatus> jobs, WorkersRoom workers) {
 
 	public CellStatus {
 		processes = List.copyOf(processes);
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/ApplyCommand.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/ApplyCommand.java
@@ -1,13 +1,11 @@
 package org.monsoonrelay.cli;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.TimeUnit;
 
 import org.monsoonrelay.adapters.logging.Program;
-import org.monsoonrelay.adapters.operator.CellStatus;
 import org.monsoonrelay.adapters.operator.EditReply;
 import org.monsoonrelay.adapters.operator.StateMessage;
 import org.monsoonrelay.logic.text.TextFault;
@@ -21,14 +19,19 @@
  * Brings a text into force.
  */
 @Command(name = "apply", mixinStandardHelpOptions = true,
-		description = "Bring a text into force, after showing what it changes.")
+		description = "Bring a text into force, after showing what it changes.",
+		footer = { "", "Examples:", "  monsoonrelay apply --dry-run cell.json",
+				"  monsoonrelay apply --wait --expect-version 7 cell.json" })
 final class ApplyCommand implements Callable<Integer> {
 
-	private static final int POLL_MILLIS = 200;
+	private final Pacer pacer;
 
 	@Mixin
 	private Connection connection;
 
+	@Mixin
+	private Output output;
+
 	@Parameters(paramLabel = "FILE", description = "The text.")
 	private Path file;
 
@@ -46,60 +49,50 @@
 			description = "How long to wait, in seconds. Default: ${DEFAULT-VALUE}.")
 	private int timeoutSeconds;
 
-	@Option(names = "--json", description = "Print JSON.")
-	private boolean json;
+	ApplyCommand(Pacer pacer) {
+		this.pacer = pacer;
+	}
 
 	@Override
 	public Integer call() throws InterruptedException {
 		String text = Texts.read(this.file);
 		List<TextFault> faults = Texts.faults(text);
 		if (!faults.isEmpty()) {
-			faults.forEach((fault) -> System.err.println(this.file + ": " + fault));
+			faults.forEach((fault) -> this.output.notice(this.file + ": " + fault));
 			return Program.INVALID;
 		}
 		OperatorClient client = this.connection.client();
 		StateMessage present = client.state();
-		if (!this.json) {
-			TextDiff.between(present.text(), text).forEach(System.out::println);
-		}
+		List<String> changes = TextDiff.between(present, text);
+		show(present, changes);
 		if (this.dryRun) {
 			return Program.OK;
 		}
 		long expected = (this.expectedVersion != null) ? this.expectedVersion : present.textVersion();
-		EditReply reply = client.edit(Edits.request(EditKind.APPLY, text, List.of(), expected));
-		Edits.print(reply, this.json);
+		boolean unchanged = changes.isEmpty() && expected == present.textVersion();
+		EditReply reply = unchanged ? unchanged(present)
+				: client.edit(Edits.request(EditKind.APPLY, text, List.of(), expected));
+		Edits.print(reply, this.output);
 		if (reply.outcome() != EditReply.Outcome.ACCEPTED || !this.waitForAll) {
 			return Edits.exitCode(reply);
 		}
-		return waitUntilInForce(client, reply.version());
+		return new InForceWait(client, this.output, this.pacer).until(reply.version(),
+				Duration.ofSeconds(this.timeoutSeconds));
 	}
 
-	private int waitUntilInForce(OperatorClient client, long version) throws InterruptedException {
-		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(this.timeoutSeconds);
-		List<String> behind = behind(client.status(), version);
-		while (!behind.isEmpty() && System.nanoTime() - end < 0) {
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-			behind = behind(client.status(), version);
+	private void show(StateMessage present, List<String> changes) {
+		if (!this.output.isJson()) {
+			this.output.line("changes to the text of version " + present.textVersion() + ":");
+			changes.forEach(this.output::line);
 		}
-		if (behind.isEmpty()) {
-			report("in force on all processes");
-			return Program.OK;
+		else if (this.dryRun) {
+			this.output.json(changes);
 		}
-		report("not in force yet on: " + String.join(", ", behind));
-		return Program.FAILED;
-	}
-
-	private void report(String line) {
-		(this.json ? System.err : System.out).println(line);
 	}
 
-	private static List<String> behind(CellStatus status, long version) {
-		List<String> behind = new ArrayList<>(status.missing());
-		status.processes()
-			.stream()
-			.filter((process) -> process.version() < version)
-			.forEach((process) -> behind.add(process.address() + " (version " + process.version() + ")"));
-		return behind;
+	private static EditReply unchanged(StateMessage present) {
+		return new EditReply(EditReply.Outcome.ACCEPTED, present.version(), null, List.of(),
+				"no change: the text is in force already");
 	}
 
 }
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/AuditCommand.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/AuditCommand.java
@@ -6,7 +6,6 @@
 import org.monsoonrelay.adapters.logging.Program;
 import org.monsoonrelay.logic.control.AuditPage;
 import org.monsoonrelay.logic.control.AuditQuery;
-import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.model.control.EditKind;
 import org.monsoonrelay.model.control.EditRecord;
 import picocli.CommandLine.Command;
@@ -16,7 +15,8 @@
 /**
  * Reads the audit trail.
  */
-@Command(name = "audit", mixinStandardHelpOptions = true, description = "Read who changed what, and when.")
+@Command(name = "audit", mixinStandardHelpOptions = true, description = "Read who changed what, and when.",
+		footer = { "", "Example:", "  monsoonrelay audit --operator ana --kind apply --limit 20" })
 final class AuditCommand implements Callable<Integer> {
 
 	@Mixin
@@ -36,21 +36,21 @@
 	@Option(names = "--kind", paramLabel = "KIND", description = "Only edits of this kind: ${COMPLETION-CANDIDATES}.")
 	private EditKind kind;
 
-	@Option(names = "--json", description = "Print JSON.")
-	private boolean json;
+	@Mixin
+	private Output output;
 
 	@Override
 	public Integer call() {
 		AuditPage page = this.connection.client()
 			.audit(new AuditQuery(this.after, Optional.ofNullable(this.operator), Optional.ofNullable(this.kind),
 					this.limit));
-		if (this.json) {
-			System.out.println(Json.write(page));
+		if (this.output.isJson()) {
+			this.output.json(page);
 			return Program.OK;
 		}
-		page.entries().forEach((entry) -> System.out.println(line(entry)));
+		page.entries().forEach((entry) -> this.output.line(line(entry)));
 		if (!page.next().isEmpty()) {
-			System.err.println("more entries follow: --after " + page.next());
+			this.output.notice("more entries follow: --after " + page.next());
 		}
 		return Program.OK;
 	}
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/Edits.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/Edits.java
@@ -6,7 +6,6 @@
 import org.monsoonrelay.adapters.logging.Program;
 import org.monsoonrelay.adapters.operator.EditReply;
 import org.monsoonrelay.adapters.operator.EditRequest;
-import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.model.control.EditKind;
 
 /**
@@ -21,18 +20,34 @@
 		return new EditRequest(UUID.randomUUID().toString(), kind, text, targets, expectedTextVersion);
 	}
 
-	static void print(EditReply reply, boolean json) {
-		if (json) {
-			System.out.println(Json.write(reply));
+	/**
+	 * Submit a stop or a cancellation and tell what became of it.
+	 * @param kind which of both
+	 * @param targets the targets
+	 * @param client the client
+	 * @param output where to tell it
+	 * @return the exit code
+	 */
+	static int submit(EditKind kind, List<String> targets, OperatorClient client, Output output) {
+		EditReply reply = client.edit(request(kind, "", targets, null));
+		print(reply, output);
+		return exitCode(reply);
+	}
+
+	static void print(EditReply reply, Output output) {
+		if (output.isJson()) {
+			output.json(reply);
 			return;
 		}
 		switch (reply.outcome()) {
-			case ACCEPTED -> System.out.println("accepted as version " + reply.version());
-			case CONFLICT -> System.out.println("conflict: " + reply.winner().operator() + " came first with version "
-					+ reply.winner().version() + " at " + reply.winner().at() + "; nothing was changed");
-			case INVALID -> reply.faults().forEach((fault) -> System.out.println("fault: " + fault));
-			case UNAVAILABLE -> System.out.println("not accepted: " + reply.detail());
-			case UNSETTLED -> System.out.println("unknown whether accepted: " + reply.detail());
+			case ACCEPTED ->
+				output.line(reply.detail().isEmpty() ? "accepted as version " + reply.version() : reply.detail());
+			case CONFLICT -> output.notice("conflict: " + reply.winner().operator() + " came first with version "
+					+ reply.winner().version() + " at " + reply.winner().at() + " (edit " + reply.winner().editId()
+					+ "); nothing was changed");
+			case INVALID -> reply.faults().forEach((fault) -> output.notice("refused: " + fault));
+			case UNAVAILABLE -> output.notice("not accepted: " + reply.detail());
+			case UNSETTLED -> output.notice("unknown whether accepted: " + reply.detail());
 		}
 	}
 
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/MonsoonrelayMain.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/MonsoonrelayMain.java
@@ -1,19 +1,28 @@
 package org.monsoonrelay.cli;
 
+import java.io.PrintWriter;
+import java.time.Clock;
+import java.time.InstantSource;
+
 import org.monsoonrelay.adapters.logging.Program;
+import picocli.AutoComplete.GenerateCompletion;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /**
- * The operators' command line.
+ * The operators' command line. Every complaint is one line on the standard error.
  */
 @Command(name = "monsoonrelay", mixinStandardHelpOptions = true, version = "0.1.0",
 		description = "Operates a monsoonrelay cell.",
 		subcommands = { CheckCommand.class, ApplyCommand.class, StatusCommand.class, StopCommand.class,
-				CancelCommand.class, AuditCommand.class, ReportCommand.class },
-		footer = { "", "Exit codes: 0 done, 1 not done, 2 invalid input, 3 unreachable, 4 conflict, 5 unknown.", "",
-				"Examples:", "  monsoonrelay check examples/pelo-fino.json",
-				"  monsoonrelay apply --host 10.0.0.1:8180 --token SECRET --wait examples/pelo-fino.json" })
+				CancelCommand.class, AuditCommand.class, ReportCommand.class, GenerateCompletion.class },
+		exitCodeListHeading = "%nExit codes:%n",
+		exitCodeList = { "0:done", "1:what was asked for did not happen, or not in time",
+				"2:the command line or the text has faults", "3:no entry host, or not the platform, can be reached",
+				"4:another edit came first", "5:it is not known whether the edit was made; repeat the command" },
+		footer = { "", "Examples:", "  monsoonrelay check examples/pelo-fino.json",
+				"  monsoonrelay apply --host 10.0.0.1:8180,10.0.0.2:8180 --token SECRET --wait cell.json",
+				"  monsoonrelay status roster", "  source <(monsoonrelay generate-completion)" })
 public final class MonsoonrelayMain implements Runnable {
 
 	@CommandLine.Spec
@@ -24,13 +33,34 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
-		CommandLine line = new CommandLine(new MonsoonrelayMain());
+		CommandLine line = commandLine(Pacer.SYSTEM, Clock.systemUTC());
+		System.exit(line.execute(arguments));
+	}
+
+	/**
+	 * Build the command line.
+	 * @param pacer how commands wait
+	 * @param clock the time against which targets are judged
+	 * @return the command line
+	 */
+	static CommandLine commandLine(Pacer pacer, InstantSource clock) {
+		CommandLine line = new CommandLine(new MonsoonrelayMain(), new Commands(pacer, clock));
 		line.setCaseInsensitiveEnumValuesAllowed(true);
 		line.setExecutionExceptionHandler((ex, failed, parsed) -> {
-			System.err.println(failed.getCommandSpec().qualifiedName() + ": " + ex.getMessage());
+			complain(failed, ex.getMessage());
 			return (ex instanceof CommandFailure failure) ? failure.exitCode() : Program.FAILED;
 		});
-		System.exit(line.execute(arguments));
+		line.setParameterExceptionHandler((ex, arguments) -> {
+			complain(ex.getCommandLine(), ex.getMessage() + " (see --help)");
+			return Program.INVALID;
+		});
+		return line;
+	}
+
+	private static void complain(CommandLine failed, String message) {
+		PrintWriter errors = failed.getErr();
+		errors.println(failed.getCommandSpec().qualifiedName() + ": " + message);
+		errors.flush();
 	}
 
 	@Override
@@ -38,4 +68,22 @@
 		throw new CommandLine.ParameterException(this.spec.commandLine(), "a command is needed");
 	}
 
+	/**
+	 * Makes the commands that need a clock, and leaves the others to the library.
+	 */
+	private record Commands(Pacer pacer, InstantSource clock) implements CommandLine.IFactory {
+
+		@Override
+		public <K> K create(Class<K> type) throws Exception {
+			if (type == ApplyCommand.class) {
+				return type.cast(new ApplyCommand(this.pacer));
+			}
+			if (type == ReportCommand.class) {
+				return type.cast(new ReportCommand(this.clock));
+			}
+			return CommandLine.defaultFactory().create(type);
+		}
+
+	}
+
 }
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/ReportCommand.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/ReportCommand.java
@@ -1,63 +1,70 @@
 package org.monsoonrelay.cli;
 
-import java.util.ArrayList;
+import java.time.InstantSource;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 
 import org.monsoonrelay.adapters.logging.Program;
 import org.monsoonrelay.adapters.operator.CellStatus;
-import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.cli.TargetVerdict.Verdict;
 import org.monsoonrelay.logic.text.CellTextParser;
-import org.monsoonrelay.model.workload.CellText;
-import org.monsoonrelay.model.workload.Target;
-import org.monsoonrelay.model.workload.Workload;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
-import picocli.CommandLine.Option;
 
 /**
- * Reports on the declared targets. A target that is not measured yet is reported as
- * unknown, never guessed.
+ * Reports on the declared targets. A target that is not measured is reported as unknown,
+ * never guessed.
  */
 @Command(name = "report", mixinStandardHelpOptions = true,
-		description = "Report each declared target: met, missed with its penalty, or unknown.")
+		description = "Report each declared target: met, missed with its penalty, or unknown.",
+		footer = { "", "Example:", "  monsoonrelay report --json" })
 final class ReportCommand implements Callable<Integer> {
 
+	private final InstantSource clock;
+
 	@Mixin
 	private Connection connection;
 
-	@Option(names = "--json", description = "Print JSON.")
-	private boolean json;
+	@Mixin
+	private Output output;
+
+	ReportCommand(InstantSource clock) {
+		this.clock = clock;
+	}
 
 	@Override
 	public Integer call() {
 		OperatorClient client = this.connection.client();
-		CellText text = new CellTextParser().accepted(client.state().text());
 		CellStatus status = client.status();
-		List<Line> lines = new ArrayList<>();
-		for (Workload workload : text.workloads()) {
-			for (Target target : workload.targets()) {
-				lines.add(new Line(workload.id().toString(), target.name(), Verdict.UNKNOWN, target.penaltyCents()));
-			}
+		List<TargetVerdict> verdicts = new TargetJudge(status, this.clock.instant())
+			.judge(new CellTextParser().accepted(client.state().text()));
+		CellReport report = CellReport.of(status, verdicts);
+		if (this.output.isJson()) {
+			this.output.json(report);
 		}
-		if (this.json) {
-			System.out.println(Json.write(lines));
-			return Program.OK;
+		else {
+			print(report);
 		}
-		System.out.println("version " + status.version());
-		lines.forEach((line) -> System.out.println(line.workload() + " " + line.target() + ": " + line.verdict()
-				+ " (penalty of a miss: " + line.penaltyCents() + " cents)"));
 		return Program.OK;
 	}
 
-	private enum Verdict {
-
-		UNKNOWN
-
+	private void print(CellReport report) {
+		this.output.line("version " + report.version());
+		report.missing().forEach((address) -> this.output.notice("no word from " + address));
+		report.targets().forEach((target) -> this.output.line(line(target)));
+		this.output.line("penalties of missed targets: " + report.penaltyCents() + " cents");
+		report.waitingTasks()
+			.forEach((reason, tasks) -> this.output.line("waiting: " + tasks + " tasks (" + reason + ")"));
+		this.output.line("packing: " + ((report.packedPercent() != null) ? String.format(Locale.ROOT,
+				"%.1f%% of the processors of %d workers", report.packedPercent(), report.workers()) : "unknown"));
+		this.output.line("waiting time, control cost: unknown here; see each process's metrics");
 	}
 
-	private record Line(String workload, String target, Verdict verdict, long penaltyCents) {
-
+	private static String line(TargetVerdict target) {
+		String penalty = (target.verdict() == Verdict.MISSED) ? ", penalty " + target.penaltyCents() + " cents" : "";
+		return target.workload() + " " + target.target() + ": " + target.verdict().name().toLowerCase(Locale.ROOT)
+				+ penalty + " (" + target.detail() + ")";
 	}
 
 }
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/TextDiff.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/TextDiff.java
@@ -4,8 +4,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.monsoonrelay.adapters.operator.StateMessage;
 import org.monsoonrelay.logic.platform.Json;
 
 /**
@@ -18,19 +21,22 @@
 	private TextDiff() {
 	}
 
-	static List<String> between(String before, String after) {
-		JsonNode old = Json.read(before, JsonNode.class);
+	/**
+	 * What a text changes, empty if nothing.
+	 * @param present what is in force
+	 * @param after the new text
+	 * @return a line for each change
+	 */
+	static List<String> between(StateMessage present, String after) {
+		JsonNode old = Json.read(present.text(), JsonNode.class);
 		JsonNode next = Json.read(after, JsonNode.class);
 		List<String> lines = new ArrayList<>();
+		fields("", old.path("cell"), next.path("cell"), "~ cell", lines);
+		fields("", old.path("policy"), next.path("policy"), "~ policy", lines);
 		for (String section : SECTIONS) {
 			compare(section, byName(old.path(section)), byName(next.path(section)), lines);
 		}
-		if (!old.path("policy").equals(next.path("policy"))) {
-			lines.add("~ policy");
-		}
-		if (lines.isEmpty()) {
-			lines.add("no change");
-		}
+		present.stopped().forEach((name) -> lines.add("~ no longer stopped: " + name));
 		return lines;
 	}
 
@@ -44,12 +50,30 @@
 			if (!old.containsKey(name)) {
 				lines.add("+ " + section + " " + name);
 			}
-			else if (!old.get(name).equals(declared)) {
-				lines.add("~ " + section + " " + name);
+			else {
+				fields("", old.get(name), declared, "~ " + section + " " + name, lines);
 			}
 		});
 	}
 
+	private static void fields(String pointer, JsonNode old, JsonNode next, String label, List<String> lines) {
+		if (old.equals(next)) {
+			return;
+		}
+		if (!old.isObject() || !next.isObject()) {
+			lines.add(label + " " + pointer + ": " + show(old) + " -> " + show(next));
+			return;
+		}
+		Set<String> names = new TreeSet<>();
+		old.fieldNames().forEachRemaining(names::add);
+		next.fieldNames().forEachRemaining(names::add);
+		names.forEach((name) -> fields(pointer + "/" + name, old.path(name), next.path(name), label, lines));
+	}
+
+	private static String show(JsonNode value) {
+		return value.isMissingNode() ? "nothing" : value.toString();
+	}
+
 	private static Map<String, JsonNode> byName(JsonNode section) {
 		Map<String, JsonNode> entries = new LinkedHashMap<>();
 		section.forEach((entry) -> {
--- /dev/null
+++ b/monsoonrelay-cli/src/test/java/org/monsoonrelay/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the operators' command line.
+ */
+package org.monsoonrelay.cli;
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/CellStatusCollector.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/CellStatusCollector.java
@@ -3,17 +3,23 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import org.monsoonrelay.adapters.operator.CellStatus;
 import org.monsoonrelay.adapters.operator.ProcessStatus;
+import org.monsoonrelay.adapters.operator.WorkersRoom;
+import org.monsoonrelay.adapters.peer.PeerCodec;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Announcement;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusRequest;
 import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.placement.RackSummary;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.queue.JobStatus;
 import org.monsoonrelay.logic.queue.QueueManager;
@@ -27,7 +33,7 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
-	private final String session;
+	private final Supplier<List<RackSummary>> ownRacks;
 
 	private final SchedulerSettings settings;
 
@@ -41,9 +47,9 @@
 
 	private final PeerNetwork network;
 
-	CellStatusCollector(String session, SchedulerSettings settings, QueueManager queues, ControlTracker tracker,
-			Executor control, PeerDirectory peers, PeerNetwork network) {
-		this.session = session;
+	CellStatusCollector(Supplier<List<RackSummary>> ownRacks, SchedulerSettings settings, QueueManager queues,
+			ControlTracker tracker, Executor control, PeerDirectory peers, PeerNetwork network) {
+		this.ownRacks = ownRacks;
 		this.settings = settings;
 		this.queues = queues;
 		this.tracker = tracker;
@@ -60,7 +66,7 @@
 		List<ProcessStatus> processes = new ArrayList<>();
 		processes.add(new ProcessStatus(this.settings.node().peerAddress(), SchedulerNode.ROLE,
 				this.settings.node().failureDomain(), this.tracker.inForce().head().version()));
-		TreeMap<String, JobStatus> jobs = new TreeMap<>();
+		Map<String, JobStatus> jobs = new TreeMap<>();
 		this.queues.status().forEach((status) -> jobs.put(status.id().toString(), status));
 		List<String> missing = new ArrayList<>();
 		List<CompletableFuture<Void>> answers = new ArrayList<>();
@@ -75,11 +81,26 @@
 		this.settings.node().peers().stream().filter((address) -> !heard.contains(address)).forEach(missing::add);
 		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
 			.thenApplyAsync((done) -> new CellStatus(this.tracker.inForce().head().version(),
-					this.tracker.inForce().state().textVersion(), processes, missing, List.copyOf(jobs.values())),
-					this.control);
+					this.tracker.inForce().state().textVersion(), processes, missing, List.copyOf(jobs.values()),
+					room()), this.control);
 	}
 
-	private CompletableFuture<Void> askPeer(Announcement peer, TreeMap<String, JobStatus> jobs, List<String> missing) {
+	private static void merge(Map<String, JobStatus> jobs, JobStatus told) {
+		jobs.merge(told.id().toString(), told, (first, second) -> (second.finishedAt() != null) ? second : first);
+	}
+
+	private WorkersRoom room() {
+		Map<String, RackSummary> byRack = new TreeMap<>();
+		Stream<RackSummary> others = this.peers.announcements()
+			.stream()
+			.flatMap((peer) -> PeerCodec.decodeSummaries(peer.getRacksList()).stream());
+		Stream.concat(this.ownRacks.get().stream(), others)
+			.forEach((rack) -> byRack.merge(rack.rack(), rack,
+					(first, second) -> (second.epoch() > first.epoch()) ? second : first));
+		return WorkersRoom.of(byRack.values());
+	}
+
+	private CompletableFuture<Void> askPeer(Announcement peer, Map<String, JobStatus> jobs, List<String> missing) {
 		Envelope.Builder request = Envelope.newBuilder().setStatusRequest(StatusRequest.getDefaultInstance());
 		return this.network.request(HostAddress.parse(peer.getAddress()), request, TIMEOUT)
 			.handleAsync((reply, failure) -> {
@@ -88,7 +109,7 @@
 				}
 				else {
 					for (JobStatus status : Json.read(reply.getStatusReply().getStatusJson(), JobStatus[].class)) {
-						jobs.put(status.id().toString(), status);
+						merge(jobs, status);
 					}
 				}
 				return null;
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
@@ -17,10 +17,13 @@
 import org.monsoonrelay.logic.control.AuditQuery;
 import org.monsoonrelay.logic.control.ControlLog;
 import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.control.ControlVersion;
 import org.monsoonrelay.logic.control.Edit;
 import org.monsoonrelay.logic.control.EditOutcome;
 import org.monsoonrelay.logic.control.InForce;
 import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.model.control.ControlHead;
+import org.monsoonrelay.model.control.ControlState;
 import org.monsoonrelay.model.control.EditKind;
 import org.monsoonrelay.scheduler.SchedulerSettings.OperatorCredential;
 
@@ -51,8 +54,8 @@
 
 	void addTo(Jooby application) {
 		application.post("/operator/edits", (context) -> authorized(context, this::edit));
-		application.get("/operator/state", (context) -> authorized(context,
-				(operator, call) -> respond(call, CompletableFuture.completedFuture(stateMessage()))));
+		application.get("/operator/state",
+				(context) -> authorized(context, (operator, call) -> respond(call, state())));
 		application.get("/operator/status",
 				(context) -> authorized(context, (operator, call) -> respond(call, this.status.collect())));
 		application.get("/operator/audit",
@@ -113,9 +116,23 @@
 				((EditOutcome.Unavailable) outcome).detail());
 	}
 
-	private StateMessage stateMessage() {
+	private CompletableFuture<StateMessage> state() {
+		return this.log.head().thenCompose(this::known).exceptionally((failure) -> inForce()).thenApply((version) -> {
+			ControlState state = version.state();
+			return new StateMessage(version.head().version(), state.textVersion(), state.text(),
+					state.stopped().stream().sorted().toList());
+		});
+	}
+
+	private CompletableFuture<ControlVersion> known(ControlHead head) {
+		return (head.version() <= this.tracker.inForce().head().version())
+				? CompletableFuture.completedFuture(inForce())
+				: this.log.state(head).thenApply((state) -> new ControlVersion(head, state));
+	}
+
+	private ControlVersion inForce() {
 		InForce present = this.tracker.inForce();
-		return new StateMessage(present.head().version(), present.state().textVersion(), present.state().text());
+		return new ControlVersion(present.head(), present.state());
 	}
 
 	private static Object respond(Context context, CompletableFuture<?> value) throws Exception {
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -126,8 +126,9 @@
 				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), this.platform,
 				this.control, System::nanoTime, Duration.ofMillis(settings.sessionLapseMillis()), this::owner);
 		this.messages = new SchedulerMessages(this.rackManager, this.queueManager, this.control, clock);
-		OperatorRoutes routes = new OperatorRoutes(settings, this.controlLog, this.tracker, new CellStatusCollector(
-				this.session, settings, this.queueManager, this.tracker, this.control, this.peers, this.network));
+		OperatorRoutes routes = new OperatorRoutes(settings, this.controlLog, this.tracker,
+				new CellStatusCollector(this.rackManager::summaries, settings, this.queueManager, this.tracker,
+						this.control, this.peers, this.network));
 		HealthRoutes health = new HealthRoutes(metrics, this::notReady);
 		this.operators = new HttpServer(settings.operator(), MAXIMUM_BODY_BYTES, (application) -> {
 			health.addTo(application);
