Show the cell's secret only to a caller that has shown it

Cause: both ends of a peer connection sent their hello, with the secret in it, as soon as the connection was up. Anyone who connected to a peer port was sent the cell's secret. Now the end that is called upon answers a right hello with its own and hangs up on anything else; it sends no ping before either.

Ruled out: a challenge with a keyed digest. It would also hide the secret from a listener on the way, but needs new messages; TLS between peers covers both.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerConnection.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerConnection.java
@@ -23,8 +23,9 @@
 
 /**
  * One connection to a peer. Invariants: nothing but a hello is handled before the peer
- * has shown the cell's secret; a reply goes only to the request whose correlation id it
- * carries. Thread-safe: state is concurrent, reads arrive on the channel's thread.
+ * has shown the cell's secret, and one that calls upon this process is sent nothing
+ * before; a reply goes only to the request whose correlation id it carries. Thread-safe:
+ * state is concurrent, reads arrive on the channel's thread.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
 
@@ -89,6 +90,17 @@
 
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
+		// whoever is called upon shows the secret only after the caller has shown it
+		if (isCaller()) {
+			sendHello(context);
+		}
+	}
+
+	private boolean isCaller() {
+		return this.ready != null;
+	}
+
+	private void sendHello(ChannelHandlerContext context) {
 		context.writeAndFlush(Envelope.newBuilder().setHello(this.network.hello()).build());
 	}
 
@@ -118,10 +130,11 @@
 		}
 		this.peer = new PeerIdentity(hello.getSession(), hello.getRole(), hello.getFailureDomain(),
 				HostAddress.parse(hello.getAddress()));
-		if (this.ready != null) {
+		if (isCaller()) {
 			this.ready.complete(this);
 		}
 		else {
+			sendHello(context);
 			this.network.adopt(this.peer, this);
 		}
 	}
@@ -156,7 +169,7 @@
 			if (idle.state() == IdleState.READER_IDLE) {
 				context.close();
 			}
-			else {
+			else if (this.peer != null) {
 				context.writeAndFlush(Envelope.newBuilder().setEmpty(Empty.getDefaultInstance()).build());
 			}
 		}
@@ -166,7 +179,7 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		PeerException closed = new PeerException("peer connection closed", null);
 		this.open.values().forEach((request) -> request.completeExceptionally(closed));
-		if (this.ready != null) {
+		if (isCaller()) {
 			this.ready.completeExceptionally(closed);
 		}
 	}
