Run a request with a key at most once

Cause: a caller that got no answer to a confirmation could only ask again blindly; nothing bound two requests of one intent together.

An Idempotency-Key is reserved in the platform's table before the request is routed: read the row, compare and set it, route, store the answer. A lost answer of the table is settled by reading back the write's own id; where that fails too the request is not run, and its row is written again later, so that a reservation still on its way is refused by the table.

Ruled out: one row per key, because the table has no delete and the rows would grow for ever; expiry by the clock alone, because a clock set ahead would forget the last keys.

The gateway's routes have no test in this commit.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/Problem.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/Problem.java
@@ -12,7 +12,7 @@
  * @param title what the kind of problem is
  * @param status the HTTP status
  * @param detail what is wrong this time
- * @param instance identity of the request
+ * @param instance URI of the request, absent if it has no identity
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 public record Problem(String type, String title, int status, String detail, String instance) {
@@ -21,6 +21,8 @@
 
 	private static final String TYPE_PREFIX = "urn:monsoonrelay:problem:";
 
+	private static final String INSTANCE_PREFIX = "urn:monsoonrelay:request:";
+
 	/**
 	 * Create a problem.
 	 * @param kind short name of the kind, in lower case with hyphens
@@ -33,6 +35,15 @@
 		return new Problem(TYPE_PREFIX + kind, title, status, detail, null);
 	}
 
+	/**
+	 * This problem as one request had it.
+	 * @param requestId identity of the request
+	 * @return the problem with its instance
+	 */
+	public Problem withInstance(String requestId) {
+		return new Problem(this.type, this.title, this.status, this.detail, INSTANCE_PREFIX + requestId);
+	}
+
 	/**
 	 * Answer a request with this problem.
 	 * @param context the request
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerHeaders.java
@@ -0,0 +1,82 @@
+package org.monsoonrelay.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import io.jooby.Context;
+import org.monsoonrelay.adapters.platform.HttpBackendClient;
+import org.monsoonrelay.model.request.RequestOutcome.HeaderLine;
+
+/**
+ * Headers on their way between a caller and a backend server: all but those that belong
+ * to one connection. Stateless and thread-safe.
+ */
+final class CallerHeaders {
+
+	/**
+	 * Header with the time that the caller still waits, in milliseconds from the arrival
+	 * of the request.
+	 */
+	static final String DEADLINE = "Monsoonrelay-Deadline-Ms";
+
+	/** Header with the caller's key for a request that may not be repeated. */
+	static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+	/** Header with the identity that the gateway gives a request. */
+	static final String REQUEST_ID = HttpBackendClient.REQUEST_ID;
+
+	private static final String SET_COOKIE = "set-cookie";
+
+	private static final Set<String> NOT_FORWARDED = lowerCase("Host", "Connection", "Content-Length",
+			"Transfer-Encoding", "Keep-Alive", "Upgrade", "TE", "Trailer", "Expect", "Proxy-Connection", DEADLINE,
+			REQUEST_ID);
+
+	private static final Set<String> NOT_RETURNED = lowerCase("Connection", "Content-Length", "Transfer-Encoding",
+			"Keep-Alive", "Upgrade", "Trailer", "Date", REQUEST_ID);
+
+	private CallerHeaders() {
+	}
+
+	private static Set<String> lowerCase(String... names) {
+		return Set.of(String.join(" ", names).toLowerCase(Locale.ROOT).split(" "));
+	}
+
+	static List<HeaderLine> forwarded(Context context) {
+		List<HeaderLine> headers = new ArrayList<>();
+		context.header().toMultimap().forEach((name, values) -> {
+			if (!NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT))) {
+				values.forEach((value) -> headers.add(new HeaderLine(name, decoded(value))));
+			}
+		});
+		return headers;
+	}
+
+	private static String decoded(String value) {
+		// The server reads each byte as one character; the client writes UTF-8.
+		return new String(value.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+	}
+
+	static void answer(Context context, List<HeaderLine> headers) {
+		Map<String, List<String>> lines = new LinkedHashMap<>();
+		for (HeaderLine header : headers) {
+			String name = header.name().toLowerCase(Locale.ROOT);
+			if (name.equals(SET_COOKIE)) {
+				context.setResponseCookie(new RawCookie(header.value()));
+			}
+			else if (!NOT_RETURNED.contains(name)) {
+				lines.computeIfAbsent(name, (absent) -> new ArrayList<>()).add(header.value());
+			}
+		}
+		lines.forEach((name, values) -> context.setResponseHeader(name, encoded(String.join(", ", values))));
+	}
+
+	private static String encoded(String value) {
+		return new String(value.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+	}
+
+}
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerRoutes.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerRoutes.java
@@ -1,24 +1,19 @@
 package org.monsoonrelay.gateway;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import io.jooby.Context;
 import io.jooby.Jooby;
-import io.jooby.StatusCode;
 import org.monsoonrelay.adapters.http.Problem;
 import org.monsoonrelay.logic.routing.ForwardedRequest;
 import org.monsoonrelay.model.request.NotRunReason;
 import org.monsoonrelay.model.request.RequestOutcome;
-import org.monsoonrelay.model.request.RequestOutcome.HeaderLine;
 import org.monsoonrelay.model.workload.Operation;
 import org.monsoonrelay.model.workload.ServiceDeclaration;
 
@@ -29,17 +24,11 @@
  */
 final class CallerRoutes {
 
-	/** Header with the time that the caller still waits, in milliseconds. */
-	static final String DEADLINE = "Monsoonrelay-Deadline-Ms";
-
-	private static final Set<String> NOT_FORWARDED = Set.of("host", "connection", "content-length", "transfer-encoding",
-			"keep-alive", "upgrade", "te", "trailer", "expect", "proxy-connection", "accept-encoding",
-			DEADLINE.toLowerCase(Locale.ROOT));
+	private static final int MAXIMUM_DEADLINE_MILLIS = 600_000;
 
-	private static final Set<String> NOT_RETURNED = Set.of("connection", "content-length", "transfer-encoding",
-			"keep-alive", "upgrade", "trailer", "date");
+	private static final int MAXIMUM_KEY_LENGTH = 255;
 
-	private static final int MAXIMUM_DEADLINE_MILLIS = 600_000;
+	private static final long MILLIS_PER_SECOND = 1000;
 
 	private final GatewayServices services;
 
@@ -49,13 +38,17 @@
 
 	private final MetricRegistry metrics;
 
+	private final UnknownOutcomeLog unknownOutcomes;
+
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
-	CallerRoutes(GatewayServices services, InstantSource clock, Supplier<String> requestIds, MetricRegistry metrics) {
+	CallerRoutes(GatewayServices services, InstantSource clock, Supplier<String> requestIds, MetricRegistry metrics,
+			UnknownOutcomeLog unknownOutcomes) {
 		this.services = services;
 		this.clock = clock;
 		this.requestIds = requestIds;
 		this.metrics = metrics;
+		this.unknownOutcomes = unknownOutcomes;
 	}
 
 	void addTo(Jooby application) {
@@ -64,9 +57,8 @@
 		application.post(path, this::handle);
 		application.put(path, this::handle);
 		application.delete(path, this::handle);
-		application.error((context, cause, status) -> Problem
-			.of("invalid-request", "Invalid request", status.value(), String.valueOf(cause.getMessage()))
-			.send(context));
+		application.error((context, cause, status) -> refuse(context, this.requestIds.get(),
+				Problem.of("invalid-request", "Invalid request", status.value(), "Not run: " + status.reason())));
 	}
 
 	void stop() {
@@ -74,15 +66,15 @@
 	}
 
 	private Object handle(Context context) throws Exception {
+		String id = this.requestIds.get();
 		String service = context.path("service").value();
 		String operation = context.path("operation").value();
 		Optional<ServiceDeclaration> declared = this.services.declaration(service);
 		if (this.stopping.get()) {
-			return answer(context, new RequestOutcome.NotRun(NotRunReason.STOPPING, GatewayServices.RETRY_AFTER));
+			return answer(context, id, notRun(NotRunReason.STOPPING));
 		}
 		if (declared.isEmpty()) {
-			return answer(context,
-					new RequestOutcome.NotRun(NotRunReason.UNKNOWN_SERVICE, GatewayServices.RETRY_AFTER));
+			return answer(context, id, notRun(NotRunReason.UNKNOWN_SERVICE));
 		}
 		Optional<Operation> wanted = declared.get()
 			.operations()
@@ -90,72 +82,79 @@
 			.filter((candidate) -> candidate.name().equals(operation))
 			.findFirst();
 		if (wanted.isEmpty()) {
-			return answer(context,
-					new RequestOutcome.NotRun(NotRunReason.UNKNOWN_OPERATION, GatewayServices.RETRY_AFTER));
+			return answer(context, id, notRun(NotRunReason.UNKNOWN_OPERATION));
 		}
-		return forward(context, service, wanted.get());
+		return forward(context, id, service, wanted.get());
 	}
 
-	private Object forward(Context context, String service, Operation operation) throws Exception {
+	private static RequestOutcome notRun(NotRunReason reason) {
+		return new RequestOutcome.NotRun(reason, GatewayServices.RETRY_AFTER);
+	}
+
+	private Object forward(Context context, String id, String service, Operation operation) throws Exception {
 		Optional<Instant> deadline = deadline(context, operation);
 		if (deadline.isEmpty()) {
-			return answer(context,
-					new RequestOutcome.NotRun(NotRunReason.INVALID_REQUEST, GatewayServices.RETRY_AFTER));
+			return refuse(context, id, OutcomeProblems.invalid("The header " + CallerHeaders.DEADLINE
+					+ " is not a number of milliseconds up to " + MAXIMUM_DEADLINE_MILLIS + "."));
+		}
+		Optional<String> key = context.header(CallerHeaders.IDEMPOTENCY_KEY).toOptional();
+		if (key.filter((text) -> text.isBlank() || text.length() > MAXIMUM_KEY_LENGTH).isPresent()) {
+			return refuse(context, id, OutcomeProblems.invalid("The header " + CallerHeaders.IDEMPOTENCY_KEY
+					+ " is not 1 to " + MAXIMUM_KEY_LENGTH + " characters long."));
 		}
-		List<HeaderLine> headers = new ArrayList<>();
-		context.headerMap().forEach((name, value) -> {
-			if (!NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT))) {
-				headers.add(new HeaderLine(name, value));
-			}
-		});
 		String query = context.queryString();
-		ForwardedRequest request = new ForwardedRequest(this.requestIds.get(), service, operation, context.getMethod(),
-				(query.startsWith("?")) ? query.substring(1) : query, headers, context.body().bytes(), deadline.get());
-		return context.detach((detached) -> this.services.route(request).whenComplete((outcome, failure) -> {
-			if (failure != null) {
-				answer(detached, new RequestOutcome.Unknown(String.valueOf(failure.getMessage())));
-			}
-			else {
-				answer(detached, outcome);
-			}
-		}));
+		ForwardedRequest request = new ForwardedRequest(id, service, operation, context.getMethod(),
+				(query.startsWith("?")) ? query.substring(1) : query, CallerHeaders.forwarded(context),
+				context.body().bytes(), deadline.get());
+		return context.detach((detached) -> this.services.route(request, key)
+			.exceptionally((failure) -> new RequestOutcome.Unknown(String.valueOf(failure.getMessage())))
+			.thenAccept((outcome) -> {
+				if (outcome instanceof RequestOutcome.Unknown unknown) {
+					this.unknownOutcomes.log(request, unknown.detail());
+				}
+				answer(detached, id, outcome);
+			}));
 	}
 
 	private Optional<Instant> deadline(Context context, Operation operation) {
-		String header = context.header(DEADLINE).value("");
+		String header = context.header(CallerHeaders.DEADLINE).value("");
 		if (header.isEmpty()) {
 			return Optional.of(this.clock.instant().plusMillis(operation.deadlineMillis()));
 		}
 		try {
 			long millis = Long.parseLong(header);
-			return (millis < 0 || millis > MAXIMUM_DEADLINE_MILLIS) ? Optional.empty()
-					: Optional.of(this.clock.instant().plusMillis(millis));
+			return (millis > MAXIMUM_DEADLINE_MILLIS) ? Optional.empty()
+					: Optional.of(this.clock.instant().plusMillis(Math.max(0, millis)));
 		}
 		catch (NumberFormatException ex) {
 			return Optional.empty();
 		}
 	}
 
-	private Context answer(Context context, RequestOutcome outcome) {
+	private Context answer(Context context, String id, RequestOutcome outcome) {
 		this.metrics.counter("requests." + outcome.getClass().getSimpleName()).inc();
 		if (outcome instanceof RequestOutcome.Answered answered) {
 			context.setResponseCode(answered.status());
-			answered.headers().forEach((header) -> {
-				if (!NOT_RETURNED.contains(header.name().toLowerCase(Locale.ROOT))) {
-					context.setResponseHeader(header.name(), header.value());
-				}
-			});
+			CallerHeaders.answer(context, answered.headers());
+			context.setResponseHeader(CallerHeaders.REQUEST_ID, id);
 			return context.send(answered.body());
 		}
 		if (outcome instanceof RequestOutcome.NotRun notRun) {
-			context.setResponseHeader("Retry-After", Long.toString(Math.max(1, notRun.retryAfter().toSeconds())));
-			OutcomeProblems.notRun(notRun.reason()).send(context);
-			return context;
+			if (notRun.retryAfter().compareTo(Duration.ZERO) > 0) {
+				context.setResponseHeader("Retry-After", Long.toString(seconds(notRun.retryAfter())));
+			}
+			return refuse(context, id, OutcomeProblems.notRun(notRun.reason()));
 		}
-		Problem
-			.of("unknown-outcome", "The outcome is not known", StatusCode.BAD_GATEWAY_CODE,
-					"The request may have run: " + ((RequestOutcome.Unknown) outcome).detail())
-			.send(context);
+		return refuse(context, id, OutcomeProblems.unknown(((RequestOutcome.Unknown) outcome).detail()));
+	}
+
+	private static long seconds(Duration wait) {
+		return Math.max(1, (wait.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+	}
+
+	private static Context refuse(Context context, String id, Problem problem) {
+		context.setResponseHeader(CallerHeaders.REQUEST_ID, id);
+		problem.withInstance(id).send(context);
 		return context;
 	}
 
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.MetricRegistry;
 import org.monsoonrelay.adapters.http.HealthRoutes;
@@ -22,6 +23,8 @@
 import org.monsoonrelay.adapters.platform.HttpPlatform;
 import org.monsoonrelay.logic.control.ControlLog;
 import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.model.host.Host;
 import org.monsoonrelay.model.host.HostAddress;
 
 /**
@@ -52,6 +55,8 @@
 
 	private final HttpPlatform platform;
 
+	private final HttpBackendClient client;
+
 	private final GatewayServices services;
 
 	private final CallerRoutes callerRoutes;
@@ -73,8 +78,10 @@
 		MetricRegistry metrics = new MetricRegistry();
 		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
 		this.follower = new ControlFollower(new ControlLog(this.platform, this.platform, clock), this.tracker);
-		this.services = new GatewayServices(settings, this.tracker, new HttpBackendClient(clock), clock);
-		this.callerRoutes = new CallerRoutes(this.services, clock, () -> UUID.randomUUID().toString(), metrics);
+		this.client = new HttpBackendClient(clock);
+		this.services = new GatewayServices(settings, this.tracker, this.client, this.platform, clock);
+		this.callerRoutes = new CallerRoutes(this.services, clock, () -> UUID.randomUUID().toString(), metrics,
+				new UnknownOutcomeLog(clock));
 		PeerIdentity self = new PeerIdentity(this.session, ROLE, settings.node().failureDomain(),
 				settings.node().peer());
 		this.network = new PeerNetwork(self, settings.node().secret(), this::handle);
@@ -102,7 +109,8 @@
 
 	private void poll() {
 		this.follower.poll();
-		this.platform.read().thenAccept(this.services::update).exceptionally((failure) -> null);
+		this.services.retryDelayed();
+		this.platform.read().thenAccept(this::update).exceptionally((failure) -> null);
 		Envelope.Builder announcement = Envelope.newBuilder()
 			.setAnnouncement(Announcement.newBuilder()
 				.setSession(this.session)
@@ -115,6 +123,11 @@
 		}
 	}
 
+	private void update(HostList hosts) {
+		this.services.update(hosts);
+		this.client.retain(hosts.hosts().stream().map(Host::address).collect(Collectors.toSet()));
+	}
+
 	private CompletableFuture<Envelope.Builder> handle(PeerIdentity from, Envelope request) {
 		if (request.hasAnnouncement()) {
 			this.follower.announced(this.network, from.address(), request.getAnnouncement().getVersion());
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayServices.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayServices.java
@@ -10,7 +10,9 @@
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.idempotency.IdempotentRequests;
 import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.logic.platform.TableService;
 import org.monsoonrelay.logic.routing.BackendClient;
 import org.monsoonrelay.logic.routing.BackendPool;
 import org.monsoonrelay.logic.routing.ForwardedRequest;
@@ -40,22 +42,38 @@
 
 	private final InstantSource clock;
 
+	private final IdempotentRequests idempotent;
+
 	private final Map<String, ServiceRouter> routers = new ConcurrentHashMap<>();
 
 	private volatile HostList hosts = new HostList(0, List.of());
 
-	GatewayServices(GatewaySettings settings, ControlTracker tracker, BackendClient client, InstantSource clock) {
+	GatewayServices(GatewaySettings settings, ControlTracker tracker, BackendClient client, TableService table,
+			InstantSource clock) {
 		this.settings = settings;
 		this.tracker = tracker;
 		this.client = client;
 		this.clock = clock;
+		this.idempotent = new IdempotentRequests(table, this::route, clock, RETRY_AFTER);
 	}
 
 	Optional<ServiceDeclaration> declaration(String service) {
 		return this.tracker.inForce().text().service(service);
 	}
 
-	CompletableFuture<RequestOutcome> route(ForwardedRequest request) {
+	/**
+	 * Route a request that may have an idempotency key. Requests that may be repeated
+	 * need none: for them it is only forwarded.
+	 * @param request the request
+	 * @param key the key, if the caller gave one
+	 * @return the outcome; never fails
+	 */
+	CompletableFuture<RequestOutcome> route(ForwardedRequest request, Optional<String> key) {
+		return (key.isPresent() && !request.operation().repeatable()) ? this.idempotent.route(key.get(), request)
+				: route(request);
+	}
+
+	private CompletableFuture<RequestOutcome> route(ForwardedRequest request) {
 		return this.routers.computeIfAbsent(request.service(), this::router).route(request);
 	}
 
@@ -86,8 +104,13 @@
 		this.routers.values().forEach(ServiceRouter::expire);
 	}
 
+	void retryDelayed() {
+		this.idempotent.retryDelayed();
+	}
+
 	int unfinished() {
-		return this.routers.values().stream().mapToInt((router) -> router.waiting() + router.inFlight()).sum();
+		return this.idempotent.unsettled()
+				+ this.routers.values().stream().mapToInt((router) -> router.waiting() + router.inFlight()).sum();
 	}
 
 	boolean hasHosts() {
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/OutcomeProblems.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/OutcomeProblems.java
@@ -16,10 +16,12 @@
 		return switch (reason) {
 			case UNKNOWN_SERVICE -> notRun(StatusCode.NOT_FOUND_CODE, "The text in force declares no such service.");
 			case UNKNOWN_OPERATION -> notRun(StatusCode.NOT_FOUND_CODE, "The service declares no such operation.");
-			case INVALID_REQUEST -> notRun(StatusCode.BAD_REQUEST_CODE,
-					"The deadline header is not a number of " + "milliseconds between 0 and 600000.");
-			case DEADLINE -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "No slot came free before the deadline.");
-			case OVERLOAD -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "More urgent requests fill all slots.");
+			case INVALID_REQUEST -> notRun(StatusCode.BAD_REQUEST_CODE, "The request is malformed.");
+			case KEY_REUSED ->
+				notRun(StatusCode.UNPROCESSABLE_ENTITY_CODE, "The idempotency key belongs to another request.");
+			case DEADLINE -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "The deadline came before a free slot.");
+			case OVERLOAD -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE,
+					"All slots are taken, and those that wait already come first.");
 			case NO_BACKEND_SERVER ->
 				notRun(StatusCode.SERVICE_UNAVAILABLE_CODE, "No backend server took the request.");
 			case PLATFORM_UNAVAILABLE -> notRun(StatusCode.SERVICE_UNAVAILABLE_CODE,
@@ -28,6 +30,15 @@
 		};
 	}
 
+	static Problem invalid(String detail) {
+		return notRun(StatusCode.BAD_REQUEST_CODE, detail);
+	}
+
+	static Problem unknown(String detail) {
+		return Problem.of("unknown-outcome", "The outcome is not known", StatusCode.BAD_GATEWAY_CODE,
+				"The request may have run: " + detail);
+	}
+
 	private static Problem notRun(int status, String detail) {
 		return Problem.of("not-run", "The request was not run", status, detail);
 	}
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/UnknownOutcomeLog.java
@@ -0,0 +1,51 @@
+package org.monsoonrelay.gateway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+
+import org.monsoonrelay.logic.routing.ForwardedRequest;
+
+/**
+ * Logs requests whose outcome is unknown, so that an operator can look for them at the
+ * backend server. Invariant: at most a fixed number of lines a second; what was left out
+ * is counted in the next line. Thread-safe.
+ */
+final class UnknownOutcomeLog {
+
+	private static final System.Logger LOGGER = System.getLogger(UnknownOutcomeLog.class.getName());
+
+	private static final int LINES_PER_PERIOD = 10;
+
+	private static final Duration PERIOD = Duration.ofSeconds(1);
+
+	private final InstantSource clock;
+
+	private Instant periodEnd = Instant.MIN;
+
+	private int linesLeft;
+
+	private int leftOut;
+
+	UnknownOutcomeLog(InstantSource clock) {
+		this.clock = clock;
+	}
+
+	synchronized void log(ForwardedRequest request, String detail) {
+		Instant now = this.clock.instant();
+		if (!now.isBefore(this.periodEnd)) {
+			this.periodEnd = now.plus(PERIOD);
+			this.linesLeft = LINES_PER_PERIOD;
+		}
+		if (this.linesLeft == 0) {
+			this.leftOut++;
+			return;
+		}
+		this.linesLeft--;
+		LOGGER.log(System.Logger.Level.WARNING,
+				"outcome unknown: request {0}, service {1}, operation {2}: {3}; {4} such lines left out before",
+				request.id(), request.service(), request.operation().name(), detail, this.leftOut);
+		this.leftOut = 0;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/idempotency/IdempotentRequestsTests.java
@@ -0,0 +1,260 @@
+package org.monsoonrelay.logic.idempotency;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.idempotency.FakeTable.Fault;
+import org.monsoonrelay.logic.platform.CommitResult;
+import org.monsoonrelay.logic.routing.ForwardedRequest;
+import org.monsoonrelay.model.request.NotRunReason;
+import org.monsoonrelay.model.request.RequestOutcome;
+import org.monsoonrelay.model.request.TrafficClass;
+import org.monsoonrelay.model.workload.Operation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class IdempotentRequestsTests {
+
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+	private static final RequestOutcome NOT_RUN = new RequestOutcome.NotRun(NotRunReason.OVERLOAD, RETRY_AFTER);
+
+	private static final RequestOutcome UNKNOWN = new RequestOutcome.Unknown("broken");
+
+	private Instant now = Instant.parse("2026-12-02T06:00:00Z");
+
+	private final FakeTable table = new FakeTable(Runnable::run);
+
+	private final List<String> run = new ArrayList<>();
+
+	private RequestOutcome next = answered("done");
+
+	private final IdempotentRequests gateway = gateway();
+
+	private final IdempotentRequests other = gateway();
+
+	private IdempotentRequests gateway() {
+		return new IdempotentRequests(this.table, (request) -> {
+			this.run.add(request.id());
+			return CompletableFuture.completedFuture(this.next);
+		}, () -> this.now, RETRY_AFTER);
+	}
+
+	private RequestOutcome route(IdempotentRequests through, String id, String key, String body) {
+		return through.route(key, request(id, body)).join();
+	}
+
+	private ForwardedRequest request(String id, String body) {
+		return new ForwardedRequest(id, "desk", new Operation("confirm", TrafficClass.APP, false, 1000), "POST", "",
+				List.of(), body.getBytes(StandardCharsets.UTF_8), this.now.plusSeconds(60));
+	}
+
+	private void fail(Fault... faults) {
+		Iterator<Fault> coming = Arrays.asList(faults).iterator();
+		this.table.fail(() -> coming.hasNext() ? coming.next() : Fault.NONE);
+	}
+
+	private static RequestOutcome answered(String body) {
+		return new RequestOutcome.Answered(200, List.of(), body.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private static void assertAnswered(RequestOutcome outcome, String body) {
+		assertThat(outcome).isInstanceOf(RequestOutcome.Answered.class);
+		assertThat(((RequestOutcome.Answered) outcome).body()).asString().isEqualTo(body);
+	}
+
+	private static void assertNotRun(RequestOutcome outcome, NotRunReason reason) {
+		assertThat(outcome).isInstanceOf(RequestOutcome.NotRun.class);
+		assertThat(((RequestOutcome.NotRun) outcome).reason()).isEqualTo(reason);
+	}
+
+	@Nested
+	class Repeats {
+
+		@Test
+		void getTheStoredAnswerThroughAnotherGateway() {
+			assertAnswered(route(IdempotentRequestsTests.this.gateway, "one", "key", "a"), "done");
+			assertAnswered(route(IdempotentRequestsTests.this.other, "two", "key", "a"), "done");
+
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("one");
+		}
+
+		@Test
+		void areUnknownWhileTheOutcomeIsOpen() {
+			IdempotentRequestsTests.this.next = UNKNOWN;
+			route(IdempotentRequestsTests.this.gateway, "one", "key", "a");
+
+			assertThat(route(IdempotentRequestsTests.this.other, "two", "key", "a"))
+				.isInstanceOf(RequestOutcome.Unknown.class);
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("one");
+		}
+
+		@Test
+		void runWhenTheFirstWasNotRun() {
+			IdempotentRequestsTests.this.next = NOT_RUN;
+			route(IdempotentRequestsTests.this.gateway, "one", "key", "a");
+			IdempotentRequestsTests.this.next = answered("later");
+
+			assertAnswered(route(IdempotentRequestsTests.this.other, "two", "key", "a"), "later");
+		}
+
+		@Test
+		void areRefusedWhenTheyAskForSomethingElse() {
+			route(IdempotentRequestsTests.this.gateway, "one", "key", "a");
+
+			assertNotRun(route(IdempotentRequestsTests.this.other, "two", "key", "b"), NotRunReason.KEY_REUSED);
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("one");
+		}
+
+		@Test
+		void areUnknownWhenTheAnswerWasTooLargeToKeep() {
+			IdempotentRequestsTests.this.next = answered("x".repeat(IdempotentRequests.MAXIMUM_ANSWER_BYTES + 1));
+			route(IdempotentRequestsTests.this.gateway, "one", "key", "a");
+
+			assertThat(route(IdempotentRequestsTests.this.other, "two", "key", "a"))
+				.isInstanceOf(RequestOutcome.Unknown.class);
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("one");
+		}
+
+	}
+
+	@Nested
+	class TableFailures {
+
+		@Test
+		void leaveTheRequestNotRunWhenTheTableIsDown() {
+			fail(Fault.DOWN);
+
+			RequestOutcome outcome = route(IdempotentRequestsTests.this.gateway, "one", "key", "a");
+
+			assertThat(outcome).isEqualTo(new RequestOutcome.NotRun(NotRunReason.PLATFORM_UNAVAILABLE, RETRY_AFTER));
+			assertThat(IdempotentRequestsTests.this.run).isEmpty();
+		}
+
+		@Test
+		void areSettledByReadingBackWhenTheReservationsAnswerIsLost() {
+			fail(Fault.NONE, Fault.ANSWER_LOST);
+
+			assertAnswered(route(IdempotentRequestsTests.this.gateway, "one", "key", "a"), "done");
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("one");
+		}
+
+		@Test
+		void freeTheKeyLaterWhenTheReservationCannotBeReadBack() {
+			fail(Fault.NONE, Fault.ANSWER_LOST, Fault.DOWN, Fault.DOWN);
+			assertNotRun(route(IdempotentRequestsTests.this.gateway, "one", "key", "a"),
+					NotRunReason.PLATFORM_UNAVAILABLE);
+			assertThat(IdempotentRequestsTests.this.gateway.unsettled()).isOne();
+
+			IdempotentRequestsTests.this.gateway.retryDelayed();
+
+			assertAnswered(route(IdempotentRequestsTests.this.other, "two", "key", "a"), "done");
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("two");
+			assertThat(IdempotentRequestsTests.this.gateway.unsettled()).isZero();
+		}
+
+		@Test
+		void stopAReservationThatArrivesAfterItWasGivenUp() {
+			fail(Fault.NONE, Fault.HELD, Fault.DOWN);
+			assertNotRun(route(IdempotentRequestsTests.this.gateway, "one", "key", "a"),
+					NotRunReason.PLATFORM_UNAVAILABLE);
+
+			assertThat(IdempotentRequestsTests.this.table.land()).isInstanceOf(CommitResult.Conflict.class);
+			assertAnswered(route(IdempotentRequestsTests.this.other, "two", "key", "a"), "done");
+		}
+
+		@Test
+		void doNotKeepTheAnswerFromTheCaller() {
+			fail(Fault.NONE, Fault.NONE, Fault.DOWN);
+			assertAnswered(route(IdempotentRequestsTests.this.gateway, "one", "key", "a"), "done");
+			IdempotentRequestsTests.this.gateway.retryDelayed();
+
+			assertAnswered(route(IdempotentRequestsTests.this.other, "two", "key", "a"), "done");
+			assertThat(IdempotentRequestsTests.this.run).containsExactly("one");
+		}
+
+	}
+
+	@Nested
+	class Races {
+
+		private static final int SEEDS = 500;
+
+		private static final int REQUESTS = 6;
+
+		@Test
+		void neverRunARequestTwiceWhateverFails() {
+			for (int seed = 0; seed < SEEDS; seed++) {
+				Race race = new Race(new SplittableRandom(seed));
+
+				race.run(REQUESTS);
+
+				assertThat(race.mayHaveRun).as("seed %d", seed).hasSizeLessThanOrEqualTo(1);
+				assertThat(race.mayHaveRun).as("seed %d", seed).allMatch((id) -> !race.toldNotRun.contains(id));
+			}
+		}
+
+	}
+
+	/**
+	 * Requests with one key through as many gateways, in an order and with failures that
+	 * a seed decides.
+	 */
+	private final class Race {
+
+		private final SplittableRandom random;
+
+		private final List<Runnable> pending = new ArrayList<>();
+
+		private final List<String> mayHaveRun = new ArrayList<>();
+
+		private final List<String> toldNotRun = new ArrayList<>();
+
+		private final List<IdempotentRequests> gateways = new ArrayList<>();
+
+		private Race(SplittableRandom random) {
+			this.random = random;
+		}
+
+		private void run(int requests) {
+			Executor anyOrder = this.pending::add;
+			FakeTable shared = new FakeTable(anyOrder);
+			shared.fail(() -> Fault.values()[Math.max(0, this.random.nextInt(10) - 6)]);
+			for (int index = 0; index < requests; index++) {
+				IdempotentRequests through = new IdempotentRequests(shared, this::send,
+						() -> IdempotentRequestsTests.this.now, RETRY_AFTER);
+				this.gateways.add(through);
+				String id = "request-" + index;
+				this.pending.add(() -> through.route("key", request(id, "a")).thenAccept((outcome) -> {
+					if (outcome instanceof RequestOutcome.NotRun) {
+						this.toldNotRun.add(id);
+					}
+				}));
+			}
+			for (int step = 0; step < 200 && !this.pending.isEmpty(); step++) {
+				this.pending.remove(this.random.nextInt(this.pending.size())).run();
+				this.gateways.get(this.random.nextInt(requests)).retryDelayed();
+			}
+		}
+
+		private CompletableFuture<RequestOutcome> send(ForwardedRequest request) {
+			RequestOutcome outcome = List.of(NOT_RUN, UNKNOWN, answered("done")).get(this.random.nextInt(3));
+			if (outcome != NOT_RUN) {
+				this.mayHaveRun.add(request.id());
+			}
+			return CompletableFuture.completedFuture(outcome);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/idempotency/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the keys of requests that may not be repeated.
+ */
+package org.monsoonrelay.logic.idempotency;
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/request/NotRunReason.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/request/NotRunReason.java
@@ -26,6 +26,9 @@
 	/** The platform's table cannot be reached, and the operation may not be repeated. */
 	PLATFORM_UNAVAILABLE,
 
+	/** The idempotency key belongs to another request. */
+	KEY_REUSED,
+
 	/** The gateway is stopping. */
 	STOPPING
 
