Refuse at the moment it is decided

Cause: a request that could not make its deadline waited in the queue until the deadline before it was refused, with a constant Retry-After of 1 s; a request that had tried every backend server waited for its deadline too; with a queue of 0 a request was refused though a slot was free; a client that threw kept the slot and left the caller without an answer; refused arrivals fed the retry budget, so that retries could exceed the share of what is sent.

The wait is now estimated from the requests ahead, the mean time of the last whole answers and the slots in use. Ruled out: the pool's capacity instead of the slots in use, because other gateways take most of it.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
@@ -137,6 +137,17 @@
 		return this.servers.values().stream().anyMatch((server) -> !server.isLeaving());
 	}
 
+	/**
+	 * Tell whether a request has a server left that it has not tried.
+	 * @param tried servers that it has tried
+	 * @return {@code false} if each server that is not leaving has been tried
+	 */
+	public synchronized boolean hasUntried(Set<HostAddress> tried) {
+		return this.servers.values()
+			.stream()
+			.anyMatch((server) -> !server.isLeaving() && !tried.contains(server.address()));
+	}
+
 	/**
 	 * Number of slots this gateway may use at most.
 	 * @return the count
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
@@ -25,6 +25,8 @@
 
 	private static final Duration MINIMUM_RETRY_AFTER = Duration.ofSeconds(1);
 
+	private static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(60);
+
 	private final BackendPool pool;
 
 	private final BackendClient client;
@@ -37,6 +39,8 @@
 
 	private final Duration attemptLimit;
 
+	private final WaitEstimate estimate = new WaitEstimate();
+
 	private final AtomicLong sequence = new AtomicLong();
 
 	private final TreeSet<WaitingRequest> waiting = new TreeSet<>(WaitingRequest.ORDER);
@@ -58,23 +62,33 @@
 	 */
 	public CompletableFuture<RequestOutcome> route(ForwardedRequest request) {
 		WaitingRequest arrived = new WaitingRequest(request, this.sequence.incrementAndGet());
-		this.retries.request();
 		if (!this.clock.instant().isBefore(request.deadline())) {
 			refuse(arrived, NotRunReason.DEADLINE);
 		}
 		else if (!this.pool.hasServers()) {
 			refuse(arrived, NotRunReason.NO_BACKEND_SERVER);
 		}
+		else if (isTooLate(arrived)) {
+			refuse(arrived, NotRunReason.OVERLOAD);
+		}
 		else {
-			enqueue(arrived).ifPresent((shed) -> refuse(shed, NotRunReason.OVERLOAD));
+			enqueue(arrived);
 			dispatch();
 		}
 		return arrived.outcome();
 	}
 
-	private synchronized Optional<WaitingRequest> enqueue(WaitingRequest arrived) {
+	private synchronized boolean isTooLate(WaitingRequest arrived) {
+		if (this.waiting.isEmpty()) {
+			return false;
+		}
+		int ahead = this.waiting.headSet(arrived).size();
+		Duration wait = this.estimate.wait(ahead, this.pool.inFlight());
+		return !this.clock.instant().plus(wait).isBefore(arrived.request().deadline());
+	}
+
+	private synchronized void enqueue(WaitingRequest arrived) {
 		this.waiting.add(arrived);
-		return (this.waiting.size() > this.maximumWaiting) ? Optional.of(this.waiting.pollLast()) : Optional.empty();
 	}
 
 	/**
@@ -103,11 +117,20 @@
 			attempt(next.get().request(), next.get().server());
 			next = next();
 		}
+		surplus().ifPresent((shed) -> refuse(shed, NotRunReason.OVERLOAD));
+	}
+
+	private synchronized Optional<WaitingRequest> surplus() {
+		return (this.waiting.size() > this.maximumWaiting) ? Optional.of(this.waiting.pollLast()) : Optional.empty();
 	}
 
 	private synchronized Optional<Dispatched> next() {
 		for (WaitingRequest candidate : this.waiting) {
 			Optional<HostAddress> server = this.pool.acquire(candidate.tried());
+			if (server.isEmpty() && !this.pool.hasUntried(candidate.tried())) {
+				candidate.tried().clear();
+				server = this.pool.acquire(candidate.tried());
+			}
 			if (server.isPresent()) {
 				this.waiting.remove(candidate);
 				return Optional.of(new Dispatched(candidate, server.get()));
@@ -120,20 +143,34 @@
 	}
 
 	private void attempt(WaitingRequest waitingRequest, HostAddress server) {
-		ForwardedRequest request = waitingRequest.request();
-		Instant limit = this.clock.instant().plus(this.attemptLimit);
-		boolean canRepeat = request.operation().repeatable() && limit.isBefore(request.deadline());
-		Instant giveUpAt = canRepeat ? limit : request.deadline();
-		this.client.send(server, request, giveUpAt).whenComplete((result, failure) -> {
+		if (waitingRequest.beginAttempt()) {
+			this.retries.request();
+		}
+		Instant begun = this.clock.instant();
+		send(waitingRequest.request(), server, begun).whenComplete((result, failure) -> {
 			AttemptResult ended = (result != null) ? result
 					: new AttemptResult.Broken(false, String.valueOf(failure.getMessage()));
 			this.pool.release(server, ended);
+			if (ended instanceof AttemptResult.Whole) {
+				this.estimate.answered(Duration.between(begun, this.clock.instant()));
+			}
 			waitingRequest.tried().add(server);
 			conclude(waitingRequest, ended);
 			dispatch();
 		});
 	}
 
+	private CompletableFuture<AttemptResult> send(ForwardedRequest request, HostAddress server, Instant begun) {
+		Instant limit = begun.plus(this.attemptLimit);
+		boolean canRepeat = request.operation().repeatable() && limit.isBefore(request.deadline());
+		try {
+			return this.client.send(server, request, canRepeat ? limit : request.deadline());
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	private void conclude(WaitingRequest ended, AttemptResult result) {
 		if (result instanceof AttemptResult.Whole whole) {
 			ended.outcome().complete(new RequestOutcome.Answered(whole.status(), whole.headers(), whole.body()));
@@ -149,7 +186,7 @@
 			if (refusedByServer) {
 				ended.tried().clear();
 			}
-			enqueue(ended).ifPresent((shed) -> refuse(shed, NotRunReason.OVERLOAD));
+			enqueue(ended);
 			return;
 		}
 		refuse(ended, inTime ? NotRunReason.NO_BACKEND_SERVER : NotRunReason.DEADLINE);
@@ -160,7 +197,16 @@
 			refused.outcome().complete(new RequestOutcome.Unknown("an attempt was sent and brought no whole answer"));
 			return;
 		}
-		refused.outcome().complete(new RequestOutcome.NotRun(reason, MINIMUM_RETRY_AFTER));
+		refused.outcome().complete(new RequestOutcome.NotRun(reason, retryAfter()));
+	}
+
+	private Duration retryAfter() {
+		// The time until a slot is free for a request that comes last.
+		Duration wait = this.estimate.wait(waiting(), this.pool.inFlight());
+		if (wait.compareTo(MINIMUM_RETRY_AFTER) < 0) {
+			return MINIMUM_RETRY_AFTER;
+		}
+		return (wait.compareTo(MAXIMUM_RETRY_AFTER) > 0) ? MAXIMUM_RETRY_AFTER : wait;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/WaitingRequest.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/WaitingRequest.java
@@ -27,6 +27,8 @@
 
 	private final Set<HostAddress> tried = new HashSet<>();
 
+	private volatile boolean sent;
+
 	private volatile boolean mayHaveRun;
 
 	WaitingRequest(ForwardedRequest request, long sequence) {
@@ -46,6 +48,16 @@
 		return this.outcome;
 	}
 
+	/**
+	 * Note that an attempt begins.
+	 * @return {@code true} for the first one
+	 */
+	boolean beginAttempt() {
+		boolean first = !this.sent;
+		this.sent = true;
+		return first;
+	}
+
 	void markMayHaveRun() {
 		this.mayHaveRun = true;
 	}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the routing of callers' requests.
+ */
+package org.monsoonrelay.logic.routing;
