Reach every fault switch of the stand-ins from tests

Cause: the stand-ins could misbehave, but no test could make them, and the demo asked for operations by the names of one example.

CellFaults switches faults at the platform, workers and backend servers; CellProcesses kills, pauses, resumes and terminates its processes by pid, and ends them when the test's own process is killed. CallerTally sets what callers were told against what the backend servers counted, by request: a request said not to have run that ran, or answered that did not run, counts as untrue.

--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/BackendStandin.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/BackendStandin.java
@@ -74,7 +74,7 @@
 			this.inFlight++;
 			delay = this.serviceMillis + this.fault.slowMillis();
 		}
-		this.log.ran(operation, name);
+		this.log.ran(this.host.name(), operation, name);
 		this.timer.schedule(() -> {
 			answer(exchange, operation, name, body);
 			return null;
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CallerAnswer.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CallerAnswer.java
@@ -26,7 +26,13 @@
 		/** Another request's answer. */
 		CROSSED,
 
-		/** No answer. */
+		/** Part of an answer, passed off as whole. */
+		CUT,
+
+		/** No connection to the gateway could be made, so nothing was sent. */
+		UNREACHED,
+
+		/** No answer, though the request was sent. */
 		LOST
 
 	}
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/Calls.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/Calls.java
@@ -13,6 +13,11 @@
  */
 public final class Calls {
 
+	/** How long a call may take. */
+	static final Duration LIMIT = Duration.ofSeconds(30);
+
+	private static final Duration PROBE_LIMIT = Duration.ofSeconds(2);
+
 	private static final HttpClient CLIENT = HttpClient.newBuilder()
 		.version(HttpClient.Version.HTTP_1_1)
 		.connectTimeout(Duration.ofSeconds(2))
@@ -28,7 +33,7 @@
 	 */
 	public static boolean isOk(String url) {
 		try {
-			return send(HttpRequest.newBuilder(URI.create(url)).build()).statusCode() == 200;
+			return send(HttpRequest.newBuilder(URI.create(url)).timeout(PROBE_LIMIT).build()).statusCode() == 200;
 		}
 		catch (UncheckedIOException ex) {
 			return false;
@@ -41,7 +46,7 @@
 	 * @return the body
 	 */
 	public static String get(String url) {
-		return send(HttpRequest.newBuilder(URI.create(url)).build()).body();
+		return send(HttpRequest.newBuilder(URI.create(url)).timeout(LIMIT).build()).body();
 	}
 
 	/**
@@ -51,7 +56,10 @@
 	 * @return the answer
 	 */
 	public static HttpResponse<String> post(String url, String body) {
-		return send(HttpRequest.newBuilder(URI.create(url)).POST(HttpRequest.BodyPublishers.ofString(body)).build());
+		return send(HttpRequest.newBuilder(URI.create(url))
+			.timeout(LIMIT)
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build());
 	}
 
 	/**
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellLayout.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellLayout.java
@@ -92,15 +92,30 @@
 		return address(4, gateway + 1, 8080);
 	}
 
-	HostAddress gatewayAdmin(int gateway) {
+	/**
+	 * Where a gateway answers for its health and metrics.
+	 * @param gateway the gateway's index
+	 * @return the address
+	 */
+	public HostAddress gatewayAdmin(int gateway) {
 		return address(4, gateway + 1, 8081);
 	}
 
-	HostAddress gatewayPeer(int gateway) {
+	/**
+	 * Where a gateway listens for peers.
+	 * @param gateway the gateway's index
+	 * @return the address
+	 */
+	public HostAddress gatewayPeer(int gateway) {
 		return address(4, gateway + 1, 8082);
 	}
 
-	HostAddress operators(int scheduler) {
+	/**
+	 * Where a scheduler listens for operators.
+	 * @param scheduler the scheduler's index
+	 * @return the address
+	 */
+	public HostAddress operators(int scheduler) {
 		return address(5, scheduler + 1, 8180);
 	}
 
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellProcesses.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellProcesses.java
@@ -2,15 +2,18 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.monsoonrelay.adapters.operator.CellStatus;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.model.host.HostAddress;
 
@@ -26,21 +29,52 @@
 
 	private static final int BACKEND_SLOTS = 8;
 
-	private static final List<String> JVM_OPTIONS = List.of("-XX:+UseSerialGC", "-Xss512k", "-XX:MaxMetaspaceSize=96m",
+	private static final List<String> JVM_OPTIONS = List.of("-Xss512k", "-XX:MaxMetaspaceSize=96m",
 			"-XX:MaxDirectMemorySize=32m");
 
+	private static final List<String> COMMAND_OPTIONS = List.of("-XX:TieredStopAtLevel=1");
+
 	private final CellLayout layout;
 
-	private final Path projectRoot;
+	private final Programs programs;
 
 	private final Path folder;
 
 	private final Map<String, Process> processes = new LinkedHashMap<>();
 
+	private final Set<String> frozen = new HashSet<>();
+
+	private int sessionLapseMillis = 4000;
+
+	private final Thread onKill = new Thread(this::killAll);
+
 	public CellProcesses(CellLayout layout, Path projectRoot, Path folder) {
 		this.layout = layout;
-		this.projectRoot = projectRoot;
+		this.programs = new Programs(projectRoot);
 		this.folder = folder;
+		Runtime.getRuntime().addShutdownHook(this.onKill);
+	}
+
+	/**
+	 * Set when a scheduler's session lapses, for the schedulers started from now on.
+	 * @param millis the time without a renewal, in milliseconds
+	 */
+	public void setSessionLapse(int millis) {
+		this.sessionLapseMillis = millis;
+	}
+
+	/**
+	 * Kill every process.
+	 */
+	public void killAll() {
+		this.processes.values().forEach(Process::destroyForcibly);
+	}
+
+	/**
+	 * Leave the processes up when this process ends.
+	 */
+	public void keep() {
+		Runtime.getRuntime().removeShutdownHook(this.onKill);
 	}
 
 	/**
@@ -115,18 +149,17 @@
 	 * @param index its index
 	 */
 	public void startScheduler(int index) {
-		start("scheduler-" + (index + 1), "scheduler", CellSettings.scheduler(this.layout, index), 96);
+		start("scheduler-" + (index + 1), "scheduler",
+				CellSettings.scheduler(this.layout, index, this.sessionLapseMillis), 96);
 	}
 
 	private void start(String name, String program, String settings, int heapMiB) {
 		try {
 			Path settingsFile = Files.writeString(this.folder.resolve(name + ".json"), settings);
-			List<String> command = new ArrayList<>();
-			command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-			command.addAll(JVM_OPTIONS);
-			command.add("-Xmx" + heapMiB + "m");
-			command.addAll(List.of("-jar", jar(program).toString(), "--settings", settingsFile.toString()));
-			Process process = new ProcessBuilder(command).redirectErrorStream(true)
+			List<String> options = new ArrayList<>(JVM_OPTIONS);
+			options.add("-Xmx" + heapMiB + "m");
+			Process process = this.programs.command(program, options, List.of("--settings", settingsFile.toString()))
+				.redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.folder.resolve(name + ".log").toFile()))
 				.start();
 			this.processes.put(name, process);
@@ -136,45 +169,140 @@
 		}
 	}
 
-	private Path jar(String program) {
-		Path jar = this.projectRoot.resolve("monsoonrelay-" + program)
-			.resolve("target")
-			.resolve("monsoonrelay-" + program + "-0.1.0-SNAPSHOT-all.jar");
-		if (!Files.exists(jar)) {
-			throw new IllegalStateException("not built yet: " + jar);
-		}
-		return jar;
-	}
-
 	/**
-	 * Run the operators' command line.
+	 * Run the operators' command line, which may use any scheduler.
 	 * @param arguments the arguments, without those that name the hosts and credential
 	 * @return its exit code and output
 	 */
 	public CommandResult operate(String... arguments) {
-		List<String> command = new ArrayList<>(
-				List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-						"-XX:TieredStopAtLevel=1", "-jar", jar("cli").toString()));
-		command.addAll(List.of(arguments));
-		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
 		List<String> hosts = new ArrayList<>();
 		for (int index = 0; index < this.layout.schedulers(); index++) {
 			hosts.add(this.layout.operators(index).toString());
 		}
-		builder.environment().put("MONSOONRELAY_HOSTS", String.join(",", hosts));
+		return operateAt(String.join(",", hosts), List.of(arguments));
+	}
+
+	/**
+	 * Run the operators' command line through one scheduler.
+	 * @param scheduler the scheduler's index
+	 * @param arguments the arguments, without those that name the hosts and credential
+	 * @return its exit code and output
+	 */
+	public CommandResult operateThrough(int scheduler, String... arguments) {
+		return operateAt(this.layout.operators(scheduler).toString(), List.of(arguments));
+	}
+
+	private CommandResult operateAt(String hosts, List<String> arguments) {
+		ProcessBuilder builder = this.programs.command("cli", COMMAND_OPTIONS, arguments);
+		builder.environment().put("MONSOONRELAY_HOSTS", hosts);
 		builder.environment().put("MONSOONRELAY_TOKEN", OPERATOR_TOKEN);
+		return CommandResult.of(builder);
+	}
+
+	/**
+	 * Run a program to its end.
+	 * @param program its name, such as {@code gateway}
+	 * @param arguments its arguments
+	 * @return its exit code and output
+	 */
+	public CommandResult run(String program, String... arguments) {
+		return CommandResult.of(this.programs.command(program, COMMAND_OPTIONS, List.of(arguments)));
+	}
+
+	/**
+	 * Kill a process, as a host that fails does. It is dead when this returns.
+	 * @param name its name
+	 */
+	public void kill(String name) {
+		this.processes.get(name).destroyForcibly();
+		exitCode(name);
+	}
+
+	/**
+	 * Pause a process, as a virtual machine that is moved does.
+	 * @param name its name
+	 */
+	public void freeze(String name) {
+		signal(name, "STOP");
+		this.frozen.add(name);
+	}
+
+	/**
+	 * Let a paused process go on.
+	 * @param name its name
+	 */
+	public void thaw(String name) {
+		signal(name, "CONT");
+		this.frozen.remove(name);
+	}
+
+	/**
+	 * Send a process SIGTERM, which begins a planned stop.
+	 * @param name its name
+	 */
+	public void terminate(String name) {
+		signal(name, "TERM");
+	}
+
+	private void signal(String name, String signal) {
+		String pid = Long.toString(this.processes.get(name).pid());
+		CommandResult result = CommandResult.of(new ProcessBuilder("kill", "-" + signal, pid));
+		if (result.exitCode() != 0) {
+			throw new IllegalStateException("cannot signal " + name + ": " + result.output());
+		}
+	}
+
+	/**
+	 * Wait for a process to end.
+	 * @param name its name
+	 * @return its exit code
+	 */
+	public int exitCode(String name) {
+		Process process = this.processes.get(name);
+		Await.until(name + " has ended", () -> !process.isAlive());
+		return process.exitValue();
+	}
+
+	/**
+	 * The platform's table.
+	 * @return a reader
+	 */
+	public CellTable table() {
+		return new CellTable(this.layout);
+	}
+
+	/**
+	 * The status of the cell, as operators read it.
+	 * @return the status
+	 */
+	public CellStatus status() {
+		CommandResult result = operate("status", "--json");
+		if (result.exitCode() != 0) {
+			throw new IllegalStateException("no status: " + result.output());
+		}
+		return Json.read(result.output(), CellStatus.class);
+	}
+
+	/**
+	 * The switches of the stand-ins' faults.
+	 * @return the switches
+	 */
+	public CellFaults faults() {
+		return new CellFaults(this.layout);
+	}
+
+	/**
+	 * What a daemon has logged, settings faults included.
+	 * @param name its name
+	 * @return both of its outputs
+	 */
+	public String log(String name) {
 		try {
-			Process process = builder.start();
-			String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-			return new CommandResult(process.waitFor(), output);
+			return Files.readString(this.folder.resolve(name + ".log"));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new IllegalStateException("interrupted", ex);
-		}
 	}
 
 	/**
@@ -191,7 +319,7 @@
 	 * @return the processes
 	 */
 	public Map<String, Process> processes() {
-		return Map.copyOf(this.processes);
+		return Collections.unmodifiableMap(this.processes);
 	}
 
 	/**
@@ -230,30 +358,31 @@
 		return this.layout;
 	}
 
+	/**
+	 * End every process: those that are paused at once, the others by a planned stop.
+	 */
 	@Override
 	public void close() {
-		this.processes.values().forEach(Process::destroy);
-		for (Process process : this.processes.values()) {
-			try {
+		this.processes.forEach((name, process) -> {
+			if (this.frozen.contains(name)) {
+				process.destroyForcibly();
+			}
+			else {
+				process.destroy();
+			}
+		});
+		try {
+			for (Process process : this.processes.values()) {
 				if (!process.waitFor(10, TimeUnit.SECONDS)) {
-					process.destroyForcibly();
+					process.destroyForcibly().waitFor();
 				}
 			}
-			catch (InterruptedException ex) {
-				process.destroyForcibly();
-				Thread.currentThread().interrupt();
-			}
+			keep();
+		}
+		catch (InterruptedException ex) {
+			killAll();
+			Thread.currentThread().interrupt();
 		}
-	}
-
-	/**
-	 * How a command ended.
-	 *
-	 * @param exitCode the exit code
-	 * @param output both of its outputs
-	 */
-	public record CommandResult(int exitCode, String output) {
-
 	}
 
 }
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellSettings.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellSettings.java
@@ -29,12 +29,12 @@
 		return Json.write(settings);
 	}
 
-	static String scheduler(CellLayout layout, int index) {
+	static String scheduler(CellLayout layout, int index, int sessionLapseMillis) {
 		Map<String, Object> settings = new TreeMap<>();
 		settings.put("node", node(layout, "scheduler-" + (index + 1), index, layout.schedulerPeer(index)));
 		settings.put("operatorAddress", layout.operators(index).toString());
 		settings.put("operators", List.of(Map.of("name", "demo", "token", CellProcesses.OPERATOR_TOKEN)));
-		settings.put("sessionLapseMillis", 4000);
+		settings.put("sessionLapseMillis", sessionLapseMillis);
 		settings.put("workerLeaseMillis", 4000);
 		settings.put("drainMillis", 5000);
 		return Json.write(settings);
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/DemoCommand.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/DemoCommand.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.Callable;
 
 import org.monsoonrelay.adapters.logging.Program;
-import org.monsoonrelay.adapters.operator.CellStatus;
-import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.queue.JobStatus;
 import org.monsoonrelay.logic.text.CellTextParser;
 import org.monsoonrelay.model.job.TaskState;
 import org.monsoonrelay.model.workload.CellText;
+import org.monsoonrelay.model.workload.ServiceDeclaration;
 import org.monsoonrelay.model.workload.Workload;
 import org.monsoonrelay.model.workload.WorkloadKind;
 import picocli.CommandLine.Command;
@@ -43,31 +43,28 @@
 	@Override
 	public Integer call() throws IOException {
 		CellText text = new CellTextParser().accepted(Files.readString(this.root.resolve(this.example)));
-		String service = text.services().get(0).name();
+		ServiceDeclaration service = text.services().get(0);
 		Path folder = Files.createTempDirectory("monsoonrelay-demo");
-		CellProcesses cell = new CellProcesses(CellLayout.of(2, 2, 16, 6, service), this.root, folder);
-		Thread onKill = new Thread(cell::close);
-		Runtime.getRuntime().addShutdownHook(onKill);
+		CellProcesses cell = new CellProcesses(CellLayout.of(2, 2, 16, 6, service.name()), this.root, folder);
+		boolean started = false;
 		try {
 			cell.startAll(SERVICE_MILLIS);
-			boolean isRight = run(cell, text, service);
-			if (this.keep) {
-				Runtime.getRuntime().removeShutdownHook(onKill);
-				printProcesses(cell, folder);
-				return Program.OK;
-			}
-			return isRight ? Program.OK : Program.FAILED;
+			started = true;
+			return run(cell, text, service) ? Program.OK : Program.FAILED;
 		}
 		finally {
-			if (!this.keep) {
+			if (this.keep && started) {
+				cell.keep();
+				printProcesses(cell, folder);
+			}
+			else {
 				cell.close();
 			}
 		}
 	}
 
-	private boolean run(CellProcesses cell, CellText text, String service) {
-		CellProcesses.CommandResult applied = cell.operate("apply", "--wait",
-				this.root.resolve(this.example).toString());
+	private boolean run(CellProcesses cell, CellText text, ServiceDeclaration service) {
+		CommandResult applied = cell.operate("apply", "--wait", this.root.resolve(this.example).toString());
 		System.out.print(applied.output());
 		if (applied.exitCode() != Program.OK) {
 			return false;
@@ -75,52 +72,34 @@
 		Await.until("gateways are ready", cell::gatewaysReady);
 		List<CallerAnswer> answers = new CallerLoad(cell.callerAddresses(), service).send(REQUESTS);
 		Await.until("all work has run", () -> isDone(cell));
-		return report(cell, text, answers);
+		return report(text, CallerTally.of(service, answers, cell.requestCounts()), cell.taskCounts());
 	}
 
 	private static boolean isDone(CellProcesses cell) {
-		CellProcesses.CommandResult result = cell.operate("status", "--json");
-		if (result.exitCode() != Program.OK) {
-			return false;
-		}
-		CellStatus status = Json.read(result.output(), CellStatus.class);
-		return !status.jobs().isEmpty() && status.jobs().stream().allMatch((job) -> {
+		List<JobStatus> jobs = cell.status().jobs();
+		return !jobs.isEmpty() && jobs.stream().allMatch((job) -> {
 			TaskState wanted = (job.kind() != WorkloadKind.SERVICE) ? TaskState.FINISHED : TaskState.RUNNING;
 			return job.counts().getOrDefault(wanted, 0) == job.declared();
 		});
 	}
 
-	private static boolean report(CellProcesses cell, CellText text, List<CallerAnswer> answers) {
-		RequestCounts requests = cell.requestCounts();
-		TaskCounts tasks = cell.taskCounts();
-		int answered = count(answers, CallerAnswer.Kind.ANSWERED);
-		int notRun = count(answers, CallerAnswer.Kind.NOT_RUN);
-		int unknown = count(answers, CallerAnswer.Kind.UNKNOWN);
-		int lostRequests = answers.size() - answered - notRun - unknown;
-		int declaredTasks = 0;
+	private static boolean report(CellText text, CallerTally callers, TaskCounts tasks) {
+		int declared = 0;
 		int lostTasks = 0;
 		for (Workload workload : text.workloads()) {
 			if (workload.kind() != WorkloadKind.SERVICE) {
-				int finished = tasks.finishedTasksByJob().getOrDefault(workload.id().toString(), 0);
-				declaredTasks += workload.tasks();
-				lostTasks += workload.tasks() - finished;
+				declared += workload.tasks();
+				lostTasks += workload.tasks() - tasks.finishedOf(workload.id());
 			}
 		}
-		long doubledConfirmations = requests.repeated()
-			.keySet()
-			.stream()
-			.filter((name) -> !name.startsWith("lookup "))
-			.count();
-		long doubled = doubledConfirmations + tasks.overlapping() + tasks.finishedTwice();
+		int lost = callers.lost() + callers.wrong() + lostTasks;
+		int doubled = callers.doubled() + tasks.overlapping() + tasks.finishedTwice();
 		System.out.printf("demo: requests=%d answered=%d not_run=%d unknown=%d lost=%d doubled=%d tasks_run=%d%n",
-				answers.size(), answered, notRun, unknown, lostRequests + lostTasks, doubled, tasks.finished());
-		boolean requestsAreRight = answered == answers.size() && requests.runs() >= answered;
-		boolean tasksAreRight = tasks.finished() == declaredTasks && tasks.overCommitted() == 0;
-		return requestsAreRight && tasksAreRight && doubled == 0 && lostTasks == 0 && lostRequests == 0;
-	}
-
-	private static int count(List<CallerAnswer> answers, CallerAnswer.Kind kind) {
-		return (int) answers.stream().filter((answer) -> answer.kind() == kind).count();
+				callers.requests(), callers.answered(), callers.notRun(), callers.unknown(), lost, doubled,
+				tasks.finished());
+		boolean requestsAreRight = callers.answered() == callers.requests() && callers.untrue() == 0;
+		boolean tasksAreRight = tasks.finished() == declared && tasks.overCommitted() == 0;
+		return requestsAreRight && tasksAreRight && doubled == 0 && lost == 0;
 	}
 
 	private static void printProcesses(CellProcesses cell, Path folder) {
@@ -128,9 +107,12 @@
 		System.out.println("callers: " + cell.callerAddresses());
 		System.out.println("operators: " + cell.layout().operators(0) + ", " + cell.layout().operators(1)
 				+ " credential: " + CellProcesses.OPERATOR_TOKEN);
+		StringBuilder pids = new StringBuilder();
 		for (Map.Entry<String, Process> entry : cell.processes().entrySet()) {
 			System.out.println(entry.getKey() + " pid=" + entry.getValue().pid());
+			pids.append(' ').append(entry.getValue().pid());
 		}
+		System.out.println("end them with: kill" + pids);
 	}
 
 }
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/RequestCounts.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/RequestCounts.java
@@ -7,10 +7,33 @@
  *
  * @param runs requests run
  * @param refusals requests refused before they started
- * @param runsByOperation requests run, by operation
- * @param repeated runs of each named request that ran more than once
+ * @param runsByServer requests run, by backend server
+ * @param runsByRequest requests run, by operation and the request's name
  */
-public record RequestCounts(int runs, long refusals, Map<String, Integer> runsByOperation,
-		Map<String, Integer> repeated) {
+public record RequestCounts(int runs, long refusals, Map<String, Integer> runsByServer,
+		Map<String, Integer> runsByRequest) {
+
+	/**
+	 * Runs of one request.
+	 * @param operation the operation
+	 * @param name the request's name
+	 * @return how often it ran
+	 */
+	public int runs(String operation, String name) {
+		return this.runsByRequest.getOrDefault(key(operation, name), 0);
+	}
+
+	/**
+	 * Runs at one backend server.
+	 * @param server the backend server's name
+	 * @return how many requests it ran
+	 */
+	public int runsAt(String server) {
+		return this.runsByServer.getOrDefault(server, 0);
+	}
+
+	static String key(String operation, String name) {
+		return operation + ' ' + name;
+	}
 
 }
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/StandinMain.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/StandinMain.java
@@ -48,7 +48,7 @@
 		if (this.settingsFile == null) {
 			throw new SettingsException("--settings or a command is needed");
 		}
-		StandinSettings settings = Json.read(Files.readString(this.settingsFile), StandinSettings.class);
+		StandinSettings settings = read(this.settingsFile);
 		switch (settings.role()) {
 			case PLATFORM -> new PlatformStandin(settings.controlAddress(), settings.listLagMillis()).start();
 			case WORKERS -> startWorkers(settings);
@@ -59,6 +59,18 @@
 		return Program.OK;
 	}
 
+	private static StandinSettings read(Path file) {
+		try {
+			return Json.read(Files.readString(file), StandinSettings.class);
+		}
+		catch (IOException ex) {
+			throw new SettingsException(file + ": cannot be read: " + ex.getClass().getSimpleName());
+		}
+		catch (IllegalArgumentException ex) {
+			throw new SettingsException(file + ": " + ex.getMessage());
+		}
+	}
+
 	private static void startWorkers(StandinSettings settings) throws IOException, InterruptedException {
 		ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
 		TaskLog log = new TaskLog();
@@ -93,10 +105,6 @@
 		}
 		new StandinServer(settings.controlAddress(), Executors.newFixedThreadPool(2))
 			.route("/control/counters", (exchange) -> StandinServer.sendJson(exchange, 200, log.counters()))
-			.route("/control/runs", (exchange) -> {
-				Map<String, String> query = StandinServer.query(exchange);
-				StandinServer.sendJson(exchange, 200, log.runs(query.get("operation"), query.get("request")));
-			})
 			.route("/control/fault", (exchange) -> {
 				BackendFault fault = Json.read(StandinServer.body(exchange), BackendFault.class);
 				servers.get(StandinServer.query(exchange).get("name")).setFault(fault);
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskCounts.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskCounts.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 
+import org.monsoonrelay.model.job.JobId;
+
 /**
  * What the workers have counted. Immutable.
  *
@@ -16,4 +18,13 @@
 public record TaskCounts(int started, int finished, int running, int overlapping, int finishedTwice, int overCommitted,
 		Map<String, Integer> finishedTasksByJob) {
 
+	/**
+	 * Tasks of a job that ended well, each counted once.
+	 * @param job the job
+	 * @return the count
+	 */
+	public int finishedOf(JobId job) {
+		return this.finishedTasksByJob.getOrDefault(job.toString(), 0);
+	}
+
 }
