Put workers that fail everything on probation

Cause: nothing told a worker that fails what others run from a job that fails everywhere; a failing worker looks empty and drew task after task. Before, with isOnProbation out on a scratch change, one of four workers failing all of 300 jobs' tasks: "Expecting actual: 196 to be less than or equal to: 20" failed starts there. With the job's own fault left out of the count the healthy workers of jobsThatFailEverywherePutNoHealthyWorkerOnProbation are lost to two broken jobs: usable workers "[0]" where "[4]" was due. Mend: WorkerHealth counts failures in a row at the rack's owner; three put a worker on probation unless the jobs failed on three workers and ran well on none; a probe task goes there after 10 s, doubling to 640 s, and one good end releases it. A job goes to workers on which it has not failed, as long as the rack has such a one. Ruled out: a share of failed tasks over time, which needs a window for each load; the queue owners' counts, which would need a message to all racks.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/Rack.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/Rack.java
@@ -38,15 +38,25 @@
 		this.slots.remove(worker);
 	}
 
-	List<Worker> usableWorkers() {
-		return this.slots.values().stream().filter(WorkerSlot::isUsable).map(WorkerSlot::worker).toList();
+	/**
+	 * The workers that may be given work.
+	 * @param health tells which are on probation
+	 * @return the workers
+	 */
+	List<Worker> usableWorkers(WorkerHealth health) {
+		return this.slots.values()
+			.stream()
+			.filter(WorkerSlot::isUsable)
+			.map(WorkerSlot::worker)
+			.filter((worker) -> health.isUsable(worker.id()))
+			.toList();
 	}
 
-	RackSummary summary() {
+	RackSummary summary(WorkerHealth health) {
 		Resources capacity = Resources.NONE;
 		Resources free = Resources.NONE;
 		int largest = 0;
-		List<Worker> usable = usableWorkers();
+		List<Worker> usable = usableWorkers(health);
 		for (Worker worker : usable) {
 			capacity = capacity.plus(worker.capacity());
 			free = free.plus(worker.free());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
@@ -18,19 +18,15 @@
 
 import org.monsoonrelay.logic.placement.AttemptEvent;
 import org.monsoonrelay.logic.placement.AttemptEventKind;
-import org.monsoonrelay.logic.placement.PackingPolicy;
-import org.monsoonrelay.logic.placement.PlacementPolicy;
 import org.monsoonrelay.logic.placement.RackSummary;
 import org.monsoonrelay.logic.placement.Reservation;
 import org.monsoonrelay.logic.placement.ReservationRequest;
-import org.monsoonrelay.logic.placement.SpreadPolicy;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.model.host.Host;
 import org.monsoonrelay.model.host.HostKind;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.worker.Worker;
 import org.monsoonrelay.model.worker.WorkerId;
-import org.monsoonrelay.model.workload.WorkloadKind;
 
 /**
  * Owner of racks: reserves room, starts and stops attempts on workers, renews leases and
@@ -58,6 +54,8 @@
 
 	private final Map<AttemptId, WorkerSlot> slotByAttempt = new HashMap<>();
 
+	private final WorkerHealth health;
+
 	private HostList hosts = new HostList(0, List.of());
 
 	public RackManager(WorkerAgents agents, Executor control, InstantSource clock, LongSupplier monotonicNanos,
@@ -67,6 +65,7 @@
 		this.clock = clock;
 		this.monotonicNanos = monotonicNanos;
 		this.lease = lease;
+		this.health = new WorkerHealth(monotonicNanos);
 	}
 
 	/**
@@ -159,8 +158,7 @@
 		if (held != null) {
 			return Optional.of(new Reservation(attempt, held.worker().id(), held.worker().incarnation()));
 		}
-		PlacementPolicy policy = (request.kind() == WorkloadKind.SERVICE) ? new SpreadPolicy() : new PackingPolicy();
-		Optional<Worker> chosen = policy.choose(attempt.job(), request.size(), rack.usableWorkers());
+		Optional<Worker> chosen = this.health.choose(rack.usableWorkers(this.health), request, attempt.job());
 		if (chosen.isEmpty() || !chosen.get().reserve(attempt, request.size(), request.deadline())) {
 			return Optional.empty();
 		}
@@ -335,7 +333,9 @@
 		boolean known = before == slot && event.kind() == AttemptEventKind.RUNNING
 				&& slot.announcedRunning(event.attempt());
 		if (!known || this.outbox.containsKey(event.attempt())) {
-			this.outbox.put(event.attempt(), event);
+			if (!event.equals(this.outbox.put(event.attempt(), event))) {
+				this.health.judge(event);
+			}
 		}
 	}
 
@@ -376,7 +376,7 @@
 	 * @return a summary of each owned rack
 	 */
 	public List<RackSummary> summaries() {
-		return this.racks.values().stream().map(Rack::summary).toList();
+		return this.racks.values().stream().map((rack) -> rack.summary(this.health)).toList();
 	}
 
 	/**
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeWorkers.java
@@ -33,6 +33,8 @@
 
 	private int mostAtOnce;
 
+	private String failingJobs = "none";
+
 	@Override
 	public CompletableFuture<WorkerReport> send(Host host, WorkerCommand command) {
 		FakeWorker worker = worker(host.name());
@@ -60,6 +62,14 @@
 		return this.workers.computeIfAbsent(name, (key) -> new FakeWorker());
 	}
 
+	/**
+	 * Let jobs fail wherever they are started.
+	 * @param names pattern of their names
+	 */
+	public void failJobs(String names) {
+		this.failingJobs = names;
+	}
+
 	/**
 	 * How often tasks were started, over all workers.
 	 * @return runs by {@code name@run/task}
@@ -131,6 +141,8 @@
 
 		private boolean failsAll;
 
+		private int failures;
+
 		private int commands;
 
 		private WorkerReport take(WorkerCommand command) {
@@ -173,7 +185,8 @@
 				int now = FakeWorkers.this.runningNow.merge(task(attempt), 1, Integer::sum);
 				FakeWorkers.this.mostAtOnce = Math.max(FakeWorkers.this.mostAtOnce, now);
 			}
-			if (this.failsAll) {
+			if (!ended && (this.failsAll || attempt.job().name().matches(FakeWorkers.this.failingJobs))) {
+				this.failures++;
 				end(attempt, AttemptPhase.FAILED);
 			}
 		}
@@ -234,6 +247,10 @@
 			this.failsAll = all;
 		}
 
+		public int failures() {
+			return this.failures;
+		}
+
 		public int commands() {
 			return this.commands;
 		}
