Replace services on leaving workers before they are stopped

Cause: a leaving worker took no new work, but what ran there was left to die with its host. Before: "Failures: 1" of LeavingWorkerTests, no replica on the worker that stays (servicesAreReplacedBeforeTheyAreStoppedAndBatchRunsToItsEnd :62, runningHere() of w2 was due to be 3). Mend: AttemptFollowUp lets a service's replicas on leaving workers be placed anew and stops the old ones once the new ones run, or when the job is cancelled. Batch tasks run to their end; what a host takes with it is placed again when the host has left the list. After: 3 of 3 pass; at least 3 replicas ran at the end of every second. Left: no command asks a worker to checkpoint a batch task before it leaves.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptFollowUp.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptFollowUp.java
@@ -12,15 +12,19 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
+import org.monsoonrelay.logic.placement.AttemptEvent;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.host.HostState;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
 import org.monsoonrelay.model.job.TaskRecord;
 import org.monsoonrelay.model.job.TaskState;
 import org.monsoonrelay.model.worker.WorkerId;
+import org.monsoonrelay.model.workload.WorkloadKind;
 
 /**
  * Asks after attempts of which nothing certain is known, and repeats stops until the end
@@ -49,10 +53,14 @@
 
 	private final Map<AttemptId, Stop> stops = new LinkedHashMap<>();
 
+	private final Map<AttemptId, WorkerId> replaced = new LinkedHashMap<>();
+
 	private HostList hosts = new HostList(0, List.of());
 
 	private Map<String, String> rackByWorker = Map.of();
 
+	private Set<String> leaving = Set.of();
+
 	private Instant notBefore = Instant.MIN;
 
 	AttemptFollowUp(RackOwners rackOwners, RackDirectory racks, InstantSource clock) {
@@ -65,6 +73,11 @@
 		if (list.version() >= this.hosts.version()) {
 			this.hosts = list;
 			this.rackByWorker = list.hosts().stream().collect(Collectors.toMap(Host::name, Host::rack, (a, b) -> b));
+			this.leaving = list.hosts()
+				.stream()
+				.filter((host) -> host.state() == HostState.LEAVING)
+				.map(Host::name)
+				.collect(Collectors.toSet());
 		}
 	}
 
@@ -118,7 +131,48 @@
 		this.unconfirmed.remove(attempt);
 		if (ended) {
 			this.stops.remove(attempt);
+			this.replaced.remove(attempt);
+		}
+	}
+
+	/**
+	 * A worker runs an attempt. What it replaces is stopped now, and so is an attempt
+	 * that nobody waits for any more.
+	 * @param job the job
+	 * @param event what was told
+	 */
+	void running(Job job, AttemptEvent event) {
+		AttemptId attempt = event.attempt();
+		job.running(attempt, event.worker());
+		if (isCurrent(job, attempt)) {
+			stopReplaced(job, (old) -> old.task() == attempt.task() && old.attempt() < attempt.attempt());
 		}
+		else if (!this.replaced.containsKey(attempt)) {
+			stop(attempt, event.worker(), job.workload().team());
+		}
+	}
+
+	/**
+	 * A job was cancelled: what runs on until it is replaced is stopped, too.
+	 * @param job the job
+	 */
+	void cancelled(Job job) {
+		stopReplaced(job, (old) -> true);
+	}
+
+	private void stopReplaced(Job job, Predicate<AttemptId> condition) {
+		List<AttemptId> due = this.replaced.keySet()
+			.stream()
+			.filter((old) -> old.job().equals(job.id()) && condition.test(old))
+			.toList();
+		due.forEach((old) -> stop(old, this.replaced.remove(old), job.workload().team()));
+	}
+
+	private static boolean isCurrent(Job job, AttemptId attempt) {
+		return job.tasks()
+			.stream()
+			.anyMatch((task) -> task.task() == attempt.task() && task.attempt() == attempt.attempt()
+					&& task.state() == TaskState.RUNNING);
 	}
 
 	/**
@@ -162,7 +216,26 @@
 		}
 	}
 
+	/**
+	 * Let the replicas of a service on leaving workers be placed elsewhere. They run on
+	 * until the new ones run.
+	 * @param job the job
+	 */
+	private void replace(Job job) {
+		if (this.leaving.isEmpty() || job.workload().kind() != WorkloadKind.SERVICE) {
+			return;
+		}
+		for (TaskRecord task : job.tasks()) {
+			AttemptId attempt = new AttemptId(job.id(), task.task(), task.attempt());
+			boolean leaves = task.state() == TaskState.RUNNING && this.leaving.contains(task.worker());
+			if (leaves && job.lapsed(attempt)) {
+				this.replaced.put(attempt, new WorkerId(task.worker()));
+			}
+		}
+	}
+
 	private int followUp(Job job, BiConsumer<Job, AttemptId> gone) {
+		replace(job);
 		int asked = 0;
 		for (TaskRecord task : job.tasks()) {
 			AttemptId attempt = new AttemptId(job.id(), task.task(), task.attempt());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -23,7 +23,6 @@
 import org.monsoonrelay.model.job.JobId;
 import org.monsoonrelay.model.job.JobRecord;
 import org.monsoonrelay.model.job.TaskRecord;
-import org.monsoonrelay.model.job.TaskState;
 import org.monsoonrelay.model.worker.WorkerId;
 import org.monsoonrelay.model.workload.Workload;
 import org.monsoonrelay.model.workload.WorkloadKind;
@@ -155,6 +154,7 @@
 			return;
 		}
 		job.cancel().forEach((attempt) -> stop(job, attempt, workers));
+		this.followUp.cancelled(job);
 		if (!this.inForce.state().cancelled().contains(job.id().toString())) {
 			this.journal.mark(job, () -> removeIfUndeclared(queue, job));
 		}
@@ -313,10 +313,7 @@
 		AttemptId attempt = event.attempt();
 		switch (event.kind()) {
 			case RUNNING -> {
-				job.running(attempt, event.worker());
-				if (!isCurrent(job, attempt)) {
-					stopUnwanted(event, job.workload().team());
-				}
+				this.followUp.running(job, event);
 				acknowledge.run();
 			}
 			case LAPSED -> {
@@ -339,15 +336,6 @@
 		}
 	}
 
-	private static boolean isCurrent(Job job, AttemptId attempt) {
-		TaskRecord task = job.tasks()
-			.stream()
-			.filter((candidate) -> candidate.task() == attempt.task())
-			.findFirst()
-			.orElse(null);
-		return task != null && task.attempt() == attempt.attempt() && task.state() == TaskState.RUNNING;
-	}
-
 	/**
 	 * What operators read of the owned jobs.
 	 * @return the status of each job
