Check settings whole and print them without secrets

Ruled out: masking by a schema annotation (the masked names would stand in two schemas); the printer masks secret, token and password wherever they stand.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/NodeSettings.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.monsoonrelay.adapters.settings.AddressCheck;
 import org.monsoonrelay.model.host.HostAddress;
 
 /**
@@ -18,7 +19,18 @@
 		String secret) {
 
 	public NodeSettings {
-		peers = List.copyOf(peers);
+		peers = (peers != null) ? List.copyOf(peers) : List.of();
+	}
+
+	/**
+	 * Check the addresses.
+	 * @param addresses the check of the whole process's addresses
+	 */
+	public void check(AddressCheck addresses) {
+		addresses.listens("/node/peerAddress", this.peerAddress).calls("/node/platform", this.platform);
+		for (int index = 0; index < this.peers.size(); index++) {
+			addresses.calls("/node/peers/" + index, this.peers.get(index));
+		}
 	}
 
 	public HostAddress peer() {
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/settings/SettingsReader.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/settings/SettingsReader.java
@@ -3,20 +3,22 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.text.SchemaCheck;
 import org.monsoonrelay.logic.text.TextFault;
 
 /**
- * Reads a settings file, checks it against the program's schema and binds it.
+ * Reads a settings file, checks it against the program's schema and rules and binds it.
  * Thread-safe.
  *
  * @param <T> type of the settings
  */
-public final class SettingsReader<T> {
+public final class SettingsReader<T extends CheckedSettings> {
 
 	private final Class<T> type;
 
@@ -40,17 +42,21 @@
 	 */
 	public T read(Path file) {
 		String document = content(file);
-		List<TextFault> faults = this.schema.check(document);
-		if (!faults.isEmpty()) {
-			throw new SettingsException(
-					file + ": " + faults.stream().map(TextFault::toString).collect(Collectors.joining("; ")));
-		}
+		List<TextFault> faults = new ArrayList<>(this.schema.check(document));
 		try {
-			return Json.read(document, this.type);
+			T settings = Json.readLeniently(document, this.type);
+			faults.addAll(settings.faults());
+			if (faults.isEmpty()) {
+				return settings;
+			}
 		}
-		catch (IllegalArgumentException ex) {
-			throw new SettingsException(file + ": " + ex.getMessage());
+		catch (JsonProcessingException ex) {
+			if (faults.isEmpty()) {
+				faults.add(SchemaCheck.bindingFault(ex));
+			}
 		}
+		throw new SettingsException(
+				file + ": " + faults.stream().map(TextFault::toString).collect(Collectors.joining("; ")));
 	}
 
 	private static String content(Path file) {
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayMain.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayMain.java
@@ -5,8 +5,8 @@
 
 import org.monsoonrelay.adapters.logging.Program;
 import org.monsoonrelay.adapters.node.Shutdown;
+import org.monsoonrelay.adapters.settings.SettingsPrinter;
 import org.monsoonrelay.adapters.settings.SettingsReader;
-import org.monsoonrelay.logic.platform.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -36,7 +36,7 @@
 		GatewaySettings settings = new SettingsReader<>(GatewaySettings.class, "gateway-settings.schema.json")
 			.read(this.settingsFile);
 		if (this.printSettings) {
-			System.out.println(Json.write(settings));
+			System.out.println(SettingsPrinter.print(settings));
 			return Program.OK;
 		}
 		Gateway gateway = new Gateway(settings);
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewaySettings.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewaySettings.java
@@ -1,6 +1,11 @@
 package org.monsoonrelay.gateway;
 
+import java.util.List;
+
 import org.monsoonrelay.adapters.node.NodeSettings;
+import org.monsoonrelay.adapters.settings.AddressCheck;
+import org.monsoonrelay.adapters.settings.CheckedSettings;
+import org.monsoonrelay.logic.text.TextFault;
 import org.monsoonrelay.model.host.HostAddress;
 
 /**
@@ -17,7 +22,18 @@
  * @param drainMillis how long a planned stop waits for work in flight, in milliseconds
  */
 public record GatewaySettings(NodeSettings node, String callerAddress, String adminAddress, int slotsPerBackendServer,
-		int maximumWaiting, int attemptLimitMillis, int drainMillis) {
+		int maximumWaiting, int attemptLimitMillis, int drainMillis) implements CheckedSettings {
+
+	@Override
+	public List<TextFault> faults() {
+		AddressCheck addresses = new AddressCheck();
+		if (this.node != null) {
+			this.node.check(addresses);
+		}
+		return addresses.listens("/callerAddress", this.callerAddress)
+			.listens("/adminAddress", this.adminAddress)
+			.faults();
+	}
 
 	public HostAddress caller() {
 		return HostAddress.parse(this.callerAddress);
--- /dev/null
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the gateway program.
+ */
+package org.monsoonrelay.gateway;
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerMain.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerMain.java
@@ -5,8 +5,8 @@
 
 import org.monsoonrelay.adapters.logging.Program;
 import org.monsoonrelay.adapters.node.Shutdown;
+import org.monsoonrelay.adapters.settings.SettingsPrinter;
 import org.monsoonrelay.adapters.settings.SettingsReader;
-import org.monsoonrelay.logic.platform.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -36,7 +36,7 @@
 		SchedulerSettings settings = new SettingsReader<>(SchedulerSettings.class, "scheduler-settings.schema.json")
 			.read(this.settingsFile);
 		if (this.printSettings) {
-			System.out.println(Json.write(settings));
+			System.out.println(SettingsPrinter.print(settings));
 			return Program.OK;
 		}
 		SchedulerNode node = new SchedulerNode(settings);
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerSettings.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerSettings.java
@@ -1,8 +1,15 @@
 package org.monsoonrelay.scheduler;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
 
 import org.monsoonrelay.adapters.node.NodeSettings;
+import org.monsoonrelay.adapters.settings.AddressCheck;
+import org.monsoonrelay.adapters.settings.CheckedSettings;
+import org.monsoonrelay.logic.text.TextFault;
 import org.monsoonrelay.model.host.HostAddress;
 
 /**
@@ -17,10 +24,35 @@
  * @param drainMillis how long a planned stop may take, in milliseconds
  */
 public record SchedulerSettings(NodeSettings node, String operatorAddress, List<OperatorCredential> operators,
-		int sessionLapseMillis, int workerLeaseMillis, int drainMillis) {
+		int sessionLapseMillis, int workerLeaseMillis, int drainMillis) implements CheckedSettings {
 
 	public SchedulerSettings {
-		operators = List.copyOf(operators);
+		operators = (operators != null) ? List.copyOf(operators) : List.of();
+	}
+
+	@Override
+	public List<TextFault> faults() {
+		AddressCheck addresses = new AddressCheck();
+		if (this.node != null) {
+			this.node.check(addresses);
+		}
+		List<TextFault> faults = new ArrayList<>(addresses.listens("/operatorAddress", this.operatorAddress).faults());
+		faults.addAll(repeated("name", OperatorCredential::name));
+		faults.addAll(repeated("token", OperatorCredential::token));
+		return faults;
+	}
+
+	private List<TextFault> repeated(String field, Function<OperatorCredential, String> value) {
+		List<TextFault> faults = new ArrayList<>();
+		Map<String, Integer> seen = new HashMap<>();
+		for (int index = 0; index < this.operators.size(); index++) {
+			Integer earlier = seen.putIfAbsent(String.valueOf(value.apply(this.operators.get(index))), index);
+			if (earlier != null) {
+				faults.add(new TextFault("/operators/" + index + "/" + field,
+						"the same as /operators/" + earlier + "/" + field));
+			}
+		}
+		return faults;
 	}
 
 	public HostAddress operator() {
