--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/ControlFollower.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/ControlFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
+import org.monsoonrelay.adapters.logging.LogFields;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StateReply;
@@ -22,6 +23,8 @@
  */
 public final class ControlFollower {
 
+	private static final System.Logger LOGGER = System.getLogger(ControlFollower.class.getName());
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
 	private final VersionFollower follower;
@@ -31,6 +34,12 @@
 	public ControlFollower(ControlLog log, ControlTracker tracker) {
 		this.follower = new VersionFollower(log, tracker);
 		this.tracker = tracker;
+		tracker.onChange(ControlFollower::logChange);
+	}
+
+	private static void logChange(InForce next) {
+		LogFields.of(LogFields.VERSION, next.head().version())
+			.run(() -> LOGGER.log(System.Logger.Level.INFO, "a new version is in force"));
 	}
 
 	/**
--- /dev/null
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the logs.
+ */
+package org.monsoonrelay.adapters.logging;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/VersionFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/VersionFollower.java
@@ -5,7 +5,6 @@
 import java.util.function.Supplier;
 
 import org.monsoonrelay.model.control.ControlHead;
-import org.monsoonrelay.model.control.ControlState;
 
 /**
  * Keeps a process's version in force up to date, from the platform and, where that cannot
@@ -42,7 +41,7 @@
 		if (!isHigher(head.version())) {
 			return CompletableFuture.completedFuture(null);
 		}
-		return this.log.state(head).thenAccept((state) -> offer(head, state));
+		return this.log.state(head).thenAccept((state) -> this.tracker.offer(head, state));
 	}
 
 	/**
@@ -56,7 +55,8 @@
 		if (!isHigher(version)) {
 			return CompletableFuture.completedFuture(null);
 		}
-		return once(this.fetching, () -> fetch.get().thenAccept((fetched) -> offer(fetched.head(), fetched.state())),
+		return once(this.fetching,
+				() -> fetch.get().thenAccept((fetched) -> this.tracker.offer(fetched.head(), fetched.state())),
 				"a peer's version cannot be had");
 	}
 
@@ -64,12 +64,6 @@
 		return version > this.tracker.inForce().head().version();
 	}
 
-	private void offer(ControlHead head, ControlState state) {
-		if (this.tracker.offer(head, state)) {
-			LOGGER.log(System.Logger.Level.INFO, "version {0} is in force", Long.toString(head.version()));
-		}
-	}
-
 	private static CompletableFuture<Void> once(AtomicBoolean busy, Supplier<CompletableFuture<Void>> reading,
 			String failed) {
 		if (!busy.compareAndSet(false, true)) {
