--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/OperatorRoutes.java
@@ -1,16 +1,17 @@
 package org.monsoonrelay.scheduler;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import io.jooby.Context;
 import io.jooby.Jooby;
 import io.jooby.StatusCode;
 import org.monsoonrelay.adapters.http.Problem;
+import org.monsoonrelay.adapters.logging.LogFields;
+import org.monsoonrelay.adapters.operator.CellStatus;
 import org.monsoonrelay.adapters.operator.EditReply;
 import org.monsoonrelay.adapters.operator.EditRequest;
 import org.monsoonrelay.adapters.operator.StateMessage;
@@ -25,28 +26,27 @@
 import org.monsoonrelay.model.control.ControlHead;
 import org.monsoonrelay.model.control.ControlState;
 import org.monsoonrelay.model.control.EditKind;
-import org.monsoonrelay.scheduler.SchedulerSettings.OperatorCredential;
 
 /**
- * The operators' side. Every route needs an operator's credential, compared in constant
- * time. Thread-safe.
+ * The operators' side. Every route needs an operator's credential. Thread-safe.
  */
 final class OperatorRoutes {
 
-	private static final String BEARER = "Bearer ";
+	private static final System.Logger LOGGER = System.getLogger(OperatorRoutes.class.getName());
 
 	private static final int MAXIMUM_PAGE = 500;
 
-	private final SchedulerSettings settings;
+	private final OperatorAccess access;
 
 	private final ControlLog log;
 
 	private final ControlTracker tracker;
 
-	private final CellStatusCollector status;
+	private final Supplier<CompletableFuture<CellStatus>> status;
 
-	OperatorRoutes(SchedulerSettings settings, ControlLog log, ControlTracker tracker, CellStatusCollector status) {
-		this.settings = settings;
+	OperatorRoutes(OperatorAccess access, ControlLog log, ControlTracker tracker,
+			Supplier<CompletableFuture<CellStatus>> status) {
+		this.access = access;
 		this.log = log;
 		this.tracker = tracker;
 		this.status = status;
@@ -57,7 +57,7 @@
 		application.get("/operator/state",
 				(context) -> authorized(context, (operator, call) -> respond(call, state())));
 		application.get("/operator/status",
-				(context) -> authorized(context, (operator, call) -> respond(call, this.status.collect())));
+				(context) -> authorized(context, (operator, call) -> respond(call, this.status.get())));
 		application.get("/operator/audit",
 				(context) -> authorized(context, (operator, call) -> respond(call, this.log.audit(auditQuery(call)))));
 		application.error((context, cause, code) -> Problem
@@ -66,23 +66,17 @@
 	}
 
 	private Object authorized(Context context, Action action) throws Exception {
-		String header = context.header("Authorization").value("");
-		byte[] shown = header.getBytes(StandardCharsets.UTF_8);
-		Optional<OperatorCredential> operator = Optional.empty();
-		for (OperatorCredential candidate : this.settings.operators()) {
-			byte[] expected = (BEARER + candidate.token()).getBytes(StandardCharsets.UTF_8);
-			if (MessageDigest.isEqual(shown, expected)) {
-				operator = Optional.of(candidate);
-			}
-		}
+		Optional<String> operator = this.access.operator(context.header("Authorization").value(""));
 		if (operator.isEmpty()) {
+			LOGGER.log(System.Logger.Level.WARNING, "refused {0} without an operator''s credential at {1}",
+					context.getRemoteAddress(), context.getRequestPath());
 			Problem
 				.of("unauthorized", "Unauthorized", StatusCode.UNAUTHORIZED_CODE,
 						"The operator's credential is missing or wrong.")
 				.send(context);
 			return context;
 		}
-		return action.run(operator.get().name(), context);
+		return action.run(operator.get(), context);
 	}
 
 	private static AuditQuery auditQuery(Context call) {
@@ -95,6 +89,9 @@
 		EditRequest request = Json.read(context.body().value(), EditRequest.class);
 		OptionalLong expected = (request.expectedTextVersion() != null) ? OptionalLong.of(request.expectedTextVersion())
 				: OptionalLong.empty();
+		LogFields.of(LogFields.OPERATOR, operator)
+			.run(() -> LOGGER.log(System.Logger.Level.INFO, "edit {0} asked for: {1}", request.editId(),
+					request.kind()));
 		Edit edit = new Edit(request.editId(), request.kind(), operator, request.text(), request.targets(), expected);
 		return respond(context, this.log.submit(edit).thenApply(OperatorRoutes::reply));
 	}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -126,9 +126,10 @@
 				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), this.platform,
 				this.control, System::nanoTime, Duration.ofMillis(settings.sessionLapseMillis()), this::owner);
 		this.messages = new SchedulerMessages(this.rackManager, this.queueManager, this.control, clock);
-		OperatorRoutes routes = new OperatorRoutes(settings, this.controlLog, this.tracker,
-				new CellStatusCollector(this.rackManager::summaries, settings, this.queueManager, this.tracker,
-						this.control, this.peers, this.network));
+		CellStatusCollector collector = new CellStatusCollector(this.rackManager::summaries, settings,
+				this.queueManager, this.tracker, this.control, this.peers, this.network);
+		OperatorRoutes routes = new OperatorRoutes(new OperatorAccess(settings.operators()), this.controlLog,
+				this.tracker, collector::collect);
 		HealthRoutes health = new HealthRoutes(metrics, this::notReady);
 		this.operators = new HttpServer(settings.operator(), MAXIMUM_BODY_BYTES, (application) -> {
 			health.addTo(application);
