Fetch the state compressed

Cause: every process fetches the whole state after each change.

Ruled out for now: one object a section, fetched only when it changed.

before: objectThatEveryProcessFetches... expected less than 30 bytes a declaration but was 180 after: passes; ControlLogTests and VersionFollowerTests 24 of 24.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/ControlLog.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/control/ControlLog.java
@@ -98,7 +98,7 @@
 			return CompletableFuture.completedFuture(ControlState.NONE);
 		}
 		return this.objects.get(OBJECT_PREFIX + head.stateDigest())
-			.thenApply((content) -> content.map((text) -> Json.read(text, ControlState.class))
+			.thenApply((content) -> content.map(PackedState::unpack)
 				.orElseThrow(() -> new PlatformException("object is missing: " + head.stateDigest(), false, null)));
 	}
 
@@ -154,7 +154,7 @@
 	}
 
 	private CompletableFuture<EditOutcome> write(Edit edit, Tries tries, Present present, ControlState next) {
-		String content = Json.write(next);
+		String content = PackedState.pack(next);
 		ControlHead head = new ControlHead(present.head().version() + 1, Digest.of(content), edit.editId());
 		List<ConditionalWrite> writes = List.of(
 				new ConditionalWrite(TableKeys.HEAD, Json.write(head), present.rowVersion()),
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/ControlLogTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/ControlLogTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -25,6 +26,8 @@
 
 class ControlLogTests {
 
+	private static final int MAXIMUM_BYTES_A_DECLARATION = 30;
+
 	private final PlatformFake platform = new PlatformFake();
 
 	private final ControlLog log = new ControlLog(this.platform, this.platform, () -> Instant.EPOCH);
@@ -268,6 +271,24 @@
 			assertThat(platform.bytesWritten).isLessThan(2 * 1000);
 		}
 
+		@Test
+		void objectThatEveryProcessFetchesGrowsByAFewBytesADeclaration() {
+			int small = objectBytes(100);
+			int large = objectBytes(1100);
+
+			assertThat((large - small) / 1000).isLessThan(MAXIMUM_BYTES_A_DECLARATION);
+		}
+
+		private int objectBytes(int declarations) {
+			PlatformFake platform = new PlatformFake();
+			ControlLog empty = new ControlLog(platform, platform, () -> Instant.EPOCH);
+			String[] names = IntStream.range(0, declarations)
+				.mapToObj((index) -> "run-" + index)
+				.toArray(String[]::new);
+			empty.submit(apply("a", "ana", 0, names)).join();
+			return platform.objects.values().iterator().next().length();
+		}
+
 	}
 
 }
