--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/ProcessMetrics.java
@@ -0,0 +1,46 @@
+package org.monsoonrelay.adapters.node;
+
+import java.lang.management.ManagementFactory;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.sun.management.OperatingSystemMXBean;
+import org.monsoonrelay.adapters.logging.FloodFilter;
+import org.monsoonrelay.logic.control.ControlTracker;
+
+/**
+ * Metrics that every daemon has: the version in force and what the process costs.
+ * Stateless and thread-safe.
+ */
+public final class ProcessMetrics {
+
+	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private ProcessMetrics() {
+	}
+
+	/**
+	 * Add the metrics.
+	 * @param metrics where to add them
+	 * @param tracker the version in force
+	 */
+	public static void addTo(MetricRegistry metrics, ControlTracker tracker) {
+		gauge(metrics, "control.version", () -> tracker.inForce().head().version());
+		gauge(metrics, "process.cpu.seconds", ProcessMetrics::processorSeconds);
+		gauge(metrics, "process.uptime.seconds",
+				() -> ManagementFactory.getRuntimeMXBean().getUptime() / (double) TimeUnit.SECONDS.toMillis(1));
+		gauge(metrics, "process.heap.bytes", () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+		gauge(metrics, "log.lines.dropped", FloodFilter::dropped);
+	}
+
+	private static void gauge(MetricRegistry metrics, String name, Gauge<?> value) {
+		metrics.register(name, value);
+	}
+
+	private static double processorSeconds() {
+		OperatingSystemMXBean system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+		return system.getProcessCpuTime() / NANOS_PER_SECOND;
+	}
+
+}
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
 import org.monsoonrelay.adapters.node.ControlFollower;
+import org.monsoonrelay.adapters.node.ProcessMetrics;
 import org.monsoonrelay.adapters.peer.PeerIdentity;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Announcement;
@@ -76,6 +77,7 @@
 		this.settings = settings;
 		Clock clock = Clock.systemUTC();
 		MetricRegistry metrics = new MetricRegistry();
+		ProcessMetrics.addTo(metrics, this.tracker);
 		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
 		this.follower = new ControlFollower(new ControlLog(this.platform, this.platform, clock), this.tracker);
 		this.client = new HttpBackendClient(clock);
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerMetrics.java
@@ -0,0 +1,71 @@
+package org.monsoonrelay.scheduler;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.monsoonrelay.adapters.operator.WorkersRoom;
+import org.monsoonrelay.logic.queue.JobStatus;
+import org.monsoonrelay.logic.queue.WaitReason;
+import org.monsoonrelay.model.job.TaskState;
+
+/**
+ * A scheduler's own metrics. They show the last sample, which the control thread takes
+ * from time to time, so that reading them costs the control thread nothing. Thread-safe:
+ * the sample is immutable and swapped whole.
+ */
+final class SchedulerMetrics {
+
+	private volatile Sample sample = new Sample(0, 0, WorkersRoom.NONE, Map.of(), Map.of(), 0);
+
+	SchedulerMetrics(MetricRegistry metrics) {
+		gauge(metrics, "teams.owned", Sample::teams);
+		gauge(metrics, "jobs.owned", Sample::jobs);
+		gauge(metrics, "racks.owned", (sample) -> sample.room().racks());
+		gauge(metrics, "workers.owned", (sample) -> sample.room().workers());
+		gauge(metrics, "processors.capacity", (sample) -> sample.room().capacity().processors());
+		gauge(metrics, "processors.free", (sample) -> sample.room().free().processors());
+		gauge(metrics, "events.pending", Sample::events);
+		for (TaskState state : TaskState.values()) {
+			gauge(metrics, "tasks." + lower(state), (sample) -> sample.tasks().getOrDefault(state, 0));
+		}
+		for (WaitReason reason : WaitReason.values()) {
+			gauge(metrics, "tasks.waiting." + lower(reason), (sample) -> sample.waiting().getOrDefault(reason, 0));
+		}
+	}
+
+	private void gauge(MetricRegistry metrics, String name, ToLongFunction<Sample> value) {
+		metrics.register(name, (Gauge<Long>) () -> value.applyAsLong(this.sample));
+	}
+
+	private static String lower(Enum<?> constant) {
+		return constant.name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Take a sample.
+	 * @param teams number of teams whose queues are owned
+	 * @param jobs the jobs in them
+	 * @param room the room of the workers in the owned racks
+	 * @param events number of events not yet acknowledged
+	 */
+	void sample(int teams, List<JobStatus> jobs, WorkersRoom room, int events) {
+		Map<TaskState, Integer> tasks = new EnumMap<>(TaskState.class);
+		Map<WaitReason, Integer> waiting = new EnumMap<>(WaitReason.class);
+		for (JobStatus job : jobs) {
+			job.counts().forEach((state, count) -> tasks.merge(state, count, Integer::sum));
+			waiting.merge(job.waitReason(), job.counts().getOrDefault(TaskState.WAITING, 0), Integer::sum);
+		}
+		this.sample = new Sample(teams, jobs.size(), room, tasks, waiting, events);
+	}
+
+	private record Sample(int teams, int jobs, WorkersRoom room, Map<TaskState, Integer> tasks,
+			Map<WaitReason, Integer> waiting, int events) {
+
+	}
+
+}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -20,6 +20,8 @@
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
 import org.monsoonrelay.adapters.node.ControlFollower;
+import org.monsoonrelay.adapters.node.ProcessMetrics;
+import org.monsoonrelay.adapters.operator.WorkersRoom;
 import org.monsoonrelay.adapters.peer.PeerCodec;
 import org.monsoonrelay.adapters.peer.PeerIdentity;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
@@ -28,11 +30,13 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.QueueClaim;
 import org.monsoonrelay.adapters.platform.HttpPlatform;
 import org.monsoonrelay.adapters.platform.HttpWorkerAgents;
+import org.monsoonrelay.adapters.platform.MeteredTable;
 import org.monsoonrelay.logic.control.ControlLog;
 import org.monsoonrelay.logic.control.ControlTracker;
 import org.monsoonrelay.logic.placement.AttemptEvent;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.logic.platform.TableKeys;
+import org.monsoonrelay.logic.platform.TableService;
 import org.monsoonrelay.logic.queue.JobJournal;
 import org.monsoonrelay.logic.queue.QueueManager;
 import org.monsoonrelay.logic.queue.RackDirectory;
@@ -67,6 +71,8 @@
 
 	private static final int SECOND_MILLIS = 1000;
 
+	private static final int SAMPLE_MILLIS = 10 * SECOND_MILLIS;
+
 	private final SchedulerSettings settings;
 
 	private final String session = UUID.randomUUID().toString();
@@ -96,6 +102,8 @@
 
 	private final SchedulerMessages messages;
 
+	private final SchedulerMetrics schedulerMetrics;
+
 	private final HttpServer operators;
 
 	private final Map<String, Long> claimedSinceNanos = new HashMap<>();
@@ -109,7 +117,10 @@
 		Clock clock = Clock.systemUTC();
 		MetricRegistry metrics = new MetricRegistry();
 		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
-		this.controlLog = new ControlLog(this.platform, this.platform, clock);
+		TableService table = new MeteredTable(this.platform, metrics);
+		ProcessMetrics.addTo(metrics, this.tracker);
+		this.schedulerMetrics = new SchedulerMetrics(metrics);
+		this.controlLog = new ControlLog(table, this.platform, clock);
 		this.follower = new ControlFollower(this.controlLog, this.tracker);
 		this.peers = new PeerDirectory(Duration.ofMillis(settings.sessionLapseMillis()).toNanos());
 		this.racks = new RackDirectory(RandomSource.XO_RO_SHI_RO_128_PP.create());
@@ -120,10 +131,11 @@
 		this.network = new PeerNetwork(self, settings.node().secret(), this::handle);
 		PeerRackOwners owners = new PeerRackOwners(this.session, this.rackManager, this.racks, this.peers, this.network,
 				clock);
-		this.queueManager = new QueueManager(owners, this.racks, (onConflict) -> new JobJournal(this.platform,
-				this.control, () -> UUID.randomUUID().toString(), onConflict), this.control, clock);
+		this.queueManager = new QueueManager(owners, this.racks,
+				(onConflict) -> new JobJournal(table, this.control, () -> UUID.randomUUID().toString(), onConflict),
+				this.control, clock);
 		this.ownership = new OwnershipKeeper(
-				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), this.platform,
+				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), table,
 				this.control, System::nanoTime, Duration.ofMillis(settings.sessionLapseMillis()), this::owner);
 		this.messages = new SchedulerMessages(this.rackManager, this.queueManager, this.control, clock);
 		CellStatusCollector collector = new CellStatusCollector(this.rackManager::summaries, settings,
@@ -143,6 +155,7 @@
 		this.tracker.onChange((next) -> this.control.execute(() -> this.queueManager.update(next)));
 		every(SECOND_MILLIS, this::second);
 		every(TICK_MILLIS, this::tick);
+		every(SAMPLE_MILLIS, this::sample);
 		LOGGER.log(System.Logger.Level.INFO, "scheduler {0} listens for operators at {1}", this.settings.node().name(),
 				this.settings.operatorAddress());
 	}
@@ -181,6 +194,12 @@
 		deliverEvents();
 	}
 
+	private void sample() {
+		int events = this.rackManager.events().values().stream().mapToInt(List::size).sum();
+		this.schedulerMetrics.sample(this.queueManager.teams().size(), this.queueManager.status(),
+				WorkersRoom.of(this.rackManager.summaries()), events);
+	}
+
 	private void update(HostList list) {
 		if (list.version() >= this.hosts.version()) {
 			this.hosts = list;
