Refuse malformed, oversized and slow requests

Cause: Jooby passes on what the HTTP codec could not decode. A request with an oversized header or two lengths reached a backend server without its headers and body; an oversized line or garbage was told 404; a slow request was kept for ever. Requests sent in one packet were served at once, and their answers left in the order in which they ended: crossed for the caller. Forms were taken apart and only their first part was forwarded. A caller that closed its sending side lost its answer.

A guard now stands between the codec and the application on each connection. Ruled out: a proxy of our own before Jooby, because one more hop; reflection into Jooby, because its pipeline is private.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.adapters.http;
 
+import java.time.Duration;
 import java.util.function.Consumer;
 
 import io.jooby.ExecutionMode;
@@ -9,10 +10,14 @@
 import org.monsoonrelay.model.host.HostAddress;
 
 /**
- * One HTTP server of a process: Jooby on Netty. Thread-safe once started.
+ * One HTTP server of a process: Jooby on Netty. It passes on one request of a connection
+ * at a time and refuses those that are malformed, too large or too slow. Thread-safe once
+ * started.
  */
 public final class HttpServer implements AutoCloseable {
 
+	private static final Duration RECEIVE_WITHIN = Duration.ofSeconds(10);
+
 	private static final int IO_THREADS = 4;
 
 	private static final int WORKER_THREADS = 16;
@@ -23,6 +28,12 @@
 
 	private final HostAddress address;
 
+	private final RequestLimits limits;
+
+	static {
+		RequestGuardInstaller.enable();
+	}
+
 	/**
 	 * Create a server.
 	 * @param address where to listen
@@ -30,7 +41,19 @@
 	 * @param routes adds the routes
 	 */
 	public HttpServer(HostAddress address, int maximumBodyBytes, Consumer<Jooby> routes) {
+		this(address, maximumBodyBytes, RECEIVE_WITHIN, routes);
+	}
+
+	/**
+	 * Create a server.
+	 * @param address where to listen
+	 * @param maximumBodyBytes the largest request body accepted
+	 * @param receiveWithin how long a request may take from its first byte to its last
+	 * @param routes adds the routes
+	 */
+	public HttpServer(HostAddress address, int maximumBodyBytes, Duration receiveWithin, Consumer<Jooby> routes) {
 		this.address = address;
+		this.limits = new RequestLimits(maximumBodyBytes, receiveWithin);
 		ServerOptions options = new ServerOptions();
 		options.setHost(address.host());
 		options.setPort(address.port());
@@ -48,6 +71,7 @@
 	 * @throws IllegalStateException if the address cannot be bound
 	 */
 	public void start() {
+		RequestGuardInstaller.register(this.address.port(), this.limits);
 		try {
 			this.server.start(this.application);
 		}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/Problem.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/Problem.java
@@ -17,7 +17,7 @@
 @JsonInclude(JsonInclude.Include.NON_NULL)
 public record Problem(String type, String title, int status, String detail, String instance) {
 
-	private static final String CONTENT_TYPE = "application/problem+json";
+	static final String CONTENT_TYPE = "application/problem+json";
 
 	private static final String TYPE_PREFIX = "urn:monsoonrelay:problem:";
 
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/RequestLimits.java
@@ -0,0 +1,13 @@
+package org.monsoonrelay.adapters.http;
+
+import java.time.Duration;
+
+/**
+ * What a server accepts as a request. Immutable.
+ *
+ * @param maximumBodyBytes the largest body
+ * @param receiveWithin time from the first byte of a request to its last
+ */
+record RequestLimits(int maximumBodyBytes, Duration receiveWithin) {
+
+}
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerHeaders.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerHeaders.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import io.jooby.Context;
+import org.monsoonrelay.adapters.http.FormBodies;
 import org.monsoonrelay.adapters.platform.HttpBackendClient;
 import org.monsoonrelay.model.request.RequestOutcome.HeaderLine;
 
@@ -50,7 +51,8 @@
 		List<HeaderLine> headers = new ArrayList<>();
 		context.header().toMultimap().forEach((name, values) -> {
 			if (!NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT))) {
-				values.forEach((value) -> headers.add(new HeaderLine(name, decoded(value))));
+				String shown = name.equalsIgnoreCase(FormBodies.HIDDEN_CONTENT_TYPE) ? "Content-Type" : name;
+				values.forEach((value) -> headers.add(new HeaderLine(shown, decoded(value))));
 			}
 		});
 		return headers;
--- /dev/null
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the gateway.
+ */
+package org.monsoonrelay.gateway;
