--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerRoutes.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerRoutes.java
@@ -28,6 +28,9 @@
 
 	private static final int MAXIMUM_KEY_LENGTH = 255;
 
+	/** A third of the heap that a gateway is given. */
+	static final long MAXIMUM_HELD_BYTES = 32 * 1024 * 1024;
+
 	private static final long MILLIS_PER_SECOND = 1000;
 
 	private final GatewayServices services;
@@ -40,6 +43,8 @@
 
 	private final UnknownOutcomeLog unknownOutcomes;
 
+	private final HeldBytes heldBytes = new HeldBytes(MAXIMUM_HELD_BYTES);
+
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
 	CallerRoutes(GatewayServices services, InstantSource clock, Supplier<String> requestIds, MetricRegistry metrics,
@@ -106,9 +111,14 @@
 		ForwardedRequest request = new ForwardedRequest(id, service, operation, context.getMethod(),
 				(query.startsWith("?")) ? query.substring(1) : query, CallerHeaders.forwarded(context),
 				context.body().bytes(), deadline.get());
+		int size = request.body().length;
+		if (!this.heldBytes.tryHold(size)) {
+			return answer(context, id, notRun(NotRunReason.OVERLOAD));
+		}
 		return context.detach((detached) -> this.services.route(request, key)
 			.exceptionally((failure) -> new RequestOutcome.Unknown(String.valueOf(failure.getMessage())))
 			.thenAccept((outcome) -> {
+				this.heldBytes.release(size);
 				if (outcome instanceof RequestOutcome.Unknown unknown) {
 					this.unknownOutcomes.log(request, unknown.detail());
 				}
