Place gangs whole, teams fairly and urgent work in time

Conclusion: one policy interface for racks with the operators' weights; the platform's list tells what never fits. A rack's summary stays as it was.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/PackingPolicy.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/PackingPolicy.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Optional;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -9,30 +8,39 @@
 import org.monsoonrelay.model.worker.Worker;
 
 /**
- * Best fit: the worker that has the least left, so that whole workers stay free.
+ * Best fit: the worker that has the least left of its scarcest resource, so that whole
+ * workers stay free. Work that asks for no accelerator takes the processors and memory
+ * beside free ones only if no other worker has room. Stateless and thread-safe.
  */
 public final class PackingPolicy implements PlacementPolicy {
 
 	@Override
 	public Optional<Worker> choose(JobId job, Resources size, Collection<Worker> workers) {
-		return workers.stream()
-			.filter((worker) -> worker.accepts(size))
-			.min(Comparator.comparingDouble(PackingPolicy::freeShare).thenComparing(Worker::id));
+		Worker best = null;
+		for (Worker worker : workers) {
+			if (worker.accepts(size) && (best == null || isTighter(worker, best, size))) {
+				best = worker;
+			}
+		}
+		return Optional.ofNullable(best);
 	}
 
 	/**
-	 * Free share of a worker's scarcest resource.
-	 * @param worker the worker
-	 * @return between 0, full, and 1, empty
+	 * Tell whether a worker is the tighter fit of two.
+	 * @param one the worker
+	 * @param other the other worker
+	 * @param size what the task asks for
+	 * @return {@code true} if the first is to be preferred
 	 */
-	static double freeShare(Worker worker) {
-		Resources free = worker.free();
-		Resources capacity = worker.capacity();
-		return Math.min(share(free.processors(), capacity.processors()), share(free.memoryMiB(), capacity.memoryMiB()));
-	}
-
-	private static double share(long part, long whole) {
-		return (whole > 0) ? (double) part / whole : 0;
+	static boolean isTighter(Worker one, Worker other, Resources size) {
+		boolean oneStrands = one.free().wouldStrandAccelerators(size, one.capacity());
+		boolean otherStrands = other.free().wouldStrandAccelerators(size, other.capacity());
+		if (oneStrands != otherStrands) {
+			return otherStrands;
+		}
+		int byShare = Double.compare(one.free().smallestShareOf(one.capacity()),
+				other.free().smallestShareOf(other.capacity()));
+		return (byShare != 0) ? byShare < 0 : one.id().compareTo(other.id()) < 0;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/SpreadPolicy.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/SpreadPolicy.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Optional;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -9,17 +8,25 @@
 import org.monsoonrelay.model.worker.Worker;
 
 /**
- * Puts replicas of one service on different workers, as far as there are enough.
+ * Puts replicas of one service on different workers, as far as there are enough, and
+ * among these on the tightest fit. Stateless and thread-safe.
  */
 public final class SpreadPolicy implements PlacementPolicy {
 
 	@Override
 	public Optional<Worker> choose(JobId job, Resources size, Collection<Worker> workers) {
-		return workers.stream()
-			.filter((worker) -> worker.accepts(size))
-			.min(Comparator.comparingInt((Worker worker) -> worker.attemptsOf(job))
-				.thenComparingDouble(PackingPolicy::freeShare)
-				.thenComparing(Worker::id));
+		Worker best = null;
+		for (Worker worker : workers) {
+			if (worker.accepts(size) && (best == null || isBetter(worker, best, job, size))) {
+				best = worker;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	private static boolean isBetter(Worker one, Worker other, JobId job, Resources size) {
+		int byReplicas = Integer.compare(one.attemptsOf(job), other.attemptsOf(job));
+		return (byReplicas != 0) ? byReplicas < 0 : PackingPolicy.isTighter(one, other, size);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Placer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Placer.java
@@ -5,11 +5,14 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import org.monsoonrelay.logic.placement.Reservation;
@@ -33,7 +36,11 @@
 
 	private static final Duration RESERVATION = Duration.ofSeconds(5);
 
-	private static final Duration GANG_RETRY = Duration.ofMillis(300);
+	private static final Duration GANG_START_WITHIN = Duration.ofSeconds(3);
+
+	private static final Duration FIRST_GANG_RETRY = Duration.ofMillis(100);
+
+	private static final int MAXIMUM_RETRY_DOUBLINGS = 5;
 
 	private final RackOwners rackOwners;
 
@@ -49,7 +56,7 @@
 
 	private final Map<JobId, Map<AttemptId, String>> rackByAttempt = new HashMap<>();
 
-	private final Map<JobId, Instant> gangNotBefore = new HashMap<>();
+	private final Map<JobId, GangRetry> gangRetries = new HashMap<>();
 
 	Placer(RackOwners rackOwners, RackDirectory racks, JobJournal journal, Executor control, InstantSource clock,
 			Predicate<WorkerId> listed) {
@@ -61,9 +68,22 @@
 		this.listed = listed;
 	}
 
+	Instant now() {
+		return this.clock.instant();
+	}
+
 	void forget(JobId id) {
 		this.rackByAttempt.remove(id);
-		this.gangNotBefore.remove(id);
+		this.gangRetries.remove(id);
+	}
+
+	/**
+	 * Rack that an attempt was placed in.
+	 * @param attempt the attempt
+	 * @return the rack, empty if another owner placed it
+	 */
+	String rackOf(AttemptId attempt) {
+		return this.rackByAttempt.getOrDefault(attempt.job(), Map.of()).getOrDefault(attempt, "");
 	}
 
 	/**
@@ -73,8 +93,7 @@
 	 * @param worker the worker it was placed on
 	 */
 	void stop(Job job, AttemptId attempt, WorkerId worker) {
-		String rack = this.rackByAttempt.getOrDefault(job.id(), Map.of()).getOrDefault(attempt, "");
-		this.rackOwners.stop(rack, attempt, worker, job.workload().team());
+		this.rackOwners.stop(rackOf(attempt), attempt, worker, job.workload().team());
 	}
 
 	/**
@@ -88,13 +107,14 @@
 			return placeTogether(job, tasks);
 		}
 		Map<String, List<AttemptId>> byRack = new LinkedHashMap<>();
+		Map<String, Integer> replicas = replicasByRack(job);
 		int placed = 0;
 		for (int task : tasks) {
-			Optional<String> rack = this.racks.choose(job.workload().kind(), job.workload().size(),
-					replicasByRack(job));
+			Optional<String> rack = this.racks.choose(job.workload().kind(), job.workload().size(), replicas);
 			if (rack.isEmpty()) {
 				break;
 			}
+			replicas.merge(rack.get(), 1, Integer::sum);
 			AttemptId attempt = open(job, task, rack.get());
 			byRack.computeIfAbsent(rack.get(), (name) -> new ArrayList<>()).add(attempt);
 			placed++;
@@ -111,13 +131,11 @@
 
 	private Map<String, Integer> replicasByRack(Job job) {
 		Map<String, Integer> replicas = new HashMap<>();
-		Map<AttemptId, String> racksOfJob = this.rackByAttempt.getOrDefault(job.id(), Map.of());
-		job.openAttempts().forEach((attempt) -> {
-			String rack = racksOfJob.get(attempt);
-			if (rack != null) {
-				replicas.merge(rack, 1, Integer::sum);
-			}
-		});
+		Map<AttemptId, String> racksOfJob = this.rackByAttempt.get(job.id());
+		if (racksOfJob != null) {
+			racksOfJob.keySet().retainAll(new HashSet<>(job.openAttempts()));
+			racksOfJob.values().forEach((rack) -> replicas.merge(rack, 1, Integer::sum));
+		}
 		return replicas;
 	}
 
@@ -135,8 +153,11 @@
 			reserved.forEach((reservation) -> refused.remove(reservation.attempt()));
 			refused.forEach(job::gone);
 			reserved.forEach((held) -> job.reservedOn(held.attempt(), held.worker(), held.incarnation()));
+			if (!refused.isEmpty()) {
+				this.racks.refused(rack, job.workload().size());
+			}
 			if (!atOnce) {
-				record(job, Map.of(rack, reserved));
+				record(job, Map.of(rack, reserved), () -> true);
 			}
 		}, this.control);
 	}
@@ -144,7 +165,7 @@
 	private ReservationRequest request(Job job, String rack, List<AttemptId> attempts, boolean atOnce) {
 		Workload workload = job.workload();
 		return new ReservationRequest(rack, workload.team(), workload.kind(), workload.size(), workload.runMillis(),
-				attempts, atOnce, this.clock.instant().plus(RESERVATION));
+				attempts, atOnce, now().plus(RESERVATION));
 	}
 
 	private void abandon(Job job, String rack, List<AttemptId> attempts) {
@@ -155,30 +176,78 @@
 	}
 
 	private int placeTogether(Job job, List<Integer> tasks) {
-		int wanted = job.workload().tasks() - job.counts().getOrDefault(TaskState.FINISHED, 0);
-		Instant now = this.clock.instant();
-		if (tasks.size() < wanted || now.isBefore(this.gangNotBefore.getOrDefault(job.id(), Instant.MIN))) {
+		Workload workload = job.workload();
+		int wanted = workload.tasks() - job.count(TaskState.FINISHED) - job.openCount();
+		GangRetry retry = this.gangRetries.get(job.id());
+		if (wanted == 0 || tasks.size() < wanted || (retry != null && now().isBefore(retry.notBefore()))) {
 			return 0;
 		}
 		List<String> chosen = new ArrayList<>();
-		for (int count = 0; count < wanted; count++) {
-			this.racks.choose(WorkloadKind.GANG, job.workload().size(), Map.of()).ifPresent(chosen::add);
-		}
-		if (chosen.size() < wanted) {
-			return 0;
+		while (chosen.size() < wanted) {
+			Optional<String> rack = this.racks.choose(WorkloadKind.GANG, workload.size(), Map.of());
+			if (rack.isEmpty()) {
+				chosen.forEach((name) -> this.racks.giveBack(name, workload.size()));
+				return 0;
+			}
+			chosen.add(rack.get());
 		}
 		Map<String, List<AttemptId>> byRack = new LinkedHashMap<>();
 		for (int index = 0; index < wanted; index++) {
 			AttemptId attempt = open(job, tasks.get(index), chosen.get(index));
 			byRack.computeIfAbsent(chosen.get(index), (name) -> new ArrayList<>()).add(attempt);
 		}
-		new GangReservation(job, byRack, wanted).begin();
+		new GangReservation(this, job, byRack, now().plus(GANG_START_WITHIN)).begin();
 		return wanted;
 	}
 
-	private void record(Job job, Map<String, List<Reservation>> reservedByRack) {
+	/**
+	 * Ask one rack's owner for its part of a gang's room.
+	 * @param job the gang
+	 * @param rack the rack
+	 * @param attempts the attempts to place there
+	 * @param answered takes the reservations, none if no answer came
+	 */
+	void askForGang(Job job, String rack, List<AttemptId> attempts, Consumer<List<Reservation>> answered) {
+		this.rackOwners.reserve(request(job, rack, attempts, false)).whenCompleteAsync((reservations, failure) -> {
+			if (failure == null && reservations.size() < attempts.size()) {
+				this.racks.refused(rack, job.workload().size());
+			}
+			answered.accept((failure != null) ? List.of() : reservations);
+		}, this.control);
+	}
+
+	/**
+	 * Give back all room that a gang holds or may hold, and let it wait before it tries
+	 * again. The wait grows and is drawn at random, so that gangs which want the same
+	 * room do not meet again.
+	 * @param job the gang
+	 * @param byRack its attempts, none of which was started
+	 */
+	void giveUp(Job job, Map<String, List<AttemptId>> byRack) {
+		byRack.forEach((rack, attempts) -> {
+			this.rackOwners.release(rack, attempts);
+			attempts.forEach((attempt) -> {
+				job.gone(attempt);
+				this.racks.giveBack(rack, job.workload().size());
+			});
+		});
+		GangRetry before = this.gangRetries.get(job.id());
+		int tries = (before != null) ? before.tries() : 0;
+		long bound = FIRST_GANG_RETRY.toMillis() << Math.min(tries, MAXIMUM_RETRY_DOUBLINGS);
+		Instant notBefore = now().plusMillis(bound + this.racks.random().nextLong(bound));
+		this.gangRetries.put(job.id(), new GangRetry(tries + 1, notBefore));
+	}
+
+	/**
+	 * Have reserved attempts started, those that must run once after their record is
+	 * durable.
+	 * @param job the job
+	 * @param reservedByRack the reservations
+	 * @param mayStart asked right before the start
+	 */
+	void record(Job job, Map<String, List<Reservation>> reservedByRack, BooleanSupplier mayStart) {
 		if (job.workload().once() && !reservedByRack.values().stream().flatMap(List::stream).allMatch(this::isListed)) {
-			giveUp(job, reservedByRack);
+			releaseAll(job, reservedByRack);
 			return;
 		}
 		List<AttemptId> held = new ArrayList<>();
@@ -191,11 +260,16 @@
 		if (held.isEmpty()) {
 			return;
 		}
+		Runnable start = () -> {
+			if (mayStart.getAsBoolean()) {
+				start(job, reservedByRack, held);
+			}
+		};
 		if (job.workload().once()) {
-			this.journal.mark(job, () -> start(job, reservedByRack, held));
+			this.journal.mark(job, start);
 		}
 		else {
-			start(job, reservedByRack, held);
+			start.run();
 		}
 	}
 
@@ -203,7 +277,7 @@
 		return this.listed.test(reservation.worker());
 	}
 
-	private void giveUp(Job job, Map<String, List<Reservation>> reservedByRack) {
+	private void releaseAll(Job job, Map<String, List<Reservation>> reservedByRack) {
 		reservedByRack.forEach((rack, reservations) -> {
 			List<AttemptId> attempts = reservations.stream().map(Reservation::attempt).toList();
 			this.rackOwners.release(rack, attempts);
@@ -212,6 +286,7 @@
 	}
 
 	private void start(Job job, Map<String, List<Reservation>> reservedByRack, List<AttemptId> held) {
+		this.gangRetries.remove(job.id());
 		Workload workload = job.workload();
 		reservedByRack.forEach((rack, reservations) -> {
 			List<StartTask> starts = reservations.stream()
@@ -235,53 +310,7 @@
 		refused.forEach(job::gone);
 	}
 
-	/**
-	 * One try to hold room for all tasks of a gang. Either all start or all are released.
-	 */
-	private final class GangReservation {
-
-		private final Job job;
-
-		private final Map<String, List<AttemptId>> byRack;
-
-		private final int wanted;
-
-		private final Map<String, List<Reservation>> reserved = new LinkedHashMap<>();
-
-		private int answersMissing;
-
-		GangReservation(Job job, Map<String, List<AttemptId>> byRack, int wanted) {
-			this.job = job;
-			this.byRack = byRack;
-			this.wanted = wanted;
-			this.answersMissing = byRack.size();
-		}
-
-		void begin() {
-			this.byRack
-				.forEach((rack, attempts) -> Placer.this.rackOwners.reserve(request(this.job, rack, attempts, false))
-					.whenCompleteAsync(
-							(reservations, failure) -> answered(rack, (failure != null) ? List.of() : reservations),
-							Placer.this.control));
-		}
-
-		private void answered(String rack, List<Reservation> reservations) {
-			this.reserved.put(rack, reservations);
-			this.answersMissing--;
-			if (this.answersMissing > 0) {
-				return;
-			}
-			int held = this.reserved.values().stream().mapToInt(List::size).sum();
-			if (held == this.wanted) {
-				record(this.job, this.reserved);
-				return;
-			}
-			this.byRack.forEach((name, attempts) -> {
-				Placer.this.rackOwners.release(name, attempts);
-				attempts.forEach(this.job::gone);
-			});
-			Placer.this.gangNotBefore.put(this.job.id(), Placer.this.clock.instant().plus(GANG_RETRY));
-		}
+	private record GangRetry(int tries, Instant notBefore) {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -68,7 +68,7 @@
 		this.journal = journals.create(this::reload);
 		this.followUp = new AttemptFollowUp(rackOwners, racks, clock);
 		this.placer = new Placer(rackOwners, racks, this.journal, control, clock, this.followUp::isListed);
-		this.scheduler = new TeamScheduler(this.placer, this.journal, clock);
+		this.scheduler = new TeamScheduler(this.placer, racks, this.journal, clock);
 		this.control = control;
 		this.clock = clock;
 	}
@@ -357,7 +357,7 @@
 			.stream()
 			.flatMap((queue) -> queue.jobs().values().stream())
 			.map((job) -> new JobStatus(job.id(), job.workload().kind(), job.workload().team(), job.workload().tasks(),
-					job.counts(), this.scheduler.waitReason(job.id()), job.tasks(), job.finishedAt().orElse(null)))
+					job.counts(), this.scheduler.waitReason(job), job.tasks(), job.finishedAt().orElse(null)))
 			.toList();
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
@@ -2,31 +2,59 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.sampling.ListSampler;
+import org.monsoonrelay.logic.placement.RackPolicy;
+import org.monsoonrelay.logic.placement.RackRoom;
 import org.monsoonrelay.logic.placement.RackSummary;
+import org.monsoonrelay.logic.placement.WeightedRackPolicy;
 import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.host.HostKind;
+import org.monsoonrelay.model.workload.PolicyWeights;
 import org.monsoonrelay.model.workload.WorkloadKind;
 
 /**
  * What a queue owner knows of the racks, from their owners' summaries. Each choice takes
- * its room off the summary, so that one round does not send everything to one rack. Not
- * thread-safe: confined to the control thread.
+ * its room off the summary, so that one round does not send everything to one rack; a
+ * choice looks at a sample of the racks, and at all of them only if none of the sample
+ * has room. Not thread-safe: confined to the control thread.
  */
 public final class RackDirectory {
 
-	private static final int SAMPLE = 16;
+	private static final int SAMPLE = 64;
+
+	private static final int REFUSED_FOR_SUMMARIES = 1;
 
 	private final Map<String, Entry> entries = new TreeMap<>();
 
+	private final Map<String, List<Entry>> byDomain = new TreeMap<>();
+
+	private final List<Entry> all = new ArrayList<>();
+
+	private final Set<Resources> listedSizes = new HashSet<>();
+
 	private final UniformRandomProvider random;
 
+	private RackPolicy policy = new WeightedRackPolicy(PolicyWeights.EVEN);
+
+	private Resources listedCapacity = Resources.NONE;
+
+	private Entry lastChosen;
+
+	private long round;
+
+	private boolean indexed;
+
 	public RackDirectory(UniformRandomProvider random) {
 		this.random = random;
 	}
@@ -37,11 +65,12 @@
 	 * @param summaries all racks it owns
 	 */
 	public void update(String session, Collection<RackSummary> summaries) {
-		this.entries.values().removeIf((entry) -> entry.session.equals(session));
+		Map<String, Entry> before = new HashMap<>(this.entries);
+		drop(session);
 		for (RackSummary summary : summaries) {
 			Entry present = this.entries.get(summary.rack());
 			if (present == null || present.summary.epoch() <= summary.epoch()) {
-				this.entries.put(summary.rack(), new Entry(session, summary, summary.free(), summary.workers()));
+				this.entries.put(summary.rack(), new Entry(session, summary, before.get(summary.rack())));
 			}
 		}
 	}
@@ -52,6 +81,59 @@
 	 */
 	public void drop(String session) {
 		this.entries.values().removeIf((entry) -> entry.session.equals(session));
+		this.lastChosen = null;
+		this.indexed = false;
+	}
+
+	/**
+	 * Take in the platform's list, which tells the size of all workers, also of those
+	 * that are silent.
+	 * @param hosts the hosts
+	 */
+	public void listed(Collection<Host> hosts) {
+		this.listedSizes.clear();
+		this.listedCapacity = Resources.NONE;
+		for (Host host : hosts) {
+			if (host.kind() == HostKind.WORKER) {
+				this.listedSizes.add(host.capacity());
+				this.listedCapacity = this.listedCapacity.plus(host.capacity());
+			}
+		}
+	}
+
+	/**
+	 * Tell whether any listed worker is large enough, even when it is empty.
+	 * @param size what a task asks for
+	 * @param together how many such tasks need each other
+	 * @return {@code false} only if the list has been read and rules it out
+	 */
+	public boolean canEverFit(Resources size, int together) {
+		if (this.listedSizes.isEmpty()) {
+			return true;
+		}
+		return this.listedSizes.stream().anyMatch((worker) -> worker.covers(size))
+				&& this.listedCapacity.count(size) >= together;
+	}
+
+	/**
+	 * What the cell has: all listed workers, or all known racks before the list is read.
+	 * @return the sum
+	 */
+	public Resources capacity() {
+		if (!this.listedSizes.isEmpty()) {
+			return this.listedCapacity;
+		}
+		return this.entries.values().stream().map(Entry::capacity).reduce(Resources.NONE, Resources::plus);
+	}
+
+	/**
+	 * Begin a round of choices.
+	 * @param rackPolicy weighs the racks in this round
+	 */
+	public void beginRound(RackPolicy rackPolicy) {
+		this.policy = rackPolicy;
+		this.round++;
+		this.lastChosen = null;
 	}
 
 	/**
@@ -62,33 +144,125 @@
 	 * @return the rack, or empty if none seems to have room
 	 */
 	public Optional<String> choose(WorkloadKind kind, Resources size, Map<String, Integer> replicasByRack) {
-		Optional<Entry> chosen = best(sample(), kind, size, replicasByRack);
-		if (chosen.isEmpty() && this.entries.size() > SAMPLE) {
-			chosen = best(this.entries.values(), kind, size, replicasByRack);
+		index();
+		Entry chosen = (kind == WorkloadKind.SERVICE) ? spread(size, replicasByRack) : pick(this.all, size, Map.of());
+		if (chosen == null) {
+			return Optional.empty();
 		}
-		chosen.ifPresent((entry) -> entry.free = entry.free.minus(size));
-		return chosen.map((entry) -> entry.summary.rack());
+		chosen.free = chosen.free.minus(size);
+		chosen.askedInRound = this.round;
+		this.lastChosen = chosen;
+		return Optional.of(chosen.rack());
 	}
 
-	private Collection<Entry> sample() {
-		List<Entry> all = new ArrayList<>(this.entries.values());
-		if (all.size() <= SAMPLE) {
-			return all;
+	/**
+	 * Undo a choice whose room was not asked for, or was given back.
+	 * @param rack the rack
+	 * @param size what was chosen
+	 */
+	public void giveBack(String rack, Resources size) {
+		Entry entry = this.entries.get(rack);
+		if (entry != null && entry.capacity().covers(entry.free.plus(size))) {
+			entry.free = entry.free.plus(size);
 		}
-		ListSampler.shuffle(this.random, all);
-		return all.subList(0, SAMPLE);
 	}
 
-	private static Optional<Entry> best(Collection<Entry> entries, WorkloadKind kind, Resources size,
-			Map<String, Integer> replicasByRack) {
-		Comparator<Entry> order = Comparator.comparingDouble(Entry::freeShare);
-		if (kind == WorkloadKind.SERVICE) {
-			order = Comparator.comparingInt((Entry entry) -> replicasByRack.getOrDefault(entry.summary.rack(), 0))
-				.thenComparing(order);
+	/**
+	 * Note that a rack's owner had no worker for a size, so that it is not asked again
+	 * before its summary has changed. What it had reserved for others may come free
+	 * without a trace in the summary, so it is asked again after the next but one.
+	 * @param rack the rack
+	 * @param size what the task asked for
+	 */
+	public void refused(String rack, Resources size) {
+		Entry entry = this.entries.get(rack);
+		if (entry != null && entry.fits(size)) {
+			entry.refused.add(size);
 		}
-		return entries.stream()
-			.filter((entry) -> entry.fits(size))
-			.min(order.thenComparing((entry) -> entry.summary.rack()));
+	}
+
+	/**
+	 * Note that room has come free on one worker since the last summary.
+	 * @param rack the rack
+	 * @param size the room
+	 */
+	public void freed(String rack, Resources size) {
+		giveBack(rack, size);
+		Entry entry = this.entries.get(rack);
+		if (entry != null) {
+			entry.refused.clear();
+			entry.largestProcessors = Math.max(entry.largestProcessors, size.processors());
+		}
+	}
+
+	private Entry spread(Resources size, Map<String, Integer> replicasByRack) {
+		Map<String, Integer> replicasByDomain = new HashMap<>();
+		replicasByRack.forEach((rack, replicas) -> {
+			Entry entry = this.entries.get(rack);
+			if (entry != null) {
+				replicasByDomain.merge(entry.summary.failureDomain(), replicas, Integer::sum);
+			}
+		});
+		List<String> domains = new ArrayList<>(this.byDomain.keySet());
+		domains.sort(Comparator.comparingInt((domain) -> replicasByDomain.getOrDefault(domain, 0)));
+		for (String domain : domains) {
+			Entry chosen = pick(this.byDomain.get(domain), size, replicasByRack);
+			if (chosen != null) {
+				return chosen;
+			}
+		}
+		return null;
+	}
+
+	private Entry pick(List<Entry> racks, Resources size, Map<String, Integer> replicasByRack) {
+		int sampled = Math.min(SAMPLE, racks.size());
+		for (int index = 0; sampled < racks.size() && index < sampled; index++) {
+			Collections.swap(racks, index, index + this.random.nextInt(racks.size() - index));
+		}
+		Entry chosen = best(racks, 0, sampled, size, replicasByRack);
+		if (chosen == null) {
+			return best(racks, sampled, racks.size(), size, replicasByRack);
+		}
+		boolean again = this.lastChosen != null && replicasByRack.isEmpty() && this.lastChosen.fits(size);
+		return (again && this.policy.cost(this.lastChosen, size) < this.policy.cost(chosen, size)) ? this.lastChosen
+				: chosen;
+	}
+
+	private Entry best(List<Entry> racks, int from, int to, Resources size, Map<String, Integer> replicasByRack) {
+		Entry best = null;
+		int fewest = 0;
+		double least = 0;
+		for (int index = from; index < to; index++) {
+			Entry entry = racks.get(index);
+			if (!entry.fits(size)) {
+				continue;
+			}
+			int replicas = replicasByRack.getOrDefault(entry.rack(), 0);
+			if (best != null && replicas > fewest) {
+				continue;
+			}
+			double cost = this.policy.cost(entry, size);
+			if (best == null || replicas < fewest || cost < least
+					|| (cost == least && entry.rack().compareTo(best.rack()) < 0)) {
+				best = entry;
+				fewest = replicas;
+				least = cost;
+			}
+		}
+		return best;
+	}
+
+	private void index() {
+		if (this.indexed) {
+			return;
+		}
+		this.indexed = true;
+		this.all.clear();
+		this.all.addAll(this.entries.values());
+		this.byDomain.clear();
+		this.all.forEach(
+				(entry) -> this.byDomain.computeIfAbsent(entry.summary.failureDomain(), (domain) -> new ArrayList<>())
+					.add(entry));
 	}
 
 	/**
@@ -126,7 +300,15 @@
 		return this.entries.size();
 	}
 
-	private static final class Entry {
+	/**
+	 * The generator that choices draw from.
+	 * @return the generator
+	 */
+	UniformRandomProvider random() {
+		return this.random;
+	}
+
+	private final class Entry implements RackRoom {
 
 		private final String session;
 
@@ -134,21 +316,69 @@
 
 		private Resources free;
 
-		private final int workers;
+		private int largestProcessors;
+
+		private long askedInRound = -1;
+
+		private int sameSummaries;
 
-		Entry(String session, RackSummary summary, Resources free, int workers) {
+		private final List<Resources> refused = new ArrayList<>();
+
+		Entry(String session, RackSummary summary, Entry before) {
 			this.session = session;
 			this.summary = summary;
-			this.free = free;
-			this.workers = workers;
+			this.free = summary.free();
+			this.largestProcessors = summary.largestProcessors();
+			if (before != null && before.summary.equals(summary) && before.sameSummaries < REFUSED_FOR_SUMMARIES) {
+				this.sameSummaries = before.sameSummaries + 1;
+				this.refused.addAll(before.refused);
+			}
 		}
 
 		boolean fits(Resources size) {
-			return this.workers > 0 && this.free.covers(size) && this.summary.largestProcessors() >= size.processors();
+			return this.summary.workers() > 0 && this.free.covers(size) && this.largestProcessors >= size.processors()
+					&& !hasRefused(size);
+		}
+
+		private boolean hasRefused(Resources size) {
+			for (Resources one : this.refused) {
+				if (size.covers(one)) {
+					return true;
+				}
+			}
+			return false;
+		}
+
+		@Override
+		public long room(Resources size) {
+			long byProcessors = timesOnEach(this.free.processors(), size.processors());
+			long byMemory = timesOnEach(this.free.memoryMiB(), size.memoryMiB());
+			long byAccelerators = timesOnEach(this.free.accelerators(), size.accelerators());
+			return this.summary.workers() * Math.min(Math.min(byProcessors, byMemory), byAccelerators);
+		}
+
+		private long timesOnEach(long sum, long size) {
+			return (size > 0) ? sum / this.summary.workers() / size : Integer.MAX_VALUE;
+		}
+
+		@Override
+		public String rack() {
+			return this.summary.rack();
+		}
+
+		@Override
+		public Resources free() {
+			return this.free;
+		}
+
+		@Override
+		public Resources capacity() {
+			return this.summary.capacity();
 		}
 
-		double freeShare() {
-			return (double) this.free.processors() / Math.max(1, this.summary.capacity().processors());
+		@Override
+		public boolean isAskedThisRound() {
+			return this.askedInRound == RackDirectory.this.round;
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamQueue.java
@@ -10,6 +10,7 @@
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.job.Job;
 import org.monsoonrelay.model.job.JobId;
+import org.monsoonrelay.model.workload.WorkloadKind;
 
 /**
  * The jobs of one team under one ownership. Places nothing until it is active. Not
@@ -39,11 +40,16 @@
 		return used;
 	}
 
+	/**
+	 * The jobs that are not final, in the order in which they are placed: services first,
+	 * then by the time since when they are ready.
+	 * @return the jobs
+	 */
 	List<Job> inOrder() {
 		return this.jobs.values()
 			.stream()
-			.sorted(Comparator.comparing((Job job) -> !job.workload().urgent())
-				.thenComparing((job) -> job.workload().kind())
+			.filter((job) -> !job.isFinal())
+			.sorted(Comparator.comparing((Job job) -> job.workload().kind() != WorkloadKind.SERVICE)
 				.thenComparing(Job::readySince)
 				.thenComparing(Job::id))
 			.toList();
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamTurn.java
@@ -0,0 +1,49 @@
+package org.monsoonrelay.logic.queue;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.Optional;
+
+import org.monsoonrelay.model.job.Job;
+import org.monsoonrelay.model.workload.QuotaLedger;
+
+/**
+ * One team's part in a round: the jobs it has left to place and what it uses. Not
+ * thread-safe: confined to the control thread.
+ */
+final class TeamTurn {
+
+	private final TeamQueue queue;
+
+	private final QuotaLedger ledger;
+
+	private final Deque<Job> jobs = new ArrayDeque<>();
+
+	TeamTurn(TeamQueue queue, QuotaLedger ledger, Collection<Job> jobs) {
+		this.queue = queue;
+		this.ledger = ledger;
+		this.jobs.addAll(jobs);
+	}
+
+	TeamQueue queue() {
+		return this.queue;
+	}
+
+	QuotaLedger ledger() {
+		return this.ledger;
+	}
+
+	Optional<Job> next() {
+		return Optional.ofNullable(this.jobs.poll());
+	}
+
+	void again(Job job) {
+		this.jobs.addFirst(job);
+	}
+
+	boolean hasNext() {
+		return !this.jobs.isEmpty();
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/WaitReason.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/WaitReason.java
@@ -20,6 +20,12 @@
 	/** No worker has room. */
 	NO_ROOM,
 
+	/**
+	 * Refused: no worker of the cell is large enough even when it is empty, or the cell
+	 * is too small for all tasks at once.
+	 */
+	NEVER_FITS,
+
 	/** The platform does not answer, and a task that must run once is recorded first. */
 	PLATFORM_UNAVAILABLE,
 
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RackDirectoryTests.java
@@ -0,0 +1,117 @@
+package org.monsoonrelay.logic.queue;
+
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.placement.RackSummary;
+import org.monsoonrelay.logic.placement.WeightedRackPolicy;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.workload.PolicyWeights;
+import org.monsoonrelay.model.workload.WorkloadKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RackDirectoryTests {
+
+	private static final Resources CAPACITY = new Resources(80, 80, 0);
+
+	private static final Resources TASK = new Resources(1, 1, 0);
+
+	private final RackDirectory directory = new RackDirectory(RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+
+	private static RackSummary rack(String name, Resources capacity, int processors) {
+		return new RackSummary(name, "north", 1, 8, capacity,
+				new Resources(processors, processors, capacity.accelerators()), processors, true);
+	}
+
+	private String choose(Resources size) {
+		return this.directory.choose(WorkloadKind.BATCH, size, Map.of()).orElse("");
+	}
+
+	@Nested
+	class UnderWeights {
+
+		@BeforeEach
+		void twoRacks() {
+			RackDirectoryTests.this.directory.update("session",
+					List.of(rack("full", CAPACITY, 2), rack("empty", CAPACITY, 80)));
+		}
+
+		private String chosenBy(int waiting, int packing, int controlCost) {
+			RackDirectoryTests.this.directory
+				.beginRound(new WeightedRackPolicy(new PolicyWeights(waiting, packing, controlCost)));
+			return choose(TASK);
+		}
+
+		@Test
+		void packingTakesTheFullestRackThatHasRoom() {
+			assertThat(chosenBy(1, 3, 1)).isEqualTo("full");
+		}
+
+		@Test
+		void waitingTakesTheRackThatIsLeastLikelyToRefuse() {
+			assertThat(chosenBy(3, 1, 1)).isEqualTo("empty");
+		}
+
+		@Test
+		void controlCostStaysWithTheRackThatIsAskedAnyway() {
+			RackDirectoryTests.this.directory.beginRound(new WeightedRackPolicy(new PolicyWeights(0, 1, 100)));
+			assertThat(choose(new Resources(9, 9, 0))).isEqualTo("empty");
+
+			assertThat(choose(TASK)).isEqualTo("empty");
+		}
+
+	}
+
+	@Nested
+	class ARackThatRefused {
+
+		@Test
+		void isNotAskedAgainForThatSizeBeforeItsSummaryChanges() {
+			List<RackSummary> summaries = List.of(rack("full", CAPACITY, 40), rack("other", CAPACITY, 80));
+			RackDirectoryTests.this.directory.update("session", summaries);
+			RackDirectoryTests.this.directory.refused("full", new Resources(2, 2, 0));
+
+			RackDirectoryTests.this.directory.update("session", summaries);
+			assertThat(choose(new Resources(2, 2, 0))).isEqualTo("other");
+			assertThat(choose(TASK)).isEqualTo("full");
+
+			RackDirectoryTests.this.directory.update("session",
+					List.of(rack("full", CAPACITY, 41), rack("other", CAPACITY, 80)));
+			assertThat(choose(new Resources(2, 2, 0))).isEqualTo("full");
+		}
+
+		@Test
+		void isAskedAgainAfterAWhileAlthoughItsSummaryLooksTheSame() {
+			List<RackSummary> summaries = List.of(rack("full", CAPACITY, 40), rack("other", CAPACITY, 80));
+			RackDirectoryTests.this.directory.update("session", summaries);
+			RackDirectoryTests.this.directory.refused("full", TASK);
+
+			RackDirectoryTests.this.directory.update("session", summaries);
+			RackDirectoryTests.this.directory.update("session", summaries);
+
+			assertThat(choose(TASK)).isEqualTo("full");
+		}
+
+	}
+
+	@Nested
+	class Accelerators {
+
+		@Test
+		void areLeftWithProcessorsToUseThem() {
+			RackDirectoryTests.this.directory.update("session",
+					List.of(rack("accelerators", new Resources(80, 80, 8), 40), rack("plain", CAPACITY, 80)));
+
+			assertThat(choose(TASK)).isEqualTo("plain");
+			assertThat(choose(new Resources(1, 1, 1))).isEqualTo("accelerators");
+			assertThat(choose(new Resources(80, 80, 0))).isEmpty();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the queue owner.
+ */
+package org.monsoonrelay.logic.queue;
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/capacity/Resources.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/capacity/Resources.java
@@ -64,4 +64,62 @@
 				&& this.accelerators >= other.accelerators;
 	}
 
+	/**
+	 * Share of the scarcest resource that this amount is of a whole. A resource that the
+	 * whole does not have is left out.
+	 * @param whole the whole
+	 * @return between 0 and 1 if the whole covers this amount
+	 */
+	public double smallestShareOf(Resources whole) {
+		double share = Math.min(share(this.processors, whole.processors), share(this.memoryMiB, whole.memoryMiB));
+		return Math.min(share, share(this.accelerators, whole.accelerators));
+	}
+
+	/**
+	 * Share of the resource that this amount takes most of.
+	 * @param whole the whole
+	 * @return at least 0, more than 1 if the whole does not cover this amount
+	 */
+	public double largestShareOf(Resources whole) {
+		double processorShare = (double) this.processors / Math.max(1, whole.processors);
+		double memoryShare = (double) this.memoryMiB / Math.max(1, whole.memoryMiB);
+		return Math.max(Math.max(processorShare, memoryShare),
+				(double) this.accelerators / Math.max(1, whole.accelerators));
+	}
+
+	/**
+	 * How many times this amount covers another.
+	 * @param size the other amount, not nothing
+	 * @return the count
+	 */
+	public long count(Resources size) {
+		return Math.min(Math.min(times(this.processors, size.processors), times(this.memoryMiB, size.memoryMiB)),
+				times(this.accelerators, size.accelerators));
+	}
+
+	/**
+	 * Tell whether taking a size away would leave accelerators that nothing can use,
+	 * because the processors or the memory beside them are taken.
+	 * @param size what is taken, covered by this amount
+	 * @param whole the whole that this amount is left of
+	 * @return {@code true} if the size asks for no accelerator and the free share of
+	 * processors or memory would fall below that of the accelerators
+	 */
+	public boolean wouldStrandAccelerators(Resources size, Resources whole) {
+		if (size.accelerators > 0 || this.accelerators == 0) {
+			return false;
+		}
+		double left = Math.min(share(this.processors - size.processors, whole.processors),
+				share(this.memoryMiB - size.memoryMiB, whole.memoryMiB));
+		return left < share(this.accelerators, whole.accelerators);
+	}
+
+	private static double share(long part, long whole) {
+		return (whole > 0) ? (double) part / whole : 1;
+	}
+
+	private static long times(long whole, long part) {
+		return (part > 0) ? whole / part : Integer.MAX_VALUE;
+	}
+
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -398,6 +398,10 @@
 		return this.workload.id();
 	}
 
+	public boolean isUrgent() {
+		return this.workload.urgent();
+	}
+
 	public Workload workload() {
 		return this.workload;
 	}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -185,6 +185,7 @@
 			this.hosts = list;
 			this.rackManager.update(list);
 			this.queueManager.update(list);
+			this.racks.listed(list.hosts());
 		}
 	}
 
