--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -215,6 +215,7 @@
 			this.hosts = list;
 			this.rackManager.update(list);
 			this.queueManager.update(list);
+			this.racks.listed(list.hosts());
 		}
 	}
 
