Complete a test's attempt only once the router listens

Ruled out: a slot kept by the router (the count came down a moment later). The test now waits until the router listens and checks the same counts. Conclusion: the test's own race, the check is as strict as it was.

--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/CallerRoutesTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/CallerRoutesTests.java
@@ -121,6 +121,16 @@
 		return attempt.request();
 	}
 
+	/**
+	 * The client is called before the router listens for the result; only then does
+	 * completing it run the router's part on the test's own thread.
+	 */
+	private static void awaitRouterOf(Attempt attempt) {
+		while (attempt.result().getNumberOfDependents() == 0) {
+			Thread.onSpinWait();
+		}
+	}
+
 	private static AttemptResult whole(String body, HeaderLine... headers) {
 		return new AttemptResult.Whole(200, List.of(headers), body.getBytes(StandardCharsets.UTF_8));
 	}
@@ -240,6 +250,7 @@
 			CallerRoutesTests.this.caller.post(CONFIRM, "", "x");
 			Attempt attempt = CallerRoutesTests.this.attempts.take();
 			CallerRoutesTests.this.caller.close();
+			awaitRouterOf(attempt);
 			assertThat(CallerRoutesTests.this.services.unfinished()).isOne();
 
 			attempt.result().complete(new AttemptResult.Broken(true, "timeout"));
