Prove that a cut-off failure domain serves on and heals cleanly

Cause: no test cut one scheduler off from the table and another from the workers at once. Ruled out: epochs given by the inside owner while it is cut off; the worker could then not tell whose command is later. After: passes; inside goes on with epoch 1, both jobs end FINISHED, each wages task ran once and the inside owner holds no rack after the healing.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeScheduler.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeScheduler.java
@@ -13,6 +13,7 @@
 import org.monsoonrelay.logic.placement.Reservation;
 import org.monsoonrelay.logic.placement.ReservationRequest;
 import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.logic.platform.TableService;
 import org.monsoonrelay.logic.platform.WriteBudget;
 import org.monsoonrelay.logic.queue.JobJournal;
 import org.monsoonrelay.logic.queue.QueueManager;
@@ -20,6 +21,7 @@
 import org.monsoonrelay.logic.queue.RackOwners;
 import org.monsoonrelay.logic.rack.RackManager;
 import org.monsoonrelay.logic.rack.StartTask;
+import org.monsoonrelay.logic.rack.WorkerAgents;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.worker.WorkerId;
 
@@ -53,7 +55,7 @@
 
 	private final List<Runnable> held = new ArrayList<>();
 
-	public FakeScheduler(String name, FakeTable table, FakeWorkers workers, ManualTime time) {
+	public FakeScheduler(String name, TableService table, WorkerAgents workers, ManualTime time) {
 		this.time = time;
 		this.racks = new RackManager(workers, this.control, time, time::nanos, LEASE);
 		this.queues = new QueueManager(this, this.directory, (onConflict) -> {
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/CutOffDomainTests.java
@@ -0,0 +1,120 @@
+package org.monsoonrelay.logic.queue;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.fakes.CellData;
+import org.monsoonrelay.logic.fakes.FakeScheduler;
+import org.monsoonrelay.logic.fakes.FakeTable;
+import org.monsoonrelay.logic.fakes.FakeWorkers;
+import org.monsoonrelay.logic.fakes.ManualTime;
+import org.monsoonrelay.logic.platform.CommitResult;
+import org.monsoonrelay.logic.platform.ConditionalWrite;
+import org.monsoonrelay.logic.platform.HostList;
+import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.logic.platform.Row;
+import org.monsoonrelay.logic.platform.TableService;
+import org.monsoonrelay.logic.rack.WorkerAgents;
+import org.monsoonrelay.model.job.TaskState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A failure domain that is cut off from the platform and from the others, and heals.
+ */
+class CutOffDomainTests {
+
+	private static final HostList HOSTS = CellData.hosts(1, CellData.worker("cut", "r1"),
+			CellData.worker("outside", "r2"));
+
+	private final ManualTime time = new ManualTime(Instant.EPOCH);
+
+	private final FakeTable table = new FakeTable();
+
+	private final FakeWorkers workers = new FakeWorkers();
+
+	private boolean cut;
+
+	private final TableService tableOfInside = new TableService() {
+
+		@Override
+		public CompletableFuture<Optional<Row>> read(String key) {
+			return isCut() ? noAnswer() : CutOffDomainTests.this.table.read(key);
+		}
+
+		@Override
+		public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+			return isCut() ? noAnswer() : CutOffDomainTests.this.table.scan(prefix, after, limit);
+		}
+
+		@Override
+		public CompletableFuture<CommitResult> commit(List<ConditionalWrite> writes) {
+			return isCut() ? noAnswer() : CutOffDomainTests.this.table.commit(writes);
+		}
+
+	};
+
+	private final WorkerAgents workersOfOutside = (host, command) -> (isCut() && host.name().equals("cut")) ? noAnswer()
+			: this.workers.send(host, command);
+
+	private final FakeScheduler inside = new FakeScheduler("inside", this.tableOfInside, this.workers, this.time);
+
+	private final FakeScheduler outside = new FakeScheduler("outside", this.table, this.workersOfOutside, this.time);
+
+	private boolean isCut() {
+		return this.cut;
+	}
+
+	private static <T> CompletableFuture<T> noAnswer() {
+		return CompletableFuture.failedFuture(new PlatformException("no answer", false, null));
+	}
+
+	private void own(FakeScheduler scheduler, long epoch, String... racks) {
+		scheduler.hosts(HOSTS);
+		List.of(racks).forEach((rack) -> scheduler.racks().own(rack, epoch));
+		scheduler.work();
+		scheduler.queues()
+			.update(CellData.inForce(1, CellData.run("wages", 2, true), CellData.run("roster", 2, false)));
+		scheduler.queues().own(CellData.TEAM, epoch);
+		scheduler.control().drain();
+		scheduler.queues().activate(CellData.TEAM);
+	}
+
+	private Map<String, Map<TaskState, Integer>> counts(FakeScheduler scheduler) {
+		return scheduler.queues()
+			.status()
+			.stream()
+			.collect(Collectors.toMap((status) -> status.id().name(), JobStatus::counts));
+	}
+
+	@Test
+	void goesOnServingItsWorkersAndRunsNothingOnceOnlyTwiceWhenItHeals() {
+		own(this.inside, 1, "r1");
+		this.inside.seconds(2);
+		assertThat(this.workers.worker("cut").runningHere()).isEqualTo(4);
+		this.cut = true;
+		own(this.outside, 2, "r1", "r2");
+		this.outside.seconds(10);
+		assertThat(counts(this.outside).get("wages")).containsOnlyKeys(TaskState.IN_DOUBT);
+		this.inside.seconds(2);
+		assertThat(this.workers.worker("cut").runningHere()).isEqualTo(4);
+		assertThat(counts(this.inside).get("wages")).containsOnlyKeys(TaskState.RUNNING);
+		this.workers.finishAll();
+		this.inside.seconds(2);
+		this.cut = false;
+		this.outside.seconds(4);
+		this.inside.seconds(4);
+		this.outside.seconds(4);
+		assertThat(counts(this.outside).get("wages")).containsOnlyKeys(TaskState.FINISHED);
+		assertThat(counts(this.outside).get("roster")).containsOnlyKeys(TaskState.FINISHED);
+		assertThat(this.workers.runs()).containsEntry("wages@1/0", 1).containsEntry("wages@1/1", 1);
+		assertThat(this.workers.running()).isEmpty();
+		assertThat(this.inside.racks().summaries()).isEmpty();
+	}
+
+}
