--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
@@ -54,8 +54,6 @@
 
 	private final SessionWatch watch;
 
-	private Optional<Row> ownRow = Optional.empty();
-
 	private Set<String> knownLive = Set.of();
 
 	private Set<String> knownWanted = Set.of();
@@ -120,14 +118,10 @@
 	}
 
 	private void renew(Map<Row, SessionRecord> records) {
-		Optional<Row> own = rowWhere(records, (record) -> record.session().equals(this.self.session()));
-		boolean lost = this.ownRow.isPresent() && own.filter((row) -> !records.get(row).hasEnded()).isEmpty();
-		if (lost) {
-			this.roundsToReading = 0;
-		}
-		this.ownRow = own.or(() -> rowWhere(records, SessionRecord::hasEnded));
-		String key = this.ownRow.map(Row::key).orElse(TableKeys.SESSIONS + this.self.session());
-		long version = this.ownRow.map(Row::version).orElse(ConditionalWrite.ABSENT);
+		Optional<Row> own = rowWhere(records, (record) -> record.session().equals(this.self.session()))
+			.or(() -> rowWhere(records, SessionRecord::hasEnded));
+		String key = own.map(Row::key).orElse(TableKeys.SESSIONS + this.self.session());
+		long version = own.map(Row::version).orElse(ConditionalWrite.ABSENT);
 		this.table.commit(List.of(new ConditionalWrite(key, Json.write(this.self), version)));
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/OnceOnlyTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/OnceOnlyTests.java
@@ -147,8 +147,8 @@
 
 		@Test
 		void holdsTheStartBackWhileTheStoreIsDown() {
-			OnceOnlyTests.this.table.setDown(true);
 			declare(OnceOnlyTests.this.scheduler, 3, 1);
+			OnceOnlyTests.this.table.setDown(true);
 			OnceOnlyTests.this.scheduler.seconds(30);
 			assertThat(OnceOnlyTests.this.workers.runs()).isEmpty();
 			OnceOnlyTests.this.table.setDown(false);
