Start a stopped service again with the next text

Cause: stop promises "until the next text", but a stopped service's tasks were cancelled for good. Seen on a demo cell: stop salon-desk, apply the text again, five seconds later SERVICE salon-desk {CANCELLED=6} still. A service's cancelled tasks now wait again when the service is declared and permitted, also for an owner that loads its record; their attempts get higher numbers, so an old one that still runs is stopped as before.

Ruled out: the same for batch runs and jobs. A cancelled task that must run once may still be running, and its end is no longer followed, so they stay cancelled; help and docs say so.

--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/ApplyCommand.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/ApplyCommand.java
@@ -82,7 +82,8 @@
 
 	private void show(StateMessage present, List<String> changes) {
 		if (!this.output.isJson()) {
-			this.output.line("changes to the text of version " + present.textVersion() + ":");
+			this.output.line(changes.isEmpty() ? "no change to the text of version " + present.textVersion()
+					: "changes to the text of version " + present.textVersion() + ":");
 			changes.forEach(this.output::line);
 		}
 		else if (this.dryRun) {
--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/StopCommand.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/StopCommand.java
@@ -9,10 +9,10 @@
 import picocli.CommandLine.Parameters;
 
 /**
- * Stop workloads until the next text names them anew. Idempotent.
+ * Stop services until the next text names them, batch runs and jobs for good. Idempotent.
  */
 @Command(name = "stop", mixinStandardHelpOptions = true,
-		description = "Stop workloads until the next text names them anew. Idempotent.",
+		description = "Stop services until the next text names them; batch runs and jobs for good. Idempotent.",
 		footer = { "", "Example:", "  monsoonrelay stop salon-desk" })
 final class StopCommand implements Callable<Integer> {
 
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -13,9 +13,9 @@
 /**
  * Progress of one declared workload. Invariants: a task has at most one open attempt;
  * attempt numbers only grow; a message about any attempt but the last changes nothing; a
- * final state is never left; a task that must run once gets no new attempt while an
- * earlier one may still run. Not thread-safe: confined to the control thread of the
- * queue's owner.
+ * final state is never left, but by a stopped service's tasks when a later text names the
+ * service; a task that must run once gets no new attempt while an earlier one may still
+ * run. Not thread-safe: confined to the control thread of the queue's owner.
  */
 public final class Job {
 
@@ -60,9 +60,16 @@
 		if (restored == TaskState.RESERVED || mayRun) {
 			restored = (mayRun && this.workload.once()) ? TaskState.IN_DOUBT : TaskState.WAITING;
 		}
+		if (restored == TaskState.CANCELLED && isService()) {
+			restored = TaskState.WAITING;
+		}
 		this.tasks.restore(recorded, restored, this.workload.once() && !mayRun);
 	}
 
+	private boolean isService() {
+		return this.workload.kind() == WorkloadKind.SERVICE;
+	}
+
 	/**
 	 * Indexes of the tasks that may be given a new attempt now.
 	 * @param now the current time
@@ -249,6 +256,11 @@
 		if (declared.once()) {
 			this.tasks.all().filter(Task::mayRunUnseen).forEach((task) -> this.tasks.set(task, TaskState.IN_DOUBT));
 		}
+		if (isService()) {
+			this.tasks.all()
+				.filter((task) -> task.state() == TaskState.CANCELLED)
+				.forEach((task) -> this.tasks.set(task, TaskState.WAITING));
+		}
 		return this.tasks.all().skip(declared.tasks()).filter(Task::isOpen).map(this::attemptOf).toList();
 	}
 
