Tell silent connections from slow servers

Cause: when something between the ends loses track of connections, all pooled ones go silent at once, also those to other backend servers. Each timed-out attempt cost a retry of the budget (20 and a tenth of the requests), counted against the server, and the retry went into the next silent connection.

An attempt that times out on a connection that was open before, while no answer came from that backend server in the second half of its time, is now Silent: every server's connections of that age are renewed before their next use, once per event; the request goes out again outside of the budget, at most once for each connection that was open; the server is not ejected. Ruled out: TCP keep-alive, because whatever lost the connection may still acknowledge; calling each timeout silent, because a slow server would then get unbounded retries.

Not proved: the same on real processes.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import okhttp3.Call;
 import okhttp3.Callback;
@@ -67,6 +68,8 @@
 
 	private final InstantSource clock;
 
+	private final AtomicLong suspicions = new AtomicLong();
+
 	private final Map<HostAddress, ServerConnections> connections = new ConcurrentHashMap<>();
 
 	public HttpBackendClient(InstantSource clock) {
@@ -98,12 +101,12 @@
 		catch (IllegalArgumentException ex) {
 			return CompletableFuture.completedFuture(new AttemptResult.NotSent(String.valueOf(ex.getMessage())));
 		}
+		Instant begun = this.clock.instant();
 		ServerConnections pooled = this.connections.computeIfAbsent(server,
-				(address) -> new ServerConnections(this.base));
-		OkHttpClient client = pooled.client();
-		Call call = client.newCall(toSend);
-		call.timeout()
-			.timeout(Math.max(1, Duration.between(this.clock.instant(), giveUpAt).toMillis()), TimeUnit.MILLISECONDS);
+				(address) -> new ServerConnections(this.base, this.clock, this.suspicions.get()));
+		ServerConnections.Generation generation = pooled.generation(this.suspicions.get());
+		Call call = generation.client().newCall(toSend);
+		call.timeout().timeout(Math.max(1, Duration.between(begun, giveUpAt).toMillis()), TimeUnit.MILLISECONDS);
 		CompletableFuture<AttemptResult> result = new CompletableFuture<>();
 		call.enqueue(new Callback() {
 			@Override
@@ -117,14 +120,32 @@
 			}
 
 			private void end(AttemptResult ended) {
-				boolean timedOut = ended instanceof AttemptResult.Broken broken && broken.timedOut();
-				pooled.ended(client, timedOut);
-				result.complete(ended);
+				result.complete(judge(pooled, generation, begun, sent, ended));
 			}
 		});
 		return result;
 	}
 
+	private AttemptResult judge(ServerConnections pooled, ServerConnections.Generation generation, Instant begun,
+			SentMark sent, AttemptResult ended) {
+		if (ended instanceof AttemptResult.Broken broken && broken.timedOut()) {
+			boolean silent = sent.isOverOpenConnection() && pooled.areSilent(generation, begun);
+			if (silent) {
+				// Once for all connections that were open then.
+				this.suspicions.compareAndSet(generation.suspicions(), generation.suspicions() + 1);
+			}
+			pooled.giveUp(generation, this.suspicions.get());
+			return silent ? new AttemptResult.Silent(broken.detail()) : broken;
+		}
+		if (ended instanceof AttemptResult.Whole || ended instanceof AttemptResult.Refused) {
+			pooled.answered(generation);
+		}
+		else {
+			pooled.failed(generation);
+		}
+		return ended;
+	}
+
 	/**
 	 * Forget the connections to servers that are not in service any more.
 	 * @param servers those that are
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/SentMark.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/SentMark.java
@@ -1,16 +1,27 @@
 package org.monsoonrelay.adapters.platform;
 
+import java.net.InetSocketAddress;
+import java.net.Proxy;
+
 import okhttp3.Call;
 import okhttp3.EventListener;
 
 /**
- * Notes whether a call may have put a byte of its request on the wire. Used by one call;
- * written by the call's thread before its result is read.
+ * Notes whether a call may have put a byte of its request on the wire, and whether over a
+ * connection that was open before. Used by one call; written by the call's thread before
+ * its result is read.
  */
 final class SentMark extends EventListener {
 
 	private volatile boolean mayHaveSent;
 
+	private volatile boolean connected;
+
+	@Override
+	public void connectStart(Call call, InetSocketAddress address, Proxy proxy) {
+		this.connected = true;
+	}
+
 	@Override
 	public void requestHeadersStart(Call call) {
 		this.mayHaveSent = true;
@@ -20,4 +31,8 @@
 		return this.mayHaveSent;
 	}
 
+	boolean isOverOpenConnection() {
+		return !this.connected;
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/AttemptResult.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/AttemptResult.java
@@ -48,4 +48,15 @@
 
 	}
 
+	/**
+	 * The request was sent over a connection that was open before, and nothing was heard
+	 * over any of the backend server's connections of that age for a while: more likely
+	 * the connections have gone silent than the backend server. They have been given up.
+	 *
+	 * @param detail what went wrong
+	 */
+	record Silent(String detail) implements AttemptResult {
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
@@ -124,7 +124,7 @@
 				server.full(now.plus(FULL_PAUSE));
 			}
 		}
-		else {
+		else if (!(result instanceof AttemptResult.Silent)) {
 			server.failed(now);
 		}
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/RetryBudget.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/RetryBudget.java
@@ -3,7 +3,8 @@
 /**
  * Bounds retries to a share of the requests, so that an outage does not multiply load.
  * Invariant: over any time, retries are at most the reserve plus the share of the
- * requests. Thread-safe.
+ * requests. Requests that went into silent connections are sent again outside of it: they
+ * reached no server, and there are at most as many as connections. Thread-safe.
  */
 public final class RetryBudget {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
@@ -176,13 +176,14 @@
 			ended.outcome().complete(new RequestOutcome.Answered(whole.status(), whole.headers(), whole.body()));
 			return;
 		}
-		if (result instanceof AttemptResult.Broken) {
+		boolean silent = result instanceof AttemptResult.Silent;
+		if (silent || result instanceof AttemptResult.Broken) {
 			ended.markMayHaveRun();
 		}
 		boolean mayGoOn = !ended.mayHaveRun() || ended.request().operation().repeatable();
 		boolean inTime = this.clock.instant().isBefore(ended.request().deadline());
 		boolean refusedByServer = result instanceof AttemptResult.Refused;
-		if (mayGoOn && inTime && (refusedByServer || this.retries.tryRetry())) {
+		if (mayGoOn && inTime && (refusedByServer || silent || this.retries.tryRetry())) {
 			if (refusedByServer) {
 				ended.tried().clear();
 			}
