Bind a backend server's slots to its incarnation and choose by expected load

A slot was given back by address: an attempt at a replaced host counted against its successor, a late "leaving" marked it, and a host that left the list and came back ended at -1 in flight, so that it got one request more than its share. Slots are now objects bound to one incarnation. All servers could be ejected one after another, and an ejected one returned with all its slots at once: the floor of half now holds at the ejection, and slots return one every 500 ms.

The choice is an interface.

Each mechanism was taken out on a scratch copy, BackendPoolTests then said: no pause: "Expecting an empty Optional but was containing value"; strict domain: "[10.0.0.1, 10.0.0.1, 10.0.0.1] to contain exactly" other order; no ejection, no gradual return: "[8L, 0L, 0L] to contain exactly [1L, 1L, 6L]"; no memory of failures: "expected: 0L but was: 3L"; incarnation ignored: "Expecting value to be true but was false". After: all pass. hasUntried counts what may be chosen, so that a request does not wait for an ejected server; ServiceRouterTests caught that.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
@@ -1,11 +1,8 @@
 package org.monsoonrelay.logic.routing;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,27 +17,54 @@
 /**
  * The backend servers of one service and the slots this gateway uses on them. Invariants:
  * no server gets more than its share of slots from this gateway; a leaving server gets
- * none; at most half of the servers are left out as ejected. Thread-safe.
+ * none; no server is ejected while that would leave less than half of the servers;
+ * everything known of a server belongs to one incarnation. Thread-safe.
  */
 public final class BackendPool {
 
-	private static final Duration FULL_PAUSE = Duration.ofMillis(5);
-
 	private final int slotsEach;
 
 	private final String ownFailureDomain;
 
 	private final InstantSource clock;
 
-	private final UniformRandomProvider random;
+	private final ServerChoice choice;
+
+	private final RefusalPause pause;
+
+	private final RetryBudget refusals;
 
 	private final Map<HostAddress, BackendServer> servers = new LinkedHashMap<>();
 
+	private int inFlight;
+
+	/**
+	 * Create a pool without servers, with the choice and the pause that gateways use.
+	 * @param slotsEach slots of one server that this gateway may use at most
+	 * @param ownFailureDomain the failure domain of this gateway
+	 * @param clock the time
+	 * @param random decides between servers that are alike
+	 */
 	public BackendPool(int slotsEach, String ownFailureDomain, InstantSource clock, UniformRandomProvider random) {
+		this(slotsEach, ownFailureDomain, clock, new LeastExpectedLoadChoice(random), RefusalPause.DEFAULT);
+	}
+
+	/**
+	 * Create a pool without servers.
+	 * @param slotsEach slots of one server that this gateway may use at most
+	 * @param ownFailureDomain the failure domain of this gateway
+	 * @param clock the time
+	 * @param choice chooses among the servers
+	 * @param pause what happens after a server refused as full
+	 */
+	public BackendPool(int slotsEach, String ownFailureDomain, InstantSource clock, ServerChoice choice,
+			RefusalPause pause) {
 		this.slotsEach = slotsEach;
 		this.ownFailureDomain = ownFailureDomain;
 		this.clock = clock;
-		this.random = random;
+		this.choice = choice;
+		this.pause = pause;
+		this.refusals = pause.budget();
 	}
 
 	/**
@@ -52,83 +76,100 @@
 		this.servers.keySet().retainAll(listed);
 		for (Host host : hosts) {
 			BackendServer present = this.servers.get(host.address());
-			if (present == null) {
-				this.servers.put(host.address(), new BackendServer(host));
+			if (present == null || !present.incarnation().equals(host.incarnation())) {
+				this.servers.put(host.address(), new BackendServer(host, this.ownFailureDomain));
 			}
 			else {
-				present.update(host);
+				present.listed(host.state());
 			}
 		}
 	}
 
 	/**
-	 * Take a slot: least in flight, the own failure domain first where loads are alike.
+	 * Take a slot of the server that the pool's choice names.
 	 * @param tried servers that this request has tried already
-	 * @return the server's address, or empty if no slot is free
+	 * @return the slot, or empty if none is free
 	 */
-	public synchronized Optional<HostAddress> acquire(Set<HostAddress> tried) {
+	public synchronized Optional<BackendSlot> acquire(Set<HostAddress> tried) {
 		Instant now = this.clock.instant();
-		List<BackendServer> able = this.servers.values()
-			.stream()
-			.filter((server) -> !server.isLeaving() && !tried.contains(server.address()))
+		List<BackendServer> able = candidates(now).stream()
+			.filter((server) -> !tried.contains(server.address()) && server.hasRoom(now, this.slotsEach))
 			.toList();
-		List<BackendServer> healthy = able.stream().filter((server) -> !server.isEjected(now)).toList();
-		List<BackendServer> candidates = (healthy.size() * 2 >= able.size()) ? healthy : able;
-		return choose(candidates, now);
+		return this.choice.choose(able, now).map(this::begin);
 	}
 
-	private Optional<HostAddress> choose(List<BackendServer> candidates, Instant now) {
-		List<BackendServer> best = new ArrayList<>();
-		Comparator<BackendServer> order = Comparator.comparingInt(BackendServer::inFlight)
-			.thenComparing((server) -> !server.host().failureDomain().equals(this.ownFailureDomain));
-		for (BackendServer server : candidates) {
-			if (server.inFlight() >= this.slotsEach || server.isFull(now)) {
-				continue;
-			}
-			int compared = best.isEmpty() ? 0 : order.compare(server, best.get(0));
-			if (compared < 0) {
-				best.clear();
-			}
-			if (compared <= 0) {
-				best.add(server);
-			}
-		}
-		if (best.isEmpty()) {
-			return Optional.empty();
-		}
-		BackendServer chosen = best.get(this.random.nextInt(best.size()));
+	private List<BackendServer> candidates(Instant now) {
+		List<BackendServer> staying = staying();
+		List<BackendServer> healthy = staying.stream().filter((server) -> !server.isEjected(now)).toList();
+		return (healthy.size() * 2 >= staying.size()) ? healthy : staying;
+	}
+
+	private List<BackendServer> staying() {
+		return this.servers.values().stream().filter((server) -> !server.isLeaving()).toList();
+	}
+
+	private BackendSlot begin(BackendServer chosen) {
 		chosen.begin();
-		return Optional.of(chosen.address());
+		this.inFlight++;
+		return new BackendSlot(chosen);
 	}
 
 	/**
 	 * Give a slot back.
-	 * @param address the server
+	 * @param slot the slot
 	 * @param result how the attempt ended
 	 */
-	public synchronized void release(HostAddress address, AttemptResult result) {
-		BackendServer server = this.servers.get(address);
-		if (server == null) {
-			return;
-		}
+	public synchronized void release(BackendSlot slot, AttemptResult result) {
+		BackendServer server = slot.server();
 		server.end();
+		this.inFlight--;
 		Instant now = this.clock.instant();
 		if (result instanceof AttemptResult.Whole) {
-			server.succeeded();
+			this.refusals.request();
+			server.succeeded(now);
 		}
 		else if (result instanceof AttemptResult.Refused refused) {
 			if (refused.leaving()) {
 				server.leave();
 			}
 			else {
-				server.full(now.plus(FULL_PAUSE));
+				server.refused(now, this.refusals.tryRetry() ? this.pause.brief() : this.pause.overloaded());
 			}
 		}
-		else {
-			server.failed(now);
+		else if (server.failed() && mayEject(now)) {
+			server.eject(now);
 		}
 	}
 
+	private boolean mayEject(Instant now) {
+		List<BackendServer> staying = staying();
+		long ejected = staying.stream().filter((server) -> server.isEjected(now)).count();
+		return (ejected + 1) * 2 <= staying.size();
+	}
+
+	/**
+	 * Take in what peers say of leaving servers.
+	 * @param incarnations incarnations of leaving servers
+	 */
+	public synchronized void markLeaving(Set<String> incarnations) {
+		this.servers.values()
+			.stream()
+			.filter((server) -> incarnations.contains(server.incarnation()))
+			.forEach(BackendServer::leave);
+	}
+
+	/**
+	 * The servers that are leaving, by whichever word came first.
+	 * @return their incarnations
+	 */
+	public synchronized Set<String> leaving() {
+		return this.servers.values()
+			.stream()
+			.filter(BackendServer::isLeaving)
+			.map(BackendServer::incarnation)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Tell whether any server may be given work, now or when a slot comes free.
 	 * @return {@code false} if none is listed or all are leaving
@@ -140,12 +181,11 @@
 	/**
 	 * Tell whether a request has a server left that it has not tried.
 	 * @param tried servers that it has tried
-	 * @return {@code false} if each server that is not leaving has been tried
+	 * @return {@code false} if each server that is neither leaving nor ejected has been
+	 * tried
 	 */
 	public synchronized boolean hasUntried(Set<HostAddress> tried) {
-		return this.servers.values()
-			.stream()
-			.anyMatch((server) -> !server.isLeaving() && !tried.contains(server.address()));
+		return candidates(this.clock.instant()).stream().anyMatch((server) -> !tried.contains(server.address()));
 	}
 
 	/**
@@ -153,15 +193,15 @@
 	 * @return the count
 	 */
 	public synchronized int capacity() {
-		return (int) this.servers.values().stream().filter((server) -> !server.isLeaving()).count() * this.slotsEach;
+		return staying().size() * this.slotsEach;
 	}
 
 	/**
-	 * Number of slots in use.
+	 * Number of slots in use, those on servers that the host list has dropped included.
 	 * @return the count
 	 */
 	public synchronized int inFlight() {
-		return this.servers.values().stream().mapToInt(BackendServer::inFlight).sum();
+		return this.inFlight;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendServer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendServer.java
@@ -8,11 +8,11 @@
 import org.monsoonrelay.model.host.HostState;
 
 /**
- * One backend server as this gateway sees it. A mark (leaving, ejected) belongs to an
- * incarnation, so that a replaced host starts clean. Not thread-safe: guarded by its
- * pool.
+ * One incarnation of a backend server as this gateway sees it: a replaced host is another
+ * object, so that it starts clean. Once leaving, it stays so. Not thread-safe: guarded by
+ * its pool.
  */
-final class BackendServer {
+final class BackendServer implements ServerLoad {
 
 	private static final int FAILURES_TO_EJECT = 3;
 
@@ -20,7 +20,14 @@
 
 	private static final int MAXIMUM_DOUBLINGS = 4;
 
-	private Host host;
+	/** After an ejection, one slot more is used each time this has passed. */
+	private static final Duration RETURN_STEP = Duration.ofMillis(500);
+
+	private final String incarnation;
+
+	private final HostAddress address;
+
+	private final boolean near;
 
 	private int inFlight;
 
@@ -30,44 +37,54 @@
 
 	private Instant ejectedUntil = Instant.MIN;
 
-	private Instant fullUntil = Instant.MIN;
+	private Instant refusedAt = Instant.MIN;
+
+	private Instant pausedUntil = Instant.MIN;
+
+	private int refusedInFlight;
+
+	private Instant freedAt = Instant.MIN;
 
 	private boolean leaving;
 
-	BackendServer(Host host) {
-		this.host = host;
+	BackendServer(Host host, String ownFailureDomain) {
+		this.incarnation = host.incarnation();
+		this.address = host.address();
+		this.near = host.failureDomain().equals(ownFailureDomain);
 		this.leaving = host.state() == HostState.LEAVING;
 	}
 
-	void update(Host listed) {
-		if (!listed.incarnation().equals(this.host.incarnation())) {
-			this.failuresInARow = 0;
-			this.ejections = 0;
-			this.ejectedUntil = Instant.MIN;
-			this.fullUntil = Instant.MIN;
-			this.leaving = false;
-		}
-		this.leaving |= listed.state() == HostState.LEAVING;
-		this.host = listed;
+	void listed(HostState state) {
+		this.leaving |= state == HostState.LEAVING;
 	}
 
-	void succeeded() {
+	void succeeded(Instant now) {
+		this.freedAt = now;
 		this.failuresInARow = 0;
 		this.ejections = 0;
 	}
 
-	void failed(Instant now) {
+	/**
+	 * Count a failed attempt.
+	 * @return {@code true} if the server has failed often enough to be ejected
+	 */
+	boolean failed() {
 		this.failuresInARow++;
-		if (this.failuresInARow >= FAILURES_TO_EJECT) {
-			int doublings = Math.min(this.ejections, MAXIMUM_DOUBLINGS);
-			this.ejectedUntil = now.plus(FIRST_EJECTION.multipliedBy(1L << doublings));
-			this.ejections++;
-			this.failuresInARow = FAILURES_TO_EJECT - 1;
-		}
+		return this.failuresInARow >= FAILURES_TO_EJECT;
 	}
 
-	void full(Instant until) {
-		this.fullUntil = until;
+	void eject(Instant now) {
+		int doublings = Math.min(this.ejections, MAXIMUM_DOUBLINGS);
+		this.ejectedUntil = now.plus(FIRST_EJECTION.multipliedBy(1L << doublings));
+		this.ejections++;
+		// The first failure after its return ejects it again.
+		this.failuresInARow = FAILURES_TO_EJECT - 1;
+	}
+
+	void refused(Instant now, Duration pause) {
+		this.refusedAt = now;
+		this.pausedUntil = now.plus(pause);
+		this.refusedInFlight = this.inFlight;
 	}
 
 	void leave() {
@@ -78,8 +95,27 @@
 		return now.isBefore(this.ejectedUntil);
 	}
 
-	boolean isFull(Instant now) {
-		return now.isBefore(this.fullUntil);
+	/**
+	 * Tell whether the server may be given one more request. After an ejection it gets
+	 * one slot at first and more as time passes; after a refusal it keeps those it had.
+	 * @param now the present time
+	 * @param most slots of the server that this gateway may use at most
+	 * @return {@code true} if it may
+	 */
+	boolean hasRoom(Instant now, int most) {
+		int room = Math.min(most, returned(now));
+		if (now.isBefore(this.pausedUntil)) {
+			room = Math.min(room, this.refusedInFlight);
+		}
+		return this.inFlight < room;
+	}
+
+	private int returned(Instant now) {
+		if (this.ejectedUntil.equals(Instant.MIN)) {
+			return Integer.MAX_VALUE;
+		}
+		long steps = Duration.between(this.ejectedUntil, now).dividedBy(RETURN_STEP);
+		return (int) Math.min(Integer.MAX_VALUE, 1 + Math.max(0, steps));
 	}
 
 	boolean isLeaving() {
@@ -88,22 +124,39 @@
 
 	void begin() {
 		this.inFlight++;
+		this.freedAt = Instant.MIN;
 	}
 
 	void end() {
 		this.inFlight--;
 	}
 
-	int inFlight() {
+	String incarnation() {
+		return this.incarnation;
+	}
+
+	HostAddress address() {
+		return this.address;
+	}
+
+	@Override
+	public int inFlight() {
 		return this.inFlight;
 	}
 
-	Host host() {
-		return this.host;
+	@Override
+	public boolean isNear() {
+		return this.near;
 	}
 
-	HostAddress address() {
-		return this.host.address();
+	@Override
+	public Instant refusedAt() {
+		return this.refusedAt;
+	}
+
+	@Override
+	public Instant freedAt() {
+		return this.freedAt;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
@@ -114,7 +114,7 @@
 	private void dispatch() {
 		Optional<Dispatched> next = next();
 		while (next.isPresent()) {
-			attempt(next.get().request(), next.get().server());
+			attempt(next.get().request(), next.get().slot());
 			next = next();
 		}
 		surplus().ifPresent((shed) -> refuse(shed, NotRunReason.OVERLOAD));
@@ -126,14 +126,14 @@
 
 	private synchronized Optional<Dispatched> next() {
 		for (WaitingRequest candidate : this.waiting) {
-			Optional<HostAddress> server = this.pool.acquire(candidate.tried());
-			if (server.isEmpty() && !this.pool.hasUntried(candidate.tried())) {
+			Optional<BackendSlot> slot = this.pool.acquire(candidate.tried());
+			if (slot.isEmpty() && !this.pool.hasUntried(candidate.tried())) {
 				candidate.tried().clear();
-				server = this.pool.acquire(candidate.tried());
+				slot = this.pool.acquire(candidate.tried());
 			}
-			if (server.isPresent()) {
+			if (slot.isPresent()) {
 				this.waiting.remove(candidate);
-				return Optional.of(new Dispatched(candidate, server.get()));
+				return Optional.of(new Dispatched(candidate, slot.get()));
 			}
 			if (candidate.tried().isEmpty()) {
 				return Optional.empty();
@@ -142,19 +142,19 @@
 		return Optional.empty();
 	}
 
-	private void attempt(WaitingRequest waitingRequest, HostAddress server) {
+	private void attempt(WaitingRequest waitingRequest, BackendSlot slot) {
 		if (waitingRequest.beginAttempt()) {
 			this.retries.request();
 		}
 		Instant begun = this.clock.instant();
-		send(waitingRequest.request(), server, begun).whenComplete((result, failure) -> {
+		send(waitingRequest.request(), slot.address(), begun).whenComplete((result, failure) -> {
 			AttemptResult ended = (result != null) ? result
 					: new AttemptResult.Broken(false, String.valueOf(failure.getMessage()));
-			this.pool.release(server, ended);
+			this.pool.release(slot, ended);
 			if (ended instanceof AttemptResult.Whole) {
 				this.estimate.answered(Duration.between(begun, this.clock.instant()));
 			}
-			waitingRequest.tried().add(server);
+			waitingRequest.tried().add(slot.address());
 			conclude(waitingRequest, ended);
 			dispatch();
 		});
@@ -233,7 +233,7 @@
 		return this.pool;
 	}
 
-	private record Dispatched(WaitingRequest request, HostAddress server) {
+	private record Dispatched(WaitingRequest request, BackendSlot slot) {
 
 	}
 
