Eject a backend server that answers nothing but server errors

A server that fails each request at once looks idle: least load sends it more than its share, and whole answers with status 500 counted as successes. Ten such answers in a row now eject it, as three attempts without an answer do, with the same floor and the same gradual return. Ruled out: counting an error like a lost attempt (three in a row), since an operation of its own may be at fault.

BackendPoolTests.Ejection.leavesOutAServerThatAnswersNothingButServerErrors before: "expected: 0L but was: 8L"; after: passes, with all of BackendPoolTests and ServiceRouterTests.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendPool.java
@@ -22,6 +22,8 @@
  */
 public final class BackendPool {
 
+	private static final int SERVER_ERROR = 500;
+
 	private final int slotsEach;
 
 	private final String ownFailureDomain;
@@ -124,9 +126,15 @@
 		server.end();
 		this.inFlight--;
 		Instant now = this.clock.instant();
-		if (result instanceof AttemptResult.Whole) {
+		if (result instanceof AttemptResult.Whole whole) {
 			this.refusals.request();
-			server.succeeded(now);
+			server.answered(now);
+			if (whole.status() < SERVER_ERROR) {
+				server.succeeded();
+			}
+			else if (server.answeredWithError() && mayEject(now)) {
+				server.eject(now);
+			}
 		}
 		else if (result instanceof AttemptResult.Refused refused) {
 			if (refused.leaving()) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendServer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/BackendServer.java
@@ -16,6 +16,9 @@
 
 	private static final int FAILURES_TO_EJECT = 3;
 
+	/** More than failures, since an error may be due to the requests. */
+	private static final int ERRORS_TO_EJECT = 10;
+
 	private static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
 
 	private static final int MAXIMUM_DOUBLINGS = 4;
@@ -33,6 +36,8 @@
 
 	private int failuresInARow;
 
+	private int errorsInARow;
+
 	private int ejections;
 
 	private Instant ejectedUntil = Instant.MIN;
@@ -58,12 +63,26 @@
 		this.leaving |= state == HostState.LEAVING;
 	}
 
-	void succeeded(Instant now) {
+	void answered(Instant now) {
 		this.freedAt = now;
 		this.failuresInARow = 0;
+	}
+
+	void succeeded() {
+		this.errorsInARow = 0;
 		this.ejections = 0;
 	}
 
+	/**
+	 * Count an answer with a server error.
+	 * @return {@code true} if the server has answered nothing else often enough to be
+	 * ejected
+	 */
+	boolean answeredWithError() {
+		this.errorsInARow++;
+		return this.errorsInARow >= ERRORS_TO_EJECT;
+	}
+
 	/**
 	 * Count a failed attempt.
 	 * @return {@code true} if the server has failed often enough to be ejected
@@ -77,8 +96,9 @@
 		int doublings = Math.min(this.ejections, MAXIMUM_DOUBLINGS);
 		this.ejectedUntil = now.plus(FIRST_EJECTION.multipliedBy(1L << doublings));
 		this.ejections++;
-		// The first failure after its return ejects it again.
+		// The first failure or error after its return ejects it again.
 		this.failuresInARow = FAILURES_TO_EJECT - 1;
+		this.errorsInARow = ERRORS_TO_EJECT - 1;
 	}
 
 	void refused(Instant now, Duration pause) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/routing/BackendPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/routing/BackendPoolTests.java
@@ -25,6 +25,8 @@
 
 	private static final AttemptResult WHOLE = new AttemptResult.Whole(200, List.of(), new byte[0]);
 
+	private static final AttemptResult SERVER_ERROR = new AttemptResult.Whole(500, List.of(), new byte[0]);
+
 	private static final AttemptResult BROKEN = new AttemptResult.Broken(true, "timeout");
 
 	private static final AttemptResult FULL = new AttemptResult.Refused(false);
@@ -76,13 +78,13 @@
 		return slots.stream().filter((slot) -> slot.address().equals(address(server))).count();
 	}
 
-	private void failOnly(int server, int times) {
+	private void failOnly(int server, int times, AttemptResult failure) {
 		List<BackendSlot> others = new ArrayList<>();
 		int failed = 0;
 		while (failed < times) {
 			BackendSlot slot = acquire();
 			if (slot.address().equals(address(server))) {
-				this.pool.release(slot, BROKEN);
+				this.pool.release(slot, failure);
 				failed++;
 			}
 			else {
@@ -158,8 +160,22 @@
 		void leavesOutAServerWhoseAttemptsFail() {
 			listServers(4);
 
-			failOnly(2, 3);
+			failOnly(2, 3, BROKEN);
+
+			assertThat(count(acquireAll(), 2)).isZero();
+		}
+
+		@Test
+		void leavesOutAServerThatAnswersNothingButServerErrors() {
+			listServers(4);
+
+			failOnly(2, 9, SERVER_ERROR);
+			long before = count(acquireAll(), 2);
+			listServers(0);
+			listServers(4);
+			failOnly(2, 10, SERVER_ERROR);
 
+			assertThat(before).isPositive();
 			assertThat(count(acquireAll(), 2)).isZero();
 		}
 
@@ -178,7 +194,7 @@
 		@Test
 		void endsSlotBySlot() {
 			listServers(4);
-			failOnly(2, 3);
+			failOnly(2, 3, BROKEN);
 
 			BackendPoolTests.this.time.advance(EJECTION);
 			long first = count(acquireAll(), 2);
@@ -193,10 +209,10 @@
 		@Test
 		void startsAgainAndLastsLongerAfterTheFirstFailureOnReturn() {
 			listServers(4);
-			failOnly(2, 3);
+			failOnly(2, 3, BROKEN);
 			BackendPoolTests.this.time.advance(EJECTION);
 
-			failOnly(2, 1);
+			failOnly(2, 1, BROKEN);
 			BackendPoolTests.this.time.advance(EJECTION);
 
 			assertThat(count(acquireAll(), 2)).isZero();
@@ -210,7 +226,7 @@
 		@Test
 		void startsCleanUnderTheSameAddress() {
 			listServers(4);
-			failOnly(2, 3);
+			failOnly(2, 3, BROKEN);
 			list(host(1), host(2, "2-start-2", "domain-a", HostState.LIVE), host(3), host(4));
 
 			assertThat(count(acquireAll(), 2)).isEqualTo(8);
