Share connections over gateways and pass on peers' word of leaving servers

Each gateway used 8 slots of each backend server: 56 connections with 7 gateways, but 64 while one of them drains beside its successor, above the ceiling of 60. The ceiling and the number of gateways are settings now, the share is ceiling / (gateways + 1), 7 for 60 and 7, and settings that leave nothing are refused. Announcements name the incarnations of leaving backend servers; a gateway that hears of one sends it nothing more. Requests that wait look for a free slot each 2 ms instead of 10, the length of the pause after a refusal. Ruled out: a share that leaves out the gateway being replaced.

After: GatewaySettingsTests and GatewayServicesTests pass.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -42,7 +43,7 @@
 
 	private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 
-	private static final int EXPIRE_MILLIS = 10;
+	private static final int EXPIRE_MILLIS = 2;
 
 	private static final int POLL_MILLIS = 1000;
 
@@ -119,7 +120,8 @@
 				.setRole(ROLE)
 				.setAddress(this.settings.node().peerAddress())
 				.setFailureDomain(this.settings.node().failureDomain())
-				.setVersion(this.tracker.inForce().head().version()));
+				.setVersion(this.tracker.inForce().head().version())
+				.addAllLeavingBackendServers(this.services.leaving()));
 		for (HostAddress peer : this.settings.node().peerAddresses()) {
 			this.network.tell(peer, announcement.clone());
 		}
@@ -133,6 +135,7 @@
 	private CompletableFuture<Envelope.Builder> handle(PeerIdentity from, Envelope request) {
 		if (request.hasAnnouncement()) {
 			this.follower.announced(this.network, from.address(), request.getAnnouncement().getVersion());
+			this.services.markLeaving(Set.copyOf(request.getAnnouncement().getLeavingBackendServersList()));
 		}
 		Envelope.Builder reply = request.hasStateRequest() ? this.follower.state()
 				: Envelope.newBuilder().setEmpty(Empty.getDefaultInstance());
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayServices.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/GatewayServices.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.monsoonrelay.logic.control.ControlTracker;
@@ -78,8 +80,8 @@
 	}
 
 	private ServiceRouter router(String service) {
-		BackendPool pool = new BackendPool(this.settings.slotsPerBackendServer(), this.settings.node().failureDomain(),
-				this.clock, RandomSource.XO_RO_SHI_RO_128_PP.create());
+		BackendPool pool = new BackendPool(this.settings.slotShare(), this.settings.node().failureDomain(), this.clock,
+				RandomSource.XO_RO_SHI_RO_128_PP.create());
 		pool.update(backendServers(this.hosts, service));
 		return new ServiceRouter(pool, this.client, new RetryBudget(RETRY_SHARE, RETRY_RESERVE), this.clock,
 				this.settings.maximumWaiting(), Duration.ofMillis(this.settings.attemptLimitMillis()));
@@ -100,6 +102,25 @@
 			.toList();
 	}
 
+	/**
+	 * Take in what a peer says of leaving backend servers.
+	 * @param incarnations incarnations of the leaving servers
+	 */
+	void markLeaving(Set<String> incarnations) {
+		this.routers.values().forEach((router) -> router.pool().markLeaving(incarnations));
+	}
+
+	/**
+	 * The backend servers that are leaving, by whichever word came first.
+	 * @return their incarnations
+	 */
+	Set<String> leaving() {
+		return this.routers.values()
+			.stream()
+			.flatMap((router) -> router.pool().leaving().stream())
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	void expire() {
 		this.routers.values().forEach(ServiceRouter::expire);
 	}
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/CallerRoutesTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/CallerRoutesTests.java
@@ -95,7 +95,8 @@
 		ControlTracker tracker = new ControlTracker();
 		tracker.offer(new ControlHead(1, "digest", "edit"), ControlState.NONE.withText(TEXT, 1));
 		NodeSettings node = new NodeSettings("gateway", "a", "127.0.0.1:1", "127.0.0.1:2", List.of(), "secret");
-		GatewaySettings settings = new GatewaySettings(node, this.address.toString(), "127.0.0.1:3", 8, 10, 1000, 1000);
+		GatewaySettings settings = new GatewaySettings(node, this.address.toString(), "127.0.0.1:3", 8, 60, 1, 10, 1000,
+				1000);
 		GatewayServices made = new GatewayServices(settings, tracker, (to, request, giveUpAt) -> {
 			Attempt attempt = new Attempt(request, new CompletableFuture<>());
 			this.attempts.add(attempt);
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/GatewaySettingsTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/GatewaySettingsTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.monsoonrelay.adapters.settings.SettingsException;
 import org.monsoonrelay.adapters.settings.SettingsPrinter;
 import org.monsoonrelay.adapters.settings.SettingsReader;
@@ -19,6 +21,7 @@
 			{"node": {"name": "g1", "failureDomain": "north", "peerAddress": "127.0.0.1:7001",
 			"platform": "127.0.0.1:7100", "peers": [], "secret": "cell-secret"},
 			"callerAddress": "127.0.0.1:8001", "adminAddress": "127.0.0.1:8002", "slotsPerBackendServer": 8,
+			"connectionsPerBackendServer": 60, "gateways": 7,
 			"maximumWaiting": 100, "attemptLimitMillis": 1000, "drainMillis": 5000}""";
 
 	@TempDir
@@ -47,4 +50,24 @@
 					"/node/platform: must be an IP address with a port");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "8, 60, 7, 7", "8, 60, 6, 8", "8, 16, 7, 2", "8, 60, 1, 8", "64, 61, 7, 7" })
+	void allGatewaysAndOneThatIsBeingReplacedStayBelowTheCeiling(int slots, int connections, int gateways, int share)
+			throws IOException {
+		GatewaySettings settings = read(GOOD.replace("Server\": 8,", "Server\": " + slots + ",")
+			.replace("60", Integer.toString(connections))
+			.replace("7,\n", gateways + ",\n"));
+
+		assertThat(settings.slotShare()).isEqualTo(share);
+		assertThat(share * (gateways + 1)).isLessThanOrEqualTo(connections);
+	}
+
+	@Test
+	void aCeilingThatLeavesAGatewayWithoutAConnectionIsRefused() {
+		assertThatThrownBy(() -> read(GOOD.replace("60", "7"))).isInstanceOf(SettingsException.class)
+			.message()
+			.contains(
+					"/connectionsPerBackendServer: must allow one connection for each of the 7 gateways and one more");
+	}
+
 }
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellSettings.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellSettings.java
@@ -23,6 +23,8 @@
 		settings.put("callerAddress", layout.callers(index).toString());
 		settings.put("adminAddress", layout.gatewayAdmin(index).toString());
 		settings.put("slotsPerBackendServer", 8);
+		settings.put("connectionsPerBackendServer", 60);
+		settings.put("gateways", layout.gateways());
 		settings.put("maximumWaiting", 1000);
 		settings.put("attemptLimitMillis", 1000);
 		settings.put("drainMillis", 5000);
