Send callers elsewhere before a gateway closes

Cause: a planned stop waited for the requests in flight and then closed at once, also connections on which callers were about to send the next request. Such a caller was left without an answer though it had sent its request. Ruled out: a cut of requests that ran, since none of those lost was counted at a backend server (untrue=0).

CallerDrain marks the gateway as not ready, has each answer close its connection, and lets the drain end only when no request has come for half a second, within the drain's limit.

--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerDrain.java
@@ -0,0 +1,56 @@
+package org.monsoonrelay.gateway;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+
+import io.jooby.Jooby;
+
+/**
+ * Sends callers elsewhere once the gateway is stopping, and tells when they have gone.
+ * Each answer given from then on closes its connection, so that no caller writes a
+ * request to a connection that the gateway is about to close. Thread-safe.
+ */
+final class CallerDrain {
+
+	private final LongSupplier monotonicNanos;
+
+	private final AtomicLong lastArrivalNanos = new AtomicLong();
+
+	private volatile boolean stopping;
+
+	CallerDrain(LongSupplier monotonicNanos) {
+		this.monotonicNanos = monotonicNanos;
+	}
+
+	/**
+	 * Watch the requests of an application. To be called before its routes are added.
+	 * @param application the application
+	 */
+	void addTo(Jooby application) {
+		application.before((context) -> {
+			this.lastArrivalNanos.set(this.monotonicNanos.getAsLong());
+			if (this.stopping) {
+				context.setResponseHeader("Connection", "close");
+			}
+		});
+	}
+
+	void stop() {
+		this.lastArrivalNanos.set(this.monotonicNanos.getAsLong());
+		this.stopping = true;
+	}
+
+	boolean isStopping() {
+		return this.stopping;
+	}
+
+	/**
+	 * Tell whether callers have gone.
+	 * @param nanos how long no request has to have come
+	 * @return {@code true} if none came for that long
+	 */
+	boolean isQuietFor(long nanos) {
+		return this.monotonicNanos.getAsLong() - this.lastArrivalNanos.get() >= nanos;
+	}
+
+}
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
@@ -48,6 +48,8 @@
 
 	private static final int DRAIN_CHECK_MILLIS = 10;
 
+	private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private final GatewaySettings settings;
 
 	private final ControlTracker tracker = new ControlTracker();
@@ -62,6 +64,8 @@
 
 	private final CallerRoutes callerRoutes;
 
+	private final CallerDrain callerDrain = new CallerDrain(System::nanoTime);
+
 	private final PeerNetwork network;
 
 	private final HttpServer callers;
@@ -87,7 +91,10 @@
 		PeerIdentity self = new PeerIdentity(this.session, ROLE, settings.node().failureDomain(),
 				settings.node().peer());
 		this.network = new PeerNetwork(self, settings.node().secret(), this::handle);
-		this.callers = new HttpServer(settings.caller(), MAXIMUM_BODY_BYTES, this.callerRoutes::addTo);
+		this.callers = new HttpServer(settings.caller(), MAXIMUM_BODY_BYTES, (application) -> {
+			this.callerDrain.addTo(application);
+			this.callerRoutes.addTo(application);
+		});
 		this.admin = new HttpServer(settings.admin(), MAXIMUM_BODY_BYTES,
 				new HealthRoutes(metrics, this::notReady)::addTo);
 	}
@@ -103,6 +110,9 @@
 	}
 
 	private Optional<String> notReady() {
+		if (this.callerDrain.isStopping()) {
+			return Optional.of("stopping");
+		}
 		if (this.tracker.inForce().head().version() == 0) {
 			return Optional.of("no text is in force yet");
 		}
@@ -140,14 +150,17 @@
 	}
 
 	/**
-	 * Refuse new requests, wait for those in flight, then close.
+	 * Refuse new requests, wait until those in flight are answered and callers have gone
+	 * elsewhere, then close.
 	 */
 	void drain() {
 		this.callerRoutes.stop();
+		this.callerDrain.stop();
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainMillis());
 		CompletableFuture<Void> drained = new CompletableFuture<>();
 		this.timer.scheduleWithFixedDelay(() -> {
-			if (this.services.unfinished() == 0 || System.nanoTime() - end > 0) {
+			boolean isDone = this.services.unfinished() == 0 && this.callerDrain.isQuietFor(QUIET_NANOS);
+			if (isDone || System.nanoTime() - end > 0) {
 				drained.complete(null);
 			}
 		}, 0, DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellLayout.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellLayout.java
@@ -80,6 +80,10 @@
 		return address(1, 1, 9000);
 	}
 
+	HostAddress relay(int index) {
+		return address(1, 10 + index, 9000);
+	}
+
 	HostAddress workerControl() {
 		return address(2, 1, 9000);
 	}
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellProcesses.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellProcesses.java
@@ -44,7 +44,7 @@
 
 	private final Set<String> frozen = new HashSet<>();
 
-	private int sessionLapseMillis = 4000;
+	private final CellSettings settings;
 
 	private final Thread onKill = new Thread(this::killAll);
 
@@ -52,15 +52,16 @@
 		this.layout = layout;
 		this.programs = new Programs(projectRoot);
 		this.folder = folder;
+		this.settings = new CellSettings(layout);
 		Runtime.getRuntime().addShutdownHook(this.onKill);
 	}
 
 	/**
-	 * Set when a scheduler's session lapses, for the schedulers started from now on.
-	 * @param millis the time without a renewal, in milliseconds
+	 * The settings that daemons started from now on get.
+	 * @return the settings, to be changed by tests
 	 */
-	public void setSessionLapse(int millis) {
-		this.sessionLapseMillis = millis;
+	public CellSettings settings() {
+		return this.settings;
 	}
 
 	/**
@@ -141,7 +142,7 @@
 	 * @param index its index
 	 */
 	public void startGateway(int index) {
-		start("gateway-" + (index + 1), "gateway", CellSettings.gateway(this.layout, index), 96);
+		start("gateway-" + (index + 1), "gateway", this.settings.gateway(index), 96);
 	}
 
 	/**
@@ -149,8 +150,7 @@
 	 * @param index its index
 	 */
 	public void startScheduler(int index) {
-		start("scheduler-" + (index + 1), "scheduler",
-				CellSettings.scheduler(this.layout, index, this.sessionLapseMillis), 96);
+		start("scheduler-" + (index + 1), "scheduler", this.settings.scheduler(index), 96);
 	}
 
 	private void start(String name, String program, String settings, int heapMiB) {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/TestCell.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/TestCell.java
@@ -20,6 +20,7 @@
 import org.monsoonrelay.standin.CellLayout;
 import org.monsoonrelay.standin.CellProcesses;
 import org.monsoonrelay.standin.CommandResult;
+import org.monsoonrelay.standin.CutRelay;
 import org.monsoonrelay.standin.TaskCounts;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -56,6 +57,8 @@
 
 	private final CallerLoad callers;
 
+	private CutRelay relay;
+
 	private TestCell(Path folder) {
 		this.folder = folder;
 		this.processes = new CellProcesses(CellLayout.of(2, 2, 16, 6, this.service.name()), ROOT, folder);
@@ -69,11 +72,22 @@
 	/** A cell where only a planned stop makes another scheduler take over in time. */
 	static TestCell startWithLongSessions(Path folder, String... runs) {
 		TestCell cell = new TestCell(folder);
-		cell.processes.setSessionLapse((int) TimeUnit.MINUTES.toMillis(5));
+		cell.processes.settings().setSessionLapse((int) TimeUnit.MINUTES.toMillis(5));
 		return cell.start(5, runs);
 	}
 
-	private TestCell start(int serviceMillis, String... runs) {
+	/** A cell whose second entry host is in a failure domain that can be cut off. */
+	static TestCell withRelay(Path folder) {
+		TestCell cell = new TestCell(folder);
+		cell.relay = cell.processes.settings().relayToPlatform(1);
+		return cell;
+	}
+
+	CutRelay relay() {
+		return this.relay;
+	}
+
+	TestCell start(int serviceMillis, String... runs) {
 		try {
 			this.processes.startAll(serviceMillis);
 			apply(runs);
@@ -88,9 +102,14 @@
 
 	/** A run whose tasks last long enough for several to run when a fault comes. */
 	static String run(String name, String team, int tasks, boolean once) {
+		return run(name, team, tasks, once, 600);
+	}
+
+	static String run(String name, String team, int tasks, boolean once, int runMillis) {
 		return """
-				{"name": "%s", "run": "1", "team": "%s", "tasks": %d, "runMillis": 600, "once": %b,
-				 "size": {"processors": 2, "memoryMiB": 64, "accelerators": 0}}""".formatted(name, team, tasks, once);
+				{"name": "%s", "run": "1", "team": "%s", "tasks": %d, "runMillis": %d, "once": %b,
+				 "size": {"processors": 2, "memoryMiB": 64, "accelerators": 0}}""".formatted(name, team, tasks,
+				runMillis, once);
 	}
 
 	static String text(String... runs) {
@@ -161,14 +180,20 @@
 		assertThat(counts.overCommitted()).as("starts without room").isZero();
 	}
 
-	static List<CallerAnswer> answers(List<CallerAnswer> answers, String operation) {
-		return answers.stream().filter((answer) -> answer.operation().equals(operation)).toList();
+	/** Three of four requests are lookups. */
+	static void assertLookupsAnswered(List<CallerAnswer> answers) {
+		List<CallerAnswer> lookups = answers.stream().filter((answer) -> answer.operation().equals("lookup")).toList();
+		assertThat(lookups).hasSize(answers.size() * 3 / 4);
+		assertThat(lookups).filteredOn((answer) -> answer.kind() != CallerAnswer.Kind.ANSWERED).isEmpty();
 	}
 
 	@Override
 	public void close() {
 		this.processes.killAll();
 		this.processes.close();
+		if (this.relay != null) {
+			this.relay.close();
+		}
 	}
 
 }
