Receive bodies in memory

Cause: Jooby writes bodies beyond its buffer of 16 KiB to files, and leaves them behind when a request breaks off; hosts have no disks.

The buffer is now as large as the largest body accepted. Ruled out: a data factory of our own, because Jooby makes it inside its server.

Before: Expecting empty but was: [tmp/Attr_8437790293110479739_1701510229, tmp/Attr_43804921659030730_1701510229]. After: CallerRoutesTests 26 run, 0 failed. Bodies that are still being received are bounded by connection (4 MiB and 10 s), not in total.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
@@ -58,6 +58,8 @@
 		options.setHost(address.host());
 		options.setPort(address.port());
 		options.setMaxRequestSize(maximumBodyBytes);
+		// Larger bodies would be written to the disk.
+		options.setBufferSize(maximumBodyBytes);
 		options.setIoThreads(IO_THREADS);
 		options.setWorkerThreads(WORKER_THREADS);
 		options.setDefaultHeaders(false);
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/CallerRoutesTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/CallerRoutesTests.java
@@ -5,6 +5,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -207,6 +209,17 @@
 			assertThat(CallerRoutesTests.this.services.unfinished()).isZero();
 		}
 
+		@Test
+		void leaveNothingOnADisk() throws IOException {
+			String most = "f000\r\n" + "x".repeat(0xf000) + "\r\n";
+			CallerRoutesTests.this.caller.send(post("Transfer-Encoding: chunked\r\n", most));
+
+			assertThat(CallerRoutesTests.this.caller.read()).startsWith("HTTP/1.1 408");
+			try (Stream<Path> files = Files.walk(Path.of(""))) {
+				assertThat(files.filter((file) -> file.getFileName().toString().startsWith("Attr_"))).isEmpty();
+			}
+		}
+
 		@Test
 		void takeNoThreadEach() throws IOException {
 			CallerRoutesTests.this.caller.send("POST ").read();
