Free tasks of a worker that left with its rack's owner

Cause: a rack's owner that dies together with a worker that leaves the host list never tells GONE; its successor does not know the worker, and the queue's owner asked the list only for tasks in doubt. Before: both tasks stayed RUNNING with nothing running, "Expected size: 2 but was: 0 in: []" (QueueRecoveryTests:99). Mend: the list frees every task that may run on a worker that was in an earlier list read here and is missing now; for tasks in doubt a list as new as the record is enough, as before. Ruled out: the version rule for running tasks as well, because a queue's owner whose list lags would free what another owner has placed on a new worker. After: QueueRecoveryTests, OnceOnlyTests, LeavingWorkerTests, CutOffDomainTests pass.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptFollowUp.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptFollowUp.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -59,6 +60,8 @@
 
 	private Set<String> leaving = Set.of();
 
+	private final Set<String> everListed = new HashSet<>();
+
 	AttemptFollowUp(RackOwners rackOwners, RackDirectory racks, InstantSource clock) {
 		this.rackOwners = rackOwners;
 		this.racks = racks;
@@ -69,6 +72,7 @@
 		if (list.version() >= this.hosts.version()) {
 			this.hosts = list;
 			this.rackByWorker = list.hosts().stream().collect(Collectors.toMap(Host::name, Host::rack, (a, b) -> b));
+			this.everListed.addAll(this.rackByWorker.keySet());
 			this.leaving = list.hosts()
 				.stream()
 				.filter((host) -> host.state() == HostState.LEAVING)
@@ -231,7 +235,7 @@
 		int asked = 0;
 		for (TaskRecord task : job.tasks()) {
 			AttemptId attempt = new AttemptId(job.id(), task.task(), task.attempt());
-			if (task.state() == TaskState.IN_DOUBT && hasLeft(job, task)) {
+			if (task.state().mayRun() && hasLeft(job, task)) {
 				gone.accept(job, attempt);
 			}
 			else if (task.state() == TaskState.IN_DOUBT
@@ -247,9 +251,20 @@
 		return asked;
 	}
 
+	/**
+	 * Tell whether the worker of a task that may run is gone: it was in an earlier list
+	 * read here, or the list is at least as new as the one known at the job's record.
+	 * @param job the job
+	 * @param task the task
+	 * @return {@code true} if its worker is gone for certain
+	 */
 	private boolean hasLeft(Job job, TaskRecord task) {
-		return this.hosts.version() > 0 && this.hosts.version() >= job.hostsVersion()
-				&& !this.rackByWorker.containsKey(task.worker());
+		if (this.rackByWorker.containsKey(task.worker())) {
+			return false;
+		}
+		boolean recorded = task.state() == TaskState.IN_DOUBT && this.hosts.version() > 0
+				&& this.hosts.version() >= job.hostsVersion();
+		return recorded || this.everListed.contains(task.worker());
 	}
 
 	private void repeatStops(Instant now) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/QueueRecoveryTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/QueueRecoveryTests.java
@@ -82,6 +82,24 @@
 			assertThat(QueueRecoveryTests.this.workers.runs()).containsEntry("roster@1/0", 2);
 		}
 
+		@Test
+		void togetherWithAWorkerThatLeavesTheListLosesNoTask() {
+			FakeScheduler queues = newScheduler(1, 2);
+			declare(queues, 1, CellData.run("wages", 1, true), CellData.run("roster", 1, false));
+			queues.seconds(2);
+			boolean first = QueueRecoveryTests.this.workers.worker("w0").runningHere() > 0;
+			QueueRecoveryTests.this.workers.worker(first ? "w0" : "w1").restart();
+			QueueRecoveryTests.this.workers.worker(first ? "w0" : "w1").setUnreachable(true);
+			FakeScheduler successor = newScheduler(2, 2);
+			successor.hosts(CellData.hosts(6, hosts(2)[first ? 1 : 0]));
+			queues.hosts(CellData.hosts(6, hosts(2)[first ? 1 : 0]));
+			queues.useRacksOf(successor);
+			queues.seconds(8);
+			assertThat(counts(queues)).containsOnlyKeys(TaskState.RUNNING);
+			assertThat(QueueRecoveryTests.this.workers.running()).hasSize(2);
+			assertThat(QueueRecoveryTests.this.workers.mostAtOnce()).isOne();
+		}
+
 		@Test
 		void beforeItPassesAStartOnLosesNoTask() {
 			FakeScheduler queues = newScheduler(1, 2);
