Give way to a certain rack after refusals

Ruled out: more detail in the summaries, which grows what 54 schedulers tell each other every second. Conclusion: each refusal of a size doubles the cost of racks that may have no worker for it.

--- a/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/placement/DirectoryPlacer.java
+++ b/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/placement/DirectoryPlacer.java
@@ -89,6 +89,9 @@
 			if (reserve(job, rack, attempts, placed) < attempts.size()) {
 				directory.refused(rack, job.size());
 			}
+			else {
+				directory.accepted(job.size());
+			}
 		});
 		this.messages += byRack.size();
 		this.refusals += chosen - placed.size();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Placer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Placer.java
@@ -18,6 +18,7 @@
 import org.monsoonrelay.logic.placement.Reservation;
 import org.monsoonrelay.logic.placement.ReservationRequest;
 import org.monsoonrelay.logic.rack.StartTask;
+import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
 import org.monsoonrelay.model.job.JobId;
@@ -153,15 +154,22 @@
 			reserved.forEach((reservation) -> refused.remove(reservation.attempt()));
 			refused.forEach(job::gone);
 			reserved.forEach((held) -> job.reservedOn(held.attempt(), held.worker(), held.incarnation()));
-			if (!refused.isEmpty()) {
-				this.racks.refused(rack, job.workload().size());
-			}
+			noteAnswer(rack, job.workload().size(), refused.size());
 			if (!atOnce) {
 				record(job, Map.of(rack, reserved), () -> true);
 			}
 		}, this.control);
 	}
 
+	private void noteAnswer(String rack, Resources size, int refused) {
+		if (refused > 0) {
+			this.racks.refused(rack, size);
+		}
+		else {
+			this.racks.accepted(size);
+		}
+	}
+
 	private ReservationRequest request(Job job, String rack, List<AttemptId> attempts, boolean atOnce) {
 		Workload workload = job.workload();
 		return new ReservationRequest(rack, workload.team(), workload.kind(), workload.size(), workload.runMillis(),
@@ -209,8 +217,8 @@
 	 */
 	void askForGang(Job job, String rack, List<AttemptId> attempts, Consumer<List<Reservation>> answered) {
 		this.rackOwners.reserve(request(job, rack, attempts, false)).whenCompleteAsync((reservations, failure) -> {
-			if (failure == null && reservations.size() < attempts.size()) {
-				this.racks.refused(rack, job.workload().size());
+			if (failure == null) {
+				noteAnswer(rack, job.workload().size(), attempts.size() - reservations.size());
 			}
 			answered.accept((failure != null) ? List.of() : reservations);
 		}, this.control);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
@@ -14,7 +14,6 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.monsoonrelay.logic.placement.RackPolicy;
-import org.monsoonrelay.logic.placement.RackRoom;
 import org.monsoonrelay.logic.placement.RackSummary;
 import org.monsoonrelay.logic.placement.WeightedRackPolicy;
 import org.monsoonrelay.model.capacity.Resources;
@@ -33,13 +32,13 @@
 
 	private static final int SAMPLE = 64;
 
-	private static final int REFUSED_FOR_SUMMARIES = 5;
+	private static final int MAXIMUM_DOUBT = 30;
 
-	private final Map<String, Entry> entries = new TreeMap<>();
+	private final Map<String, RackEntry> entries = new TreeMap<>();
 
-	private final Map<String, List<Entry>> byDomain = new TreeMap<>();
+	private final Map<String, List<RackEntry>> byDomain = new TreeMap<>();
 
-	private final List<Entry> all = new ArrayList<>();
+	private final List<RackEntry> all = new ArrayList<>();
 
 	private final Set<Resources> listedSizes = new HashSet<>();
 
@@ -47,11 +46,13 @@
 
 	private RackPolicy policy = new WeightedRackPolicy(PolicyWeights.EVEN);
 
+	private final Map<Resources, Integer> doubts = new HashMap<>();
+
 	private Resources listedCapacity = Resources.NONE;
 
-	private Entry lastChosen;
+	private RackEntry lastChosen;
 
-	private long round;
+	private final List<RackEntry> asked = new ArrayList<>();
 
 	private boolean indexed;
 
@@ -65,12 +66,12 @@
 	 * @param summaries all racks it owns
 	 */
 	public void update(String session, Collection<RackSummary> summaries) {
-		Map<String, Entry> before = new HashMap<>(this.entries);
+		Map<String, RackEntry> before = new HashMap<>(this.entries);
 		drop(session);
 		for (RackSummary summary : summaries) {
-			Entry present = this.entries.get(summary.rack());
-			if (present == null || present.summary.epoch() <= summary.epoch()) {
-				this.entries.put(summary.rack(), new Entry(session, summary, before.get(summary.rack())));
+			RackEntry present = this.entries.get(summary.rack());
+			if (present == null || present.summary().epoch() <= summary.epoch()) {
+				this.entries.put(summary.rack(), new RackEntry(session, summary, before.get(summary.rack())));
 			}
 		}
 	}
@@ -80,7 +81,7 @@
 	 * @param session the session
 	 */
 	public void drop(String session) {
-		this.entries.values().removeIf((entry) -> entry.session.equals(session));
+		this.entries.values().removeIf((entry) -> entry.session().equals(session));
 		this.lastChosen = null;
 		this.indexed = false;
 	}
@@ -123,7 +124,7 @@
 		if (!this.listedSizes.isEmpty()) {
 			return this.listedCapacity;
 		}
-		return this.entries.values().stream().map(Entry::capacity).reduce(Resources.NONE, Resources::plus);
+		return this.entries.values().stream().map(RackEntry::capacity).reduce(Resources.NONE, Resources::plus);
 	}
 
 	/**
@@ -132,7 +133,8 @@
 	 */
 	public void beginRound(RackPolicy rackPolicy) {
 		this.policy = rackPolicy;
-		this.round++;
+		this.asked.forEach(RackEntry::beginRound);
+		this.asked.clear();
 		this.lastChosen = null;
 	}
 
@@ -145,12 +147,13 @@
 	 */
 	public Optional<String> choose(WorkloadKind kind, Resources size, Map<String, Integer> replicasByRack) {
 		index();
-		Entry chosen = (kind == WorkloadKind.SERVICE) ? spread(size, replicasByRack) : pick(this.all, size, Map.of());
+		RackEntry chosen = (kind == WorkloadKind.SERVICE) ? spread(size, replicasByRack)
+				: pick(this.all, size, Map.of());
 		if (chosen == null) {
 			return Optional.empty();
 		}
-		chosen.free = chosen.free.minus(size);
-		chosen.askedInRound = this.round;
+		chosen.take(size);
+		this.asked.add(chosen);
 		this.lastChosen = chosen;
 		return Optional.of(chosen.rack());
 	}
@@ -161,9 +164,9 @@
 	 * @param size what was chosen
 	 */
 	public void giveBack(String rack, Resources size) {
-		Entry entry = this.entries.get(rack);
-		if (entry != null && entry.capacity().covers(entry.free.plus(size))) {
-			entry.free = entry.free.plus(size);
+		RackEntry entry = this.entries.get(rack);
+		if (entry != null) {
+			entry.giveBack(size);
 		}
 	}
 
@@ -175,38 +178,45 @@
 	 * @param size what the task asked for
 	 */
 	public void refused(String rack, Resources size) {
-		Entry entry = this.entries.get(rack);
+		RackEntry entry = this.entries.get(rack);
 		if (entry != null && entry.fits(size)) {
-			entry.refused.add(new Refusal(size, entry.summary.free(), 0));
+			entry.refuse(size);
+			this.doubts.merge(size, 1, (doubt, one) -> Math.min(doubt + one, MAXIMUM_DOUBT));
 		}
 	}
 
+	/**
+	 * Note that a rack's owner had room for a size.
+	 * @param size what the task asked for
+	 */
+	public void accepted(Resources size) {
+		this.doubts.computeIfPresent(size, (same, doubt) -> (doubt > 1) ? doubt / 2 : null);
+	}
+
 	/**
 	 * Note that room has come free on one worker since the last summary.
 	 * @param rack the rack
 	 * @param size the room
 	 */
 	public void freed(String rack, Resources size) {
-		giveBack(rack, size);
-		Entry entry = this.entries.get(rack);
+		RackEntry entry = this.entries.get(rack);
 		if (entry != null) {
-			entry.refused.clear();
-			entry.largestProcessors = Math.max(entry.largestProcessors, size.processors());
+			entry.freed(size);
 		}
 	}
 
-	private Entry spread(Resources size, Map<String, Integer> replicasByRack) {
+	private RackEntry spread(Resources size, Map<String, Integer> replicasByRack) {
 		Map<String, Integer> replicasByDomain = new HashMap<>();
 		replicasByRack.forEach((rack, replicas) -> {
-			Entry entry = this.entries.get(rack);
+			RackEntry entry = this.entries.get(rack);
 			if (entry != null) {
-				replicasByDomain.merge(entry.summary.failureDomain(), replicas, Integer::sum);
+				replicasByDomain.merge(entry.summary().failureDomain(), replicas, Integer::sum);
 			}
 		});
 		List<String> domains = new ArrayList<>(this.byDomain.keySet());
 		domains.sort(Comparator.comparingInt((domain) -> replicasByDomain.getOrDefault(domain, 0)));
 		for (String domain : domains) {
-			Entry chosen = pick(this.byDomain.get(domain), size, replicasByRack);
+			RackEntry chosen = pick(this.byDomain.get(domain), size, replicasByRack);
 			if (chosen != null) {
 				return chosen;
 			}
@@ -214,26 +224,40 @@
 		return null;
 	}
 
-	private Entry pick(List<Entry> racks, Resources size, Map<String, Integer> replicasByRack) {
+	private RackEntry pick(List<RackEntry> racks, Resources size, Map<String, Integer> replicasByRack) {
 		int sampled = Math.min(SAMPLE, racks.size());
 		for (int index = 0; sampled < racks.size() && index < sampled; index++) {
 			Collections.swap(racks, index, index + this.random.nextInt(racks.size() - index));
 		}
-		Entry chosen = best(racks, 0, sampled, size, replicasByRack);
+		RackEntry chosen = best(racks, 0, sampled, size, replicasByRack);
 		if (chosen == null) {
 			return best(racks, sampled, racks.size(), size, replicasByRack);
 		}
-		boolean again = this.lastChosen != null && replicasByRack.isEmpty() && this.lastChosen.fits(size);
+		boolean again = this.lastChosen != null && replicasByRack.isEmpty() && this.lastChosen.fits(size)
+				&& !this.doubts.containsKey(size);
 		return (again && this.policy.cost(this.lastChosen, size) < this.policy.cost(chosen, size)) ? this.lastChosen
 				: chosen;
 	}
 
-	private Entry best(List<Entry> racks, int from, int to, Resources size, Map<String, Integer> replicasByRack) {
-		Entry best = null;
+	/**
+	 * What a rack costs more that may have no worker for a size. It doubles with each
+	 * refusal, so that no weights lead to one refusal after the other.
+	 * @param size what the task asks for
+	 * @return the cost, 0 if the size was not refused of late
+	 */
+	private double penalty(Resources size) {
+		int doubt = this.doubts.getOrDefault(size, 0);
+		return (doubt > 0) ? Math.scalb(1.0, doubt) : 0;
+	}
+
+	private RackEntry best(List<RackEntry> racks, int from, int to, Resources size,
+			Map<String, Integer> replicasByRack) {
+		RackEntry best = null;
 		int fewest = 0;
 		double least = 0;
+		double penalty = penalty(size);
 		for (int index = from; index < to; index++) {
-			Entry entry = racks.get(index);
+			RackEntry entry = racks.get(index);
 			if (!entry.fits(size)) {
 				continue;
 			}
@@ -241,7 +265,7 @@
 			if (best != null && replicas > fewest) {
 				continue;
 			}
-			double cost = this.policy.cost(entry, size);
+			double cost = this.policy.cost(entry, size) + ((entry.room(size) == 0) ? penalty : 0);
 			if (best == null || replicas < fewest || cost < least
 					|| (cost == least && entry.rack().compareTo(best.rack()) < 0)) {
 				best = entry;
@@ -261,7 +285,7 @@
 		this.all.addAll(this.entries.values());
 		this.byDomain.clear();
 		this.all.forEach(
-				(entry) -> this.byDomain.computeIfAbsent(entry.summary.failureDomain(), (domain) -> new ArrayList<>())
+				(entry) -> this.byDomain.computeIfAbsent(entry.summary().failureDomain(), (domain) -> new ArrayList<>())
 					.add(entry));
 	}
 
@@ -271,7 +295,7 @@
 	 * @return the session
 	 */
 	public Optional<String> owner(String rack) {
-		return Optional.ofNullable(this.entries.get(rack)).map((entry) -> entry.session);
+		return Optional.ofNullable(this.entries.get(rack)).map((entry) -> entry.session());
 	}
 
 	/**
@@ -279,7 +303,7 @@
 	 * @return {@code true} if there is a rack and all are settled
 	 */
 	public boolean isSettled() {
-		return !this.entries.isEmpty() && this.entries.values().stream().allMatch((entry) -> entry.summary.settled());
+		return !this.entries.isEmpty() && this.entries.values().stream().allMatch((entry) -> entry.summary().settled());
 	}
 
 	/**
@@ -288,7 +312,7 @@
 	 */
 	public Map<String, Long> epochs() {
 		Map<String, Long> epochs = new TreeMap<>();
-		this.entries.forEach((rack, entry) -> epochs.put(rack, entry.summary.epoch()));
+		this.entries.forEach((rack, entry) -> epochs.put(rack, entry.summary().epoch()));
 		return epochs;
 	}
 
@@ -308,97 +332,4 @@
 		return this.random;
 	}
 
-	private final class Entry implements RackRoom {
-
-		private final String session;
-
-		private final RackSummary summary;
-
-		private Resources free;
-
-		private int largestProcessors;
-
-		private long askedInRound = -1;
-
-		private final List<Refusal> refused = new ArrayList<>();
-
-		Entry(String session, RackSummary summary, Entry before) {
-			this.session = session;
-			this.summary = summary;
-			this.free = summary.free();
-			this.largestProcessors = summary.largestProcessors();
-			if (before != null) {
-				before.refused.stream()
-					.filter((refusal) -> refusal.holdsFor(summary.free()))
-					.forEach((refusal) -> this.refused.add(refusal.older()));
-			}
-		}
-
-		boolean fits(Resources size) {
-			return this.summary.workers() > 0 && this.free.covers(size) && this.largestProcessors >= size.processors()
-					&& !hasRefused(size);
-		}
-
-		private boolean hasRefused(Resources size) {
-			for (Refusal refusal : this.refused) {
-				if (size.covers(refusal.size())) {
-					return true;
-				}
-			}
-			return false;
-		}
-
-		@Override
-		public long room(Resources size) {
-			long byProcessors = timesOnEach(this.free.processors(), size.processors());
-			long byMemory = timesOnEach(this.free.memoryMiB(), size.memoryMiB());
-			long byAccelerators = timesOnEach(this.free.accelerators(), size.accelerators());
-			return this.summary.workers() * Math.min(Math.min(byProcessors, byMemory), byAccelerators);
-		}
-
-		private long timesOnEach(long sum, long size) {
-			return (size > 0) ? sum / this.summary.workers() / size : Integer.MAX_VALUE;
-		}
-
-		@Override
-		public String rack() {
-			return this.summary.rack();
-		}
-
-		@Override
-		public Resources free() {
-			return this.free;
-		}
-
-		@Override
-		public Resources capacity() {
-			return this.summary.capacity();
-		}
-
-		@Override
-		public boolean isAskedThisRound() {
-			return this.askedInRound == RackDirectory.this.round;
-		}
-
-	}
-
-	/**
-	 * A size that a rack's owner had no worker for.
-	 *
-	 * @param size the size
-	 * @param free what the summary said was free
-	 * @param summaries how many summaries have come since
-	 */
-	private record Refusal(Resources size, Resources free, int summaries) {
-
-		boolean holdsFor(Resources freeNow) {
-			return this.summaries < REFUSED_FOR_SUMMARIES && this.free.covers(freeNow);
-		}
-
-		Refusal older() {
-			return new Refusal(this.size, this.free, this.summaries + 1);
-		}
-
-	}
-
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RackDirectoryTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RackDirectoryTests.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.queue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -99,6 +100,24 @@
 			assertThat(choose(TASK)).isEqualTo("full");
 		}
 
+		@Test
+		void givesWayToACertainOneBeforeManyLikeItHaveRefused() {
+			List<RackSummary> summaries = new ArrayList<>(List.of(rack("certain", CAPACITY, 80)));
+			for (int rack = 0; rack < 200; rack++) {
+				summaries.add(rack("scattered-" + rack, CAPACITY, 7));
+			}
+			RackDirectoryTests.this.directory.update("session", summaries);
+			RackDirectoryTests.this.directory.beginRound(new WeightedRackPolicy(new PolicyWeights(1, 9, 1)));
+
+			int refusals = 0;
+			for (String chosen = choose(TASK); !chosen.equals("certain"); chosen = choose(TASK)) {
+				RackDirectoryTests.this.directory.refused(chosen, TASK);
+				refusals++;
+			}
+
+			assertThat(refusals).isLessThan(20);
+		}
+
 	}
 
 	@Nested
