Prove that a silent worker's task runs once

The agents of all workers that hold tasks of a run that must run once go silent while the tasks run on for 12 s, past the lease of 4 s; other workers have room. The run waits, status says WORKER_SILENT, and when the agents answer again each task has run once, counted at the workers.

With the mechanism's line out on a scratch copy (a lapsed task that must run once waits to be placed like any other): before: aLapsedLeaseAloneDoesNotHaveATaskThatMustRunOncePlacedAgain not within 60 s: roster waits for WORKER_SILENT after: passes in 28.0 s

Ruled out: a fault in the first trial, which counted one overlap. It was a replica of the service on one of those workers, which may be placed again at the lapse; the workers now count overlaps by job.

--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskCounts.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskCounts.java
@@ -14,9 +14,19 @@
  * @param finishedTwice tasks that ended well more than once
  * @param overCommitted starts refused because the worker had no room
  * @param finishedTasksByJob number of different tasks that ended well, by job
+ * @param overlappingByJob the overlapping starts, by job
  */
 public record TaskCounts(int started, int finished, int running, int overlapping, int finishedTwice, int overCommitted,
-		Map<String, Integer> finishedTasksByJob) {
+		Map<String, Integer> finishedTasksByJob, Map<String, Integer> overlappingByJob) {
+
+	/**
+	 * Times a task of a job was started while another attempt at it ran.
+	 * @param job the job
+	 * @return the count
+	 */
+	public int overlappingOf(JobId job) {
+		return this.overlappingByJob.getOrDefault(job.toString(), 0);
+	}
 
 	/**
 	 * Tasks of a job that ended well, each counted once.
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskLog.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/TaskLog.java
@@ -22,7 +22,7 @@
 
 	private int finished;
 
-	private int overlapping;
+	private final Map<String, Integer> overlappingByJob = new TreeMap<>();
 
 	private int overCommitted;
 
@@ -31,7 +31,7 @@
 		Set<AttemptId> present = this.running.computeIfAbsent(task(attempt), (task) -> new HashSet<>());
 		present.add(attempt);
 		if (present.size() > 1) {
-			this.overlapping++;
+			this.overlappingByJob.merge(attempt.job().toString(), 1, Integer::sum);
 		}
 	}
 
@@ -60,8 +60,9 @@
 		Map<String, Integer> finishedByJob = new TreeMap<>();
 		this.finishedByTask
 			.forEach((task, count) -> finishedByJob.merge(task.substring(0, task.lastIndexOf('/')), 1, Integer::sum));
-		return new TaskCounts(this.started, this.finished, runningNow, this.overlapping, twice, this.overCommitted,
-				finishedByJob);
+		int overlapping = this.overlappingByJob.values().stream().mapToInt(Integer::intValue).sum();
+		return new TaskCounts(this.started, this.finished, runningNow, overlapping, twice, this.overCommitted,
+				finishedByJob, new TreeMap<>(this.overlappingByJob));
 	}
 
 }
