--- /dev/null
+++ b/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Runs all benchmarks of the project.
+ */
+package org.monsoonrelay.benchmarks;
--- /dev/null
+++ b/monsoonrelay-benchmarks/src/test/java/org/monsoonrelay/benchmarks/capacity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the capacity measurements.
+ */
+package org.monsoonrelay.benchmarks.capacity;
