Name the layout by this in the stand-ins' settings

Two changes of CellSettings met in a merge: one made the layout a field, the other added a line that still took it as an argument. before: CellSettings.java:[54,42] (coding) RequireThis: Reference to instance variable 'layout' needs "this."; the build failed at monsoonrelay-standin after: the build passes Ruled out: leaving the linter out of the build.

--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellSettings.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellSettings.java
@@ -51,7 +51,7 @@
 		settings.put("adminAddress", this.layout.gatewayAdmin(index).toString());
 		settings.put("slotsPerBackendServer", 8);
 		settings.put("connectionsPerBackendServer", 60);
-		settings.put("gateways", layout.gateways());
+		settings.put("gateways", this.layout.gateways());
 		settings.put("maximumWaiting", 1000);
 		settings.put("attemptLimitMillis", 1000);
 		settings.put("drainMillis", 5000);
