--- a/monsoonrelay-benchmarks/src/test/java/org/monsoonrelay/benchmarks/routing/TrafficClassesTests.java
+++ b/monsoonrelay-benchmarks/src/test/java/org/monsoonrelay/benchmarks/routing/TrafficClassesTests.java
@@ -18,15 +18,14 @@
 
 	private static final ModelTraffic BATCH = new ModelTraffic(TrafficClass.BATCH, 1.5, Duration.ofSeconds(1));
 
-	private static Map<TrafficClass, ModelResult> run(ModelTraffic... streams) {
-		return new RoutingModel(ModelCell.today(false, 4, 7), RefusalPause.DEFAULT, LeastExpectedLoadChoice::new)
-			.run(List.of(streams));
-	}
+	private static final Map<TrafficClass, ModelResult> RESULTS = new RoutingModel(ModelCell.today(false, 4, 7),
+			RefusalPause.DEFAULT, LeastExpectedLoadChoice::new)
+		.run(List.of(DESK, BATCH));
 
 	@Nested
 	class WhileBatchCallersFlood {
 
-		private final ModelResult desk = run(DESK, BATCH).get(TrafficClass.DESK);
+		private final ModelResult desk = RESULTS.get(TrafficClass.DESK);
 
 		@Test
 		void allDeskLookupsAreRun() {
@@ -38,17 +37,9 @@
 			assertThat(this.desk.waitingMillis(99) / 20).isLessThan(0.5);
 		}
 
-	}
-
-	@Nested
-	class UnderTheSameFlood {
-
 		@Test
 		void batchCallersAreTheOnesThatAreShed() {
-			Map<TrafficClass, ModelResult> results = run(DESK, BATCH);
-
-			assertThat(results.get(TrafficClass.BATCH).notRunShare()).isBetween(0.45, 0.65);
-			assertThat(results.get(TrafficClass.DESK).notRunShare()).isZero();
+			assertThat(RESULTS.get(TrafficClass.BATCH).notRunShare()).isBetween(0.45, 0.65);
 		}
 
 	}
