Keep an end that waits for its acknowledgement

Cause: a worker reported FINISHED, the queue's owner had not acknowledged it yet, the worker restarted, and a question about the attempt in doubt posted GONE in place of FINISHED: a task that must run once would have been placed again after it had ended. Silence replaced the end by LAPSED in the same way. Ruled out: freeing only after a second question (the first answer was wrong already). Before: outlastsTheWorkersNextIncarnation and outlastsTheWorkersSilence, 15 tests, 2 failed. After: 155 tests in logic, 0 failed. Left: an end that the worker forgets in a restart before it ever reported it cannot be known by anyone.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/AttemptEventKind.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/AttemptEventKind.java
@@ -18,6 +18,15 @@
 	GONE,
 
 	/** Its worker has been silent for the lease; it may run on. */
-	LAPSED
+	LAPSED;
+
+	/**
+	 * Tell whether a worker has said how the attempt ended. Nothing learnt later, such as
+	 * the worker's restart or silence, says otherwise.
+	 * @return {@code true} for the two ends that a worker reports
+	 */
+	public boolean isEnd() {
+		return this == FINISHED || this == FAILED;
+	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
@@ -329,6 +329,10 @@
 	}
 
 	private void post(AttemptEvent event, WorkerSlot slot) {
+		AttemptEvent waiting = this.outbox.get(event.attempt());
+		if (waiting != null && waiting.kind().isEnd() && !event.kind().isEnd()) {
+			return;
+		}
 		WorkerSlot before = this.slotByAttempt.put(event.attempt(), slot);
 		boolean known = before == slot && event.kind() == AttemptEventKind.RUNNING
 				&& slot.announcedRunning(event.attempt());
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
@@ -138,6 +138,37 @@
 
 	}
 
+	@Nested
+	class AnEndNotYetAcknowledged {
+
+		@BeforeEach
+		void endTheTask() {
+			run(FIRST);
+			RackManagerTests.this.worker.endAll(AttemptPhase.FINISHED);
+			heartbeat();
+			assertThat(events()).containsExactly(AttemptEventKind.FINISHED);
+		}
+
+		@Test
+		void outlastsTheWorkersNextIncarnation() {
+			RackManagerTests.this.worker.restart();
+			heartbeat();
+			RackManagerTests.this.racks.resolve(FIRST, WORKER, "incarnation-1", CellData.TEAM);
+
+			assertThat(events()).containsExactly(AttemptEventKind.FINISHED);
+		}
+
+		@Test
+		void outlastsTheWorkersSilence() {
+			RackManagerTests.this.worker.setUnreachable(true);
+			pass(3);
+			RackManagerTests.this.racks.resolve(FIRST, WORKER, "incarnation-1", CellData.TEAM);
+
+			assertThat(events()).containsExactly(AttemptEventKind.FINISHED);
+		}
+
+	}
+
 	@Nested
 	class Orders {
 
