Hand the host list over between peers

Cause: a gateway that starts while the platform is down got the version in force from its peers but no host list, so it stayed not ready and served nobody. A process whose reading of the list fails now asks one peer after the other for a newer one; its version never goes down. Schedulers do the same. Ruled out: the list in each announcement (1,250 racks' hosts a second to each peer), and the list inside the state reply (fetched only for a new version). Before, with the peers not asked: 'not within 60 s: it serves callers during the outage', 3 tests, 1 error. After: ConfigurationTests 3 of 3, LayersTests 3 of 3.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
 import org.monsoonrelay.adapters.node.ControlFollower;
+import org.monsoonrelay.adapters.node.HostListFollower;
 import org.monsoonrelay.adapters.node.ProcessMetrics;
 import org.monsoonrelay.adapters.peer.PeerIdentity;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
@@ -61,6 +62,8 @@
 
 	private final HttpBackendClient client;
 
+	private final HostListFollower hostList;
+
 	private final GatewayServices services;
 
 	private final CallerRoutes callerRoutes;
@@ -85,6 +88,7 @@
 		ProcessMetrics.addTo(metrics, this.tracker);
 		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
 		this.follower = new ControlFollower(new ControlLog(this.platform, this.platform, clock), this.tracker);
+		this.hostList = new HostListFollower(this.platform, this::update);
 		this.client = new HttpBackendClient(clock);
 		this.services = new GatewayServices(settings, this.tracker, this.client, this.platform, clock);
 		this.callerRoutes = new CallerRoutes(this.services, clock, () -> UUID.randomUUID().toString(), metrics,
@@ -123,7 +127,7 @@
 	private void poll() {
 		this.follower.poll();
 		this.services.retryDelayed();
-		this.platform.read().thenAccept(this::update).exceptionally((failure) -> null);
+		this.hostList.poll(this.network, this.settings.node().peerAddresses());
 		Envelope.Builder announcement = Envelope.newBuilder()
 			.setAnnouncement(Announcement.newBuilder()
 				.setSession(this.session)
@@ -147,6 +151,9 @@
 			this.follower.announced(this.network, from.address(), request.getAnnouncement().getVersion());
 			this.services.markLeaving(Set.copyOf(request.getAnnouncement().getLeavingBackendServersList()));
 		}
+		if (request.hasHostsRequest()) {
+			return CompletableFuture.completedFuture(this.hostList.reply(request.getHostsRequest()));
+		}
 		Envelope.Builder reply = request.hasStateRequest() ? this.follower.state()
 				: Envelope.newBuilder().setEmpty(Empty.getDefaultInstance());
 		return CompletableFuture.completedFuture(reply);
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -21,6 +21,7 @@
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
 import org.monsoonrelay.adapters.node.ControlFollower;
+import org.monsoonrelay.adapters.node.HostListFollower;
 import org.monsoonrelay.adapters.node.ProcessMetrics;
 import org.monsoonrelay.adapters.operator.WorkersRoom;
 import org.monsoonrelay.adapters.peer.PeerCodec;
@@ -95,6 +96,8 @@
 
 	private final HttpPlatform platform;
 
+	private final HostListFollower hostList;
+
 	private final PeerNetwork network;
 
 	private final PeerDirectory peers;
@@ -127,6 +130,7 @@
 		InstantSource time = new SteadyClock(clock, System::nanoTime);
 		MetricRegistry metrics = new MetricRegistry();
 		this.platform = new HttpPlatform(settings.node().platformAddress(), PLATFORM_TIMEOUT);
+		this.hostList = new HostListFollower(this.platform, (list) -> this.control.execute(() -> update(list)));
 		TableService table = new MeteredTable(this.platform, metrics);
 		ProcessMetrics.addTo(metrics, this.tracker);
 		this.schedulerMetrics = new SchedulerMetrics(metrics);
@@ -187,7 +191,7 @@
 
 	private void second() {
 		this.follower.poll();
-		this.platform.read().thenAcceptAsync(this::update, this.control).exceptionally((failure) -> null);
+		this.hostList.poll(this.network, this.settings.node().peerAddresses());
 		this.ownership.round(wanted());
 		this.rowBudget.setRowsPerSecond(Math.max(1, JOB_ROWS_PER_SECOND / this.ownership.liveCount()));
 		this.peers.dropSilent(System.nanoTime()).forEach(this.racks::drop);
@@ -330,6 +334,9 @@
 			this.follower.announced(this.network, from.address(), announcement.getVersion());
 			this.control.execute(() -> heard(announcement));
 		}
+		if (request.hasHostsRequest()) {
+			return CompletableFuture.completedFuture(this.hostList.reply(request.getHostsRequest()));
+		}
 		if (request.hasStateRequest()) {
 			return CompletableFuture.completedFuture(this.follower.state());
 		}
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/ConfigurationTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/ConfigurationTests.java
@@ -50,6 +50,7 @@
 		cell.processes().startGateway(0);
 
 		Await.until("its version is in force", () -> versionAt(gateway(0)) == version);
+		Await.until("it serves callers during the outage", cell.processes()::gatewaysReady);
 		cell.processes().faults().platform(PlatformFault.NONE);
 		Await.until("gateways are ready", cell.processes()::gatewaysReady);
 		assertThat(versionAt(gateway(0))).isEqualTo(version);
