--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Preemption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/Preemption.java
@@ -102,7 +102,7 @@
 	}
 
 	private static boolean mayBeStopped(Job job) {
-		return job.workload().kind() == WorkloadKind.BATCH && !job.workload().once() && !job.isUrgent()
+		return job.workload().kind() == WorkloadKind.BATCH && !job.workload().once() && !job.workload().urgent()
 				&& job.count(TaskState.RUNNING) > 0;
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamScheduler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/TeamScheduler.java
@@ -79,8 +79,8 @@
 			Team team = inForce.text().team(name).orElse(new Team(name, Resources.NONE, 1));
 			QuotaLedger ledger = new QuotaLedger(team, queue.used());
 			List<Job> jobs = queue.inOrder();
-			urgent.add(new TeamTurn(queue, ledger, matching(jobs, Job::isUrgent)));
-			others.add(new TeamTurn(queue, ledger, matching(jobs, Predicate.not(Job::isUrgent))));
+			urgent.add(new TeamTurn(queue, ledger, matching(jobs, (job) -> job.workload().urgent())));
+			others.add(new TeamTurn(queue, ledger, matching(jobs, Predicate.not((job) -> job.workload().urgent()))));
 		});
 		round.inTurn(urgent, queues.values());
 		round.inTurn(others, List.of());
@@ -138,7 +138,7 @@
 			turn.ledger().take(workload.size(), placed);
 			this.budget -= placed;
 			TeamScheduler.this.waitReasons.put(job.id(), reasonAfter(job, placeable.size(), fits, placed));
-			if (job.isUrgent() && placed < fits) {
+			if (job.workload().urgent() && placed < fits) {
 				TeamScheduler.this.preemption.makeRoom(job, fits - placed, preemptible);
 			}
 			if (placed == most && workload.kind() != WorkloadKind.GANG) {
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -1,6 +1,5 @@
 package org.monsoonrelay.model.job;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -19,14 +18,8 @@
  */
 public final class Job {
 
-	private static final int MAXIMUM_FAILURES = 5;
-
 	private static final int EPOCH_SHIFT = 20;
 
-	private static final int MAXIMUM_BACKOFF_DOUBLINGS = 6;
-
-	private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
-
 	private Workload workload;
 
 	private final TaskList tasks;
@@ -70,15 +63,6 @@
 		return this.workload.kind() == WorkloadKind.SERVICE;
 	}
 
-	/**
-	 * Indexes of the tasks that may be given a new attempt now.
-	 * @param now the current time
-	 * @return the indexes, ascending
-	 */
-	public List<Integer> placeable(Instant now) {
-		return placeable(now, Integer.MAX_VALUE);
-	}
-
 	/**
 	 * Indexes of the first tasks that may be given a new attempt now.
 	 * @param now the current time
@@ -154,7 +138,7 @@
 	 */
 	public void running(AttemptId attempt, WorkerId worker) {
 		Task task = taskOf(attempt);
-		if (!concernsLast(task, attempt)) {
+		if (!task.takesWordOf(attempt.attempt())) {
 			return;
 		}
 		task.runsOn(worker.value());
@@ -168,12 +152,11 @@
 	 */
 	public boolean finished(AttemptId attempt) {
 		Task task = taskOf(attempt);
-		if (!concernsLast(task, attempt)) {
+		if (!task.takesWordOf(attempt.attempt())) {
 			return false;
 		}
 		task.end();
-		boolean isService = this.workload.kind() == WorkloadKind.SERVICE;
-		this.tasks.set(task, isService ? TaskState.WAITING : TaskState.FINISHED);
+		this.tasks.set(task, isService() ? TaskState.WAITING : TaskState.FINISHED);
 		return true;
 	}
 
@@ -185,12 +168,11 @@
 	 */
 	public boolean failed(AttemptId attempt, Instant now) {
 		Task task = taskOf(attempt);
-		if (!concernsLast(task, attempt)) {
+		if (!task.takesWordOf(attempt.attempt())) {
 			return false;
 		}
-		int doublings = Math.min(task.failures(), MAXIMUM_BACKOFF_DOUBLINGS);
-		task.fail(now.plus(FIRST_BACKOFF.multipliedBy(1L << doublings)));
-		boolean isLast = task.failures() >= MAXIMUM_FAILURES && this.workload.kind() != WorkloadKind.SERVICE;
+		task.fail(now);
+		boolean isLast = task.hasFailedTooOften() && !isService();
 		this.tasks.set(task, isLast ? TaskState.FAILED : TaskState.WAITING);
 		return true;
 	}
@@ -203,7 +185,7 @@
 	 */
 	public boolean gone(AttemptId attempt) {
 		Task task = taskOf(attempt);
-		if (!concernsLast(task, attempt)) {
+		if (!task.takesWordOf(attempt.attempt())) {
 			return false;
 		}
 		boolean wasOpen = task.isOpen();
@@ -311,7 +293,7 @@
 	 * @return {@code true} if all tasks finished, or all replicas of a service run
 	 */
 	public boolean satisfiesDependents() {
-		TaskState wanted = (this.workload.kind() != WorkloadKind.SERVICE) ? TaskState.FINISHED : TaskState.RUNNING;
+		TaskState wanted = isService() ? TaskState.RUNNING : TaskState.FINISHED;
 		return count(wanted) == this.tasks.declared();
 	}
 
@@ -320,7 +302,7 @@
 	 * @param now the current time
 	 */
 	public void noteFinish(Instant now) {
-		if (this.finishedAt == null && this.workload.kind() != WorkloadKind.SERVICE && satisfiesDependents()) {
+		if (this.finishedAt == null && !isService() && satisfiesDependents()) {
 			this.finishedAt = now;
 		}
 	}
@@ -381,23 +363,6 @@
 		return new JobRecord(this.queueEpoch, writeId, knownHosts, changed, this.finishedAt);
 	}
 
-	/**
-	 * Tell whether a message is about the last attempt and can still change something. An
-	 * attempt with a higher number was opened by a later owner and becomes the last.
-	 * @param task the task
-	 * @param attempt the attempt that the message is about
-	 * @return {@code false} if the message changes nothing
-	 */
-	private static boolean concernsLast(Task task, AttemptId attempt) {
-		if (attempt.attempt() < task.attempt() || task.hasEnded(attempt.attempt()) || task.state().isFinal()) {
-			return false;
-		}
-		if (attempt.attempt() > task.attempt()) {
-			task.advance(attempt.attempt());
-		}
-		return true;
-	}
-
 	private Task taskOf(AttemptId attempt) {
 		return this.tasks.get(attempt.task());
 	}
@@ -410,10 +375,6 @@
 		return this.workload.id();
 	}
 
-	public boolean isUrgent() {
-		return this.workload.urgent();
-	}
-
 	public Workload workload() {
 		return this.workload;
 	}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Task.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Task.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.model.job;
 
+import java.time.Duration;
 import java.time.Instant;
 
 /**
@@ -8,6 +9,12 @@
  */
 final class Task {
 
+	private static final int MAXIMUM_FAILURES = 5;
+
+	private static final int MAXIMUM_BACKOFF_DOUBLINGS = 6;
+
+	private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
+
 	private final int index;
 
 	private TaskState state = TaskState.WAITING;
@@ -64,15 +71,37 @@
 	}
 
 	/**
-	 * Note that the last attempt ended badly.
-	 * @param retryNotBefore when the next may start
+	 * Note that the last attempt ended badly. The next one waits, twice as long with each
+	 * failure.
+	 * @param now the current time, from which the backoff counts
 	 */
-	void fail(Instant retryNotBefore) {
+	void fail(Instant now) {
+		int doublings = Math.min(this.failures, MAXIMUM_BACKOFF_DOUBLINGS);
+		this.notBefore = now.plus(FIRST_BACKOFF.multipliedBy(1L << doublings));
 		this.failures++;
-		this.notBefore = retryNotBefore;
 		end();
 	}
 
+	boolean hasFailedTooOften() {
+		return this.failures >= MAXIMUM_FAILURES;
+	}
+
+	/**
+	 * Tell whether a message is about the last attempt and can still change something. An
+	 * attempt with a higher number was opened by a later owner and becomes the last.
+	 * @param number number of the attempt that the message is about
+	 * @return {@code false} if the message changes nothing
+	 */
+	boolean takesWordOf(long number) {
+		if (number < this.attempt || hasEnded(number) || this.state.isFinal()) {
+			return false;
+		}
+		if (number > this.attempt) {
+			advance(number);
+		}
+		return true;
+	}
+
 	/**
 	 * Tell whether the last attempt may run somewhere although the task waits.
 	 * @return {@code false} if there was none, or its end is certain
@@ -109,10 +138,6 @@
 		return this.attempt;
 	}
 
-	int failures() {
-		return this.failures;
-	}
-
 	TaskRecord toRecord() {
 		return new TaskRecord(this.index, this.attempt, this.state, this.worker, this.incarnation, this.failures);
 	}
--- a/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobRestartTests.java
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobRestartTests.java
@@ -30,7 +30,7 @@
 		long before = service.tasks().get(0).attempt();
 		service.redeclare(workload(WorkloadKind.SERVICE));
 
-		assertThat(service.placeable(Instant.EPOCH)).containsExactly(0, 1);
+		assertThat(service.placeable(Instant.EPOCH, Integer.MAX_VALUE)).containsExactly(0, 1);
 		assertThat(service.open(0).attempt()).isGreaterThan(before);
 	}
 
@@ -38,7 +38,8 @@
 	void stoppedServiceRunsAgainUnderALaterOwner() {
 		JobRecord record = stopped(WorkloadKind.SERVICE).toRecord("w", 0);
 
-		assertThat(new Job(workload(WorkloadKind.SERVICE), record, 2, Instant.EPOCH).placeable(Instant.EPOCH))
+		assertThat(new Job(workload(WorkloadKind.SERVICE), record, 2, Instant.EPOCH).placeable(Instant.EPOCH,
+				Integer.MAX_VALUE))
 			.containsExactly(0, 1);
 	}
 
--- a/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobTests.java
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/job/JobTests.java
@@ -142,7 +142,7 @@
 
 		private void place() {
 			Instant now = START.plusSeconds(3600);
-			for (int task : this.job.placeable(now)) {
+			for (int task : this.job.placeable(now, Integer.MAX_VALUE)) {
 				boolean mayRun = this.running.stream().anyMatch((attempt) -> attempt.task() == task)
 						|| this.ordered.stream().anyMatch((attempt) -> attempt.task() == task);
 				this.overlaps += mayRun ? 1 : 0;
