--- a/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/DesignSize.java
+++ b/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/DesignSize.java
@@ -40,6 +40,9 @@
 	/** How often a scheduler reads all owners while no session lapses. */
 	static final double OWNER_READING_SECONDS = 30;
 
+	/** Assumed: share of the workloads that a team of another queue owner depends on. */
+	static final double AWAITED_SHARE = 0.01;
+
 	static final double SECONDS_A_DAY = 86_400;
 
 	static final double PROCESSOR_SHARE = 0.019;
--- a/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/DesignedCosts.java
+++ b/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/DesignedCosts.java
@@ -115,7 +115,8 @@
 		double owners = this.slopes.ownerBytes().at(SESSIONS_AND_OWNERS);
 		double fixed = this.slopes.announcementByRacks().base();
 		double racks = 2 * (DesignSize.PROCESSES - 1) * this.slopes.announcementByRacks().perUnit() * RACKS_EACH;
-		double finished = 2 * (DesignSize.PROCESSES - 1) * this.slopes.announcementByFinished().perUnit() * JOBS_EACH;
+		double finished = 2 * (DesignSize.PROCESSES - 1) * this.slopes.announcementByFinished().perUnit() * JOBS_EACH
+				* DesignSize.AWAITED_SHARE;
 		double greeting = 4 * (DesignSize.PROCESSES - 1) * fixed;
 		double starts = STARTS_EACH
 				* (this.slopes.commandByStarts().perUnit() + 2 * this.slopes.peerBytesByStarts().perUnit());
@@ -126,7 +127,8 @@
 		report.atSize("entry host: reading sessions, and owners each 30 s", owners, DesignSize.BYTES_A_SECOND);
 		report.atSize("entry host: announcements, their fixed part", greeting, DesignSize.BYTES_A_SECOND);
 		report.atSize("entry host: announcements of racks", racks, DesignSize.BYTES_A_SECOND);
-		report.atSize("entry host: announcements of finished workloads", finished, DesignSize.BYTES_A_SECOND);
+		report.atSize("entry host: announcements of finished workloads that are awaited", finished,
+				DesignSize.BYTES_A_SECOND);
 		report.atSize("entry host: task starts at the peak", starts, DesignSize.BYTES_A_SECOND);
 		report.atSize("entry host: changes of the text", changes, DesignSize.BYTES_A_SECOND);
 		report.atSize("entry host: bytes between peaks",
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/CellText.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/workload/CellText.java
@@ -1,7 +1,11 @@
 package org.monsoonrelay.model.workload;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 /**
@@ -42,6 +46,20 @@
 		return Stream.of(longRunning, batch, gangs).flatMap((stream) -> stream).toList();
 	}
 
+	/**
+	 * Names that each team's workloads depend on.
+	 * @return the names by team; teams that depend on nothing are missing
+	 */
+	public Map<String, Set<String>> dependenciesByTeam() {
+		Map<String, Set<String>> names = new TreeMap<>();
+		for (Workload workload : workloads()) {
+			if (!workload.dependsOn().isEmpty()) {
+				names.computeIfAbsent(workload.team(), (team) -> new TreeSet<>()).addAll(workload.dependsOn());
+			}
+		}
+		return names;
+	}
+
 	/**
 	 * Find a service by name.
 	 * @param name the service's name
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -35,6 +35,7 @@
 import org.monsoonrelay.adapters.platform.MeteredTable;
 import org.monsoonrelay.logic.control.ControlLog;
 import org.monsoonrelay.logic.control.ControlTracker;
+import org.monsoonrelay.logic.control.InForce;
 import org.monsoonrelay.logic.membership.OwnershipKeeper;
 import org.monsoonrelay.logic.placement.AttemptEvent;
 import org.monsoonrelay.logic.platform.HostList;
@@ -42,6 +43,7 @@
 import org.monsoonrelay.logic.platform.TableKeys;
 import org.monsoonrelay.logic.platform.TableService;
 import org.monsoonrelay.logic.platform.WriteBudget;
+import org.monsoonrelay.logic.queue.AwaitedNames;
 import org.monsoonrelay.logic.queue.JobJournal;
 import org.monsoonrelay.logic.queue.QueueManager;
 import org.monsoonrelay.logic.queue.RackDirectory;
@@ -108,6 +110,8 @@
 
 	private final QueueManager queueManager;
 
+	private final AwaitedNames awaitedNames = new AwaitedNames();
+
 	private final OwnershipKeeper ownership;
 
 	private final WriteBudget rowBudget = new WriteBudget(System::nanoTime, JOB_ROWS_PER_SECOND);
@@ -165,7 +169,7 @@
 	void start() {
 		this.network.listen();
 		this.operators.start();
-		this.tracker.onChange((next) -> this.control.execute(() -> this.queueManager.update(next)));
+		this.tracker.onChange((next) -> this.control.execute(() -> update(next)));
 		every(SECOND_MILLIS, this::second);
 		every(TICK_MILLIS, this::tick);
 		every(SAMPLE_MILLIS, this::sample);
@@ -214,6 +218,11 @@
 				WorkersRoom.of(this.rackManager.summaries()), events);
 	}
 
+	private void update(InForce next) {
+		this.awaitedNames.update(next.text());
+		this.queueManager.update(next);
+	}
+
 	private void update(HostList list) {
 		if (list.version() >= this.hosts.version()) {
 			this.hosts = list;
@@ -265,7 +274,7 @@
 			.setFailureDomain(this.settings.node().failureDomain())
 			.setVersion(this.tracker.inForce().head().version())
 			.addAllTeams(this.queueManager.teams())
-			.addAllSatisfied(this.queueManager.satisfied());
+			.addAllSatisfied(this.awaitedNames.elsewhere(this.queueManager.teams(), this.queueManager.satisfied()));
 		this.rackManager.summaries().forEach((summary) -> announcement.addRacks(PeerCodec.encode(summary)));
 		Envelope.Builder envelope = Envelope.newBuilder().setAnnouncement(announcement);
 		for (HostAddress peer : this.settings.node().peerAddresses()) {
