Read the host list only when it has changed

Cause: both daemons of an entry host read the whole host list each second, 6.1 MB a second at the size designed for. The reading now names the version that is known, and the platform answers 204 while it is the same; a platform that does not know the parameter still works. Ruled out: changes alone, which the platform would have to keep; one process a host reading for both, which joins two daemons' fates.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/HostListFollower.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/node/HostListFollower.java
@@ -50,8 +50,8 @@
 	 * @return completes, never exceptionally, when the list is taken or cannot be had
 	 */
 	public CompletableFuture<Void> poll(PeerNetwork network, List<HostAddress> peers) {
-		return this.platform.read()
-			.thenAccept(this::take)
+		return this.platform.read(this.newest.version())
+			.thenAccept((list) -> list.ifPresent(this::take))
 			.handle((taken, failure) -> (failure != null) ? askPeer(network, peers)
 					: CompletableFuture.<Void>completedFuture(null))
 			.thenCompose((asked) -> asked);
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpPlatform.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpPlatform.java
@@ -69,8 +69,10 @@
 	}
 
 	@Override
-	public CompletableFuture<HostList> read() {
-		return this.calls.get(this.base + "/hosts").thenApply((answer) -> Json.read(answer.body(), HostList.class));
+	public CompletableFuture<Optional<HostList>> read(long knownVersion) {
+		return this.calls.get(this.base + "/hosts?known=" + knownVersion)
+			.thenApply((answer) -> answer.body().isEmpty() ? Optional.empty()
+					: Optional.of(Json.read(answer.body(), HostList.class)));
 	}
 
 	private static String encode(String value) {
--- a/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/DesignSize.java
+++ b/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/DesignSize.java
@@ -45,6 +45,9 @@
 
 	static final double SECONDS_A_DAY = 86_400;
 
+	/** Each of 54 failing and 1,400 replaced hosts a day changes the list twice. */
+	static final double HOST_LISTS_A_SECOND = 2 * (54 + 1_400) / SECONDS_A_DAY;
+
 	static final double PROCESSOR_SHARE = 0.019;
 
 	static final double MEMORY_MIB = 256;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/HostListService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/HostListService.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.platform;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -9,9 +10,10 @@
 public interface HostListService {
 
 	/**
-	 * Read the list.
-	 * @return the list as the platform has it now
+	 * Read the list, unless it is the one that is known.
+	 * @param knownVersion version of the list that the caller has, 0 if none
+	 * @return the list as the platform has it now, empty if its version is the known one
 	 */
-	CompletableFuture<HostList> read();
+	CompletableFuture<Optional<HostList>> read(long knownVersion);
 
 }
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/PlatformStandin.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/PlatformStandin.java
@@ -28,6 +28,8 @@
  */
 public final class PlatformStandin {
 
+	private static final int NO_CONTENT = 204;
+
 	private static final int UNAVAILABLE = 503;
 
 	private static final int THREADS = 8;
@@ -59,7 +61,7 @@
 			.route("/table/rows", guarded(this::scan))
 			.route("/table/transactions", guarded(this::transaction))
 			.route("/objects", guarded(this::objects))
-			.route("/hosts", guarded((exchange) -> StandinServer.sendJson(exchange, 200, this.visible)))
+			.route("/hosts", guarded(this::hostList))
 			.route("/control/register", this::register)
 			.route("/control/leaving", (exchange) -> change(exchange, HostState.LEAVING))
 			.route("/control/remove", (exchange) -> change(exchange, null))
@@ -96,6 +98,15 @@
 		};
 	}
 
+	private void hostList(HttpExchange exchange) throws IOException {
+		HostList present = this.visible;
+		if (Long.toString(present.version()).equals(StandinServer.query(exchange).get("known"))) {
+			StandinServer.send(exchange, NO_CONTENT, "");
+			return;
+		}
+		StandinServer.sendJson(exchange, 200, present);
+	}
+
 	private void readRow(HttpExchange exchange) throws IOException {
 		Optional<Row> row = this.table.read(StandinServer.query(exchange).getOrDefault("key", ""));
 		StandinServer.sendJson(exchange, row.isPresent() ? 200 : 404, row.orElse(null));
