Let the worker stand-in checkpoint, throttle and show its usage

Cause: the worker stand-in ran and stopped tasks only; the platform's workers also checkpoint and throttle them and report usage with a lag. Ruled out: fields in the daemons' command and report before something decides on them.

--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/StandinMain.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/StandinMain.java
@@ -13,11 +13,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import org.monsoonrelay.adapters.logging.Program;
 import org.monsoonrelay.adapters.settings.SettingsException;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.job.AttemptId;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -30,6 +32,8 @@
 
 	private static final int TIMER_THREADS = 4;
 
+	private static final int USAGE_LAG_MILLIS = 1000;
+
 	@Option(names = "--settings", description = "JSON file with the settings.")
 	private Path settingsFile;
 
@@ -74,12 +78,25 @@
 	private static void startWorkers(StandinSettings settings) throws IOException, InterruptedException {
 		ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
 		TaskLog log = new TaskLog();
+		CheckpointStore checkpoints = new CheckpointStore();
 		Map<String, WorkerStandin> workers = new TreeMap<>();
 		for (Host host : settings.hosts()) {
-			WorkerStandin worker = new WorkerStandin(host, timer, log);
+			WorkerStandin worker = new WorkerStandin(host, timer, log, checkpoints);
+			timer.scheduleWithFixedDelay(worker::takeUsage, USAGE_LAG_MILLIS, USAGE_LAG_MILLIS, TimeUnit.MILLISECONDS);
 			workers.put(host.name(), worker);
 			new StandinServer(host.address(), Executors.newFixedThreadPool(2))
 				.route("/command", new WorkerCommandHandler(worker))
+				.route("/usage", (exchange) -> StandinServer.sendJson(exchange, 200, worker.usage()))
+				.route("/checkpoint", (exchange) -> {
+					worker.checkpoint(AttemptId.parse(StandinServer.query(exchange).getOrDefault("attempt", "")));
+					StandinServer.send(exchange, 200, "");
+				})
+				.route("/throttle", (exchange) -> {
+					Map<String, String> query = StandinServer.query(exchange);
+					worker.throttle(AttemptId.parse(query.getOrDefault("attempt", "")),
+							Integer.parseInt(query.getOrDefault("percent", "100")));
+					StandinServer.send(exchange, 200, "");
+				})
 				.start();
 			register(settings, host);
 		}
--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/WorkerStandin.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/WorkerStandin.java
@@ -22,12 +22,16 @@
  */
 final class WorkerStandin {
 
+	private static final int WHOLE_PERCENT = 100;
+
 	private final Host host;
 
 	private final ScheduledExecutorService timer;
 
 	private final TaskLog log;
 
+	private final CheckpointStore checkpoints;
+
 	private final Map<AttemptId, Entry> attempts = new LinkedHashMap<>();
 
 	private final Map<String, Long> forgotten = new HashMap<>();
@@ -36,10 +40,57 @@
 
 	private WorkerFault fault = WorkerFault.NONE;
 
-	WorkerStandin(Host host, ScheduledExecutorService timer, TaskLog log) {
+	private WorkerUsage visibleUsage = new WorkerUsage(List.of());
+
+	WorkerStandin(Host host, ScheduledExecutorService timer, TaskLog log, CheckpointStore checkpoints) {
 		this.host = host;
 		this.timer = timer;
 		this.log = log;
+		this.checkpoints = checkpoints;
+	}
+
+	/**
+	 * Have an attempt save its progress and end. A later attempt at the task runs for the
+	 * time that is left. Idempotent.
+	 * @param attempt the attempt
+	 */
+	synchronized void checkpoint(AttemptId attempt) {
+		Entry entry = this.attempts.get(attempt);
+		if (entry != null && entry.phase == AttemptPhase.RUNNING) {
+			long ranMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - entry.startedNanos);
+			this.checkpoints.save(attempt, Math.max(1, entry.runMillis - ranMillis));
+			end(attempt, AttemptPhase.STOPPED);
+		}
+	}
+
+	/**
+	 * Hold an attempt down to a share of its processors.
+	 * @param attempt the attempt
+	 * @param percent the share, 1 to 100
+	 */
+	synchronized void throttle(AttemptId attempt, int percent) {
+		this.attempts.computeIfPresent(attempt, (key, entry) -> entry.throttled(percent));
+	}
+
+	/**
+	 * What the attempts used when the usage was last taken.
+	 * @return the usage
+	 */
+	synchronized WorkerUsage usage() {
+		return this.visibleUsage;
+	}
+
+	/**
+	 * Take the usage, which is shown until it is taken again.
+	 */
+	synchronized void takeUsage() {
+		List<WorkerUsage.AttemptUsage> used = new ArrayList<>();
+		this.attempts.forEach((attempt, entry) -> {
+			if (entry.phase == AttemptPhase.RUNNING) {
+				used.add(new WorkerUsage.AttemptUsage(attempt.toString(), entry.percent));
+			}
+		});
+		this.visibleUsage = new WorkerUsage(used);
 	}
 
 	/**
@@ -85,16 +136,17 @@
 			if (!fits) {
 				this.log.overCommitted();
 			}
-			this.attempts.put(attempt, new Entry(order.team(), order.size(), AttemptPhase.STOPPED));
+			this.attempts.put(attempt, Entry.of(order, 0, AttemptPhase.STOPPED));
 			return;
 		}
-		this.attempts.put(attempt, new Entry(order.team(), order.size(), AttemptPhase.RUNNING));
+		long runMillis = (order.runMillis() > 0) ? this.checkpoints.remaining(attempt).orElse(order.runMillis()) : 0;
+		this.attempts.put(attempt, Entry.of(order, runMillis, AttemptPhase.RUNNING));
 		this.log.started(attempt);
 		if (this.fault.failsAll()) {
 			end(attempt, AttemptPhase.FAILED);
 		}
-		else if (order.runMillis() > 0) {
-			this.timer.schedule(() -> end(attempt, AttemptPhase.FINISHED), order.runMillis(), TimeUnit.MILLISECONDS);
+		else if (runMillis > 0) {
+			this.timer.schedule(() -> end(attempt, AttemptPhase.FINISHED), runMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -113,14 +165,14 @@
 			end(attempt, AttemptPhase.STOPPED);
 		}
 		else {
-			this.attempts.put(attempt, new Entry("", Resources.NONE, AttemptPhase.STOPPED));
+			this.attempts.put(attempt, new Entry("", Resources.NONE, AttemptPhase.STOPPED, 0, 0, 0));
 		}
 	}
 
 	private synchronized void end(AttemptId attempt, AttemptPhase phase) {
 		Entry entry = this.attempts.get(attempt);
 		if (entry != null && entry.phase == AttemptPhase.RUNNING) {
-			this.attempts.put(attempt, new Entry(entry.team, entry.size, phase));
+			this.attempts.put(attempt, entry.ended(phase));
 			this.log.ended(attempt, phase == AttemptPhase.FINISHED);
 		}
 	}
@@ -145,7 +197,20 @@
 		return this.host;
 	}
 
-	private record Entry(String team, Resources size, AttemptPhase phase) {
+	private record Entry(String team, Resources size, AttemptPhase phase, long runMillis, long startedNanos,
+			int percent) {
+
+		static Entry of(AttemptMessage order, long runMillis, AttemptPhase phase) {
+			return new Entry(order.team(), order.size(), phase, runMillis, System.nanoTime(), WHOLE_PERCENT);
+		}
+
+		Entry ended(AttemptPhase how) {
+			return new Entry(this.team, this.size, how, this.runMillis, this.startedNanos, this.percent);
+		}
+
+		Entry throttled(int share) {
+			return new Entry(this.team, this.size, this.phase, this.runMillis, this.startedNanos, share);
+		}
 
 	}
 
--- /dev/null
+++ b/monsoonrelay-standin/src/test/java/org/monsoonrelay/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the stand-ins.
+ */
+package org.monsoonrelay.standin;
