--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpServer.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.adapters.http;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.function.Consumer;
 
@@ -64,6 +65,8 @@
 		options.setWorkerThreads(WORKER_THREADS);
 		options.setDefaultHeaders(false);
 		this.server.setOptions(options);
+		// The working directory may be read-only.
+		this.application.setTmpdir(Path.of(System.getProperty("java.io.tmpdir"), "monsoonrelay"));
 		this.application.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		routes.accept(this.application);
 	}
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerDrain.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/CallerDrain.java
@@ -10,7 +10,7 @@
  * Each answer given from then on closes its connection, so that no caller writes a
  * request to a connection that the gateway is about to close. Thread-safe.
  */
-final class CallerDrain {
+public final class CallerDrain {
 
 	private final LongSupplier monotonicNanos;
 
@@ -18,7 +18,7 @@
 
 	private volatile boolean stopping;
 
-	CallerDrain(LongSupplier monotonicNanos) {
+	public CallerDrain(LongSupplier monotonicNanos) {
 		this.monotonicNanos = monotonicNanos;
 	}
 
@@ -26,7 +26,7 @@
 	 * Watch the requests of an application. To be called before its routes are added.
 	 * @param application the application
 	 */
-	void addTo(Jooby application) {
+	public void addTo(Jooby application) {
 		application.before((context) -> {
 			this.lastArrivalNanos.set(this.monotonicNanos.getAsLong());
 			if (this.stopping) {
@@ -35,12 +35,12 @@
 		});
 	}
 
-	void stop() {
+	public void stop() {
 		this.lastArrivalNanos.set(this.monotonicNanos.getAsLong());
 		this.stopping = true;
 	}
 
-	boolean isStopping() {
+	public boolean isStopping() {
 		return this.stopping;
 	}
 
@@ -49,7 +49,7 @@
 	 * @param nanos how long no request has to have come
 	 * @return {@code true} if none came for that long
 	 */
-	boolean isQuietFor(long nanos) {
+	public boolean isQuietFor(long nanos) {
 		return this.monotonicNanos.getAsLong() - this.lastArrivalNanos.get() >= nanos;
 	}
 
--- /dev/null
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The gateway of a cell that runs submitted jobs: composition only.
+ */
+package org.monsoonrelay.gateway.jobs;
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What processes decide and come to believe, as typed records for the logs.
+ */
+package org.monsoonrelay.logic.events;
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -0,0 +1,208 @@
+package org.monsoonrelay.logic.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Follows a table: reads it whole, then waits for changes, and reads it whole again when
+ * the history of changes is lost. The listener sees every change in order, or a new
+ * snapshot that contains it. Calls on the service may overlap with nothing of this
+ * follower. Confined to the executor that it is given, on which the listener is called.
+ */
+public final class TableFollower {
+
+	/**
+	 * How long one call waits for a change, milliseconds. A connection that went silent
+	 * is found out after this and the client's grace, well within the two seconds in
+	 * which a change has to be in force.
+	 */
+	private static final long WAIT_MILLIS = 900;
+
+	/**
+	 * Pause after a failed call, milliseconds; bounds the calls to a service that is
+	 * down.
+	 */
+	private static final long RETRY_MILLIS = 150;
+
+	private static final int PAGE_ROWS = 500;
+
+	private final PartitionedTable table;
+
+	private final String name;
+
+	private final List<String> partitions;
+
+	private final Duration spacing;
+
+	private final ScheduledExecutorService executor;
+
+	private final Listener listener;
+
+	private long version;
+
+	private boolean closed;
+
+	private boolean failing;
+
+	/**
+	 * Create a follower.
+	 * @param table the service
+	 * @param name the table to follow
+	 * @param partitions its partitions
+	 * @param spacing the least time between two calls that brought changes, so that many
+	 * small changes arrive together
+	 * @param executor a single thread
+	 * @param listener told of rows
+	 */
+	public TableFollower(PartitionedTable table, String name, List<String> partitions, Duration spacing,
+			ScheduledExecutorService executor, Listener listener) {
+		this.table = table;
+		this.name = name;
+		this.partitions = List.copyOf(partitions);
+		this.spacing = spacing;
+		this.executor = executor;
+		this.listener = listener;
+	}
+
+	/**
+	 * Begin to follow.
+	 */
+	public void start() {
+		this.executor.execute(this::load);
+	}
+
+	/**
+	 * Stop following; the listener may hear of one more answer under way.
+	 */
+	public void close() {
+		this.closed = true;
+	}
+
+	private void load() {
+		if (this.closed) {
+			return;
+		}
+		List<CompletableFuture<PartitionRows>> parts = this.partitions.stream()
+			.map((partition) -> loadPartition(partition, "", new PartitionRows(new ArrayList<>(), Long.MAX_VALUE)))
+			.toList();
+		CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
+			.whenComplete(OnThread.of(this.executor, (nothing, failure) -> {
+				if (failure != null) {
+					failed(failure, this::load);
+					return;
+				}
+				List<TableRow> rows = new ArrayList<>();
+				this.version = Long.MAX_VALUE;
+				for (CompletableFuture<PartitionRows> part : parts) {
+					rows.addAll(part.join().rows());
+					this.version = Math.min(this.version, part.join().version());
+				}
+				answered();
+				this.listener.snapshot(rows);
+				follow();
+			}));
+	}
+
+	private CompletableFuture<PartitionRows> loadPartition(String partition, String from, PartitionRows loaded) {
+		return this.table.read(this.name, partition, from, PAGE_ROWS).thenCompose((page) -> {
+			loaded.rows().addAll(page.rows());
+			PartitionRows more = new PartitionRows(loaded.rows(), Math.min(loaded.version(), page.version()));
+			if (!page.truncated() || page.rows().isEmpty()) {
+				return CompletableFuture.completedFuture(more);
+			}
+			return loadPartition(partition, page.rows().get(page.rows().size() - 1).key() + "!", more);
+		});
+	}
+
+	private void follow() {
+		if (this.closed) {
+			return;
+		}
+		this.table.changes(this.name, this.version, Duration.ofMillis(WAIT_MILLIS))
+			.whenComplete(OnThread.of(this.executor, (changes, failure) -> {
+				if (failure != null) {
+					failed(failure, this::follow);
+					return;
+				}
+				answered();
+				take(changes);
+			}));
+	}
+
+	private void take(TableChanges changes) {
+		if (changes.historyLost()) {
+			this.listener.historyLost();
+			load();
+			return;
+		}
+		this.version = Math.max(this.version, changes.version());
+		if (changes.rows().isEmpty()) {
+			follow();
+			return;
+		}
+		this.listener.changed(changes.rows());
+		this.executor.schedule(this::follow, this.spacing.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void answered() {
+		if (this.failing) {
+			this.failing = false;
+			this.listener.back();
+		}
+	}
+
+	private void failed(Throwable failure, Runnable again) {
+		if (!this.failing) {
+			this.failing = true;
+			this.listener.lost(failure);
+		}
+		this.executor.schedule(again, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private record PartitionRows(List<TableRow> rows, long version) {
+
+	}
+
+	/**
+	 * Told of a followed table, on the follower's executor.
+	 */
+	public interface Listener {
+
+		/**
+		 * All rows, in place of all that was known.
+		 * @param rows the rows that exist
+		 */
+		void snapshot(List<TableRow> rows);
+
+		/**
+		 * Rows that changed.
+		 * @param rows the rows in the order of their versions
+		 */
+		void changed(List<TableRow> rows);
+
+		/**
+		 * Calls have begun to fail.
+		 * @param failure the first failure
+		 */
+		default void lost(Throwable failure) {
+		}
+
+		/**
+		 * Calls succeed again.
+		 */
+		default void back() {
+		}
+
+		/**
+		 * Changes were missed; a snapshot follows.
+		 */
+		default void historyLost() {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableRow.java
@@ -0,0 +1,15 @@
+package org.monsoonrelay.logic.platform;
+
+/**
+ * One row of a partitioned table. Immutable.
+ *
+ * @param table the table
+ * @param partition the partition, may be empty
+ * @param key the row's key, unique within table and partition
+ * @param value the row's value, JSON text; empty for a deleted row
+ * @param version version of the transaction that wrote it; grows over all tables
+ * @param deleted whether the row is gone
+ */
+public record TableRow(String table, String partition, String key, String value, long version, boolean deleted) {
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -0,0 +1,137 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepProgress;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.SubmittedJob;
+
+/**
+ * A step whose tasks may run, with the runs that may be alive. Invariants: at most one
+ * run of a task may be alive; a gang starts only when no run of an earlier attempt may be
+ * alive; attempts of a task only rise. Not thread-safe: confined to the control thread.
+ */
+final class ActiveStep {
+
+	private final StepKey key;
+
+	private final StepSpec spec;
+
+	private final SubmittedJob job;
+
+	private final Run[] runs;
+
+	private final int[] attempts;
+
+	private final String[] failedOn;
+
+	ActiveStep(StepKey key, SubmittedJob job, int attemptFloor) {
+		this.key = key;
+		this.job = job;
+		this.spec = job.submission().steps().get(key.step());
+		this.runs = new Run[this.spec.count()];
+		this.attempts = new int[this.spec.count()];
+		this.failedOn = new String[this.spec.count()];
+		Arrays.fill(this.attempts, Math.max(attemptFloor, progress().highestAttempt()));
+	}
+
+	StepProgress progress() {
+		return this.job.progress(this.key);
+	}
+
+	/**
+	 * Tasks that may be started now.
+	 * @return their numbers; for a gang all or none
+	 */
+	List<Integer> waiting() {
+		if (this.job.isEnded() || progress().isComplete() || (this.spec.gang() && !isIdle())
+				|| !this.job.isReady(this.key)) {
+			return List.of();
+		}
+		List<Integer> waiting = new ArrayList<>();
+		for (int i = 0; i < this.runs.length; i++) {
+			if (this.runs[i] == null && !progress().isDone(i)) {
+				waiting.add(i);
+			}
+		}
+		return waiting;
+	}
+
+	boolean isIdle() {
+		return Arrays.stream(this.runs).noneMatch(Objects::nonNull);
+	}
+
+	/**
+	 * The attempt that a start of tasks has to carry; those of a gang share it.
+	 * @param index the task
+	 * @return the next attempt
+	 */
+	int nextAttempt(int index) {
+		int highest = this.spec.gang() ? Arrays.stream(this.attempts).max().orElse(0) : this.attempts[index];
+		return highest + 1;
+	}
+
+	boolean hasRun(int index) {
+		return this.runs[index] != null;
+	}
+
+	void started(Run run) {
+		int index = run.task().index();
+		this.runs[index] = run;
+		noteAttempt(index, run.attempt());
+	}
+
+	/**
+	 * Note that an attempt was used, so that the next one is higher.
+	 * @param index the task
+	 * @param attempt the attempt
+	 */
+	void noteAttempt(int index, int attempt) {
+		this.attempts[index] = Math.max(this.attempts[index], attempt);
+	}
+
+	/**
+	 * Note that a run is over.
+	 * @param run the run
+	 */
+	void cleared(Run run) {
+		int index = run.task().index();
+		if (this.runs[index] == run) {
+			this.runs[index] = null;
+		}
+	}
+
+	void failedOn(int index, String worker) {
+		this.failedOn[index] = worker;
+	}
+
+	/**
+	 * The worker on which a task failed last.
+	 * @param index the task
+	 * @return the worker's id, empty if it has not failed
+	 */
+	String lastFailedOn(int index) {
+		return (this.failedOn[index] != null) ? this.failedOn[index] : "";
+	}
+
+	List<Run> aliveRuns() {
+		return Arrays.stream(this.runs).filter(Objects::nonNull).toList();
+	}
+
+	StepKey key() {
+		return this.key;
+	}
+
+	StepSpec spec() {
+		return this.spec;
+	}
+
+	SubmittedJob job() {
+		return this.job;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/GangDemand.java
@@ -0,0 +1,21 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How many waiting gangs may use each worker. Built anew for each turn. Not thread-safe.
+ */
+final class GangDemand {
+
+	private final Map<String, Integer> gangsByWorker = new HashMap<>();
+
+	void add(String worker) {
+		this.gangsByWorker.merge(worker, 1, Integer::sum);
+	}
+
+	int of(String worker) {
+		return this.gangsByWorker.getOrDefault(worker, 0);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobBook.java
@@ -0,0 +1,231 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.SubmittedJob;
+
+/**
+ * All jobs that the owner knows, the steps that may run, and which progress is not
+ * durable yet. Invariant: a step is open only while its job has not ended, its time has
+ * come and the steps before it are done. Not thread-safe: confined to the control thread.
+ */
+final class JobBook {
+
+	/** Attempts of an earlier owner lie below this many for each epoch. */
+	private static final int ATTEMPTS_PER_EPOCH = 16;
+
+	private final long epoch;
+
+	private final Map<String, SubmittedJob> jobs = new HashMap<>();
+
+	private final Map<StepKey, ActiveStep> open = new LinkedHashMap<>();
+
+	private final Set<String> unended = new LinkedHashSet<>();
+
+	private final Set<String> earlyCancels = new HashSet<>();
+
+	private final Set<String> inherited = new HashSet<>();
+
+	private final Set<String> held = new HashSet<>();
+
+	private final Set<String> dirty = new LinkedHashSet<>();
+
+	JobBook(long epoch) {
+		this.epoch = epoch;
+	}
+
+	/**
+	 * Take in a job, once.
+	 * @param submission the job
+	 * @param progress what an earlier owner made durable, if anything
+	 * @param isInherited whether an earlier owner may have started tasks of it
+	 * @return {@code true} if it was not known
+	 */
+	boolean learn(Submission submission, Optional<JobProgress> progress, boolean isInherited) {
+		if (this.jobs.containsKey(submission.id())) {
+			return false;
+		}
+		SubmittedJob job = new SubmittedJob(submission);
+		progress.ifPresent(job::restore);
+		this.jobs.put(job.id(), job);
+		if (job.isEnded()) {
+			return true;
+		}
+		if (isInherited) {
+			this.inherited.add(job.id());
+		}
+		this.unended.add(job.id());
+		if (this.earlyCancels.remove(job.id())) {
+			cancel(job.id());
+		}
+		return true;
+	}
+
+	/**
+	 * Cancel a job.
+	 * @param id the job's id
+	 * @return the job, if that ended it
+	 */
+	Optional<SubmittedJob> cancel(String id) {
+		SubmittedJob job = this.jobs.get(id);
+		if (job == null) {
+			this.earlyCancels.add(id);
+			return Optional.empty();
+		}
+		if (job.isEnded()) {
+			return Optional.empty();
+		}
+		job.cancel();
+		touch(job);
+		return Optional.of(job);
+	}
+
+	/**
+	 * Open the steps whose time has come.
+	 * @param nowMillis the time of day
+	 */
+	void openSteps(long nowMillis) {
+		for (String id : this.unended) {
+			openSteps(this.jobs.get(id), nowMillis);
+		}
+	}
+
+	private void openSteps(SubmittedJob job, long nowMillis) {
+		Submission submission = job.submission();
+		for (int occurrence = 0; occurrence < submission.timetable().occurrences(); occurrence++) {
+			if (submission.timetable().dueMillis(occurrence) > nowMillis) {
+				return;
+			}
+			for (int step = 0; step < submission.steps().size(); step++) {
+				StepKey key = new StepKey(job.id(), occurrence, step);
+				if (!this.open.containsKey(key) && !job.progress(key).isComplete() && job.isReady(key)) {
+					this.open.put(key, new ActiveStep(key, job, attemptFloor(job)));
+				}
+			}
+		}
+	}
+
+	/**
+	 * Open a step that a worker says is running. The ends before it may be listed by
+	 * workers that have not been looked at yet.
+	 * @param key the step
+	 * @return the step, empty if there is no such step or its job has ended
+	 */
+	Optional<ActiveStep> openRunning(StepKey key) {
+		SubmittedJob job = this.jobs.get(key.job());
+		boolean exists = job != null && !job.isEnded() && key.step() < job.submission().steps().size()
+				&& key.occurrence() < job.submission().timetable().occurrences();
+		if (!exists) {
+			return Optional.empty();
+		}
+		return Optional.of(this.open.computeIfAbsent(key, (step) -> new ActiveStep(step, job, attemptFloor(job))));
+	}
+
+	/**
+	 * Start nothing of a job until the owner's row is written again: another owner may
+	 * have taken over before the job came.
+	 * @param id the job's id
+	 */
+	void hold(String id) {
+		this.held.add(id);
+	}
+
+	void releaseHeld() {
+		this.held.clear();
+	}
+
+	boolean isHeld(String id) {
+		return this.held.contains(id);
+	}
+
+	private int attemptFloor(SubmittedJob job) {
+		return this.inherited.contains(job.id()) ? (int) (ATTEMPTS_PER_EPOCH * (this.epoch - 1)) : 0;
+	}
+
+	/**
+	 * Note that a job's progress has to become durable.
+	 * @param job the job
+	 */
+	void touch(SubmittedJob job) {
+		this.dirty.add(job.id());
+	}
+
+	/**
+	 * Close the steps of ended jobs and complete steps on which nothing runs.
+	 */
+	void closeSteps() {
+		this.open.values().removeIf((step) -> step.isIdle() && (step.job().isEnded() || step.progress().isComplete()));
+		this.unended.removeIf((id) -> this.jobs.get(id).isEnded());
+	}
+
+	/**
+	 * Take jobs whose progress is to be written next.
+	 * @param most the most jobs
+	 * @return the jobs, removed from those that wait
+	 */
+	List<SubmittedJob> takeDirty(int most) {
+		List<String> taken = this.dirty.stream().limit(most).toList();
+		taken.forEach(this.dirty::remove);
+		return taken.stream().map(this.jobs::get).toList();
+	}
+
+	boolean hasDirty() {
+		return !this.dirty.isEmpty();
+	}
+
+	QueueSummary summary() {
+		Map<String, Integer> pending = new HashMap<>();
+		for (String id : this.unended) {
+			SubmittedJob job = this.jobs.get(id);
+			if (job.state() == SubmissionState.QUEUED) {
+				pending.merge(job.submission().policy().queue(), 1, Integer::sum);
+			}
+		}
+		return new QueueSummary(pending);
+	}
+
+	Optional<SubmittedJob> job(String id) {
+		return Optional.ofNullable(this.jobs.get(id));
+	}
+
+	Optional<ActiveStep> step(StepKey key) {
+		return Optional.ofNullable(this.open.get(key));
+	}
+
+	Collection<ActiveStep> openSteps() {
+		return this.open.values();
+	}
+
+	List<ActiveStep> openStepsOf(String job) {
+		List<ActiveStep> steps = new ArrayList<>();
+		this.open.forEach((key, step) -> {
+			if (key.job().equals(job)) {
+				steps.add(step);
+			}
+		});
+		return steps;
+	}
+
+	boolean isInherited(String job) {
+		return this.inherited.contains(job);
+	}
+
+	int unendedCount() {
+		return this.unended.size();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerTerm.java
@@ -0,0 +1,91 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How long this owner's orders may keep a run alive. Others may take the pool over once
+ * the owner's row has not changed for {@link #LAPSE_MILLIS}; they then wait out
+ * {@link #LEASE_MILLIS} for workers that they cannot reach. Invariant: no order carries a
+ * lease that ends later than that, even if this process stood still meanwhile. Not
+ * thread-safe: confined to the control thread.
+ */
+final class OwnerTerm {
+
+	/** How often the owner's row is written at least, milliseconds. */
+	static final long RENEW_MILLIS = 400;
+
+	/**
+	 * How long the row may stand still before others take over, milliseconds. Five
+	 * renewals may get lost; shorter ones were not safe beside a service that answers 60
+	 * times as slowly.
+	 */
+	static final long LAPSE_MILLIS = 2200;
+
+	/**
+	 * The longest lease of a worker, milliseconds. Cuts of 5 to 6 seconds are lived
+	 * through; a lost worker's tasks wait this long.
+	 */
+	static final long LEASE_MILLIS = 7000;
+
+	/** Leases shorter than this are not worth an order, milliseconds. */
+	static final long SHORTEST_LEASE_MILLIS = 400;
+
+	private final long epoch;
+
+	private final PoolClock clock;
+
+	private long renewedNanos;
+
+	private long renewedWallMillis;
+
+	OwnerTerm(long epoch, PoolClock clock) {
+		this.epoch = epoch;
+		this.clock = clock;
+	}
+
+	/**
+	 * Note a write of the row that took effect.
+	 * @param sentNanos when it was sent
+	 * @param sentWallMillis the time of day when it was sent
+	 */
+	void renewed(long sentNanos, long sentWallMillis) {
+		this.renewedNanos = sentNanos;
+		this.renewedWallMillis = sentWallMillis;
+	}
+
+	/**
+	 * How long a lease that is given now may last.
+	 * @return milliseconds, may be negative
+	 */
+	long leaseMillis() {
+		long left = LAPSE_MILLIS + LEASE_MILLIS - sinceRenewal();
+		return Math.min(LEASE_MILLIS, left);
+	}
+
+	boolean mayOrder() {
+		return leaseMillis() >= SHORTEST_LEASE_MILLIS;
+	}
+
+	/**
+	 * Whether no other owner can have taken over.
+	 * @return {@code true} if the row was written recently
+	 */
+	boolean isCurrent() {
+		return sinceRenewal() < LAPSE_MILLIS;
+	}
+
+	/**
+	 * Time since the last renewal, on the clock that saw more of it: the steady clock
+	 * does not count suspensions.
+	 * @return milliseconds
+	 */
+	private long sinceRenewal() {
+		long steady = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.renewedNanos);
+		return Math.max(steady, this.clock.millis() - this.renewedWallMillis);
+	}
+
+	long epoch() {
+		return this.epoch;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -0,0 +1,235 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.OnThread;
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.SubmittedJob;
+
+/**
+ * Makes progress durable and keeps the owner's row. Invariants: every write names the
+ * version of the owner's row that this owner wrote last, so that nothing is written once
+ * another owner has taken over; one write is in flight at a time; a write without an
+ * answer is repeated unchanged until it is known what became of it. Not thread-safe:
+ * confined to the control thread.
+ */
+final class PoolJournal {
+
+	/** Most jobs in a write; a transaction takes 100 entries. */
+	private static final int MOST_JOBS = 80;
+
+	/** Most bytes of progress in a write; a transaction takes a megabyte. */
+	private static final int MOST_BYTES = 500_000;
+
+	/** Pause before a write without effect is repeated, milliseconds. */
+	private static final long REPEAT_MILLIS = 60;
+
+	private final PartitionedTable table;
+
+	private final ScheduledExecutorService control;
+
+	private final OwnerTerm term;
+
+	private final JobBook book;
+
+	private final WorkerPool workers;
+
+	private final PoolClock clock;
+
+	private final Listener listener;
+
+	private OwnerRecord record;
+
+	private long version;
+
+	private QueueSummary writtenSummary = QueueSummary.NONE;
+
+	private boolean inFlight;
+
+	private boolean closed;
+
+	private long lastSentNanos;
+
+	PoolJournal(PartitionedTable table, ScheduledExecutorService control, OwnerTerm term, JobBook book,
+			WorkerPool workers, PoolClock clock, Listener listener) {
+		this.table = table;
+		this.control = control;
+		this.term = term;
+		this.book = book;
+		this.workers = workers;
+		this.clock = clock;
+		this.listener = listener;
+	}
+
+	/**
+	 * Begin with the row that made this process the owner.
+	 * @param taken the row
+	 * @param takenVersion its version
+	 */
+	void begin(OwnerRecord taken, long takenVersion) {
+		this.record = taken;
+		this.version = takenVersion;
+		this.lastSentNanos = this.clock.nanos();
+	}
+
+	/**
+	 * Write if something waits or the row is due.
+	 */
+	void flush() {
+		if (this.inFlight || this.closed) {
+			return;
+		}
+		long sinceLast = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.lastSentNanos);
+		boolean isDue = sinceLast >= OwnerTerm.RENEW_MILLIS || this.book.hasDirty() || this.workers.hasUnnamed();
+		if (isDue) {
+			send(compose(false));
+		}
+	}
+
+	/**
+	 * Give the pool up with the next write.
+	 */
+	void release() {
+		if (this.inFlight) {
+			this.control.schedule(this::release, 1, TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (!this.closed) {
+			send(compose(true));
+		}
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	private Batch compose(boolean isReleased) {
+		List<String> named = this.workers.toName();
+		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
+				this.record.sequence() + 1, isReleased, named);
+		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
+			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
+			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
+		Map<SubmittedJob, SubmissionState> states = new HashMap<>();
+		int bytes = 0;
+		List<PartitionWrite.Put> puts = new ArrayList<>(write.puts());
+		while (states.size() < MOST_JOBS && bytes < MOST_BYTES && this.book.hasDirty()) {
+			SubmittedJob job = this.book.takeDirty(1).get(0);
+			JobProgress progress = job.save();
+			String value = Json.write(progress);
+			bytes += value.length();
+			states.put(job, progress.state());
+			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
+		}
+		QueueSummary summary = this.book.summary();
+		if (!summary.equals(this.writtenSummary)) {
+			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary)));
+		}
+		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
+		Map<String, Long> ends = this.book.hasDirty() ? Map.of() : this.workers.processedEnds();
+		return new Batch(whole, next, states, summary, ends);
+	}
+
+	private void send(Batch batch) {
+		this.inFlight = true;
+		long sentNanos = this.clock.nanos();
+		long sentWallMillis = this.clock.millis();
+		this.lastSentNanos = sentNanos;
+		this.table.commit(batch.write()).whenComplete(OnThread.of(this.control, (commit, failure) -> {
+			if (commit instanceof PartitionCommit.Committed committed) {
+				written(batch, committed.version(), sentNanos, sentWallMillis);
+			}
+			else if (commit instanceof PartitionCommit.Conflict conflict) {
+				settle(batch, conflict.current());
+			}
+			else {
+				this.control.schedule(() -> repeat(batch), REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}));
+	}
+
+	private void repeat(Batch batch) {
+		if (!this.closed) {
+			send(batch);
+		}
+	}
+
+	private void settle(Batch batch, List<TableRow> current) {
+		for (TableRow row : current) {
+			boolean isOwnRow = row.table().equals(JobTables.OWNER) && row.key().equals(JobTables.OWNER_KEY);
+			if (isOwnRow && Json.read(row.value(), OwnerRecord.class).equals(batch.record())) {
+				// An earlier try took effect; when is not known, so that the term is not
+				// extended.
+				this.version = row.version();
+				apply(batch);
+				return;
+			}
+		}
+		this.inFlight = false;
+		this.closed = true;
+		this.listener.ownershipLost("the owner's row was written by another process");
+	}
+
+	private void written(Batch batch, long committed, long sentNanos, long sentWallMillis) {
+		this.version = committed;
+		this.term.renewed(sentNanos, sentWallMillis);
+		apply(batch);
+	}
+
+	private void apply(Batch batch) {
+		this.inFlight = false;
+		this.record = batch.record();
+		this.writtenSummary = batch.summary();
+		batch.states().forEach(SubmittedJob::markDurable);
+		this.workers.named(batch.record().workers());
+		this.workers.durable(batch.ends());
+		if (batch.record().released()) {
+			this.closed = true;
+			this.listener.released();
+			return;
+		}
+		this.listener.durable();
+	}
+
+	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, SubmissionState> states,
+			QueueSummary summary, Map<String, Long> ends) {
+
+	}
+
+	/**
+	 * Told of what became of writes, on the control thread.
+	 */
+	interface Listener {
+
+		/**
+		 * A write has taken effect.
+		 */
+		void durable();
+
+		/**
+		 * The pool was given up.
+		 */
+		void released();
+
+		/**
+		 * Another process owns the pool.
+		 * @param reason how that is known
+		 */
+		void ownershipLost(String reason);
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -0,0 +1,213 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * One life of a worker with the ledger of what may run there. Invariant: room is given
+ * out only while everything that may run there, is being stopped or is held fits the
+ * capacity. Not thread-safe: confined to the control thread.
+ */
+final class PoolWorker {
+
+	private final WorkerLease lease = new WorkerLease();
+
+	private final WorkerConduct conduct = new WorkerConduct();
+
+	private final Map<TaskKey, Run> runs = new HashMap<>();
+
+	private final Map<StepKey, Hold> holds = new HashMap<>();
+
+	private WorkerInfo info;
+
+	private Resources committed = Resources.NONE;
+
+	private boolean listed = true;
+
+	private boolean reached;
+
+	private boolean named;
+
+	private boolean lost;
+
+	private long processedEnds;
+
+	private long durableEnds;
+
+	PoolWorker(WorkerInfo info) {
+		this.info = info;
+	}
+
+	/**
+	 * Tell whether new work of a size may be placed here.
+	 * @param size what a task holds
+	 * @param nowNanos the current time
+	 * @return {@code true} if there is room and the worker takes new work
+	 */
+	boolean accepts(Resources size, long nowNanos) {
+		return isOpen(nowNanos) && free().covers(size);
+	}
+
+	/**
+	 * Whether the worker takes new work at all: it answers, the list names it, it is not
+	 * leaving, the owner's row names it, and runs do not all fail here.
+	 * @param nowNanos the current time
+	 * @return {@code true} if so
+	 */
+	boolean isOpen(long nowNanos) {
+		return this.reached && this.listed && this.named && !this.lost && !this.info.draining()
+				&& !this.conduct.isAvoided(nowNanos);
+	}
+
+	Resources free() {
+		return this.info.capacity().covers(this.committed) ? this.info.capacity().minus(this.committed)
+				: Resources.NONE;
+	}
+
+	void add(Run run) {
+		release(run.task());
+		this.runs.put(run.task(), run);
+		this.committed = this.committed.plus(run.size());
+	}
+
+	Optional<Run> release(TaskKey task) {
+		Run run = this.runs.remove(task);
+		if (run != null) {
+			this.committed = this.committed.minus(run.size());
+		}
+		return Optional.ofNullable(run);
+	}
+
+	/**
+	 * Hold room for a step until its ticket is renewed.
+	 * @param step the step
+	 * @param size the room
+	 * @param untilNanos when the hold lapses
+	 */
+	void hold(StepKey step, Resources size, long untilNanos) {
+		unhold(step);
+		this.holds.put(step, new Hold(size, untilNanos));
+		this.committed = this.committed.plus(size);
+	}
+
+	void unhold(StepKey step) {
+		Hold hold = this.holds.remove(step);
+		if (hold != null) {
+			this.committed = this.committed.minus(hold.size());
+		}
+	}
+
+	void lapseHolds(long nowNanos) {
+		List<StepKey> lapsed = new ArrayList<>();
+		this.holds.forEach((step, hold) -> {
+			if (nowNanos - hold.untilNanos() > 0) {
+				lapsed.add(step);
+			}
+		});
+		lapsed.forEach(this::unhold);
+	}
+
+	Optional<Run> run(TaskKey task) {
+		return Optional.ofNullable(this.runs.get(task));
+	}
+
+	Collection<Run> runs() {
+		return List.copyOf(this.runs.values());
+	}
+
+	int runCount() {
+		return this.runs.size();
+	}
+
+	long countOf(StepKey step) {
+		return this.runs.keySet().stream().filter((task) -> task.stepKey().equals(step)).count();
+	}
+
+	/**
+	 * Note that nothing runs here any more.
+	 */
+	void markLost() {
+		this.lost = true;
+		this.reached = false;
+		this.named = false;
+	}
+
+	void markReached() {
+		this.reached = true;
+		this.lost = false;
+	}
+
+	void markSilent() {
+		this.reached = false;
+	}
+
+	void update(WorkerInfo newer) {
+		this.info = newer;
+		this.listed = true;
+	}
+
+	void unlist() {
+		this.listed = false;
+	}
+
+	void markNamed() {
+		this.named = true;
+	}
+
+	void processed(long number) {
+		this.processedEnds = Math.max(this.processedEnds, number);
+	}
+
+	void durable(long number) {
+		this.durableEnds = Math.max(this.durableEnds, number);
+	}
+
+	WorkerInfo info() {
+		return this.info;
+	}
+
+	String id() {
+		return this.info.id();
+	}
+
+	WorkerLease lease() {
+		return this.lease;
+	}
+
+	WorkerConduct conduct() {
+		return this.conduct;
+	}
+
+	boolean isReached() {
+		return this.reached;
+	}
+
+	boolean isListed() {
+		return this.listed;
+	}
+
+	boolean isLost() {
+		return this.lost;
+	}
+
+	long processedEnds() {
+		return this.processedEnds;
+	}
+
+	long durableEnds() {
+		return this.durableEnds;
+	}
+
+	private record Hold(Resources size, long untilNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -0,0 +1,143 @@
+package org.monsoonrelay.logic.pool;
+
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * A run that may be alive on a worker and therefore holds room there. Not thread-safe:
+ * confined to the control thread.
+ */
+final class Run {
+
+	private final TaskKey task;
+
+	private final int attempt;
+
+	private final String worker;
+
+	private final Resources size;
+
+	private final long orderedNanos;
+
+	private State state;
+
+	private long answeredNanos;
+
+	private boolean answered;
+
+	private String checkpoint = "";
+
+	private Run(TaskKey task, int attempt, String worker, Resources size, State state, long orderedNanos) {
+		this.task = task;
+		this.attempt = attempt;
+		this.worker = worker;
+		this.size = size;
+		this.state = state;
+		this.orderedNanos = orderedNanos;
+	}
+
+	/**
+	 * A run whose start is about to be sent.
+	 * @param task the task
+	 * @param attempt the attempt
+	 * @param worker the worker
+	 * @param size what it holds
+	 * @param nowNanos the current time
+	 * @return the run
+	 */
+	static Run ordered(TaskKey task, int attempt, String worker, Resources size, long nowNanos) {
+		return new Run(task, attempt, worker, size, State.STARTING, nowNanos);
+	}
+
+	/**
+	 * A run that an earlier owner started.
+	 * @param seen the worker's word
+	 * @param worker the worker
+	 * @param size what it holds
+	 * @param nowNanos the current time
+	 * @return the run
+	 */
+	static Run adopted(RunningTask seen, String worker, Resources size, long nowNanos) {
+		Run run = new Run(seen.task(), seen.attempt(), worker, size, State.RUNNING, nowNanos);
+		run.confirm(nowNanos);
+		return run;
+	}
+
+	/**
+	 * Note that the worker has confirmed the last order for this run.
+	 * @param nowNanos the current time
+	 */
+	void confirm(long nowNanos) {
+		this.answered = true;
+		this.answeredNanos = nowNanos;
+		if (this.state == State.STARTING) {
+			this.state = State.RUNNING;
+		}
+	}
+
+	/**
+	 * Note that the run is to stop.
+	 */
+	void stopping() {
+		this.state = State.STOPPING;
+		this.answered = false;
+	}
+
+	/**
+	 * Whether a look that was sent at a time has to show this run or its end.
+	 * @param lookSentNanos when the look was sent
+	 * @return {@code true} if the run is over when the look shows neither
+	 */
+	boolean mustShowIn(long lookSentNanos) {
+		return this.answered && this.answeredNanos - lookSentNanos < 0;
+	}
+
+	void saved(String progress) {
+		if (!progress.isEmpty()) {
+			this.checkpoint = progress;
+		}
+	}
+
+	TaskKey task() {
+		return this.task;
+	}
+
+	int attempt() {
+		return this.attempt;
+	}
+
+	String worker() {
+		return this.worker;
+	}
+
+	Resources size() {
+		return this.size;
+	}
+
+	State state() {
+		return this.state;
+	}
+
+	long orderedNanos() {
+		return this.orderedNanos;
+	}
+
+	String checkpoint() {
+		return this.checkpoint;
+	}
+
+	/** Where a run stands. */
+	enum State {
+
+		/** The start was sent and not confirmed. */
+		STARTING,
+
+		/** The worker has confirmed it. */
+		RUNNING,
+
+		/** A stop was sent. */
+		STOPPING
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
@@ -0,0 +1,177 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepProgress;
+import org.monsoonrelay.model.submission.SubmittedJob;
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * What the end of a run means for its job. Invariants: only ends by failure count as
+ * attempts; when a member of a gang ends other than well, all its members are stopped;
+ * when a job ends, all its runs are stopped. Not thread-safe: confined to the control
+ * thread.
+ */
+final class TaskEnds {
+
+	private final JobBook book;
+
+	private final DecisionLog log;
+
+	private final PoolClock clock;
+
+	private final BiConsumer<Run, String> stop;
+
+	TaskEnds(JobBook book, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stop) {
+		this.book = book;
+		this.log = log;
+		this.clock = clock;
+		this.stop = stop;
+	}
+
+	/**
+	 * Take in an end that a worker lists.
+	 * @param worker the worker
+	 * @param end the end
+	 */
+	void take(PoolWorker worker, EndedTask end) {
+		worker.processed(end.number());
+		long ranMillis = -1;
+		Run run = worker.run(end.task()).filter((held) -> held.attempt() == end.attempt()).orElse(null);
+		if (run != null) {
+			ranMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.orderedNanos());
+			clear(worker, run);
+		}
+		this.log.write(new Decision.TaskEnded(end.task().job(), end.task().toString(), end.attempt(), worker.id(),
+				end.kind().name(), ranMillis));
+		SubmittedJob job = this.book.job(end.task().job()).orElse(null);
+		if (job == null || !hasTask(job, end.task())) {
+			return;
+		}
+		note(worker, end, job);
+		settle(job, end.task().stepKey(), end.kind() == EndKind.DONE);
+	}
+
+	private static boolean hasTask(SubmittedJob job, TaskKey task) {
+		return task.step() < job.submission().steps().size()
+				&& task.index() < job.submission().steps().get(task.step()).count()
+				&& task.occurrence() < job.submission().timetable().occurrences();
+	}
+
+	private void note(PoolWorker worker, EndedTask end, SubmittedJob job) {
+		StepKey key = end.task().stepKey();
+		int index = end.task().index();
+		StepProgress progress = job.progress(key);
+		progress.noteAttempt(end.attempt());
+		this.book.step(key).ifPresent((step) -> step.noteAttempt(index, end.attempt()));
+		switch (end.kind()) {
+			case DONE -> {
+				progress.markDone(index);
+				worker.conduct().succeeded();
+			}
+			case FAILED -> {
+				progress.saveCheckpoint(index, end.checkpoint());
+				if (progress.markFailed(index, end.attempt())) {
+					failed(worker, end.task());
+				}
+			}
+			default -> progress.saveCheckpoint(index, end.checkpoint());
+		}
+	}
+
+	private void failed(PoolWorker worker, TaskKey task) {
+		this.book.step(task.stepKey()).ifPresent((step) -> step.failedOn(task.index(), worker.id()));
+		if (worker.conduct().failed(task.job(), this.clock.nanos())) {
+			this.log.write(new Decision.WorkerAvoided(worker.id(), worker.conduct().failuresInRow(),
+					WorkerConduct.AVOID_MILLIS));
+		}
+	}
+
+	/**
+	 * Take in that a run is over without the worker's word on how it ended.
+	 * @param worker the worker
+	 * @param run the run
+	 * @param reason how that is known
+	 */
+	void lost(PoolWorker worker, Run run, String reason) {
+		clear(worker, run);
+		TaskKey task = run.task();
+		this.log.write(new Decision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), reason));
+		this.book.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
+			job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint());
+			settle(job, task.stepKey(), false);
+		});
+	}
+
+	/**
+	 * Take in that a start was refused and nothing runs.
+	 * @param worker the worker
+	 * @param run the run
+	 */
+	void refused(PoolWorker worker, Run run) {
+		clear(worker, run);
+		this.book.job(run.task().job()).ifPresent((job) -> settle(job, run.task().stepKey(), false));
+	}
+
+	private void clear(PoolWorker worker, Run run) {
+		worker.release(run.task());
+		this.book.step(run.task().stepKey()).ifPresent((step) -> step.cleared(run));
+	}
+
+	private void settle(SubmittedJob job, StepKey key, boolean isDone) {
+		boolean wasEnded = job.isEnded();
+		job.settle(key);
+		this.book.touch(job);
+		if (job.isEnded() && !wasEnded) {
+			ended(job);
+			return;
+		}
+		boolean isBroken = !isDone && job.submission().steps().get(key.step()).gang();
+		if (isBroken || job.progress(key).isComplete()) {
+			this.book.step(key).ifPresent((step) -> stopAll(step, isBroken));
+		}
+	}
+
+	private void stopAll(ActiveStep step, boolean isBroken) {
+		if (isBroken && !step.progress().isComplete()) {
+			step.aliveRuns().forEach((run) -> this.stop.accept(run, "another member of its gang has ended"));
+		}
+	}
+
+	/**
+	 * Stop what runs of a job that has ended.
+	 * @param job the job
+	 */
+	void ended(SubmittedJob job) {
+		long lateMillis = this.clock.millis() - job.submission().deadlineMillis(0);
+		this.log.write(new Decision.JobEnded(job.id(), job.state().name(), ageMillis(job), lateMillis));
+		for (ActiveStep step : this.book.openStepsOf(job.id())) {
+			if (!step.progress().isComplete()) {
+				step.aliveRuns().forEach((run) -> this.stop.accept(run, "its job has ended"));
+			}
+		}
+	}
+
+	/**
+	 * Room that a task holds.
+	 * @param task the task
+	 * @param worker the worker on which it runs
+	 * @return what its job declares, all of the worker if that is not known
+	 */
+	Resources sizeOf(TaskKey task, PoolWorker worker) {
+		return this.book.job(task.job())
+			.filter((job) -> hasTask(job, task))
+			.map((job) -> job.submission().steps().get(task.step()).committedSize())
+			.orElse(worker.info().capacity());
+	}
+
+	long ageMillis(SubmittedJob job) {
+		return this.clock.millis() - job.submission().acceptedMillis();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerInfo.java
@@ -0,0 +1,27 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+
+import org.monsoonrelay.model.capacity.Resources;
+
+/**
+ * A worker as the host list describes it. One life of the worker has one id. Immutable.
+ *
+ * @param id the id of this life
+ * @param service the service that it belongs to
+ * @param address where it takes orders, {@code host:port}
+ * @param failureDomain where it stands
+ * @param capacity what it offers; processors in thousandths
+ * @param labels its labels
+ * @param rack the rack that it stands in
+ * @param draining whether it is about to leave and takes no new work
+ * @param remainingMillis least time until it leaves, milliseconds, if it drains
+ */
+public record WorkerInfo(String id, String service, String address, String failureDomain, Resources capacity,
+		List<String> labels, String rack, boolean draining, long remainingMillis) {
+
+	public WorkerInfo {
+		labels = List.copyOf(labels);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -0,0 +1,168 @@
+package org.monsoonrelay.logic.submission;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmissionState;
+
+/**
+ * Takes jobs and cancellations from callers. Invariants: a job is called accepted only
+ * once its row exists; it is called not accepted only if no write of its row can take
+ * effect any more. Every write is conditional on the row's absence, so that repeats of a
+ * write and of a submission leave one job. Thread-safe.
+ */
+public final class SubmissionService {
+
+	/**
+	 * How long a write is tried, milliseconds. An answer takes 10 ms; a caller whose
+	 * write is stuck is better served by another host, and callers wait 3,000 ms in all.
+	 */
+	private static final long TRY_MILLIS = 1200;
+
+	/** Pause before a write that was turned down is tried again, milliseconds. */
+	private static final long PAUSE_MILLIS = 60;
+
+	/** Failed writes in a row after which the service counts as down. */
+	private static final int DOWN_AFTER = 3;
+
+	/**
+	 * How long a failure counts, so that one write in this time finds out, milliseconds.
+	 */
+	private static final long PROBE_MILLIS = 250;
+
+	private static final String CANCELLED = "{}";
+
+	private final PartitionedTable table;
+
+	private final JobStates states;
+
+	private final ScheduledExecutorService timer;
+
+	private final LongSupplier nanoTime;
+
+	private volatile int failures;
+
+	private volatile long lastTryNanos;
+
+	public SubmissionService(PartitionedTable table, JobStates states, ScheduledExecutorService timer,
+			LongSupplier nanoTime) {
+		this.table = table;
+		this.states = states;
+		this.timer = timer;
+		this.nanoTime = nanoTime;
+	}
+
+	/**
+	 * Accept a job.
+	 * @param submission the job
+	 * @return what the caller is told
+	 */
+	public CompletableFuture<AcceptOutcome> submit(Submission submission) {
+		String id = submission.id();
+		if (this.states.state(id).isPresent()) {
+			return CompletableFuture.completedFuture(AcceptOutcome.ACCEPTED);
+		}
+		PartitionWrite write = PartitionWrite.to(JobTables.partition(id))
+			.onVersion(JobTables.JOBS, id, 0)
+			.put(JobTables.JOBS, id, Json.write(submission));
+		return store(write).thenApply((outcome) -> {
+			if (outcome == AcceptOutcome.ACCEPTED) {
+				this.states.note(id, SubmissionState.QUEUED);
+			}
+			return outcome;
+		});
+	}
+
+	/**
+	 * Cancel a job.
+	 * @param id the job's id
+	 * @return what the caller is told
+	 */
+	public CompletableFuture<AcceptOutcome> cancel(String id) {
+		return state(id).thenCompose((known) -> {
+			if (known.isEmpty()) {
+				return CompletableFuture.completedFuture(AcceptOutcome.NO_SUCH_JOB);
+			}
+			if (known.get().isFinal()) {
+				return CompletableFuture.completedFuture(AcceptOutcome.ACCEPTED);
+			}
+			String key = JobTables.cancelKey(id);
+			PartitionWrite write = PartitionWrite.to(JobTables.partition(id))
+				.onVersion(JobTables.JOBS, key, 0)
+				.put(JobTables.JOBS, key, CANCELLED);
+			return store(write);
+		});
+	}
+
+	/**
+	 * The state of a job: what the feed told, else what its row tells.
+	 * @param id the job's id
+	 * @return the state, empty if there is no such job; fails if that cannot be found out
+	 */
+	public CompletableFuture<Optional<SubmissionState>> state(String id) {
+		Optional<SubmissionState> known = this.states.state(id);
+		if (known.isPresent()) {
+			return CompletableFuture.completedFuture(known);
+		}
+		return this.table.read(JobTables.JOBS, JobTables.partition(id), id, 1).thenApply((page) -> {
+			boolean exists = page.rows().stream().anyMatch((row) -> row.key().equals(id));
+			if (exists) {
+				this.states.note(id, SubmissionState.QUEUED);
+			}
+			return this.states.state(id);
+		});
+	}
+
+	/**
+	 * Number of jobs that wait in a queue.
+	 * @param queue the queue's name
+	 * @return the number
+	 */
+	public int pending(String queue) {
+		return this.states.pending(queue);
+	}
+
+	private CompletableFuture<AcceptOutcome> store(PartitionWrite write) {
+		long now = this.nanoTime.getAsLong();
+		boolean isDown = this.failures >= DOWN_AFTER
+				&& now - this.lastTryNanos < TimeUnit.MILLISECONDS.toNanos(PROBE_MILLIS);
+		if (isDown) {
+			return CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED);
+		}
+		CompletableFuture<AcceptOutcome> outcome = new CompletableFuture<>();
+		attempt(write, outcome, now + TimeUnit.MILLISECONDS.toNanos(TRY_MILLIS), false);
+		return outcome;
+	}
+
+	private void attempt(PartitionWrite write, CompletableFuture<AcceptOutcome> outcome, long endNanos,
+			boolean wasUnknown) {
+		this.lastTryNanos = this.nanoTime.getAsLong();
+		this.table.commit(write).whenComplete((commit, failure) -> {
+			boolean isStored = commit instanceof PartitionCommit.Committed
+					|| commit instanceof PartitionCommit.Conflict;
+			if (isStored) {
+				this.failures = 0;
+				outcome.complete(AcceptOutcome.ACCEPTED);
+				return;
+			}
+			this.failures++;
+			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
+			long pause = Duration.ofMillis(PAUSE_MILLIS).toNanos();
+			if (this.nanoTime.getAsLong() + 2 * pause >= endNanos || this.failures >= DOWN_AFTER) {
+				outcome.complete(isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
+				return;
+			}
+			this.timer.schedule(() -> attempt(write, outcome, endNanos, isUnknown), pause, TimeUnit.NANOSECONDS);
+		});
+	}
+
+}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/capacity/Resources.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/capacity/Resources.java
@@ -4,7 +4,8 @@
  * Amounts of the three resources a worker offers and a task asks for. Immutable and safe
  * to share between threads; no amount is ever negative.
  *
- * @param processors whole processors
+ * @param processors processors, in the unit of the ledger that uses them: whole ones for
+ * declared workloads, thousandths for submitted jobs
  * @param memoryMiB memory in mebibytes
  * @param accelerators whole accelerators
  */
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -0,0 +1,140 @@
+package org.monsoonrelay.model.submission;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Which tasks of a step are done and which have failed how often. Invariants: a task that
+ * is done stays done; a run counts as failed once, however often its end is reported. Not
+ * thread-safe: confined to the control thread of the pool's owner.
+ */
+public final class StepProgress {
+
+	private final StepSpec spec;
+
+	private final BitSet done = new BitSet();
+
+	private final Map<Integer, Integer> failures = new HashMap<>();
+
+	private final Map<Integer, Integer> lastFailed = new HashMap<>();
+
+	private final Map<Integer, String> checkpoints = new HashMap<>();
+
+	private int highestAttempt;
+
+	public StepProgress(StepSpec spec) {
+		this.spec = spec;
+	}
+
+	/**
+	 * Restore what was durable.
+	 * @param spec the step
+	 * @param saved its record
+	 * @return the progress
+	 */
+	public static StepProgress restore(StepSpec spec, StepRecord saved) {
+		StepProgress progress = new StepProgress(spec);
+		saved.done().forEach(progress.done::set);
+		progress.failures.putAll(saved.failures());
+		progress.lastFailed.putAll(saved.lastFailed());
+		progress.checkpoints.putAll(saved.checkpoints());
+		progress.highestAttempt = saved.highestAttempt();
+		return progress;
+	}
+
+	/**
+	 * Note that a task has ended well. A gang is done with the first of its members.
+	 * @param index the task
+	 * @return {@code true} if that was not known yet
+	 */
+	public boolean markDone(int index) {
+		int counted = counted(index);
+		boolean isNew = !this.done.get(counted);
+		this.done.set(counted);
+		this.checkpoints.remove(counted);
+		return isNew;
+	}
+
+	/**
+	 * Count a failed run, once.
+	 * @param index the task
+	 * @param attempt the run's attempt
+	 * @return {@code true} if that was not known yet
+	 */
+	public boolean markFailed(int index, int attempt) {
+		int counted = counted(index);
+		if (this.lastFailed.getOrDefault(counted, 0) >= attempt) {
+			return false;
+		}
+		this.lastFailed.put(counted, attempt);
+		this.failures.merge(counted, 1, Integer::sum);
+		return true;
+	}
+
+	/**
+	 * Remember the highest attempt that was used.
+	 * @param attempt the attempt
+	 */
+	public void noteAttempt(int attempt) {
+		this.highestAttempt = Math.max(this.highestAttempt, attempt);
+	}
+
+	/**
+	 * Keep a task's saved progress. A gang shares one.
+	 * @param index the task
+	 * @param checkpoint the saved progress, empty for none
+	 */
+	public void saveCheckpoint(int index, String checkpoint) {
+		if (!checkpoint.isEmpty() && !isDone(index)) {
+			this.checkpoints.put(counted(index), checkpoint);
+		}
+	}
+
+	/**
+	 * Saved progress from which the next run resumes.
+	 * @param index the task
+	 * @return the progress, empty for none
+	 */
+	public String checkpoint(int index) {
+		return this.checkpoints.getOrDefault(counted(index), "");
+	}
+
+	public boolean isDone(int index) {
+		return this.done.get(counted(index));
+	}
+
+	/**
+	 * Whether all tasks are done.
+	 * @return {@code true} if the steps that depend on this one may begin
+	 */
+	public boolean isComplete() {
+		return !this.spec.longRunning() && this.done.cardinality() >= this.spec.countedTasks();
+	}
+
+	/**
+	 * Failed runs of the task that failed most often.
+	 * @return the count
+	 */
+	public int mostFailures() {
+		return this.failures.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+	}
+
+	public int highestAttempt() {
+		return this.highestAttempt;
+	}
+
+	/**
+	 * What has to be durable.
+	 * @return the record
+	 */
+	public StepRecord save() {
+		return new StepRecord(this.done.stream().boxed().toList(), this.failures, this.lastFailed, this.checkpoints,
+				this.highestAttempt);
+	}
+
+	private int counted(int index) {
+		return this.spec.gang() ? 0 : index;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -0,0 +1,151 @@
+package org.monsoonrelay.model.submission;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * A submitted job with its progress. Invariants: a final state never changes; a job is
+ * completed only when every task of every occurrence is done; it has failed only when a
+ * task that must end has failed as often as the queue allows. Not thread-safe: confined
+ * to the control thread of the pool's owner.
+ */
+public final class SubmittedJob {
+
+	private final Submission submission;
+
+	private final Map<String, StepProgress> steps = new HashMap<>();
+
+	private SubmissionState state = SubmissionState.QUEUED;
+
+	private SubmissionState durableState = SubmissionState.QUEUED;
+
+	public SubmittedJob(Submission submission) {
+		this.submission = submission;
+	}
+
+	/**
+	 * Take over what an earlier owner made durable.
+	 * @param progress the durable progress
+	 */
+	public void restore(JobProgress progress) {
+		progress.steps().forEach((local, saved) -> this.steps.put(local, StepProgress.restore(spec(local), saved)));
+		this.state = progress.state();
+		this.durableState = progress.state();
+	}
+
+	private StepSpec spec(String local) {
+		return this.submission.steps().get(Integer.parseInt(local.substring(local.indexOf('.') + 1)));
+	}
+
+	/**
+	 * Progress of a step.
+	 * @param key the step
+	 * @return its progress, begun if need be
+	 */
+	public StepProgress progress(StepKey key) {
+		return this.steps.computeIfAbsent(key.local(), this::begin);
+	}
+
+	private StepProgress begin(String local) {
+		return new StepProgress(spec(local));
+	}
+
+	/**
+	 * Whether a step's tasks may start: all steps before it are done.
+	 * @param key the step
+	 * @return {@code true} if nothing has to be waited for but time
+	 */
+	public boolean isReady(StepKey key) {
+		return this.submission.steps()
+			.get(key.step())
+			.dependsOn()
+			.stream()
+			.allMatch((earlier) -> progress(new StepKey(key.job(), key.occurrence(), earlier)).isComplete());
+	}
+
+	/**
+	 * Note that a task has started.
+	 */
+	public void markStarted() {
+		if (this.state == SubmissionState.QUEUED) {
+			this.state = SubmissionState.RUNNING;
+		}
+	}
+
+	/**
+	 * Note that the caller has cancelled the job. Without effect once it has ended.
+	 */
+	public void cancel() {
+		if (!this.state.isFinal()) {
+			this.state = SubmissionState.CANCELLED;
+		}
+	}
+
+	/**
+	 * End the job if its tasks say so.
+	 * @param key the step whose progress changed
+	 */
+	public void settle(StepKey key) {
+		if (this.state.isFinal()) {
+			return;
+		}
+		StepSpec spec = this.submission.steps().get(key.step());
+		if (!spec.longRunning() && progress(key).mostFailures() >= this.submission.policy().maximumAttempts()) {
+			this.state = SubmissionState.FAILED;
+		}
+		else if (isEveryStepComplete()) {
+			this.state = SubmissionState.COMPLETED;
+		}
+	}
+
+	private boolean isEveryStepComplete() {
+		for (int occurrence = 0; occurrence < this.submission.timetable().occurrences(); occurrence++) {
+			for (int step = 0; step < this.submission.steps().size(); step++) {
+				StepProgress progress = this.steps.get(occurrence + "." + step);
+				if (progress == null || !progress.isComplete()) {
+					return false;
+				}
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Note that a state has become durable, so that callers may be told.
+	 * @param durable the state
+	 */
+	public void markDurable(SubmissionState durable) {
+		this.durableState = durable;
+	}
+
+	/**
+	 * What has to be durable.
+	 * @return the progress
+	 */
+	public JobProgress save() {
+		Map<String, StepRecord> saved = new HashMap<>();
+		this.steps.forEach((local, progress) -> saved.put(local, progress.save()));
+		return new JobProgress(this.state, saved);
+	}
+
+	public Submission submission() {
+		return this.submission;
+	}
+
+	public String id() {
+		return this.submission.id();
+	}
+
+	public SubmissionState state() {
+		return this.state;
+	}
+
+	public SubmissionState durableState() {
+		return this.durableState;
+	}
+
+	public boolean isEnded() {
+		return this.state.isFinal();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskKey.java
@@ -0,0 +1,43 @@
+package org.monsoonrelay.model.submission;
+
+/**
+ * Identity of a task of a submitted job. Immutable.
+ *
+ * @param job the job's id
+ * @param occurrence number of the occurrence
+ * @param step number of the step
+ * @param index number of the task within its step
+ */
+public record TaskKey(String job, int occurrence, int step, int index) {
+
+	private static final int PARTS = 4;
+
+	/**
+	 * Read the form that {@link #toString()} gives.
+	 * @param text the form {@code job.occurrence.step.index}
+	 * @return the key
+	 * @throws IllegalArgumentException if the text has another form
+	 */
+	public static TaskKey parse(String text) {
+		String[] parts = text.split("\\.");
+		if (parts.length != PARTS) {
+			throw new IllegalArgumentException("not a task (job.occurrence.step.index): " + text);
+		}
+		return new TaskKey(parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]),
+				Integer.parseInt(parts[3]));
+	}
+
+	/**
+	 * The step that the task belongs to.
+	 * @return the step
+	 */
+	public StepKey stepKey() {
+		return new StepKey(this.job, this.occurrence, this.step);
+	}
+
+	@Override
+	public String toString() {
+		return this.job + '.' + this.occurrence + '.' + this.step + '.' + this.index;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/ControlThread.java
@@ -0,0 +1,54 @@
+package org.monsoonrelay.scheduler.pool;
+
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+
+/**
+ * The one thread that owns all control state. A task that fails there means a broken
+ * invariant: the failure is logged and the process stops, so that another one takes over
+ * from what is durable.
+ */
+final class ControlThread extends ScheduledThreadPoolExecutor {
+
+	private static final System.Logger LOGGER = System.getLogger(ControlThread.class.getName());
+
+	private static final int BROKEN_INVARIANT = 70;
+
+	ControlThread() {
+		super(1, (task) -> new Thread(task, "control"));
+		setRemoveOnCancelPolicy(true);
+	}
+
+	@Override
+	protected void afterExecute(Runnable task, Throwable thrown) {
+		super.afterExecute(task, thrown);
+		Throwable failure = (thrown != null) ? thrown : failureOf(task);
+		if (failure != null) {
+			LOGGER.log(System.Logger.Level.ERROR, "control state is broken, the process stops", failure);
+			Runtime.getRuntime().halt(BROKEN_INVARIANT);
+		}
+	}
+
+	private static Throwable failureOf(Runnable task) {
+		if (!(task instanceof Future<?> future) || !future.isDone()) {
+			return null;
+		}
+		try {
+			future.get();
+			return null;
+		}
+		catch (CancellationException ex) {
+			return null;
+		}
+		catch (ExecutionException ex) {
+			return ex.getCause();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return null;
+		}
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
@@ -0,0 +1,127 @@
+package org.monsoonrelay.scheduler.pool;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.OnThread;
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.TableFollower;
+import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.pool.HostRecord;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * The schedulers of this system: this one registers itself, the others are followed. A
+ * host that has gone stays registered and is found out by the calls to it that fail.
+ * Confined to the control thread.
+ */
+final class HostRegistry implements TableFollower.Listener {
+
+	private static final System.Logger LOGGER = System.getLogger(HostRegistry.class.getName());
+
+	private static final Duration SPACING = Duration.ofMillis(300);
+
+	private static final long RETRY_MILLIS = 300;
+
+	private final PartitionedTable table;
+
+	private final ScheduledExecutorService control;
+
+	private final HostRecord self;
+
+	private final Consumer<List<String>> listener;
+
+	private Optional<TableFollower> follower = Optional.empty();
+
+	private final Map<String, HostRecord> hosts = new ConcurrentHashMap<>();
+
+	HostRegistry(PartitionedTable table, ScheduledExecutorService control, HostRecord self,
+			Consumer<List<String>> listener) {
+		this.table = table;
+		this.control = control;
+		this.self = self;
+		this.listener = listener;
+	}
+
+	/**
+	 * Register this host.
+	 */
+	void start() {
+		this.hosts.put(this.self.host(), this.self);
+		this.control.execute(this::register);
+	}
+
+	/**
+	 * Follow the others.
+	 */
+	void follow() {
+		TableFollower next = new TableFollower(this.table, JobTables.HOSTS, List.of(""), SPACING, this.control, this);
+		this.follower = Optional.of(next);
+		next.start();
+	}
+
+	/**
+	 * Follow the others no more.
+	 */
+	void close() {
+		this.follower.ifPresent(TableFollower::close);
+	}
+
+	private void register() {
+		PartitionWrite write = PartitionWrite.to("").put(JobTables.HOSTS, this.self.host(), Json.write(this.self));
+		this.table.commit(write).whenComplete(OnThread.of(this.control, (commit, failure) -> {
+			if (!(commit instanceof PartitionCommit.Committed)) {
+				this.control.schedule(this::register, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}));
+	}
+
+	List<String> names() {
+		return List.copyOf(this.hosts.keySet());
+	}
+
+	Optional<HostAddress> address(String host) {
+		return Optional.ofNullable(this.hosts.get(host)).map((record) -> HostAddress.parse(record.peerAddress()));
+	}
+
+	@Override
+	public void snapshot(List<TableRow> rows) {
+		this.hosts.keySet().retainAll(List.of(this.self.host()));
+		changed(rows);
+	}
+
+	@Override
+	public void changed(List<TableRow> rows) {
+		rows.forEach(this::take);
+		this.listener.accept(names());
+	}
+
+	private void take(TableRow row) {
+		if (row.key().equals(this.self.host())) {
+			return;
+		}
+		if (row.deleted()) {
+			this.hosts.remove(row.key());
+			return;
+		}
+		try {
+			this.hosts.put(row.key(), Json.readLeniently(row.value(), HostRecord.class));
+		}
+		catch (JsonProcessingException ex) {
+			LOGGER.log(System.Logger.Level.WARNING, "the row of host {0} is not readable and left out: {1}", row.key(),
+					ex.getOriginalMessage());
+		}
+	}
+
+}
