Record the classes of the two programs for a faster start

Cause: a start took 2.6 s of processor time beside load, most of it class loading and verification; after a stop or a kill all of it is charged.

Ruled out: fewer libraries at start (logging and the server are wanted).

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -14,6 +14,7 @@
 import io.jooby.StatusCode;
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
+import org.monsoonrelay.adapters.http.JsonHttpClient;
 import org.monsoonrelay.adapters.logging.DecisionWriter;
 import org.monsoonrelay.adapters.settings.SettingsException;
 import org.monsoonrelay.gateway.CallerDrain;
@@ -51,6 +52,8 @@
 
 	private static final int DRAIN_CHECK_MILLIS = 20;
 
+	private static final int REHEARSALS = 5;
+
 	/** A stopping gateway leaves when no request has come for this long. */
 	private static final long QUIET_MILLIS = 1500;
 
@@ -131,6 +134,19 @@
 				ManagementFactory.getRuntimeMXBean().getUptime()));
 	}
 
+	/**
+	 * Let a few exchanges fail, so that the classes on their way are loaded.
+	 */
+	void rehearse() {
+		JsonHttpClient client = new JsonHttpClient(Duration.ofSeconds(1), Duration.ofSeconds(1), 2);
+		for (int i = 0; i < REHEARSALS; i++) {
+			client.get(this.settings.callerAddress().orElseThrow().url() + "/none")
+				.thenCombine(client.get(this.settings.readinessAddress().orElseThrow().url() + READY_PATH),
+						(first, second) -> first.code() + second.code())
+				.join();
+		}
+	}
+
 	/**
 	 * Tell the platform to send callers elsewhere, serve those that still come, then
 	 * close.
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MemoryTable.java
@@ -0,0 +1,208 @@
+package org.monsoonrelay.logic.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.logic.platform.TableChanges;
+import org.monsoonrelay.logic.platform.TablePage;
+import org.monsoonrelay.logic.platform.TableRow;
+
+/**
+ * A table in memory on virtual time, with faults: down, answers lost after the write, and
+ * writes that take effect late. Rows never lose what was acknowledged. Not thread-safe.
+ */
+final class MemoryTable {
+
+	private static final long ANSWER_MILLIS = 5;
+
+	private static final long TIMEOUT_MILLIS = 900;
+
+	private static final long POLL_MILLIS = 10;
+
+	private final VirtualTime time;
+
+	private final Map<String, TableRow> rows = new TreeMap<>();
+
+	private final List<TableRow> history = new ArrayList<>();
+
+	private long version;
+
+	private boolean down;
+
+	private boolean losesAnswers;
+
+	private long lateMillis;
+
+	private boolean historyLost;
+
+	MemoryTable(VirtualTime time) {
+		this.time = time;
+	}
+
+	void down(boolean isDown) {
+		this.down = isDown;
+	}
+
+	void losesAnswers(boolean loses) {
+		this.losesAnswers = loses;
+	}
+
+	/**
+	 * From now on writes get no answer and take effect this much later.
+	 * @param millis how much later, 0 for at once
+	 */
+	void appliesLate(long millis) {
+		this.lateMillis = millis;
+	}
+
+	void loseHistory() {
+		this.historyLost = true;
+	}
+
+	/**
+	 * A process's way to the table, which can be cut.
+	 * @return the way
+	 */
+	Client client() {
+		return new Client();
+	}
+
+	String value(String table, String partition, String key) {
+		TableRow row = this.rows.get(name(table, partition, key));
+		return (row != null) ? row.value() : "";
+	}
+
+	private static String name(String table, String partition, String key) {
+		return table + '\n' + partition + '\n' + key;
+	}
+
+	private PartitionCommit apply(PartitionWrite write) {
+		List<TableRow> current = new ArrayList<>();
+		boolean holds = true;
+		for (PartitionWrite.Condition condition : write.conditions()) {
+			TableRow row = this.rows.get(name(condition.table(), write.partition(), condition.key()));
+			holds &= condition.version() == ((row != null) ? row.version() : 0);
+			if (row != null) {
+				current.add(row);
+			}
+		}
+		if (!holds) {
+			return new PartitionCommit.Conflict(current);
+		}
+		this.version++;
+		for (PartitionWrite.Put put : write.puts()) {
+			TableRow row = new TableRow(put.table(), write.partition(), put.key(), put.value(), this.version, false);
+			this.rows.put(name(put.table(), write.partition(), put.key()), row);
+			this.history.add(row);
+		}
+		return new PartitionCommit.Committed(this.version);
+	}
+
+	/** One process's way to the table. */
+	final class Client implements PartitionedTable {
+
+		private boolean cut;
+
+		void cut(boolean isCut) {
+			this.cut = isCut;
+		}
+
+		private boolean isAway() {
+			return this.cut || MemoryTable.this.down;
+		}
+
+		@Override
+		public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
+			CompletableFuture<PartitionCommit> answer = new CompletableFuture<>();
+			if (isAway()) {
+				after(TIMEOUT_MILLIS, () -> answer.complete(new PartitionCommit.Unknown("no answer")));
+			}
+			else if (MemoryTable.this.lateMillis > 0) {
+				after(MemoryTable.this.lateMillis, () -> apply(write));
+				after(TIMEOUT_MILLIS, () -> answer.complete(new PartitionCommit.Unknown("no answer")));
+			}
+			else if (MemoryTable.this.losesAnswers) {
+				after(ANSWER_MILLIS, () -> apply(write));
+				after(TIMEOUT_MILLIS, () -> answer.complete(new PartitionCommit.Unknown("no answer")));
+			}
+			else {
+				after(ANSWER_MILLIS, () -> {
+					PartitionCommit commit = apply(write);
+					after(1, () -> answer.complete(commit));
+				});
+			}
+			return answer;
+		}
+
+		@Override
+		public CompletableFuture<TablePage> read(String table, String partition, String from, int limit) {
+			CompletableFuture<TablePage> answer = new CompletableFuture<>();
+			if (isAway()) {
+				after(TIMEOUT_MILLIS, () -> fail(answer));
+				return answer;
+			}
+			after(ANSWER_MILLIS, () -> {
+				List<TableRow> found = MemoryTable.this.rows.values()
+					.stream()
+					.filter((row) -> row.table().equals(table) && row.partition().equals(partition))
+					.filter((row) -> row.key().compareTo(from) >= 0)
+					.limit(limit + 1L)
+					.toList();
+				boolean truncated = found.size() > limit;
+				answer.complete(new TablePage(truncated ? found.subList(0, limit) : found, truncated,
+						MemoryTable.this.version));
+			});
+			return answer;
+		}
+
+		@Override
+		public CompletableFuture<TableChanges> changes(String table, long after, Duration wait) {
+			CompletableFuture<TableChanges> answer = new CompletableFuture<>();
+			if (isAway()) {
+				after(TIMEOUT_MILLIS, () -> fail(answer));
+				return answer;
+			}
+			poll(answer, table, after, wait.toMillis());
+			return answer;
+		}
+
+		private void poll(CompletableFuture<TableChanges> answer, String table, long since, long leftMillis) {
+			if (isAway()) {
+				after(TIMEOUT_MILLIS, () -> fail(answer));
+				return;
+			}
+			if (MemoryTable.this.historyLost) {
+				MemoryTable.this.historyLost = false;
+				answer.complete(TableChanges.HISTORY_LOST);
+				return;
+			}
+			List<TableRow> changed = MemoryTable.this.history.stream()
+				.filter((row) -> row.table().equals(table) && row.version() > since)
+				.toList();
+			if (!changed.isEmpty() || leftMillis <= 0) {
+				answer.complete(new TableChanges(changed, MemoryTable.this.version, false));
+				return;
+			}
+			after(POLL_MILLIS, () -> poll(answer, table, since, leftMillis - POLL_MILLIS));
+		}
+
+		private void after(long millis, Runnable action) {
+			MemoryTable.this.time.schedule(action, millis, TimeUnit.MILLISECONDS);
+		}
+
+		private <T> void fail(CompletableFuture<T> answer) {
+			answer.completeExceptionally(new PlatformException("no answer", true, null));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -0,0 +1,163 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.EligibilityTimes;
+import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.model.submission.QueueConfiguration;
+import org.monsoonrelay.model.submission.QueuePolicy;
+import org.monsoonrelay.model.submission.QueueRoute;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.Timetable;
+import org.monsoonrelay.model.submission.WorkerService;
+
+/**
+ * A cell of schedulers around one table and some workers, on virtual time. Not
+ * thread-safe.
+ */
+final class PoolCell {
+
+	static final Resources TASK = new Resources(1000, 100, 0);
+
+	static final Resources CAPACITY = new Resources(4000, 1000, 0);
+
+	static final long RUN_MILLIS = 500;
+
+	final VirtualTime time = new VirtualTime();
+
+	final MemoryTable table = new MemoryTable(this.time);
+
+	final SimulatedWorkers workers = new SimulatedWorkers(this.time, (task) -> RUN_MILLIS).taskSize(TASK);
+
+	final List<Scheduler> schedulers = new ArrayList<>();
+
+	private final MemoryTable.Client callers = this.table.client();
+
+	private boolean needsEligibility;
+
+	PoolCell withWorkers(int count) {
+		for (int i = 0; i < count; i++) {
+			this.workers.add("w" + i, CAPACITY);
+		}
+		return this;
+	}
+
+	PoolCell withEligibility() {
+		this.needsEligibility = true;
+		return this;
+	}
+
+	Scheduler addScheduler() {
+		Scheduler scheduler = new Scheduler("s" + this.schedulers.size());
+		this.schedulers.add(scheduler);
+		scheduler.election.start();
+		return scheduler;
+	}
+
+	Scheduler owner() {
+		return this.schedulers.stream()
+			.filter((scheduler) -> scheduler.owner.isPresent())
+			.findFirst()
+			.orElseThrow(() -> new AssertionError("nobody owns the pool"));
+	}
+
+	QueuePolicy policy(int attempts) {
+		EligibilityTimes times = this.needsEligibility ? new EligibilityTimes(8, 0.1, 2000) : null;
+		return new QueuePolicy("confirm", "salon", 0, attempts, 2.0, 1000, times);
+	}
+
+	static StepSpec step(int count, boolean gang, Integer... dependsOn) {
+		return new StepSpec(count, TASK, RUN_MILLIS, List.of(dependsOn), gang, false, "", "", 0, false, false, false,
+				false);
+	}
+
+	Submission submit(String id, StepSpec... steps) {
+		return submit(id, 3, steps);
+	}
+
+	Submission submit(String id, int attempts, StepSpec... steps) {
+		Submission submission = new Submission(id, policy(attempts), "text", List.of(steps), Timetable.AT_ONCE,
+				this.time.millis());
+		this.callers.commit(PartitionWrite.to(JobTables.partition(id))
+			.onVersion(JobTables.JOBS, id, 0)
+			.put(JobTables.JOBS, id, Json.write(submission)));
+		return submission;
+	}
+
+	void cancel(String id) {
+		this.callers
+			.commit(PartitionWrite.to(JobTables.partition(id)).put(JobTables.JOBS, JobTables.cancelKey(id), "{}"));
+	}
+
+	SubmissionState durableState(String id) {
+		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, id);
+		return value.isEmpty() ? SubmissionState.QUEUED : Json.read(value, JobProgress.class).state();
+	}
+
+	/** One scheduler process. */
+	final class Scheduler {
+
+		final MemoryTable.Client tableClient = PoolCell.this.table.client();
+
+		final SimulatedWorkers.Client workerClient = PoolCell.this.workers.client();
+
+		final OwnerElection election;
+
+		Optional<PoolOwner> owner = Optional.empty();
+
+		private final PoolPorts ports;
+
+		Scheduler(String name) {
+			EligibilitySource all = (host, step, ids) -> CompletableFuture
+				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
+			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
+					PoolCell.this.time.clock(), DecisionLog.NONE);
+			this.election = new OwnerElection(this.ports, name, name, this::won);
+		}
+
+		private void won(OwnerRecord record, long version, long sentNanos, long sentMillis, List<String> inherited) {
+			PoolOwner next = new PoolOwner(this.ports, record, version, sentNanos, sentMillis, inherited,
+					(reason) -> this.owner = Optional.empty());
+			this.owner = Optional.of(next);
+			next.configure(new QueueConfiguration(1, List.of(new QueueRoute("h", "/", 3000, policy(3))),
+					List.of(new WorkerService("salon", false))));
+			next.hosts(List.of("s0"));
+			next.start();
+			refresh(next);
+		}
+
+		private void refresh(PoolOwner present) {
+			if (this.owner.filter((current) -> current == present).isPresent()) {
+				present.workers(PoolCell.this.workers.list());
+				PoolCell.this.time.schedule(() -> refresh(present), 250, TimeUnit.MILLISECONDS);
+			}
+		}
+
+		/** The process is killed: nothing of it goes on. */
+		void kill() {
+			this.election.close();
+			this.owner.ifPresent(PoolOwner::close);
+			this.owner = Optional.empty();
+		}
+
+		/** The process is told to stop. */
+		void stop() {
+			this.election.close();
+			this.owner.ifPresent(PoolOwner::release);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -0,0 +1,289 @@
+package org.monsoonrelay.logic.pool;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PoolOwnerTests {
+
+	private static final long LEASE_OVER_MILLIS = 10_000;
+
+	private final PoolCell cell = new PoolCell().withWorkers(3);
+
+	private void isServed(String... jobs) {
+		for (String job : jobs) {
+			assertThat(this.cell.durableState(job)).as(job).isEqualTo(SubmissionState.COMPLETED);
+		}
+		assertThat(this.cell.workers.faults()).isEmpty();
+	}
+
+	private PoolCell.Scheduler beginWithTwo() {
+		PoolCell.Scheduler first = this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		return first;
+	}
+
+	@Nested
+	class WhenNothingFails {
+
+		@Test
+		void stepsRunInTheirOrderAndTheJobCompletes() {
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(3, false), PoolCell.step(2, true, 0));
+			PoolOwnerTests.this.cell.time.runFor(450);
+			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 1, 0))).isZero();
+			PoolOwnerTests.this.cell.time.runFor(1500);
+			isServed("a");
+		}
+
+		@Test
+		void moreWorkThanRoomWaitsAndOverfillsNoWorker() {
+			PoolOwnerTests.this.cell.addScheduler();
+			for (int i = 0; i < 10; i++) {
+				PoolOwnerTests.this.cell.submit("job" + i, PoolCell.step(5, i % 2 == 0));
+			}
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			for (int i = 0; i < 10; i++) {
+				isServed("job" + i);
+			}
+		}
+
+		@Test
+		void eligibilityIsAskedBeforeAStart() {
+			PoolOwnerTests.this.cell.withEligibility();
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(4, true));
+			PoolOwnerTests.this.cell.time.runFor(1500);
+			isServed("a");
+		}
+
+	}
+
+	@Nested
+	class WhenTheOwnerIsLost {
+
+		@Test
+		void aKilledOwnersTasksRunOnceAndItsJobsComplete() {
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(6, false));
+			PoolOwnerTests.this.cell.time.runFor(200);
+			first.kill();
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			isServed("a");
+			for (int i = 0; i < 6; i++) {
+				assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 0, i))).isEqualTo(1);
+			}
+		}
+
+		@Test
+		void aStoppedOwnerHandsOverWithoutALapse() {
+			PoolCell.Scheduler first = beginWithTwo();
+			first.stop();
+			PoolOwnerTests.this.cell.time.runFor(900);
+			assertThat(PoolOwnerTests.this.cell.owner()).isNotSameAs(first);
+		}
+
+		@Test
+		void anOwnerCutFromTheTableIsReplacedAndNothingRunsTwice() {
+			PoolCell.Scheduler first = beginWithTwo();
+			for (int i = 0; i < 8; i++) {
+				PoolOwnerTests.this.cell.submit("job" + i, PoolCell.step(4, i % 2 == 0));
+			}
+			PoolOwnerTests.this.cell.time.runFor(300);
+			first.tableClient.cut(true);
+			PoolOwnerTests.this.cell.time.runFor(4000);
+			assertThat(PoolOwnerTests.this.cell.schedulers.get(1).owner).isPresent();
+			first.tableClient.cut(false);
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			for (int i = 0; i < 8; i++) {
+				isServed("job" + i);
+			}
+		}
+
+		@Test
+		void tasksOnAWorkerThatTheSuccessorCannotReachWaitForItsLease() {
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(12, false));
+			PoolOwnerTests.this.cell.time.runFor(60);
+			PoolOwnerTests.this.cell.schedulers.get(1).workerClient.cut("w0");
+			first.tableClient.cut(true);
+			PoolOwnerTests.this.cell.time.runFor(2 * LEASE_OVER_MILLIS);
+			isServed("a");
+		}
+
+	}
+
+	@Nested
+	class WhenTheTableMisbehaves {
+
+		@Test
+		void lostAnswersLoseNoEndAndRepeatNone() {
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.time.runFor(500);
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(6, false));
+			PoolOwnerTests.this.cell.time.runFor(100);
+			PoolOwnerTests.this.cell.table.losesAnswers(true);
+			PoolOwnerTests.this.cell.time.runFor(3000);
+			PoolOwnerTests.this.cell.table.losesAnswers(false);
+			PoolOwnerTests.this.cell.time.runFor(3000);
+			isServed("a");
+		}
+
+		@Test
+		void writesThatTakeEffectLateLeaveOneOwner() {
+			beginWithTwo();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(6, false));
+			PoolOwnerTests.this.cell.time.runFor(100);
+			PoolOwnerTests.this.cell.table.appliesLate(2500);
+			PoolOwnerTests.this.cell.time.runFor(5000);
+			PoolOwnerTests.this.cell.table.appliesLate(0);
+			PoolOwnerTests.this.cell.time.runFor(LEASE_OVER_MILLIS);
+			isServed("a");
+			assertThat(PoolOwnerTests.this.cell.schedulers.stream().filter((each) -> each.owner.isPresent()))
+				.hasSize(1);
+		}
+
+		@Test
+		void startsGoOnWhileTheTableIsDown() {
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(24, false));
+			PoolOwnerTests.this.cell.time.runFor(300);
+			PoolOwnerTests.this.cell.table.down(true);
+			PoolOwnerTests.this.cell.time.runFor(2000);
+			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 0, 23))).isEqualTo(1);
+			PoolOwnerTests.this.cell.table.down(false);
+			PoolOwnerTests.this.cell.time.runFor(4000);
+			isServed("a");
+		}
+
+		@Test
+		void aLostHistoryOfChangesLosesNoJob() {
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.time.runFor(500);
+			PoolOwnerTests.this.cell.table.loseHistory();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(2, false));
+			PoolOwnerTests.this.cell.time.runFor(3000);
+			isServed("a");
+		}
+
+	}
+
+	@Nested
+	class WhenWorkersMisbehave {
+
+		@Test
+		void aStartWithoutAnAnswerIsNotRunElsewhereBeside() {
+			PoolOwnerTests.this.cell.workers.add("w9", PoolCell.CAPACITY).losesStartAnswers(true);
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(14, false));
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			isServed("a");
+		}
+
+		@Test
+		void aStartThatIsCarriedOutLateNeitherOverfillsNorRunsTwice() {
+			SimulatedWorkers.Machine late = PoolOwnerTests.this.cell.workers.add("w9", PoolCell.CAPACITY);
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.time.runFor(500);
+			late.startsLate(3000);
+			for (int i = 0; i < 6; i++) {
+				PoolOwnerTests.this.cell.submit("job" + i, PoolCell.step(5, i % 2 == 0));
+			}
+			PoolOwnerTests.this.cell.time.runFor(2500);
+			late.startsLate(0);
+			PoolOwnerTests.this.cell.time.runFor(LEASE_OVER_MILLIS);
+			for (int i = 0; i < 6; i++) {
+				isServed("job" + i);
+			}
+		}
+
+		@Test
+		void tasksOfACrashedWorkerRunAgainOnceItsLeaseIsOver() {
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.time.runFor(500);
+			SimulatedWorkers.Machine lost = PoolOwnerTests.this.cell.workers.add("w9", PoolCell.CAPACITY);
+			PoolOwnerTests.this.cell.time.runFor(1000);
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(16, true));
+			PoolOwnerTests.this.cell.time.runFor(200);
+			assertThat(lost.runningCount()).isPositive();
+			lost.crash();
+			lost.unlist();
+			PoolOwnerTests.this.cell.workers.add("w10", PoolCell.CAPACITY);
+			PoolOwnerTests.this.cell.time.runFor(LEASE_OVER_MILLIS);
+			isServed("a");
+		}
+
+		@Test
+		void aWorkerThatIsCutOffAndComesBackRunsNothingTwice() {
+			PoolCell.Scheduler owner = PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(12, false), PoolCell.step(12, false, 0));
+			PoolOwnerTests.this.cell.time.runFor(300);
+			owner.workerClient.cut("w1");
+			PoolOwnerTests.this.cell.time.runFor(LEASE_OVER_MILLIS);
+			owner.workerClient.join("w1");
+			PoolOwnerTests.this.cell.time.runFor(3000);
+			isServed("a");
+		}
+
+		@Test
+		void aWorkerThatFailsAllItStartsIsAvoided() {
+			PoolOwnerTests.this.cell.workers.add("bad", PoolCell.CAPACITY).fails(true);
+			PoolOwnerTests.this.cell.addScheduler();
+			for (int i = 0; i < 12; i++) {
+				PoolOwnerTests.this.cell.submit("job" + i, PoolCell.step(4, false));
+				PoolOwnerTests.this.cell.time.runFor(300);
+			}
+			PoolOwnerTests.this.cell.time.runFor(3000);
+			for (int i = 0; i < 12; i++) {
+				isServed("job" + i);
+			}
+		}
+
+	}
+
+	@Nested
+	class WhenAJobCannotBeDone {
+
+		@Test
+		void aTaskThatFailsAsOftenAsAllowedFailsTheJob() {
+			PoolCell cell = new PoolCell();
+			cell.workers.add("bad", PoolCell.CAPACITY).fails(true);
+			cell.addScheduler();
+			cell.submit("a", 2, PoolCell.step(2, false));
+			cell.time.runFor(4000);
+			assertThat(cell.durableState("a")).isEqualTo(SubmissionState.FAILED);
+			assertThat(cell.workers.startsOf(new TaskKey("a", 0, 0, 0))).isLessThanOrEqualTo(2);
+		}
+
+		@Test
+		void aCancelledJobsTasksAreStopped() {
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(6, false));
+			PoolOwnerTests.this.cell.time.runFor(200);
+			assertThat(PoolOwnerTests.this.cell.workers.aliveCount()).isEqualTo(6);
+			PoolOwnerTests.this.cell.cancel("a");
+			PoolOwnerTests.this.cell.time.runFor(200);
+			assertThat(PoolOwnerTests.this.cell.workers.aliveCount()).isZero();
+			assertThat(PoolOwnerTests.this.cell.durableState("a")).isEqualTo(SubmissionState.CANCELLED);
+		}
+
+		@Test
+		void aCancellationAfterTheOwnerWasLostIsObeyed() {
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(6, false), PoolCell.step(6, false, 0));
+			PoolOwnerTests.this.cell.time.runFor(200);
+			first.kill();
+			PoolOwnerTests.this.cell.cancel("a");
+			PoolOwnerTests.this.cell.time.runFor(5000);
+			assertThat(PoolOwnerTests.this.cell.durableState("a")).isEqualTo(SubmissionState.CANCELLED);
+			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 1, 0))).isZero();
+		}
+
+	}
+
+}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -1,8 +1,10 @@
 package org.monsoonrelay.scheduler.pool;
 
 import java.lang.management.ManagementFactory;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -19,12 +21,16 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.settings.SettingsException;
 import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.pool.HostRecord;
+import org.monsoonrelay.logic.pool.LookOrder;
 import org.monsoonrelay.logic.pool.OwnerElection;
 import org.monsoonrelay.logic.pool.OwnerRecord;
 import org.monsoonrelay.logic.pool.PoolClock;
 import org.monsoonrelay.logic.pool.PoolOwner;
 import org.monsoonrelay.logic.pool.PoolPorts;
+import org.monsoonrelay.logic.pool.WorkerInfo;
+import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.platform.ConfigurationFeed;
 import org.monsoonrelay.platform.HostListFeed;
@@ -45,6 +51,8 @@
 
 	private static final int METRICS_PORT = 9465;
 
+	private static final int REHEARSALS = 5;
+
 	/** Peers recognise each other by this; the platform's network is closed to others. */
 	private static final String PEER_SECRET = "monsoonrelay-pool";
 
@@ -136,6 +144,19 @@
 		this.released.countDown();
 	}
 
+	/**
+	 * Let a few calls fail, so that the classes on their way are loaded.
+	 */
+	void rehearse() {
+		WorkerInfo nobody = new WorkerInfo("none", "none", this.settings.table(), "none", Resources.NONE, List.of(),
+				"none", false, 0);
+		LookOrder look = new LookOrder(0, 0, OptionalLong.empty(), Duration.ZERO);
+		for (int i = 0; i < REHEARSALS; i++) {
+			this.ports.orders().look(nobody, look).join();
+			this.ports.table().commit(PartitionWrite.to("none")).join();
+		}
+	}
+
 	/**
 	 * Give the pool up if it is owned here, then close.
 	 */
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolSchedulerMain.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolSchedulerMain.java
@@ -19,6 +19,11 @@
 	@Option(names = "--print-settings", description = "Check the settings, print them and exit.")
 	private boolean printSettings;
 
+	@Option(names = "--rehearse", paramLabel = "PORT",
+			description = "Start without a platform on ten loopback ports from this one, then exit. "
+					+ "Records the classes for a faster start.")
+	private Integer rehearsalPort;
+
 	/**
 	 * Run a scheduler until it is told to stop.
 	 * @param arguments the command line
@@ -29,6 +34,9 @@
 
 	@Override
 	public Integer call() {
+		if (this.rehearsalPort != null) {
+			return rehearse(new PoolScheduler(HostSettings.rehearsal(this.rehearsalPort)));
+		}
 		HostSettings settings = HostSettings.fromEnvironment();
 		if (this.printSettings) {
 			System.out.println(SettingsPrinter.print(settings));
@@ -39,4 +47,11 @@
 		return new Shutdown().await(scheduler::stop);
 	}
 
+	private static int rehearse(PoolScheduler scheduler) {
+		scheduler.start();
+		scheduler.rehearse();
+		scheduler.stop();
+		return Program.OK;
+	}
+
 }
