Count each failed attempt once, and jobs as begun only when a worker says so

Cause 1 (a task was started after two failed runs of two): a new owner saw the ends of two runs that were not durable in the other order; the lower attempt counted as seen because the higher one was. Cause 2 (a count of 1 while 5 jobs waited): a job counted as begun with the start sent, though the worker was cut off and never got it. Found beside it: a new owner that found nothing waiting left the former owner's count standing.

Ruled out: progress lost in the table; a summary written before the jobs were loaded (it equals the empty one and was not written).

Change: failed attempts are kept as sets; a job has begun when a start is confirmed; the summary is written when all jobs are loaded, whatever it is. Calls for eligibility time out by their cost, and a host that fails them is left out longer each time.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,7 @@
 record() {
 	cp "monsoonrelay-$1/target/monsoonrelay-$1-0.1.0-SNAPSHOT-all.jar" "target/monsoonrelay-$1.jar"
 	rm -f "target/monsoonrelay-$1.jsa"
-	java -XX:ArchiveClassesAtExit="target/monsoonrelay-$1.jsa" -Xss256k -XX:+UseSerialGC \
+	java -XX:ArchiveClassesAtExit="target/monsoonrelay-$1.jsa" -Xss512k -XX:+UseSerialGC \
 		-XX:TieredStopAtLevel=1 -cp "target/monsoonrelay-$1.jar" "$2" --rehearse "$3" >/dev/null 2>&1 ||
 		echo "no class archive for $1, it starts slower" >&2
 }
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -10,8 +10,6 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
-import io.jooby.Jooby;
-import io.jooby.StatusCode;
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
 import org.monsoonrelay.adapters.http.JsonHttpClient;
@@ -29,6 +27,7 @@
 import org.monsoonrelay.platform.HostSettings;
 import org.monsoonrelay.platform.HttpTable;
 import org.monsoonrelay.platform.JobRoutes;
+import org.monsoonrelay.platform.ReadyRoute;
 
 /**
  * One gateway process: composition only. Thread-safe; one timer thread follows the table,
@@ -42,8 +41,6 @@
 
 	private static final int METRICS_PORT = 9464;
 
-	private static final String READY_PATH = "/api/readyz";
-
 	/**
 	 * Least time between two reads of changed states, so that those of many jobs come
 	 * together; a state read by a caller is this much older at most.
@@ -96,7 +93,7 @@
 					routes.addTo(application);
 				});
 		this.readiness = new HttpServer(required(settings.readinessAddress(), "readiness"), MAXIMUM_BODY_BYTES,
-				this::addReadiness);
+				new ReadyRoute(this::notReady)::addTo);
 		this.metricsServer = new HttpServer(new HostAddress(settings.ip(), METRICS_PORT), MAXIMUM_BODY_BYTES,
 				new HealthRoutes(metrics, this::notReady)::addTo);
 	}
@@ -105,14 +102,6 @@
 		return address.orElseThrow(() -> new SettingsException("the setting " + field + " is missing"));
 	}
 
-	private void addReadiness(Jooby application) {
-		application.get(READY_PATH, (context) -> {
-			Optional<String> reason = notReady();
-			reason.ifPresent((text) -> context.setResponseCode(StatusCode.SERVICE_UNAVAILABLE));
-			return reason.orElse("ready");
-		});
-	}
-
 	private Optional<String> notReady() {
 		if (this.drain.isStopping()) {
 			return Optional.of("stopping");
@@ -141,7 +130,7 @@
 		JsonHttpClient client = new JsonHttpClient(Duration.ofSeconds(1), Duration.ofSeconds(1), 2);
 		for (int i = 0; i < REHEARSALS; i++) {
 			client.get(this.settings.callerAddress().orElseThrow().url() + "/none")
-				.thenCombine(client.get(this.settings.readinessAddress().orElseThrow().url() + READY_PATH),
+				.thenCombine(client.get(this.settings.readinessAddress().orElseThrow().url() + ReadyRoute.PATH),
 						(first, second) -> first.code() + second.code())
 				.join();
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -22,9 +22,15 @@
 	/** Calls beyond this go to the second half of the hosts only, milliseconds. */
 	static final double LONG_MILLIS = 250;
 
-	/** How long a host is left out after a failed call, milliseconds. */
+	/**
+	 * How long a host is left out after a failed call, milliseconds; doubled with each
+	 * further one. A host that is gone for good would otherwise hold up a call every
+	 * time.
+	 */
 	private static final long AVOID_MILLIS = 1500;
 
+	private static final int MOST_DOUBLINGS = 4;
+
 	private static final double SHORT_SHARE = 1.0 / 3;
 
 	private static final double NOT_LONG_SHARE = 0.5;
@@ -33,6 +39,8 @@
 
 	private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
 
+	private final Map<String, Integer> failures = new HashMap<>();
+
 	private List<String> hosts = List.of();
 
 	void update(List<String> available) {
@@ -53,6 +61,9 @@
 				usable.add(host);
 			}
 		}
+		if (usable.isEmpty()) {
+			usable = this.hosts;
+		}
 		for (int i = 0; i < usable.size(); i++) {
 			String host = usable.get(i);
 			if (takes(i, usable.size(), costMillis) && hasTime(host, costMillis)) {
@@ -82,8 +93,22 @@
 		this.outstanding.computeIfPresent(host, (name, waiting) -> Math.max(0, waiting - costMillis));
 	}
 
+	void succeeded(String host) {
+		this.failures.remove(host);
+	}
+
 	void failed(String host, long nowNanos) {
-		this.avoidedUntilNanos.put(host, nowNanos + TimeUnit.MILLISECONDS.toNanos(AVOID_MILLIS));
+		int doublings = Math.min(MOST_DOUBLINGS, this.failures.merge(host, 1, Integer::sum) - 1);
+		this.avoidedUntilNanos.put(host, nowNanos + TimeUnit.MILLISECONDS.toNanos(AVOID_MILLIS << doublings));
+	}
+
+	/**
+	 * Work that a host still has to do.
+	 * @param host the host
+	 * @return milliseconds
+	 */
+	double outstanding(String host) {
+		return this.outstanding.getOrDefault(host, 0.0);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityDesk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityDesk.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -34,6 +35,11 @@
 	 */
 	private static final long TICKET_MARGIN_MILLIS = 150;
 
+	/** A call may take this many times what it should, and a while more, milliseconds. */
+	private static final double TIMEOUT_FACTOR = 1.5;
+
+	private static final long TIMEOUT_MILLIS = 400;
+
 	/** Pause before a failed question is asked again, milliseconds. */
 	private static final long RETRY_MILLIS = 100;
 
@@ -108,7 +114,8 @@
 	private void send(Question question, String host) {
 		long sentNanos = this.clock.nanos();
 		this.hosts.begun(host, question.costMillis());
-		this.source.ask(host, question.step(), question.workers())
+		Duration timeout = Duration.ofMillis((long) (TIMEOUT_FACTOR * this.hosts.outstanding(host) + TIMEOUT_MILLIS));
+		this.source.ask(host, question.step(), question.workers(), timeout)
 			.whenComplete(OnThread.of(this.control, (tickets, failure) -> {
 				this.hosts.ended(host, question.costMillis());
 				Entry entry = this.entries.get(question.step());
@@ -116,6 +123,9 @@
 				if (failure != null) {
 					this.hosts.failed(host, now);
 				}
+				else {
+					this.hosts.succeeded(host);
+				}
 				if (entry != null) {
 					take(question, host, entry, tickets, failure, sentNanos);
 				}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -55,12 +56,14 @@
 
 	private long version;
 
-	private QueueSummary writtenSummary = QueueSummary.NONE;
+	private Optional<QueueSummary> writtenSummary = Optional.empty();
 
 	private boolean inFlight;
 
 	private boolean closed;
 
+	private boolean counting;
+
 	private long lastSentNanos;
 
 	PoolJournal(PartitionedTable table, ScheduledExecutorService control, OwnerTerm term, JobBook book,
@@ -85,6 +88,14 @@
 		this.lastSentNanos = this.clock.nanos();
 	}
 
+	/**
+	 * Count the jobs that wait from now on; before all jobs are loaded the count of the
+	 * earlier owner stays.
+	 */
+	void count() {
+		this.counting = true;
+	}
+
 	/**
 	 * Write if something waits or the row is due.
 	 */
@@ -134,9 +145,9 @@
 			states.put(job, progress.state());
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
 		}
-		QueueSummary summary = this.book.summary();
-		if (!summary.equals(this.writtenSummary)) {
-			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary)));
+		Optional<QueueSummary> summary = this.counting ? Optional.of(this.book.summary()) : Optional.empty();
+		if (summary.isPresent() && !summary.equals(this.writtenSummary)) {
+			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
 		Map<String, Long> ends = this.book.hasDirty() ? Map.of() : this.workers.processedEnds();
@@ -205,7 +216,7 @@
 	}
 
 	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, SubmissionState> states,
-			QueueSummary summary, Map<String, Long> ends) {
+			Optional<QueueSummary> summary, Map<String, Long> ends) {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -290,6 +290,7 @@
 			rows.forEach((row) -> take(row, isFirst));
 			if (isFirst) {
 				owner.settled = true;
+				owner.journal.count();
 				long took = TimeUnit.NANOSECONDS.toMillis(owner.ports.clock().nanos() - owner.takenNanos);
 				owner.ports.log().write(new Decision.OwnershipSettled(owner.epoch, owner.book.unendedCount(), took));
 				List.copyOf(owner.pool.all()).forEach(owner.runs::watch);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunKeeper.java
@@ -183,9 +183,7 @@
 			if (known.filter((run) -> run.attempt() == seen.attempt()).isPresent()) {
 				Run run = known.get();
 				run.saved(seen.checkpoint());
-				if (run.state() == Run.State.STARTING) {
-					run.confirm(this.clock.nanos());
-				}
+				confirm(run);
 			}
 			else if (known.isEmpty()) {
 				adopt(worker, seen);
@@ -234,7 +232,6 @@
 		Run run = Run.ordered(task, attempt, worker.id(), step.spec().committedSize(), now);
 		worker.add(run);
 		step.started(run);
-		step.job().markStarted();
 		this.log.write(new Decision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(), this.term.epoch(),
 				worker.lease().ageMillis(now), this.ends.ageMillis(step.job())));
 		StartOrder order = new StartOrder(task, attempt, step.job().submission().spec(), 0, this.term.epoch(),
@@ -258,9 +255,7 @@
 			int unanswered) {
 		if (outcome.kind() == StartOutcome.Kind.DONE) {
 			worker.lease().heard(outcome.clockMillis(), this.clock.nanos());
-			if (run.state() == Run.State.STARTING) {
-				run.confirm(this.clock.nanos());
-			}
+			confirm(run);
 			return;
 		}
 		this.log.write(new Decision.StartFailed(run.task().job(), run.task().toString(), run.attempt(), worker.id(),
@@ -273,6 +268,13 @@
 		}
 	}
 
+	private void confirm(Run run) {
+		if (run.state() == Run.State.STARTING) {
+			run.confirm(this.clock.nanos());
+			this.book.job(run.task().job()).ifPresent(SubmittedJob::markStarted);
+		}
+	}
+
 	private void unanswered(ActiveStep step, Run run, PoolWorker worker, StartOrder order, int unanswered) {
 		if (run.state() != Run.State.STARTING) {
 			return;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MemoryTable.java
@@ -44,6 +44,8 @@
 
 	private boolean historyLost;
 
+	private long readMillis = ANSWER_MILLIS;
+
 	MemoryTable(VirtualTime time) {
 		this.time = time;
 	}
@@ -64,6 +66,10 @@
 		this.lateMillis = millis;
 	}
 
+	void readsTake(long millis) {
+		this.readMillis = millis;
+	}
+
 	void loseHistory() {
 		this.historyLost = true;
 	}
@@ -150,7 +156,7 @@
 				after(TIMEOUT_MILLIS, () -> fail(answer));
 				return answer;
 			}
-			after(ANSWER_MILLIS, () -> {
+			after(MemoryTable.this.readMillis, () -> {
 				List<TableRow> found = MemoryTable.this.rows.values()
 					.stream()
 					.filter((row) -> row.table().equals(table) && row.partition().equals(partition))
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -11,6 +11,7 @@
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.EligibilityTimes;
 import org.monsoonrelay.model.submission.JobProgress;
@@ -101,6 +102,15 @@
 			.commit(PartitionWrite.to(JobTables.partition(id)).put(JobTables.JOBS, JobTables.cancelKey(id), "{}"));
 	}
 
+	boolean isOwned() {
+		return this.schedulers.stream().anyMatch((scheduler) -> scheduler.owner.isPresent());
+	}
+
+	int pending() {
+		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, JobTables.SUMMARY_KEY);
+		return value.isEmpty() ? 0 : Json.read(value, QueueSummary.class).pending().getOrDefault("confirm", 0);
+	}
+
 	SubmissionState durableState(String id) {
 		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, id);
 		return value.isEmpty() ? SubmissionState.QUEUED : Json.read(value, JobProgress.class).state();
@@ -120,7 +130,7 @@
 		private final PoolPorts ports;
 
 		Scheduler(String name) {
-			EligibilitySource all = (host, step, ids) -> CompletableFuture
+			EligibilitySource all = (host, step, ids, timeout) -> CompletableFuture
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
 					PoolCell.this.time.clock(), DecisionLog.NONE);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -31,6 +31,19 @@
 	@Nested
 	class WhenNothingFails {
 
+		@Test
+		void anOwnerThatFindsNothingWaitingSaysSo() {
+			PoolCell.Scheduler first = PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(16, true));
+			PoolOwnerTests.this.cell.time.runFor(1200);
+			assertThat(PoolOwnerTests.this.cell.pending()).isEqualTo(1);
+			first.kill();
+			PoolOwnerTests.this.cell.cancel("a");
+			PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			assertThat(PoolOwnerTests.this.cell.pending()).isZero();
+		}
+
 		@Test
 		void stepsRunInTheirOrderAndTheJobCompletes() {
 			PoolOwnerTests.this.cell.addScheduler();
@@ -80,6 +93,48 @@
 			}
 		}
 
+		@Test
+		void jobsThatWaitAreCountedAllTheWhile() {
+			PoolCell.Scheduler first = beginWithTwo();
+			for (int i = 0; i < 8; i++) {
+				PoolOwnerTests.this.cell.submit("job" + i, PoolCell.step(12, true));
+			}
+			PoolOwnerTests.this.cell.time.runFor(450);
+			int before = PoolOwnerTests.this.cell.pending();
+			assertThat(before).isGreaterThan(2);
+			first.kill();
+			PoolOwnerTests.this.cell.table.readsTake(450);
+			for (int i = 0; i < 400 && !PoolOwnerTests.this.cell.isOwned(); i++) {
+				PoolOwnerTests.this.cell.time.runFor(10);
+			}
+			for (int i = 0; i < 200; i++) {
+				PoolOwnerTests.this.cell.time.runFor(5);
+				assertThat(PoolOwnerTests.this.cell.pending()).isGreaterThanOrEqualTo(before / 2);
+			}
+		}
+
+		@Test
+		void failuresThatWereNotDurableCountInWhateverOrderTheyAreSeen() {
+			PoolCell cell = new PoolCell();
+			cell.workers.add("w0", PoolCell.CAPACITY).fails(true);
+			cell.workers.add("w1", PoolCell.CAPACITY).fails(true);
+			PoolCell.Scheduler first = cell.addScheduler();
+			cell.time.runFor(500);
+			cell.submit("a", 2, PoolCell.step(1, false));
+			cell.time.runFor(150);
+			cell.table.down(true);
+			cell.time.runFor(1200);
+			first.kill();
+			cell.table.down(false);
+			PoolCell.Scheduler next = cell.addScheduler();
+			next.workerClient.cut("w0");
+			cell.time.runFor(4000);
+			next.workerClient.join("w0");
+			cell.time.runFor(LEASE_OVER_MILLIS);
+			assertThat(cell.durableState("a")).isEqualTo(SubmissionState.FAILED);
+			assertThat(cell.workers.startsOf(new TaskKey("a", 0, 0, 0))).isEqualTo(2);
+		}
+
 		@Test
 		void aStoppedOwnerHandsOverWithoutALapse() {
 			PoolCell.Scheduler first = beginWithTwo();
@@ -246,6 +301,23 @@
 
 	}
 
+	@Nested
+	class WhenStartsStayUnanswered {
+
+		@Test
+		void theirJobsStillCountAsWaiting() {
+			PoolCell cell = new PoolCell().withWorkers(1);
+			PoolCell.Scheduler owner = cell.addScheduler();
+			cell.time.runFor(600);
+			owner.workerClient.cut("w0");
+			cell.submit("a", PoolCell.step(1, false));
+			cell.submit("b", PoolCell.step(1, false));
+			cell.time.runFor(1000);
+			assertThat(cell.pending()).isEqualTo(2);
+		}
+
+	}
+
 	@Nested
 	class WhenAJobCannotBeDone {
 
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -2,7 +2,11 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /**
  * Which tasks of a step are done and which have failed how often. Invariants: a task that
@@ -15,9 +19,7 @@
 
 	private final BitSet done = new BitSet();
 
-	private final Map<Integer, Integer> failures = new HashMap<>();
-
-	private final Map<Integer, Integer> lastFailed = new HashMap<>();
+	private final Map<Integer, SortedSet<Integer>> failedAttempts = new HashMap<>();
 
 	private final Map<Integer, String> checkpoints = new HashMap<>();
 
@@ -36,8 +38,8 @@
 	public static StepProgress restore(StepSpec spec, StepRecord saved) {
 		StepProgress progress = new StepProgress(spec);
 		saved.done().forEach(progress.done::set);
-		progress.failures.putAll(saved.failures());
-		progress.lastFailed.putAll(saved.lastFailed());
+		saved.failedAttempts()
+			.forEach((index, attempts) -> progress.failedAttempts.put(index, new TreeSet<>(attempts)));
 		progress.checkpoints.putAll(saved.checkpoints());
 		progress.highestAttempt = saved.highestAttempt();
 		return progress;
@@ -57,19 +59,13 @@
 	}
 
 	/**
-	 * Count a failed run, once.
+	 * Count a failed run, once. Workers may list the ends of a task's runs in any order.
 	 * @param index the task
 	 * @param attempt the run's attempt
 	 * @return {@code true} if that was not known yet
 	 */
 	public boolean markFailed(int index, int attempt) {
-		int counted = counted(index);
-		if (this.lastFailed.getOrDefault(counted, 0) >= attempt) {
-			return false;
-		}
-		this.lastFailed.put(counted, attempt);
-		this.failures.merge(counted, 1, Integer::sum);
-		return true;
+		return this.failedAttempts.computeIfAbsent(counted(index), (task) -> new TreeSet<>()).add(attempt);
 	}
 
 	/**
@@ -117,7 +113,7 @@
 	 * @return the count
 	 */
 	public int mostFailures() {
-		return this.failures.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+		return this.failedAttempts.values().stream().mapToInt(Set::size).max().orElse(0);
 	}
 
 	public int highestAttempt() {
@@ -129,8 +125,9 @@
 	 * @return the record
 	 */
 	public StepRecord save() {
-		return new StepRecord(this.done.stream().boxed().toList(), this.failures, this.lastFailed, this.checkpoints,
-				this.highestAttempt);
+		Map<Integer, List<Integer>> failed = new HashMap<>();
+		this.failedAttempts.forEach((index, attempts) -> failed.put(index, List.copyOf(attempts)));
+		return new StepRecord(this.done.stream().boxed().toList(), failed, this.checkpoints, this.highestAttempt);
 	}
 
 	private int counted(int index) {
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PeerEligibility.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PeerEligibility.java
@@ -23,9 +23,6 @@
  */
 final class PeerEligibility implements EligibilitySource {
 
-	/** A call takes up to 0.8 s at the service, and some wait behind one other. */
-	private static final Duration TIMEOUT = Duration.ofMillis(2000);
-
 	private final String self;
 
 	private final HttpEligibility service;
@@ -43,9 +40,10 @@
 	}
 
 	@Override
-	public CompletableFuture<Map<String, String>> ask(String host, StepKey step, List<String> workers) {
+	public CompletableFuture<Map<String, String>> ask(String host, StepKey step, List<String> workers,
+			Duration timeout) {
 		if (host.equals(this.self)) {
-			return this.service.ask(step.toString(), workers);
+			return this.service.ask(step.toString(), workers, timeout);
 		}
 		Optional<HostAddress> address = this.addresses.apply(host);
 		if (address.isEmpty()) {
@@ -53,17 +51,18 @@
 		}
 		Envelope.Builder request = Envelope.newBuilder()
 			.setEligibilityRequest(EligibilityRequest.newBuilder().setStep(step.toString()).addAllWorkers(workers));
-		return this.network.request(address.get(), request, TIMEOUT)
+		return this.network.request(address.get(), request, timeout)
 			.thenApply((reply) -> reply.getEligibilityReply().getTicketsMap());
 	}
 
 	/**
 	 * Make a call that a peer asks for.
 	 * @param request the peer's request
+	 * @param remaining how long the peer waits
 	 * @return the reply
 	 */
-	CompletableFuture<Envelope.Builder> answer(EligibilityRequest request) {
-		return this.service.ask(request.getStep(), request.getWorkersList())
+	CompletableFuture<Envelope.Builder> answer(EligibilityRequest request, Duration remaining) {
+		return this.service.ask(request.getStep(), request.getWorkersList(), remaining)
 			.thenApply((tickets) -> Envelope.newBuilder()
 				.setEligibilityReply(EligibilityReply.newBuilder().putAllTickets(tickets)));
 	}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -117,7 +117,8 @@
 
 	private CompletableFuture<Envelope.Builder> handle(Envelope request) {
 		if (request.hasEligibilityRequest()) {
-			return this.eligibility.answer(request.getEligibilityRequest());
+			Duration remaining = Duration.ofMillis(Math.max(1, request.getRemainingMillis()));
+			return this.eligibility.answer(request.getEligibilityRequest(), remaining);
 		}
 		return CompletableFuture.failedFuture(new PeerException("this scheduler does not take such a message", null));
 	}
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/LayersTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/LayersTests.java
@@ -25,14 +25,18 @@
 			.definedBy(ROOT + "logic..")
 			.layer("adapters")
 			.definedBy(ROOT + "adapters..")
+			.layer("platform")
+			.definedBy(ROOT + "platform..")
 			.layer("programs")
 			.definedBy(ROOT + "gateway..", ROOT + "scheduler..", ROOT + "cli..")
 			.layer("standins")
 			.definedBy(ROOT + "standin..")
 			.whereLayer("logic")
-			.mayOnlyBeAccessedByLayers("adapters", "programs", "standins")
+			.mayOnlyBeAccessedByLayers("adapters", "platform", "programs", "standins")
 			.whereLayer("adapters")
-			.mayOnlyBeAccessedByLayers("programs", "standins")
+			.mayOnlyBeAccessedByLayers("platform", "programs", "standins")
+			.whereLayer("platform")
+			.mayOnlyBeAccessedByLayers("programs")
 			.whereLayer("programs")
 			.mayNotBeAccessedByAnyLayer()
 			.whereLayer("standins")
@@ -60,4 +64,14 @@
 			.check(this.classes);
 	}
 
+	@Test
+	void onlyTheCompositionOfProgramsKnowsThePlatform() {
+		noClasses().that()
+			.resideOutsideOfPackages(ROOT + "platform..", ROOT + "gateway.jobs..", ROOT + "scheduler.pool..")
+			.should()
+			.dependOnClassesThat()
+			.resideInAPackage(ROOT + "platform..")
+			.check(this.classes);
+	}
+
 }
