Leave hosts that failed a call out for three seconds at most

Ruled out: the longer calls to the table (refusals fell from 672 to 54).

Change: the pause doubles once; a host that registers anew is used at once; the owner's own host comes first for short calls; jobs that ended before a take-over are not decoded again (it took 0.84 s, 246 of 2,300 jobs alive).

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -23,13 +23,12 @@
 	static final double LONG_MILLIS = 250;
 
 	/**
-	 * How long a host is left out after a failed call, milliseconds; doubled with each
-	 * further one. A host that is gone for good would otherwise hold up a call every
-	 * time.
+	 * How long a host is left out after a failed call, milliseconds; twice as long after
+	 * further ones. Longer pauses starved long calls while hosts restarted in turn.
 	 */
 	private static final long AVOID_MILLIS = 1500;
 
-	private static final int MOST_DOUBLINGS = 4;
+	private static final int MOST_DOUBLINGS = 1;
 
 	private static final double SHORT_SHARE = 1.0 / 3;
 
@@ -43,11 +42,24 @@
 
 	private List<String> hosts = List.of();
 
+	/**
+	 * Name the hosts that can make calls.
+	 * @param available the hosts, those for short calls first
+	 */
 	void update(List<String> available) {
-		this.hosts = available.stream().sorted().toList();
+		this.hosts = List.copyOf(available);
 		this.outstanding.keySet().retainAll(this.hosts);
 	}
 
+	/**
+	 * Use a host again that has started anew.
+	 * @param host the host
+	 */
+	void restarted(String host) {
+		this.failures.remove(host);
+		this.avoidedUntilNanos.remove(host);
+	}
+
 	/**
 	 * Choose a host for a call now.
 	 * @param costMillis how long the service takes
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityDesk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityDesk.java
@@ -76,6 +76,10 @@
 		this.hosts.update(available);
 	}
 
+	void hostRestarted(String host) {
+		this.hosts.restarted(host);
+	}
+
 	/**
 	 * Ask about workers unless a question for the step is open.
 	 * @param step the step
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobBook.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobBook.java
@@ -36,6 +36,8 @@
 
 	private final Set<String> unended = new LinkedHashSet<>();
 
+	private final Set<String> ended = new HashSet<>();
+
 	private final Set<String> earlyCancels = new HashSet<>();
 
 	private final Set<String> inherited = new HashSet<>();
@@ -75,6 +77,18 @@
 		return true;
 	}
 
+	/**
+	 * Take in a job that had ended before this owner came. Nothing else of it is kept.
+	 * @param id the job's id
+	 */
+	void learnEnded(String id) {
+		this.ended.add(id);
+	}
+
+	boolean isKnown(String id) {
+		return this.jobs.containsKey(id) || this.ended.contains(id);
+	}
+
 	/**
 	 * Cancel a job.
 	 * @param id the job's id
@@ -83,7 +97,9 @@
 	Optional<SubmittedJob> cancel(String id) {
 		SubmittedJob job = this.jobs.get(id);
 		if (job == null) {
-			this.earlyCancels.add(id);
+			if (!this.ended.contains(id)) {
+				this.earlyCancels.add(id);
+			}
 			return Optional.empty();
 		}
 		if (job.isEnded()) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -196,13 +196,22 @@
 
 	/**
 	 * Name the hosts of this system that can ask for eligibility.
-	 * @param available the hosts
+	 * @param available the hosts, those for short calls first
 	 */
 	public void hosts(List<String> available) {
 		this.desk.hosts(available);
 		turnSoon();
 	}
 
+	/**
+	 * Use a host again that has started anew.
+	 * @param host the host
+	 */
+	public void hostRestarted(String host) {
+		this.desk.hostRestarted(host);
+		turnSoon();
+	}
+
 	/**
 	 * Give the pool up, so that another process need not wait for a lapse.
 	 */
@@ -276,7 +285,15 @@
 			this.book.cancel(JobTables.job(row.key())).ifPresent(this.runs::ended);
 			return;
 		}
-		read(row, Submission.class).ifPresent((submission) -> learn(submission, isInherited));
+		JobProgress progress = this.restored.get(row.key());
+		if (progress != null && progress.state().isFinal()) {
+			this.restored.remove(row.key());
+			this.book.learnEnded(row.key());
+			return;
+		}
+		if (!this.book.isKnown(row.key())) {
+			read(row, Submission.class).ifPresent((submission) -> learn(submission, isInherited));
+		}
 	}
 
 	private void learn(Submission submission, boolean isInherited) {
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
@@ -1,13 +1,13 @@
 package org.monsoonrelay.scheduler.pool;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.logic.platform.Json;
@@ -40,14 +40,13 @@
 
 	private final HostRecord self;
 
-	private final Consumer<List<String>> listener;
+	private final Listener listener;
 
 	private Optional<TableFollower> follower = Optional.empty();
 
 	private final Map<String, HostRecord> hosts = new ConcurrentHashMap<>();
 
-	HostRegistry(PartitionedTable table, ScheduledExecutorService control, HostRecord self,
-			Consumer<List<String>> listener) {
+	HostRegistry(PartitionedTable table, ScheduledExecutorService control, HostRecord self, Listener listener) {
 		this.table = table;
 		this.control = control;
 		this.self = self;
@@ -87,8 +86,15 @@
 		}));
 	}
 
+	/**
+	 * The hosts that are registered, this one first.
+	 * @return their names
+	 */
 	List<String> names() {
-		return List.copyOf(this.hosts.keySet());
+		List<String> names = new ArrayList<>();
+		names.add(this.self.host());
+		this.hosts.keySet().stream().filter((name) -> !name.equals(this.self.host())).sorted().forEach(names::add);
+		return names;
 	}
 
 	/**
@@ -116,7 +122,7 @@
 	@Override
 	public void changed(List<TableRow> rows) {
 		rows.forEach(this::take);
-		this.listener.accept(names());
+		this.listener.known(names());
 	}
 
 	private void take(TableRow row) {
@@ -128,7 +134,11 @@
 			return;
 		}
 		try {
-			this.hosts.put(row.key(), Json.readLeniently(row.value(), HostRecord.class));
+			HostRecord record = Json.readLeniently(row.value(), HostRecord.class);
+			HostRecord known = this.hosts.put(row.key(), record);
+			if (known != null && !known.incarnation().equals(record.incarnation())) {
+				this.listener.restarted(row.key());
+			}
 		}
 		catch (JsonProcessingException ex) {
 			LOGGER.log(System.Logger.Level.WARNING, "the row of host {0} is not readable and left out: {1}", row.key(),
@@ -136,4 +146,21 @@
 		}
 	}
 
+	/** Told of the registered hosts, on the control thread. */
+	interface Listener {
+
+		/**
+		 * These hosts are registered.
+		 * @param hosts their names, this one first
+		 */
+		void known(List<String> hosts);
+
+		/**
+		 * A host's scheduler has started anew.
+		 * @param host its name
+		 */
+		void restarted(String host);
+
+	}
+
 }
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -94,8 +94,7 @@
 				PEER_SECRET, (from, request) -> handle(request));
 		HostRecord self = new HostRecord(settings.host(), settings.failureDomain(), peerAddress.toString(),
 				incarnation);
-		this.registry = new HostRegistry(this.table, this.control, self,
-				(hosts) -> this.term.ifPresent((present) -> present.owner().hosts(hosts)));
+		this.registry = new HostRegistry(this.table, this.control, self, new HostListener());
 		HttpEligibility service = new HttpEligibility(settings.eligibilityAddress()
 			.orElseThrow(() -> new SettingsException("the setting eligibility is missing")));
 		this.eligibility = new PeerEligibility(settings.host(), service, this.network, this.registry::address);
@@ -196,6 +195,20 @@
 		this.log.close();
 	}
 
+	private final class HostListener implements HostRegistry.Listener {
+
+		@Override
+		public void known(List<String> hosts) {
+			PoolScheduler.this.term.ifPresent((present) -> present.owner().hosts(hosts));
+		}
+
+		@Override
+		public void restarted(String host) {
+			PoolScheduler.this.term.ifPresent((present) -> present.owner().hostRestarted(host));
+		}
+
+	}
+
 	// Only an owner reads the configuration and the lists of workers and hosts.
 	private record Term(PoolOwner owner, ConfigurationFeed configuration, HostListFeed hostList) {
 
