List a process that started anew in the place of the earlier one

Ruled out: a blocked timer of the gateway (its polls do not wait).

Change: a new session takes the place of the earlier one at its address and late words of that one are passed over; the status names the session; the test waits for the new session, before and after the outage.

--- /dev/null
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
@@ -0,0 +1,67 @@
+package org.monsoonrelay.adapters.logging;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.Decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DecisionWriterTests {
+
+	private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+	private final DecisionWriter writer = new DecisionWriter(this.out, () -> 77);
+
+	private List<String> lines() {
+		return this.out.toString(StandardCharsets.UTF_8).lines().toList();
+	}
+
+	@Test
+	void aDecisionIsOneLineWithItsInputs() {
+		this.writer.write(new Decision.CancellationAnswered("a\nb", "ACCEPTED", 12));
+		this.writer.flush();
+		assertThat(lines()).containsExactly("{\"at\":77,\"event\":\"CancellationAnswered\",\"job\":\"a\\nb\","
+				+ "\"outcome\":\"ACCEPTED\",\"tookMillis\":12}");
+	}
+
+	@Test
+	void aFloodOfOneKindIsCutAndCountedAndOthersAreKept() {
+		for (int i = 0; i < 100; i++) {
+			this.writer.write(new Decision.CancellationAnswered("a", "ACCEPTED", i));
+		}
+		this.writer.write(new Decision.RequestRefused("b", "no such queue", 1));
+		this.writer.flush();
+		assertThat(lines()).hasSize(32);
+		assertThat(lines().get(30)).contains("RequestRefused");
+		assertThat(lines().get(31)).isEqualTo("{\"event\":\"LinesLeftOut\",\"count\":70}");
+	}
+
+	@Test
+	void aFullBufferBlocksNobody() {
+		for (int i = 0; i < 5000; i++) {
+			this.writer.write(new Decision.RequestRefused("b", "r", i));
+		}
+		this.writer.flush();
+		assertThat(lines().get(lines().size() - 1)).isEqualTo("{\"event\":\"LinesLeftOut\",\"count\":4970}");
+	}
+
+	@Test
+	void aReaderThatIsGoneStopsNothing() {
+		DecisionWriter unread = new DecisionWriter(new OutputStream() {
+			@Override
+			public void write(int value) throws IOException {
+				throw new IOException("closed");
+			}
+		}, () -> 1);
+		unread.write(new Decision.RequestRefused("b", "r", 1));
+		unread.flush();
+		unread.write(new Decision.RequestRefused("b", "r", 2));
+		unread.close();
+	}
+
+}
--- a/monsoonrelay-cli/src/test/java/org/monsoonrelay/cli/OperatorServerFake.java
+++ b/monsoonrelay-cli/src/test/java/org/monsoonrelay/cli/OperatorServerFake.java
@@ -100,7 +100,7 @@
 	private CellStatus status() {
 		long peer = (this.versionsOfPeer.size() > 1) ? this.versionsOfPeer.remove(0) : this.versionsOfPeer.get(0);
 		return new CellStatus(this.state.version(), this.state.textVersion(),
-				List.of(new ProcessStatus("10.0.0.9:7000", "gateway", "north", peer)), List.of(), this.jobs,
+				List.of(new ProcessStatus("s-1", "10.0.0.9:7000", "gateway", "north", peer)), List.of(), this.jobs,
 				WorkersRoom.NONE);
 	}
 
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OrderAndChoiceTests.java
@@ -0,0 +1,144 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.QueuePolicy;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmittedJob;
+import org.monsoonrelay.model.submission.TaskKey;
+import org.monsoonrelay.model.submission.Timetable;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OrderAndChoiceTests {
+
+	private static final Resources SIZE = new Resources(1000, 100, 0);
+
+	private static ActiveStep step(String id, long acceptedMillis, double slack, long runMillis, String dataRack) {
+		StepSpec spec = new StepSpec(2, SIZE, runMillis, List.of(), false, false, "", dataRack, 0, false, false, false,
+				false);
+		QueuePolicy policy = new QueuePolicy("q", "s", 0, 3, slack, 0, null);
+		Submission submission = new Submission(id, policy, "", List.of(spec), Timetable.AT_ONCE, acceptedMillis);
+		return new ActiveStep(new StepKey(id, 0, 0), new SubmittedJob(submission), 0);
+	}
+
+	@Nested
+	class Order {
+
+		private List<String> sorted(long nowMillis, ActiveStep... steps) {
+			return Stream.of(steps)
+				.map(WaitingStep::of)
+				.sorted(new LeastSlackOrder().at(nowMillis))
+				.map((waiting) -> waiting.step().job().id())
+				.toList();
+		}
+
+		@Test
+		void putsWhatHasToStartSoonestFirst() {
+			ActiveStep roomy = step("roomy", 1000, 4, 1000, "");
+			ActiveStep tight = step("tight", 1500, 2, 500, "");
+			assertThat(sorted(1600, roomy, tight)).containsExactly("tight", "roomy");
+		}
+
+		@Test
+		void putsLateWorkBehindWhatCanStillBeInTime() {
+			ActiveStep late = step("late", 1000, 2, 500, "");
+			ActiveStep worthless = step("worthless", 0, 2, 100, "");
+			ActiveStep young = step("young", 2300, 4, 1000, "");
+			assertThat(sorted(2400, worthless, late, young)).containsExactly("young", "late", "worthless");
+		}
+
+	}
+
+	@Nested
+	class Choice {
+
+		private final GangSparingBestFit choice = new GangSparingBestFit();
+
+		private final GangDemand demand = new GangDemand();
+
+		private PoolWorker worker(String id, String rack, int used) {
+			PoolWorker worker = new PoolWorker(
+					new WorkerInfo(id, "s", "a:1", "d", new Resources(8000, 800, 0), List.of(), rack, false, 0));
+			for (int i = 0; i < used; i++) {
+				worker.add(Run.ordered(new TaskKey("other", 0, 0, i), 1, id, SIZE, 0));
+			}
+			return worker;
+		}
+
+		private String chosen(ActiveStep step, PoolWorker... workers) {
+			return this.choice.choose(step, 0, List.of(workers), this.demand).orElseThrow().id();
+		}
+
+		@Test
+		void takesTheFullestWorkerThatHasRoom() {
+			assertThat(chosen(step("a", 0, 1, 1, ""), worker("empty", "r", 0), worker("full", "r", 6)))
+				.isEqualTo("full");
+		}
+
+		@Test
+		void sparesTheWorkersThatGangsWait() {
+			this.demand.add("full");
+			assertThat(chosen(step("a", 0, 1, 1, ""), worker("empty", "r", 0), worker("full", "r", 6)))
+				.isEqualTo("empty");
+		}
+
+		@Test
+		void staysNearTheData() {
+			assertThat(chosen(step("a", 0, 1, 1, "near"), worker("near", "near", 0), worker("far", "far", 6)))
+				.isEqualTo("near");
+		}
+
+		@Test
+		void avoidsTheWorkerOnWhichTheTaskFailed() {
+			ActiveStep step = step("a", 0, 1, 1, "");
+			step.failedOn(0, "full");
+			assertThat(chosen(step, worker("empty", "r", 0), worker("full", "r", 6))).isEqualTo("empty");
+		}
+
+	}
+
+	@Nested
+	class Ledger {
+
+		@Test
+		void countsWhatIsHeldAndWhatIsBeingStopped() {
+			PoolWorker worker = new PoolWorker(
+					new WorkerInfo("w", "s", "a:1", "d", new Resources(3000, 800, 0), List.of(), "r", false, 0));
+			worker.markNamed();
+			worker.markReached();
+			Run run = Run.ordered(new TaskKey("a", 0, 0, 0), 1, "w", SIZE, 0);
+			worker.add(run);
+			run.stopping();
+			worker.hold(new StepKey("b", 0, 0), SIZE, 100);
+			assertThat(worker.accepts(SIZE, 0)).isTrue();
+			assertThat(worker.accepts(SIZE.times(2), 0)).isFalse();
+			worker.lapseHolds(101);
+			assertThat(worker.accepts(SIZE.times(2), 0)).isTrue();
+			worker.release(run.task());
+			assertThat(worker.free()).isEqualTo(new Resources(3000, 800, 0));
+		}
+
+		@Test
+		void isClosedUntilTheWorkerIsReachedAndNamed() {
+			PoolWorker worker = new PoolWorker(
+					new WorkerInfo("w", "s", "a:1", "d", new Resources(3000, 800, 0), List.of(), "r", false, 0));
+			assertThat(worker.accepts(SIZE, 0)).isFalse();
+			worker.markReached();
+			assertThat(worker.accepts(SIZE, 0)).isFalse();
+			worker.markNamed();
+			assertThat(worker.accepts(SIZE, 0)).isTrue();
+			worker.markLost();
+			worker.markReached();
+			assertThat(worker.accepts(SIZE, 0)).isFalse();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of taking jobs from callers.
+ */
+package org.monsoonrelay.logic.submission;
--- /dev/null
+++ b/monsoonrelay-model/src/test/java/org/monsoonrelay/model/submission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of submitted jobs.
+ */
+package org.monsoonrelay.model.submission;
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/CellStatusCollector.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/CellStatusCollector.java
@@ -33,6 +33,8 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
+	private final String session;
+
 	private final Supplier<List<RackSummary>> ownRacks;
 
 	private final SchedulerSettings settings;
@@ -47,8 +49,9 @@
 
 	private final PeerNetwork network;
 
-	CellStatusCollector(Supplier<List<RackSummary>> ownRacks, SchedulerSettings settings, QueueManager queues,
-			ControlTracker tracker, Executor control, PeerDirectory peers, PeerNetwork network) {
+	CellStatusCollector(String session, Supplier<List<RackSummary>> ownRacks, SchedulerSettings settings,
+			QueueManager queues, ControlTracker tracker, Executor control, PeerDirectory peers, PeerNetwork network) {
+		this.session = session;
 		this.ownRacks = ownRacks;
 		this.settings = settings;
 		this.queues = queues;
@@ -64,15 +67,15 @@
 
 	private CompletableFuture<CellStatus> ask() {
 		List<ProcessStatus> processes = new ArrayList<>();
-		processes.add(new ProcessStatus(this.settings.node().peerAddress(), SchedulerNode.ROLE,
+		processes.add(new ProcessStatus(this.session, this.settings.node().peerAddress(), SchedulerNode.ROLE,
 				this.settings.node().failureDomain(), this.tracker.inForce().head().version()));
 		Map<String, JobStatus> jobs = new TreeMap<>();
 		this.queues.status().forEach((status) -> jobs.put(status.id().toString(), status));
 		List<String> missing = new ArrayList<>();
 		List<CompletableFuture<Void>> answers = new ArrayList<>();
 		for (Announcement peer : this.peers.announcements()) {
-			processes
-				.add(new ProcessStatus(peer.getAddress(), peer.getRole(), peer.getFailureDomain(), peer.getVersion()));
+			processes.add(new ProcessStatus(peer.getSession(), peer.getAddress(), peer.getRole(),
+					peer.getFailureDomain(), peer.getVersion()));
 			if (peer.getRole().equals(SchedulerNode.ROLE)) {
 				answers.add(askPeer(peer, jobs, missing));
 			}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerDirectory.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerDirectory.java
@@ -20,12 +20,34 @@
 
 	private final Map<String, Heard> bySession = new TreeMap<>();
 
+	private final Set<String> replaced = new HashSet<>();
+
 	PeerDirectory(long lapseNanos) {
 		this.lapseNanos = lapseNanos;
 	}
 
-	void heard(Announcement announcement, long nowNanos) {
-		this.bySession.put(announcement.getSession(), new Heard(announcement, nowNanos));
+	/**
+	 * Take in an announcement. A process that has started anew takes the place of the
+	 * earlier one at its address, of which nothing is taken in any more.
+	 * @param announcement the announcement
+	 * @param nowNanos monotonic time
+	 * @return sessions that are over
+	 */
+	List<String> heard(Announcement announcement, long nowNanos) {
+		String session = announcement.getSession();
+		if (this.replaced.contains(session)) {
+			return List.of();
+		}
+		List<String> over = this.bySession.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(session))
+			.filter((entry) -> entry.getValue().announcement().getAddress().equals(announcement.getAddress()))
+			.map(Map.Entry::getKey)
+			.toList();
+		over.forEach(this.bySession::remove);
+		this.replaced.addAll(over);
+		this.bySession.put(session, new Heard(announcement, nowNanos));
+		return over;
 	}
 
 	/**
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -155,7 +155,7 @@
 				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), table,
 				this.control, System::nanoTime, Duration.ofMillis(settings.sessionLapseMillis()), this::owner);
 		this.messages = new SchedulerMessages(this.rackManager, this.queueManager, this.control, time);
-		CellStatusCollector collector = new CellStatusCollector(this.rackManager::summaries, settings,
+		CellStatusCollector collector = new CellStatusCollector(this.session, this.rackManager::summaries, settings,
 				this.queueManager, this.tracker, this.control, this.peers, this.network);
 		OperatorRoutes routes = new OperatorRoutes(new OperatorAccess(settings.operators()), this.controlLog,
 				this.tracker, collector::collect);
@@ -353,7 +353,7 @@
 	}
 
 	private void heard(Announcement announcement) {
-		this.peers.heard(announcement, System.nanoTime());
+		this.peers.heard(announcement, System.nanoTime()).forEach(this.racks::drop);
 		if (announcement.getRole().equals(ROLE)) {
 			this.racks.update(announcement.getSession(), PeerCodec.decodeSummaries(announcement.getRacksList()));
 		}
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/ConfigurationTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/ConfigurationTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterAll;
@@ -9,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
-import org.monsoonrelay.adapters.operator.CellStatus;
+import org.monsoonrelay.adapters.operator.ProcessStatus;
 import org.monsoonrelay.standin.Await;
 import org.monsoonrelay.standin.CommandResult;
 import org.monsoonrelay.standin.PlatformFault;
@@ -45,15 +46,24 @@
 		cell.apply(TestCell.run("mailing", "office", 1, false));
 		long version = cell.processes().status().version();
 		cell.processes().faults().platform(DOWN);
+		String killed = processAt(gateway(0)).map(ProcessStatus::session).orElseThrow();
 		cell.processes().kill("gateway-1");
 
 		cell.processes().startGateway(0);
 
-		Await.until("its version is in force", () -> versionAt(gateway(0)) == version);
+		// The killed process stays listed until its successor is heard of, and each
+		// scheduler hears of it by itself.
+		Await.until("the new process has the version in force", () -> isInForce(version, killed));
 		Await.until("it serves callers during the outage", cell.processes()::gatewaysReady);
 		cell.processes().faults().platform(PlatformFault.NONE);
 		Await.until("gateways are ready", cell.processes()::gatewaysReady);
-		assertThat(versionAt(gateway(0))).isEqualTo(version);
+		Await.until("the version has not gone back", () -> isInForce(version, killed));
+	}
+
+	private static boolean isInForce(long version, String killed) {
+		return processAt(gateway(0)).filter((process) -> !process.session().equals(killed))
+			.filter((process) -> process.version() == version)
+			.isPresent();
 	}
 
 	@Test
@@ -94,14 +104,17 @@
 		return cell.processes().layout().gatewayPeer(index).toString();
 	}
 
-	private static long versionAt(String address) {
-		CellStatus status = cell.processes().status();
-		return status.processes()
+	private static Optional<ProcessStatus> processAt(String address) {
+		return cell.processes()
+			.status()
+			.processes()
 			.stream()
 			.filter((process) -> process.address().equals(address))
-			.mapToLong((process) -> process.version())
-			.findFirst()
-			.orElse(0);
+			.findFirst();
+	}
+
+	private static long versionAt(String address) {
+		return processAt(address).map(ProcessStatus::version).orElse(0L);
 	}
 
 }
