--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MemoryTable.java
@@ -120,6 +120,8 @@
 
 		private boolean turnedAway;
 
+		private long ownLateMillis;
+
 		void cut(boolean isCut) {
 			this.cut = isCut;
 		}
@@ -132,6 +134,15 @@
 			this.turnedAway = isTurnedAway;
 		}
 
+		/**
+		 * From now on this process's writes get no answer and take effect this much
+		 * later.
+		 * @param millis how much later, 0 for at once
+		 */
+		void appliesLate(long millis) {
+			this.ownLateMillis = millis;
+		}
+
 		private boolean isAway() {
 			return this.cut || MemoryTable.this.down;
 		}
@@ -145,8 +156,8 @@
 			else if (isAway()) {
 				after(TIMEOUT_MILLIS, () -> answer.complete(new PartitionCommit.Unknown("no answer")));
 			}
-			else if (MemoryTable.this.lateMillis > 0) {
-				after(MemoryTable.this.lateMillis, () -> apply(write));
+			else if (Math.max(this.ownLateMillis, MemoryTable.this.lateMillis) > 0) {
+				after(Math.max(this.ownLateMillis, MemoryTable.this.lateMillis), () -> apply(write));
 				after(TIMEOUT_MILLIS, () -> answer.complete(new PartitionCommit.Unknown("no answer")));
 			}
 			else if (MemoryTable.this.losesAnswers) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -40,14 +40,21 @@
 
 	final MemoryTable table = new MemoryTable(this.time);
 
-	final SimulatedWorkers workers = new SimulatedWorkers(this.time, (task) -> RUN_MILLIS).taskSize(TASK);
+	final SimulatedWorkers workers = new SimulatedWorkers(this.time, (task) -> this.runMillis).taskSize(TASK);
 
 	final List<Scheduler> schedulers = new ArrayList<>();
 
 	private final MemoryTable.Client callers = this.table.client();
 
+	private long runMillis = RUN_MILLIS;
+
 	private boolean needsEligibility;
 
+	PoolCell withRunsOf(long millis) {
+		this.runMillis = millis;
+		return this;
+	}
+
 	PoolCell withWorkers(int count) {
 		for (int i = 0; i < count; i++) {
 			this.workers.add("w" + i, CAPACITY);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -104,6 +104,18 @@
 			isServed("a");
 		}
 
+		@Test
+		void aLateWriteOfAFormerOwnerChangesNothing() {
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(6, false), PoolCell.step(6, false, 0));
+			PoolOwnerTests.this.cell.time.runFor(300);
+			first.tableClient.appliesLate(7000);
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			isServed("a");
+			PoolOwnerTests.this.cell.time.runFor(6000);
+			isServed("a");
+		}
+
 		@Test
 		void aProcessFollowsAnEarlierOneOfItsHostWithoutALapse() {
 			PoolCell.Scheduler first = PoolOwnerTests.this.cell.addScheduler();
@@ -307,6 +319,24 @@
 			isServed("a");
 		}
 
+		@Test
+		void aWorkerThatIsSilentWithinItsLeaseKeepsItsTasks() {
+			PoolCell cell = new PoolCell().withWorkers(2).withRunsOf(4000);
+			PoolCell.Scheduler owner = cell.addScheduler();
+			cell.time.runFor(600);
+			cell.submit("a", PoolCell.step(6, false));
+			cell.time.runFor(300);
+			owner.workerClient.cut("w0");
+			cell.time.runFor(2500);
+			owner.workerClient.join("w0");
+			cell.time.runFor(4000);
+			assertThat(cell.durableState("a")).isEqualTo(SubmissionState.COMPLETED);
+			assertThat(cell.workers.faults()).isEmpty();
+			for (int i = 0; i < 6; i++) {
+				assertThat(cell.workers.startsOf(new TaskKey("a", 0, 0, i))).isEqualTo(1);
+			}
+		}
+
 		@Test
 		void aWorkerThatFailsAllItStartsIsAvoided() {
 			PoolOwnerTests.this.cell.workers.add("bad", PoolCell.CAPACITY).fails(true);
