--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -24,6 +24,7 @@
 import org.monsoonrelay.logic.submission.SubmissionService;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.platform.ConfigurationFeed;
+import org.monsoonrelay.platform.HostProcess;
 import org.monsoonrelay.platform.HostSettings;
 import org.monsoonrelay.platform.HttpTable;
 import org.monsoonrelay.platform.JobRoutes;
@@ -33,7 +34,7 @@
  * One gateway process: composition only. Thread-safe; one timer thread follows the table,
  * traffic runs on the server's and the client's threads.
  */
-final class JobGateway {
+final class JobGateway implements HostProcess {
 
 	private static final String ROLE = "gateway";
 
@@ -112,7 +113,8 @@
 		return this.configuration.isReachable() ? Optional.empty() : Optional.of("the table does not answer");
 	}
 
-	void start() {
+	@Override
+	public void start() {
 		this.log.start();
 		this.configuration.start();
 		this.states.start();
@@ -123,10 +125,8 @@
 				ManagementFactory.getRuntimeMXBean().getUptime()));
 	}
 
-	/**
-	 * Let a few exchanges fail, so that the classes on their way are loaded.
-	 */
-	void rehearse() {
+	@Override
+	public void rehearse() {
 		JsonHttpClient client = new JsonHttpClient(Duration.ofSeconds(1), Duration.ofSeconds(1), 2);
 		for (int i = 0; i < REHEARSALS; i++) {
 			client.get(this.settings.callerAddress().orElseThrow().url() + "/none")
@@ -136,11 +136,9 @@
 		}
 	}
 
-	/**
-	 * Tell the platform to send callers elsewhere, serve those that still come, then
-	 * close.
-	 */
-	void drain() {
+	// Tells the platform to send callers elsewhere and serves those that still come.
+	@Override
+	public void stop() {
 		long begun = System.nanoTime();
 		this.drain.stop();
 		this.log.write(new Decision.ProcessStopping(ROLE, 0));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -118,7 +118,7 @@
 		this.desk = new EligibilityDesk(ports.eligibility(), ports.control(), ports.clock(), ports.log(),
 				this::turnSoon);
 		this.runs = new RunKeeper(ports.orders(), this.term, this.pool, this.book, this.desk, ports.control(),
-				ports.clock(), ports.log(), new RunListener());
+				ports.clock(), ports.log(), new PoolRunListener());
 		this.placer = new TaskPlacer(this.book, this.pool, this.runs, this.desk, this.term, ports.clock(),
 				new LeastSlackOrder(), new GangSparingBestFit());
 		this.jobs = new TableFollower(ports.table(), JobTables.JOBS, JobTables.partitions(),
@@ -366,7 +366,7 @@
 
 	}
 
-	private final class RunListener implements RunKeeper.Listener {
+	private final class PoolRunListener implements RunListener {
 
 		@Override
 		public void changed() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunKeeper.java
@@ -63,14 +63,14 @@
 
 	private final DecisionLog log;
 
-	private final Listener listener;
+	private final RunListener listener;
 
 	private final Set<String> waitingForDurable = new HashSet<>();
 
 	private boolean closed;
 
 	RunKeeper(WorkerOrders orders, OwnerTerm term, WorkerPool pool, JobBook book, EligibilityDesk desk,
-			ScheduledExecutorService control, PoolClock clock, DecisionLog log, Listener listener) {
+			ScheduledExecutorService control, PoolClock clock, DecisionLog log, RunListener listener) {
 		this.orders = orders;
 		this.term = term;
 		this.pool = pool;
@@ -380,22 +380,4 @@
 		worker.markLost();
 	}
 
-	/**
-	 * Told of what matters beyond single runs.
-	 */
-	interface Listener {
-
-		/**
-		 * Room or progress has changed.
-		 */
-		void changed();
-
-		/**
-		 * A worker obeys a later owner.
-		 * @param worker the worker
-		 */
-		void fenced(String worker);
-
-	}
-
 }
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -36,6 +36,7 @@
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.platform.ConfigurationFeed;
 import org.monsoonrelay.platform.HostListFeed;
+import org.monsoonrelay.platform.HostProcess;
 import org.monsoonrelay.platform.HostSettings;
 import org.monsoonrelay.platform.HttpEligibility;
 import org.monsoonrelay.platform.HttpTable;
@@ -45,7 +46,7 @@
  * One scheduler process: composition only. It stands ready to own the pool and makes
  * calls for the owner. All control state is touched on the control thread alone.
  */
-final class PoolScheduler {
+final class PoolScheduler implements HostProcess {
 
 	private static final String ROLE = "scheduler";
 
@@ -106,7 +107,8 @@
 				new HealthRoutes(metrics, Optional::empty)::addTo);
 	}
 
-	void start() {
+	@Override
+	public void start() {
 		this.log.start();
 		this.network.listen();
 		this.registry.start();
@@ -159,10 +161,8 @@
 		this.released.countDown();
 	}
 
-	/**
-	 * Let a few calls fail, so that the classes on their way are loaded.
-	 */
-	void rehearse() {
+	@Override
+	public void rehearse() {
 		WorkerInfo nobody = new WorkerInfo("none", "none", this.settings.table(), "none", Resources.NONE, List.of(),
 				"none", false, 0);
 		LookOrder look = new LookOrder(0, 0, OptionalLong.empty(), Duration.ZERO);
@@ -172,10 +172,9 @@
 		}
 	}
 
-	/**
-	 * Give the pool up if it is owned here, then close.
-	 */
-	void stop() {
+	// Gives the pool up first, if it is owned here.
+	@Override
+	public void stop() {
 		long begun = System.nanoTime();
 		this.log.write(new Decision.ProcessStopping(ROLE, 0));
 		this.control.execute(() -> {
