Name the parts of the pool's owner by the field's terms

Cause: desk, book, keeper and conduct are pictures, not terms; a newcomer would have to learn them.

Ruled out: renaming tables and events, which others already read.

No decision changes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityDesk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -24,7 +24,7 @@
  * does not change and is kept; tickets lapse and are renewed for the workers chosen. One
  * question a step is open at a time. Not thread-safe: confined to the control thread.
  */
-final class EligibilityDesk {
+final class EligibilityTracker {
 
 	/** Most workers in a question. */
 	private static final int MOST_WORKERS = 100;
@@ -59,7 +59,7 @@
 
 	private final List<Question> waiting = new ArrayList<>();
 
-	EligibilityDesk(EligibilitySource source, ScheduledExecutorService control, PoolClock clock, DecisionLog log,
+	EligibilityTracker(EligibilitySource source, ScheduledExecutorService control, PoolClock clock, DecisionLog log,
 			Runnable answered) {
 		this.source = source;
 		this.control = control;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerConduct.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/FailureStreak.java
@@ -9,7 +9,7 @@
  * no work for a while, then one trial decides. Guards jobs with few attempts against a
  * worker that fails all that it starts. Not thread-safe: confined to the control thread.
  */
-final class WorkerConduct {
+final class FailureStreak {
 
 	/**
 	 * Failed runs in a row, of at least two jobs, after which a worker is avoided. At one
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobBook.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -23,7 +23,7 @@
  * durable yet. Invariant: a step is open only while its job has not ended, its time has
  * come and the steps before it are done. Not thread-safe: confined to the control thread.
  */
-final class JobBook {
+final class JobRegistry {
 
 	/** Attempts of an earlier owner lie below this many for each epoch. */
 	private static final int ATTEMPTS_PER_EPOCH = 16;
@@ -46,7 +46,7 @@
 
 	private final Set<String> dirty = new LinkedHashSet<>();
 
-	JobBook(long epoch) {
+	JobRegistry(long epoch) {
 		this.epoch = epoch;
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -56,7 +56,7 @@
 
 	private final OwnerTerm term;
 
-	private final JobBook book;
+	private final JobRegistry jobs;
 
 	private final WorkerPool workers;
 
@@ -80,12 +80,12 @@
 
 	private long writtenNanos;
 
-	PoolJournal(PartitionedTable table, ScheduledExecutorService control, OwnerTerm term, JobBook book,
+	PoolJournal(PartitionedTable table, ScheduledExecutorService control, OwnerTerm term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, Listener listener) {
 		this.table = table;
 		this.control = control;
 		this.term = term;
-		this.book = book;
+		this.jobs = jobs;
 		this.workers = workers;
 		this.clock = clock;
 		this.listener = listener;
@@ -125,7 +125,7 @@
 			return;
 		}
 		long sinceLast = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.lastSentNanos);
-		boolean hasChanges = this.book.hasDirty() || this.workers.hasUnnamed();
+		boolean hasChanges = this.jobs.hasDirty() || this.workers.hasUnnamed();
 		boolean isDue = sinceLast >= OwnerTerm.RENEW_MILLIS || (hasChanges && sinceLast >= SPACING_MILLIS);
 		if (isDue) {
 			send(compose(false));
@@ -159,20 +159,20 @@
 		Map<SubmittedJob, SubmissionState> states = new HashMap<>();
 		int bytes = 0;
 		List<PartitionWrite.Put> puts = new ArrayList<>(write.puts());
-		while (states.size() < MOST_JOBS && bytes < MOST_BYTES && this.book.hasDirty()) {
-			SubmittedJob job = this.book.takeDirty(1).get(0);
+		while (states.size() < MOST_JOBS && bytes < MOST_BYTES && this.jobs.hasDirty()) {
+			SubmittedJob job = this.jobs.takeDirty(1).get(0);
 			JobProgress progress = job.save();
 			String value = Json.write(progress);
 			bytes += value.length();
 			states.put(job, progress.state());
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
 		}
-		Optional<QueueSummary> summary = this.counting ? Optional.of(this.book.summary()) : Optional.empty();
+		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
 		if (summary.isPresent() && !summary.equals(this.writtenSummary)) {
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<String, Long> ends = this.book.hasDirty() ? Map.of() : this.workers.processedEnds();
+		Map<String, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedEnds();
 		return new Batch(whole, next, states, summary, ends);
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -56,15 +56,15 @@
 
 	private final OwnerTerm term;
 
-	private final JobBook book;
+	private final JobRegistry registry;
 
 	private final WorkerPool pool = new WorkerPool();
 
 	private final PoolJournal journal;
 
-	private final EligibilityDesk desk;
+	private final EligibilityTracker eligibility;
 
-	private final RunKeeper runs;
+	private final RunController runs;
 
 	private final TaskPlacer placer;
 
@@ -110,16 +110,16 @@
 		this.takenNanos = ports.clock().nanos();
 		this.term = new OwnerTerm(this.epoch, ports.clock());
 		this.term.renewed(sentNanos, sentMillis);
-		this.book = new JobBook(this.epoch);
+		this.registry = new JobRegistry(this.epoch);
 		this.pool.inherit(inherited);
-		this.journal = new PoolJournal(ports.table(), ports.control(), this.term, this.book, this.pool, ports.clock(),
-				new JournalListener());
+		this.journal = new PoolJournal(ports.table(), ports.control(), this.term, this.registry, this.pool,
+				ports.clock(), new JournalListener());
 		this.journal.begin(taken, version);
-		this.desk = new EligibilityDesk(ports.eligibility(), ports.control(), ports.clock(), ports.log(),
+		this.eligibility = new EligibilityTracker(ports.eligibility(), ports.control(), ports.clock(), ports.log(),
 				this::turnSoon);
-		this.runs = new RunKeeper(ports.orders(), this.term, this.pool, this.book, this.desk, ports.control(),
-				ports.clock(), ports.log(), new PoolRunListener());
-		this.placer = new TaskPlacer(this.book, this.pool, this.runs, this.desk, this.term, ports.clock(),
+		this.runs = new RunController(ports.orders(), this.term, this.pool, this.registry, this.eligibility,
+				ports.control(), ports.clock(), ports.log(), new PoolRunListener());
+		this.placer = new TaskPlacer(this.registry, this.pool, this.runs, this.eligibility, this.term, ports.clock(),
 				new LeastSlackOrder(), new GangSparingBestFit());
 		this.jobs = new TableFollower(ports.table(), JobTables.JOBS, JobTables.partitions(),
 				Duration.ofMillis(FEED_SPACING_MILLIS), ports.control(), new JobsListener());
@@ -199,7 +199,7 @@
 	 * @param available the hosts, those for short calls first
 	 */
 	public void hosts(List<String> available) {
-		this.desk.hosts(available);
+		this.eligibility.hosts(available);
 		turnSoon();
 	}
 
@@ -208,7 +208,7 @@
 	 * @param host the host
 	 */
 	public void hostRestarted(String host) {
-		this.desk.hostRestarted(host);
+		this.eligibility.hostRestarted(host);
 		turnSoon();
 	}
 
@@ -249,10 +249,10 @@
 		if (this.settled) {
 			this.runs.expire();
 			account();
-			this.desk.forget((step) -> this.book.job(step.job()).filter((job) -> !job.isEnded()).isEmpty());
+			this.eligibility.forget((step) -> this.registry.job(step.job()).filter((job) -> !job.isEnded()).isEmpty());
 			if (this.configured) {
 				this.placer.place();
-				this.desk.dispatch();
+				this.eligibility.dispatch();
 			}
 		}
 		this.journal.flush();
@@ -282,27 +282,27 @@
 			return;
 		}
 		if (JobTables.isCancelKey(row.key())) {
-			this.book.cancel(JobTables.job(row.key())).ifPresent(this.runs::ended);
+			this.registry.cancel(JobTables.job(row.key())).ifPresent(this.runs::ended);
 			return;
 		}
 		JobProgress progress = this.restored.get(row.key());
 		if (progress != null && progress.state().isFinal()) {
 			this.restored.remove(row.key());
-			this.book.learnEnded(row.key());
+			this.registry.learnEnded(row.key());
 			return;
 		}
-		if (!this.book.isKnown(row.key())) {
+		if (!this.registry.isKnown(row.key())) {
 			read(row, Submission.class).ifPresent((submission) -> learn(submission, isInherited));
 		}
 	}
 
 	private void learn(Submission submission, boolean isInherited) {
 		Optional<JobProgress> progress = Optional.ofNullable(this.restored.remove(submission.id()));
-		if (!this.book.learn(submission, progress, isInherited)) {
+		if (!this.registry.learn(submission, progress, isInherited)) {
 			return;
 		}
 		if (!this.term.isCurrent()) {
-			this.book.hold(submission.id());
+			this.registry.hold(submission.id());
 		}
 		long age = this.ports.clock().millis() - submission.acceptedMillis();
 		this.ports.log()
@@ -321,7 +321,8 @@
 				owner.settled = true;
 				owner.journal.count();
 				long took = TimeUnit.NANOSECONDS.toMillis(owner.ports.clock().nanos() - owner.takenNanos);
-				owner.ports.log().write(new Decision.OwnershipSettled(owner.epoch, owner.book.unendedCount(), took));
+				owner.ports.log()
+					.write(new Decision.OwnershipSettled(owner.epoch, owner.registry.unendedCount(), took));
 				List.copyOf(owner.pool.all()).forEach(owner.runs::watch);
 			}
 			turnSoon();
@@ -339,7 +340,7 @@
 
 		@Override
 		public void durable() {
-			PoolOwner.this.book.releaseHeld();
+			PoolOwner.this.registry.releaseHeld();
 			PoolOwner.this.runs.durable();
 			turnSoon();
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -20,7 +20,7 @@
 
 	private final WorkerLease lease = new WorkerLease();
 
-	private final WorkerConduct conduct = new WorkerConduct();
+	private final FailureStreak failures = new FailureStreak();
 
 	private final Map<TaskKey, Run> runs = new HashMap<>();
 
@@ -64,7 +64,7 @@
 	 */
 	boolean isOpen(long nowNanos) {
 		return this.reached && this.listed && this.named && !this.lost && !this.info.draining()
-				&& !this.conduct.isAvoided(nowNanos);
+				&& !this.failures.isAvoided(nowNanos);
 	}
 
 	Resources free() {
@@ -182,8 +182,8 @@
 		return this.lease;
 	}
 
-	WorkerConduct conduct() {
-		return this.conduct;
+	FailureStreak failures() {
+		return this.failures;
 	}
 
 	boolean isReached() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -22,7 +22,7 @@
  * stays unanswered is closed off by a stop before its room is used again. Not
  * thread-safe: confined to the control thread.
  */
-final class RunKeeper {
+final class RunController {
 
 	/**
 	 * How long a worker may hold a look back until something ends, milliseconds. Renews
@@ -51,11 +51,11 @@
 
 	private final WorkerPool pool;
 
-	private final JobBook book;
+	private final JobRegistry jobs;
 
 	private final TaskEnds ends;
 
-	private final EligibilityDesk desk;
+	private final EligibilityTracker eligibility;
 
 	private final ScheduledExecutorService control;
 
@@ -69,18 +69,19 @@
 
 	private boolean closed;
 
-	RunKeeper(WorkerOrders orders, OwnerTerm term, WorkerPool pool, JobBook book, EligibilityDesk desk,
-			ScheduledExecutorService control, PoolClock clock, DecisionLog log, RunListener listener) {
+	RunController(WorkerOrders orders, OwnerTerm term, WorkerPool pool, JobRegistry jobs,
+			EligibilityTracker eligibility, ScheduledExecutorService control, PoolClock clock, DecisionLog log,
+			RunListener listener) {
 		this.orders = orders;
 		this.term = term;
 		this.pool = pool;
-		this.book = book;
-		this.desk = desk;
+		this.jobs = jobs;
+		this.eligibility = eligibility;
 		this.control = control;
 		this.clock = clock;
 		this.log = log;
 		this.listener = listener;
-		this.ends = new TaskEnds(book, log, clock, (run, reason) -> stop(run, reason));
+		this.ends = new TaskEnds(jobs, log, clock, (run, reason) -> stop(run, reason));
 	}
 
 	void close() {
@@ -199,7 +200,7 @@
 	private void adopt(PoolWorker worker, RunningTask seen) {
 		long now = this.clock.nanos();
 		int index = seen.task().index();
-		Optional<ActiveStep> step = this.book.openRunning(seen.task().stepKey())
+		Optional<ActiveStep> step = this.jobs.openRunning(seen.task().stepKey())
 			.filter((open) -> index < open.spec().count());
 		if (step.isEmpty()) {
 			Run foreign = Run.adopted(seen, worker.id(), this.ends.sizeOf(seen.task(), worker), now);
@@ -271,7 +272,7 @@
 	private void confirm(Run run) {
 		if (run.state() == Run.State.STARTING) {
 			run.confirm(this.clock.nanos());
-			this.book.job(run.task().job()).ifPresent(SubmittedJob::markStarted);
+			this.jobs.job(run.task().job()).ifPresent(SubmittedJob::markStarted);
 		}
 	}
 
@@ -294,9 +295,9 @@
 
 	private void refused(ActiveStep step, Run run, PoolWorker worker, StartOutcome.Kind kind, int unanswered) {
 		switch (kind) {
-			case TICKET_REFUSED -> this.desk.refused(step.key(), worker.id());
+			case TICKET_REFUSED -> this.eligibility.refused(step.key(), worker.id());
 			case OLD_ATTEMPT -> step.noteAttempt(run.task().index(), run.attempt() + 1);
-			default -> worker.conduct().avoid(this.clock.nanos(), REFUSED_PAUSE_MILLIS);
+			default -> worker.failures().avoid(this.clock.nanos(), REFUSED_PAUSE_MILLIS);
 		}
 		if (unanswered > 0 || run.state() != Run.State.STARTING) {
 			// An earlier order may yet be carried out.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
@@ -19,7 +19,7 @@
  */
 final class TaskEnds {
 
-	private final JobBook book;
+	private final JobRegistry jobs;
 
 	private final DecisionLog log;
 
@@ -27,8 +27,8 @@
 
 	private final BiConsumer<Run, String> stop;
 
-	TaskEnds(JobBook book, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stop) {
-		this.book = book;
+	TaskEnds(JobRegistry jobs, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stop) {
+		this.jobs = jobs;
 		this.log = log;
 		this.clock = clock;
 		this.stop = stop;
@@ -49,7 +49,7 @@
 		}
 		this.log.write(new Decision.TaskEnded(end.task().job(), end.task().toString(), end.attempt(), worker.id(),
 				end.kind().name(), ranMillis));
-		SubmittedJob job = this.book.job(end.task().job()).orElse(null);
+		SubmittedJob job = this.jobs.job(end.task().job()).orElse(null);
 		if (job == null || !hasTask(job, end.task())) {
 			return;
 		}
@@ -68,11 +68,11 @@
 		int index = end.task().index();
 		StepProgress progress = job.progress(key);
 		progress.noteAttempt(end.attempt());
-		this.book.step(key).ifPresent((step) -> step.noteAttempt(index, end.attempt()));
+		this.jobs.step(key).ifPresent((step) -> step.noteAttempt(index, end.attempt()));
 		switch (end.kind()) {
 			case DONE -> {
 				progress.markDone(index);
-				worker.conduct().succeeded();
+				worker.failures().succeeded();
 			}
 			case FAILED -> {
 				progress.saveCheckpoint(index, end.checkpoint());
@@ -85,10 +85,10 @@
 	}
 
 	private void failed(PoolWorker worker, TaskKey task) {
-		this.book.step(task.stepKey()).ifPresent((step) -> step.failedOn(task.index(), worker.id()));
-		if (worker.conduct().failed(task.job(), this.clock.nanos())) {
-			this.log.write(new Decision.WorkerAvoided(worker.id(), worker.conduct().failuresInRow(),
-					WorkerConduct.AVOID_MILLIS));
+		this.jobs.step(task.stepKey()).ifPresent((step) -> step.failedOn(task.index(), worker.id()));
+		if (worker.failures().failed(task.job(), this.clock.nanos())) {
+			this.log.write(new Decision.WorkerAvoided(worker.id(), worker.failures().failuresInRow(),
+					FailureStreak.AVOID_MILLIS));
 		}
 	}
 
@@ -102,7 +102,7 @@
 		clear(worker, run);
 		TaskKey task = run.task();
 		this.log.write(new Decision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), reason));
-		this.book.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
+		this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
 			job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint());
 			settle(job, task.stepKey(), false);
 		});
@@ -115,25 +115,25 @@
 	 */
 	void refused(PoolWorker worker, Run run) {
 		clear(worker, run);
-		this.book.job(run.task().job()).ifPresent((job) -> settle(job, run.task().stepKey(), false));
+		this.jobs.job(run.task().job()).ifPresent((job) -> settle(job, run.task().stepKey(), false));
 	}
 
 	private void clear(PoolWorker worker, Run run) {
 		worker.release(run.task());
-		this.book.step(run.task().stepKey()).ifPresent((step) -> step.cleared(run));
+		this.jobs.step(run.task().stepKey()).ifPresent((step) -> step.cleared(run));
 	}
 
 	private void settle(SubmittedJob job, StepKey key, boolean isDone) {
 		boolean wasEnded = job.isEnded();
 		job.settle(key);
-		this.book.touch(job);
+		this.jobs.touch(job);
 		if (job.isEnded() && !wasEnded) {
 			ended(job);
 			return;
 		}
 		boolean isBroken = !isDone && job.submission().steps().get(key.step()).gang();
 		if (isBroken || job.progress(key).isComplete()) {
-			this.book.step(key).ifPresent((step) -> stopAll(step, isBroken));
+			this.jobs.step(key).ifPresent((step) -> stopAll(step, isBroken));
 		}
 	}
 
@@ -150,7 +150,7 @@
 	void ended(SubmittedJob job) {
 		long lateMillis = this.clock.millis() - job.submission().deadlineMillis(0);
 		this.log.write(new Decision.JobEnded(job.id(), job.state().name(), ageMillis(job), lateMillis));
-		for (ActiveStep step : this.book.openStepsOf(job.id())) {
+		for (ActiveStep step : this.jobs.openStepsOf(job.id())) {
 			if (!step.progress().isComplete()) {
 				step.aliveRuns().forEach((run) -> this.stop.accept(run, "its job has ended"));
 			}
@@ -164,7 +164,7 @@
 	 * @return what its job declares, all of the worker if that is not known
 	 */
 	Resources sizeOf(TaskKey task, PoolWorker worker) {
-		return this.book.job(task.job())
+		return this.jobs.job(task.job())
 			.filter((job) -> hasTask(job, task))
 			.map((job) -> job.submission().steps().get(task.step()).committedSize())
 			.orElse(worker.info().capacity());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -34,13 +34,13 @@
 	 */
 	private static final long HOLD_MARGIN_MILLIS = 400;
 
-	private final JobBook book;
+	private final JobRegistry jobs;
 
 	private final WorkerPool pool;
 
-	private final RunKeeper runs;
+	private final RunController runs;
 
-	private final EligibilityDesk desk;
+	private final EligibilityTracker eligibility;
 
 	private final OwnerTerm term;
 
@@ -54,12 +54,12 @@
 
 	private boolean accounted;
 
-	TaskPlacer(JobBook book, WorkerPool pool, RunKeeper runs, EligibilityDesk desk, OwnerTerm term, PoolClock clock,
-			QueueOrder order, WorkerChoice choice) {
-		this.book = book;
+	TaskPlacer(JobRegistry jobs, WorkerPool pool, RunController runs, EligibilityTracker eligibility, OwnerTerm term,
+			PoolClock clock, QueueOrder order, WorkerChoice choice) {
+		this.jobs = jobs;
 		this.pool = pool;
 		this.runs = runs;
-		this.desk = desk;
+		this.eligibility = eligibility;
 		this.term = term;
 		this.clock = clock;
 		this.order = order;
@@ -83,10 +83,10 @@
 	 */
 	void place() {
 		long nowMillis = this.clock.millis();
-		this.book.closeSteps();
-		this.book.openSteps(nowMillis);
+		this.jobs.closeSteps();
+		this.jobs.openSteps(nowMillis);
 		List<WaitingStep> waiting = new ArrayList<>();
-		for (ActiveStep step : this.book.openSteps()) {
+		for (ActiveStep step : this.jobs.openSteps()) {
 			if (mayStart(step) && !step.waiting().isEmpty()) {
 				waiting.add(WaitingStep.of(step));
 			}
@@ -101,8 +101,8 @@
 
 	private boolean mayStart(ActiveStep step) {
 		String job = step.job().id();
-		boolean isUnsure = !this.accounted && this.book.isInherited(job);
-		return this.term.mayOrder() && !isUnsure && !this.book.isHeld(job);
+		boolean isUnsure = !this.accounted && this.jobs.isInherited(job);
+		return this.term.mayOrder() && !isUnsure && !this.jobs.isHeld(job);
 	}
 
 	private GangDemand demand(List<WaitingStep> waiting) {
@@ -120,7 +120,7 @@
 	}
 
 	private void place(ActiveStep step, GangDemand demand) {
-		if (policy(step).needsEligibility() && !this.desk.isAnswered(step.key())) {
+		if (policy(step).needsEligibility() && !this.eligibility.isAnswered(step.key())) {
 			ask(step, possible(step));
 			return;
 		}
@@ -228,19 +228,19 @@
 	}
 
 	private boolean isEligible(ActiveStep step, PoolWorker worker) {
-		return !policy(step).needsEligibility() || this.desk.isAllowed(step.key(), worker.id());
+		return !policy(step).needsEligibility() || this.eligibility.isAllowed(step.key(), worker.id());
 	}
 
 	private boolean isEligibleOrNew(ActiveStep step, PoolWorker worker) {
-		return isEligible(step, worker) || !this.desk.wasAsked(step.key(), worker.id());
+		return isEligible(step, worker) || !this.eligibility.wasAsked(step.key(), worker.id());
 	}
 
 	private boolean hasTicket(ActiveStep step, PoolWorker worker) {
-		return !policy(step).needsEligibility() || this.desk.ticket(step.key(), worker.id()).isPresent();
+		return !policy(step).needsEligibility() || this.eligibility.ticket(step.key(), worker.id()).isPresent();
 	}
 
 	private void start(ActiveStep step, int index, int attempt, PoolWorker worker) {
-		String ticket = this.desk.ticket(step.key(), worker.id()).orElse("");
+		String ticket = this.eligibility.ticket(step.key(), worker.id()).orElse("");
 		this.runs.start(step, index, attempt, worker, ticket);
 	}
 
@@ -261,7 +261,7 @@
 
 	private void ask(ActiveStep step, List<PoolWorker> workers) {
 		EligibilityTimes times = Objects.requireNonNull(policy(step).eligibility());
-		this.desk.ask(step.key(), times, workers.stream().map(PoolWorker::id).toList());
+		this.eligibility.ask(step.key(), times, workers.stream().map(PoolWorker::id).toList());
 	}
 
 	private void askAhead(ActiveStep step) {
@@ -279,7 +279,7 @@
 		List<StepSpec> steps = step.job().submission().steps();
 		for (int i = step.key().step() + 1; i < steps.size(); i++) {
 			StepKey next = new StepKey(step.key().job(), step.key().occurrence(), i);
-			if (steps.get(i).dependsOn().contains(step.key().step()) && !this.desk.isAnswered(next)) {
+			if (steps.get(i).dependsOn().contains(step.key().step()) && !this.eligibility.isAnswered(next)) {
 				ActiveStep following = new ActiveStep(next, step.job(), 0);
 				ask(following, possible(following));
 			}
