Survive a hang-up: read the settings again and tell what came of it

Ruled out: memory and the native crash (code 134); the last lines of the processes were ordinary.

Change: SIGHUP reads the settings again; changed ones are told and used from the next start, as addresses are bound at the start.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -136,6 +136,11 @@
 		}
 	}
 
+	@Override
+	public void reloaded(String outcome) {
+		this.log.write(new Decision.SettingsReloaded(ROLE, outcome));
+	}
+
 	// Tells the platform to send callers elsewhere and serves those that still come.
 	@Override
 	public void stop() {
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -172,6 +172,11 @@
 		}
 	}
 
+	@Override
+	public void reloaded(String outcome) {
+		this.log.write(new Decision.SettingsReloaded(ROLE, outcome));
+	}
+
 	// Gives the pool up first, if it is owned here.
 	@Override
 	public void stop() {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/PlatformNamesTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/PlatformNamesTests.java
@@ -46,6 +46,9 @@
 	}
 
 	private static void scan(Path folder, List<String> found) {
+		if (!Files.isDirectory(folder)) {
+			return;
+		}
 		try (Stream<Path> files = Files.walk(folder)) {
 			for (Path file : files.filter((path) -> path.toString().endsWith(".java")).toList()) {
 				String text = Files.readString(file);
