Count outstanding calls in whole microseconds

Outstanding work of a host was a sum of fractions; taken away in another order it left a rest of about 1e-13 ms, and any rest kept the host from calls of more than 40 ms for good.

Ruled out: the wait for workers of a former owner (it ends after 9.4 s), calls that never end (they time out).

Change: whole microseconds.

Figures: CallHostsTests.aHostWhoseCallsHaveAllEndedHasTimeAgain red before ("none" for "self"), green after.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -30,11 +30,15 @@
 
 	private static final int MOST_DOUBLINGS = 1;
 
+	private static final double MICROS_PER_MILLI = 1000;
+
 	private static final double SHORT_SHARE = 1.0 / 3;
 
 	private static final double NOT_LONG_SHARE = 0.5;
 
-	private final Map<String, Double> outstanding = new HashMap<>();
+	// Whole microseconds: sums of fractions leave a rest that would keep a host busy for
+	// good.
+	private final Map<String, Long> outstandingMicros = new HashMap<>();
 
 	private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
 
@@ -48,7 +52,7 @@
 	 */
 	void update(List<String> available) {
 		this.hosts = List.copyOf(available);
-		this.outstanding.keySet().retainAll(this.hosts);
+		this.outstandingMicros.keySet().retainAll(this.hosts);
 	}
 
 	/**
@@ -93,16 +97,20 @@
 	}
 
 	private boolean hasTime(String host, double costMillis) {
-		double waiting = this.outstanding.getOrDefault(host, 0.0);
+		double waiting = outstanding(host);
 		return waiting <= 0 || (costMillis <= SHORT_MILLIS && waiting <= SHORT_MILLIS);
 	}
 
+	private static long micros(double millis) {
+		return Math.round(millis * MICROS_PER_MILLI);
+	}
+
 	void begun(String host, double costMillis) {
-		this.outstanding.merge(host, costMillis, Double::sum);
+		this.outstandingMicros.merge(host, micros(costMillis), Long::sum);
 	}
 
 	void ended(String host, double costMillis) {
-		this.outstanding.computeIfPresent(host, (name, waiting) -> Math.max(0, waiting - costMillis));
+		this.outstandingMicros.computeIfPresent(host, (name, waiting) -> Math.max(0, waiting - micros(costMillis)));
 	}
 
 	void succeeded(String host) {
@@ -120,7 +128,7 @@
 	 * @return milliseconds
 	 */
 	double outstanding(String host) {
-		return this.outstanding.getOrDefault(host, 0.0);
+		return this.outstandingMicros.getOrDefault(host, 0L) / MICROS_PER_MILLI;
 	}
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CallHostsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CallHostsTests.java
@@ -75,6 +75,16 @@
 		assertThat(choose(LONG)).isEqualTo("d");
 	}
 
+	@Test
+	void aHostWhoseCallsHaveAllEndedHasTimeAgain() {
+		this.hosts.update(List.of("self"));
+		this.hosts.begun("self", 0.1);
+		this.hosts.begun("self", 0.2);
+		this.hosts.ended("self", 0.1);
+		this.hosts.ended("self", 0.2);
+		assertThat(choose(LONG)).isEqualTo("self");
+	}
+
 	@Test
 	void aSingleHostMakesAllCalls() {
 		this.hosts.update(List.of("self"));
