Start no job learnt after asking to be replaced

Ruled out: the fence (no worker had heard of the new owner yet), the wait for inherited jobs (the job was accepted after the load).

Change: from the invitation until the next write of its row an owner starts no job that it learns, as it does after a lapse.

Figures: PoolOwnerTests.anOwnerThatAsksToBeReplacedStartsNoJobThatItLearnsThen red without the change (1 start for 0), green with it.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerTerm.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerTerm.java
@@ -44,6 +44,8 @@
 
 	private long renewedWallMillis;
 
+	private boolean doubtful;
+
 	OwnerTerm(long epoch, PoolClock clock) {
 		this.epoch = epoch;
 		this.clock = clock;
@@ -57,6 +59,15 @@
 	void renewed(long sentNanos, long sentWallMillis) {
 		this.renewedNanos = sentNanos;
 		this.renewedWallMillis = sentWallMillis;
+		this.doubtful = false;
+	}
+
+	/**
+	 * Note that others are asked to take over, before they are: from now on until the
+	 * next write another owner may be there.
+	 */
+	void doubt() {
+		this.doubtful = true;
 	}
 
 	/**
@@ -77,7 +88,7 @@
 	 * @return {@code true} if the row was written recently
 	 */
 	boolean isCurrent() {
-		return sinceRenewal() < LAPSE_MILLIS;
+		return !this.doubtful && sinceRenewal() < LAPSE_MILLIS;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -340,7 +340,9 @@
 
 		@Override
 		public void durable() {
-			PoolOwner.this.registry.releaseHeld();
+			if (PoolOwner.this.term.isCurrent()) {
+				PoolOwner.this.registry.releaseHeld();
+			}
 			PoolOwner.this.runs.durable();
 			turnSoon();
 		}
@@ -348,6 +350,7 @@
 		@Override
 		public void turnedAway() {
 			PoolOwner owner = PoolOwner.this;
+			owner.term.doubt();
 			long now = owner.ports.clock().nanos();
 			if (now - owner.invitedNanos > TimeUnit.MILLISECONDS.toNanos(INVITE_MILLIS)) {
 				owner.invitedNanos = now;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -116,6 +116,20 @@
 			isServed("a");
 		}
 
+		@Test
+		void anOwnerThatAsksToBeReplacedStartsNoJobThatItLearnsThen() {
+			PoolCell.Scheduler only = PoolOwnerTests.this.cell.addScheduler();
+			PoolOwnerTests.this.cell.time.runFor(500);
+			only.tableClient.turnAway(true);
+			PoolOwnerTests.this.cell.time.runFor(500);
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(2, false));
+			PoolOwnerTests.this.cell.time.runFor(700);
+			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 0, 0))).isZero();
+			only.tableClient.turnAway(false);
+			PoolOwnerTests.this.cell.time.runFor(2000);
+			isServed("a");
+		}
+
 		@Test
 		void aProcessFollowsAnEarlierOneOfItsHostWithoutALapse() {
 			PoolCell.Scheduler first = PoolOwnerTests.this.cell.addScheduler();
