Keep ends and runs of jobs that are not known yet

Cause: a new owner acknowledged ends, and stopped runs, of jobs whose rows it had not read. Ruled out: loading the jobs again on each unknown name; the feed brings them within a second anyway, and the ends of other jobs would wait as long. Change: ends from the first unknown job on are kept and not acknowledged, unknown runs hold the worker's room; both are taken in at once when the job is learnt, and dropped 6 s after the first mention.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -304,6 +304,7 @@
 		if (!this.term.isCurrent()) {
 			this.registry.hold(submission.id());
 		}
+		this.runs.learnt(submission.id());
 		long age = this.ports.clock().millis() - submission.acceptedMillis();
 		this.ports.log()
 			.write(new Decision.JobLearnt(submission.id(), submission.policy().queue(), age,
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -42,6 +42,8 @@
 
 	private long durableEnds;
 
+	private List<EndedTask> keptEnds = List.of();
+
 	PoolWorker(WorkerInfo info) {
 		this.info = info;
 	}
@@ -170,6 +172,18 @@
 		this.durableEnds = Math.max(this.durableEnds, number);
 	}
 
+	/**
+	 * Keep ends that are listed and not taken in.
+	 * @param ends the ends in the order of their numbers
+	 */
+	void keep(List<EndedTask> ends) {
+		this.keptEnds = List.copyOf(ends);
+	}
+
+	List<EndedTask> keptEnds() {
+		return this.keptEnds;
+	}
+
 	WorkerInfo info() {
 		return this.info;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -36,6 +36,12 @@
 	/** Longest pause of looks while ends wait to become durable, milliseconds. */
 	private static final long DURABLE_PAUSE_MILLIS = 250;
 
+	/**
+	 * Pause of looks while ends of a job that is not known yet are kept, milliseconds. A
+	 * worker answers at once while it lists ends.
+	 */
+	private static final long KEPT_PAUSE_MILLIS = 100;
+
 	/** Pause before an unanswered order is repeated, milliseconds. */
 	private static final long REPEAT_MILLIS = 40;
 
@@ -55,6 +61,8 @@
 
 	private final TaskEnds ends;
 
+	private final RunAdoption adoption;
+
 	private final EligibilityTracker eligibility;
 
 	private final ScheduledExecutorService control;
@@ -81,7 +89,9 @@
 		this.clock = clock;
 		this.log = log;
 		this.listener = listener;
-		this.ends = new TaskEnds(jobs, log, clock, (run, reason) -> stop(run, reason));
+		UnknownJobs unknown = new UnknownJobs(jobs, clock);
+		this.ends = new TaskEnds(jobs, unknown, log, clock, this::stop);
+		this.adoption = new RunAdoption(jobs, this.ends, unknown, clock, this::confirm, this::stop);
 	}
 
 	void close() {
@@ -138,12 +148,8 @@
 
 	private void seen(PoolWorker worker, LookOutcome.Seen seen, long sentNanos) {
 		worker.lease().heard(seen.clockMillis(), this.clock.nanos());
-		for (EndedTask end : seen.ended()) {
-			if (end.number() > worker.processedEnds()) {
-				this.ends.take(worker, end);
-			}
-		}
-		reconcile(worker, seen.running(), sentNanos);
+		this.ends.take(worker, seen.ended());
+		this.adoption.reconcile(worker, seen.running(), sentNanos);
 		if (!worker.isReached()) {
 			worker.markReached();
 			this.log.write(new Decision.WorkerReached(worker.id(), seen.running().size()));
@@ -154,6 +160,9 @@
 			this.waitingForDurable.add(worker.id());
 			this.control.schedule(() -> resume(worker.id()), DURABLE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
 		}
+		else if (!worker.keptEnds().isEmpty()) {
+			this.control.schedule(() -> watch(worker), KEPT_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+		}
 		else {
 			watch(worker);
 		}
@@ -176,47 +185,12 @@
 		}
 	}
 
-	private void reconcile(PoolWorker worker, List<RunningTask> running, long sentNanos) {
-		Set<TaskKey> listed = new HashSet<>();
-		for (RunningTask seen : running) {
-			listed.add(seen.task());
-			Optional<Run> known = worker.run(seen.task());
-			if (known.filter((run) -> run.attempt() == seen.attempt()).isPresent()) {
-				Run run = known.get();
-				run.saved(seen.checkpoint());
-				confirm(run);
-			}
-			else if (known.isEmpty()) {
-				adopt(worker, seen);
-			}
-		}
-		for (Run run : worker.runs()) {
-			if (!listed.contains(run.task()) && run.mustShowIn(sentNanos)) {
-				this.ends.lost(worker, run, "neither running nor ended on its worker");
-			}
-		}
-	}
-
-	private void adopt(PoolWorker worker, RunningTask seen) {
-		long now = this.clock.nanos();
-		int index = seen.task().index();
-		Optional<ActiveStep> step = this.jobs.openRunning(seen.task().stepKey())
-			.filter((open) -> index < open.spec().count());
-		if (step.isEmpty()) {
-			Run foreign = Run.adopted(seen, worker.id(), this.ends.sizeOf(seen.task(), worker), now);
-			worker.add(foreign);
-			stop(foreign, "its job has ended or is not known");
-			return;
-		}
-		Run run = Run.adopted(seen, worker.id(), step.get().spec().committedSize(), now);
-		run.saved(seen.checkpoint());
-		worker.add(run);
-		if (step.get().progress().isDone(index) || step.get().hasRun(index)) {
-			stop(run, "the task is done or runs elsewhere");
-			return;
-		}
-		step.get().started(run);
-		step.get().job().markStarted();
+	/**
+	 * Take in what workers have told of a job before it was known.
+	 * @param job the job's id
+	 */
+	void learnt(String job) {
+		this.adoption.learnt(job, this.pool.all());
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
@@ -14,32 +15,47 @@
 /**
  * What the end of a run means for its job. Invariants: only ends by failure count as
  * attempts; when a member of a gang ends other than well, all its members are stopped;
- * when a job ends, all its runs are stopped. Not thread-safe: confined to the control
- * thread.
+ * when a job ends, all its runs are stopped; an end is passed over only if its job is
+ * known to have ended or can be taken not to exist. Not thread-safe: confined to the
+ * control thread.
  */
 final class TaskEnds {
 
 	private final JobRegistry jobs;
 
+	private final UnknownJobs unknown;
+
 	private final DecisionLog log;
 
 	private final PoolClock clock;
 
 	private final BiConsumer<Run, String> stop;
 
-	TaskEnds(JobRegistry jobs, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stop) {
+	TaskEnds(JobRegistry jobs, UnknownJobs unknown, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stop) {
 		this.jobs = jobs;
+		this.unknown = unknown;
 		this.log = log;
 		this.clock = clock;
 		this.stop = stop;
 	}
 
 	/**
-	 * Take in an end that a worker lists.
+	 * Take in the ends that a worker lists, up to the first one whose job is awaited: an
+	 * end can only be acknowledged together with those before it.
 	 * @param worker the worker
-	 * @param end the end
+	 * @param listed the ends in the order of their numbers
 	 */
-	void take(PoolWorker worker, EndedTask end) {
+	void take(PoolWorker worker, List<EndedTask> listed) {
+		List<EndedTask> news = listed.stream().filter((end) -> end.number() > worker.processedEnds()).toList();
+		int taken = 0;
+		while (taken < news.size() && !this.unknown.isAwaited(news.get(taken).task().job())) {
+			take(worker, news.get(taken));
+			taken++;
+		}
+		worker.keep(news.subList(taken, news.size()));
+	}
+
+	private void take(PoolWorker worker, EndedTask end) {
 		worker.processed(end.number());
 		long ranMillis = -1;
 		Run run = worker.run(end.task()).filter((held) -> held.attempt() == end.attempt()).orElse(null);
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnknownJobsTests.java
@@ -0,0 +1,90 @@
+package org.monsoonrelay.logic.pool;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UnknownJobsTests {
+
+	private static final TaskKey TASK = new TaskKey("late", 0, 0, 0);
+
+	/** Long enough for the owner to look at the worker, milliseconds. */
+	private static final long LOOKED_MILLIS = 500;
+
+	private final PoolCell cell = new PoolCell().withWorkers(1);
+
+	private void aFormerOwnerHasStartedATaskThatRunsFor(long millis) {
+		this.cell.withRunsOf(millis);
+		WorkerInfo worker = this.cell.workers.list().get(0);
+		long lease = this.cell.time.millis() + OwnerTerm.LONGEST_ORDER_MILLIS;
+		this.cell.workers.client().start(worker, new StartOrder(TASK, 1, "text", lease, 0, "", ""));
+		this.cell.time.runFor(10);
+		this.cell.withRunsOf(PoolCell.RUN_MILLIS);
+	}
+
+	private void isServedOnce() {
+		assertThat(this.cell.durableState(TASK.job())).isEqualTo(SubmissionState.COMPLETED);
+		assertThat(this.cell.workers.startsOf(TASK)).isEqualTo(1);
+		assertThat(this.cell.workers.faults()).isEmpty();
+	}
+
+	@Nested
+	class WhoseRowComesLater {
+
+		@Test
+		void keepTheirRuns() {
+			aFormerOwnerHasStartedATaskThatRunsFor(3000);
+			UnknownJobsTests.this.cell.addScheduler();
+			UnknownJobsTests.this.cell.time.runFor(LOOKED_MILLIS);
+			assertThat(UnknownJobsTests.this.cell.workers.aliveCount()).isEqualTo(1);
+			UnknownJobsTests.this.cell.submit(TASK.job(), PoolCell.step(1, false));
+			UnknownJobsTests.this.cell.time.runFor(4000);
+			isServedOnce();
+		}
+
+		@Test
+		void keepTheirEnds() {
+			aFormerOwnerHasStartedATaskThatRunsFor(100);
+			UnknownJobsTests.this.cell.time.runFor(200);
+			UnknownJobsTests.this.cell.addScheduler();
+			UnknownJobsTests.this.cell.time.runFor(LOOKED_MILLIS);
+			UnknownJobsTests.this.cell.submit(TASK.job(), PoolCell.step(1, false));
+			UnknownJobsTests.this.cell.time.runFor(1500);
+			isServedOnce();
+		}
+
+		@Test
+		void doNotLoseTheEndsOfOtherJobsMeanwhile() {
+			aFormerOwnerHasStartedATaskThatRunsFor(700);
+			UnknownJobsTests.this.cell.submit("known", PoolCell.step(2, false));
+			UnknownJobsTests.this.cell.addScheduler();
+			UnknownJobsTests.this.cell.time.runFor(2500);
+			UnknownJobsTests.this.cell.submit(TASK.job(), PoolCell.step(1, false));
+			UnknownJobsTests.this.cell.time.runFor(1500);
+			isServedOnce();
+			assertThat(UnknownJobsTests.this.cell.durableState("known")).isEqualTo(SubmissionState.COMPLETED);
+			assertThat(UnknownJobsTests.this.cell.workers.startsOf(new TaskKey("known", 0, 0, 0))).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class WhoseRowNeverComes {
+
+		@Test
+		void areStoppedAndGiveTheRoomBack() {
+			aFormerOwnerHasStartedATaskThatRunsFor(60_000);
+			UnknownJobsTests.this.cell.addScheduler();
+			UnknownJobsTests.this.cell.time.runFor(UnknownJobs.AWAIT_MILLIS + 2000);
+			assertThat(UnknownJobsTests.this.cell.workers.aliveCount()).isZero();
+			UnknownJobsTests.this.cell.submit("known", PoolCell.step(4, false));
+			UnknownJobsTests.this.cell.time.runFor(2000);
+			assertThat(UnknownJobsTests.this.cell.durableState("known")).isEqualTo(SubmissionState.COMPLETED);
+		}
+
+	}
+
+}
