Let schedulers that stand ready follow the jobs

Cause: a new owner read 32 partitions and the whole progress with cold code: 0.3 to 1.2 s, up to 2 s beside a slow table. An owner told to stop placed nothing while it waited for its write in flight (1.7 s beside a slow table), and one that had just begun asked to be replaced though its write had been sent 0.4 s before. Ruled out: fewer partitions, as each accepts 3 jobs a second beside a slow table and 40 a second have to be accepted. Change: every scheduler follows jobs and progress, a new owner catches up with one read; a stopping owner goes on until its last write is sent, and tells the others; a write counts as stuck from its first sending. Tests: aSuccessorThatStoodReadyReadsNoPartition, aStoppedOwnerTellsItsSuccessorAtOnce; new with the mechanism.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -51,6 +52,8 @@
 
 	private boolean following;
 
+	private ScheduledFuture<?> pause;
+
 	private boolean closed;
 
 	private boolean failing;
@@ -103,6 +106,35 @@
 		this.closed = true;
 	}
 
+	/**
+	 * Read now what has changed so far, and tell the listener before the caller. Tried
+	 * until it succeeds; without effect before the first partition is loaded. The
+	 * listener may hear of some of these changes twice. A pause between two calls ends.
+	 * @param done called once all changes up to this call have been told
+	 */
+	public void catchUp(Runnable done) {
+		if (this.closed || !this.following) {
+			return;
+		}
+		int ofGeneration = this.generation;
+		this.table.changes(this.name, this.version, Duration.ZERO)
+			.whenComplete(OnThread.of(this.executor, (changes, failure) -> {
+				if (ofGeneration != this.generation) {
+					return;
+				}
+				if (failure != null || changes.historyLost()) {
+					this.executor.schedule(() -> catchUp(done), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+					return;
+				}
+				this.version = Math.max(this.version, changes.version());
+				this.listener.changed(changes.rows());
+				done.run();
+				if (this.pause != null && this.pause.cancel(false)) {
+					follow();
+				}
+			}));
+	}
+
 	private void load() {
 		if (this.closed) {
 			return;
@@ -180,7 +212,7 @@
 			return;
 		}
 		this.listener.changed(changes.rows());
-		this.executor.schedule(this::follow, this.spacing.get().toMillis(), TimeUnit.MILLISECONDS);
+		this.pause = this.executor.schedule(this::follow, this.spacing.get().toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private void answered() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
@@ -8,111 +8,202 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.logic.platform.Json;
-import org.monsoonrelay.logic.platform.OnThread;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableFollower;
-import org.monsoonrelay.logic.platform.TablePage;
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.Submission;
 
 /**
- * Brings jobs and cancellations from the table: first what earlier owners made durable of
- * their progress, then each partition of submissions as soon as it answers, and what is
- * submitted from then on. A partition that does not answer holds up its own jobs alone.
- * Not thread-safe: confined to the control thread.
+ * The jobs in the table as this process knows them. Every scheduler follows them at its
+ * leisure, so that one which takes the pool over has to read but the last half second. An
+ * owner is told of all jobs once the progress of earlier owners is known up to its
+ * take-over, and then of each new one. Invariants: an owner hears of a job with the last
+ * progress that an earlier owner made durable; a partition that does not answer holds up
+ * its own jobs alone. Not thread-safe: confined to the control thread.
  */
-final class JobIntake implements TableFollower.Listener {
+public final class JobIntake {
 
 	private static final System.Logger LOGGER = System.getLogger(JobIntake.class.getName());
 
-	/** Time in which changes from the feed of jobs gather, milliseconds. */
-	private static final long FEED_SPACING_MILLIS = 15;
+	/**
+	 * Time in which changes gather for an owner; gateways mostly tell it of them sooner.
+	 */
+	private static final Duration OWNER_SPACING = Duration.ofMillis(100);
 
-	private static final int PAGE_ROWS = 500;
+	/**
+	 * The same for a process that stands ready: two calls a second and table, and some
+	 * twenty jobs to catch up with at a take-over.
+	 */
+	private static final Duration READY_SPACING = Duration.ofMillis(500);
 
-	private static final long RETRY_MILLIS = 100;
+	private final TableFollower submissionFeed;
 
-	private final PartitionedTable table;
+	private final TableFollower progressFeed;
 
-	private final ScheduledExecutorService control;
+	private final Map<String, Stored> unended = new HashMap<>();
 
-	private final Listener listener;
+	private final Map<String, Saved> progress = new HashMap<>();
 
-	private final TableFollower follower;
+	private final Set<String> ended = new HashSet<>();
 
-	private final Map<String, JobProgress> restored = new HashMap<>();
+	private final Set<String> cancelled = new HashSet<>();
 
 	private final Set<String> loaded = new HashSet<>();
 
+	private boolean progressLoaded;
+
+	private Optional<Listener> owner = Optional.empty();
+
+	private boolean begun;
+
 	private boolean toldAll;
 
-	private boolean closed;
+	public JobIntake(PartitionedTable table, ScheduledExecutorService control) {
+		this.submissionFeed = new TableFollower(table, JobTables.JOBS, JobTables.partitions(), this::spacing, control,
+				new SubmissionListener());
+		this.progressFeed = new TableFollower(table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
+				() -> READY_SPACING, control, new ProgressListener());
+	}
+
+	private Duration spacing() {
+		return this.owner.isPresent() ? OWNER_SPACING : READY_SPACING;
+	}
+
+	/**
+	 * Begin to follow.
+	 */
+	public void start() {
+		this.progressFeed.start();
+		this.submissionFeed.start();
+	}
+
+	/**
+	 * Follow no more.
+	 */
+	public void close() {
+		this.submissionFeed.close();
+		this.progressFeed.close();
+	}
 
-	JobIntake(PartitionedTable table, ScheduledExecutorService control, Listener listener) {
-		this.table = table;
-		this.control = control;
-		this.listener = listener;
-		this.follower = new TableFollower(table, JobTables.JOBS, JobTables.partitions(),
-				Duration.ofMillis(FEED_SPACING_MILLIS), control, this);
+	/**
+	 * Tell an owner of the jobs from now on.
+	 * @param listener the owner
+	 */
+	void attach(Listener listener) {
+		this.owner = Optional.of(listener);
+		this.begun = false;
+		this.toldAll = false;
+		this.submissionFeed.catchUp(() -> {
+		});
+		if (this.progressLoaded) {
+			catchUpProgress();
+		}
 	}
 
-	void start() {
-		loadProgress("");
+	// What an earlier owner wrote before the take-over is in this answer.
+	private void catchUpProgress() {
+		Optional<Listener> asking = this.owner;
+		this.progressFeed.catchUp(() -> {
+			if (asking.isPresent() && asking.equals(this.owner) && !this.begun) {
+				begin(asking.get());
+			}
+		});
 	}
 
-	void close() {
-		this.closed = true;
-		this.follower.close();
+	private void begin(Listener listener) {
+		this.begun = true;
+		this.ended.forEach(listener::endedBefore);
+		List.copyOf(this.unended.values()).forEach((stored) -> deliver(listener, stored));
+		tellIfAll(listener);
+		listener.changed();
 	}
 
 	/**
-	 * Whether some jobs are known, so that work can begin.
-	 * @return {@code true} once one partition is loaded
+	 * Tell an owner no more.
+	 * @param listener the owner
+	 */
+	void detach(Listener listener) {
+		if (this.owner.filter((present) -> present == listener).isPresent()) {
+			this.owner = Optional.empty();
+			this.begun = false;
+		}
+	}
+
+	/**
+	 * Whether the owner has been told of the jobs that are known, so that work can begin.
+	 * @return {@code true} if so
 	 */
 	boolean hasBegun() {
-		return !this.loaded.isEmpty();
+		return this.begun;
 	}
 
 	/**
-	 * Whether all jobs that lie in the partition of a job are loaded.
+	 * Whether the owner has been told of all jobs that lie in the partition of a job.
 	 * @param job the job's id
 	 * @return {@code true} if so
 	 */
 	boolean isLoaded(String job) {
-		return this.loaded.contains(JobTables.partition(job));
+		return this.begun && this.loaded.contains(JobTables.partition(job));
+	}
+
+	/**
+	 * Take in a job that was stored.
+	 * @param submission the job
+	 * @param version the version of its row
+	 */
+	void accepted(Submission submission, long version) {
+		store(new Stored(submission, version));
+		this.owner.ifPresent(Listener::changed);
 	}
 
-	private void loadProgress(String from) {
-		if (this.closed) {
+	/**
+	 * Take in a cancellation that was stored.
+	 * @param job the job's id
+	 */
+	void cancelled(String job) {
+		cancel(job);
+		this.owner.ifPresent(Listener::changed);
+	}
+
+	private void store(Stored stored) {
+		String id = stored.submission().id();
+		if (this.ended.contains(id) || this.unended.putIfAbsent(id, stored) != null) {
 			return;
 		}
-		this.table.read(JobTables.PROGRESS, JobTables.POOL_PARTITION, from, PAGE_ROWS)
-			.whenComplete(OnThread.of(this.control, (page, failure) -> {
-				if (failure != null) {
-					this.control.schedule(() -> loadProgress(from), RETRY_MILLIS, TimeUnit.MILLISECONDS);
-					return;
-				}
-				restore(page);
-			}));
+		if (this.begun) {
+			this.owner.ifPresent((listener) -> deliver(listener, stored));
+		}
 	}
 
-	private void restore(TablePage page) {
-		for (TableRow row : page.rows()) {
-			if (!row.key().equals(JobTables.SUMMARY_KEY)) {
-				read(row, JobProgress.class).ifPresent((progress) -> this.restored.put(row.key(), progress));
-			}
+	private void deliver(Listener listener, Stored stored) {
+		String id = stored.submission().id();
+		Optional<JobProgress> saved = Optional.ofNullable(this.progress.get(id)).map(Saved::progress);
+		listener.submitted(stored.submission(), saved, stored.version());
+		if (this.cancelled.contains(id)) {
+			listener.cancelled(id);
 		}
-		if (page.truncated() && !page.rows().isEmpty()) {
-			loadProgress(page.rows().get(page.rows().size() - 1).key() + "!");
+	}
+
+	private void cancel(String job) {
+		if (this.ended.contains(job)) {
 			return;
 		}
-		this.follower.start();
+		this.cancelled.add(job);
+		if (this.begun) {
+			this.owner.ifPresent((listener) -> listener.cancelled(job));
+		}
+	}
+
+	private void tellIfAll(Listener listener) {
+		if (this.begun && !this.toldAll && this.loaded.size() == JobTables.partitions().size()) {
+			this.toldAll = true;
+			listener.loadedAll();
+		}
 	}
 
 	private static <T> Optional<T> read(TableRow row, Class<T> type) {
@@ -126,79 +217,95 @@
 		}
 	}
 
-	/**
-	 * Take in a job that was stored, unless earlier progress is not loaded yet: then the
-	 * table brings it later.
-	 * @param submission the job
-	 * @param version the version of its row
-	 */
-	void accepted(Submission submission, long version) {
-		if (!hasBegun() || this.listener.isKnown(submission.id())) {
-			return;
-		}
-		Optional<JobProgress> progress = Optional.ofNullable(this.restored.remove(submission.id()));
-		this.listener.submitted(submission, progress, version);
-		this.listener.changed();
+	private record Stored(Submission submission, long version) {
+
 	}
 
-	/**
-	 * Take in a cancellation that was stored.
-	 * @param job the job's id
-	 */
-	void cancelled(String job) {
-		if (hasBegun()) {
-			this.listener.cancelled(job);
-			this.listener.changed();
-		}
+	private record Saved(JobProgress progress, long version) {
+
 	}
 
-	@Override
-	public void snapshot(String partition, List<TableRow> rows) {
-		rows.forEach(this::take);
-		this.loaded.add(partition);
-		if (!this.toldAll && this.loaded.size() == JobTables.partitions().size()) {
-			this.toldAll = true;
-			this.listener.loadedAll();
+	private final class SubmissionListener implements TableFollower.Listener {
+
+		@Override
+		public void snapshot(String partition, List<TableRow> rows) {
+			rows.forEach(this::take);
+			JobIntake.this.loaded.add(partition);
+			JobIntake.this.owner.ifPresent(JobIntake.this::tellIfAll);
+			JobIntake.this.owner.ifPresent(Listener::changed);
 		}
-		this.listener.changed();
-	}
 
-	@Override
-	public void changed(List<TableRow> rows) {
-		rows.forEach(this::take);
-		this.listener.changed();
-	}
+		@Override
+		public void changed(List<TableRow> rows) {
+			rows.forEach(this::take);
+			JobIntake.this.owner.ifPresent(Listener::changed);
+		}
+
+		@Override
+		public void historyLost() {
+			JobIntake.this.loaded.clear();
+		}
+
+		private void take(TableRow row) {
+			if (row.deleted()) {
+				return;
+			}
+			if (JobTables.isCancelKey(row.key())) {
+				cancel(JobTables.job(row.key()));
+				return;
+			}
+			if (!JobIntake.this.ended.contains(row.key()) && !JobIntake.this.unended.containsKey(row.key())) {
+				read(row, Submission.class).ifPresent((submission) -> store(new Stored(submission, row.version())));
+			}
+		}
 
-	@Override
-	public void historyLost() {
-		this.loaded.clear();
 	}
 
-	private void take(TableRow row) {
-		if (row.deleted()) {
-			return;
+	private final class ProgressListener implements TableFollower.Listener {
+
+		@Override
+		public void snapshot(String partition, List<TableRow> rows) {
+			changed(rows);
+			JobIntake.this.progressLoaded = true;
+			if (JobIntake.this.owner.isPresent() && !JobIntake.this.begun) {
+				catchUpProgress();
+			}
 		}
-		if (JobTables.isCancelKey(row.key())) {
-			this.listener.cancelled(JobTables.job(row.key()));
-			return;
+
+		@Override
+		public void changed(List<TableRow> rows) {
+			rows.stream().filter((row) -> !row.key().equals(JobTables.SUMMARY_KEY)).forEach(this::take);
 		}
-		if (this.listener.isKnown(row.key())) {
-			return;
+
+		@Override
+		public void historyLost() {
+			JobIntake.this.progressLoaded = false;
 		}
-		Optional<JobProgress> progress = Optional.ofNullable(this.restored.remove(row.key()));
-		if (progress.filter((saved) -> saved.state().isFinal()).isPresent()) {
-			this.listener.endedBefore(row.key());
-			return;
+
+		private void take(TableRow row) {
+			JobIntake intake = JobIntake.this;
+			Saved known = intake.progress.get(row.key());
+			boolean isOld = intake.ended.contains(row.key()) || (known != null && known.version() >= row.version());
+			if (row.deleted() || isOld) {
+				return;
+			}
+			read(row, JobProgress.class).ifPresent((saved) -> {
+				if (!saved.state().isFinal()) {
+					intake.progress.put(row.key(), new Saved(saved, row.version()));
+					return;
+				}
+				intake.ended.add(row.key());
+				intake.unended.remove(row.key());
+				intake.progress.remove(row.key());
+				intake.cancelled.remove(row.key());
+			});
 		}
-		read(row, Submission.class)
-			.ifPresent((submission) -> this.listener.submitted(submission, progress, row.version()));
+
 	}
 
-	/** Told of jobs, on the control thread. */
+	/** An owner, told of jobs on the control thread. */
 	interface Listener {
 
-		boolean isKnown(String job);
-
 		/**
 		 * A job was submitted.
 		 * @param submission the job
@@ -225,7 +332,7 @@
 		void changed();
 
 		/**
-		 * All partitions have been loaded for the first time.
+		 * All jobs have been told of for the first time.
 		 */
 		void loadedAll();
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -139,18 +139,22 @@
 
 	private void take(TableRow row) {
 		try {
-			this.current = Optional.of(Json.readLeniently(row.value(), OwnerRecord.class));
-			this.version = row.version();
-			this.changedNanos = this.clock.nanos();
-			if (this.current.get().released()) {
-				check();
-			}
+			take(Json.readLeniently(row.value(), OwnerRecord.class), row.version());
 		}
 		catch (JsonProcessingException ex) {
 			this.log.write(new Decision.DependencyLost("owner row", ex.getOriginalMessage()));
 		}
 	}
 
+	private void take(OwnerRecord record, long recordVersion) {
+		this.current = Optional.of(record);
+		this.version = recordVersion;
+		this.changedNanos = this.clock.nanos();
+		if (record.released()) {
+			check();
+		}
+	}
+
 	@Override
 	public void lost(Throwable failure) {
 		this.readable = false;
@@ -176,6 +180,17 @@
 		}
 	}
 
+	/**
+	 * Take the pool over from an owner that has given it up.
+	 * @param record the row that says so
+	 * @param recordVersion its version
+	 */
+	public void released(OwnerRecord record, long recordVersion) {
+		if (recordVersion > this.version) {
+			take(record, recordVersion);
+		}
+	}
+
 	/**
 	 * Note a sign of life of an owner.
 	 * @param epoch the owner's epoch
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerPeers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerPeers.java
@@ -27,6 +27,13 @@
 	 */
 	void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueSummary> pending);
 
+	/**
+	 * The pool was given up: another host may own it at once.
+	 * @param record the row that says so
+	 * @param version its version
+	 */
+	void released(OwnerRecord record, long version);
+
 	/**
 	 * The table does not take the owner's writes: another host had better own the pool.
 	 * @param epoch the owner's epoch
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -42,8 +42,8 @@
 	private static final long SPACING_MILLIS = 20;
 
 	/**
-	 * A write without effect for this long is a sign that another host had better own the
-	 * pool, milliseconds. A slow table takes up to 900 ms.
+	 * A write without effect for this long after it was first sent is a sign that another
+	 * host had better own the pool, milliseconds. A slow table takes up to 900 ms.
 	 */
 	private static final long STUCK_MILLIS = 1000;
 
@@ -78,7 +78,9 @@
 
 	private long lastSentNanos;
 
-	private long writtenNanos;
+	private long composedNanos;
+
+	private boolean releasing;
 
 	PoolJournal(PartitionedTable table, ScheduledExecutorService control, OwnerTerm term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, Listener listener) {
@@ -100,7 +102,6 @@
 		this.record = taken;
 		this.version = takenVersion;
 		this.lastSentNanos = this.clock.nanos();
-		this.writtenNanos = this.clock.nanos();
 	}
 
 	/**
@@ -119,7 +120,7 @@
 			return;
 		}
 		if (this.inFlight) {
-			if (TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.writtenNanos) > STUCK_MILLIS) {
+			if (TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.composedNanos) > STUCK_MILLIS) {
 				this.listener.turnedAway();
 			}
 			return;
@@ -128,20 +129,17 @@
 		boolean hasChanges = this.jobs.hasDirty() || this.workers.hasUnnamed();
 		boolean isDue = sinceLast >= OwnerTerm.RENEW_MILLIS || (hasChanges && sinceLast >= SPACING_MILLIS);
 		if (isDue) {
-			send(compose(false));
+			send(compose());
 		}
 	}
 
 	/**
-	 * Give the pool up with the next write.
+	 * Give the pool up with the next write. The owner goes on until that is sent.
 	 */
 	void release() {
-		if (this.inFlight) {
-			this.control.schedule(this::release, 1, TimeUnit.MILLISECONDS);
-			return;
-		}
-		if (!this.closed) {
-			send(compose(true));
+		this.releasing = true;
+		if (!this.inFlight && !this.closed) {
+			send(compose());
 		}
 	}
 
@@ -149,10 +147,14 @@
 		this.closed = true;
 	}
 
-	private Batch compose(boolean isReleased) {
+	private Batch compose() {
+		this.composedNanos = this.clock.nanos();
+		if (this.releasing) {
+			this.listener.releasing();
+		}
 		List<String> named = this.workers.toName();
 		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
-				this.record.sequence() + 1, isReleased, named);
+				this.record.sequence() + 1, this.releasing, named);
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
@@ -228,7 +230,6 @@
 
 	private void apply(Batch batch) {
 		this.inFlight = false;
-		this.writtenNanos = this.clock.nanos();
 		this.record = batch.record();
 		this.writtenSummary = batch.summary();
 		Map<String, SubmissionState> states = new HashMap<>();
@@ -240,10 +241,13 @@
 		this.workers.durable(batch.ends());
 		if (batch.record().released()) {
 			this.closed = true;
-			this.listener.released();
+			this.listener.released(this.record, this.version);
 			return;
 		}
 		this.listener.durable(states, batch.countedAnew());
+		if (this.releasing && !this.inFlight && !this.closed) {
+			send(compose());
+		}
 	}
 
 	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, SubmissionState> states,
@@ -272,10 +276,18 @@
 		 */
 		void turnedAway();
 
+		/**
+		 * The write that gives the pool up is about to be sent: nothing may be ordered
+		 * from now on.
+		 */
+		void releasing();
+
 		/**
 		 * The pool was given up.
+		 * @param record the row that says so
+		 * @param version its version
 		 */
-		void released();
+		void released(OwnerRecord record, long version);
 
 		/**
 		 * Another process owns the pool.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -58,6 +58,8 @@
 
 	private final JobIntake jobs;
 
+	private final JobsListener jobsListener = new JobsListener();
+
 	private final Consumer<String> over;
 
 	private final OwnerPeers peers;
@@ -72,16 +74,19 @@
 
 	private boolean closed;
 
+	private boolean releasing;
+
 	private boolean turnQueued;
 
 	/**
 	 * Begin a term.
 	 * @param ports what is needed from outside
+	 * @param jobs the jobs that this process knows
 	 * @param taken how this process became the owner
 	 * @param peers the other hosts
 	 * @param over told once when the term is over, with the reason
 	 */
-	public PoolOwner(PoolPorts ports, TakeOver taken, OwnerPeers peers, Consumer<String> over) {
+	public PoolOwner(PoolPorts ports, JobIntake jobs, TakeOver taken, OwnerPeers peers, Consumer<String> over) {
 		this.ports = ports;
 		this.taken = taken;
 		this.epoch = taken.record().epoch();
@@ -97,7 +102,7 @@
 		this.journal = new PoolJournal(ports.table(), ports.control(), this.term, this.registry, this.pool,
 				ports.clock(), new JournalListener());
 		this.journal.begin(taken.record(), taken.version());
-		this.jobs = new JobIntake(ports.table(), ports.control(), new JobsListener());
+		this.jobs = jobs;
 		this.eligibility = new EligibilityTracker(ports.eligibility(), ports.control(), ports.clock(), ports.log(),
 				this::turnSoon);
 		this.runs = new RunController(ports.orders(), this.term, this.pool, this.registry, this.jobs::isLoaded,
@@ -107,12 +112,12 @@
 	}
 
 	/**
-	 * Load the jobs and begin.
+	 * Take in the jobs and begin.
 	 */
 	public void start() {
 		this.timer = this.ports.control()
 			.scheduleWithFixedDelay(this::turn, TURN_MILLIS, TURN_MILLIS, TimeUnit.MILLISECONDS);
-		this.jobs.start();
+		this.jobs.attach(this.jobsListener);
 	}
 
 	/**
@@ -170,11 +175,11 @@
 	}
 
 	/**
-	 * Give the pool up, so that another process need not wait for a lapse.
+	 * Give the pool up, so that another process need not wait for a lapse. Work goes on
+	 * until the write that says so is sent, which waits for the one in flight: beside a
+	 * table that takes 300 ms for a write that saves as much.
 	 */
 	public void release() {
-		this.runs.close();
-		this.jobs.close();
 		this.journal.release();
 	}
 
@@ -184,7 +189,7 @@
 	public void close() {
 		this.closed = true;
 		this.runs.close();
-		this.jobs.close();
+		this.jobs.detach(this.jobsListener);
 		this.journal.close();
 		if (this.timer != null) {
 			this.timer.cancel(false);
@@ -204,7 +209,7 @@
 			return;
 		}
 		tellPeers();
-		if (this.jobs.hasBegun()) {
+		if (this.jobs.hasBegun() && !this.releasing) {
 			this.runs.expire();
 			account();
 			this.eligibility.forget((step) -> this.registry.job(step.job()).filter((job) -> !job.isEnded()).isEmpty());
@@ -252,11 +257,6 @@
 
 	private final class JobsListener implements JobIntake.Listener {
 
-		@Override
-		public boolean isKnown(String job) {
-			return PoolOwner.this.registry.isKnown(job);
-		}
-
 		@Override
 		public void submitted(Submission submission, Optional<JobProgress> progress, long version) {
 			PoolOwner owner = PoolOwner.this;
@@ -327,7 +327,14 @@
 		}
 
 		@Override
-		public void released() {
+		public void releasing() {
+			PoolOwner.this.releasing = true;
+			PoolOwner.this.runs.close();
+		}
+
+		@Override
+		public void released(OwnerRecord record, long version) {
+			PoolOwner.this.peers.released(record, version);
 			lost("given up");
 		}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -141,6 +141,8 @@
 
 		final OwnerElection election;
 
+		final JobIntake jobs;
+
 		Optional<PoolOwner> owner = Optional.empty();
 
 		private final PoolPorts ports;
@@ -152,11 +154,14 @@
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
 					PoolCell.this.time.clock(), DecisionLog.NONE);
+			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time);
+			this.jobs.start();
 			this.election = new OwnerElection(this.ports, name + life, name, this::won);
 		}
 
 		private void won(TakeOver taken) {
-			PoolOwner next = new PoolOwner(this.ports, taken, this, (reason) -> this.owner = Optional.empty());
+			PoolOwner next = new PoolOwner(this.ports, this.jobs, taken, this,
+					(reason) -> this.owner = Optional.empty());
 			this.owner = Optional.of(next);
 			next.configure(new QueueConfiguration(1, List.of(new QueueRoute("h", "/", 3000, policy(3))),
 					List.of(new WorkerService("salon", false))));
@@ -175,6 +180,11 @@
 			PoolCell.this.gateway.told(epoch, states, pending);
 		}
 
+		@Override
+		public void released(OwnerRecord record, long version) {
+			others().forEach((other) -> other.election.released(record, version));
+		}
+
 		@Override
 		public void inviteTakeOver(long epoch) {
 			others().forEach((other) -> other.election.invited(epoch));
@@ -200,6 +210,7 @@
 		/** The process is killed: nothing of it goes on. */
 		void kill() {
 			this.election.close();
+			this.jobs.close();
 			this.owner.ifPresent(PoolOwner::close);
 			this.owner = Optional.empty();
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -274,6 +274,27 @@
 			assertThat(cell.workers.startsOf(new TaskKey("a", 0, 0, 0))).isEqualTo(2);
 		}
 
+		@Test
+		void aSuccessorThatStoodReadyReadsNoPartition() {
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.withRunsOf(2000);
+			PoolOwnerTests.this.cell.submit("running", PoolCell.step(3, false), PoolCell.step(2, false, 0));
+			PoolOwnerTests.this.cell.time.runFor(700);
+			PoolOwnerTests.this.cell.table.readsTake(60_000);
+			first.kill();
+			PoolOwnerTests.this.cell.withRunsOf(PoolCell.RUN_MILLIS).submit("new", PoolCell.step(2, false));
+			PoolOwnerTests.this.cell.time.runFor(4000);
+			isServed("running", "new");
+		}
+
+		@Test
+		void aStoppedOwnerTellsItsSuccessorAtOnce() {
+			PoolCell.Scheduler first = beginWithTwo();
+			first.stop();
+			PoolOwnerTests.this.cell.time.runFor(40);
+			assertThat(PoolOwnerTests.this.cell.owner()).isNotSameAs(first);
+		}
+
 		@Test
 		void aStoppedOwnerHandsOverWithoutALapse() {
 			PoolCell.Scheduler first = beginWithTwo();
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/OwnerMessages.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/OwnerMessages.java
@@ -9,9 +9,12 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.JobNews;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.OwnerAlive;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.OwnerReleased;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatesNews;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.TakeOverRequest;
+import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.pool.OwnerPeers;
+import org.monsoonrelay.logic.pool.OwnerRecord;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.model.submission.SubmissionState;
@@ -53,6 +56,12 @@
 		tell(this.gateways.get(), Envelope.newBuilder().setStatesNews(news));
 	}
 
+	@Override
+	public void released(OwnerRecord record, long version) {
+		tell(this.schedulers.get(), Envelope.newBuilder()
+			.setOwnerReleased(OwnerReleased.newBuilder().setRecordJson(Json.write(record)).setVersion(version)));
+	}
+
 	@Override
 	public void inviteTakeOver(long epoch) {
 		tell(this.schedulers.get(),
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -21,6 +21,7 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Empty;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.JobAccepted;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.OwnerReleased;
 import org.monsoonrelay.adapters.settings.SettingsException;
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.platform.Json;
@@ -28,7 +29,9 @@
 import org.monsoonrelay.logic.pool.HostRecord;
 import org.monsoonrelay.logic.pool.LookOrder;
 import org.monsoonrelay.logic.pool.OwnerElection;
+import org.monsoonrelay.logic.pool.JobIntake;
 import org.monsoonrelay.logic.pool.OwnerPeers;
+import org.monsoonrelay.logic.pool.OwnerRecord;
 import org.monsoonrelay.logic.pool.PoolClock;
 import org.monsoonrelay.logic.pool.PoolOwner;
 import org.monsoonrelay.logic.pool.PoolPorts;
@@ -78,6 +81,8 @@
 
 	private final OwnerPeers peers;
 
+	private final JobIntake jobs;
+
 	private final OwnerElection election;
 
 	private final PoolPorts ports;
@@ -104,6 +109,7 @@
 		this.ports = new PoolPorts(this.table, new HttpWorkerOrders(), this.eligibility, this.control, PoolClock.SYSTEM,
 				this.log);
 		this.peers = new OwnerMessages(this.network, peerAddress, this.registry::peers, this.registry::gateways);
+		this.jobs = new JobIntake(this.table, this.control);
 		this.election = new OwnerElection(this.ports, incarnation, settings.host(), this::won);
 		MetricRegistry metrics = new MetricRegistry();
 		this.metricsServer = new HttpServer(new HostAddress(settings.ip(), METRICS_PORT), MAXIMUM_BODY_BYTES,
@@ -115,6 +121,7 @@
 		this.log.start();
 		this.network.listen();
 		this.registry.start();
+		this.control.execute(this.jobs::start);
 		this.election.start();
 		this.metricsServer.start();
 		this.log.write(new Decision.ProcessStarted(ROLE, this.settings.host(), this.settings.failureDomain(),
@@ -138,6 +145,7 @@
 		return switch (message.getBodyCase()) {
 			case TAKE_OVER_REQUEST -> Optional.of(() -> this.election.invited(message.getTakeOverRequest().getEpoch()));
 			case OWNER_ALIVE -> Optional.of(() -> this.election.heard(message.getOwnerAlive().getEpoch()));
+			case OWNER_RELEASED -> Optional.of(() -> released(message.getOwnerReleased()));
 			case JOB_ACCEPTED -> Optional.of(() -> accepted(message.getJobAccepted()));
 			case JOB_CANCELLED -> Optional.of(() -> this.term
 				.ifPresent((present) -> present.owner().cancelled(message.getJobCancelled().getJob())));
@@ -145,13 +153,17 @@
 		};
 	}
 
+	private void released(OwnerReleased message) {
+		this.election.released(Json.read(message.getRecordJson(), OwnerRecord.class), message.getVersion());
+	}
+
 	private void accepted(JobAccepted message) {
 		this.term.ifPresent((present) -> present.owner()
 			.accepted(Json.read(message.getSubmissionJson(), Submission.class), message.getVersion()));
 	}
 
 	private void won(TakeOver taken) {
-		PoolOwner owner = new PoolOwner(this.ports, taken, this.peers, this::over);
+		PoolOwner owner = new PoolOwner(this.ports, this.jobs, taken, this.peers, this::over);
 		Term next = new Term(owner, new ConfigurationFeed(this.table, this.control, this.log, owner::configure),
 				new HostListFeed(this.table, this.control, owner::workers));
 		this.term = Optional.of(next);
