Let tasks on silent workers wait alone

Change: the row tells which tasks may run on workers that do not answer; those tasks alone wait. Tests: aTaskOnAWorkerThatDoesNotAnswerHoldsUpNoOther; red with the rule taken out, and red with such tasks not waited for.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -273,8 +274,9 @@
 
 	private void attempt(String reason, long rivalMillis) {
 		this.trying = true;
-		OwnerRecord previous = this.current.orElse(new OwnerRecord("", "", NO_EPOCH, 0, true, List.of()));
-		OwnerRecord next = new OwnerRecord(this.holder, this.host, previous.epoch() + 1, 1, false, previous.workers());
+		OwnerRecord previous = this.current.orElse(new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of()));
+		OwnerRecord next = new OwnerRecord(this.holder, this.host, previous.epoch() + 1, 1, false, previous.workers(),
+				previous.silent());
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
@@ -286,7 +288,7 @@
 				return;
 			}
 			if (commit instanceof PartitionCommit.Committed committed) {
-				won(new TakeOver(next, committed.version(), sentNanos, sentMillis, previous.workers(), rivalMillis),
+				won(new TakeOver(next, committed.version(), sentNanos, sentMillis, previous, rivalMillis),
 						previous.host(), reason);
 			}
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
@@ -295,7 +297,7 @@
 					.filter((row) -> isNext(row, next))
 					.findAny()
 					.ifPresentOrElse((row) -> won(
-							new TakeOver(next, row.version(), sentNanos, sentMillis, previous.workers(), rivalMillis),
+							new TakeOver(next, row.version(), sentNanos, sentMillis, previous, rivalMillis),
 							previous.host(), reason), () -> changed(conflict.current()));
 			}
 		}));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The row that says who owns the pool. Immutable.
@@ -10,14 +11,17 @@
  * @param epoch grows with each change of owner; the fencing token of its orders
  * @param sequence grows with each write of the owner
  * @param released whether the owner has given the pool up
- * @param workers ids of the workers on which something may run by an owner's order; an
- * owner starts nothing on a worker before this row names it
+ * @param workers ids of the workers on which an owner may have started anything; an owner
+ * starts nothing on a worker before this row names it here
+ * @param silent tasks that may run on workers which do not answer, by the worker's id;
+ * nothing else was started there
  */
-public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released,
-		List<String> workers) {
+public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
+		Map<String, List<String>> silent) {
 
 	public OwnerRecord {
 		workers = List.copyOf(workers);
+		silent = (silent != null) ? Map.copyOf(silent) : Map.of();
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -160,9 +160,9 @@
 		if (this.releasing) {
 			this.listener.releasing();
 		}
-		List<String> named = this.workers.toName();
+		WorkerPool.Named named = this.workers.toName();
 		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
-				this.record.sequence() + 1, this.releasing, named);
+				this.record.sequence() + 1, this.releasing, named.workers(), named.silent());
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -244,7 +244,7 @@
 			this.accounted = true;
 			this.placer.accounted();
 			this.ports.log()
-				.write(new Decision.WorkersAccounted(this.epoch, this.taken.inherited().size(), ageMillis()));
+				.write(new Decision.WorkersAccounted(this.epoch, this.taken.inherited().workers().size(), ageMillis()));
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
@@ -1,7 +1,5 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.List;
-
 /**
  * How a process came to own the pool. Immutable.
  *
@@ -10,15 +8,11 @@
  * not know of this yet
  * @param sentNanos when the row was sent, on the steady clock
  * @param sentMillis when it was sent, by the time of day
- * @param inherited workers that the earlier owner's row named
+ * @param inherited the earlier owner's row
  * @param rivalMillis how long from now on the earlier owner may still take itself for the
  * owner and start jobs that it learns, milliseconds
  */
-public record TakeOver(OwnerRecord record, long version, long sentNanos, long sentMillis, List<String> inherited,
+public record TakeOver(OwnerRecord record, long version, long sentNanos, long sentMillis, OwnerRecord inherited,
 		long rivalMillis) {
 
-	public TakeOver {
-		inherited = List.copyOf(inherited);
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -90,7 +90,7 @@
 		this.jobs.openSteps(nowMillis);
 		List<WaitingStep> waiting = new ArrayList<>();
 		for (ActiveStep step : this.jobs.openSteps()) {
-			if (mayStart(step) && !step.waiting().isEmpty()) {
+			if (mayStart(step) && !waiting(step).isEmpty()) {
 				waiting.add(WaitingStep.of(step));
 			}
 			askAhead(step);
@@ -103,6 +103,13 @@
 		}
 	}
 
+	// A gang starts whole, so that it waits for each of its tasks.
+	private List<Integer> waiting(ActiveStep step) {
+		List<Integer> open = step.waiting();
+		List<Integer> sure = open.stream().filter((index) -> !this.pool.mayRunUnseen(step.key().task(index))).toList();
+		return (step.spec().gang() && sure.size() < open.size()) ? List.of() : sure;
+	}
+
 	private boolean mayStart(ActiveStep step) {
 		String job = step.job().id();
 		boolean isUnsure = !this.accounted && this.jobs.isInherited(job);
@@ -140,7 +147,7 @@
 
 	private void placeEach(ActiveStep step, GangDemand demand, Predicate<PoolWorker> open) {
 		Map<String, Integer> none = Map.of();
-		for (int index : step.waiting()) {
+		for (int index : waiting(step)) {
 			Optional<PoolWorker> worker = this.choice.choose(step, index,
 					candidates(step, none, open.and((candidate) -> hasTicket(step, candidate))), demand);
 			if (worker.isEmpty()) {
@@ -185,7 +192,7 @@
 			Predicate<PoolWorker> usable) {
 		Map<Integer, PoolWorker> plan = new LinkedHashMap<>();
 		Map<String, Integer> planned = new HashMap<>();
-		for (int index : step.waiting()) {
+		for (int index : waiting(step)) {
 			Optional<PoolWorker> worker = this.choice.choose(step, index, candidates(step, planned, usable), demand);
 			if (worker.isEmpty()) {
 				return Optional.empty();
@@ -273,7 +280,7 @@
 
 	private void askAhead(ActiveStep step) {
 		List<Run> alive = step.aliveRuns();
-		if (alive.isEmpty() || !step.waiting().isEmpty() || !policy(step).needsEligibility()) {
+		if (alive.isEmpty() || !waiting(step).isEmpty() || !policy(step).needsEligibility()) {
 			return;
 		}
 		double share = ASK_AHEAD_SHARE * step.spec().estimateMillis();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -9,6 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
+
+import org.monsoonrelay.model.submission.TaskKey;
 
 /**
  * The workers of the pool, by the id of their life. A worker stays known after the list
@@ -23,13 +26,18 @@
 
 	private final Set<String> inherited = new HashSet<>();
 
+	private final Map<String, Set<TaskKey>> unseen = new HashMap<>();
+
 	/**
-	 * Take over the workers that an earlier owner's row named.
-	 * @param ids the workers' ids
+	 * Take over the workers that an earlier owner's row names.
+	 * @param earlier the row
 	 */
-	void inherit(Collection<String> ids) {
-		this.inherited.addAll(ids);
-		this.named.addAll(ids);
+	void inherit(OwnerRecord earlier) {
+		this.inherited.addAll(earlier.workers());
+		this.named.addAll(earlier.workers());
+		earlier.silent()
+			.forEach((worker, tasks) -> this.unseen.put(worker,
+					Set.copyOf(tasks.stream().map(TaskKey::parse).toList())));
 	}
 
 	/**
@@ -64,6 +72,7 @@
 	 */
 	void accounted(String id) {
 		this.inherited.remove(id);
+		this.unseen.remove(id);
 	}
 
 	/**
@@ -79,27 +88,42 @@
 	 */
 	void forgetInherited() {
 		this.inherited.clear();
+		this.unseen.clear();
 	}
 
 	/**
-	 * Workers that the owner's row has to name from its next write on: those on which
-	 * something may run or may be started. The others take nothing until a row names them
-	 * again. A worker that left without runs would otherwise hold up the next owner for
-	 * the length of a lease.
-	 * @return their ids
+	 * Whether a task may run on a worker that did not answer an earlier owner and has not
+	 * been heard of since.
+	 * @param task the task
+	 * @return {@code true} if so
 	 */
-	List<String> toName() {
+	boolean mayRunUnseen(TaskKey task) {
+		return this.unseen.values().stream().anyMatch((tasks) -> tasks.contains(task));
+	}
+
+	/**
+	 * What the owner's row has to say of the workers from its next write on. A worker
+	 * that does not answer takes nothing until a row names it again, so that no more than
+	 * its present runs can be there. One that left would otherwise hold up all jobs of
+	 * the next owner for the length of a lease, which was seen to take 9.4 s.
+	 * @return the workers
+	 */
+	Named toName() {
 		Set<String> ids = new HashSet<>(this.inherited);
+		Map<String, List<String>> silent = new HashMap<>();
+		this.unseen.forEach((worker, tasks) -> silent.put(worker, tasks.stream().map(TaskKey::toString).toList()));
 		for (PoolWorker worker : this.workers.values()) {
-			if (worker.isReached() || (!worker.isLost() && worker.runCount() > 0)) {
+			if (worker.isReached()) {
 				ids.add(worker.id());
+				continue;
 			}
-			else {
-				worker.unname();
-				this.named.remove(worker.id());
+			worker.unname();
+			this.named.remove(worker.id());
+			if (!worker.isLost() && worker.runCount() > 0) {
+				silent.put(worker.id(), worker.runs().stream().map((run) -> run.task().toString()).toList());
 			}
 		}
-		return ids.stream().sorted().toList();
+		return new Named(ids.stream().sorted().toList(), silent).bounded();
 	}
 
 	boolean hasUnnamed() {
@@ -140,4 +164,28 @@
 		return this.workers.values();
 	}
 
+	/**
+	 * What an owner's row says of the workers. Immutable.
+	 *
+	 * @param workers those on which anything may run
+	 * @param silent tasks on workers that do not answer
+	 */
+	record Named(List<String> workers, Map<String, List<String>> silent) {
+
+		/** Most tasks in a row; a row takes 48 KB, a task 24 bytes. */
+		private static final int MOST_TASKS = 1000;
+
+		private Named bounded() {
+			if (this.silent.values().stream().mapToInt(List::size).sum() <= MOST_TASKS) {
+				return this;
+			}
+			List<String> all = Stream.concat(this.workers.stream(), this.silent.keySet().stream())
+				.distinct()
+				.sorted()
+				.toList();
+			return new Named(all, Map.of());
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -158,6 +158,28 @@
 			isServed("a", "b");
 		}
 
+		@Test
+		void aTaskOnAWorkerThatDoesNotAnswerHoldsUpNoOther() {
+			PoolOwnerTests.this.cell.withRunsOf(60_000);
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.submit("long", PoolCell.step(1, false));
+			PoolOwnerTests.this.cell.time.runFor(200);
+			PoolOwnerTests.this.cell.withRunsOf(PoolCell.RUN_MILLIS);
+			String holder = PoolOwnerTests.this.cell.workers.holderOf(new TaskKey("long", 0, 0, 0));
+			first.workerClient.cut(holder);
+			PoolOwnerTests.this.cell.time.runFor(1500);
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(8, true));
+			PoolOwnerTests.this.cell.submit("b", PoolCell.step(8, true));
+			PoolOwnerTests.this.cell.time.runFor(100);
+			PoolOwnerTests.this.cell.schedulers.get(1).workerClient.cut(holder);
+			first.kill();
+			PoolOwnerTests.this.cell.time.runFor(2500);
+			isServed("a", "b");
+			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("long", 0, 0, 0))).isEqualTo(1);
+			PoolOwnerTests.this.cell.time.runFor(2 * LEASE_OVER_MILLIS);
+			isServed("long");
+		}
+
 		@Test
 		void anInvitationThatComesLateIsWithoutEffect() {
 			PoolCell.Scheduler first = beginWithTwo();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -68,6 +68,15 @@
 			.toList();
 	}
 
+	String holderOf(TaskKey task) {
+		return this.machines.values()
+			.stream()
+			.filter((machine) -> machine.running.containsKey(task))
+			.map((machine) -> machine.info.id())
+			.findFirst()
+			.orElseThrow();
+	}
+
 	/**
 	 * A worker stops for good and is listed no more.
 	 * @param id the worker
