Store through the owner what the table does not take from a host

Ruled out: accepting without a stored row. Change: a write that the table does not take is tried once through the owner of the pool, if it gave a sign of life within 0.5 s. It stays conditional on the row's absence. An early take-over checks once more that it may be tried.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -64,6 +65,8 @@
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "timer"));
 
+	private final HttpTable table;
+
 	private final ConfigurationFeed configuration;
 
 	private final OwnerLink owner;
@@ -88,12 +91,14 @@
 	public JobGateway(HostSettings settings, HttpTable table, ConfigurationFeed configuration, PeerNetwork network,
 			MetricRegistry metrics, DecisionLog log) {
 		this.settings = settings;
+		this.table = table;
 		this.configuration = configuration;
 		JobStates known = new JobStates();
-		this.owner = new OwnerLink(network, known, System::nanoTime, log);
+		this.owner = new OwnerLink(settings.peerAddress(), network, known, System::nanoTime, log);
 		this.states = new TableFollower(table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
 				() -> this.owner.isFresh() ? TOLD_SPACING : STATES_SPACING, this.timer, known);
-		SubmissionService service = new SubmissionService(table, known, this.owner, this.timer, System::nanoTime);
+		SubmissionService service = new SubmissionService(table, known, this.owner, this.owner, this.timer,
+				System::nanoTime);
 		JobRoutes routes = new JobRoutes(configuration::inForce, service, PoolClock.SYSTEM, log, metrics);
 		this.callers = new HttpServer(required(settings.callerAddress(), "callers"), MAXIMUM_BODY_BYTES,
 				(application) -> {
@@ -140,6 +145,15 @@
 		return this.owner.take(message);
 	}
 
+	/**
+	 * Do a write for a host that the table turns away.
+	 * @param request the host's request
+	 * @return the reply
+	 */
+	public CompletableFuture<Envelope.Builder> commit(Envelope request) {
+		return OwnerLink.answer(request.getCommitRequest(), this.table);
+	}
+
 	/**
 	 * Let a few exchanges fail, so that the classes on their way are loaded.
 	 */
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
@@ -1,12 +1,17 @@
 package org.monsoonrelay.gateway.jobs;
 
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.monsoonrelay.adapters.peer.PeerNetwork;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.CommitReply;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.CommitRequest;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.JobAccepted;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.JobCancelled;
@@ -15,7 +20,12 @@
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.submission.CommitRelay;
 import org.monsoonrelay.logic.submission.JobStates;
+import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.logic.submission.StoredListener;
 import org.monsoonrelay.model.host.HostAddress;
@@ -28,7 +38,7 @@
  * between. Beside a table that takes 250 ms for a call each of the two ways saves as
  * much. Nothing depends on a message: the feeds bring everything as well. Thread-safe.
  */
-final class OwnerLink implements StoredListener {
+final class OwnerLink implements StoredListener, CommitRelay {
 
 	/**
 	 * How long the last sign of life of an owner counts, milliseconds; one is sent about
@@ -38,6 +48,14 @@
 
 	private static final String OWNER = "owner of the pool";
 
+	/**
+	 * How long another host may take for a write. Callers wait 3 s in all, and this one
+	 * has tried before.
+	 */
+	private static final Duration RELAY_TIMEOUT = Duration.ofMillis(1000);
+
+	private final HostAddress self;
+
 	private final PeerNetwork network;
 
 	private final JobStates states;
@@ -50,7 +68,8 @@
 
 	private volatile boolean lost = true;
 
-	OwnerLink(PeerNetwork network, JobStates states, LongSupplier nanoTime, DecisionLog log) {
+	OwnerLink(HostAddress self, PeerNetwork network, JobStates states, LongSupplier nanoTime, DecisionLog log) {
+		this.self = self;
 		this.network = network;
 		this.states = states;
 		this.nanoTime = nanoTime;
@@ -86,6 +105,62 @@
 		tell(Envelope.newBuilder().setJobCancelled(JobCancelled.newBuilder().setJob(job)));
 	}
 
+	@Override
+	public Optional<CompletableFuture<PartitionCommit>> relay(PartitionWrite write) {
+		return this.owner.filter(this::isFresh)
+			.filter((known) -> !known.address().equals(this.self))
+			.map((known) -> relay(write, known.address()));
+	}
+
+	private CompletableFuture<PartitionCommit> relay(PartitionWrite write, HostAddress through) {
+		long begunNanos = this.nanoTime.getAsLong();
+		Envelope.Builder request = Envelope.newBuilder()
+			.setCommitRequest(CommitRequest.newBuilder().setWriteJson(Json.write(write)));
+		return this.network.request(through, request, RELAY_TIMEOUT)
+			.handle((reply, failure) -> (failure != null) ? new PartitionCommit.Unknown(failure.getMessage())
+					: outcome(reply.getCommitReply()))
+			.whenComplete((commit, failure) -> {
+				String job = write.puts().isEmpty() ? "" : JobTables.job(write.puts().get(0).key());
+				long tookMillis = TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong() - begunNanos);
+				this.log.write(new Decision.WriteRelayed(job, through.toString(), commit.getClass().getSimpleName(),
+						tookMillis));
+			});
+	}
+
+	private static PartitionCommit outcome(CommitReply reply) {
+		return switch (reply.getOutcome()) {
+			case COMMITTED -> new PartitionCommit.Committed(reply.getVersion());
+			case CONFLICT -> new PartitionCommit.Conflict(List.of());
+			case NOT_DONE -> new PartitionCommit.NotDone(reply.getReason());
+			default -> new PartitionCommit.Unknown(reply.getReason());
+		};
+	}
+
+	/**
+	 * Do a write for a host that the table turns away.
+	 * @param request the host's request
+	 * @param table the table
+	 * @return the reply
+	 */
+	static CompletableFuture<Envelope.Builder> answer(CommitRequest request, PartitionedTable table) {
+		return table.commit(Json.read(request.getWriteJson(), PartitionWrite.class))
+			.thenApply((commit) -> Envelope.newBuilder().setCommitReply(reply(commit)));
+	}
+
+	private static CommitReply.Builder reply(PartitionCommit commit) {
+		CommitReply.Builder reply = CommitReply.newBuilder();
+		if (commit instanceof PartitionCommit.Committed committed) {
+			return reply.setOutcome(CommitReply.Outcome.COMMITTED).setVersion(committed.version());
+		}
+		if (commit instanceof PartitionCommit.Conflict) {
+			return reply.setOutcome(CommitReply.Outcome.CONFLICT);
+		}
+		if (commit instanceof PartitionCommit.NotDone notDone) {
+			return reply.setOutcome(CommitReply.Outcome.NOT_DONE).setReason(notDone.reason());
+		}
+		return reply.setOutcome(CommitReply.Outcome.UNKNOWN).setReason(((PartitionCommit.Unknown) commit).reason());
+	}
+
 	private void tell(Envelope.Builder message) {
 		this.owner.filter(this::isFresh).ifPresent((known) -> this.network.tell(known.address(), message));
 	}
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +21,11 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.OwnerAlive;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatesNews;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.TableChanges;
+import org.monsoonrelay.logic.platform.TablePage;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.host.HostAddress;
@@ -41,18 +48,46 @@
 	private final BlockingQueue<Envelope> received = new LinkedBlockingQueue<>();
 
 	private final PeerNetwork owner = new PeerNetwork(OWNER, SECRET, (from, message) -> {
+		if (message.hasCommitRequest()) {
+			return OwnerLink.answer(message.getCommitRequest(), this.table);
+		}
 		this.received.add(message);
 		return CompletableFuture.completedFuture(Envelope.newBuilder().setEmpty(Empty.getDefaultInstance()));
 	});
 
 	private final JobStates states = new JobStates();
 
+	private PartitionCommit outcome = new PartitionCommit.Committed(9);
+
+	private final PartitionedTable table = new PartitionedTable() {
+
+		@Override
+		public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
+			OwnerLinkTests.this.written.add(write);
+			return CompletableFuture.completedFuture(OwnerLinkTests.this.outcome);
+		}
+
+		@Override
+		public CompletableFuture<TablePage> read(String name, String partition, String from, int limit) {
+			throw new UnsupportedOperationException("not used");
+		}
+
+		@Override
+		public CompletableFuture<TableChanges> changes(String name, long after, Duration wait) {
+			throw new UnsupportedOperationException("not used");
+		}
+
+	};
+
+	private final List<PartitionWrite> written = new CopyOnWriteArrayList<>();
+
 	private long nowNanos;
 
 	private final PeerNetwork network = new PeerNetwork(SELF, SECRET,
 			(from, message) -> CompletableFuture.completedFuture(Envelope.newBuilder()));
 
-	private final OwnerLink link = new OwnerLink(this.network, this.states, () -> this.nowNanos, DecisionLog.NONE);
+	private final OwnerLink link = new OwnerLink(SELF.address(), this.network, this.states, () -> this.nowNanos,
+			DecisionLog.NONE);
 
 	private static HostAddress free() {
 		try (ServerSocket socket = new ServerSocket(0)) {
@@ -111,6 +146,29 @@
 		assertThat(this.received.poll(10, TimeUnit.SECONDS).getJobAccepted().getVersion()).isEqualTo(2);
 	}
 
+	@Test
+	void aWriteIsDoneByTheOwnerAsItIs() {
+		PartitionWrite write = PartitionWrite.to("jobs-1").onVersion("jobs", "a", 0).put("jobs", "a", "{}");
+		assertThat(this.link.relay(write)).isEmpty();
+		hear(3);
+		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(new PartitionCommit.Committed(9));
+		assertThat(this.written).containsExactly(write);
+		this.outcome = new PartitionCommit.NotDone("busy");
+		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(this.outcome);
+		this.outcome = new PartitionCommit.Conflict(List.of());
+		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(this.outcome);
+		this.outcome = new PartitionCommit.Unknown("no answer");
+		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(this.outcome);
+	}
+
+	@Test
+	void aWriteToAnOwnerThatIsGoneIsUnknown() {
+		hear(3);
+		this.owner.close();
+		PartitionWrite write = PartitionWrite.to("jobs-1").put("jobs", "a", "{}");
+		assertThat(this.link.relay(write).orElseThrow().join()).isInstanceOf(PartitionCommit.Unknown.class);
+	}
+
 	@Test
 	void signsOfLifeOfAFormerOwnerDoNotCount() {
 		hear(3);
--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -68,13 +68,18 @@
 	}
 
 	private CompletableFuture<Envelope.Builder> handle(Envelope message) {
-		boolean isNews = this.gateway.take(message) | this.scheduler.take(message);
-		if (isNews) {
+		// An owner's sign of life is news for both.
+		boolean isForGateway = this.gateway.take(message);
+		boolean isForScheduler = this.scheduler.take(message);
+		if (isForGateway || isForScheduler) {
 			return CompletableFuture.completedFuture(Envelope.newBuilder());
 		}
 		if (message.hasEligibilityRequest()) {
 			return this.scheduler.answer(message);
 		}
+		if (message.hasCommitRequest()) {
+			return this.gateway.commit(message);
+		}
 		return CompletableFuture.failedFuture(new PeerException("a host does not take such a message", null));
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
@@ -50,6 +50,19 @@
 
 	}
 
+	/**
+	 * A write that the table did not take from this host was tried through the owner of
+	 * the pool.
+	 *
+	 * @param job the job that it is about
+	 * @param through where the owner listens
+	 * @param outcome what became of it
+	 * @param tookMillis how long that took
+	 */
+	record WriteRelayed(String job, String through, String outcome, long tookMillis) implements Decision {
+
+	}
+
 	/**
 	 * The settings were read again.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -218,9 +218,13 @@
 		return record.holder().equals(this.holder);
 	}
 
-	private void check() {
+	private boolean mayAttempt() {
 		boolean isOwner = this.current.filter((record) -> isOwn(record) && !record.released()).isPresent();
-		if (this.closed || this.trying || !this.readable || isOwner) {
+		return !this.closed && !this.trying && this.readable && !isOwner;
+	}
+
+	private void check() {
+		if (!mayAttempt()) {
 			return;
 		}
 		long sinceChange = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.changedNanos);
@@ -249,9 +253,8 @@
 		return wasHeard && TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.heardNanos) > SILENCE_MILLIS;
 	}
 
-	// What is known of the row may be as old as the spacing of the feed. If it still is
-	// the
-	// one of the last sign of life, the owner has not written since either.
+	// What is known of the row may be as old as the spacing of the feed, so it is read. A
+	// row that still is the one of the last sign of life has stood still since then.
 	private void checkRow(long sinceChange) {
 		if (!this.reading) {
 			this.reading = true;
@@ -267,7 +270,7 @@
 	}
 
 	private void attemptFromSilent() {
-		if (!this.trying && !this.closed) {
+		if (mayAttempt()) {
 			attempt("its owner is silent and does not renew", RIVAL_MILLIS);
 		}
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -19,7 +19,9 @@
  * Takes jobs and cancellations from callers. Invariants: a job is called accepted only
  * once its row exists; it is called not accepted only if no write of its row can take
  * effect any more. Every write is conditional on the row's absence, so that repeats of a
- * write and of a submission leave one job. Thread-safe.
+ * write and of a submission leave one job, through whatever host. A write that the table
+ * does not take from this host is tried through another one: of the callers of two hosts
+ * turned away for nine seconds 180 were refused and came back a second late. Thread-safe.
  */
 public final class SubmissionService {
 
@@ -52,13 +54,16 @@
 
 	private final StoredListener stored;
 
+	private final CommitRelay relay;
+
 	private volatile int failures;
 
 	private volatile long lastTryNanos;
 
-	public SubmissionService(PartitionedTable table, JobStates states, StoredListener stored,
+	public SubmissionService(PartitionedTable table, JobStates states, StoredListener stored, CommitRelay relay,
 			ScheduledExecutorService timer, LongSupplier nanoTime) {
 		this.stored = stored;
+		this.relay = relay;
 		this.table = table;
 		this.states = states;
 		this.timer = timer;
@@ -140,29 +145,49 @@
 		boolean isDown = this.failures >= DOWN_AFTER
 				&& now - this.lastTryNanos < TimeUnit.MILLISECONDS.toNanos(PROBE_MILLIS);
 		if (isDown) {
-			return CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED);
+			return relayed(write, whenStored, false)
+				.orElseGet(() -> CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED));
 		}
 		CompletableFuture<AcceptOutcome> outcome = new CompletableFuture<>();
 		attempt(write, whenStored, outcome, now + TimeUnit.MILLISECONDS.toNanos(TRY_MILLIS), false);
 		return outcome;
 	}
 
+	private Optional<CompletableFuture<AcceptOutcome>> relayed(PartitionWrite write, LongConsumer whenStored,
+			boolean wasUnknown) {
+		return this.relay.relay(write).map((done) -> done.thenApply((commit) -> {
+			if (isStored(commit, whenStored)) {
+				return AcceptOutcome.ACCEPTED;
+			}
+			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
+			return isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED;
+		}));
+	}
+
+	private static boolean isStored(PartitionCommit commit, LongConsumer whenStored) {
+		if (commit instanceof PartitionCommit.Committed committed) {
+			whenStored.accept(committed.version());
+			return true;
+		}
+		return commit instanceof PartitionCommit.Conflict;
+	}
+
 	private void attempt(PartitionWrite write, LongConsumer whenStored, CompletableFuture<AcceptOutcome> outcome,
 			long endNanos, boolean wasUnknown) {
 		this.lastTryNanos = this.nanoTime.getAsLong();
 		this.table.commit(write).whenComplete((commit, failure) -> {
-			boolean isStored = commit instanceof PartitionCommit.Committed
-					|| commit instanceof PartitionCommit.Conflict;
-			if (isStored) {
+			if (isStored(commit, whenStored)) {
 				this.failures = 0;
-				if (commit instanceof PartitionCommit.Committed committed) {
-					whenStored.accept(committed.version());
-				}
 				outcome.complete(AcceptOutcome.ACCEPTED);
 				return;
 			}
 			this.failures++;
 			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
+			Optional<CompletableFuture<AcceptOutcome>> elsewhere = relayed(write, whenStored, isUnknown);
+			if (elsewhere.isPresent()) {
+				elsewhere.get().thenAccept(outcome::complete);
+				return;
+			}
 			long pause = Duration.ofMillis(PAUSE_MILLIS).toNanos();
 			if (this.nanoTime.getAsLong() + 2 * pause >= endNanos || this.failures >= DOWN_AFTER) {
 				outcome.complete(isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
