Count leaving workers as closed, and find the request guard in any order

Cause of the first: a leaving worker takes nothing new but stood among those on which anything may run; once gone it held up all jobs of the next owner for 9.4 s. Cause of the second: Netty looks for the guard of our HTTP servers when the first server of a process is set up; if that was the peers' one, requests went unguarded. CallerRoutesTests showed it (13 of its tests red) as soon as another test of the module listened for peers before; the programs set up the HTTP server first. Change: leaving workers are told of like silent ones; whoever sets up a server lets Netty find the guard. Tests: aTaskOnAWorkerThatLeavesHoldsUpNoOther, red with the rule taken out; CallerRoutesTests beside OwnerLinkTests, red before.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/RequestGuardInstaller.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/RequestGuardInstaller.java
@@ -23,7 +23,11 @@
 
 	private static final Map<Integer, RequestLimits> LIMITS = new ConcurrentHashMap<>();
 
-	static void enable() {
+	/**
+	 * Let Netty find this class. It looks once, when the first server of the process is
+	 * set up, so that whoever sets one up calls this before.
+	 */
+	public static void enable() {
 		System.setProperty(EXTENSIONS_SYSTEM_PROPERTY, "serviceload");
 	}
 
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.monsoonrelay.adapters.http.RequestGuardInstaller;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Hello;
 import org.monsoonrelay.model.host.HostAddress;
@@ -53,6 +54,10 @@
 
 	private Channel server;
 
+	static {
+		RequestGuardInstaller.enable();
+	}
+
 	public PeerNetwork(PeerIdentity self, String secret, PeerHandler handler) {
 		this(self, secret, handler, PeerTimings.DEFAULT);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -279,7 +279,7 @@
 		this.trying = true;
 		OwnerRecord previous = this.current.orElse(new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of()));
 		OwnerRecord next = new OwnerRecord(this.holder, this.host, previous.epoch() + 1, 1, false, previous.workers(),
-				previous.silent());
+				previous.closed());
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -13,15 +13,15 @@
  * @param released whether the owner has given the pool up
  * @param workers ids of the workers on which an owner may have started anything; an owner
  * starts nothing on a worker before this row names it here
- * @param silent tasks that may run on workers which do not answer, by the worker's id;
- * nothing else was started there
+ * @param closed tasks that may run on workers which do not answer or are leaving, by the
+ * worker's id; nothing else was started there
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
-		Map<String, List<String>> silent) {
+		Map<String, List<String>> closed) {
 
 	public OwnerRecord {
 		workers = List.copyOf(workers);
-		silent = (silent != null) ? Map.copyOf(silent) : Map.of();
+		closed = (closed != null) ? Map.copyOf(closed) : Map.of();
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -162,7 +162,7 @@
 		}
 		WorkerPool.Named named = this.workers.toName();
 		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
-				this.record.sequence() + 1, this.releasing, named.workers(), named.silent());
+				this.record.sequence() + 1, this.releasing, named.workers(), named.closed());
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -68,8 +68,16 @@
 	 * @return {@code true} if so
 	 */
 	boolean isOpen(long nowNanos) {
-		return this.reached && this.listed && this.named && !this.lost && !this.info.draining()
-				&& !this.failures.isAvoided(nowNanos);
+		return isUsable() && this.named && !this.failures.isAvoided(nowNanos);
+	}
+
+	/**
+	 * Whether the worker can take new work, now or after a pause: it answers, the list
+	 * names it and it is not leaving.
+	 * @return {@code true} if so
+	 */
+	boolean isUsable() {
+		return this.reached && this.listed && !this.lost && !this.info.draining();
 	}
 
 	Resources free() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -35,7 +35,7 @@
 	void inherit(OwnerRecord earlier) {
 		this.inherited.addAll(earlier.workers());
 		this.named.addAll(earlier.workers());
-		earlier.silent()
+		earlier.closed()
 			.forEach((worker, tasks) -> this.unseen.put(worker,
 					Set.copyOf(tasks.stream().map(TaskKey::parse).toList())));
 	}
@@ -92,8 +92,8 @@
 	}
 
 	/**
-	 * Whether a task may run on a worker that did not answer an earlier owner and has not
-	 * been heard of since.
+	 * Whether a task may run on a worker that did not answer an earlier owner or was
+	 * leaving then, and has not been heard of since.
 	 * @param task the task
 	 * @return {@code true} if so
 	 */
@@ -103,33 +103,34 @@
 
 	/**
 	 * What the owner's row has to say of the workers from its next write on. A worker
-	 * that does not answer takes nothing until a row names it again, so that no more than
-	 * its present runs can be there. One that left would otherwise hold up all jobs of
-	 * the next owner for the length of a lease, which was seen to take 9.4 s.
+	 * that does not answer or is leaving takes nothing until a row names it again, so
+	 * that no more than its present runs can be there. One that is gone would otherwise
+	 * hold up all jobs of the next owner for the length of a lease, which was seen to
+	 * take 9.4 s.
 	 * @return the workers
 	 */
 	Named toName() {
 		Set<String> ids = new HashSet<>(this.inherited);
-		Map<String, List<String>> silent = new HashMap<>();
-		this.unseen.forEach((worker, tasks) -> silent.put(worker, tasks.stream().map(TaskKey::toString).toList()));
+		Map<String, List<String>> closed = new HashMap<>();
+		this.unseen.forEach((worker, tasks) -> closed.put(worker, tasks.stream().map(TaskKey::toString).toList()));
 		for (PoolWorker worker : this.workers.values()) {
-			if (worker.isReached()) {
+			if (worker.isUsable()) {
 				ids.add(worker.id());
 				continue;
 			}
 			worker.unname();
 			this.named.remove(worker.id());
 			if (!worker.isLost() && worker.runCount() > 0) {
-				silent.put(worker.id(), worker.runs().stream().map((run) -> run.task().toString()).toList());
+				closed.put(worker.id(), worker.runs().stream().map((run) -> run.task().toString()).toList());
 			}
 		}
-		return new Named(ids.stream().sorted().toList(), silent).bounded();
+		return new Named(ids.stream().sorted().toList(), closed).bounded();
 	}
 
 	boolean hasUnnamed() {
 		return this.workers.values()
 			.stream()
-			.anyMatch((worker) -> worker.isReached() && !this.named.contains(worker.id()));
+			.anyMatch((worker) -> worker.isUsable() && !this.named.contains(worker.id()));
 	}
 
 	/**
@@ -168,18 +169,18 @@
 	 * What an owner's row says of the workers. Immutable.
 	 *
 	 * @param workers those on which anything may run
-	 * @param silent tasks on workers that do not answer
+	 * @param closed tasks on workers that take nothing new
 	 */
-	record Named(List<String> workers, Map<String, List<String>> silent) {
+	record Named(List<String> workers, Map<String, List<String>> closed) {
 
 		/** Most tasks in a row; a row takes 48 KB, a task 24 bytes. */
 		private static final int MOST_TASKS = 1000;
 
 		private Named bounded() {
-			if (this.silent.values().stream().mapToInt(List::size).sum() <= MOST_TASKS) {
+			if (this.closed.values().stream().mapToInt(List::size).sum() <= MOST_TASKS) {
 				return this;
 			}
-			List<String> all = Stream.concat(this.workers.stream(), this.silent.keySet().stream())
+			List<String> all = Stream.concat(this.workers.stream(), this.closed.keySet().stream())
 				.distinct()
 				.sorted()
 				.toList();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -180,6 +180,27 @@
 			isServed("long");
 		}
 
+		@Test
+		void aTaskOnAWorkerThatLeavesHoldsUpNoOther() {
+			PoolOwnerTests.this.cell.withRunsOf(60_000);
+			PoolCell.Scheduler first = beginWithTwo();
+			PoolOwnerTests.this.cell.submit("long", PoolCell.step(1, false));
+			PoolOwnerTests.this.cell.time.runFor(200);
+			PoolOwnerTests.this.cell.withRunsOf(PoolCell.RUN_MILLIS);
+			String holder = PoolOwnerTests.this.cell.workers.holderOf(new TaskKey("long", 0, 0, 0));
+			PoolOwnerTests.this.cell.workers.drain(holder);
+			PoolOwnerTests.this.cell.time.runFor(1000);
+			PoolOwnerTests.this.cell.submit("a", PoolCell.step(8, true));
+			PoolOwnerTests.this.cell.submit("b", PoolCell.step(8, true));
+			PoolOwnerTests.this.cell.time.runFor(100);
+			PoolOwnerTests.this.cell.workers.crash(holder);
+			first.kill();
+			PoolOwnerTests.this.cell.time.runFor(2500);
+			isServed("a", "b");
+			PoolOwnerTests.this.cell.time.runFor(2 * LEASE_OVER_MILLIS);
+			isServed("long");
+		}
+
 		@Test
 		void anInvitationThatComesLateIsWithoutEffect() {
 			PoolCell.Scheduler first = beginWithTwo();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -68,6 +68,17 @@
 			.toList();
 	}
 
+	/**
+	 * A worker says that it is about to leave.
+	 * @param id the worker
+	 */
+	void drain(String id) {
+		Machine machine = this.machines.get(id);
+		WorkerInfo info = machine.info;
+		machine.info = new WorkerInfo(info.id(), info.service(), info.address(), info.failureDomain(), info.capacity(),
+				info.labels(), info.rack(), true, 2000);
+	}
+
 	String holderOf(TaskKey task) {
 		return this.machines.values()
 			.stream()
@@ -115,7 +126,7 @@
 
 		private final List<EndedTask> ended = new ArrayList<>();
 
-		private final WorkerInfo info;
+		private WorkerInfo info;
 
 		private long fence;
 
