--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
@@ -82,7 +82,7 @@
 	 * @return {@code true} if so
 	 */
 	boolean isFresh() {
-		boolean isFresh = this.owner.filter(this::isFresh).isPresent();
+		boolean isFresh = this.owner.filter(this::wasHeardLately).isPresent();
 		if (!isFresh && !this.lost) {
 			this.lost = true;
 			this.log.write(new Decision.DependencyLost(OWNER, "no sign of life for " + FRESH_MILLIS + " ms"));
@@ -90,7 +90,7 @@
 		return isFresh;
 	}
 
-	private boolean isFresh(Owner known) {
+	private boolean wasHeardLately(Owner known) {
 		return this.nanoTime.getAsLong() - known.heardNanos() < TimeUnit.MILLISECONDS.toNanos(FRESH_MILLIS);
 	}
 
@@ -107,7 +107,7 @@
 
 	@Override
 	public Optional<CompletableFuture<PartitionCommit>> relay(PartitionWrite write) {
-		return this.owner.filter(this::isFresh)
+		return this.owner.filter(this::wasHeardLately)
 			.filter((known) -> !known.address().equals(this.self))
 			.map((known) -> relay(write, known.address()));
 	}
@@ -162,7 +162,7 @@
 	}
 
 	private void tell(Envelope.Builder message) {
-		this.owner.filter(this::isFresh).ifPresent((known) -> this.network.tell(known.address(), message));
+		this.owner.filter(this::wasHeardLately).ifPresent((known) -> this.network.tell(known.address(), message));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -20,8 +20,9 @@
  * once its row exists; it is called not accepted only if no write of its row can take
  * effect any more. Every write is conditional on the row's absence, so that repeats of a
  * write and of a submission leave one job, through whatever host. A write that the table
- * does not take from this host is tried through another one: of the callers of two hosts
- * turned away for nine seconds 180 were refused and came back a second late. Thread-safe.
+ * does not take from this host is tried through another one: while two of seven hosts
+ * were turned away for nine seconds 33 submissions were refused instead of 160 to 193
+ * (plays of one load). Thread-safe.
  */
 public final class SubmissionService {
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -8,11 +8,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.adapters.peer.PeerIdentity;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
-import org.monsoonrelay.adapters.peer.generated.PeerMessages.JobAccepted;
-import org.monsoonrelay.adapters.peer.generated.PeerMessages.OwnerReleased;
 import org.monsoonrelay.adapters.settings.SettingsException;
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
@@ -44,6 +43,8 @@
  */
 public final class PoolScheduler {
 
+	private static final System.Logger LOGGER = System.getLogger(PoolScheduler.class.getName());
+
 	private static final int REHEARSALS = 5;
 
 	/**
@@ -148,21 +149,32 @@
 				Optional.of(() -> this.election.invited(message.getTakeOverRequest().getVersion()));
 			case OWNER_ALIVE -> Optional.of(() -> this.election.heard(message.getOwnerAlive().getEpoch(),
 					message.getOwnerAlive().getVersion()));
-			case OWNER_RELEASED -> Optional.of(() -> released(message.getOwnerReleased()));
-			case JOB_ACCEPTED -> Optional.of(() -> accepted(message.getJobAccepted()));
+			case OWNER_RELEASED -> read(message.getOwnerReleased().getRecordJson(), OwnerRecord.class)
+				.map((record) -> () -> this.election.released(record, message.getOwnerReleased().getVersion()));
+			case JOB_ACCEPTED -> read(message.getJobAccepted().getSubmissionJson(), Submission.class)
+				.map((submission) -> () -> accepted(submission, message.getJobAccepted().getVersion()));
 			case JOB_CANCELLED -> Optional.of(() -> this.term
 				.ifPresent((present) -> present.owner().cancelled(message.getJobCancelled().getJob())));
 			default -> Optional.empty();
 		};
 	}
 
-	private void released(OwnerReleased message) {
-		this.election.released(Json.read(message.getRecordJson(), OwnerRecord.class), message.getVersion());
+	// Read before the control thread gets it: what a peer of another release sends must
+	// not
+	// stop this process.
+	private static <T> Optional<T> read(String json, Class<T> type) {
+		try {
+			return Optional.of(Json.readLeniently(json, type));
+		}
+		catch (JsonProcessingException ex) {
+			LOGGER.log(System.Logger.Level.WARNING, "a peer's message is not readable and left out: {0}",
+					ex.getOriginalMessage());
+			return Optional.empty();
+		}
 	}
 
-	private void accepted(JobAccepted message) {
-		this.term.ifPresent((present) -> present.owner()
-			.accepted(Json.read(message.getSubmissionJson(), Submission.class), message.getVersion()));
+	private void accepted(Submission submission, long version) {
+		this.term.ifPresent((present) -> present.owner().accepted(submission, version));
 	}
 
 	private void configure(QueueConfiguration inForce) {
