Refuse at once while no host can store

Ruled out: relaying only while the owner says that it can write; it finds out as late as its gateways do. Change: the way through the owner counts as down after one failure, like the table after three, and is then tried once in 250 ms. The watch of both ways is one class. Test: areRefusedAtOnceWhileTheOtherHostCannotStoreThemEither; without the rule the caller would wait for an answer that never comes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -39,9 +39,10 @@
 	private static final int DOWN_AFTER = 3;
 
 	/**
-	 * How long a failure counts, so that one write in this time finds out, milliseconds.
+	 * Failed writes in a row through another host after which that way counts as down: it
+	 * is taken only after this host's own has failed, and a caller waits a second for it.
 	 */
-	private static final long PROBE_MILLIS = 250;
+	private static final int RELAY_DOWN_AFTER = 1;
 
 	private static final String CANCELLED = "{}";
 
@@ -57,9 +58,9 @@
 
 	private final CommitRelay relay;
 
-	private volatile int failures;
+	private final Outage tableOutage;
 
-	private volatile long lastTryNanos;
+	private final Outage relayOutage;
 
 	public SubmissionService(PartitionedTable table, JobStates states, StoredListener stored, CommitRelay relay,
 			ScheduledExecutorService timer, LongSupplier nanoTime) {
@@ -69,6 +70,8 @@
 		this.states = states;
 		this.timer = timer;
 		this.nanoTime = nanoTime;
+		this.tableOutage = new Outage(DOWN_AFTER, nanoTime);
+		this.relayOutage = new Outage(RELAY_DOWN_AFTER, nanoTime);
 	}
 
 	/**
@@ -142,24 +145,28 @@
 	}
 
 	private CompletableFuture<AcceptOutcome> store(PartitionWrite write, LongConsumer whenStored) {
-		long now = this.nanoTime.getAsLong();
-		boolean isDown = this.failures >= DOWN_AFTER
-				&& now - this.lastTryNanos < TimeUnit.MILLISECONDS.toNanos(PROBE_MILLIS);
-		if (isDown) {
+		if (this.tableOutage.isDown()) {
 			return relayed(write, whenStored, false)
 				.orElseGet(() -> CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED));
 		}
 		CompletableFuture<AcceptOutcome> outcome = new CompletableFuture<>();
-		attempt(write, whenStored, outcome, now + TimeUnit.MILLISECONDS.toNanos(TRY_MILLIS), false);
+		long endNanos = this.nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(TRY_MILLIS);
+		attempt(write, whenStored, outcome, endNanos, false);
 		return outcome;
 	}
 
 	private Optional<CompletableFuture<AcceptOutcome>> relayed(PartitionWrite write, LongConsumer whenStored,
 			boolean wasUnknown) {
+		if (this.relayOutage.isDown()) {
+			return Optional.empty();
+		}
+		this.relayOutage.tried();
 		return this.relay.relay(write).map((done) -> done.thenApply((commit) -> {
 			if (isStored(commit, whenStored)) {
+				this.relayOutage.succeeded();
 				return AcceptOutcome.ACCEPTED;
 			}
+			this.relayOutage.failed();
 			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
 			return isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED;
 		}));
@@ -175,14 +182,14 @@
 
 	private void attempt(PartitionWrite write, LongConsumer whenStored, CompletableFuture<AcceptOutcome> outcome,
 			long endNanos, boolean wasUnknown) {
-		this.lastTryNanos = this.nanoTime.getAsLong();
+		this.tableOutage.tried();
 		this.table.commit(write).whenComplete((commit, failure) -> {
 			if (isStored(commit, whenStored)) {
-				this.failures = 0;
+				this.tableOutage.succeeded();
 				outcome.complete(AcceptOutcome.ACCEPTED);
 				return;
 			}
-			this.failures++;
+			boolean isDown = this.tableOutage.failed();
 			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
 			Optional<CompletableFuture<AcceptOutcome>> elsewhere = relayed(write, whenStored, isUnknown);
 			if (elsewhere.isPresent()) {
@@ -190,7 +197,7 @@
 				return;
 			}
 			long pause = Duration.ofMillis(PAUSE_MILLIS).toNanos();
-			if (this.nanoTime.getAsLong() + 2 * pause >= endNanos || this.failures >= DOWN_AFTER) {
+			if (this.nanoTime.getAsLong() + 2 * pause >= endNanos || isDown) {
 				outcome.complete(isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
 				return;
 			}
