Read a partition again that was read too early

A follower waits for changes from the first answer to its reads of partitions on; a read answered later may have been carried out before, and what was written between was in neither. Change: such a partition is read again.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -10,12 +10,13 @@
 import java.util.function.Supplier;
 
 /**
- * Follows a table: reads each partition whole, waits for changes from the first of these
- * reads on, and reads all again when the history of changes is lost. A partition that
- * does not answer holds up neither the others nor the changes. The listener sees every
- * change in order, or a snapshot of its partition that contains it; a change may come
- * before the snapshot of its partition. Confined to the executor that it is given, on
- * which the listener is called.
+ * Follows a table: reads each partition whole, waits for changes from the first answer of
+ * these reads on, and reads all again when the history of changes is lost. A partition
+ * whose read is older than that answer is read again. A partition that does not answer
+ * holds up neither the others nor the changes. The listener sees every change in order,
+ * or a snapshot of its partition that contains it; a change may come before the snapshot
+ * of its partition. Confined to the executor that it is given, on which the listener is
+ * called.
  */
 public final class TableFollower {
 
@@ -48,6 +49,8 @@
 
 	private long version;
 
+	private long followedFrom;
+
 	private int generation;
 
 	private boolean following;
@@ -158,12 +161,18 @@
 					return;
 				}
 				answered();
-				// Partitions that are read later contain what changed before, so that the
-				// changes after the first read are enough.
 				boolean isFirst = !this.following;
 				if (isFirst) {
 					this.following = true;
 					this.version = loaded.version();
+					this.followedFrom = loaded.version();
+				}
+				// A read that was carried out before that one, but answered later, may
+				// miss
+				// what changed between the two.
+				if (loaded.version() < this.followedFrom) {
+					load(partition, ofGeneration);
+					return;
 				}
 				this.listener.snapshot(partition, loaded.rows());
 				if (isFirst) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.submission.JobStates;
@@ -49,6 +49,8 @@
 
 	final List<Scheduler> schedulers = new ArrayList<>();
 
+	final List<Decision> decisions = new ArrayList<>();
+
 	/** What a gateway hears from owners. */
 	final JobStates gateway = new JobStates();
 
@@ -156,7 +158,7 @@
 			EligibilitySource all = (host, step, ids, timeout) -> CompletableFuture
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
-					PoolCell.this.time.clock(), DecisionLog.NONE);
+					PoolCell.this.time.clock(), PoolCell.this.decisions::add);
 			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time);
 			PoolCell.this.time.schedule(this.jobs::start, READY_MILLIS, TimeUnit.MILLISECONDS);
 			this.election = new OwnerElection(this.ports, name + life, name, this::won);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
@@ -363,6 +364,29 @@
 			isServed("a");
 		}
 
+		@Test
+		void anOwnerOfARestartedCellSettlesAndAccountsForItsWorkers() {
+			PoolCell.Scheduler first = beginWithTwo();
+			for (int i = 0; i < 40; i++) {
+				PoolOwnerTests.this.cell.submit("job" + i, PoolCell.step(3, i % 3 == 0));
+				PoolOwnerTests.this.cell.time.runFor(60);
+			}
+			PoolOwnerTests.this.cell.schedulers.forEach(PoolCell.Scheduler::kill);
+			PoolOwnerTests.this.cell.schedulers.clear();
+			PoolOwnerTests.this.cell.table.readsTake(30);
+			PoolOwnerTests.this.cell.time.runFor(1000);
+			PoolOwnerTests.this.cell.decisions.clear();
+			PoolOwnerTests.this.cell.addScheduler("restarted");
+			PoolOwnerTests.this.cell.time.runFor(1000);
+			assertThat(PoolOwnerTests.this.cell.decisions).hasAtLeastOneElementOfType(Decision.OwnershipSettled.class)
+				.hasAtLeastOneElementOfType(Decision.WorkersAccounted.class);
+			PoolOwnerTests.this.cell.time.runFor(3000);
+			assertThat(first.owner).isEmpty();
+			for (int i = 0; i < 40; i++) {
+				isServed("job" + i);
+			}
+		}
+
 		@Test
 		void aStoppedOwnerTellsItsSuccessorAtOnce() {
 			PoolCell.Scheduler first = beginWithTwo();
