--- /dev/null
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the program of a host.
+ */
+package org.monsoonrelay.host;
