Serve long-running steps first, and ask in the order of the queue

Cause: a long-running step has no end to be in time for, so that its age made it hopelessly late and the order served it last; and questions on eligibility went out by their cost, so that the dearest kind was not asked about while others waited. Two such jobs were asked about 27 s after they were known, which also breaks the promise that they are restarted.

Ruled out: room; workers were accounted for and half of them were free.

Change: long-running steps come first; short questions still go first, long ones follow the order of the queue, and steps that are asked about ahead are ranked with the others.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -81,13 +81,16 @@
 	}
 
 	/**
-	 * Ask about workers unless a question for the step is open.
+	 * Ask about workers unless a question for the step is open, which then keeps its
+	 * workers.
 	 * @param step the step
 	 * @param times what asking costs
 	 * @param workers the workers
+	 * @param rank place of the step in the order of the queue, 0 first
 	 */
-	void ask(StepKey step, EligibilityTimes times, List<String> workers) {
+	void ask(StepKey step, EligibilityTimes times, List<String> workers, int rank) {
 		Entry entry = this.entries.computeIfAbsent(step, (key) -> new Entry(this.clock.nanos()));
+		entry.rank = rank;
 		if (entry.open || workers.isEmpty() || this.clock.nanos() - entry.notBeforeNanos < 0) {
 			return;
 		}
@@ -96,13 +99,19 @@
 	}
 
 	/**
-	 * Send the questions for which a host has time, short ones first.
+	 * Send the questions for which a host has time: short ones first, which hardly take
+	 * from the others, and long ones in the order of the queue. In the order of their
+	 * costs the dearest kind was never asked about while others waited: long-running
+	 * tasks stood still for 27 s behind a loss of power (read off the lines of a played
+	 * day).
 	 */
 	void dispatch() {
 		if (this.waiting.isEmpty()) {
 			return;
 		}
-		this.waiting.sort(Comparator.comparingDouble(Question::costMillis));
+		this.waiting.sort(Comparator.comparing((Question question) -> question.costMillis() > CallHosts.LONG_MILLIS)
+			.thenComparingInt(this::rank)
+			.thenComparingDouble(Question::costMillis));
 		long now = this.clock.nanos();
 		List<Question> sent = new ArrayList<>();
 		for (Question question : this.waiting) {
@@ -115,6 +124,11 @@
 		this.waiting.removeAll(sent);
 	}
 
+	private int rank(Question question) {
+		Entry entry = this.entries.get(question.step());
+		return (entry != null) ? entry.rank : Integer.MAX_VALUE;
+	}
+
 	private void send(Question question, String host) {
 		long sentNanos = this.clock.nanos();
 		this.hosts.begun(host, question.costMillis());
@@ -218,6 +232,8 @@
 
 		private boolean open;
 
+		private int rank;
+
 		private long notBeforeNanos;
 
 		Entry(long nowNanos) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/LeastSlackOrder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/LeastSlackOrder.java
@@ -3,10 +3,13 @@
 import java.util.Comparator;
 
 /**
- * Steps that can still be in time come first, the one that has to start soonest before
- * the others; steps that are late follow, those that are hopelessly late last. Answers
- * loads that fill the pool, where serving late work first would make all work late.
- * Stateless.
+ * Long-running steps come first: they have no end to be in time for, and earn each second
+ * that their tasks are at work. Then come steps that can still be in time, the one that
+ * has to start soonest before the others; steps that are late follow, those that are
+ * hopelessly late last. Answers loads that fill the pool, where serving late work first
+ * would make all work late, and where long-running tasks would never be restarted if
+ * their age made them late: some waited 27 s behind a loss of power (read off the lines
+ * of a played day). Stateless.
  */
 final class LeastSlackOrder implements QueueOrder {
 
@@ -21,7 +24,8 @@
 
 	@Override
 	public Comparator<WaitingStep> at(long nowMillis) {
-		return Comparator.<WaitingStep>comparingInt((step) -> lateness(step, nowMillis))
+		return Comparator.<WaitingStep, Boolean>comparing((step) -> !step.step().spec().longRunning())
+			.thenComparingInt((step) -> lateness(step, nowMillis))
 			.thenComparingLong(WaitingStep::latestStartMillis)
 			.thenComparing((step) -> step.step().key().toString());
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -89,17 +91,25 @@
 		this.jobs.closeSteps();
 		this.jobs.openSteps(nowMillis);
 		List<WaitingStep> waiting = new ArrayList<>();
+		Set<WaitingStep> ahead = new HashSet<>();
 		for (ActiveStep step : this.jobs.openSteps()) {
 			if (mayStart(step) && !waiting(step).isEmpty()) {
 				waiting.add(WaitingStep.of(step));
 			}
-			askAhead(step);
+			followers(step).stream().map(WaitingStep::of).forEach(ahead::add);
 		}
-		waiting.sort(this.order.at(nowMillis));
 		GangDemand demand = demand(waiting);
+		waiting.addAll(ahead);
+		waiting.sort(this.order.at(nowMillis));
 		RoomForGangs kept = new RoomForGangs(this.spareMillis);
-		for (WaitingStep next : waiting) {
-			place(next, demand, kept);
+		for (int rank = 0; rank < waiting.size(); rank++) {
+			WaitingStep next = waiting.get(rank);
+			if (ahead.contains(next)) {
+				ask(next.step(), possible(next.step()), rank);
+			}
+			else {
+				place(next, rank, demand, kept);
+			}
 		}
 	}
 
@@ -130,35 +140,35 @@
 		return demand;
 	}
 
-	private void place(WaitingStep next, GangDemand demand, RoomForGangs kept) {
+	private void place(WaitingStep next, int rank, GangDemand demand, RoomForGangs kept) {
 		ActiveStep step = next.step();
 		if (policy(step).needsEligibility() && !this.eligibility.isAnswered(step.key())) {
-			ask(step, possible(step));
+			ask(step, possible(step), rank);
 			return;
 		}
 		this.pool.all().forEach((worker) -> worker.unhold(step.key()));
 		if (step.spec().gang()) {
-			placeGang(step, demand, kept);
+			placeGang(step, rank, demand, kept);
 		}
 		else {
-			placeEach(step, demand, kept.openTo(next, this.clock.millis()));
+			placeEach(step, rank, demand, kept.openTo(next, this.clock.millis()));
 		}
 	}
 
-	private void placeEach(ActiveStep step, GangDemand demand, Predicate<PoolWorker> open) {
+	private void placeEach(ActiveStep step, int rank, GangDemand demand, Predicate<PoolWorker> open) {
 		Map<String, Integer> none = Map.of();
 		for (int index : waiting(step)) {
 			Optional<PoolWorker> worker = this.choice.choose(step, index,
 					candidates(step, none, open.and((candidate) -> hasTicket(step, candidate))), demand);
 			if (worker.isEmpty()) {
-				renew(step, candidates(step, none, open.and((candidate) -> isEligibleOrNew(step, candidate))));
+				renew(step, candidates(step, none, open.and((candidate) -> isEligibleOrNew(step, candidate))), rank);
 				return;
 			}
 			start(step, index, step.nextAttempt(index), worker.get());
 		}
 	}
 
-	private void placeGang(ActiveStep step, GangDemand demand, RoomForGangs kept) {
+	private void placeGang(ActiveStep step, int rank, GangDemand demand, RoomForGangs kept) {
 		Optional<Map<Integer, PoolWorker>> ready = plan(step, demand, (worker) -> hasTicket(step, worker));
 		if (ready.isPresent()) {
 			int attempt = step.nextAttempt(0);
@@ -170,7 +180,7 @@
 			possible(step).stream().filter((worker) -> isEligible(step, worker)).forEach(kept::keep);
 			return;
 		}
-		renew(step, wanted.get().values().stream().distinct().toList());
+		renew(step, wanted.get().values().stream().distinct().toList(), rank);
 		hold(step, wanted.get());
 	}
 
@@ -258,9 +268,9 @@
 		this.runs.start(step, index, attempt, worker, ticket);
 	}
 
-	private void renew(ActiveStep step, List<PoolWorker> workers) {
+	private void renew(ActiveStep step, List<PoolWorker> workers, int rank) {
 		if (policy(step).needsEligibility()) {
-			ask(step, workers);
+			ask(step, workers, rank);
 		}
 	}
 
@@ -273,31 +283,33 @@
 			.toList();
 	}
 
-	private void ask(ActiveStep step, List<PoolWorker> workers) {
+	private void ask(ActiveStep step, List<PoolWorker> workers, int rank) {
 		EligibilityTimes times = Objects.requireNonNull(policy(step).eligibility());
-		this.eligibility.ask(step.key(), times, workers.stream().map(PoolWorker::id).toList());
+		this.eligibility.ask(step.key(), times, workers.stream().map(PoolWorker::id).toList(), rank);
 	}
 
-	private void askAhead(ActiveStep step) {
+	// Steps that are asked about ahead, because the one before them may end soon.
+	private List<ActiveStep> followers(ActiveStep step) {
 		List<Run> alive = step.aliveRuns();
 		if (alive.isEmpty() || !waiting(step).isEmpty() || !policy(step).needsEligibility()) {
-			return;
+			return List.of();
 		}
 		double share = ASK_AHEAD_SHARE * step.spec().estimateMillis();
 		long now = this.clock.nanos();
 		boolean isEarly = alive.stream()
 			.anyMatch((run) -> TimeUnit.NANOSECONDS.toMillis(now - run.orderedNanos()) < share);
 		if (isEarly) {
-			return;
+			return List.of();
 		}
+		List<ActiveStep> followers = new ArrayList<>();
 		List<StepSpec> steps = step.job().submission().steps();
 		for (int i = step.key().step() + 1; i < steps.size(); i++) {
 			StepKey next = new StepKey(step.key().job(), step.key().occurrence(), i);
 			if (steps.get(i).dependsOn().contains(step.key().step()) && !this.eligibility.isAnswered(next)) {
-				ActiveStep following = new ActiveStep(next, step.job(), 0);
-				ask(following, possible(following));
+				followers.add(new ActiveStep(next, step.job(), 0));
 			}
 		}
+		return followers;
 	}
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OrderAndChoiceTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OrderAndChoiceTests.java
@@ -21,8 +21,13 @@
 	private static final Resources SIZE = new Resources(1000, 100, 0);
 
 	private static ActiveStep step(String id, long acceptedMillis, double slack, long runMillis, String dataRack) {
-		StepSpec spec = new StepSpec(2, SIZE, runMillis, List.of(), false, false, "", dataRack, 0, false, false, false,
-				false);
+		return step(id, acceptedMillis, slack, runMillis, dataRack, false);
+	}
+
+	private static ActiveStep step(String id, long acceptedMillis, double slack, long runMillis, String dataRack,
+			boolean longRunning) {
+		StepSpec spec = new StepSpec(2, SIZE, runMillis, List.of(), false, false, "", dataRack, 0, false, false,
+				longRunning, false);
 		QueuePolicy policy = new QueuePolicy("q", "s", 0, 3, slack, 0, null);
 		Submission submission = new Submission(id, policy, "", List.of(spec), Timetable.AT_ONCE, acceptedMillis);
 		return new ActiveStep(new StepKey(id, 0, 0), new SubmittedJob(submission), 0);
@@ -56,6 +61,23 @@
 
 	}
 
+	@Nested
+	class OrderOfLongRunningSteps {
+
+		@Test
+		void comeFirstHoweverOldTheirJobIs() {
+			ActiveStep restarted = step("restarted", 0, 2, 500, "", true);
+			ActiveStep tight = step("tight", 60_000, 2, 500, "");
+			List<String> sorted = Stream.of(tight, restarted)
+				.map(WaitingStep::of)
+				.sorted(new LeastSlackOrder().at(60_100))
+				.map((waiting) -> waiting.step().job().id())
+				.toList();
+			assertThat(sorted).containsExactly("restarted", "tight");
+		}
+
+	}
+
 	@Nested
 	class Choice {
 
