Send no tasks to workers that have become silent

Cause: a look takes 1.45 s to fail. Until then a third of all tasks went to the cut domain and nearly every job of several tasks lost one to it for the length of the cut.

Change: a worker whose order is unanswered for 0.15 s gets no more until it answers; of a failure domain with two such workers and none heard of, none does.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -52,6 +52,16 @@
 
 	private final LongSupplier changes;
 
+	private long orderedNanos;
+
+	private boolean unanswered;
+
+	private boolean doubted;
+
+	private boolean heard;
+
+	private long heardNanos;
+
 	PoolWorker(WorkerInfo info) {
 		this(info, () -> 0);
 	}
@@ -71,6 +81,56 @@
 		this.changed = this.changes.getAsLong();
 	}
 
+	/**
+	 * Note that an order was sent.
+	 * @param nowNanos the current time
+	 */
+	void ordered(long nowNanos) {
+		if (!this.unanswered) {
+			this.unanswered = true;
+			this.orderedNanos = nowNanos;
+		}
+	}
+
+	/**
+	 * Note any answer of the worker.
+	 * @param nowNanos the current time
+	 */
+	void heard(long nowNanos) {
+		this.unanswered = false;
+		this.heard = true;
+		this.heardNanos = nowNanos;
+		doubt(false);
+	}
+
+	/**
+	 * How long the worker has left orders unanswered and not been heard of.
+	 * @param nowNanos the current time
+	 * @return nanoseconds, 0 if no order waits
+	 */
+	long unansweredNanos(long nowNanos) {
+		return this.unanswered ? nowNanos - this.orderedNanos : 0;
+	}
+
+	boolean heardWithin(long nanos, long nowNanos) {
+		return this.heard && nowNanos - this.heardNanos < nanos;
+	}
+
+	/**
+	 * Take no new work while in doubt whether the worker can be reached.
+	 * @param isDoubted whether that is so
+	 */
+	void doubt(boolean isDoubted) {
+		if (this.doubted && !isDoubted) {
+			noteChange();
+		}
+		this.doubted = isDoubted;
+	}
+
+	boolean isDoubted() {
+		return this.doubted;
+	}
+
 	/**
 	 * Number of the last change that may have made room here for what found none before.
 	 * @return the number
@@ -90,13 +150,14 @@
 	}
 
 	/**
-	 * Whether the worker takes new work at all: it answers, the list names it, it is not
-	 * leaving, the owner's row names it, and runs do not all fail here.
+	 * Whether the worker takes new work at all: it answers and leaves no order
+	 * unanswered, the list names it, it is not leaving, the owner's row names it, and
+	 * runs do not all fail here.
 	 * @param nowNanos the current time
 	 * @return {@code true} if so
 	 */
 	boolean isOpen(long nowNanos) {
-		return isUsable() && this.named && !this.failures.isAvoided(nowNanos);
+		return isUsable() && !this.doubted && this.named && !this.failures.isAvoided(nowNanos);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -149,6 +149,7 @@
 
 	private void seen(PoolWorker worker, LookOutcome.Seen seen, long sentNanos) {
 		worker.lease().heard(seen.clockMillis(), this.clock.nanos());
+		worker.heard(this.clock.nanos());
 		this.ends.take(worker, seen.ended());
 		this.adoption.reconcile(worker, seen.running(), sentNanos);
 		if (!worker.isReached()) {
@@ -216,6 +217,7 @@
 	}
 
 	private void send(ActiveStep step, Run run, PoolWorker worker, StartOrder order, int unanswered) {
+		worker.ordered(this.clock.nanos());
 		long lease = worker.lease().extend(this.clock.nanos(), this.term.leaseMillis());
 		StartOrder leased = new StartOrder(order.task(), order.attempt(), order.spec(), lease, order.fence(),
 				order.checkpoint(), order.ticket());
@@ -229,6 +231,9 @@
 
 	private void started(ActiveStep step, Run run, PoolWorker worker, StartOrder order, StartOutcome outcome,
 			int unanswered) {
+		if (outcome.kind() != StartOutcome.Kind.NO_ANSWER) {
+			worker.heard(this.clock.nanos());
+		}
 		if (outcome.kind() == StartOutcome.Kind.DONE) {
 			worker.lease().heard(outcome.clockMillis(), this.clock.nanos());
 			confirm(run);
@@ -324,6 +329,16 @@
 		this.ends.ended(job);
 	}
 
+	/**
+	 * Send nothing more to workers that have become silent.
+	 */
+	void doubtSilent() {
+		for (PoolWorker worker : SilenceWatch.judge(this.pool.all(), this.clock.nanos())) {
+			this.log.write(new Decision.WorkerSilent(worker.id(),
+					"orders there or in its failure domain are unanswered", worker.runCount()));
+		}
+	}
+
 	/**
 	 * Give up workers whose lease has lapsed, and forget those that are gone for good.
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -99,6 +99,7 @@
 	 */
 	void place() {
 		long nowMillis = this.clock.millis();
+		this.runs.doubtSilent();
 		this.jobs.updateSteps(nowMillis);
 		List<WaitingStep> steps = new ArrayList<>();
 		Map<WaitingStep, StepTurn> waiting = new HashMap<>();
