Start new jobs sooner after a silent owner is followed

Hypothesis: jobs that come after an early take-over wait for all workers while the former owner may start them, 3 s; with 0.8 s as the time in which an owner starts new jobs without a renewal it is 1.6 s.

Test failed first.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -46,10 +46,12 @@
 	private static final long SILENCE_MILLIS = 550;
 
 	/**
-	 * How long after an early take-over the former owner may take itself for the owner,
-	 * milliseconds: its lapse, and the time by which a slow feed may be late here.
+	 * How long after an early take-over the former owner may have started a job that this
+	 * process hears of, milliseconds: as long as it starts new jobs, and the time by
+	 * which a slow feed may be late here. Such jobs wait for all workers; while a failure
+	 * domain is cut off that takes as long as the cut.
 	 */
-	private static final long FORMER_OWNER_MILLIS = OwnerTerm.LAPSE_MILLIS + 800;
+	private static final long FORMER_OWNER_MILLIS = OwnerTerm.NEW_JOBS_MILLIS + 800;
 
 	private static final long NO_EPOCH = 0;
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerTerm.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerTerm.java
@@ -21,6 +21,14 @@
 	 */
 	static final long LAPSE_MILLIS = 2200;
 
+	/**
+	 * How long after a renewal the owner starts jobs that it did not know before,
+	 * milliseconds. A successor that follows a silent owner has to wait for all workers
+	 * before it starts a job that came within this time. Twice the time between two
+	 * renewals; beside a table that is sixty times as slow they are up to 700 ms apart.
+	 */
+	static final long NEW_JOBS_MILLIS = 800;
+
 	/**
 	 * The longest lease of a worker, milliseconds. Cuts of 5 to 6 seconds are lived
 	 * through; a lost worker's tasks wait this long.
@@ -84,11 +92,12 @@
 	}
 
 	/**
-	 * Whether no other owner can have taken over.
-	 * @return {@code true} if the row was written recently
+	 * Whether jobs that come now may be started before the next renewal.
+	 * @return {@code true} if the row was written recently and nobody was asked to take
+	 * over since
 	 */
-	boolean isCurrent() {
-		return !this.doubtful && sinceRenewal() < LAPSE_MILLIS;
+	boolean mayStartNewJobs() {
+		return !this.doubtful && sinceRenewal() < NEW_JOBS_MILLIS;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -320,7 +320,7 @@
 			if (!owner.registry.learn(submission, progress, isInherited)) {
 				return;
 			}
-			if (!owner.term.isCurrent()) {
+			if (!owner.term.mayStartNewJobs()) {
 				owner.registry.hold(submission.id());
 			}
 			owner.runs.learnt(submission.id());
@@ -361,7 +361,7 @@
 		@Override
 		public void durable(Map<String, SubmissionState> states, Optional<QueueSummary> pending) {
 			PoolOwner owner = PoolOwner.this;
-			if (owner.term.isCurrent()) {
+			if (owner.term.mayStartNewJobs()) {
 				owner.registry.releaseHeld();
 			}
 			if (!states.isEmpty() || pending.isPresent()) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LeasesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LeasesTests.java
@@ -87,7 +87,7 @@
 			this.term.renewed(LeasesTests.this.nowNanos, LeasesTests.this.nowMillis);
 			LeasesTests.this.nowMillis += 12_000;
 			assertThat(this.term.mayOrder()).isFalse();
-			assertThat(this.term.isCurrent()).isFalse();
+			assertThat(this.term.mayStartNewJobs()).isFalse();
 		}
 
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverTests.java
@@ -156,6 +156,22 @@
 			TakeOverTests.this.cell.assertServed("a");
 		}
 
+		@Test
+		void aJobThatComesOnceTheFormerOwnerStartsNoNewOneIsStartedAtOnce() {
+			PoolCell.Scheduler first = TakeOverTests.this.cell.beginWithTwo();
+			PoolCell.Scheduler second = TakeOverTests.this.cell.schedulers.get(1);
+			second.workerClient.cut("w0");
+			first.mute();
+			first.tableClient.cut(true);
+			for (int i = 0; i < 200 && second.owner.isEmpty(); i++) {
+				TakeOverTests.this.cell.time.runFor(10);
+			}
+			TakeOverTests.this.cell.time.runFor(1700);
+			TakeOverTests.this.cell.submit("a", PoolCell.step(2, false));
+			TakeOverTests.this.cell.time.runFor(1500);
+			TakeOverTests.this.cell.assertServed("a");
+		}
+
 		@Test
 		void tasksOnAWorkerThatTheSuccessorCannotReachWaitForItsLease() {
 			PoolCell.Scheduler first = TakeOverTests.this.cell.beginWithTwo();
