Settle writes without an answer while their callers wait

Change: the write is repeated while the caller waits, also through the owner; what was not sent is known not to be done (SentMark, moved from the backend client), for orders to workers as well.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -1,8 +1,6 @@
 package org.monsoonrelay.adapters.http;
 
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.NoRouteToHostException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -53,6 +51,7 @@
 			.connectTimeout(connectTimeout)
 			.readTimeout(Duration.ZERO)
 			.callTimeout(callTimeout)
+			.eventListenerFactory((call) -> call.request().tag(SentMark.class))
 			.build();
 	}
 
@@ -101,16 +100,18 @@
 
 	private CompletableFuture<Answer> call(Request request, Duration timeout) {
 		CompletableFuture<Answer> answer = new CompletableFuture<>();
-		Call call = this.client.newCall(request);
+		SentMark sent = new SentMark();
+		Call call = this.client.newCall(request.newBuilder().tag(SentMark.class, sent).build());
 		if (!timeout.isZero()) {
 			call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
 		}
 		call.enqueue(new Callback() {
 			@Override
 			public void onFailure(Call failed, IOException ex) {
-				boolean isUnsent = ex instanceof ConnectException || ex instanceof NoRouteToHostException;
+				// Whoever takes longer to connect than a call may is told apart from one
+				// that takes the request and does not answer.
 				answer.completeExceptionally(
-						new PlatformException(request.url() + ": " + ex.getMessage(), !isUnsent, ex));
+						new PlatformException(request.url() + ": " + ex.getMessage(), sent.mayHaveSent(), ex));
 			}
 
 			@Override
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/SentMark.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/SentMark.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.adapters.platform;
+package org.monsoonrelay.adapters.http;
 
 import java.net.InetSocketAddress;
 import java.net.Proxy;
@@ -11,7 +11,7 @@
  * connection that was open before. Used by one call; written by the call's thread before
  * its result is read.
  */
-final class SentMark extends EventListener {
+public final class SentMark extends EventListener {
 
 	private volatile boolean mayHaveSent;
 
@@ -27,11 +27,19 @@
 		this.mayHaveSent = true;
 	}
 
-	boolean mayHaveSent() {
+	/**
+	 * Whether a byte of the request may be on the wire.
+	 * @return {@code false} if it is certain that none is
+	 */
+	public boolean mayHaveSent() {
 		return this.mayHaveSent;
 	}
 
-	boolean isOverOpenConnection() {
+	/**
+	 * Whether the call went over a connection that was open before.
+	 * @return {@code true} if so
+	 */
+	public boolean isOverOpenConnection() {
 		return !this.connected;
 	}
 
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
@@ -26,6 +26,7 @@
 import okhttp3.Response;
 import okhttp3.internal.http.HttpHeaders;
 import okhttp3.internal.http.HttpMethod;
+import org.monsoonrelay.adapters.http.SentMark;
 import org.monsoonrelay.logic.routing.AttemptResult;
 import org.monsoonrelay.logic.routing.BackendClient;
 import org.monsoonrelay.logic.routing.ForwardedRequest;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -231,7 +231,7 @@
 
 	private void started(ActiveStep step, Run run, PoolWorker worker, StartOrder order, StartOutcome outcome,
 			int unanswered) {
-		if (outcome.kind() != StartOutcome.Kind.NO_ANSWER) {
+		if (outcome.kind().isAnswer()) {
 			worker.heard(this.clock.nanos());
 		}
 		if (outcome.kind() == StartOutcome.Kind.DONE) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartOutcome.java
@@ -11,6 +11,9 @@
 	/** No answer came: it may be carried out, or may yet be. */
 	public static final StartOutcome NO_ANSWER = new StartOutcome(Kind.NO_ANSWER, -1);
 
+	/** No byte of it left this host: it is not carried out. */
+	public static final StartOutcome UNSENT = new StartOutcome(Kind.UNSENT, -1);
+
 	/** Kinds of outcomes. */
 	public enum Kind {
 
@@ -41,8 +44,19 @@
 		/** That life of the worker is over. */
 		GONE,
 
+		/** The worker could not be connected to. */
+		UNSENT,
+
 		/** No answer came. */
-		NO_ANSWER
+		NO_ANSWER;
+
+		/**
+		 * Whether the worker has said something.
+		 * @return {@code true} if it can be reached
+		 */
+		public boolean isAnswer() {
+			return this != UNSENT && this != NO_ANSWER;
+		}
 
 	}
 
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
@@ -0,0 +1,190 @@
+package org.monsoonrelay.logic.submission;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+import org.monsoonrelay.logic.platform.PartitionCommit;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+
+/**
+ * One write on behalf of a caller, from its first try to the caller's answer. Tries do
+ * not end the write's chance: it is conditional, so that a repeat settles what became of
+ * a try without an answer. Invariants: the outcome is told once; {@code NOT_ACCEPTED} is
+ * told only if each try is known to have done nothing; a caller that has no time left to
+ * come back is not refused before its time is over, as the table may return within it.
+ * Thread-safe.
+ */
+final class CallerWrite {
+
+	/** Pause before a write that was turned down is tried again, milliseconds. */
+	private static final long PAUSE_MILLIS = 60;
+
+	/**
+	 * A try without an answer for this long is joined by one through another host,
+	 * milliseconds: the table may be silent to this host alone. Twice the time of a write
+	 * to a table that is sixty times as slow.
+	 */
+	private static final long HEDGE_MILLIS = 700;
+
+	/**
+	 * Callers that are refused come back after a second; one with less time left cannot,
+	 * milliseconds.
+	 */
+	private static final long RETURN_MILLIS = 1100;
+
+	/** Kept back from the caller's time for the answer's way, milliseconds. */
+	private static final long MARGIN_MILLIS = 120;
+
+	private final Ways ways;
+
+	private final PartitionWrite write;
+
+	private final LongConsumer whenStored;
+
+	private final ScheduledExecutorService timer;
+
+	private final long deadlineNanos;
+
+	private final CompletableFuture<AcceptOutcome> outcome = new CompletableFuture<>();
+
+	private boolean unknown;
+
+	private int inFlight;
+
+	/**
+	 * Create a write.
+	 * @param ways how it can be stored
+	 * @param write the write
+	 * @param whenStored told of the row's version
+	 * @param timer for repeats
+	 * @param deadlineNanos until when the caller waits, on the steady clock
+	 */
+	CallerWrite(Ways ways, PartitionWrite write, LongConsumer whenStored, ScheduledExecutorService timer,
+			long deadlineNanos) {
+		this.ways = ways;
+		this.write = write;
+		this.whenStored = whenStored;
+		this.timer = timer;
+		this.deadlineNanos = deadlineNanos;
+	}
+
+	/**
+	 * Begin to try.
+	 * @return what the caller is told
+	 */
+	CompletableFuture<AcceptOutcome> begin() {
+		long left = leftMillis();
+		this.timer.schedule(this::giveUp, Math.max(0, left), TimeUnit.MILLISECONDS);
+		if (left > HEDGE_MILLIS) {
+			this.timer.schedule(this::hedge, HEDGE_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		next();
+		return this.outcome;
+	}
+
+	private long leftMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.deadlineNanos - this.ways.nanoTime()) - MARGIN_MILLIS;
+	}
+
+	private void next() {
+		if (this.outcome.isDone()) {
+			return;
+		}
+		if (this.ways.isOpen()) {
+			attempt(this.ways.direct(this.write));
+			return;
+		}
+		Optional<CompletableFuture<PartitionCommit>> relayed = this.ways.relayed(this.write);
+		if (relayed.isPresent()) {
+			attempt(relayed.get());
+		}
+		else {
+			refuse();
+		}
+	}
+
+	private void hedge() {
+		if (!this.outcome.isDone() && this.ways.isOpen()) {
+			this.ways.relayed(this.write).ifPresent(this::attempt);
+		}
+	}
+
+	private void attempt(CompletableFuture<PartitionCommit> answer) {
+		synchronized (this) {
+			this.inFlight++;
+		}
+		answer.whenComplete((commit, failure) -> {
+			boolean isUnknown = !(commit instanceof PartitionCommit.NotDone);
+			if (commit instanceof PartitionCommit.Committed committed) {
+				this.whenStored.accept(committed.version());
+				this.outcome.complete(AcceptOutcome.ACCEPTED);
+			}
+			else if (commit instanceof PartitionCommit.Conflict) {
+				this.outcome.complete(AcceptOutcome.ACCEPTED);
+			}
+			else if (isLast(isUnknown)) {
+				later();
+			}
+		});
+	}
+
+	private synchronized boolean isLast(boolean isUnknown) {
+		this.unknown |= isUnknown;
+		this.inFlight--;
+		return this.inFlight == 0;
+	}
+
+	private void later() {
+		this.timer.schedule(this::next, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	// No way is open. A caller that can come back, or go elsewhere, does so at once.
+	private void refuse() {
+		if (leftMillis() > RETURN_MILLIS) {
+			giveUp();
+		}
+		else {
+			later();
+		}
+	}
+
+	private synchronized void giveUp() {
+		boolean mayBeStored = this.unknown || this.inFlight > 0;
+		this.outcome.complete(mayBeStored ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
+	}
+
+	/** The ways to the table. Thread-safe and not blocking. */
+	interface Ways {
+
+		/**
+		 * The steady clock.
+		 * @return nanoseconds
+		 */
+		long nanoTime();
+
+		/**
+		 * Whether the table takes this host's writes, as far as is known.
+		 * @return {@code true} if a direct write is worth a try
+		 */
+		boolean isOpen();
+
+		/**
+		 * Write to the table.
+		 * @param write the write
+		 * @return what became of it, never failing
+		 */
+		CompletableFuture<PartitionCommit> direct(PartitionWrite write);
+
+		/**
+		 * Have another host write.
+		 * @param write the write
+		 * @return what became of it, never failing; empty if no host is known that could
+		 */
+		Optional<CompletableFuture<PartitionCommit>> relayed(PartitionWrite write);
+
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -1,10 +1,8 @@
 package org.monsoonrelay.logic.submission;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -27,15 +25,6 @@
  */
 public final class SubmissionService {
 
-	/**
-	 * How long a write is tried, milliseconds. An answer takes 10 ms, some 900 ms while
-	 * the table is slow; callers wait 3,000 ms in all.
-	 */
-	private static final long TRY_MILLIS = 2200;
-
-	/** Pause before a write that was turned down is tried again, milliseconds. */
-	private static final long PAUSE_MILLIS = 60;
-
 	/**
 	 * Failed writes in a row, with no answer of the table between, after which it counts
 	 * as down for this host. Callers' jobs do not find out whether it still is: trying
@@ -70,6 +59,8 @@
 
 	private final Outage relayOutage;
 
+	private final CallerWrite.Ways ways = new HostWays();
+
 	/**
 	 * Create a service.
 	 * @param table where jobs are stored
@@ -95,9 +86,10 @@
 	/**
 	 * Accept a job.
 	 * @param submission the job
+	 * @param deadlineNanos until when the caller waits, on the steady clock
 	 * @return what the caller is told
 	 */
-	public CompletableFuture<AcceptOutcome> submit(Submission submission) {
+	public CompletableFuture<AcceptOutcome> submit(Submission submission, long deadlineNanos) {
 		String id = submission.id();
 		if (this.states.state(id).isPresent()) {
 			return CompletableFuture.completedFuture(AcceptOutcome.ACCEPTED);
@@ -105,20 +97,22 @@
 		PartitionWrite write = PartitionWrite.to(JobTables.partition(id))
 			.onVersion(JobTables.JOBS, id, 0)
 			.put(JobTables.JOBS, id, Json.write(submission));
-		return store(write, (version) -> this.stored.accepted(submission, version)).thenApply((outcome) -> {
-			if (outcome == AcceptOutcome.ACCEPTED) {
-				this.states.note(id, SubmissionState.QUEUED);
-			}
-			return outcome;
-		});
+		return store(write, (version) -> this.stored.accepted(submission, version), deadlineNanos)
+			.thenApply((outcome) -> {
+				if (outcome == AcceptOutcome.ACCEPTED) {
+					this.states.note(id, SubmissionState.QUEUED);
+				}
+				return outcome;
+			});
 	}
 
 	/**
 	 * Cancel a job.
 	 * @param id the job's id
+	 * @param deadlineNanos until when the caller waits, on the steady clock
 	 * @return what the caller is told
 	 */
-	public CompletableFuture<AcceptOutcome> cancel(String id) {
+	public CompletableFuture<AcceptOutcome> cancel(String id, long deadlineNanos) {
 		return state(id).thenCompose((known) -> {
 			if (known.isEmpty()) {
 				return CompletableFuture.completedFuture(AcceptOutcome.NO_SUCH_JOB);
@@ -130,7 +124,7 @@
 			PartitionWrite write = PartitionWrite.to(JobTables.partition(id))
 				.onVersion(JobTables.JOBS, key, 0)
 				.put(JobTables.JOBS, key, CANCELLED);
-			return store(write, (version) -> this.stored.cancelled(id));
+			return store(write, (version) -> this.stored.cancelled(id), deadlineNanos);
 		});
 	}
 
@@ -162,18 +156,8 @@
 		return this.states.pending(queue);
 	}
 
-	private CompletableFuture<AcceptOutcome> store(PartitionWrite write, LongConsumer whenStored) {
-		if (!this.storage.isAble()) {
-			return CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED);
-		}
-		if (isTableDown()) {
-			return relayed(write, whenStored, false)
-				.orElseGet(() -> CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED));
-		}
-		CompletableFuture<AcceptOutcome> outcome = new CompletableFuture<>();
-		long endNanos = this.nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(TRY_MILLIS);
-		attempt(write, whenStored, outcome, endNanos, false);
-		return outcome;
+	private CompletableFuture<AcceptOutcome> store(PartitionWrite write, LongConsumer whenStored, long deadlineNanos) {
+		return new CallerWrite(this.ways, write, whenStored, this.timer, deadlineNanos).begin();
 	}
 
 	/**
@@ -183,57 +167,53 @@
 		this.tableFailures.set(0);
 	}
 
-	private boolean isTableDown() {
-		return this.tableFailures.get() >= DOWN_AFTER;
-	}
+	private final class HostWays implements CallerWrite.Ways {
 
-	private Optional<CompletableFuture<AcceptOutcome>> relayed(PartitionWrite write, LongConsumer whenStored,
-			boolean wasUnknown) {
-		if (this.relayOutage.isDown()) {
-			return Optional.empty();
+		@Override
+		public long nanoTime() {
+			return SubmissionService.this.nanoTime.getAsLong();
 		}
-		this.relayOutage.tried();
-		return this.relay.relay(write).map((done) -> done.thenApply((commit) -> {
-			if (isStored(commit, whenStored)) {
-				this.relayOutage.succeeded();
-				return AcceptOutcome.ACCEPTED;
-			}
-			this.relayOutage.failed();
-			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
-			return isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED;
-		}));
-	}
 
-	private static boolean isStored(PartitionCommit commit, LongConsumer whenStored) {
-		if (commit instanceof PartitionCommit.Committed committed) {
-			whenStored.accept(committed.version());
-			return true;
+		@Override
+		public boolean isOpen() {
+			SubmissionService service = SubmissionService.this;
+			return service.storage.isAble() && service.tableFailures.get() < DOWN_AFTER;
 		}
-		return commit instanceof PartitionCommit.Conflict;
-	}
 
-	private void attempt(PartitionWrite write, LongConsumer whenStored, CompletableFuture<AcceptOutcome> outcome,
-			long endNanos, boolean wasUnknown) {
-		this.table.commit(write).whenComplete((commit, failure) -> {
-			if (isStored(commit, whenStored)) {
-				outcome.complete(AcceptOutcome.ACCEPTED);
-				return;
-			}
-			boolean isDown = this.tableFailures.incrementAndGet() >= DOWN_AFTER;
-			boolean isUnknown = wasUnknown || !(commit instanceof PartitionCommit.NotDone);
-			Optional<CompletableFuture<AcceptOutcome>> elsewhere = relayed(write, whenStored, isUnknown);
-			if (elsewhere.isPresent()) {
-				elsewhere.get().thenAccept(outcome::complete);
-				return;
-			}
-			long pause = Duration.ofMillis(PAUSE_MILLIS).toNanos();
-			if (this.nanoTime.getAsLong() + 2 * pause >= endNanos || isDown) {
-				outcome.complete(isUnknown ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
-				return;
+		@Override
+		public CompletableFuture<PartitionCommit> direct(PartitionWrite write) {
+			SubmissionService service = SubmissionService.this;
+			return service.table.commit(write).whenComplete((commit, failure) -> {
+				if (isStored(commit)) {
+					service.tableFailures.set(0);
+				}
+				else {
+					service.tableFailures.incrementAndGet();
+				}
+			});
+		}
+
+		@Override
+		public Optional<CompletableFuture<PartitionCommit>> relayed(PartitionWrite write) {
+			SubmissionService service = SubmissionService.this;
+			if (!service.storage.isAble() || service.relayOutage.isDown()) {
+				return Optional.empty();
 			}
-			this.timer.schedule(() -> attempt(write, whenStored, outcome, endNanos, isUnknown), pause,
-					TimeUnit.NANOSECONDS);
-		});
+			service.relayOutage.tried();
+			return service.relay.relay(write).map((answer) -> answer.whenComplete((commit, failure) -> {
+				if (isStored(commit)) {
+					service.relayOutage.succeeded();
+				}
+				else {
+					service.relayOutage.failed();
+				}
+			}));
+		}
+
+		private boolean isStored(PartitionCommit commit) {
+			return commit instanceof PartitionCommit.Committed || commit instanceof PartitionCommit.Conflict;
+		}
+
 	}
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/VirtualTime.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/VirtualTime.java
@@ -16,7 +16,7 @@
  * An executor whose time moves only when told to, so that tests of spans are exact. A
  * task's failure fails the test. Not thread-safe.
  */
-final class VirtualTime extends AbstractExecutorService implements ScheduledExecutorService {
+public final class VirtualTime extends AbstractExecutorService implements ScheduledExecutorService {
 
 	private static final long BEGIN_MILLIS = 1_000_000;
 
@@ -27,15 +27,15 @@
 
 	private long sequence;
 
-	PoolClock clock() {
+	public PoolClock clock() {
 		return new PoolClock(() -> this.nowNanos, this::millis);
 	}
 
-	long millis() {
+	public long millis() {
 		return BEGIN_MILLIS + TimeUnit.NANOSECONDS.toMillis(this.nowNanos);
 	}
 
-	void runFor(long millis) {
+	public void runFor(long millis) {
 		long end = this.nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
 		while (!this.tasks.isEmpty() && this.tasks.peek().dueNanos() <= end) {
 			Task next = this.tasks.poll();
