--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -107,9 +107,11 @@
 			List<Integer> tasks = waiting(step);
 			if (tasks.isEmpty()) {
 				followers(step).stream().map(ActiveStep::view).forEach(steps::add);
+				continue;
 			}
-			else if (mayStart(step)) {
-				steps.add(step.view());
+			// What has to wait for workers of an earlier owner is asked about meanwhile.
+			steps.add(step.view());
+			if (mayStart(step)) {
 				waiting.put(step.view(), turn(step, tasks));
 			}
 		}
@@ -167,8 +169,9 @@
 	private void place(WaitingStep next, StepTurn turn, int rank, GangDemand demand, RoomForGangs kept) {
 		if (turn.policy().needsEligibility() && !turn.eligibility().isAnswered()) {
 			askAboutAll(turn, rank);
+			return;
 		}
-		else if (turn.step().spec().gang()) {
+		if (turn.step().spec().gang()) {
 			placeGang(turn, rank, demand, kept);
 		}
 		else {
@@ -243,7 +246,8 @@
 	}
 
 	private void askAboutAll(StepTurn turn, int rank) {
-		if (this.eligibility.mayAsk(turn.step().key(), rank)) {
+		boolean isWanted = turn.policy().needsEligibility() && !turn.eligibility().isAnswered();
+		if (isWanted && this.eligibility.mayAsk(turn.step().key(), rank)) {
 			ask(turn, possible(turn), rank);
 		}
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverTests.java
@@ -190,6 +190,22 @@
 			TakeOverTests.this.cell.assertServed("a");
 		}
 
+		@Test
+		void itIsAskedWhoMayRunAJobThatHasToWaitForThem() {
+			TakeOverTests.this.cell.withEligibility();
+			PoolCell.Scheduler first = TakeOverTests.this.cell.beginWithTwo();
+			PoolCell.Scheduler second = TakeOverTests.this.cell.schedulers.get(1);
+			TakeOverTests.this.cell.submit("a", PoolCell.step(20, false));
+			TakeOverTests.this.cell.time.runFor(60);
+			second.workerClient.cut("w0");
+			first.kill();
+			TakeOverTests.this.cell.decisions.clear();
+			TakeOverTests.this.cell.time.runFor(2000);
+			assertThat(TakeOverTests.this.cell.decisions).hasAtLeastOneElementOfType(Decision.OwnershipTaken.class)
+				.hasAtLeastOneElementOfType(Decision.EligibilityAnswered.class)
+				.doesNotHaveAnyElementsOfTypes(Decision.WorkersAccounted.class);
+		}
+
 		@Test
 		void tasksOnAWorkerThatTheSuccessorCannotReachWaitForItsLease() {
 			PoolCell.Scheduler first = TakeOverTests.this.cell.beginWithTwo();
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -119,10 +119,14 @@
 	}
 
 	/**
-	 * What has to be durable.
+	 * What has to be durable. Of a job that has ended that is its state alone: a
+	 * successor reads the progress of all jobs before it begins.
 	 * @return the progress
 	 */
 	public JobProgress save() {
+		if (isEnded()) {
+			return new JobProgress(this.state, Map.of());
+		}
 		Map<String, StepRecord> saved = new HashMap<>();
 		this.steps.forEach((local, progress) -> saved.put(local, progress.save()));
 		return new JobProgress(this.state, saved);
