Ask a large pool about the workers that are likely to have room

Cause: a question named the first hundred workers of the pool, for every step: these filled up, others were asked about again, and a long call took 1.2 s.

Change: about forty, those with room first, spread by step; pools of up to forty as before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -25,9 +25,6 @@
  */
 final class EligibilityTracker {
 
-	/** Most workers in a question. */
-	private static final int MOST_WORKERS = 100;
-
 	/**
 	 * A ticket is used no longer than this before it lapses, milliseconds: it was issued
 	 * up to a network way before it arrived, and the start takes another.
@@ -94,7 +91,7 @@
 			return;
 		}
 		known.opened();
-		this.waiting.add(new Question(step, times, workers.stream().limit(MOST_WORKERS).toList()));
+		this.waiting.add(new Question(step, times, workers.stream().limit(WorkersToAsk.MOST).toList()));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -248,7 +248,7 @@
 	private void askAboutAll(StepTurn turn, int rank) {
 		boolean isWanted = turn.policy().needsEligibility() && !turn.eligibility().isAnswered();
 		if (isWanted && this.eligibility.mayAsk(turn.step().key(), rank)) {
-			ask(turn, possible(turn), rank);
+			ask(turn, WorkersToAsk.choose(turn, possible(turn)), rank);
 		}
 	}
 
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkersToAskTests.java
@@ -0,0 +1,69 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.QueuePolicy;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmittedJob;
+import org.monsoonrelay.model.submission.TaskKey;
+import org.monsoonrelay.model.submission.Timetable;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WorkersToAskTests {
+
+	private static final Resources SIZE = new Resources(4000, 100, 0);
+
+	private static StepTurn turn(String job, int tasks) {
+		StepSpec spec = new StepSpec(tasks, SIZE, 500, List.of(), false, false, "", "", 0, false, false, false, false);
+		QueuePolicy policy = new QueuePolicy("q", "s", 0, 3, 2, 0, null);
+		Submission submission = new Submission(job, policy, "", List.of(spec), Timetable.AT_ONCE, 0);
+		ActiveStep step = new ActiveStep(new StepKey(job, 0, 0), new SubmittedJob(submission), 0);
+		return new StepTurn(step, List.of(), policy, StepEligibility.UNKNOWN, 0);
+	}
+
+	private static List<PoolWorker> workers(int count) {
+		return IntStream.range(0, count)
+			.mapToObj((i) -> new PoolWorker(
+					new WorkerInfo("w" + i, "s", "a:1", "d", new Resources(16_000, 800, 0), List.of(), "r", false, 0)))
+			.toList();
+	}
+
+	private static void fill(PoolWorker worker) {
+		for (int i = 0; i < 4; i++) {
+			worker.add(Run.ordered(new TaskKey("other", 0, 0, i), 1, worker.id(), SIZE, 0));
+		}
+	}
+
+	@Test
+	void areAllOfASmallPool() {
+		List<PoolWorker> pool = workers(33);
+		assertThat(WorkersToAsk.choose(turn("a", 2), pool)).isEqualTo(pool);
+	}
+
+	@Test
+	void areThoseWithRoomOfALargeOne() {
+		List<PoolWorker> pool = workers(200);
+		pool.subList(0, 150).forEach(WorkersToAskTests::fill);
+		assertThat(WorkersToAsk.choose(turn("a", 4), pool)).hasSize(WorkersToAsk.USUAL)
+			.isSubsetOf(pool.subList(150, 200));
+	}
+
+	@Test
+	void areMoreForAWiderStep() {
+		assertThat(WorkersToAsk.choose(turn("a", 60), workers(200))).hasSize(60);
+		assertThat(WorkersToAsk.choose(turn("a", 500), workers(200))).hasSize(WorkersToAsk.MOST);
+	}
+
+	@Test
+	void differFromStepToStep() {
+		List<PoolWorker> pool = workers(200);
+		assertThat(WorkersToAsk.choose(turn("a", 2), pool)).isNotEqualTo(WorkersToAsk.choose(turn("b", 2), pool));
+	}
+
+}
