Exclude stopping hosts from standing ready, answer callers at once when no way is open

Cause: the age of a process was counted from the owner's first look, so that all were alike (lines of: the pool went to a host that was not restarted yet); a stopping host stayed a candidate.

Change: the order follows the registrations' versions, and a host that stops says so. A caller is answered as soon as no way to the table is open: holding it served nobody more and told refusals late.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/HostRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/HostRecord.java
@@ -8,7 +8,17 @@
  * @param peerAddress where it listens for peers, {@code host:port}
  * @param incarnation random id of its process
  * @param processors what the host may use of processors; 0 if it did not say
+ * @param stopping whether its process is about to stop
  */
-public record HostRecord(String host, String failureDomain, String peerAddress, String incarnation, double processors) {
+public record HostRecord(String host, String failureDomain, String peerAddress, String incarnation, double processors,
+		boolean stopping) {
+
+	/**
+	 * The record of the same process once it has been told to stop.
+	 * @return the record
+	 */
+	public HostRecord stopped() {
+		return new HostRecord(this.host, this.failureDomain, this.peerAddress, this.incarnation, this.processors, true);
+	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,8 +45,6 @@
 	/** Time between two looks for what has lapsed or ended, milliseconds. */
 	private static final long TIDY_MILLIS = 40;
 
-	private static final long LONG_AGO = Long.MIN_VALUE;
-
 	/** Least time between two heartbeats to the other hosts, milliseconds. */
 	private static final long HEARTBEAT_MILLIS = 100;
 
@@ -98,10 +95,6 @@
 
 	private boolean accounted;
 
-	private final Map<String, Long> firstSeen = new HashMap<>();
-
-	private boolean registered;
-
 	private boolean turnQueued;
 
 	private long nextTurnNanos;
@@ -208,20 +201,8 @@
 	 * @param registered all hosts of this system
 	 * @param self this host
 	 */
-	public void registered(Collection<HostRecord> registered, HostRecord self) {
-		long now = this.ports.clock().nanos();
-		registered.forEach((host) -> this.firstSeen.computeIfAbsent(host.incarnation(),
-				(life) -> this.registered ? now : LONG_AGO));
-		this.registered = true;
-		List<StandbyChoice.Candidate> candidates = registered.stream()
-			.map((host) -> new StandbyChoice.Candidate(host, upMillis(host, now)))
-			.toList();
-		this.journal.standbys(StandbyChoice.choose(candidates, self));
-	}
-
-	private long upMillis(HostRecord host, long now) {
-		long seen = this.firstSeen.get(host.incarnation());
-		return (seen == LONG_AGO) ? Long.MAX_VALUE : TimeUnit.NANOSECONDS.toMillis(now - seen);
+	public void registered(Collection<StandbyChoice.Candidate> registered, HostRecord self) {
+		this.journal.standbys(StandbyChoice.choose(registered, self));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyChoice.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyChoice.java
@@ -12,7 +12,7 @@
  * their order. One that does so reads every job and all progress: with 38 hosts these
  * reads were most of what the table sent. Stateless.
  */
-final class StandbyChoice {
+public final class StandbyChoice {
 
 	/**
 	 * How many hosts stand ready: the loss of a failure domain and of a third of the
@@ -24,7 +24,7 @@
 	 * How long a host has to be up to be ready, milliseconds: it begins to follow the
 	 * jobs 1.5 s after its start.
 	 */
-	static final long READY_MILLIS = 3000;
+	public static final long READY_MILLIS = 3000;
 
 	private StandbyChoice() {
 	}
@@ -32,7 +32,7 @@
 	/**
 	 * Choose the hosts: those that are ready, of them the largest, of them the one that
 	 * was started last, as planned restarts come to it last; in different failure domains
-	 * as far as there are any, first in others than the owner's.
+	 * as far as there are any, first in others than the owner's. None that is stopping.
 	 * @param hosts all hosts that are registered
 	 * @param owner the host that owns the pool
 	 * @return names of the chosen hosts, the one that is to go first at the front
@@ -40,11 +40,11 @@
 	static List<String> choose(Collection<Candidate> hosts, HostRecord owner) {
 		List<Candidate> left = new ArrayList<>(
 				hosts.stream().filter((candidate) -> !candidate.host().host().equals(owner.host())).toList());
+		left.removeIf((candidate) -> candidate.host().stopping());
 		left.sort(Comparator.comparing(Candidate::isReady)
 			.thenComparingDouble((candidate) -> candidate.host().processors())
-			.reversed()
-			.thenComparingLong(Candidate::upMillis)
-			.thenComparing((candidate) -> candidate.host().host()));
+			.thenComparingLong(Candidate::startOrder)
+			.reversed());
 		List<String> chosen = new ArrayList<>();
 		Set<String> used = new HashSet<>(Set.of(owner.failureDomain()));
 		while (chosen.size() < STANDBYS && !left.isEmpty()) {
@@ -63,14 +63,10 @@
 	 * A host that may be chosen. Immutable.
 	 *
 	 * @param host the host
-	 * @param upMillis how long ago its process was first seen, milliseconds; the greatest
-	 * number if it was there before this process looked
+	 * @param startOrder greater for a process that registered later
+	 * @param isReady whether its process has been up long enough
 	 */
-	record Candidate(HostRecord host, long upMillis) {
-
-		boolean isReady() {
-			return this.upMillis >= READY_MILLIS;
-		}
+	public record Candidate(HostRecord host, long startOrder, boolean isReady) {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
@@ -10,12 +10,10 @@
 import org.monsoonrelay.logic.platform.PartitionWrite;
 
 /**
- * One write on behalf of a caller, from its first try to the caller's answer. Tries do
- * not end the write's chance: it is conditional, so that a repeat settles what became of
- * a try without an answer. Invariants: the outcome is told once; {@code NOT_ACCEPTED} is
- * told only if each try is known to have done nothing; a caller that has no time left to
- * come back is not refused before its time is over, as the table may return within it.
- * Thread-safe.
+ * One write on behalf of a caller, from its first try to the caller's answer. A try
+ * without an answer does not end the write's chance: it is conditional, so that a repeat
+ * settles what became of it. Invariants: the outcome is told once; {@code NOT_ACCEPTED}
+ * is told only if each try is known to have done nothing, and then at once. Thread-safe.
  */
 final class CallerWrite {
 
@@ -29,12 +27,6 @@
 	 */
 	private static final long HEDGE_MILLIS = 700;
 
-	/**
-	 * Callers that are refused come back after a second; one with less time left cannot,
-	 * milliseconds.
-	 */
-	private static final long RETURN_MILLIS = 1100;
-
 	/** Kept back from the caller's time for the answer's way, milliseconds. */
 	private static final long MARGIN_MILLIS = 120;
 
@@ -102,7 +94,8 @@
 			attempt(relayed.get());
 		}
 		else {
-			refuse();
+			// The caller had better try another host than wait for this one.
+			giveUp();
 		}
 	}
 
@@ -141,16 +134,6 @@
 		this.timer.schedule(this::next, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	// No way is open. A caller that can come back, or go elsewhere, does so at once.
-	private void refuse() {
-		if (leftMillis() > RETURN_MILLIS) {
-			giveUp();
-		}
-		else {
-			later();
-		}
-	}
-
 	private synchronized void giveUp() {
 		boolean mayBeStored = this.unknown || this.inFlight > 0;
 		this.outcome.complete(mayBeStored ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +19,7 @@
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.pool.HostRecord;
+import org.monsoonrelay.logic.pool.StandbyChoice;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.host.HostAddress;
 
@@ -39,7 +40,7 @@
 
 	private final ScheduledExecutorService control;
 
-	private final HostRecord self;
+	private HostRecord self;
 
 	private final Listener listener;
 
@@ -47,6 +48,10 @@
 
 	private final Map<String, HostRecord> hosts = new ConcurrentHashMap<>();
 
+	private final Map<String, Start> starts = new HashMap<>();
+
+	private boolean loaded;
+
 	HostRegistry(PartitionedTable table, ScheduledExecutorService control, HostRecord self, Listener listener) {
 		this.table = table;
 		this.control = control;
@@ -99,11 +104,29 @@
 	}
 
 	/**
-	 * What is registered of all hosts, this one with them.
-	 * @return the records
+	 * The other hosts as candidates for standing ready. A process that was registered
+	 * before this one looked is taken to be ready.
+	 * @param nowNanos the current time
+	 * @return the candidates
 	 */
-	Collection<HostRecord> records() {
-		return List.copyOf(this.hosts.values());
+	List<StandbyChoice.Candidate> candidates(long nowNanos) {
+		List<StandbyChoice.Candidate> candidates = new ArrayList<>();
+		this.hosts.forEach((name, host) -> {
+			Start start = this.starts.get(name);
+			if (start != null) {
+				boolean isReady = nowNanos - start.readyNanos() >= 0;
+				candidates.add(new StandbyChoice.Candidate(host, start.version(), isReady));
+			}
+		});
+		return candidates;
+	}
+
+	/**
+	 * Tell the others that this process is about to stop.
+	 */
+	void stopping() {
+		this.self = this.self.stopped();
+		register();
 	}
 
 	/**
@@ -122,6 +145,7 @@
 	public void snapshot(String partition, List<TableRow> rows) {
 		this.hosts.keySet().retainAll(List.of(this.self.host()));
 		changed(rows);
+		this.loaded = true;
 	}
 
 	@Override
@@ -141,7 +165,13 @@
 		try {
 			HostRecord record = Json.readLeniently(row.value(), HostRecord.class);
 			HostRecord known = this.hosts.put(row.key(), record);
-			if (known != null && !known.incarnation().equals(record.incarnation())) {
+			boolean isSameLife = known != null && known.incarnation().equals(record.incarnation());
+			if (!isSameLife || !this.starts.containsKey(row.key())) {
+				long readyNanos = System.nanoTime()
+						+ (this.loaded ? TimeUnit.MILLISECONDS.toNanos(StandbyChoice.READY_MILLIS) : 0);
+				this.starts.put(row.key(), new Start(row.version(), readyNanos));
+			}
+			if (known != null && !isSameLife) {
 				this.listener.restarted(row.key());
 			}
 		}
@@ -151,6 +181,11 @@
 		}
 	}
 
+	// When a process registered, and when it is taken to be ready.
+	private record Start(long version, long readyNanos) {
+
+	}
+
 	/** Told of the registered hosts, on the control thread. */
 	interface Listener {
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -100,7 +100,7 @@
 		this.settings = settings;
 		this.configuration = new ConfigurationFeed(table, this.control, log, this::configure);
 		this.self = new HostRecord(settings.host(), settings.failureDomain(), self.address().toString(), self.session(),
-				settings.processors());
+				settings.processors(), false);
 		this.registry = new HostRegistry(table, this.control, this.self, new HostListener());
 		HttpEligibility service = new HttpEligibility(settings.eligibilityAddress()
 			.orElseThrow(() -> new SettingsException("the setting eligibility is missing")));
@@ -127,7 +127,11 @@
 		if (this.election.isStandby()) {
 			this.jobs.start();
 		}
-		this.term.ifPresent((present) -> present.owner().registered(this.registry.records(), this.self));
+		this.term.ifPresent((present) -> chooseStandbys(present.owner()));
+	}
+
+	private void chooseStandbys(PoolOwner owner) {
+		owner.registered(this.registry.candidates(System.nanoTime()), this.self);
 	}
 
 	/**
@@ -237,6 +241,7 @@
 	public CompletableFuture<Void> release() {
 		this.control.execute(() -> {
 			this.election.close();
+			this.registry.stopping();
 			this.term.ifPresentOrElse((present) -> present.owner().release(), () -> this.released.complete(null));
 		});
 		return this.released.completeOnTimeout(null, RELEASE_MILLIS, TimeUnit.MILLISECONDS);
@@ -256,7 +261,7 @@
 			PoolScheduler scheduler = PoolScheduler.this;
 			scheduler.term.ifPresent((present) -> {
 				present.owner().hosts(hosts);
-				present.owner().registered(scheduler.registry.records(), scheduler.self);
+				scheduler.chooseStandbys(present.owner());
 			});
 		}
 
