--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,17 +69,18 @@
 	 * Choose a host for a call now.
 	 * @param costMillis how long the service takes
 	 * @param nowNanos the current time
+	 * @param without hosts that are not to make it
 	 * @return the host, empty if the call had better wait
 	 */
-	Optional<String> choose(double costMillis, long nowNanos) {
+	Optional<String> choose(double costMillis, long nowNanos, Collection<String> without) {
 		List<String> usable = new ArrayList<>();
 		for (String host : this.hosts) {
-			if (nowNanos - this.avoidedUntilNanos.getOrDefault(host, nowNanos) >= 0) {
+			if (!without.contains(host) && nowNanos - this.avoidedUntilNanos.getOrDefault(host, nowNanos) >= 0) {
 				usable.add(host);
 			}
 		}
 		if (usable.isEmpty()) {
-			usable = this.hosts;
+			usable = this.hosts.stream().filter((host) -> !without.contains(host)).toList();
 		}
 		for (int i = 0; i < usable.size(); i++) {
 			String host = usable.get(i);
