--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -69,18 +68,17 @@
 	 * Choose a host for a call now.
 	 * @param costMillis how long the service takes
 	 * @param nowNanos the current time
-	 * @param without hosts that are not to make it
 	 * @return the host, empty if the call had better wait
 	 */
-	Optional<String> choose(double costMillis, long nowNanos, Collection<String> without) {
+	Optional<String> choose(double costMillis, long nowNanos) {
 		List<String> usable = new ArrayList<>();
 		for (String host : this.hosts) {
-			if (!without.contains(host) && nowNanos - this.avoidedUntilNanos.getOrDefault(host, nowNanos) >= 0) {
+			if (nowNanos - this.avoidedUntilNanos.getOrDefault(host, nowNanos) >= 0) {
 				usable.add(host);
 			}
 		}
 		if (usable.isEmpty()) {
-			usable = this.hosts.stream().filter((host) -> !without.contains(host)).toList();
+			usable = this.hosts;
 		}
 		for (int i = 0; i < usable.size(); i++) {
 			String host = usable.get(i);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -4,11 +4,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -38,14 +36,6 @@
 
 	private static final long TIMEOUT_MILLIS = 400;
 
-	/**
-	 * A question that is answered by this much later than it should be is asked through
-	 * another host as well, milliseconds. While the four of nine hosts that stood in one
-	 * failure domain were cut off, half of the steps waited 0.6 s or more for answers
-	 * through them.
-	 */
-	private static final long LATE_MILLIS = 120;
-
 	/** Pause before a failed question is asked again, milliseconds. */
 	private static final long RETRY_MILLIS = 100;
 
@@ -137,10 +127,10 @@
 		long now = this.clock.nanos();
 		List<Question> sent = new ArrayList<>();
 		for (Question question : this.waiting) {
-			Optional<String> host = this.hosts.choose(question.costMillis(), now, Set.of());
+			Optional<String> host = this.hosts.choose(question.costMillis(), now);
 			if (host.isPresent()) {
 				sent.add(question);
-				send(new Asked(question), host.get());
+				send(question, host.get());
 			}
 		}
 		this.waiting.removeAll(sent);
@@ -151,42 +141,28 @@
 		return (known != null) ? known.rank() : Integer.MAX_VALUE;
 	}
 
-	private void send(Asked asked, String host) {
-		Question question = asked.question;
+	private void send(Question question, String host) {
 		long sentNanos = this.clock.nanos();
-		asked.hosts.add(host);
 		this.hosts.begun(host, question.costMillis());
-		long expectedMillis = (long) this.hosts.outstanding(host);
-		Duration timeout = Duration.ofMillis((long) (TIMEOUT_FACTOR * expectedMillis) + TIMEOUT_MILLIS);
-		this.control.schedule(() -> askElsewhere(asked, host), expectedMillis + LATE_MILLIS, TimeUnit.MILLISECONDS);
+		Duration timeout = Duration.ofMillis((long) (TIMEOUT_FACTOR * this.hosts.outstanding(host) + TIMEOUT_MILLIS));
 		this.source.ask(host, question.step(), question.workers(), timeout)
 			.whenComplete(OnThread.of(this.control, (tickets, failure) -> {
 				this.hosts.ended(host, question.costMillis());
-				boolean counts = asked.ended(failure == null);
+				StepEligibility known = this.entries.get(question.step());
+				long now = this.clock.nanos();
 				if (failure != null) {
-					this.hosts.failed(host, this.clock.nanos());
+					this.hosts.failed(host, now);
 				}
 				else {
 					this.hosts.succeeded(host);
 				}
-				StepEligibility known = this.entries.get(question.step());
-				if (known != null && counts) {
+				if (known != null) {
 					take(question, host, known, tickets, failure, sentNanos);
 				}
 				this.answered.accept(question.step());
 			}));
 	}
 
-	// The first answer counts.
-	private void askElsewhere(Asked asked, String late) {
-		if (asked.over > 0 || asked.hosts.size() > 1) {
-			return;
-		}
-		long now = this.clock.nanos();
-		this.hosts.failed(late, now);
-		this.hosts.choose(asked.question.costMillis(), now, asked.hosts).ifPresent((host) -> send(asked, host));
-	}
-
 	private void take(Question question, String host, StepEligibility known, Map<String, String> tickets,
 			Throwable failure, long sentNanos) {
 		long now = this.clock.nanos();
@@ -234,36 +210,6 @@
 		}
 	}
 
-	/** A question on its way, through one host or more. */
-	private static final class Asked {
-
-		private final Question question;
-
-		private final Set<String> hosts = new HashSet<>();
-
-		private int over;
-
-		private boolean answered;
-
-		Asked(Question question) {
-			this.question = question;
-		}
-
-		/**
-		 * Note that a host is done with it.
-		 * @param isAnswer whether it brought an answer
-		 * @return whether that settles the question: the first answer, or the last
-		 * failure
-		 */
-		boolean ended(boolean isAnswer) {
-			this.over++;
-			boolean isFirstAnswer = isAnswer && !this.answered;
-			this.answered |= isAnswer;
-			return isFirstAnswer || (!this.answered && this.over == this.hosts.size());
-		}
-
-	}
-
 	private record Question(StepKey step, EligibilityTimes times, List<String> workers) {
 
 		double costMillis() {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CallHostsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CallHostsTests.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -25,7 +24,7 @@
 	}
 
 	private String choose(double cost) {
-		String host = this.hosts.choose(cost, this.nowNanos, Set.of()).orElse("none");
+		String host = this.hosts.choose(cost, this.nowNanos).orElse("none");
 		this.hosts.begun(host, cost);
 		return host;
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityTrackerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityTrackerTests.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -25,11 +24,9 @@
 
 	private final List<String> asked = new ArrayList<>();
 
-	private final Map<String, CompletableFuture<Map<String, String>>> calls = new HashMap<>();
-
 	private final EligibilityTracker tracker = new EligibilityTracker((host, step, workers, timeout) -> {
 		this.asked.add(step.job());
-		return this.calls.computeIfAbsent(host, (name) -> new CompletableFuture<>());
+		return new CompletableFuture<Map<String, String>>();
 	}, this.time, this.time.clock(), DecisionLog.NONE, (step) -> {
 	});
 
@@ -66,33 +63,4 @@
 		assertThat(this.asked).containsExactly("short");
 	}
 
-	@Test
-	void aQuestionWhoseAnswerIsLateIsAskedThroughAnotherHostAndTheFirstAnswerCounts() {
-		this.tracker.hosts(List.of("late", "other"));
-		ask("job", SHORT, 0);
-		this.tracker.dispatch();
-		assertThat(this.calls).containsOnlyKeys("late");
-		this.time.runFor(200);
-		assertThat(this.calls).containsOnlyKeys("late", "other");
-		this.calls.get("other").complete(Map.of("w", "ticket"));
-		this.time.runFor(0);
-		assertThat(this.tracker.of(new StepKey("job", 0, 0)).isAllowed("w")).isTrue();
-		this.calls.get("late").completeExceptionally(new IllegalStateException("timeout"));
-		this.time.runFor(1000);
-		assertThat(this.tracker.of(new StepKey("job", 0, 0)).isAllowed("w")).isTrue();
-		assertThat(this.asked).hasSize(2);
-	}
-
-	@Test
-	void aQuestionThatFailsThroughAllItsHostsIsAskedAgain() {
-		this.tracker.hosts(List.of("only"));
-		ask("job", SHORT, 0);
-		this.tracker.dispatch();
-		this.calls.remove("only").completeExceptionally(new IllegalStateException("reset"));
-		this.time.runFor(200);
-		ask("job", SHORT, 0);
-		this.tracker.dispatch();
-		assertThat(this.asked).hasSize(2);
-	}
-
 }
