Keep not confirming over a change of owner beside a slow table

Change: the row that takes the pool over says what the former one said, and the time of that write counts as the first. A successor that does not confirm is followed as before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -42,7 +42,7 @@
 	 */
 	OwnerRecord takenBy(HostRecord next) {
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + 1, 1, false, this.workers, this.closed,
-				next.processors(), this.standbys, true);
+				next.processors(), this.standbys, this.confirming);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -108,15 +108,15 @@
 
 	/**
 	 * Begin with the row that made this process the owner.
-	 * @param taken the row
-	 * @param takenVersion its version
+	 * @param taken how that came
 	 */
-	void begin(OwnerRecord taken, long takenVersion) {
-		this.record = taken;
-		this.version = takenVersion;
-		this.standbys = taken.standbys();
-		this.confirming = taken.confirming();
+	void begin(TakeOver taken) {
+		this.record = taken.record();
+		this.version = taken.version();
+		this.standbys = this.record.standbys();
+		this.confirming = this.record.confirming();
 		this.lastSentNanos = this.clock.nanos();
+		this.writeMillis = TimeUnit.NANOSECONDS.toMillis(this.lastSentNanos - taken.sentNanos());
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -131,7 +131,7 @@
 		this.pool.inherit(taken.inherited());
 		this.journal = new PoolJournal(ports.table(), ports.control(), this.term, this.registry, this.pool,
 				ports.clock(), new JournalListener());
-		this.journal.begin(taken.record(), taken.version());
+		this.journal.begin(taken);
 		this.jobs = jobs;
 		this.eligibility = new EligibilityTracker(ports.eligibility(), ports.control(), ports.clock(), ports.log(),
 				this::eligibilityAnswered);
