Tell what the pool holds, what waits, and what questions waited for

Cause: starved steps could not be explained from the lines: room kept for gangs, questions that wait for a host, the rank of a step, how many workers of a question were new to it and the owner's turns were in none.

Change: a line PoolLoad once a second; EligibilityAnswered says how many workers were asked about for the first time, the step's rank, and how long the question waited for a host. No decision changes.

Ruled out: metrics alone, as they are read every few seconds and not beside the lines of a job.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
@@ -172,10 +172,36 @@
 	 * @param host the host that asked
 	 * @param asked number of workers asked about
 	 * @param allowed number of workers allowed
+	 * @param firstAsked how many of the workers had not been asked about before
+	 * @param rank place of the step in the order of the queue when it was sent, 0 first
+	 * @param queuedMillis how long the question waited for a host that had time
 	 * @param tookMillis time to the answer
 	 */
-	record EligibilityAnswered(String job, String step, String host, int asked, int allowed,
-			long tookMillis) implements Decision {
+	record EligibilityAnswered(String job, String step, String host, int asked, int allowed, int firstAsked, int rank,
+			long queuedMillis, long tookMillis) implements Decision {
+
+	}
+
+	/**
+	 * What an owner's pool looks like, told once a second.
+	 *
+	 * @param epoch the fencing token
+	 * @param workers workers that take new work
+	 * @param capacity their size, thousandths of a processor
+	 * @param committed what runs on them or is being stopped, thousandths of a processor
+	 * @param held what is kept for gangs that wait for an answer, thousandths of a
+	 * processor
+	 * @param stepsWaiting steps with tasks that may be started
+	 * @param tasksWaiting those tasks
+	 * @param questionsSent questions on eligibility that wait for an answer
+	 * @param questionsQueued questions that wait for a host that has time
+	 * @param turns turns of the owner since the last line
+	 * @param turnMillis what they took
+	 * @param longestTurnMillis the longest of them
+	 */
+	record PoolLoad(long epoch, int workers, long capacity, long committed, long held, int stepsWaiting,
+			int tasksWaiting, int questionsSent, int questionsQueued, int turns, long turnMillis,
+			long longestTurnMillis) implements Decision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -55,6 +55,8 @@
 
 	private final List<Question> waiting = new ArrayList<>();
 
+	private int sent;
+
 	EligibilityTracker(EligibilitySource source, ScheduledExecutorService control, PoolClock clock, DecisionLog log,
 			Consumer<StepKey> answered) {
 		this.source = source;
@@ -91,7 +93,9 @@
 			return;
 		}
 		known.opened();
-		this.waiting.add(new Question(step, times, workers.stream().limit(WorkersToAsk.MOST).toList()));
+		List<String> named = workers.stream().limit(WorkersToAsk.MOST).toList();
+		int firstAsked = (int) named.stream().filter((worker) -> !known.wasAsked(worker)).count();
+		this.waiting.add(new Question(step, times, named, firstAsked, this.clock.nanos()));
 	}
 
 	/**
@@ -143,10 +147,13 @@
 
 	private void send(Question question, String host) {
 		long sentNanos = this.clock.nanos();
+		int rank = rank(question);
+		this.sent++;
 		this.hosts.begun(host, question.costMillis());
 		Duration timeout = Duration.ofMillis((long) (TIMEOUT_FACTOR * this.hosts.outstanding(host) + TIMEOUT_MILLIS));
 		this.source.ask(host, question.step(), question.workers(), timeout)
 			.whenComplete(OnThread.of(this.control, (tickets, failure) -> {
+				this.sent--;
 				this.hosts.ended(host, question.costMillis());
 				StepEligibility known = this.entries.get(question.step());
 				long now = this.clock.nanos();
@@ -157,26 +164,28 @@
 					this.hosts.succeeded(host);
 				}
 				if (known != null) {
-					take(question, host, known, tickets, failure, sentNanos);
+					take(question, new Sent(host, rank, sentNanos), known, tickets, failure);
 				}
 				this.answered.accept(question.step());
 			}));
 	}
 
-	private void take(Question question, String host, StepEligibility known, Map<String, String> tickets,
-			Throwable failure, long sentNanos) {
+	private void take(Question question, Sent sent, StepEligibility known, Map<String, String> tickets,
+			Throwable failure) {
 		long now = this.clock.nanos();
 		StepKey step = question.step();
 		if (failure != null) {
 			known.failed(now + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS));
-			this.log.write(new Decision.EligibilityFailed(step.job(), step.local(), host,
+			this.log.write(new Decision.EligibilityFailed(step.job(), step.local(), sent.host(),
 					String.valueOf(failure.getMessage())));
 			return;
 		}
 		long valid = TimeUnit.MILLISECONDS.toNanos(question.times().validMillis() - TICKET_MARGIN_MILLIS);
 		known.answered(question.workers(), tickets, now + valid);
-		this.log.write(new Decision.EligibilityAnswered(step.job(), step.local(), host, question.workers().size(),
-				tickets.size(), TimeUnit.NANOSECONDS.toMillis(now - sentNanos)));
+		this.log.write(new Decision.EligibilityAnswered(step.job(), step.local(), sent.host(),
+				question.workers().size(), tickets.size(), question.firstAsked(), sent.rank(),
+				TimeUnit.NANOSECONDS.toMillis(sent.nanos() - question.askedNanos()),
+				TimeUnit.NANOSECONDS.toMillis(now - sent.nanos())));
 	}
 
 	/**
@@ -210,7 +219,21 @@
 		}
 	}
 
-	private record Question(StepKey step, EligibilityTimes times, List<String> workers) {
+	int sentCount() {
+		return this.sent;
+	}
+
+	int queuedCount() {
+		return this.waiting.size();
+	}
+
+	/** How a question went out. */
+	private record Sent(String host, int rank, long nanos) {
+
+	}
+
+	private record Question(StepKey step, EligibilityTimes times, List<String> workers, int firstAsked,
+			long askedNanos) {
 
 		double costMillis() {
 			return this.times.costMillis(this.workers.size());
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolLoadLog.java
@@ -0,0 +1,89 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.DecisionLog;
+
+/**
+ * Tells once a second what the pool looks like: what runs, what is held, what waits, and
+ * what the owner's turns take. Without it held room looked like free room to everybody
+ * but the owner. Not thread-safe: confined to the control thread.
+ */
+final class PoolLoadLog {
+
+	/** Time between two lines, milliseconds. */
+	private static final long PERIOD_MILLIS = 1000;
+
+	private final long epoch;
+
+	private final WorkerPool pool;
+
+	private final JobRegistry jobs;
+
+	private final EligibilityTracker eligibility;
+
+	private final DecisionLog log;
+
+	private long toldNanos;
+
+	private int turns;
+
+	private long turnNanos;
+
+	private long longestNanos;
+
+	PoolLoadLog(long epoch, WorkerPool pool, JobRegistry jobs, EligibilityTracker eligibility, DecisionLog log,
+			long nowNanos) {
+		this.epoch = epoch;
+		this.pool = pool;
+		this.jobs = jobs;
+		this.eligibility = eligibility;
+		this.log = log;
+		this.toldNanos = nowNanos;
+	}
+
+	/**
+	 * Note a turn, and tell if it is time.
+	 * @param begunNanos when it began
+	 * @param endedNanos when it ended
+	 */
+	void turn(long begunNanos, long endedNanos) {
+		this.turns++;
+		this.turnNanos += endedNanos - begunNanos;
+		this.longestNanos = Math.max(this.longestNanos, endedNanos - begunNanos);
+		if (endedNanos - this.toldNanos >= TimeUnit.MILLISECONDS.toNanos(PERIOD_MILLIS)) {
+			this.toldNanos = endedNanos;
+			tell(endedNanos);
+			this.turns = 0;
+			this.turnNanos = 0;
+			this.longestNanos = 0;
+		}
+	}
+
+	private void tell(long nowNanos) {
+		int workers = 0;
+		long capacity = 0;
+		long committed = 0;
+		long held = 0;
+		for (PoolWorker worker : this.pool.all()) {
+			if (worker.isOpen(nowNanos)) {
+				workers++;
+				capacity += worker.info().capacity().processors();
+				committed += worker.committed().processors() - worker.held().processors();
+				held += worker.held().processors();
+			}
+		}
+		int steps = 0;
+		int tasks = 0;
+		for (ActiveStep step : this.jobs.openSteps()) {
+			int waiting = step.waiting().size();
+			steps += (waiting > 0) ? 1 : 0;
+			tasks += waiting;
+		}
+		this.log.write(new Decision.PoolLoad(this.epoch, workers, capacity, committed, held, steps, tasks,
+				this.eligibility.sentCount(), this.eligibility.queuedCount(), this.turns,
+				TimeUnit.NANOSECONDS.toMillis(this.turnNanos), TimeUnit.NANOSECONDS.toMillis(this.longestNanos)));
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -73,6 +73,8 @@
 
 	private final TaskPlacer placer;
 
+	private final PoolLoadLog loadLog;
+
 	private final JobIntake jobs;
 
 	private final JobsListener jobsListener = new JobsListener();
@@ -139,6 +141,8 @@
 				this.eligibility, ports.control(), ports.clock(), ports.log(), new PoolRunListener());
 		this.placer = new TaskPlacer(this.registry, this.pool, this.runs, this.eligibility, this.term, ports.clock(),
 				rules);
+		this.loadLog = new PoolLoadLog(this.epoch, this.pool, this.registry, this.eligibility, ports.log(),
+				this.takenNanos);
 	}
 
 	/**
@@ -272,6 +276,7 @@
 		}
 		this.journal.flush();
 		long ended = this.ports.clock().nanos();
+		this.loadLog.turn(begun, ended);
 		this.nextTurnNanos = ended
 				+ Math.min(TimeUnit.MILLISECONDS.toNanos(LONGEST_PAUSE_MILLIS), PAUSE_FACTOR * (ended - begun));
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -169,6 +169,14 @@
 		return this.reached && this.listed && !this.lost && !this.info.draining();
 	}
 
+	/**
+	 * Room that is not free: of what may run here, is being stopped or is held.
+	 * @return the room
+	 */
+	Resources committed() {
+		return this.committed;
+	}
+
 	Resources free() {
 		return this.info.capacity().covers(this.committed) ? this.info.capacity().minus(this.committed)
 				: Resources.NONE;
@@ -201,6 +209,18 @@
 		this.committed = this.committed.plus(size);
 	}
 
+	/**
+	 * Room that is kept for steps.
+	 * @return the room
+	 */
+	Resources held() {
+		Resources held = Resources.NONE;
+		for (Hold hold : this.holds.values()) {
+			held = held.plus(hold.size());
+		}
+		return held;
+	}
+
 	void unhold(StepKey step) {
 		Hold hold = this.holds.remove(step);
 		if (hold != null) {
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolLoadLogTests.java
@@ -0,0 +1,37 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.Decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PoolLoadLogTests {
+
+	private final PoolCell cell = new PoolCell();
+
+	private List<Decision.PoolLoad> loads() {
+		return this.cell.decisions.stream()
+			.filter(Decision.PoolLoad.class::isInstance)
+			.map(Decision.PoolLoad.class::cast)
+			.toList();
+	}
+
+	@Test
+	void tellsOnceASecondWhatRunsAndWhatWaits() {
+		this.cell.withRunsOf(10_000).withWorkers(1).addScheduler();
+		this.cell.time.runFor(PoolCell.READY_MILLIS);
+		this.cell.submit("0000000000000001", PoolCell.step(6, false));
+		this.cell.time.runFor(2000);
+		assertThat(loads()).hasSizeBetween(2, 3).last().satisfies((load) -> {
+			assertThat(Map.of("workers", load.workers(), "steps", load.stepsWaiting(), "tasks", load.tasksWaiting()))
+				.isEqualTo(Map.of("workers", 1, "steps", 1, "tasks", 2));
+			assertThat(load.committed()).isEqualTo(load.capacity()).isEqualTo(PoolCell.CAPACITY.processors());
+			assertThat(load.held()).isZero();
+			assertThat(load.turns()).isPositive();
+		});
+	}
+
+}
