Bring about the starving of steps beside free workers

A gang holds the room of its plan in each turn, also while its question waits for a host, and its plan names workers that nobody has asked about before those known as allowed. Held room grows to 0.72 of the pool at 0.20 in use.

Change: tests only. The played load may have more than one arrival of a class in a step of its clock; loads of up to 50 a second draw the same jobs as before.

--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LargePoolLoadTests.java
@@ -0,0 +1,56 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.pool.LoadClass.Spread;
+import org.monsoonrelay.model.capacity.Resources;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays the load of a salon chain on a cell of 245 workers, a fifth above the usual.
+ * <p>
+ * What users saw: on calm days wide jobs were accepted and never ended, and others waited
+ * for many seconds, while most workers had nothing to do. Order of events: a gang whose
+ * tickets had lapsed planned its tasks anew in each turn and had the room of that plan
+ * held until it was answered, also while its question waited for a host that had time;
+ * the plan named mostly workers that it knew nothing of, as it spared those known as
+ * allowed for gangs, itself among them; two thirds of them were not allowed, and the next
+ * plan named others. Held room grew to 0.72 of the pool while 0.20 was in use, so that
+ * other steps asked about each worker that became free, one by one, and the questions
+ * used up the hosts' time: 83 waited, up to 22 s. Evidence: {@code PoolLoad} and
+ * {@code EligibilityAnswered} lines of a calm day (held, queued, 64 to 86 of 100 workers
+ * in further questions named for the first time).
+ */
+class LargePoolLoadTests {
+
+	private static final PlayedLoad.Cell CELL = new PlayedLoad.Cell(245, 35, new Resources(32_000, 131_072, 0));
+
+	private static final LoadClass CONFIRMATIONS = new LoadClass("confirmations", 96.3, 0.391, 1.5, 303, 1,
+			new Spread(3.2, 0.8, 19), new Spread(640, 0.5, 1600), new Spread(5000, 0.45, 15_000),
+			new Spread(18_000, 0.6, 55_000), 0.3, 0.2, 0.7, 9.36, 0.13);
+
+	private static final LoadClass ROSTERS = new LoadClass("rosters", 3.33, 12.9, 2.2, 1003, 1.2,
+			new Spread(20, 0.8, 120), new Spread(5000, 0.5, 12_000), new Spread(9000, 0.4, 15_000),
+			new Spread(33_000, 0.5, 65_000), 1, 0.9, 0.35, 559, 8.06);
+
+	private static final LoadClass VOUCHERS = new LoadClass("vouchers", 6.9, 3.9, 4, 3002, 1.5,
+			new Spread(25, 0.8, 150), new Spread(2700, 0.5, 6800), new Spread(3500, 0.45, 10_000),
+			new Spread(10_000, 0.6, 30_000), 0, 0.5, 0.45, 130, 1.82);
+
+	private static final long PLAY_MILLIS = 14_000;
+
+	private static PlayedLoad.Served play(long seed, double factor) {
+		List<LoadClass> classes = List.of(CONFIRMATIONS.times(factor), ROSTERS.times(factor), VOUCHERS.times(factor));
+		return new PlayedLoad(seed, CELL, classes, PlacementRules.IN_USE).play(PLAY_MILLIS);
+	}
+
+	@Test
+	void noStepStarvesBesideFreeWorkers() {
+		PlayedLoad.Served served = play(2, 1.2);
+		assertThat(served.faults()).isEmpty();
+		assertThat(served.starved()).isEmpty();
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -34,8 +36,6 @@
  */
 final class PlayedLoad {
 
-	private static final int HOSTS = 6;
-
 	private static final long TICKET_MILLIS = 2500;
 
 	private static final long WARM_MILLIS = 500;
@@ -46,12 +46,19 @@
 
 	private static final double HOPELESS = 3;
 
+	private static final long SAMPLE_MILLIS = 100;
+
+	/** A job is starved if it stands still for this long beside free workers. */
+	private static final long STARVED_MILLIS = 3000;
+
 	private final VirtualTime time = new VirtualTime();
 
 	private final MemoryTable table = new MemoryTable(this.time);
 
 	private final Map<TaskKey, Long> runMillis = new HashMap<>();
 
+	private final Map<StepKey, Resources> sizes = new HashMap<>();
+
 	private final SimulatedWorkers workers = new SimulatedWorkers(this.time, this.runMillis::get);
 
 	private final Map<String, Long> hostFree = new HashMap<>();
@@ -64,11 +71,14 @@
 
 	private final List<LoadClass> classes;
 
-	PlayedLoad(long seed, int workerCount, Resources capacity, List<LoadClass> classes, PlacementRules rules) {
+	private final Cell cell;
+
+	PlayedLoad(long seed, Cell cell, List<LoadClass> classes, PlacementRules rules) {
 		this.random = new Random(seed);
+		this.cell = cell;
 		this.classes = classes;
-		for (int i = 0; i < workerCount; i++) {
-			this.workers.add("w" + i, capacity);
+		for (int i = 0; i < cell.workers(); i++) {
+			this.workers.add("w" + i, cell.capacity());
 		}
 		begin(rules);
 	}
@@ -81,7 +91,7 @@
 			PoolOwner owner = new PoolOwner(ports, intake, taken, new Peers(), rules, (reason) -> {
 			});
 			owner.configure(new QueueConfiguration(1, List.of(), List.of(new WorkerService("salon", false))));
-			owner.hosts(java.util.stream.IntStream.range(0, HOSTS).mapToObj((host) -> "h" + host).toList());
+			owner.hosts(java.util.stream.IntStream.range(0, this.cell.hosts()).mapToObj((host) -> "h" + host).toList());
 			owner.start();
 			owner.workers(this.workers.list());
 		}).start();
@@ -114,10 +124,14 @@
 	 * @return what callers got
 	 */
 	Served play(long millis) {
+		this.time.scheduleAtFixedRate(this::sample, 0, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
 		for (long now = 0; now < millis; now += STEP_MILLIS) {
 			for (LoadClass kind : this.classes) {
-				if (this.random.nextDouble() < kind.perSecond() * STEP_MILLIS / TimeUnit.SECONDS.toMillis(1)) {
-					submit(kind);
+				double expected = kind.perSecond() * STEP_MILLIS / TimeUnit.SECONDS.toMillis(1);
+				for (double rest = expected; rest > 0; rest--) {
+					if (this.random.nextDouble() < rest) {
+						submit(kind);
+					}
 				}
 			}
 			this.time.runFor(STEP_MILLIS);
@@ -126,6 +140,17 @@
 		return served();
 	}
 
+	private void sample() {
+		long used = 0;
+		Set<String> running = new HashSet<>();
+		for (TaskKey task : this.workers.alive()) {
+			used += this.sizes.get(task.stepKey()).processors();
+			running.add(task.job());
+		}
+		boolean isHalfFree = 2 * used < (long) this.cell.workers() * this.cell.capacity().processors();
+		this.jobs.forEach((id, job) -> job.stands(isHalfFree && !running.contains(id)));
+	}
+
 	private void submit(LoadClass kind) {
 		String id = "%016x".formatted(this.random.nextLong());
 		int count = (this.random.nextDouble() < kind.steps() - 1) ? 2 : 1;
@@ -141,6 +166,7 @@
 			steps.add(new StepSpec(width, size, Math.max(50, Math.round(runs * off)),
 					(step > 0) ? List.of(step - 1) : List.of(), this.random.nextDouble() < kind.gangShare(), false, "",
 					"", 0, false, false, false, false));
+			this.sizes.put(new StepKey(id, 0, step), size);
 			for (int i = 0; i < width; i++) {
 				this.runMillis.put(new TaskKey(id, 0, step, i), runs);
 			}
@@ -168,11 +194,35 @@
 				sum[1] += worth;
 			}
 		}
-		return new Served(sums, this.workers.faults());
+		List<String> starved = new ArrayList<>();
+		this.jobs.forEach((id, job) -> {
+			if (job.longestStandMillis >= STARVED_MILLIS) {
+				starved.add(job.kind().name() + " " + id);
+			}
+		});
+		return new Served(sums, starved, this.workers.faults());
+	}
+
+	/**
+	 * Where a load is played.
+	 *
+	 * @param workers number of workers
+	 * @param hosts hosts that ask who may run a step
+	 * @param capacity size of a worker
+	 */
+	record Cell(int workers, int hosts, Resources capacity) {
+
 	}
 
-	/** What callers got, earned and owed by class, and faults of placement. */
-	record Served(Map<String, double[]> sums, List<String> faults) {
+	/**
+	 * What callers got.
+	 *
+	 * @param sums earned and owed by class
+	 * @param starved jobs that stood still for three seconds while half of the workers'
+	 * processors were free
+	 * @param faults faults of placement
+	 */
+	record Served(Map<String, double[]> sums, List<String> starved, List<String> faults) {
 
 		double share() {
 			double earned = this.sums.values().stream().mapToDouble((sum) -> sum[0]).sum();
@@ -197,6 +247,10 @@
 
 		private long tookMillis = Long.MAX_VALUE;
 
+		private long standMillis;
+
+		private long longestStandMillis;
+
 		Played(LoadClass kind, long begunMillis, long allowedMillis, double work) {
 			this.kind = kind;
 			this.begunMillis = begunMillis;
@@ -212,6 +266,12 @@
 			return this.work;
 		}
 
+		void stands(boolean isStanding) {
+			boolean isOver = this.tookMillis != Long.MAX_VALUE;
+			this.standMillis = (isStanding && !isOver) ? this.standMillis + SAMPLE_MILLIS : 0;
+			this.longestStandMillis = Math.max(this.longestStandMillis, this.standMillis);
+		}
+
 		double earnedShare() {
 			if (this.tookMillis <= this.allowedMillis) {
 				return 1;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoadTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoadTests.java
@@ -21,12 +21,10 @@
 
 	private static final int SEEDS = 4;
 
-	private static final int WORKERS = 33;
+	private static final PlayedLoad.Cell CELL = new PlayedLoad.Cell(33, 6, new Resources(32_000, 131_072, 0));
 
 	private static final long PLAY_MILLIS = 20_000;
 
-	private static final Resources CAPACITY = new Resources(32_000, 131_072, 0);
-
 	private static final LoadClass CONFIRMATIONS = new LoadClass("confirmations", 33.7, 0.415, 1.5, 250, 1,
 			new Spread(2, 0.8, 12), new Spread(640, 0.5, 1600), new Spread(2800, 0.45, 8400),
 			new Spread(10_000, 0.6, 31_000), 0.3, 0.2, 0.7, 5.6, 0.08);
@@ -50,7 +48,7 @@
 
 	private static PlayedLoad.Served play(long seed, double factor, PlacementRules rules) {
 		List<LoadClass> classes = List.of(CONFIRMATIONS.times(factor), ROSTERS.times(factor), VOUCHERS.times(factor));
-		PlayedLoad.Served served = new PlayedLoad(seed, WORKERS, CAPACITY, classes, rules).play(PLAY_MILLIS);
+		PlayedLoad.Served served = new PlayedLoad(seed, CELL, classes, rules).play(PLAY_MILLIS);
 		assertThat(served.faults()).isEmpty();
 		return served;
 	}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/QuestionedPool.java
@@ -0,0 +1,174 @@
+package org.monsoonrelay.logic.pool;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.EligibilityTimes;
+import org.monsoonrelay.model.submission.QueueConfiguration;
+import org.monsoonrelay.model.submission.QueuePolicy;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.TaskKey;
+import org.monsoonrelay.model.submission.Timetable;
+import org.monsoonrelay.model.submission.WorkerService;
+
+/**
+ * An owner with one host for questions on eligibility, which a test answers by hand. Each
+ * task takes a whole worker. Not thread-safe.
+ */
+final class QuestionedPool {
+
+	private static final Resources SIZE = new Resources(4000, 1000, 0);
+
+	private static final String FILLER = "00000000filler00";
+
+	private static final long RUN_MILLIS = 60_000;
+
+	private static final long SHORT_MILLIS = 120;
+
+	private final VirtualTime time = new VirtualTime();
+
+	private final MemoryTable table = new MemoryTable(this.time);
+
+	private final SimulatedWorkers workers = new SimulatedWorkers(this.time, (task) -> RUN_MILLIS).taskSize(SIZE);
+
+	private final Map<String, Question> open = new HashMap<>();
+
+	QuestionedPool(int workerCount) {
+		for (int i = 0; i < workerCount; i++) {
+			this.workers.add("w" + i, SIZE);
+		}
+		PoolPorts ports = new PoolPorts(this.table.client(), this.workers.client(), this::ask, this.time,
+				this.time.clock(), DecisionLog.NONE);
+		JobIntake intake = new JobIntake(ports.table(), this.time);
+		new OwnerElection(ports, new HostRecord("host", "domain", "a:1", "holder", 1, false), (taken) -> {
+			PoolOwner owner = new PoolOwner(ports, intake, taken, new NoPeers(), (reason) -> {
+			});
+			owner.configure(new QueueConfiguration(1, List.of(), List.of(new WorkerService("salon", false))));
+			owner.hosts(List.of("only"));
+			owner.start();
+			owner.workers(this.workers.list());
+		}).start();
+		this.time.runFor(1000);
+	}
+
+	private CompletableFuture<Map<String, String>> ask(String host, StepKey step, List<String> asked, Duration limit) {
+		Question question = new Question(asked, new CompletableFuture<>());
+		this.open.put(step.job(), question);
+		return question.answer();
+	}
+
+	/** Let a job take all workers. */
+	void fill() {
+		submit(FILLER, this.workers.list().size(), false, null);
+		run();
+	}
+
+	/** Let that job end. */
+	void empty() {
+		this.table.client()
+			.commit(PartitionWrite.to(JobTables.partition(FILLER))
+				.put(JobTables.JOBS, JobTables.cancelKey(FILLER), "{}"));
+		run();
+	}
+
+	void submitGang(String id, int tasks, EligibilityTimes times) {
+		submit(id, tasks, true, times);
+		run();
+	}
+
+	/**
+	 * Submit a job of one task that any worker may run and that has no time to spare.
+	 * @param id the job's id
+	 */
+	void submitUrgent(String id) {
+		submit(id, 1, false, null);
+		run();
+	}
+
+	private void submit(String id, int tasks, boolean gang, EligibilityTimes times) {
+		StepSpec step = new StepSpec(tasks, SIZE, RUN_MILLIS, List.of(), gang, false, "", "", 0, false, false, false,
+				false);
+		QueuePolicy policy = new QueuePolicy("queue", "salon", 0, 3, 1, 0, times);
+		Submission submission = new Submission(id, policy, "text", List.of(step), Timetable.AT_ONCE,
+				this.time.millis());
+		this.table.client()
+			.commit(PartitionWrite.to(JobTables.partition(id)).put(JobTables.JOBS, id, Json.write(submission)));
+	}
+
+	/**
+	 * The workers that the open question about a job names.
+	 * @param id the job's id
+	 * @return the workers, none if there is no such question
+	 */
+	List<String> asked(String id) {
+		Question question = this.open.get(id);
+		return (question != null) ? question.workers() : List.of();
+	}
+
+	/**
+	 * Answer the open question about a job: each third worker of the pool is allowed.
+	 * @param id the job's id
+	 * @return the allowed workers
+	 */
+	List<String> answer(String id) {
+		Question question = this.open.remove(id);
+		List<String> allowed = question.workers()
+			.stream()
+			.filter((worker) -> Integer.parseInt(worker.substring(1)) % 3 == 0)
+			.toList();
+		question.answer()
+			.complete(allowed.stream().collect(Collectors.toMap((worker) -> worker, (worker) -> "ticket")));
+		run();
+		return allowed;
+	}
+
+	boolean isStarted(String id) {
+		return this.workers.startsOf(new TaskKey(id, 0, 0, 0)) > 0;
+	}
+
+	void run() {
+		this.time.runFor(SHORT_MILLIS);
+	}
+
+	void runFor(long millis) {
+		this.time.runFor(millis);
+	}
+
+	private record Question(List<String> workers, CompletableFuture<Map<String, String>> answer) {
+
+	}
+
+	private static final class NoPeers implements OwnerPeers {
+
+		@Override
+		public void heartbeat(long epoch, long version) {
+		}
+
+		@Override
+		public void durable(long epoch, Map<String, SubmissionState> states, java.util.Optional<QueueSummary> pending) {
+		}
+
+		@Override
+		public void released(OwnerRecord record, long version) {
+		}
+
+		@Override
+		public void inviteTakeOver(long version) {
+		}
+
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -105,6 +105,14 @@
 		return this.starts.getOrDefault(task, 0);
 	}
 
+	/**
+	 * What runs.
+	 * @return the tasks
+	 */
+	Set<TaskKey> alive() {
+		return this.alive.keySet();
+	}
+
 	int aliveCount() {
 		return this.alive.size();
 	}
