Keep room for gangs only while they are asked about, on workers known as allowed

Cause: room was held in vain. A gang held the room of its plan in each turn, also while its question waited for a host, and the plan named workers nobody had asked about, as it spared those known as allowed for gangs, itself among them. Of others named in further questions two thirds are not allowed, so that no plan became whole; held room filled the pool, other steps asked about each worker that became free by itself, and these questions used up the hosts' time.

Change: which workers a question names is decided once a host has time for it; room is kept from then on only; a gang plans on workers known as allowed and asks about others if these are too few; a step that is no gang names all allowed workers whose tickets have lapsed, not just those with room now.

EligibilityTrackerTests passes the workers as a supplier, nothing else.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -39,6 +39,8 @@
 
 	private long searchedNanos;
 
+	private boolean holding;
+
 	ActiveStep(StepKey key, SubmittedJob job, int attemptFloor) {
 		this.key = key;
 		this.job = job;
@@ -96,6 +98,21 @@
 		return this.searchedNanos;
 	}
 
+	/** Note that room is held for the step. */
+	void holding() {
+		this.holding = true;
+	}
+
+	/**
+	 * Whether room may be held for the step, asked once.
+	 * @return {@code true} if it has to be given back
+	 */
+	boolean takeHolding() {
+		boolean held = this.holding;
+		this.holding = false;
+		return held;
+	}
+
 	StepProgress progress() {
 		return this.job.progress(this.key);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
@@ -53,7 +55,7 @@
 
 	private final Map<StepKey, StepEligibility> entries = new HashMap<>();
 
-	private final List<Question> waiting = new ArrayList<>();
+	private final Map<StepKey, Wish> waiting = new LinkedHashMap<>();
 
 	private int sent;
 
@@ -79,23 +81,20 @@
 	}
 
 	/**
-	 * Ask about workers unless a question for the step is open, which then keeps its
-	 * workers.
+	 * Wish to ask about a step. Which workers to name is decided only when a host has
+	 * time for the question: room comes and goes while it waits.
 	 * @param step the step
 	 * @param times what asking costs
-	 * @param workers the workers
+	 * @param workers decides which workers to name, none if there is nothing to ask
 	 * @param rank place of the step in the order of the queue, 0 first
 	 */
-	void ask(StepKey step, EligibilityTimes times, List<String> workers, int rank) {
+	void ask(StepKey step, EligibilityTimes times, Supplier<List<String>> workers, int rank) {
 		StepEligibility known = this.entries.computeIfAbsent(step, (key) -> new StepEligibility(this.clock.nanos()));
 		known.rank(rank);
-		if (workers.isEmpty() || !known.mayAsk(this.clock.nanos())) {
-			return;
+		if (known.mayAsk(this.clock.nanos())) {
+			long since = this.waiting.containsKey(step) ? this.waiting.get(step).sinceNanos() : this.clock.nanos();
+			this.waiting.put(step, new Wish(step, times, workers, since));
 		}
-		known.opened();
-		List<String> named = workers.stream().limit(WorkersToAsk.MOST).toList();
-		int firstAsked = (int) named.stream().filter((worker) -> !known.wasAsked(worker)).count();
-		this.waiting.add(new Question(step, times, named, firstAsked, this.clock.nanos()));
 	}
 
 	/**
@@ -125,29 +124,46 @@
 		if (this.waiting.isEmpty()) {
 			return;
 		}
-		this.waiting.sort(Comparator.comparing((Question question) -> question.costMillis() > CallHosts.LONG_MILLIS)
-			.thenComparingInt(this::rank)
-			.thenComparingDouble(Question::costMillis));
+		List<Wish> wishes = new ArrayList<>(this.waiting.values());
+		wishes.sort(Comparator.comparing((Wish wish) -> wish.times().costMillis(1) > CallHosts.LONG_MILLIS)
+			.thenComparingInt((wish) -> rank(wish.step()))
+			.thenComparingDouble((wish) -> wish.times().costMillis(1)));
 		long now = this.clock.nanos();
-		List<Question> sent = new ArrayList<>();
-		for (Question question : this.waiting) {
-			Optional<String> host = this.hosts.choose(question.costMillis(), now);
-			if (host.isPresent()) {
-				sent.add(question);
-				send(question, host.get());
+		for (Wish wish : wishes) {
+			// Whom to name is worked out for those alone that can be sent.
+			if (this.hosts.choose(wish.times().costMillis(1), now).isPresent()) {
+				dispatch(wish, now);
 			}
 		}
-		this.waiting.removeAll(sent);
 	}
 
-	private int rank(Question question) {
-		StepEligibility known = this.entries.get(question.step());
+	private void dispatch(Wish wish, long now) {
+		List<String> workers = wish.workers().get();
+		this.waiting.remove(wish.step());
+		if (workers.isEmpty()) {
+			return;
+		}
+		StepEligibility known = this.entries.get(wish.step());
+		List<String> named = workers.stream().limit(WorkersToAsk.MOST).toList();
+		int firstAsked = (int) named.stream().filter((worker) -> !known.wasAsked(worker)).count();
+		Question question = new Question(wish.step(), wish.times(), named, firstAsked, wish.sinceNanos());
+		Optional<String> host = this.hosts.choose(question.costMillis(), now);
+		if (host.isEmpty()) {
+			this.waiting.put(wish.step(), wish);
+			return;
+		}
+		known.opened();
+		send(question, host.get());
+	}
+
+	private int rank(StepKey step) {
+		StepEligibility known = this.entries.get(step);
 		return (known != null) ? known.rank() : Integer.MAX_VALUE;
 	}
 
 	private void send(Question question, String host) {
 		long sentNanos = this.clock.nanos();
-		int rank = rank(question);
+		int rank = rank(question.step());
 		this.sent++;
 		this.hosts.begun(host, question.costMillis());
 		Duration timeout = Duration.ofMillis((long) (TIMEOUT_FACTOR * this.hosts.outstanding(host) + TIMEOUT_MILLIS));
@@ -194,7 +210,16 @@
 	 */
 	void forget(Predicate<StepKey> isOver) {
 		this.entries.keySet().removeIf(isOver);
-		this.waiting.removeIf((question) -> isOver.test(question.step()));
+		this.waiting.keySet().removeIf(isOver);
+	}
+
+	/**
+	 * Whether a question about a step is on its way.
+	 * @param step the step
+	 * @return {@code true} until it is answered or has failed
+	 */
+	boolean isAsked(StepKey step) {
+		return of(step).isOpen();
 	}
 
 	/**
@@ -227,6 +252,11 @@
 		return this.waiting.size();
 	}
 
+	/** A question that nobody has been asked yet. */
+	private record Wish(StepKey step, EligibilityTimes times, Supplier<List<String>> workers, long sinceNanos) {
+
+	}
+
 	/** How a question went out. */
 	private record Sent(String host, int rank, long nanos) {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StepEligibility.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StepEligibility.java
@@ -40,6 +40,10 @@
 		return !this.open && nowNanos - this.notBeforeNanos >= 0;
 	}
 
+	boolean isOpen() {
+		return this.open;
+	}
+
 	void opened() {
 		this.open = true;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.EligibilityTimes;
@@ -192,7 +193,9 @@
 			if (worker.isEmpty()) {
 				step.searched(changes, all ? turn.nowNanos() : step.searchedNanos());
 				fitting.removeIf((candidate) -> !turn.fits(candidate, 1) || !turn.isEligibleOrNew(candidate));
-				renew(turn, fitting, rank);
+				if (!fitting.isEmpty()) {
+					ask(turn, rank, () -> again(later(turn), open));
+				}
 				return;
 			}
 			start(turn, index, step.nextAttempt(index), worker.get());
@@ -202,6 +205,16 @@
 		}
 	}
 
+	private List<PoolWorker> again(StepTurn turn, Predicate<PoolWorker> open) {
+		return turn.tasks().isEmpty() ? List.of()
+				: WorkersToAsk.again(turn, possible(turn), fitting(turn, open.and(turn::isEligible)));
+	}
+
+	// The same step in the turn in which its question goes out.
+	private StepTurn later(StepTurn turn) {
+		return turn(turn.step(), turn.step().waiting());
+	}
+
 	private List<PoolWorker> fitting(StepTurn turn, Predicate<PoolWorker> usable) {
 		List<PoolWorker> fitting = new ArrayList<>();
 		for (PoolWorker worker : this.pool.all()) {
@@ -214,8 +227,13 @@
 
 	private void placeGang(StepTurn turn, int rank, GangDemand demand, RoomForGangs kept) {
 		ActiveStep step = turn.step();
-		this.pool.all().forEach((worker) -> worker.unhold(step.key()));
-		List<PoolWorker> fitting = fitting(turn, turn::isEligibleOrNew);
+		if (this.eligibility.isAsked(step.key())) {
+			return;
+		}
+		if (step.takeHolding()) {
+			this.pool.all().forEach((worker) -> worker.unhold(step.key()));
+		}
+		List<PoolWorker> fitting = fitting(turn, turn::isEligible);
 		Optional<Map<Integer, PoolWorker>> ready = this.gangs.plan(turn,
 				fitting.stream().filter(turn::hasTicket).toList(), demand);
 		if (ready.isPresent()) {
@@ -224,20 +242,36 @@
 			return;
 		}
 		Optional<Map<Integer, PoolWorker>> wanted = this.gangs.plan(turn, fitting, demand);
-		if (wanted.isEmpty()) {
-			possible(turn).stream().filter(turn::isEligible).forEach(kept::keep);
+		if (wanted.isPresent()) {
+			wanted.get().values().forEach(kept::keep);
+			ask(turn, rank, () -> holdForGang(later(turn), demand));
 			return;
 		}
-		renew(turn, wanted.get().values().stream().distinct().toList(), rank);
-		hold(turn, wanted.get());
+		List<PoolWorker> possible = possible(turn);
+		possible.stream().filter(turn::isEligible).forEach(kept::keep);
+		if (this.eligibility.mayAsk(step.key(), rank) && WorkersToAsk.isShort(turn, possible)) {
+			ask(turn, rank, () -> WorkersToAsk.more(later(turn), possible(turn)));
+		}
+	}
+
+	// Called only once the question goes out, and for workers known as allowed. Kept for
+	// gangs whose questions waited, and on workers of which two thirds turned out not to
+	// be allowed, room that nobody used grew to 0.72 of a pool of 245 workers, and steps
+	// starved beside it (lines of a calm day).
+	private List<PoolWorker> holdForGang(StepTurn turn, GangDemand demand) {
+		Optional<Map<Integer, PoolWorker>> plan = turn.tasks().isEmpty() ? Optional.empty()
+				: this.gangs.plan(turn, fitting(turn, turn::isEligible), demand);
+		plan.ifPresent((workers) -> hold(turn, workers));
+		return plan.map((workers) -> workers.values().stream().distinct().toList()).orElse(List.of());
 	}
 
 	private void hold(StepTurn turn, Map<Integer, PoolWorker> plan) {
-		double millis = turn.policy().eligibility().costMillis(plan.size()) + HOLD_MARGIN_MILLIS;
-		long until = this.clock.nanos() + TimeUnit.MILLISECONDS.toNanos((long) millis);
-		ActiveStep step = turn.step();
 		Map<PoolWorker, Integer> counts = new HashMap<>();
 		plan.values().forEach((worker) -> counts.merge(worker, 1, Integer::sum));
+		double millis = turn.policy().eligibility().costMillis(counts.size()) + HOLD_MARGIN_MILLIS;
+		long until = this.clock.nanos() + TimeUnit.MILLISECONDS.toNanos((long) millis);
+		ActiveStep step = turn.step();
+		step.holding();
 		counts.forEach((worker, count) -> worker.hold(step.key(), step.spec().committedSize().times(count), until));
 	}
 
@@ -248,19 +282,16 @@
 	private void askAboutAll(StepTurn turn, int rank) {
 		boolean isWanted = turn.policy().needsEligibility() && !turn.eligibility().isAnswered();
 		if (isWanted && this.eligibility.mayAsk(turn.step().key(), rank)) {
-			ask(turn, WorkersToAsk.choose(turn, possible(turn)), rank);
+			ask(turn, rank, () -> WorkersToAsk.choose(turn, possible(turn)));
 		}
 	}
 
-	private void renew(StepTurn turn, List<PoolWorker> workers, int rank) {
-		if (turn.policy().needsEligibility()) {
-			ask(turn, workers, rank);
+	private void ask(StepTurn turn, int rank, Supplier<List<PoolWorker>> workers) {
+		if (!turn.policy().needsEligibility()) {
+			return;
 		}
-	}
-
-	private void ask(StepTurn turn, List<PoolWorker> workers, int rank) {
 		EligibilityTimes times = Objects.requireNonNull(turn.policy().eligibility());
-		this.eligibility.ask(turn.step().key(), times, workers.stream().map(PoolWorker::id).toList(), rank);
+		this.eligibility.ask(turn.step().key(), times, () -> workers.get().stream().map(PoolWorker::id).toList(), rank);
 	}
 
 	private List<PoolWorker> possible(StepTurn turn) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
@@ -1,15 +1,17 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.monsoonrelay.model.capacity.Resources;
 
 /**
- * Chooses the workers that a first question about a step names: those that are likely to
- * have room for it, spread so that different steps ask about different ones. Each worker
- * named makes the answer later. Naming the first hundred of a large pool for every step
- * filled these and asked again about the others. Stateless.
+ * Chooses the workers that a question about a step names. A first one names those that
+ * are likely to have room for it, spread so that different steps ask about different
+ * ones. Each worker named makes the answer later. Naming the first hundred of a large
+ * pool for every step filled these and asked again about the others. Stateless.
  */
 final class WorkersToAsk {
 
@@ -33,6 +35,12 @@
 	 */
 	private static final double SOON_FREE_SHARE = 0.25;
 
+	/**
+	 * Places on workers known as allowed, whatever runs there now, that are enough for a
+	 * task. In a pool four fifths full a gang finds room on a third of its places.
+	 */
+	private static final int ENOUGH_PLACES_PER_TASK = 3;
+
 	private WorkersToAsk() {
 	}
 
@@ -60,6 +68,69 @@
 		return ranked.subList(0, count);
 	}
 
+	/**
+	 * Choose workers for a further question about a step that is not a gang: those that
+	 * have room now, then others that are known as allowed and whose tickets have lapsed.
+	 * Room that becomes free on these is then used at once: naming only the few with room
+	 * took a question of 0.2 s for each of them, up to 27 for a step, and served less
+	 * (0.953 and 0.967 instead of 0.986 and 1.0 of what gangs beside them were owed,
+	 * played load of 245 workers, two seeds).
+	 * @param turn the step
+	 * @param possible the workers that might run it
+	 * @param withRoom those that are allowed and have room now
+	 * @return the chosen ones
+	 */
+	static List<PoolWorker> again(StepTurn turn, List<PoolWorker> possible, List<PoolWorker> withRoom) {
+		ActiveStep step = turn.step();
+		Comparator<PoolWorker> roomiest = Comparator.comparingDouble((worker) -> -places(step, worker));
+		Set<PoolWorker> chosen = new LinkedHashSet<>();
+		withRoom.stream().sorted(roomiest).limit(USUAL).forEach(chosen::add);
+		possible.stream()
+			.filter((worker) -> turn.isEligible(worker) && !turn.hasTicket(worker))
+			.sorted(roomiest)
+			.limit(USUAL - chosen.size())
+			.forEach(chosen::add);
+		chosen.addAll(more(turn, possible));
+		return List.copyOf(chosen);
+	}
+
+	/**
+	 * Choose workers that nobody has asked about, if those known as allowed are too few.
+	 * @param turn the step
+	 * @param possible the workers that might run it
+	 * @return the chosen ones, none if enough are known
+	 */
+	static List<PoolWorker> more(StepTurn turn, List<PoolWorker> possible) {
+		if (!isShort(turn, possible)) {
+			return List.of();
+		}
+		List<PoolWorker> unasked = possible.stream()
+			.filter((worker) -> !turn.eligibility().wasAsked(worker.id()))
+			.toList();
+		return choose(turn, unasked).stream().limit(USUAL).toList();
+	}
+
+	/**
+	 * Whether too few workers are known as allowed, however much room they have now.
+	 * @param turn the step
+	 * @param possible the workers that might run it
+	 * @return {@code true} if others should be asked about
+	 */
+	static boolean isShort(StepTurn turn, List<PoolWorker> possible) {
+		Resources size = turn.step().spec().committedSize();
+		int wanted = ENOUGH_PLACES_PER_TASK * turn.step().spec().count();
+		int places = 0;
+		for (PoolWorker worker : possible) {
+			if (turn.isEligible(worker)) {
+				places += worker.info().capacity().timesCovering(size);
+			}
+			if (places >= wanted) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	private static double places(ActiveStep step, PoolWorker worker) {
 		Resources size = step.spec().committedSize();
 		int limit = step.spec().maximumPerWorker();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityTrackerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityTrackerTests.java
@@ -31,7 +31,7 @@
 	});
 
 	private void ask(String job, EligibilityTimes times, int rank) {
-		this.tracker.ask(new StepKey(job, 0, 0), times, List.of("w"), rank);
+		this.tracker.ask(new StepKey(job, 0, 0), times, () -> List.of("w"), rank);
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoadTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoadTests.java
@@ -13,13 +13,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Plays the load of a salon chain near the capacity of its pool, without faults. Of four
- * seeds at 1.25 of the usual load gangs earned 0.69 of what they were owed before room
- * was kept for them, 0.74 since.
+ * Plays the load of a salon chain near the capacity of its pool, without faults. Of 24
+ * seeds at 1.25 of the usual load gangs earned 0.814 of what they were owed before room
+ * was kept for them, 0.828 since; of single seeds the difference has either sign.
  */
 class PlayedLoadTests {
 
-	private static final int SEEDS = 4;
+	private static final int SEEDS = 24;
 
 	private static final PlayedLoad.Cell CELL = new PlayedLoad.Cell(33, 6, new Resources(32_000, 131_072, 0));
 
@@ -58,7 +58,7 @@
 	}
 
 	private static List<PlayedLoad.Served> playAll(double factor, PlacementRules rules) {
-		return LongStream.range(0, SEEDS).mapToObj((seed) -> play(seed, factor, rules)).toList();
+		return LongStream.range(0, SEEDS).parallel().mapToObj((seed) -> play(seed, factor, rules)).toList();
 	}
 
 	@Test
