Hold looks at workers without a thread each

A look is held by its worker for up to a second and occupied a thread all the while; each call searched the connections to all 245 workers.

Change: JsonHttpClient speaks HTTP over Netty on two threads for all clients of a process; connections are kept by address, so that finding one doesn't grow with the workers. Kept: nothing is sent twice, a timed-out connection is not used again, a failure tells whether a byte may have been sent, at most so many calls at once. New: an answer that nothing asked for closes its connection; an answer has a greatest size.

Ruled out: a connection pool for each worker with OkHttp, which spares the search and not the threads.

RawServer is public for it, unchanged otherwise.

--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnection.java
@@ -0,0 +1,98 @@
+package org.monsoonrelay.adapters.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.timeout.IdleStateEvent;
+
+/**
+ * One connection of a client. Invariants: it carries one exchange at a time; it is used
+ * again only after an answer that arrived whole; an answer that nothing asked for closes
+ * it. Confined to its event loop.
+ */
+final class HttpConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+	private final HttpOrigin origin;
+
+	private final Channel channel;
+
+	private HttpCall current;
+
+	HttpConnection(HttpOrigin origin, Channel channel) {
+		this.origin = origin;
+		this.channel = channel;
+	}
+
+	boolean isOpen() {
+		return this.channel.isActive();
+	}
+
+	void send(HttpCall call) {
+		this.current = call;
+		this.channel.writeAndFlush(call.request()).addListener((written) -> {
+			if (!written.isSuccess()) {
+				call.fail(String.valueOf(written.cause().getMessage()), written.cause());
+				close();
+			}
+		});
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			return;
+		}
+		HttpCall call = this.current;
+		this.current = null;
+		boolean isWhole = response.decoderResult().isSuccess();
+		if (call != null && isWhole && HttpUtil.isKeepAlive(response) && !call.isOver()) {
+			this.origin.release(this);
+		}
+		else {
+			close();
+		}
+		if (call == null) {
+			return;
+		}
+		if (isWhole) {
+			call.complete(new JsonHttpClient.Answer(response.status().code(),
+					response.content().toString(StandardCharsets.UTF_8)));
+		}
+		else {
+			call.fail("the answer is malformed", response.decoderResult().cause());
+		}
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof IdleStateEvent && this.current == null) {
+			close();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.origin.forget(this);
+		if (this.current != null) {
+			this.current.fail("answer was cut", null);
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (this.current != null) {
+			this.current.fail(String.valueOf(cause.getMessage()), cause);
+		}
+		close();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpOrigin.java
@@ -0,0 +1,116 @@
+package org.monsoonrelay.adapters.http;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.monsoonrelay.model.host.HostAddress;
+
+/**
+ * The connections to one address, all on one event loop: the one that was idle last is
+ * used first. Finding it doesn't grow with the connections to other addresses.
+ * Thread-safe: calls are handed to the event loop, to which all else is confined.
+ */
+final class HttpOrigin {
+
+	/** An idle connection is closed after this long, seconds. */
+	private static final int IDLE_SECONDS = 60;
+
+	/** The most that is read of an answer, bytes; a page of 500 rows has some 1 MB. */
+	private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
+	private final HostAddress address;
+
+	private final EventLoop loop;
+
+	private final Bootstrap bootstrap;
+
+	private final Deque<HttpConnection> idle = new ArrayDeque<>();
+
+	HttpOrigin(HostAddress address, EventLoop loop, Duration connectTimeout) {
+		this.address = address;
+		this.loop = loop;
+		this.bootstrap = new Bootstrap().group(loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+			.handler(new Pipeline());
+	}
+
+	/**
+	 * Begin an exchange.
+	 * @param call the exchange
+	 */
+	void send(HttpCall call) {
+		if (this.loop.inEventLoop()) {
+			begin(call);
+		}
+		else {
+			this.loop.execute(() -> begin(call));
+		}
+	}
+
+	private void begin(HttpCall call) {
+		HttpConnection connection = this.idle.pollLast();
+		while (connection != null && !connection.isOpen()) {
+			connection = this.idle.pollLast();
+		}
+		if (connection != null) {
+			call.begin(this.loop, connection::close);
+			connection.send(call);
+			return;
+		}
+		ChannelFuture connecting = this.bootstrap.connect(this.address.host(), this.address.port());
+		call.begin(this.loop, () -> connecting.channel().close());
+		connecting.addListener((done) -> connected(connecting, call));
+	}
+
+	private void connected(ChannelFuture connecting, HttpCall call) {
+		if (!connecting.isSuccess()) {
+			call.fail(String.valueOf(connecting.cause().getMessage()), connecting.cause());
+		}
+		else if (!call.isOver()) {
+			connecting.channel().pipeline().get(HttpConnection.class).send(call);
+		}
+	}
+
+	/**
+	 * Take a connection back that can be used again.
+	 * @param connection the connection
+	 */
+	void release(HttpConnection connection) {
+		this.idle.addLast(connection);
+	}
+
+	/**
+	 * Use a connection no more.
+	 * @param connection the connection
+	 */
+	void forget(HttpConnection connection) {
+		this.idle.remove(connection);
+	}
+
+	private final class Pipeline extends ChannelInitializer<SocketChannel> {
+
+		@Override
+		protected void initChannel(SocketChannel channel) {
+			channel.pipeline()
+				.addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+				.addLast(new HttpClientCodec())
+				.addLast(new HttpObjectAggregator(MAXIMUM_ANSWER_BYTES))
+				.addLast(new HttpConnection(HttpOrigin.this, channel));
+		}
+
+	}
+
+}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -1,34 +1,52 @@
 package org.monsoonrelay.adapters.http;
 
-import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-
-import okhttp3.Call;
-import okhttp3.Callback;
-import okhttp3.ConnectionPool;
-import okhttp3.ConnectionSpec;
-import okhttp3.Dispatcher;
-import okhttp3.MediaType;
-import okhttp3.OkHttpClient;
-import okhttp3.Request;
-import okhttp3.RequestBody;
-import okhttp3.Response;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.model.host.HostAddress;
 
 /**
- * Asynchronous HTTP exchanges with JSON bodies over OkHttp. The library's own silent
- * repeats are off, because a repeated write could take effect twice. A connection on
- * which an exchange timed out is not used again. Thread-safe.
+ * Asynchronous HTTP exchanges with JSON bodies over Netty. Invariants: nothing is sent
+ * twice, because a repeated write could take effect twice; a connection on which an
+ * exchange timed out is not used again; an exchange that waits holds no thread, since the
+ * owner of a pool has one open with each worker all the while. Answers are given on the
+ * threads of the connections, which must not be blocked. Thread-safe.
  */
 public final class JsonHttpClient {
 
-	private static final MediaType JSON = MediaType.get("application/json");
+	private static final int NETWORK_THREADS = 2;
+
+	private static final EventLoopGroup GROUP = new NioEventLoopGroup(NETWORK_THREADS,
+			new DefaultThreadFactory("http-client", true));
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	private static final String CONTENT_TYPE = "Content-Type";
+
+	private static final String JSON = "application/json";
+
+	private final Map<HostAddress, HttpOrigin> origins = new ConcurrentHashMap<>();
+
+	private final Deque<HttpCall> waiting = new ArrayDeque<>();
+
+	private final Duration connectTimeout;
+
+	private final Duration callTimeout;
+
+	private final int maximumCalls;
 
-	private final OkHttpClient client;
+	private int running;
 
 	/**
 	 * Create a client.
@@ -37,22 +55,9 @@
 	 * @param maximumCalls most exchanges at once
 	 */
 	public JsonHttpClient(Duration connectTimeout, Duration callTimeout, int maximumCalls) {
-		Dispatcher dispatcher = new Dispatcher();
-		dispatcher.setMaxRequests(maximumCalls);
-		dispatcher.setMaxRequestsPerHost(maximumCalls);
-		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
-			// Plain HTTP alone: setting up TLS takes 90 ms of a start of 480 ms (time of
-			// the
-			// class loads of one start).
-			.connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
-			.connectionPool(new ConnectionPool(maximumCalls, 1, TimeUnit.MINUTES))
-			.retryOnConnectionFailure(false)
-			.followRedirects(false)
-			.connectTimeout(connectTimeout)
-			.readTimeout(Duration.ZERO)
-			.callTimeout(callTimeout)
-			.eventListenerFactory((call) -> call.request().tag(SentMark.class))
-			.build();
+		this.connectTimeout = connectTimeout;
+		this.callTimeout = callTimeout;
+		this.maximumCalls = maximumCalls;
 	}
 
 	/**
@@ -61,7 +66,7 @@
 	 * @return the answer; fails with {@link PlatformException} if none came whole
 	 */
 	public CompletableFuture<Answer> get(String url) {
-		return call(new Request.Builder().url(url).build(), Duration.ZERO);
+		return get(url, Duration.ZERO);
 	}
 
 	/**
@@ -71,7 +76,7 @@
 	 * @return the answer; fails with {@link PlatformException} if none came whole
 	 */
 	public CompletableFuture<Answer> get(String url, Duration timeout) {
-		return call(new Request.Builder().url(url).build(), timeout);
+		return call(new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), longest(timeout)));
 	}
 
 	/**
@@ -81,7 +86,9 @@
 	 * @return the answer; fails with {@link PlatformException} if none came whole
 	 */
 	public CompletableFuture<Answer> put(String url, String body) {
-		return call(new Request.Builder().url(url).put(RequestBody.create(body, JSON)).build(), Duration.ZERO);
+		Map<String, String> headers = Map.of(CONTENT_TYPE, JSON);
+		return call(
+				new HttpCall(HttpMethod.PUT, url, body.getBytes(StandardCharsets.UTF_8), headers, this.callTimeout));
 	}
 
 	/**
@@ -93,44 +100,53 @@
 	 * @return the answer; fails with {@link PlatformException} if none came whole
 	 */
 	public CompletableFuture<Answer> post(String url, byte[] body, Map<String, String> headers, Duration timeout) {
-		Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(body, JSON));
-		headers.forEach(request::header);
-		return call(request.build(), timeout);
+		Map<String, String> all = new HashMap<>(headers);
+		all.put(CONTENT_TYPE, JSON);
+		return call(new HttpCall(HttpMethod.POST, url, body, all, longest(timeout)));
 	}
 
-	private CompletableFuture<Answer> call(Request request, Duration timeout) {
-		CompletableFuture<Answer> answer = new CompletableFuture<>();
-		SentMark sent = new SentMark();
-		Call call = this.client.newCall(request.newBuilder().tag(SentMark.class, sent).build());
-		if (!timeout.isZero()) {
-			call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+	private Duration longest(Duration timeout) {
+		return timeout.isZero() ? this.callTimeout : timeout;
+	}
+
+	private CompletableFuture<Answer> call(HttpCall call) {
+		call.answer().whenComplete((answer, failure) -> ended());
+		if (mayBegin(call)) {
+			begin(call);
 		}
-		call.enqueue(new Callback() {
-			@Override
-			public void onFailure(Call failed, IOException ex) {
-				// Whoever takes longer to connect than a call may is told apart from one
-				// that takes the request and does not answer.
-				answer.completeExceptionally(
-						new PlatformException(request.url() + ": " + ex.getMessage(), sent.mayHaveSent(), ex));
-			}
-
-			@Override
-			public void onResponse(Call answered, Response response) {
-				complete(answer, request, response);
-			}
-		});
-		return answer;
+		return call.answer();
 	}
 
-	private static void complete(CompletableFuture<Answer> answer, Request request, Response response) {
-		try (response) {
-			answer.complete(new Answer(response.code(), response.body().string()));
+	private synchronized boolean mayBegin(HttpCall call) {
+		if (this.running < this.maximumCalls) {
+			this.running++;
+			return true;
 		}
-		catch (IOException ex) {
-			answer.completeExceptionally(new PlatformException(request.url() + ": answer was cut", true, ex));
+		this.waiting.add(call);
+		return false;
+	}
+
+	private void ended() {
+		HttpCall next = next();
+		if (next != null) {
+			begin(next);
 		}
 	}
 
+	private synchronized HttpCall next() {
+		HttpCall next = this.waiting.poll();
+		if (next == null) {
+			this.running--;
+		}
+		return next;
+	}
+
+	private void begin(HttpCall call) {
+		this.origins
+			.computeIfAbsent(call.address(), (address) -> new HttpOrigin(address, GROUP.next(), this.connectTimeout))
+			.send(call);
+	}
+
 	/**
 	 * An answer that arrived whole. Immutable.
 	 *
--- /dev/null
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the HTTP server and client.
+ */
+package org.monsoonrelay.adapters.http;
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/RawServer.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/RawServer.java
@@ -19,7 +19,7 @@
  * A backend server that says on each connection, byte for byte, what its script says.
  * Closing it closes all connections.
  */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
 
 	private final ServerSocket listener;
 
@@ -31,7 +31,11 @@
 
 	private final List<String> requests = new CopyOnWriteArrayList<>();
 
-	RawServer(Script script) {
+	/**
+	 * Listen.
+	 * @param script what happens on each connection
+	 */
+	public RawServer(Script script) {
 		this.script = script;
 		try {
 			this.listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
@@ -64,15 +68,27 @@
 		}
 	}
 
-	HostAddress address() {
+	/**
+	 * Where it listens.
+	 * @return the address
+	 */
+	public HostAddress address() {
 		return new HostAddress("127.0.0.1", this.listener.getLocalPort());
 	}
 
-	int connections() {
+	/**
+	 * Connections that were taken so far.
+	 * @return their number
+	 */
+	public int connections() {
 		return this.connections.size();
 	}
 
-	List<String> requests() {
+	/**
+	 * Requests that were read so far.
+	 * @return their heads and bodies
+	 */
+	public List<String> requests() {
 		return this.requests;
 	}
 
@@ -85,15 +101,25 @@
 		this.threads.shutdownNow();
 	}
 
-	static String answer(String body) {
+	/**
+	 * An answer that tells success.
+	 * @param body its body
+	 * @return the answer as sent
+	 */
+	public static String answer(String body) {
 		return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
 	}
 
 	/**
 	 * What happens on a connection.
 	 */
-	interface Script {
+	public interface Script {
 
+		/**
+		 * Serve a connection.
+		 * @param connection the connection
+		 * @throws IOException if the client has gone
+		 */
 		void serve(Connection connection) throws IOException;
 
 	}
@@ -101,7 +127,7 @@
 	/**
 	 * One connection; the number counts from 1.
 	 */
-	final class Connection {
+	public final class Connection {
 
 		private final Socket socket;
 
@@ -115,7 +141,11 @@
 			this.reader = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
 		}
 
-		int number() {
+		/**
+		 * Its number.
+		 * @return the number, from 1
+		 */
+		public int number() {
 			return this.number;
 		}
 
@@ -124,7 +154,7 @@
 		 * @return its head and body
 		 * @throws IOException if there is none
 		 */
-		String read() throws IOException {
+		public String read() throws IOException {
 			StringBuilder request = new StringBuilder();
 			int length = 0;
 			for (String line = this.reader.readLine(); !"".equals(line); line = this.reader.readLine()) {
@@ -141,12 +171,21 @@
 			return request.toString();
 		}
 
-		void write(String text) throws IOException {
+		/**
+		 * Write text as it is.
+		 * @param text the text
+		 * @throws IOException if the client has gone
+		 */
+		public void write(String text) throws IOException {
 			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
 			this.socket.getOutputStream().flush();
 		}
 
-		void close() throws IOException {
+		/**
+		 * Close the connection.
+		 * @throws IOException if that fails
+		 */
+		public void close() throws IOException {
 			this.socket.close();
 		}
 
