Tell the other hosts of durable states every 40 ms at most

Cause: an owner with much to do writes every 20 ms and told 34 hosts of each write, encoding the message for each of them.

Change: SpacedNews gathers what becomes durable within 40 ms of other news; the first after a pause goes out at once. A message to several hosts is encoded once.

The gain was not measured by itself.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerConnection.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerConnection.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -84,6 +85,14 @@
 		this.channel.writeAndFlush(body.setCorrelationId(0).build());
 	}
 
+	/**
+	 * Send a one-way message that is encoded already.
+	 * @param encoded the message, not changed any more
+	 */
+	void tell(byte[] encoded) {
+		this.channel.writeAndFlush(Unpooled.wrappedBuffer(encoded));
+	}
+
 	void onClose(Runnable action) {
 		this.channel.closeFuture().addListener((closed) -> action.run());
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.adapters.peer;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -115,6 +116,24 @@
 		connection(peer).thenAccept((connection) -> connection.tell(body));
 	}
 
+	/**
+	 * Send the same one-way message to several peers. It is encoded once.
+	 * @param peers where the peers listen
+	 * @param body the message's body
+	 */
+	public void tell(Collection<HostAddress> peers, Envelope.Builder body) {
+		Envelope message = body.setCorrelationId(0).build();
+		byte[] encoded = message.toByteArray();
+		for (HostAddress peer : peers) {
+			if (peer.equals(this.self.address())) {
+				this.handler.handle(this.self, message);
+			}
+			else {
+				connection(peer).thenAccept((connection) -> connection.tell(encoded));
+			}
+		}
+	}
+
 	private CompletableFuture<PeerConnection> connection(HostAddress peer) {
 		CompletableFuture<PeerConnection> ready = new CompletableFuture<>();
 		CompletableFuture<PeerConnection> present = this.connections.putIfAbsent(peer, ready);
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -4,8 +4,12 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import org.junit.jupiter.api.AfterEach;
@@ -15,6 +19,7 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusReply;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatusRequest;
+import org.monsoonrelay.adapters.peer.generated.PeerMessages.TakeOverRequest;
 import org.monsoonrelay.model.host.HostAddress;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -69,6 +74,42 @@
 		}
 	}
 
+	@Nested
+	class OneWayMessages {
+
+		@Test
+		void reachAllPeersAndThisProcess() {
+			List<HostAddress> heard = new CopyOnWriteArrayList<>();
+			CountDownLatch all = new CountDownLatch(3);
+			List<HostAddress> addresses = List.of(freeAddress(), freeAddress(), freeAddress());
+			List<PeerNetwork> networks = addresses.stream()
+				.map((address) -> new PeerNetwork(new PeerIdentity(address.toString(), "host", "domain-a", address),
+						SECRET, (from, message) -> {
+							assertThat(message.getTakeOverRequest().getVersion()).isEqualTo(7);
+							heard.add(address);
+							all.countDown();
+							return CompletableFuture.completedFuture(Envelope.newBuilder());
+						}))
+				.toList();
+			try {
+				networks.forEach(PeerNetwork::listen);
+				networks.get(0)
+					.tell(addresses,
+							Envelope.newBuilder().setTakeOverRequest(TakeOverRequest.newBuilder().setVersion(7)));
+
+				assertThat(all.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+				assertThat(heard).containsExactlyInAnyOrderElementsOf(addresses);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			finally {
+				networks.forEach(PeerNetwork::close);
+			}
+		}
+
+	}
+
 	@Nested
 	class Requests {
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/OwnerMessages.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/OwnerMessages.java
@@ -67,7 +67,7 @@
 	}
 
 	private void tell(Envelope.Builder message) {
-		this.hosts.get().forEach((peer) -> this.network.tell(peer, message.clone()));
+		this.network.tell(this.hosts.get(), message);
 	}
 
 }
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -26,6 +26,7 @@
 import org.monsoonrelay.logic.pool.PoolClock;
 import org.monsoonrelay.logic.pool.PoolOwner;
 import org.monsoonrelay.logic.pool.PoolPorts;
+import org.monsoonrelay.logic.pool.SpacedNews;
 import org.monsoonrelay.logic.pool.TakeOver;
 import org.monsoonrelay.logic.pool.WorkerInfo;
 import org.monsoonrelay.model.capacity.Resources;
@@ -107,7 +108,8 @@
 		this.eligibility = new PeerEligibility(settings.host(), service, network, this.registry::address);
 		this.ports = new PoolPorts(table, new HttpWorkerOrders(), this.eligibility, this.control, PoolClock.SYSTEM,
 				log);
-		this.peers = new OwnerMessages(network, self.address(), this.registry::addresses);
+		this.peers = new SpacedNews(new OwnerMessages(network, self.address(), this.registry::addresses), this.control,
+				PoolClock.SYSTEM);
 		this.jobs = new JobIntake(table, this.control);
 		this.election = new OwnerElection(this.ports, this.self, this::won);
 	}
