Look up keys, room and readiness in a turn without building them anew

Change: a worker keeps what is left of its room; a worker without holds is passed over; a step keeps its progress and that it is ready, as what is done stays done; keys compare and hash their parts directly.

The gain was not measured by itself.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -25,6 +25,10 @@
 
 	private final SubmittedJob job;
 
+	private final StepProgress progress;
+
+	private boolean ready;
+
 	private final Run[] runs;
 
 	private final int[] attempts;
@@ -43,6 +47,7 @@
 		this.key = key;
 		this.job = job;
 		this.spec = job.submission().steps().get(key.step());
+		this.progress = job.progress(key);
 		this.runs = new Run[this.spec.count()];
 		this.attempts = new int[this.spec.count()];
 		this.failedOn = new String[this.spec.count()];
@@ -97,7 +102,7 @@
 	}
 
 	StepProgress progress() {
-		return this.job.progress(this.key);
+		return this.progress;
 	}
 
 	/**
@@ -105,8 +110,7 @@
 	 * @return their numbers; for a gang all or none
 	 */
 	List<Integer> waiting() {
-		if (this.job.isEnded() || progress().isComplete() || (this.spec.gang() && !isIdle())
-				|| !this.job.isReady(this.key)) {
+		if (this.job.isEnded() || progress().isComplete() || (this.spec.gang() && !isIdle()) || !isReady()) {
 			return List.of();
 		}
 		List<Integer> waiting = new ArrayList<>();
@@ -118,8 +122,19 @@
 		return waiting;
 	}
 
+	// What is done stays done.
+	private boolean isReady() {
+		this.ready = this.ready || this.job.isReady(this.key);
+		return this.ready;
+	}
+
 	boolean isIdle() {
-		return Arrays.stream(this.runs).noneMatch(Objects::nonNull);
+		for (Run run : this.runs) {
+			if (run != null) {
+				return false;
+			}
+		}
+		return true;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -32,6 +32,8 @@
 
 	private Resources committed = Resources.NONE;
 
+	private Resources free;
+
 	private boolean listed = true;
 
 	private boolean reached;
@@ -74,9 +76,17 @@
 	PoolWorker(WorkerInfo info, LongSupplier changes) {
 		this.info = info;
 		this.changes = changes;
+		commit(Resources.NONE);
 		noteChange();
 	}
 
+	// What is left is asked for far more often than it changes: for each waiting task of
+	// each worker.
+	private void commit(Resources next) {
+		this.committed = next;
+		this.free = this.info.capacity().covers(next) ? this.info.capacity().minus(next) : Resources.NONE;
+	}
+
 	private void noteChange() {
 		this.changed = this.changes.getAsLong();
 	}
@@ -170,20 +180,19 @@
 	}
 
 	Resources free() {
-		return this.info.capacity().covers(this.committed) ? this.info.capacity().minus(this.committed)
-				: Resources.NONE;
+		return this.free;
 	}
 
 	void add(Run run) {
 		release(run.task());
 		this.runs.put(run.task(), run);
-		this.committed = this.committed.plus(run.size());
+		commit(this.committed.plus(run.size()));
 	}
 
 	Optional<Run> release(TaskKey task) {
 		Run run = this.runs.remove(task);
 		if (run != null) {
-			this.committed = this.committed.minus(run.size());
+			commit(this.committed.minus(run.size()));
 			noteChange();
 		}
 		return Optional.ofNullable(run);
@@ -198,13 +207,16 @@
 	void hold(StepKey step, Resources size, long untilNanos) {
 		unhold(step);
 		this.holds.put(step, new Hold(size, untilNanos));
-		this.committed = this.committed.plus(size);
+		commit(this.committed.plus(size));
 	}
 
 	void unhold(StepKey step) {
+		if (this.holds.isEmpty()) {
+			return;
+		}
 		Hold hold = this.holds.remove(step);
 		if (hold != null) {
-			this.committed = this.committed.minus(hold.size());
+			commit(this.committed.minus(hold.size()));
 			noteChange();
 		}
 	}
@@ -262,6 +274,7 @@
 			noteChange();
 		}
 		this.info = newer;
+		commit(this.committed);
 		this.listed = true;
 	}
 
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -0,0 +1,63 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PoolWorkerTests {
+
+	private static final TaskKey TASK = new TaskKey("job", 0, 0, 1);
+
+	private static final StepKey STEP = new StepKey("other", 0, 0);
+
+	private static final Resources SIZE = new Resources(200, 100, 1);
+
+	private final PoolWorker worker = new PoolWorker(info(1000));
+
+	private static WorkerInfo info(int processors) {
+		return new WorkerInfo("w", "salon", "127.0.0.1:1", "porto", new Resources(processors, 1000, 2), List.of(), "r",
+				false, 0);
+	}
+
+	@Test
+	void hasAllOfItsRoomAtFirst() {
+		assertThat(this.worker.free()).isEqualTo(new Resources(1000, 1000, 2));
+	}
+
+	@Test
+	void givesRoomToRunsAndTakesItBack() {
+		this.worker.add(Run.ordered(TASK, 1, "w", SIZE, 0));
+		assertThat(this.worker.free()).isEqualTo(new Resources(800, 900, 1));
+		this.worker.add(Run.ordered(TASK, 2, "w", SIZE.times(2), 0));
+		assertThat(this.worker.free()).isEqualTo(new Resources(600, 800, 0));
+		this.worker.release(TASK);
+		assertThat(this.worker.free()).isEqualTo(new Resources(1000, 1000, 2));
+	}
+
+	@Test
+	void holdsRoomUntilItLapses() {
+		this.worker.hold(STEP, SIZE, 10);
+		this.worker.unhold(new StepKey("third", 0, 0));
+		assertThat(this.worker.free()).isEqualTo(new Resources(800, 900, 1));
+		this.worker.lapseHolds(11);
+		assertThat(this.worker.free()).isEqualTo(new Resources(1000, 1000, 2));
+		this.worker.hold(STEP, SIZE, 10);
+		this.worker.unhold(STEP);
+		assertThat(this.worker.free()).isEqualTo(new Resources(1000, 1000, 2));
+	}
+
+	@Test
+	void hasNoRoomWhileItOffersLessThanItRuns() {
+		this.worker.add(Run.ordered(TASK, 1, "w", SIZE, 0));
+		this.worker.update(info(100));
+		assertThat(this.worker.free()).isEqualTo(Resources.NONE);
+		this.worker.update(info(400));
+		assertThat(this.worker.free()).isEqualTo(new Resources(200, 900, 1));
+	}
+
+}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepKey.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepKey.java
@@ -9,6 +9,8 @@
  */
 public record StepKey(String job, int occurrence, int step) {
 
+	private static final int PRIME = 31;
+
 	/**
 	 * A task of the step.
 	 * @param index number of the task
@@ -26,6 +28,19 @@
 		return this.occurrence + "." + this.step;
 	}
 
+	// Keys are looked up for each task in each turn of an owner; what a record has by
+	// itself costs several times as much there.
+	@Override
+	public boolean equals(Object other) {
+		return this == other || (other instanceof StepKey key && this.step == key.step
+				&& this.occurrence == key.occurrence && this.job.equals(key.job));
+	}
+
+	@Override
+	public int hashCode() {
+		return (this.job.hashCode() * PRIME + this.occurrence) * PRIME + this.step;
+	}
+
 	@Override
 	public String toString() {
 		return this.job + '.' + this.occurrence + '.' + this.step;
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskKey.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskKey.java
@@ -12,6 +12,8 @@
 
 	private static final int PARTS = 4;
 
+	private static final int PRIME = 31;
+
 	/**
 	 * Read the form that {@link #toString()} gives.
 	 * @param text the form {@code job.occurrence.step.index}
@@ -35,6 +37,19 @@
 		return new StepKey(this.job, this.occurrence, this.step);
 	}
 
+	// Keys are looked up for each task in each turn of an owner; what a record has by
+	// itself costs several times as much there.
+	@Override
+	public boolean equals(Object other) {
+		return this == other || (other instanceof TaskKey key && this.index == key.index && this.step == key.step
+				&& this.occurrence == key.occurrence && this.job.equals(key.job));
+	}
+
+	@Override
+	public int hashCode() {
+		return ((this.job.hashCode() * PRIME + this.occurrence) * PRIME + this.step) * PRIME + this.index;
+	}
+
 	@Override
 	public String toString() {
 		return this.job + '.' + this.occurrence + '.' + this.step + '.' + this.index;
