--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -26,22 +25,6 @@
  */
 public final class PoolOwner {
 
-	/** Longest time between two turns, milliseconds. */
-	private static final long TURN_MILLIS = 50;
-
-	/**
-	 * After a turn the control thread does other things for this many times as long:
-	 * placing takes a quarter of its time at most, however much waits, and heartbeats,
-	 * acceptance and renewals are not held up by a burst.
-	 */
-	private static final long PAUSE_FACTOR = 3;
-
-	/**
-	 * Longest such pause, milliseconds, in case the process stood still within a turn; a
-	 * tenth of the aim of the most urgent jobs.
-	 */
-	private static final long LONGEST_PAUSE_MILLIS = 25;
-
 	/** Time between two looks for what has lapsed or ended, milliseconds. */
 	private static final long TIDY_MILLIS = 40;
 
@@ -81,12 +64,12 @@
 
 	private final OwnerPeers peers;
 
+	private final TurnTimer turns;
+
 	private long invitedNanos;
 
 	private long toldNanos;
 
-	private ScheduledFuture<?> timer;
-
 	private boolean configured;
 
 	private boolean closed;
@@ -95,10 +78,6 @@
 
 	private boolean accounted;
 
-	private boolean turnQueued;
-
-	private long nextTurnNanos;
-
 	private long tidiedNanos;
 
 	/**
@@ -123,8 +102,8 @@
 		this.takenNanos = ports.clock().nanos();
 		this.invitedNanos = this.takenNanos;
 		this.toldNanos = this.takenNanos;
-		this.nextTurnNanos = this.takenNanos;
 		this.tidiedNanos = this.takenNanos - TimeUnit.MILLISECONDS.toNanos(TIDY_MILLIS);
+		this.turns = new TurnTimer(ports.control(), ports.clock(), this::turn);
 		this.term = new OwnerTerm(this.epoch, ports.clock());
 		this.term.renewed(taken.sentNanos(), taken.sentMillis());
 		this.registry = new JobRegistry(this.epoch);
@@ -145,8 +124,7 @@
 	 * Take in the jobs and begin.
 	 */
 	public void start() {
-		this.timer = this.ports.control()
-			.scheduleWithFixedDelay(this::turn, TURN_MILLIS, TURN_MILLIS, TimeUnit.MILLISECONDS);
+		this.turns.start();
 		this.jobs.attach(this.jobsListener);
 	}
 
@@ -183,7 +161,7 @@
 	public void workers(Collection<WorkerInfo> listed) {
 		List<PoolWorker> added = this.pool.update(listed);
 		added.forEach(this.runs::watch);
-		turnSoon();
+		this.turns.soon();
 	}
 
 	/**
@@ -192,7 +170,7 @@
 	 */
 	public void hosts(List<String> available) {
 		this.eligibility.hosts(available);
-		turnSoon();
+		this.turns.soon();
 	}
 
 	/**
@@ -211,7 +189,7 @@
 	 */
 	public void hostRestarted(String host) {
 		this.eligibility.hostRestarted(host);
-		turnSoon();
+		this.turns.soon();
 	}
 
 	/**
@@ -228,42 +206,21 @@
 	 */
 	public void close() {
 		this.closed = true;
+		this.turns.close();
 		this.runs.close();
 		this.jobs.detach(this.jobsListener);
 		this.journal.close();
-		if (this.timer != null) {
-			this.timer.cancel(false);
-		}
 	}
 
 	private void eligibilityAnswered(StepKey step) {
 		this.registry.step(step).ifPresent(ActiveStep::searchAnew);
-		turnSoon();
-	}
-
-	private void turnSoon() {
-		if (this.turnQueued || this.closed) {
-			return;
-		}
-		this.turnQueued = true;
-		long wait = this.nextTurnNanos - this.ports.clock().nanos();
-		if (wait > 0) {
-			this.ports.control().schedule(this::turn, wait, TimeUnit.NANOSECONDS);
-		}
-		else {
-			this.ports.control().execute(this::turn);
-		}
+		this.turns.soon();
 	}
 
 	private void turn() {
-		this.turnQueued = false;
-		if (this.closed) {
-			return;
-		}
-		long begun = this.ports.clock().nanos();
 		tellPeers();
 		if (this.jobs.hasBegun() && !this.releasing) {
-			tidy(begun);
+			tidy(this.ports.clock().nanos());
 			account();
 			if (this.configured) {
 				this.placer.place();
@@ -271,9 +228,6 @@
 			}
 		}
 		this.journal.flush();
-		long ended = this.ports.clock().nanos();
-		this.nextTurnNanos = ended
-				+ Math.min(TimeUnit.MILLISECONDS.toNanos(LONGEST_PAUSE_MILLIS), PAUSE_FACTOR * (ended - begun));
 	}
 
 	private void tidy(long now) {
@@ -353,7 +307,7 @@
 
 		@Override
 		public void changed() {
-			turnSoon();
+			PoolOwner.this.turns.soon();
 		}
 
 		@Override
@@ -378,7 +332,7 @@
 				owner.peers.durable(owner.epoch, states, pending);
 			}
 			owner.runs.durable();
-			turnSoon();
+			PoolOwner.this.turns.soon();
 		}
 
 		@Override
@@ -415,7 +369,7 @@
 
 		@Override
 		public void changed() {
-			turnSoon();
+			PoolOwner.this.turns.soon();
 		}
 
 		@Override
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TurnTimer.java
@@ -0,0 +1,104 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Times the owner's turns: one soon after it was asked for, one at regular intervals
+ * without that, and after each a pause in proportion to what it took. Invariant: however
+ * often a turn is asked for, one is queued. Not thread-safe: confined to the control
+ * thread.
+ */
+final class TurnTimer {
+
+	/** Longest time between two turns, milliseconds. */
+	static final long TURN_MILLIS = 50;
+
+	/**
+	 * After a turn the control thread does other things for this many times as long:
+	 * placing takes a quarter of its time at most, however much waits, and heartbeats,
+	 * acceptance and renewals are not held up by a burst.
+	 */
+	static final long PAUSE_FACTOR = 3;
+
+	/**
+	 * Longest such pause, milliseconds, in case the process stood still within a turn; a
+	 * tenth of the aim of the most urgent jobs.
+	 */
+	static final long LONGEST_PAUSE_MILLIS = 25;
+
+	private final ScheduledExecutorService control;
+
+	private final PoolClock clock;
+
+	private final Runnable turn;
+
+	private ScheduledFuture<?> timer;
+
+	private boolean closed;
+
+	private boolean queued;
+
+	private long nextNanos;
+
+	/**
+	 * Create a timer that does nothing yet.
+	 * @param control the control thread
+	 * @param clock the time
+	 * @param turn what to do in a turn
+	 */
+	TurnTimer(ScheduledExecutorService control, PoolClock clock, Runnable turn) {
+		this.control = control;
+		this.clock = clock;
+		this.turn = turn;
+		this.nextNanos = clock.nanos();
+	}
+
+	/**
+	 * Begin the turns at regular intervals.
+	 */
+	void start() {
+		this.timer = this.control.scheduleWithFixedDelay(this::run, TURN_MILLIS, TURN_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Ask for a turn as soon as the pause after the last one is over.
+	 */
+	void soon() {
+		if (this.queued || this.closed) {
+			return;
+		}
+		this.queued = true;
+		long wait = this.nextNanos - this.clock.nanos();
+		if (wait > 0) {
+			this.control.schedule(this::run, wait, TimeUnit.NANOSECONDS);
+		}
+		else {
+			this.control.execute(this::run);
+		}
+	}
+
+	/**
+	 * End the turns; one that is queued does nothing.
+	 */
+	void close() {
+		this.closed = true;
+		if (this.timer != null) {
+			this.timer.cancel(false);
+		}
+	}
+
+	private void run() {
+		this.queued = false;
+		if (this.closed) {
+			return;
+		}
+		long begun = this.clock.nanos();
+		this.turn.run();
+		long ended = this.clock.nanos();
+		this.nextNanos = ended
+				+ Math.min(TimeUnit.MILLISECONDS.toNanos(LONGEST_PAUSE_MILLIS), PAUSE_FACTOR * (ended - begun));
+	}
+
+}
