Show that a small host takes the pool from large ones after an outage

Played on virtual time with an owner and a large host of 1.5 processors and one of 0.36, with ends of an outage 50 ms apart:

--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnerElectionTests.java
@@ -0,0 +1,97 @@
+package org.monsoonrelay.logic.pool;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OwnerElectionTests {
+
+	private static final double LARGE = 1.5;
+
+	private static final double SMALL = 0.36;
+
+	private static final long STEP_MILLIS = 10;
+
+	private static final long OUTAGE_MILLIS = 5200;
+
+	private final PoolCell cell = new PoolCell().withWorkers(3);
+
+	private PoolCell.Scheduler add(double processors) {
+		PoolCell.Scheduler added = this.cell.addScheduler("first", processors);
+		this.cell.time.runFor(500);
+		return added;
+	}
+
+	/** Time goes on, and the host must not own the pool meanwhile. */
+	private void runWithoutOwner(PoolCell.Scheduler host, long millis) {
+		for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+			this.cell.time.runFor(STEP_MILLIS);
+			assertThat(host.owner).as("after %d ms", passed).isEmpty();
+		}
+	}
+
+	@Nested
+	class OfASmallHost {
+
+		private final PoolCell.Scheduler first = add(LARGE);
+
+		private final PoolCell.Scheduler large = add(LARGE);
+
+		private final PoolCell.Scheduler small = add(SMALL);
+
+		@ParameterizedTest
+		@ValueSource(longs = { 0, 50, 100, 150, 200, 250, 300, 350, 400, 450, 500, 550, 600, 650, 700, 750, 800, 850,
+				900, 950, 1000, 1050, 1100, 1150 })
+		void leavesThePoolToALargeOneWheneverAnOutageOfTheTableEnds(long offset) {
+			this.first.knows(this.large);
+			outage(offset);
+			assertThat(this.large.owner).isPresent();
+		}
+
+		@ParameterizedTest
+		@ValueSource(longs = { 0, 150, 300, 450, 600, 750, 900, 1050 })
+		void leavesItToALargeOneAlsoIfBothStandReady(long offset) {
+			this.first.knows(this.small, this.large);
+			outage(offset);
+			assertThat(this.large.owner).isPresent();
+		}
+
+		private void outage(long offset) {
+			OwnerElectionTests.this.cell.time.runFor(2000);
+			OwnerElectionTests.this.cell.table.down(true);
+			OwnerElectionTests.this.cell.time.runFor(OUTAGE_MILLIS / 2);
+			this.first.kill();
+			OwnerElectionTests.this.cell.time.runFor(OUTAGE_MILLIS / 2 + offset);
+			OwnerElectionTests.this.cell.table.down(false);
+			runWithoutOwner(this.small, 4000);
+		}
+
+		@Test
+		void leavesItToALargeOneThatIsSlowToFindOutThatTheTableIsBack() {
+			this.first.knows(this.large, this.small);
+			OwnerElectionTests.this.cell.time.runFor(2000);
+			this.large.tableClient.cut(true);
+			OwnerElectionTests.this.cell.time.runFor(1000);
+			this.first.kill();
+			OwnerElectionTests.this.cell.time.runFor(500);
+			this.large.tableClient.cut(false);
+			runWithoutOwner(this.small, 4000);
+			assertThat(this.large.owner).isPresent();
+		}
+
+		@Test
+		void takesThePoolOverOnceAllLargeOnesAreLost() {
+			this.first.knows(this.large);
+			OwnerElectionTests.this.cell.time.runFor(2000);
+			this.first.kill();
+			this.large.kill();
+			OwnerElectionTests.this.cell.time.runFor(4000);
+			assertThat(this.small.owner).isPresent();
+		}
+
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -84,7 +84,11 @@
 	}
 
 	Scheduler addScheduler(String life) {
-		Scheduler scheduler = new Scheduler("s" + this.schedulers.size(), life);
+		return addScheduler(life, 1);
+	}
+
+	Scheduler addScheduler(String life, double processors) {
+		Scheduler scheduler = new Scheduler("s" + this.schedulers.size(), life, processors);
 		this.schedulers.add(scheduler);
 		scheduler.election.start();
 		return scheduler;
@@ -173,17 +177,19 @@
 
 		private final PoolPorts ports;
 
+		private final HostRecord self;
+
 		private boolean mute;
 
-		Scheduler(String name, String life) {
+		Scheduler(String name, String life, double processors) {
 			EligibilitySource all = (host, step, ids, timeout) -> CompletableFuture
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
 					PoolCell.this.time.clock(), PoolCell.this.decisions::add);
 			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time);
 			PoolCell.this.time.schedule(this.jobs::start, READY_MILLIS, TimeUnit.MILLISECONDS);
-			this.election = new OwnerElection(this.ports, new HostRecord(name, "domain", "a:1", name + life, 1, false),
-					this::won);
+			this.self = new HostRecord(name, "domain", "a:1", name + life, processors, false);
+			this.election = new OwnerElection(this.ports, this.self, this::won);
 		}
 
 		private void won(TakeOver taken) {
@@ -222,6 +228,18 @@
 			return PoolCell.this.schedulers.stream().filter((other) -> isHeard && other != this).toList();
 		}
 
+		/**
+		 * Tell this owner of the other hosts, which all are ready.
+		 * @param others the hosts, the one that was started last at the end
+		 */
+		void knows(Scheduler... others) {
+			List<StandbyChoice.Candidate> candidates = new ArrayList<>();
+			for (Scheduler other : others) {
+				candidates.add(new StandbyChoice.Candidate(other.self, candidates.size(), true));
+			}
+			this.owner.orElseThrow().registered(candidates, this.self);
+		}
+
 		/** From now on the others hear nothing of this process. */
 		void mute() {
 			this.mute = true;
