Keep the processes of a test cell in a class of their own

CellProcesses.java had 388 lines and two jobs: what a cell consists of, and starting, signalling and ending processes. No change of behaviour. `mvn verify -pl monsoonrelay-standin -am` passes.

--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellProcesses.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CellProcesses.java
@@ -5,13 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import org.monsoonrelay.adapters.operator.CellStatus;
 import org.monsoonrelay.logic.platform.Json;
@@ -40,20 +35,15 @@
 
 	private final Path folder;
 
-	private final Map<String, Process> processes = new LinkedHashMap<>();
-
-	private final Set<String> frozen = new HashSet<>();
+	private final ProcessGroup processes = new ProcessGroup();
 
 	private final CellSettings settings;
 
-	private final Thread onKill = new Thread(this::killAll);
-
 	public CellProcesses(CellLayout layout, Path projectRoot, Path folder) {
 		this.layout = layout;
 		this.programs = new Programs(projectRoot);
 		this.folder = folder;
 		this.settings = new CellSettings(layout);
-		Runtime.getRuntime().addShutdownHook(this.onKill);
 	}
 
 	/**
@@ -68,14 +58,14 @@
 	 * Kill every process.
 	 */
 	public void killAll() {
-		this.processes.values().forEach(Process::destroyForcibly);
+		this.processes.killAll();
 	}
 
 	/**
 	 * Leave the processes up when this process ends.
 	 */
 	public void keep() {
-		Runtime.getRuntime().removeShutdownHook(this.onKill);
+		this.processes.keep();
 	}
 
 	/**
@@ -158,11 +148,9 @@
 			Path settingsFile = Files.writeString(this.folder.resolve(name + ".json"), settings);
 			List<String> options = new ArrayList<>(JVM_OPTIONS);
 			options.add("-Xmx" + heapMiB + "m");
-			Process process = this.programs.command(program, options, List.of("--settings", settingsFile.toString()))
-				.redirectErrorStream(true)
-				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.folder.resolve(name + ".log").toFile()))
-				.start();
-			this.processes.put(name, process);
+			ProcessBuilder command = this.programs.command(program, options,
+					List.of("--settings", settingsFile.toString()));
+			this.processes.start(name, command, logOf(name));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -214,8 +202,7 @@
 	 * @param name its name
 	 */
 	public void kill(String name) {
-		this.processes.get(name).destroyForcibly();
-		exitCode(name);
+		this.processes.kill(name);
 	}
 
 	/**
@@ -223,8 +210,7 @@
 	 * @param name its name
 	 */
 	public void freeze(String name) {
-		signal(name, "STOP");
-		this.frozen.add(name);
+		this.processes.freeze(name);
 	}
 
 	/**
@@ -232,8 +218,7 @@
 	 * @param name its name
 	 */
 	public void thaw(String name) {
-		signal(name, "CONT");
-		this.frozen.remove(name);
+		this.processes.thaw(name);
 	}
 
 	/**
@@ -241,15 +226,7 @@
 	 * @param name its name
 	 */
 	public void terminate(String name) {
-		signal(name, "TERM");
-	}
-
-	private void signal(String name, String signal) {
-		String pid = Long.toString(this.processes.get(name).pid());
-		CommandResult result = CommandResult.of(new ProcessBuilder("kill", "-" + signal, pid));
-		if (result.exitCode() != 0) {
-			throw new IllegalStateException("cannot signal " + name + ": " + result.output());
-		}
+		this.processes.terminate(name);
 	}
 
 	/**
@@ -258,9 +235,7 @@
 	 * @return its exit code
 	 */
 	public int exitCode(String name) {
-		Process process = this.processes.get(name);
-		Await.until(name + " has ended", () -> !process.isAlive());
-		return process.exitValue();
+		return this.processes.exitCode(name);
 	}
 
 	/**
@@ -298,13 +273,17 @@
 	 */
 	public String log(String name) {
 		try {
-			return Files.readString(this.folder.resolve(name + ".log"));
+			return Files.readString(logOf(name));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
 	}
 
+	private Path logOf(String name) {
+		return this.folder.resolve(name + ".log");
+	}
+
 	/**
 	 * A process by name.
 	 * @param name the name, such as {@code gateway-1}
@@ -319,7 +298,7 @@
 	 * @return the processes
 	 */
 	public Map<String, Process> processes() {
-		return Collections.unmodifiableMap(this.processes);
+		return this.processes.all();
 	}
 
 	/**
@@ -363,26 +342,7 @@
 	 */
 	@Override
 	public void close() {
-		this.processes.forEach((name, process) -> {
-			if (this.frozen.contains(name)) {
-				process.destroyForcibly();
-			}
-			else {
-				process.destroy();
-			}
-		});
-		try {
-			for (Process process : this.processes.values()) {
-				if (!process.waitFor(10, TimeUnit.SECONDS)) {
-					process.destroyForcibly().waitFor();
-				}
-			}
-			keep();
-		}
-		catch (InterruptedException ex) {
-			killAll();
-			Thread.currentThread().interrupt();
-		}
+		this.processes.close();
 	}
 
 }
