--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
@@ -5,8 +5,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.platform.PartitionCommit;
 import org.monsoonrelay.logic.platform.PartitionWrite;
@@ -20,6 +22,8 @@
 
 	private static final PartitionCommit STORED = new PartitionCommit.Committed(7);
 
+	private static final PartitionCommit FOUND = new PartitionCommit.Conflict(List.of());
+
 	private static final PartitionCommit REFUSED = new PartitionCommit.NotDone("busy");
 
 	private static final PartitionCommit UNKNOWN = new PartitionCommit.Unknown("no answer");
@@ -30,7 +34,9 @@
 
 	private int directTries;
 
-	private boolean open = true;
+	private int relayedTries;
+
+	private BooleanSupplier open = () -> true;
 
 	private Supplier<CompletableFuture<PartitionCommit>> direct = () -> answer(STORED);
 
@@ -61,7 +67,7 @@
 		CompletableFuture<AcceptOutcome> outcome = write(3000);
 		this.time.runFor(2000);
 		assertThat(outcome).isNotDone();
-		this.direct = () -> answer(new PartitionCommit.Conflict(List.of()));
+		this.direct = () -> answer(FOUND);
 		this.time.runFor(100);
 		assertThat(outcome).isCompletedWithValue(AcceptOutcome.ACCEPTED);
 	}
@@ -85,7 +91,7 @@
 
 	@Test
 	void isRefusedUnsentAndAtOnceWhileNoWayIsOpen() {
-		this.open = false;
+		this.open = () -> false;
 		assertThat(write(3000)).isCompletedWithValue(AcceptOutcome.NOT_ACCEPTED);
 		assertThat(this.directTries).isZero();
 	}
@@ -93,7 +99,7 @@
 	@Test
 	void isUnknownAtOnceIfNoWayIsOpenAfterATryWithoutAnAnswer() {
 		this.direct = () -> {
-			this.open = false;
+			this.open = () -> false;
 			return answer(UNKNOWN);
 		};
 		CompletableFuture<AcceptOutcome> outcome = write(3000);
@@ -119,6 +125,98 @@
 		assertThat(outcome).isCompletedWithValue(AcceptOutcome.ACCEPTED);
 	}
 
+	/** Whatever the caller was told, no try begins after it. */
+	@Nested
+	class OnceItsCallerWasTold {
+
+		private void assertNoTryBeginsAfter(CompletableFuture<AcceptOutcome> outcome, AcceptOutcome told) {
+			CallerWriteTests test = CallerWriteTests.this;
+			assertThat(outcome).isCompletedWithValue(told);
+			int tries = test.directTries + test.relayedTries;
+			test.open = () -> true;
+			test.direct = () -> answer(STORED);
+			test.relayed = () -> Optional.of(answer(FOUND));
+			test.time.runFor(4000);
+			assertThat(test.directTries + test.relayedTries).isEqualTo(tries);
+			assertThat(outcome).isCompletedWithValue(told);
+		}
+
+		@Test
+		void thatItIsStoredNoTryBegins() {
+			assertNoTryBeginsAfter(write(3000), AcceptOutcome.ACCEPTED);
+		}
+
+		@Test
+		void thatItWasFoundStoredNoTryBegins() {
+			CallerWriteTests.this.direct = () -> answer(FOUND);
+			assertNoTryBeginsAfter(write(3000), AcceptOutcome.ACCEPTED);
+		}
+
+		@Test
+		void thatItIsStoredAfterARepeatNoTryBegins() {
+			CallerWriteTests.this.direct = () -> answer(REFUSED);
+			CompletableFuture<AcceptOutcome> outcome = write(3000);
+			CallerWriteTests.this.direct = () -> answer(STORED);
+			CallerWriteTests.this.time.runFor(100);
+			assertNoTryBeginsAfter(outcome, AcceptOutcome.ACCEPTED);
+		}
+
+		@Test
+		void thatItIsStoredThroughAnotherHostNoTryBegins() {
+			CallerWriteTests.this.open = () -> false;
+			CallerWriteTests.this.relayed = () -> Optional.of(answer(STORED));
+			assertNoTryBeginsAfter(write(3000), AcceptOutcome.ACCEPTED);
+		}
+
+		@Test
+		void thatNothingWasDoneNoTryBegins() {
+			CallerWriteTests.this.open = () -> false;
+			assertNoTryBeginsAfter(write(3000), AcceptOutcome.NOT_ACCEPTED);
+		}
+
+		@Test
+		void thatNothingWasDoneInItsTimeNoTryBegins() {
+			CallerWriteTests.this.direct = () -> answer(REFUSED);
+			CompletableFuture<AcceptOutcome> outcome = write(3000);
+			CallerWriteTests.this.time.runFor(3000);
+			assertNoTryBeginsAfter(outcome, AcceptOutcome.NOT_ACCEPTED);
+		}
+
+		@Test
+		void thatNothingIsCertainNoTryBegins() {
+			CallerWriteTests.this.direct = () -> {
+				CallerWriteTests.this.open = () -> false;
+				return answer(UNKNOWN);
+			};
+			CompletableFuture<AcceptOutcome> outcome = write(3000);
+			CallerWriteTests.this.time.runFor(100);
+			assertNoTryBeginsAfter(outcome, AcceptOutcome.UNKNOWN);
+		}
+
+		@Test
+		void thatNothingIsCertainInItsTimeNoTryBegins() {
+			CallerWriteTests.this.direct = CompletableFuture::new;
+			CompletableFuture<AcceptOutcome> outcome = write(3000);
+			CallerWriteTests.this.time.runFor(3000);
+			assertNoTryBeginsAfter(outcome, AcceptOutcome.UNKNOWN);
+		}
+
+		@Test
+		void whileASecondTryWasAboutToBeginItDoesNot() {
+			CompletableFuture<PartitionCommit> first = new CompletableFuture<>();
+			CallerWriteTests.this.direct = () -> first;
+			CompletableFuture<AcceptOutcome> outcome = write(3000);
+			CallerWriteTests.this.open = () -> {
+				first.complete(STORED);
+				return true;
+			};
+			CallerWriteTests.this.time.runFor(1000);
+			assertThat(CallerWriteTests.this.relayedTries).isZero();
+			assertNoTryBeginsAfter(outcome, AcceptOutcome.ACCEPTED);
+		}
+
+	}
+
 	private final class Ways implements CallerWrite.Ways {
 
 		@Override
@@ -128,7 +226,7 @@
 
 		@Override
 		public boolean isOpen() {
-			return CallerWriteTests.this.open;
+			return CallerWriteTests.this.open.getAsBoolean();
 		}
 
 		@Override
@@ -139,6 +237,7 @@
 
 		@Override
 		public Optional<CompletableFuture<PartitionCommit>> relayed(PartitionWrite write) {
+			CallerWriteTests.this.relayedTries++;
 			return CallerWriteTests.this.relayed.get();
 		}
 
