Begin no try of a caller's write after its caller was told

So the outcome is decided under the lock that counts tries: whoever sets it first tells it, and a try counts as begun before that or does not begin. A try that was on its way before the answer is still sent; the lock is not held while sending.

Also: timers are cancelled with the outcome and leave the gateway's timer at once; they kept each job's text for the rest of its caller's 3 s. leavesNothingWithTheTimerOnceItIsStored is new, not seen failing on its own.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -74,8 +74,7 @@
 
 	private final HostSettings settings;
 
-	private final ScheduledExecutorService timer = Executors
-		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "timer"));
+	private final ScheduledExecutorService timer = timer();
 
 	private final PartitionedTable table;
 
@@ -238,6 +237,13 @@
 		}
 	}
 
+	// Each job sets timers for its caller's whole time and mostly cancels them at once.
+	private static ScheduledExecutorService timer() {
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, (task) -> new Thread(task, "timer"));
+		timer.setRemoveOnCancelPolicy(true);
+		return timer;
+	}
+
 	/**
 	 * Close at once.
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -13,8 +14,9 @@
 /**
  * One write on behalf of a caller, from its first try to the caller's answer. A try
  * without an answer does not end the write's chance: it is conditional, so that a repeat
- * settles what became of it. Invariants: the outcome is told once; {@code NOT_ACCEPTED}
- * is told only if each try is known to have done nothing, and then at once. Thread-safe.
+ * settles what became of it. Invariants: the outcome is told once, and no try begins
+ * after it; {@code NOT_ACCEPTED} is told only if each try is known to have done nothing,
+ * and then at once. Thread-safe.
  */
 final class CallerWrite {
 
@@ -72,14 +74,19 @@
 	 */
 	CompletableFuture<AcceptOutcome> begin() {
 		long left = leftMillis();
-		this.timer.schedule(this::giveUp, Math.max(0, left), TimeUnit.MILLISECONDS);
+		cancelOnceTold(this.timer.schedule(this::giveUp, Math.max(0, left), TimeUnit.MILLISECONDS));
 		if (left > HEDGE_MILLIS) {
-			this.timer.schedule(this::hedge, HEDGE_MILLIS, TimeUnit.MILLISECONDS);
+			cancelOnceTold(this.timer.schedule(this::hedge, HEDGE_MILLIS, TimeUnit.MILLISECONDS));
 		}
 		next();
 		return this.outcome;
 	}
 
+	// The timer would keep the write and its job for the rest of the caller's time.
+	private void cancelOnceTold(Future<?> task) {
+		this.outcome.whenComplete((told, failure) -> task.cancel(false));
+	}
+
 	private long leftMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(this.deadlineNanos - this.ways.nanoTime()) - MARGIN_MILLIS;
 	}
@@ -117,10 +124,10 @@
 			boolean isUnknown = !(commit instanceof PartitionCommit.NotDone);
 			if (commit instanceof PartitionCommit.Committed committed) {
 				this.whenStored.accept(committed.version());
-				this.outcome.complete(AcceptOutcome.ACCEPTED);
+				accept();
 			}
 			else if (commit instanceof PartitionCommit.Conflict) {
-				this.outcome.complete(AcceptOutcome.ACCEPTED);
+				accept();
 			}
 			else if (isLast(isUnknown)) {
 				later();
@@ -139,9 +146,22 @@
 		this.timer.schedule(this::next, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	private void accept() {
+		synchronized (this) {
+			if (this.over) {
+				return;
+			}
+			this.over = true;
+		}
+		this.outcome.complete(AcceptOutcome.ACCEPTED);
+	}
+
 	private void giveUp() {
 		boolean mayBeStored;
 		synchronized (this) {
+			if (this.over) {
+				return;
+			}
 			this.over = true;
 			mayBeStored = this.unknown || this.inFlight > 0;
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/VirtualTime.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/VirtualTime.java
@@ -45,6 +45,11 @@
 		this.nowNanos = end;
 	}
 
+	/** Tasks that are still to run. */
+	public long waiting() {
+		return this.tasks.stream().filter((task) -> !task.isCancelled()).count();
+	}
+
 	@Override
 	public void execute(Runnable command) {
 		add(command, 0, 0);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
@@ -125,6 +125,12 @@
 		assertThat(outcome).isCompletedWithValue(AcceptOutcome.ACCEPTED);
 	}
 
+	@Test
+	void leavesNothingWithTheTimerOnceItIsStored() {
+		write(3000);
+		assertThat(this.time.waiting()).isZero();
+	}
+
 	/** Whatever the caller was told, no try begins after it. */
 	@Nested
 	class OnceItsCallerWasTold {
