Tell from the lines what became of a job

Cause: from a failed request's id to its cause an engineer had to order the lines of all processes by hand, and nothing kept the walks in docs/OPERATIONS.md true.

Change: 'monsoonrelay explain ID' reads lines from files or the standard input one by one, keeps those that name the id and what bears on owners, workers and dependencies, merges the processes' own orders by the causes that lines name (epochs, attempts, answers to callers), folds alike ones and says what it came to. Lines that are cut, without a beginning, or behind a collector's prefix are coped with; gaps are told.

A fault that the walk showed: TaskEnded told ranMillis since the take-over for a run that a new owner had seen, not -1 as docs/LOGS.md says. WalksFromAnIdTests.withItsOwnerAndIsToldByTheNextOne failed first: "its longest run took 5204 ms" of 6000, and no sentence on an earlier owner. Run.isAdopted mends it.

Tests: the three walks are driven in a cell of schedulers and at a gateway's HTTP side, and four findings of docs/incidents in a cell (0001, 0002, 0004, and the start after a loss of power of 0009 and 0010). 0007, 0003, 0006 and 0008 are told from made lines, as their faults are mended; 0005 and 0011 have no lines of a job. JobRoutesTests and CommandLineTests pass a log and an input to what they build; no check is changed.

--- a/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/MonsoonrelayMain.java
+++ b/monsoonrelay-cli/src/main/java/org/monsoonrelay/cli/MonsoonrelayMain.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.cli;
 
+import java.io.InputStream;
 import java.io.PrintWriter;
 import java.time.Clock;
 import java.time.InstantSource;
@@ -14,15 +15,17 @@
  */
 @Command(name = "monsoonrelay", mixinStandardHelpOptions = true, version = "0.1.0",
 		description = "Operates a monsoonrelay cell.",
-		subcommands = { CheckCommand.class, ApplyCommand.class, StatusCommand.class, StopCommand.class,
-				CancelCommand.class, AuditCommand.class, ReportCommand.class, GenerateCompletion.class },
+		subcommands = {
+				CheckCommand.class, ApplyCommand.class, StatusCommand.class, StopCommand.class, CancelCommand.class,
+				AuditCommand.class, ReportCommand.class, ExplainCommand.class, GenerateCompletion.class },
 		exitCodeListHeading = "%nExit codes:%n",
 		exitCodeList = { "0:done", "1:what was asked for did not happen, or not in time",
 				"2:the command line or the text has faults", "3:no entry host, or not the platform, can be reached",
 				"4:another edit came first", "5:it is not known whether the edit was made; repeat the command" },
 		footer = { "", "Examples:", "  monsoonrelay check examples/pelo-fino.json",
 				"  monsoonrelay apply --host 10.0.0.1:8180,10.0.0.2:8180 --token SECRET --wait cell.json",
-				"  monsoonrelay status roster", "  source <(monsoonrelay generate-completion)" })
+				"  monsoonrelay status roster", "  monsoonrelay explain 5c0e7a21d94b36f8 host-*.log",
+				"  source <(monsoonrelay generate-completion)" })
 public final class MonsoonrelayMain implements Runnable {
 
 	@CommandLine.Spec
@@ -33,7 +36,7 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
-		CommandLine line = commandLine(Pacer.SYSTEM, Clock.systemUTC());
+		CommandLine line = commandLine(Pacer.SYSTEM, Clock.systemUTC(), System.in);
 		System.exit(line.execute(arguments));
 	}
 
@@ -41,10 +44,11 @@
 	 * Build the command line.
 	 * @param pacer how commands wait
 	 * @param clock the time against which targets are judged
+	 * @param input what commands read that are given no file
 	 * @return the command line
 	 */
-	static CommandLine commandLine(Pacer pacer, InstantSource clock) {
-		CommandLine line = new CommandLine(new MonsoonrelayMain(), new Commands(pacer, clock));
+	static CommandLine commandLine(Pacer pacer, InstantSource clock, InputStream input) {
+		CommandLine line = new CommandLine(new MonsoonrelayMain(), new Commands(pacer, clock, input));
 		line.setCaseInsensitiveEnumValuesAllowed(true);
 		line.setExecutionExceptionHandler((ex, failed, parsed) -> {
 			complain(failed, ex.getMessage());
@@ -69,9 +73,10 @@
 	}
 
 	/**
-	 * Makes the commands that need a clock, and leaves the others to the library.
+	 * Makes the commands that need a clock or an input, and leaves the others to the
+	 * library.
 	 */
-	private record Commands(Pacer pacer, InstantSource clock) implements CommandLine.IFactory {
+	private record Commands(Pacer pacer, InstantSource clock, InputStream input) implements CommandLine.IFactory {
 
 		@Override
 		public <K> K create(Class<K> type) throws Exception {
@@ -81,6 +86,9 @@
 			if (type == ReportCommand.class) {
 				return type.cast(new ReportCommand(this.clock));
 			}
+			if (type == ExplainCommand.class) {
+				return type.cast(new ExplainCommand(this.input));
+			}
 			return CommandLine.defaultFactory().create(type);
 		}
 
--- a/monsoonrelay-cli/src/test/java/org/monsoonrelay/cli/CommandLineTests.java
+++ b/monsoonrelay-cli/src/test/java/org/monsoonrelay/cli/CommandLineTests.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.cli;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Files;
@@ -64,7 +65,7 @@
 	}
 
 	private int runAt(String hosts, String token, String... arguments) {
-		CommandLine line = MonsoonrelayMain.commandLine(this.pacer, () -> NOW);
+		CommandLine line = MonsoonrelayMain.commandLine(this.pacer, () -> NOW, InputStream.nullInputStream());
 		line.setOut(new PrintWriter(this.out));
 		line.setErr(new PrintWriter(this.err));
 		List<String> all = new ArrayList<>(List.of(arguments));
@@ -282,7 +283,8 @@
 			Path bad = Files.writeString(CommandLineTests.this.folder.resolve("bad.json"),
 					CommandLineTests.this.text.replace("\"salons\", \"replicas\"", "\"saloons\", \"replica\""));
 			StringWriter lines = CommandLineTests.this.out;
-			CommandLine line = MonsoonrelayMain.commandLine(Pacer.SYSTEM, () -> NOW).setOut(new PrintWriter(lines));
+			CommandLine line = MonsoonrelayMain.commandLine(Pacer.SYSTEM, () -> NOW, InputStream.nullInputStream())
+				.setOut(new PrintWriter(lines));
 
 			assertThat(line.execute("check", bad.toString())).isEqualTo(2);
 			assertThat(lines.toString().lines()).containsExactly(bad + ": /services/0: 'replicas' is missing",
@@ -294,7 +296,7 @@
 		void wrongOptionIsOneLineAndCompletionIsWritten() {
 			assertThat(run("status", "--colour")).isEqualTo(2);
 			assertThat(err().lines()).hasSize(1);
-			CommandLine line = MonsoonrelayMain.commandLine(Pacer.SYSTEM, () -> NOW);
+			CommandLine line = MonsoonrelayMain.commandLine(Pacer.SYSTEM, () -> NOW, InputStream.nullInputStream());
 			assertThat(line.setOut(new PrintWriter(CommandLineTests.this.out)).execute("generate-completion")).isZero();
 			assertThat(out()).contains("complete -F", "--expect-version");
 		}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -0,0 +1,227 @@
+package org.monsoonrelay.logic.explain;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.monsoonrelay.logic.events.Decision;
+
+/**
+ * Says what became of a job and why, by its lines alone. Each sentence rests on lines
+ * that are there; what is not in them is not guessed at. Not thread-safe.
+ */
+final class CauseFinder {
+
+	private static final String ACCEPTED = "ACCEPTED";
+
+	private final List<LogLine> lines;
+
+	/**
+	 * Create a finder.
+	 * @param lines the lines of a story, causes first
+	 */
+	CauseFinder(List<LogLine> lines) {
+		this.lines = lines;
+	}
+
+	List<String> causes() {
+		List<String> causes = new ArrayList<>();
+		refused(causes);
+		notStored(causes);
+		startedAgainAfterItsEnd(causes);
+		lost(causes);
+		startsThatFailed(causes);
+		ended(causes);
+		return causes;
+	}
+
+	private List<LogLine> all(Class<?> decision) {
+		return this.lines.stream().filter((line) -> line.is(decision)).toList();
+	}
+
+	private Optional<LogLine> first(Class<?> decision) {
+		return all(decision).stream().findFirst();
+	}
+
+	private void refused(List<String> causes) {
+		for (LogLine line : all(Decision.RequestRefused.class)) {
+			String cause = "refused by " + line.source() + ": " + line.text("reason") + ", decided by configuration "
+					+ line.text("configurationVersion");
+			if (!causes.contains(cause)) {
+				causes.add(cause);
+			}
+		}
+	}
+
+	private void notStored(List<String> causes) {
+		for (LogLine line : all(Decision.SubmissionAnswered.class)) {
+			String outcome = line.text("outcome");
+			if (ACCEPTED.equals(outcome)) {
+				continue;
+			}
+			String lost = all(Decision.DependencyLost.class).stream()
+				.filter((dependency) -> dependency.source().equals(line.source()))
+				.map((dependency) -> dependency.text("dependency") + " was lost there: " + dependency.text("reason"))
+				.findFirst()
+				.orElse("UNKNOWN".equals(outcome) ? "a try had no answer and none settled it while the caller waited"
+						: "no way to store it was open; the table had turned writes of that host down in a row");
+			causes.add("answered " + outcome + " by " + line.source() + " after " + line.value("tookMillis") + " ms: "
+					+ lost);
+		}
+	}
+
+	private void startedAgainAfterItsEnd(List<String> causes) {
+		Map<String, LogLine> done = new HashMap<>();
+		for (LogLine line : this.lines) {
+			String task = line.text("task");
+			if (line.is(Decision.TaskEnded.class) && "DONE".equals(line.text("end"))) {
+				done.putIfAbsent(task, line);
+			}
+			else if (line.is(Decision.TaskPlaced.class) && done.containsKey(task)) {
+				LogLine end = done.get(task);
+				causes.add(task + " was placed again as attempt " + line.value("attempt") + " on " + line.text("worker")
+						+ " by the owner of epoch " + line.value("fence") + " after attempt " + end.value("attempt")
+						+ " had ended well on " + end.text("worker"));
+			}
+		}
+	}
+
+	private void lost(List<String> causes) {
+		Map<String, List<LogLine>> byWorker = new LinkedHashMap<>();
+		for (LogLine line : all(Decision.TaskLost.class)) {
+			byWorker.computeIfAbsent(line.text("worker"), (worker) -> new ArrayList<>()).add(line);
+		}
+		byWorker.forEach((worker, runs) -> {
+			String silent = all(Decision.WorkerSilent.class).stream()
+				.filter((line) -> line.text("worker").equals(worker))
+				.map((line) -> "; it was silent before: " + line.text("reason"))
+				.findFirst()
+				.orElse("");
+			LogLine run = runs.get(0);
+			causes.add(runs.size() + " runs were lost with worker " + worker + ": " + run.text("reason") + silent + "; "
+					+ next(run));
+		});
+		long foreign = all(Decision.TaskEnded.class).stream().filter((line) -> line.value("ranMillis") < 0).count();
+		if (foreign > 0) {
+			causes.add(foreign + " runs ended that an earlier owner had started" + takeOver());
+		}
+	}
+
+	private String next(LogLine lost) {
+		return all(Decision.TaskPlaced.class).stream()
+			.filter((line) -> line.text("task").equals(lost.text("task"))
+					&& line.value("attempt") > lost.value("attempt"))
+			.map((line) -> line.text("task") + " was placed again as attempt " + line.value("attempt") + " on "
+					+ line.text("worker"))
+			.findFirst()
+			.orElse(lost.text("task") + " was not placed again");
+	}
+
+	private String takeOver() {
+		return first(Decision.OwnershipTaken.class)
+			.map((line) -> ": " + line.source() + " took the pool over from " + line.text("previousHolder")
+					+ " as epoch " + line.value("epoch") + ", " + line.text("reason"))
+			.orElse("");
+	}
+
+	private void startsThatFailed(List<String> causes) {
+		Map<String, Integer> byOutcome = new LinkedHashMap<>();
+		all(Decision.StartFailed.class)
+			.forEach((line) -> byOutcome.merge(line.text("outcome") + " at " + line.text("worker"), 1, Integer::sum));
+		if (!byOutcome.isEmpty()) {
+			causes.add("starts that failed: " + byOutcome);
+		}
+	}
+
+	private void ended(List<String> causes) {
+		Optional<LogLine> end = first(Decision.JobEnded.class);
+		if (end.isPresent()) {
+			LogLine line = end.get();
+			if ("FAILED".equals(line.text("state"))) {
+				causes.add("failed: " + failures());
+			}
+			if ("CANCELLED".equals(line.text("state"))) {
+				causes.add("cancelled" + first(Decision.CancellationAnswered.class)
+					.map((answer) -> ", as a caller asked of " + answer.source())
+					.orElse(""));
+			}
+			causes.add(new Lateness(this.lines, line).text() + pause());
+			return;
+		}
+		boolean isAccepted = all(Decision.SubmissionAnswered.class).stream()
+			.anyMatch((line) -> ACCEPTED.equals(line.text("outcome")));
+		if (this.lines.stream().anyMatch(Vocabulary::isOwnersOfJob)) {
+			causes.add("no line tells its end: " + open() + pause());
+		}
+		else if (isAccepted) {
+			causes.add("accepted, but no line tells that an owner has learnt of it" + pause());
+		}
+	}
+
+	private String failures() {
+		Map<String, List<String>> failed = new LinkedHashMap<>();
+		for (LogLine line : all(Decision.TaskEnded.class)) {
+			if ("FAILED".equals(line.text("end"))) {
+				failed.computeIfAbsent(line.text("task"), (task) -> new ArrayList<>())
+					.add("attempt " + line.value("attempt") + " on " + line.text("worker"));
+			}
+		}
+		return failed.entrySet()
+			.stream()
+			.max((one, other) -> Integer.compare(one.getValue().size(), other.getValue().size()))
+			.map((most) -> failed.size() + " tasks failed, most often " + most.getKey() + ": "
+					+ String.join(", ", most.getValue()))
+			.orElse("no line tells which task");
+	}
+
+	private String open() {
+		Map<String, LogLine> running = new LinkedHashMap<>();
+		for (LogLine line : this.lines) {
+			String run = line.text("task") + " attempt " + line.text("attempt");
+			if (line.is(Decision.TaskPlaced.class)) {
+				running.put(run, line);
+			}
+			else if (line.is(Decision.TaskEnded.class) || line.is(Decision.TaskLost.class)) {
+				running.remove(run);
+			}
+		}
+		if (running.isEmpty()) {
+			return Waiting.text(this.lines);
+		}
+		Map.Entry<String, LogLine> one = running.entrySet().iterator().next();
+		String runs = running.size() + " runs were placed whose end no line tells, such as " + one.getKey() + " on "
+				+ one.getValue().text("worker");
+		return Waiting.isAsked(this.lines) ? Waiting.text(this.lines) + "; " + runs : runs;
+	}
+
+	// An epoch that was taken and not settled places nothing of what it has not loaded.
+	private String pause() {
+		StringBuilder text = new StringBuilder();
+		for (LogLine taken : all(Decision.OwnershipTaken.class)) {
+			long epoch = taken.value("epoch");
+			text.append("; ")
+				.append(taken.source())
+				.append(" took the pool over as epoch ")
+				.append(epoch)
+				.append(" (")
+				.append(taken.text("reason"))
+				.append("), ")
+				.append(took(Decision.OwnershipSettled.class, epoch, "had loaded all jobs"))
+				.append(", ")
+				.append(took(Decision.WorkersAccounted.class, epoch, "had heard of all workers"));
+		}
+		return text.toString();
+	}
+
+	private String took(Class<?> decision, long epoch, String what) {
+		return all(decision).stream()
+			.filter((line) -> line.value("epoch") == epoch)
+			.map((line) -> what + " after " + line.value("tookMillis") + " ms")
+			.findFirst()
+			.orElse("no line tells that it " + what);
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Lateness.java
@@ -0,0 +1,105 @@
+package org.monsoonrelay.logic.explain;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.logic.events.Decision;
+
+/**
+ * Where the time of a job that has ended went, by the spans that its lines tell. Each
+ * span was measured by one process; none is a difference between two hosts' times of day.
+ */
+final class Lateness {
+
+	private final List<LogLine> lines;
+
+	private final LogLine end;
+
+	/**
+	 * Create it.
+	 * @param lines the lines of the job, causes first
+	 * @param end the end of the job
+	 */
+	Lateness(List<LogLine> lines, LogLine end) {
+		this.lines = lines;
+		this.end = end;
+	}
+
+	String text() {
+		long late = this.end.value("lateMillis");
+		String state = this.end.text("state") + " after " + this.end.value("ageMillis") + " ms, "
+				+ ((late > 0) ? late + " ms late" : -late + " ms in time");
+		Map<String, Long> spans = spans();
+		if (spans.isEmpty()) {
+			return state;
+		}
+		String most = spans.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
+		return state + ": "
+				+ spans.entrySet()
+					.stream()
+					.map((span) -> span.getValue() + " ms " + span.getKey())
+					.collect(Collectors.joining(", "))
+				+ "; the most of it " + most + repeats();
+	}
+
+	private Map<String, Long> spans() {
+		Map<String, Long> spans = new LinkedHashMap<>();
+		long learnt = all(Decision.JobLearnt.class).stream()
+			.mapToLong((line) -> line.value("ageMillis"))
+			.findFirst()
+			.orElse(-1);
+		LogLine placed = all(Decision.TaskPlaced.class).stream()
+			.min(Comparator.comparingLong((line) -> line.value("waitedMillis")))
+			.orElse(null);
+		if (placed == null) {
+			return spans;
+		}
+		long first = placed.value("waitedMillis");
+		long known = Math.max(0, learnt);
+		long asked = Math.min(Math.max(0, first - known),
+				all(Decision.EligibilityAnswered.class).stream()
+					.filter((line) -> line.step().equals(placed.step()) && line.number() < placed.number())
+					.mapToLong((line) -> line.value("tookMillis"))
+					.sum());
+		if (learnt >= 0) {
+			spans.put("until an owner learnt of it", learnt);
+		}
+		spans.put("in calls for who may run its first step", asked);
+		spans.put("waiting for room before its first start", Math.max(0, first - known - asked));
+		spans.put("from its first start to its end", this.end.value("ageMillis") - first);
+		return spans;
+	}
+
+	private String repeats() {
+		long longest = all(Decision.TaskEnded.class).stream()
+			.mapToLong((line) -> line.value("ranMillis"))
+			.max()
+			.orElse(-1);
+		long again = all(Decision.TaskPlaced.class).stream().map((line) -> line.text("task")).distinct().count();
+		long starts = all(Decision.TaskPlaced.class).size();
+		StringBuilder text = new StringBuilder();
+		if (longest >= 0) {
+			text.append("; its longest run took ").append(longest).append(" ms");
+		}
+		if (starts > again) {
+			text.append("; ").append(starts - again).append(" of ").append(starts).append(" starts were repeats (");
+			Map<String, Long> ends = all(Decision.TaskEnded.class).stream()
+				.filter((line) -> !"DONE".equals(line.text("end")))
+				.collect(Collectors.groupingBy((line) -> line.text("end"), LinkedHashMap::new, Collectors.counting()));
+			long lost = all(Decision.TaskLost.class).size();
+			if (lost > 0) {
+				ends.put("lost", lost);
+			}
+			text.append(ends).append(')');
+		}
+		return text.toString();
+	}
+
+	private List<LogLine> all(Class<?> decision) {
+		return this.lines.stream().filter((line) -> line.is(decision)).toList();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/LineReader.java
@@ -0,0 +1,111 @@
+package org.monsoonrelay.logic.explain;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+
+/**
+ * Reads one line of output. What stands before the JSON, such as a collector's time and
+ * host name, names the process; in an input without that, the process is the one that
+ * last said it has started. A line that has lost its beginning alone is nobody's. Not
+ * thread-safe: lines of one input are to be read in their order.
+ */
+final class LineReader {
+
+	/** Process of a line that has lost what names it. */
+	static final String NOBODY = "?";
+
+	/** Braces in what stands before the JSON that are passed over, at most. */
+	private static final int MOST_BRACES = 4;
+
+	private static final String EVENT = "event";
+
+	private static final Pattern ADDRESS = Pattern.compile("\\d+(\\.\\d+){3}(:\\d+)?");
+
+	private static final Pattern ZONE = Pattern.compile("Z|UTC|GMT|CET|CEST");
+
+	private static final Set<String> CALENDAR = Set.of("Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun", "Jan", "Feb",
+			"Mar", "Apr", "May", "Jun", "Jul", "Aug", "Sep", "Oct", "Nov", "Dec");
+
+	private final ObjectReader reader = new ObjectMapper().reader();
+
+	private final String input;
+
+	private String lastStarted = "";
+
+	private int usualWords;
+
+	/**
+	 * Create a reader.
+	 * @param input name of the input
+	 */
+	LineReader(String input) {
+		this.input = input;
+	}
+
+	/**
+	 * Read a line.
+	 * @param text the line
+	 * @param number its place among all lines
+	 * @return the decision, empty if there is none or it is cut
+	 */
+	Optional<LogLine> read(String text, long number) {
+		int brace = text.indexOf("{\"");
+		for (int i = 0; i < MOST_BRACES && brace >= 0; i++) {
+			JsonNode node = parse(text.substring(brace));
+			if (node != null && node.path(EVENT).isTextual()) {
+				return Optional
+					.of(new LogLine(source(text.substring(0, brace), node), number, node.path(EVENT).asText(), node));
+			}
+			brace = text.indexOf("{\"", brace + 1);
+		}
+		return Optional.empty();
+	}
+
+	private JsonNode parse(String json) {
+		try {
+			return this.reader.readTree(json);
+		}
+		catch (IOException ex) {
+			// The caller counts what is cut.
+			return null;
+		}
+	}
+
+	private String source(String prefix, JsonNode node) {
+		if ("ProcessStarted".equals(node.path(EVENT).asText())) {
+			this.lastStarted = node.path("host").asText("");
+		}
+		List<String> words = new ArrayList<>();
+		for (String word : prefix.trim().split("\\s+")) {
+			if (isName(word)) {
+				words.add(word.endsWith(":") ? word.substring(0, word.length() - 1) : word);
+			}
+		}
+		if (!words.isEmpty()) {
+			// More of them are the rest of a line that was cut.
+			boolean isWhole = this.usualWords == 0 || words.size() <= this.usualWords;
+			this.usualWords = isWhole ? words.size() : this.usualWords;
+			return String.join(" ", words.subList(words.size() - this.usualWords, words.size()));
+		}
+		if (this.usualWords > 0) {
+			return NOBODY;
+		}
+		return this.lastStarted.isEmpty() ? this.input : this.lastStarted;
+	}
+
+	private static boolean isName(String word) {
+		if (word.isEmpty() || CALENDAR.contains(word) || ZONE.matcher(word).matches()) {
+			return false;
+		}
+		return Character.isLetter(word.charAt(0)) || ADDRESS.matcher(word).matches();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Waiting.java
@@ -0,0 +1,73 @@
+package org.monsoonrelay.logic.explain;
+
+import java.util.List;
+import java.util.LongSummaryStatistics;
+import java.util.NavigableSet;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.logic.events.Decision;
+
+/**
+ * What the last step waits for that the lines of an open job name. Stateless and
+ * thread-safe.
+ */
+final class Waiting {
+
+	private Waiting() {
+	}
+
+	// Steps that ran without a line for their start were placed as well.
+	private static NavigableSet<String> placed(List<LogLine> lines) {
+		return steps(lines, Decision.TaskPlaced.class, Decision.TaskEnded.class);
+	}
+
+	private static NavigableSet<String> asked(List<LogLine> lines) {
+		NavigableSet<String> asked = steps(lines, Decision.EligibilityAnswered.class, Decision.EligibilityFailed.class);
+		asked.removeAll(placed(lines));
+		return asked;
+	}
+
+	private static NavigableSet<String> steps(List<LogLine> lines, Class<?> one, Class<?> other) {
+		return lines.stream()
+			.filter((line) -> line.is(one) || line.is(other))
+			.map(LogLine::step)
+			.collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	/**
+	 * Whether there is a step that was asked about and not placed.
+	 * @param lines the lines of a job
+	 * @return {@code true} if there is one
+	 */
+	static boolean isAsked(List<LogLine> lines) {
+		return !asked(lines).isEmpty();
+	}
+
+	static String text(List<LogLine> lines) {
+		NavigableSet<String> placed = placed(lines);
+		NavigableSet<String> asked = asked(lines);
+		if (asked.isEmpty()) {
+			return (placed.isEmpty() ? "no step was placed" : "no step after " + placed.last() + " was placed")
+					+ ", and no line tells that it was asked who may run the next one";
+		}
+		String step = asked.last();
+		List<LogLine> answers = of(lines, step, Decision.EligibilityAnswered.class);
+		List<LogLine> failed = of(lines, step, Decision.EligibilityFailed.class);
+		if (answers.isEmpty()) {
+			return "step " + step + " was not placed: it could not be asked who may run it, " + failed.size()
+					+ " calls failed, the last by " + failed.get(failed.size() - 1).text("host") + ": "
+					+ failed.get(failed.size() - 1).text("reason");
+		}
+		LongSummaryStatistics allowed = answers.stream().mapToLong((line) -> line.value("allowed")).summaryStatistics();
+		LongSummaryStatistics took = answers.stream().mapToLong((line) -> line.value("tookMillis")).summaryStatistics();
+		return "step " + step + " was not placed: it was asked " + answers.size() + " times who may run it ("
+				+ allowed.getMin() + " to " + allowed.getMax() + " workers allowed, " + took.getSum() + " ms in calls, "
+				+ failed.size() + " calls failed), so that it waited for room on those";
+	}
+
+	private static List<LogLine> of(List<LogLine> lines, String step, Class<?> decision) {
+		return lines.stream().filter((line) -> line.is(decision) && line.step().equals(step)).toList();
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -19,6 +19,8 @@
 
 	private final long orderedNanos;
 
+	private final boolean adopted;
+
 	private State state;
 
 	private long answeredNanos;
@@ -27,13 +29,15 @@
 
 	private String checkpoint = "";
 
-	private Run(TaskKey task, int attempt, String worker, Resources size, State state, long orderedNanos) {
+	private Run(TaskKey task, int attempt, String worker, Resources size, State state, long orderedNanos,
+			boolean adopted) {
 		this.task = task;
 		this.attempt = attempt;
 		this.worker = worker;
 		this.size = size;
 		this.state = state;
 		this.orderedNanos = orderedNanos;
+		this.adopted = adopted;
 	}
 
 	/**
@@ -46,7 +50,7 @@
 	 * @return the run
 	 */
 	static Run ordered(TaskKey task, int attempt, String worker, Resources size, long nowNanos) {
-		return new Run(task, attempt, worker, size, State.STARTING, nowNanos);
+		return new Run(task, attempt, worker, size, State.STARTING, nowNanos, false);
 	}
 
 	/**
@@ -58,7 +62,7 @@
 	 * @return the run
 	 */
 	static Run adopted(RunningTask seen, String worker, Resources size, long nowNanos) {
-		Run run = new Run(seen.task(), seen.attempt(), worker, size, State.RUNNING, nowNanos);
+		Run run = new Run(seen.task(), seen.attempt(), worker, size, State.RUNNING, nowNanos, true);
 		run.confirm(nowNanos);
 		return run;
 	}
@@ -122,6 +126,14 @@
 		return this.orderedNanos;
 	}
 
+	/**
+	 * Whether another owner has started it.
+	 * @return {@code true} if it is not known here since when it runs
+	 */
+	boolean isAdopted() {
+		return this.adopted;
+	}
+
 	String checkpoint() {
 		return this.checkpoint;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
@@ -66,7 +66,7 @@
 		long ranMillis = -1;
 		Run run = worker.run(end.task()).filter((held) -> held.attempt() == end.attempt()).orElse(null);
 		if (run != null) {
-			ranMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.orderedNanos());
+			ranMillis = run.isAdopted() ? -1 : TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.orderedNanos());
 			clear(worker, run);
 		}
 		this.log.write(new Decision.TaskEnded(end.task().job(), end.task().toString(), end.attempt(), worker.id(),
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of stories told from lines.
+ */
+package org.monsoonrelay.logic.explain;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -53,6 +53,9 @@
 
 	final List<Decision> decisions = new ArrayList<>();
 
+	/** What each process has written. */
+	final ProcessOutput output = new ProcessOutput();
+
 	/** What a gateway hears from owners. */
 	final JobStates gateway = new JobStates();
 
@@ -179,7 +182,10 @@
 			EligibilitySource all = (host, step, ids, timeout) -> CompletableFuture
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
-					PoolCell.this.time.clock(), PoolCell.this.decisions::add);
+					PoolCell.this.time.clock(), (decision) -> {
+						PoolCell.this.decisions.add(decision);
+						PoolCell.this.output.write(name + life, PoolCell.this.time.millis(), decision);
+					});
 			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time);
 			PoolCell.this.time.schedule(this.jobs::start, READY_MILLIS, TimeUnit.MILLISECONDS);
 			this.election = new OwnerElection(this.ports, new HostRecord(name, "domain", "a:1", name + life, 1, false),
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ProcessOutput.java
@@ -0,0 +1,46 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.explain.JobStory;
+import org.monsoonrelay.logic.platform.Json;
+
+/**
+ * What several processes write, as a collector of lines hands it on: each line behind a
+ * time and the name of its process. The later a process began, the further its time of
+ * day lags, so that times tell nothing of the order. Not thread-safe.
+ */
+final class ProcessOutput {
+
+	private static final long LAG_MILLIS = 600_000;
+
+	private final Map<String, List<String>> lines = new LinkedHashMap<>();
+
+	void write(String process, long millis, Decision decision) {
+		List<String> output = this.lines.computeIfAbsent(process, (name) -> new ArrayList<>());
+		long at = millis - LAG_MILLIS * List.copyOf(this.lines.keySet()).indexOf(process);
+		ObjectNode node = Json.MAPPER.createObjectNode().put("at", at);
+		node.put("event", decision.getClass().getSimpleName()).setAll((ObjectNode) Json.MAPPER.valueToTree(decision));
+		output.add("2026-12-03T06:00:00Z " + process + " " + node);
+	}
+
+	/**
+	 * The story of an id, read from the process that began last on.
+	 * @param id the id
+	 * @return the story
+	 */
+	JobStory story(String id) {
+		JobStory story = new JobStory(id);
+		List<String> processes = new ArrayList<>(this.lines.keySet());
+		for (int i = processes.size() - 1; i >= 0; i--) {
+			this.lines.get(processes.get(i)).forEach((line) -> story.take("collected", line));
+		}
+		return story;
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WalksFromAnIdTests.java
@@ -0,0 +1,197 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.explain.JobStory;
+import org.monsoonrelay.logic.explain.LogLine;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * From the id of a failed request to its cause, by the lines that a cell wrote.
+ */
+class WalksFromAnIdTests {
+
+	private static final long LEASE_OVER_MILLIS = 10_000;
+
+	private final PoolCell cell = new PoolCell().withWorkers(3);
+
+	private static List<String> events(JobStory story) {
+		return story.lines().stream().map(LogLine::event).distinct().toList();
+	}
+
+	private static String causes(JobStory story) {
+		return String.join("\n", story.causes());
+	}
+
+	private static void assertADozen(JobStory story) {
+		assertThat(story.folded()).hasSizeBetween(1, 12);
+	}
+
+	@Test
+	void aLateJobWaitedForRoom() {
+		this.cell.withEligibility().addScheduler();
+		this.cell.time.runFor(500);
+		for (int i = 0; i < 30; i++) {
+			this.cell.submit("job" + i, PoolCell.step(4, false));
+		}
+		this.cell.time.runFor(8000);
+		String late = this.cell.decisions.stream()
+			.filter((decision) -> decision instanceof Decision.JobEnded end && end.lateMillis() > 0)
+			.map((decision) -> ((Decision.JobEnded) decision).job())
+			.reduce((earlier, later) -> later)
+			.orElseThrow();
+		JobStory story = this.cell.output.story(late);
+		assertThat(events(story)).containsExactly("JobLearnt", "EligibilityAnswered", "TaskPlaced", "TaskEnded",
+				"JobEnded");
+		assertThat(causes(story)).contains("COMPLETED after")
+			.contains(" ms late: ")
+			.contains("the most of it waiting for room before its first start");
+		assertADozen(story);
+	}
+
+	@Nested
+	class OfATaskThatWasLost {
+
+		private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
+
+		@Test
+		void withItsWorker() {
+			PoolCell cell = WalksFromAnIdTests.this.cell.withRunsOf(2000);
+			cell.addScheduler();
+			cell.time.runFor(500);
+			cell.submit("a", PoolCell.step(1, false));
+			cell.time.runFor(300);
+			String holder = cell.workers.holderOf(TASK);
+			cell.workers.crash(holder);
+			cell.time.runFor(LEASE_OVER_MILLIS + 4000);
+			JobStory story = cell.output.story("a");
+			assertThat(events(story)).containsExactly("JobLearnt", "TaskPlaced", "WorkerSilent", "WorkerLost",
+					"TaskLost", "TaskEnded", "JobEnded");
+			assertThat(causes(story)).contains("1 runs were lost with worker " + holder + ": its lease has lapsed")
+				.contains("it was silent before: ")
+				.contains("a.0.0.0 was placed again as attempt 2 on ");
+			assertADozen(story);
+			assertThat(causes(cell.output.story(TASK.toString()))).contains("1 runs were lost with worker " + holder);
+		}
+
+		@Test
+		void withItsOwnerAndIsToldByTheNextOne() {
+			PoolCell cell = WalksFromAnIdTests.this.cell.withRunsOf(6000);
+			PoolCell.Scheduler first = cell.beginWithTwo();
+			cell.submit("a", PoolCell.step(1, false));
+			cell.time.runFor(300);
+			first.kill();
+			cell.time.runFor(LEASE_OVER_MILLIS);
+			JobStory story = cell.output.story("a");
+			assertThat(events(story)).containsSubsequence("JobLearnt", "TaskPlaced", "OwnershipTaken", "TaskEnded",
+					"JobEnded");
+			assertThat(story.lines()).filteredOn((line) -> line.event().equals("TaskPlaced"))
+				.extracting(LogLine::source)
+				.containsExactly("s0first");
+			assertThat(causes(story)).contains("1 runs ended that an earlier owner had started")
+				.contains("s1first took the pool over from s0 as epoch 2")
+				.contains("had loaded all jobs after ");
+			assertADozen(story);
+		}
+
+		@Test
+		void withItsOwnerAndItsWorkerAndRunsAgainUnderTheNextOne() {
+			PoolCell cell = WalksFromAnIdTests.this.cell.withRunsOf(3000);
+			PoolCell.Scheduler first = cell.beginWithTwo();
+			cell.submit("a", PoolCell.step(1, false));
+			cell.time.runFor(300);
+			cell.workers.crash(cell.workers.holderOf(TASK));
+			first.kill();
+			cell.time.runFor(3 * LEASE_OVER_MILLIS);
+			JobStory story = cell.output.story("a");
+			assertThat(story.lines()).filteredOn((line) -> line.event().equals("TaskPlaced"))
+				.extracting(LogLine::source)
+				.containsExactly("s0first", "s1first");
+			assertThat(events(story)).containsSubsequence("TaskPlaced", "OwnershipTaken", "TaskEnded", "JobEnded");
+			assertThat(causes(story)).contains("s1first took the pool over as epoch 2")
+				.contains("had heard of all workers after ");
+			assertADozen(story);
+		}
+
+	}
+
+	/** Findings under docs/incidents, as far as a cell shows their lines. */
+	@Nested
+	class OfFindings {
+
+		@Test
+		void aPartitionThatIsSilentToANewOwner() {
+			PoolCell cell = WalksFromAnIdTests.this.cell.withRunsOf(3000);
+			PoolCell.Scheduler first = cell.beginWithTwo();
+			cell.submit("silent", PoolCell.step(1, false), PoolCell.step(1, false, 0));
+			cell.time.runFor(300);
+			cell.table.silence(JobTables.partition("silent"));
+			first.kill();
+			cell.time.runFor(8000);
+			assertThat(causes(cell.output.story("silent"))).contains("no line tells its end")
+				.contains("s1first took the pool over as epoch 2")
+				.contains("no line tells that it had loaded all jobs");
+		}
+
+		@Test
+		void startsThatWentBehindACut() {
+			PoolCell cell = WalksFromAnIdTests.this.cell;
+			PoolCell.Scheduler owner = cell.addScheduler();
+			cell.time.runFor(1000);
+			for (int i = 0; i < 3; i++) {
+				owner.workerClient.cut("w" + i);
+			}
+			cell.submit("a", PoolCell.step(2, false));
+			cell.time.runFor(600);
+			JobStory story = cell.output.story("a");
+			assertThat(events(story)).contains("StartFailed");
+			assertThat(causes(story)).contains("starts that failed: {NO_ANSWER at w");
+		}
+
+		@Test
+		void attemptsThatTwoOwnersSaw() {
+			PoolCell cell = new PoolCell();
+			cell.workers.add("w0", PoolCell.CAPACITY).fails(true);
+			cell.workers.add("w1", PoolCell.CAPACITY).fails(true);
+			PoolCell.Scheduler first = cell.addScheduler();
+			cell.time.runFor(500);
+			cell.submit("a", 2, PoolCell.step(1, false));
+			cell.time.runFor(150);
+			cell.table.down(true);
+			cell.time.runFor(1200);
+			first.kill();
+			cell.table.down(false);
+			cell.addScheduler();
+			cell.time.runFor(LEASE_OVER_MILLIS);
+			JobStory story = cell.output.story("a");
+			assertThat(causes(story)).contains("failed: 1 tasks failed, most often a.0.0.0: attempt 1 on ")
+				.contains("s1first took the pool over as epoch 2");
+			assertThat(story.lines().stream().map((line) -> line.event() + ' ' + line.source())).containsSubsequence(
+					"TaskPlaced s0first", "TaskEnded s0first", "OwnershipTaken s1first", "JobEnded s1first");
+		}
+
+		@Test
+		void aCellWhoseHostsAllStartAnew() {
+			PoolCell cell = WalksFromAnIdTests.this.cell.withRunsOf(1000);
+			cell.beginWithTwo();
+			cell.submit("a", PoolCell.step(3, false));
+			cell.time.runFor(300);
+			cell.schedulers.forEach(PoolCell.Scheduler::kill);
+			cell.schedulers.clear();
+			cell.time.runFor(2000);
+			cell.addScheduler("restarted");
+			cell.time.runFor(3000);
+			assertThat(causes(cell.output.story("a"))).contains("COMPLETED after ")
+				.contains("s0restarted took the pool over as epoch 2")
+				.contains("had heard of all workers after ");
+		}
+
+	}
+
+}
