--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -19,6 +19,7 @@
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableFollower;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.pool.PoolClock;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
@@ -103,15 +104,16 @@
 	 * @param network the other hosts
 	 * @param metrics takes counters and times
 	 * @param log takes decisions
+	 * @param unreadable takes note of rows that cannot be read
 	 */
 	public JobGateway(HostSettings settings, PartitionedTable table, ConfigurationFeed configuration,
-			PeerNetwork network, MetricRegistry metrics, DecisionLog log) {
+			PeerNetwork network, MetricRegistry metrics, DecisionLog log, UnreadableRows unreadable) {
 		this.settings = settings;
 		this.configuration = configuration;
 		this.storage = new StorageWatch(this::askTable, System::nanoTime, log);
 		this.table = table;
 		this.drain = new CallerDrain(System::nanoTime, this.storage::isAble);
-		JobStates known = new JobStates();
+		JobStates known = new JobStates(unreadable);
 		this.owner = new OwnerLink(settings.peerAddress(), network, known, System::nanoTime, log, this.storage::heard);
 		this.states = new TableFollower(this.table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
 				this::statesSpacing, this.timer, known);
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
@@ -26,6 +26,7 @@
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableChanges;
 import org.monsoonrelay.logic.platform.TablePage;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.host.HostAddress;
@@ -55,7 +56,7 @@
 		return CompletableFuture.completedFuture(Envelope.newBuilder().setEmpty(Empty.getDefaultInstance()));
 	});
 
-	private final JobStates states = new JobStates();
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE));
 
 	private PartitionCommit outcome = new PartitionCommit.Committed(9);
 
--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -18,6 +18,7 @@
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.platform.ObservedTable;
 import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.platform.HostProcess;
 import org.monsoonrelay.platform.HostSettings;
@@ -63,8 +64,11 @@
 		this.network = new PeerNetwork(self, HostSettings.PEER_SECRET, (from, message) -> handle(message));
 		PartitionedTable table = new ObservedTable(new HttpTable(settings.tableAddress()), this::tableAnswered);
 		MetricRegistry metrics = new MetricRegistry();
-		this.scheduler = new PoolScheduler(settings, self, table, this.network, this.log);
-		this.gateway = new JobGateway(settings, table, this.scheduler.configuration(), this.network, metrics, this.log);
+		UnreadableRows unreadable = new UnreadableRows(this.log);
+		metrics.gauge("rows.unreadable", () -> unreadable::count);
+		this.scheduler = new PoolScheduler(settings, self, table, this.network, this.log, unreadable);
+		this.gateway = new JobGateway(settings, table, this.scheduler.configuration(), this.network, metrics, this.log,
+				unreadable);
 		this.metricsServer = new HttpServer(new HostAddress(settings.ip(), METRICS_PORT), MAXIMUM_BODY_BYTES,
 				new HealthRoutes(metrics, this.gateway::notReady)::addTo);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
@@ -93,6 +93,18 @@
 
 	}
 
+	/**
+	 * A row of the table cannot be read and is left out. Written once until it can be
+	 * read again or the reason changes.
+	 *
+	 * @param table its table
+	 * @param key its key
+	 * @param reason why
+	 */
+	record RowUnreadable(String table, String key, String reason) implements Decision {
+
+	}
+
 	/**
 	 * A configuration is in force.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
@@ -7,7 +7,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.type.LogicalType;
 import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
 
 /**
@@ -29,6 +33,19 @@
 	private static final ObjectReader LENIENT = MAPPER.reader()
 		.without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+	private static final ObjectMapper ROWS = JsonMapper.builder()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+		.enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+		.disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+		.withCoercionConfig(LogicalType.Textual,
+				(texts) -> texts.setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+					.setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+					.setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail))
+		.build();
+
 	private Json() {
 	}
 
@@ -72,7 +89,27 @@
 	 * @throws JsonProcessingException if the text does not hold such a value
 	 */
 	public static <T> T readLeniently(String text, Class<T> type) throws JsonProcessingException {
-		return LENIENT.forType(type).readValue(text);
+		return present(LENIENT.forType(type).readValue(text), type);
+	}
+
+	/**
+	 * Read a value that a process of this project wrote, maybe one of another release.
+	 * Unknown properties are passed over; nothing of another type is made to fit.
+	 * @param <T> type of the value
+	 * @param text the JSON text
+	 * @param type type of the value
+	 * @return the value
+	 * @throws JsonProcessingException if the text does not hold such a value
+	 */
+	static <T> T readRow(String text, Class<T> type) throws JsonProcessingException {
+		return present(ROWS.readValue(text, type), type);
+	}
+
+	private static <T> T present(T value, Class<T> type) throws JsonProcessingException {
+		if (value == null) {
+			throw MismatchedInputException.from(null, type, "no value");
+		}
+		return value;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/HostRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/HostRecord.java
@@ -1,5 +1,9 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.Objects;
+
+import org.monsoonrelay.model.host.HostAddress;
+
 /**
  * A host of this system as it registers in the table. Immutable.
  *
@@ -13,6 +17,13 @@
 public record HostRecord(String host, String failureDomain, String peerAddress, String incarnation, double processors,
 		boolean stopping) {
 
+	public HostRecord {
+		Objects.requireNonNull(host, "host");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(incarnation, "incarnation");
+		HostAddress.parse(peerAddress);
+	}
+
 	/**
 	 * The record of the same process once it has been told to stop.
 	 * @return the record
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
@@ -9,11 +9,10 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.Submission;
@@ -24,12 +23,11 @@
  * owner is told of all jobs once the progress of earlier owners is known up to its
  * take-over, and then of each new one. Invariants: an owner hears of a job with the last
  * progress that an earlier owner made durable; a partition that does not answer holds up
- * its own jobs alone. Not thread-safe: confined to the control thread.
+ * its own jobs alone; an owner does not hear of a job of which a row cannot be read, and
+ * leaves its runs alone. Not thread-safe: confined to the control thread.
  */
 public final class JobIntake {
 
-	private static final System.Logger LOGGER = System.getLogger(JobIntake.class.getName());
-
 	/**
 	 * Time in which changes gather for an owner; gateways mostly tell it of them sooner.
 	 */
@@ -55,6 +53,14 @@
 
 	private final Set<String> loaded = new HashSet<>();
 
+	/** Jobs whose row cannot be read. */
+	private final Set<String> unread = new HashSet<>();
+
+	/** Jobs whose progress cannot be read. */
+	private final Set<String> unclear = new HashSet<>();
+
+	private final UnreadableRows unreadable;
+
 	private boolean started;
 
 	private boolean progressLoaded;
@@ -65,7 +71,14 @@
 
 	private boolean toldAll;
 
-	public JobIntake(PartitionedTable table, ScheduledExecutorService control) {
+	/**
+	 * Create an intake.
+	 * @param table the table
+	 * @param control the control thread
+	 * @param unreadable takes note of rows that cannot be read
+	 */
+	public JobIntake(PartitionedTable table, ScheduledExecutorService control, UnreadableRows unreadable) {
+		this.unreadable = unreadable;
 		this.submissionFeed = new TableFollower(table, JobTables.JOBS, JobTables.partitions(), this::spacing, control,
 				new SubmissionListener());
 		this.progressFeed = new TableFollower(table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
@@ -149,12 +162,14 @@
 	}
 
 	/**
-	 * Whether the owner has been told of all jobs that lie in the partition of a job.
+	 * Whether the owner has been told of all jobs that lie in the partition of a job, and
+	 * of this one if it exists.
 	 * @param job the job's id
 	 * @return {@code true} if so
 	 */
 	boolean isLoaded(String job) {
-		return this.begun && this.loaded.contains(JobTables.partition(job));
+		boolean isRead = !this.unread.contains(job) && !this.unclear.contains(job);
+		return this.begun && isRead && this.loaded.contains(JobTables.partition(job));
 	}
 
 	/**
@@ -178,6 +193,7 @@
 
 	private void store(Stored stored) {
 		String id = stored.submission().id();
+		this.unread.remove(id);
 		if (this.ended.contains(id) || this.unended.putIfAbsent(id, stored) != null) {
 			return;
 		}
@@ -188,7 +204,16 @@
 
 	private void deliver(Listener listener, Stored stored) {
 		String id = stored.submission().id();
+		if (this.unclear.contains(id)) {
+			return;
+		}
 		Optional<JobProgress> saved = Optional.ofNullable(this.progress.get(id)).map(Saved::progress);
+		if (saved.filter((progress) -> !progress.fits(stored.submission())).isPresent()) {
+			this.unclear.add(id);
+			this.unreadable.note(new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, id, "", 0, false),
+					"is not the progress of this job");
+			return;
+		}
 		listener.submitted(stored.submission(), saved, stored.version());
 		if (this.cancelled.contains(id)) {
 			listener.cancelled(id);
@@ -212,14 +237,10 @@
 		}
 	}
 
-	private static <T> Optional<T> read(TableRow row, Class<T> type) {
-		try {
-			return Optional.of(Json.readLeniently(row.value(), type));
-		}
-		catch (JsonProcessingException ex) {
-			LOGGER.log(System.Logger.Level.ERROR, "row {0} of {1} is not readable and left out: {2}", row.key(),
-					row.table(), ex.getOriginalMessage());
-			return Optional.empty();
+	private void clear(String job) {
+		Stored stored = this.unended.get(job);
+		if (this.unclear.remove(job) && stored != null && this.begun) {
+			this.owner.ifPresent((listener) -> deliver(listener, stored));
 		}
 	}
 
@@ -252,6 +273,15 @@
 			JobIntake.this.loaded.clear();
 		}
 
+		private Optional<Submission> read(TableRow row) {
+			Optional<Submission> read = JobIntake.this.unreadable.read(row, Submission.class);
+			if (read.filter((submission) -> !submission.id().equals(row.key())).isPresent()) {
+				JobIntake.this.unreadable.note(row, "names another job");
+				return Optional.empty();
+			}
+			return read;
+		}
+
 		private void take(TableRow row) {
 			if (row.deleted()) {
 				return;
@@ -261,7 +291,8 @@
 				return;
 			}
 			if (!JobIntake.this.ended.contains(row.key()) && !JobIntake.this.unended.containsKey(row.key())) {
-				read(row, Submission.class).ifPresent((submission) -> store(new Stored(submission, row.version())));
+				read(row).ifPresentOrElse((submission) -> store(new Stored(submission, row.version())),
+						() -> JobIntake.this.unread.add(row.key()));
 			}
 		}
 
@@ -295,16 +326,22 @@
 			if (row.deleted() || isOld) {
 				return;
 			}
-			read(row, JobProgress.class).ifPresent((saved) -> {
-				if (!saved.state().isFinal()) {
-					intake.progress.put(row.key(), new Saved(saved, row.version()));
-					return;
-				}
-				intake.ended.add(row.key());
-				intake.unended.remove(row.key());
-				intake.progress.remove(row.key());
-				intake.cancelled.remove(row.key());
-			});
+			intake.unreadable.read(row, JobProgress.class)
+				.ifPresentOrElse((saved) -> take(row, saved), () -> intake.unclear.add(row.key()));
+		}
+
+		private void take(TableRow row, JobProgress saved) {
+			JobIntake intake = JobIntake.this;
+			if (!saved.state().isFinal()) {
+				intake.progress.put(row.key(), new Saved(saved, row.version()));
+				intake.clear(row.key());
+				return;
+			}
+			intake.ended.add(row.key());
+			intake.unended.remove(row.key());
+			intake.progress.remove(row.key());
+			intake.cancelled.remove(row.key());
+			intake.unclear.remove(row.key());
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
@@ -17,6 +16,7 @@
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobTables;
 
 /**
@@ -77,6 +77,8 @@
 
 	private final DecisionLog log;
 
+	private final UnreadableRows unreadable;
+
 	private final HostRecord self;
 
 	private final Consumer<TakeOver> winner;
@@ -122,6 +124,7 @@
 		this.control = ports.control();
 		this.clock = ports.clock();
 		this.log = ports.log();
+		this.unreadable = ports.unreadable();
 		this.self = self;
 		this.winner = winner;
 		this.follower = new TableFollower(ports.table(), JobTables.OWNER, List.of(JobTables.POOL_PARTITION),
@@ -162,12 +165,7 @@
 	}
 
 	private void take(TableRow row) {
-		try {
-			take(Json.readLeniently(row.value(), OwnerRecord.class), row.version());
-		}
-		catch (JsonProcessingException ex) {
-			this.log.write(new Decision.DependencyLost("owner row", ex.getOriginalMessage()));
-		}
+		this.unreadable.read(row, OwnerRecord.class).ifPresent((record) -> take(record, row.version()));
 	}
 
 	private void take(OwnerRecord record, long recordVersion) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * The row that says who owns the pool. Immutable.
@@ -30,6 +31,8 @@
 	static final OwnerRecord NONE = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(), 0, List.of(), true);
 
 	public OwnerRecord {
+		Objects.requireNonNull(holder, "holder");
+		Objects.requireNonNull(host, "host");
 		workers = List.copyOf(workers);
 		closed = (closed != null) ? Map.copyOf(closed) : Map.of();
 		standbys = (standbys != null) ? List.copyOf(standbys) : List.of();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -252,7 +252,7 @@
 	private void settle(Batch batch, List<TableRow> current) {
 		for (TableRow row : current) {
 			boolean isOwnRow = row.table().equals(JobTables.OWNER) && row.key().equals(JobTables.OWNER_KEY);
-			if (isOwnRow && Json.read(row.value(), OwnerRecord.class).equals(batch.record())) {
+			if (isOwnRow && row.value().equals(Json.write(batch.record()))) {
 				// An earlier try took effect; when is not known, so that the term is not
 				// extended.
 				this.version = row.version();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolPorts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolPorts.java
@@ -4,6 +4,7 @@
 
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 
 /**
  * What the owner of a pool needs from outside.
@@ -14,8 +15,9 @@
  * @param control the control thread
  * @param clock the clocks
  * @param log takes decisions
+ * @param unreadable takes note of rows that cannot be read
  */
 public record PoolPorts(PartitionedTable table, WorkerOrders orders, EligibilitySource eligibility,
-		ScheduledExecutorService control, PoolClock clock, DecisionLog log) {
+		ScheduledExecutorService control, PoolClock clock, DecisionLog log, UnreadableRows unreadable) {
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerInfo.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerInfo.java
@@ -14,7 +14,8 @@
  * @param capacity what it offers; processors in thousandths
  * @param labels its labels
  * @param rack the rack that it stands in
- * @param draining whether it is about to leave and takes no new work
+ * @param draining whether it takes no new work, as it is about to leave or what is said
+ * of it cannot be read
  * @param remainingMillis least time until it leaves, milliseconds, if it drains
  */
 public record WorkerInfo(String id, String service, String address, String failureDomain, Resources capacity,
@@ -24,4 +25,13 @@
 		labels = List.copyOf(labels);
 	}
 
+	/**
+	 * The same worker, taking no new work.
+	 * @return the worker as if it were about to leave
+	 */
+	public WorkerInfo closed() {
+		return new WorkerInfo(this.id, this.service, this.address, this.failureDomain, this.capacity, this.labels,
+				this.rack, true, this.remainingMillis);
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -38,8 +38,18 @@
 		this.inherited.addAll(earlier.workers());
 		this.named.addAll(earlier.workers());
 		earlier.closed()
-			.forEach((worker, tasks) -> this.unseen.put(worker,
-					Set.copyOf(tasks.stream().map(TaskKey::parse).toList())));
+			.forEach((worker, tasks) -> parse(tasks).ifPresentOrElse((known) -> this.unseen.put(worker, known),
+					() -> this.inherited.add(worker)));
+	}
+
+	// What runs on a worker whose tasks cannot be read may be anything.
+	private static Optional<Set<TaskKey>> parse(List<String> tasks) {
+		try {
+			return Optional.of(Set.copyOf(tasks.stream().map(TaskKey::parse).toList()));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
@@ -3,31 +3,38 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.SubmissionState;
 
 /**
  * The durable states of jobs as a gateway knows them, from the feed of the owner's writes
- * and from what this gateway accepted. Invariant: a state never goes back from a final
- * one. Thread-safe.
+ * and from what this gateway accepted. Invariants: a state never goes back from a final
+ * one; of a job whose progress cannot be read no state is told that may have passed.
+ * Thread-safe.
  */
 public final class JobStates implements TableFollower.Listener {
 
-	private static final System.Logger LOGGER = System.getLogger(JobStates.class.getName());
-
 	private final Map<String, SubmissionState> states = new ConcurrentHashMap<>();
 
+	private final Set<String> unclear = ConcurrentHashMap.newKeySet();
+
+	private final UnreadableRows unreadable;
+
 	private final AtomicLong newestEpoch = new AtomicLong();
 
 	private volatile QueueSummary summary = QueueSummary.NONE;
 
+	public JobStates(UnreadableRows unreadable) {
+		this.unreadable = unreadable;
+	}
+
 	@Override
 	public void snapshot(String partition, List<TableRow> rows) {
 		changed(rows);
@@ -41,19 +48,27 @@
 	private void take(TableRow row) {
 		if (row.deleted()) {
 			this.states.remove(row.key());
+			this.unclear.remove(row.key());
+			this.unreadable.forget(row);
 			return;
 		}
-		try {
-			if (row.key().equals(JobTables.SUMMARY_KEY)) {
-				this.summary = Json.readLeniently(row.value(), QueueSummary.class);
-				return;
-			}
-			note(row.key(), Json.readLeniently(row.value(), JobProgress.class).state());
-		}
-		catch (JsonProcessingException ex) {
-			LOGGER.log(System.Logger.Level.WARNING, "progress of {0} is not readable: {1}", row.key(),
-					ex.getOriginalMessage());
+		if (row.key().equals(JobTables.SUMMARY_KEY)) {
+			this.unreadable.read(row, QueueSummary.class).ifPresent((counted) -> this.summary = counted);
+			return;
 		}
+		this.unreadable.read(row, JobProgress.class).ifPresentOrElse((progress) -> {
+			note(row.key(), progress.state());
+			this.unclear.remove(row.key());
+		}, () -> this.unclear.add(row.key()));
+	}
+
+	/**
+	 * Whether it cannot be told what has become of a job, as its progress cannot be read.
+	 * @param job the job's id
+	 * @return {@code true} if so
+	 */
+	boolean isUnclear(String job) {
+		return this.unclear.contains(job) && state(job).filter(SubmissionState::isFinal).isEmpty();
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -11,6 +11,7 @@
 import org.monsoonrelay.logic.platform.PartitionCommit;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.PlatformException;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
 
@@ -134,6 +135,10 @@
 	 * @return the state, empty if there is no such job; fails if that cannot be found out
 	 */
 	public CompletableFuture<Optional<SubmissionState>> state(String id) {
+		if (this.states.isUnclear(id)) {
+			return CompletableFuture
+				.failedFuture(new PlatformException("the progress of " + id + " cannot be read", false, null));
+		}
 		Optional<SubmissionState> known = this.states.state(id);
 		if (known.isPresent()) {
 			return CompletableFuture.completedFuture(known);
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/UnreadableRowsTests.java
@@ -0,0 +1,59 @@
+package org.monsoonrelay.logic.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.Decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UnreadableRowsTests {
+
+	private final List<Decision> decisions = new ArrayList<>();
+
+	private final UnreadableRows rows = new UnreadableRows(this.decisions::add);
+
+	private static TableRow row(String key, String value) {
+		return new TableRow("t", "p", key, value, 1, false);
+	}
+
+	@Test
+	void areToldOnceForEachReasonAndCountedEachTime() {
+		this.rows.note(row("k", ""), "first");
+		this.rows.note(row("k", ""), "first");
+		this.rows.note(row("k", ""), "second");
+		this.rows.note(row("l", ""), "second");
+		assertThat(this.decisions).containsExactly(new Decision.RowUnreadable("t", "k", "first"),
+				new Decision.RowUnreadable("t", "k", "second"), new Decision.RowUnreadable("t", "l", "second"));
+		assertThat(this.rows.count()).isEqualTo(4);
+	}
+
+	@Test
+	void areToldAgainOnceTheyCouldBeReadBetween() {
+		this.rows.note(row("k", ""), "reason");
+		assertThat(this.rows.read(row("k", "[1]"), int[].class)).isPresent();
+		this.rows.note(row("k", ""), "reason");
+		assertThat(this.decisions).hasSize(2);
+	}
+
+	@Test
+	void areRememberedWithinABoundAndQuotedWithinAnother() {
+		for (int i = 0; i < 5000; i++) {
+			this.rows.note(row("k" + i, ""), "x".repeat(100_000));
+		}
+		this.rows.note(row("k4999", ""), "x".repeat(100_000));
+		this.rows.note(row("k0", ""), "x".repeat(100_000));
+		assertThat(this.decisions).hasSize(5001)
+			.allSatisfy((decision) -> assertThat(((Decision.RowUnreadable) decision).reason()).hasSize(200));
+	}
+
+	@Test
+	void areThoseOfAnotherTypeWithoutAGuess() {
+		for (String value : List.of("", "null", "\"7\"", "7.5", "7 8", "true", "[7]", "99999999999")) {
+			assertThat(this.rows.read(row("k", value), Integer.class)).as(value).isEmpty();
+		}
+		assertThat(this.rows.read(row("k", "7"), Integer.class)).contains(7);
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
@@ -15,6 +15,7 @@
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueSummary;
@@ -65,7 +66,7 @@
 
 	private final Map<String, Played> jobs = new TreeMap<>();
 
-	private final JobStates states = new JobStates();
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE));
 
 	private final Random random;
 
@@ -85,8 +86,8 @@
 
 	private void begin(PlacementRules rules) {
 		PoolPorts ports = new PoolPorts(this.table.client(), this.workers.client(), this::ask, this.time,
-				this.time.clock(), DecisionLog.NONE);
-		JobIntake intake = new JobIntake(ports.table(), this.time);
+				this.time.clock(), DecisionLog.NONE, new UnreadableRows(DecisionLog.NONE));
+		JobIntake intake = new JobIntake(ports.table(), this.time, ports.unreadable());
 		new OwnerElection(ports, new HostRecord("host", "domain", "a:1", "holder", 1, false), (taken) -> {
 			PoolOwner owner = new PoolOwner(ports, intake, taken, new Peers(), rules, (reason) -> {
 			});
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -11,6 +11,7 @@
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueSummary;
@@ -53,8 +54,10 @@
 
 	final List<Decision> decisions = new ArrayList<>();
 
+	final UnreadableRows unreadable = new UnreadableRows(this.decisions::add);
+
 	/** What a gateway hears from owners. */
-	final JobStates gateway = new JobStates();
+	final JobStates gateway = new JobStates(this.unreadable);
 
 	private final MemoryTable.Client callers = this.table.client();
 
@@ -179,8 +182,8 @@
 			EligibilitySource all = (host, step, ids, timeout) -> CompletableFuture
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
-					PoolCell.this.time.clock(), PoolCell.this.decisions::add);
-			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time);
+					PoolCell.this.time.clock(), PoolCell.this.decisions::add, PoolCell.this.unreadable);
+			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time, PoolCell.this.unreadable);
 			PoolCell.this.time.schedule(this.jobs::start, READY_MILLIS, TimeUnit.MILLISECONDS);
 			this.election = new OwnerElection(this.ports, new HostRecord(name, "domain", "a:1", name + life, 1, false),
 					this::won);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/QuestionedPool.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/QuestionedPool.java
@@ -10,6 +10,7 @@
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.capacity.Resources;
@@ -51,8 +52,8 @@
 			this.workers.add("w" + i, SIZE);
 		}
 		PoolPorts ports = new PoolPorts(this.table.client(), this.workers.client(), this::ask, this.time,
-				this.time.clock(), DecisionLog.NONE);
-		JobIntake intake = new JobIntake(ports.table(), this.time);
+				this.time.clock(), DecisionLog.NONE, new UnreadableRows(DecisionLog.NONE));
+		JobIntake intake = new JobIntake(ports.table(), this.time, ports.unreadable());
 		new OwnerElection(ports, new HostRecord("host", "domain", "a:1", "holder", 1, false), (taken) -> {
 			PoolOwner owner = new PoolOwner(ports, intake, taken, new NoPeers(), (reason) -> {
 			});
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
@@ -0,0 +1,172 @@
+package org.monsoonrelay.logic.pool;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UnreadableJobsTests {
+
+	private static final TaskKey TASK = new TaskKey("other", 0, 0, 0);
+
+	/** Time for a job to be served. */
+	private static final long SERVED_MILLIS = 4000;
+
+	private final PoolCell cell = new PoolCell().withWorkers(2);
+
+	private void write(String table, String partition, String key, String value) {
+		this.cell.table.client().commit(PartitionWrite.to(partition).put(table, key, value));
+		this.cell.time.runFor(50);
+	}
+
+	private void writeProgress(String value) {
+		write(JobTables.PROGRESS, JobTables.POOL_PARTITION, "other", value);
+	}
+
+	private long told(String table) {
+		return this.cell.decisions.stream()
+			.filter((decision) -> decision instanceof Decision.RowUnreadable row && row.table().equals(table))
+			.count();
+	}
+
+	private void aTaskOfTheOtherJobRunsFor(long millis) {
+		this.cell.withRunsOf(millis);
+		WorkerInfo worker = this.cell.workers.list().get(0);
+		long lease = this.cell.time.millis() + OwnerTerm.LONGEST_ORDER_MILLIS;
+		this.cell.workers.client().start(worker, new StartOrder(TASK, 1, "text", lease, 0, "", ""));
+		this.cell.time.runFor(10);
+		this.cell.withRunsOf(PoolCell.RUN_MILLIS);
+	}
+
+	@Nested
+	class AJobWhoseProgressCannotBeRead {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "null", "{", "7", "{\"state\":\"PAUSED\",\"steps\":{}}", "{\"steps\":{}}",
+				"{\"state\":null,\"steps\":{}}", "{\"state\":0,\"steps\":{}}", "{\"state\":\"RUNNING\"}",
+				"{\"state\":\"RUNNING\",\"steps\":{\"first\":{\"done\":[],\"failedAttempts\":{},\"checkpoints\":{}}}}",
+				"{\"state\":\"RUNNING\",\"steps\":{\"0.7\":{\"done\":[],\"failedAttempts\":{},\"checkpoints\":{}}}}",
+				"{\"state\":\"RUNNING\",\"steps\":{\"0.0\":{\"done\":[-1],\"failedAttempts\":{},\"checkpoints\":{}}}}" })
+		void isLeftAloneAndAllOthersAreServed(String progress) {
+			writeProgress(progress);
+			UnreadableJobsTests.this.cell.submit("other", PoolCell.step(1, false));
+			UnreadableJobsTests.this.cell.submit("known", PoolCell.step(2, false));
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			UnreadableJobsTests.this.cell.assertServed("known");
+			assertThat(UnreadableJobsTests.this.cell.workers.startsOf(TASK)).isZero();
+			assertThat(told(JobTables.PROGRESS)).isEqualTo(1);
+		}
+
+		@Test
+		void keepsItsRuns() {
+			aTaskOfTheOtherJobRunsFor(60_000);
+			writeProgress("{\"state\":\"PAUSED\",\"steps\":{}}");
+			UnreadableJobsTests.this.cell.submit("other", PoolCell.step(1, false));
+			UnreadableJobsTests.this.cell.submit("known", PoolCell.step(2, false));
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(UnknownJobs.AWAIT_MILLIS + SERVED_MILLIS);
+			UnreadableJobsTests.this.cell.assertServed("known");
+			assertThat(UnreadableJobsTests.this.cell.workers.aliveCount()).isEqualTo(1);
+			assertThat(UnreadableJobsTests.this.cell.workers.startsOf(TASK)).isEqualTo(1);
+		}
+
+		@Test
+		void isServedOnceItCanBeRead() {
+			writeProgress("{");
+			UnreadableJobsTests.this.cell.submit("other", PoolCell.step(1, false));
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			writeProgress("{\"state\":\"QUEUED\",\"steps\":{},\"later\":1}");
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			UnreadableJobsTests.this.cell.assertServed("other");
+			assertThat(UnreadableJobsTests.this.cell.workers.startsOf(TASK)).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class AJobWhoseRowCannotBeRead {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "null", "{}", "[]", "{\"id\":\"other\",\"steps\":[null]}",
+				"{\"id\":\"other\",\"policy\":null,\"spec\":\"\",\"steps\":[],\"timetable\":null}" })
+		void isLeftAloneAndAllOthersAreServed(String row) {
+			write(JobTables.JOBS, JobTables.partition("other"), "other", row);
+			UnreadableJobsTests.this.cell.submit("known", PoolCell.step(2, false));
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			UnreadableJobsTests.this.cell.assertServed("known");
+			assertThat(told(JobTables.JOBS)).isEqualTo(1);
+		}
+
+		@Test
+		void isLeftAloneIfTheRowNamesAnother() {
+			UnreadableJobsTests.this.cell.submit("known", PoolCell.step(1, false));
+			UnreadableJobsTests.this.cell.time.runFor(50);
+			String row = UnreadableJobsTests.this.cell.table.value(JobTables.JOBS, JobTables.partition("known"),
+					"known");
+			write(JobTables.JOBS, JobTables.partition("other"), "other", row);
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			UnreadableJobsTests.this.cell.assertServed("known");
+			assertThat(told(JobTables.JOBS)).isEqualTo(1);
+		}
+
+		@Test
+		void keepsItsRuns() {
+			aTaskOfTheOtherJobRunsFor(60_000);
+			write(JobTables.JOBS, JobTables.partition("other"), "other", "{");
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(UnknownJobs.AWAIT_MILLIS + SERVED_MILLIS);
+			assertThat(UnreadableJobsTests.this.cell.workers.aliveCount()).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class AnOwnersRowThatCannotBeRead {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "null", "{", "{}", "{\"holder\":null,\"host\":\"s0\",\"workers\":[]}" })
+		void isNeverOverwritten(String row) {
+			write(JobTables.OWNER, JobTables.POOL_PARTITION, JobTables.OWNER_KEY, row);
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			assertThat(UnreadableJobsTests.this.cell.isOwned()).isFalse();
+			assertThat(UnreadableJobsTests.this.cell.table.value(JobTables.OWNER, JobTables.POOL_PARTITION,
+					JobTables.OWNER_KEY))
+				.isEqualTo(row);
+			assertThat(told(JobTables.OWNER)).isEqualTo(1);
+		}
+
+		@Test
+		void endsTheTermOfTheOwnerBeforeIt() {
+			UnreadableJobsTests.this.cell.addScheduler();
+			UnreadableJobsTests.this.cell.time.runFor(1000);
+			write(JobTables.OWNER, JobTables.POOL_PARTITION, JobTables.OWNER_KEY, "{");
+			UnreadableJobsTests.this.cell.submit("known", PoolCell.step(1, false));
+			UnreadableJobsTests.this.cell.time.runFor(SERVED_MILLIS);
+			assertThat(UnreadableJobsTests.this.cell.isOwned()).isFalse();
+		}
+
+		@Test
+		void namesNoTaskForGuesses() {
+			WorkerPool pool = new WorkerPool();
+			pool.inherit(new OwnerRecord("h", "s0", 1, 1, false, java.util.List.of("w0"),
+					java.util.Map.of("w1", java.util.List.of("not a task")), 1, java.util.List.of(), true));
+			pool.accounted("w0");
+			assertThat(pool.isAccounted()).isFalse();
+			pool.accounted("w1");
+			assertThat(pool.isAccounted()).isTrue();
+		}
+
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
@@ -5,8 +5,10 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.SubmissionState;
 
@@ -14,14 +16,18 @@
 
 class JobStatesTests {
 
-	private final JobStates states = new JobStates();
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE));
 
 	private static TableRow row(String key, Object value) {
 		return new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, key, Json.write(value), 1, false);
 	}
 
 	private static TableRow progress(SubmissionState state) {
-		return row("a", new JobProgress(state, Map.of()));
+		return progress(state, "a");
+	}
+
+	private static TableRow progress(SubmissionState state, String job) {
+		return row(job, new JobProgress(state, Map.of()));
 	}
 
 	@Test
@@ -70,4 +76,21 @@
 		assertThat(this.states.state("b")).isEmpty();
 	}
 
+	@Test
+	void areNotToldWhileTheOwnersWordCannotBeRead() {
+		this.states.changed(List.of(progress(SubmissionState.RUNNING), row("a", "PAUSED"),
+				row(JobTables.SUMMARY_KEY, "none"), progress(SubmissionState.RUNNING, "b")));
+		assertThat(this.states.isUnclear("a")).isTrue();
+		assertThat(this.states.isUnclear("b")).isFalse();
+		this.states.changed(List.of(progress(SubmissionState.COMPLETED)));
+		assertThat(this.states.isUnclear("a")).isFalse();
+	}
+
+	@Test
+	void stayFinalIfTheOwnersWordCannotBeReadAnyMore() {
+		this.states.changed(List.of(progress(SubmissionState.FAILED), row("a", "PAUSED")));
+		assertThat(this.states.isUnclear("a")).isFalse();
+		assertThat(this.states.state("a")).contains(SubmissionState.FAILED);
+	}
+
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
@@ -1,6 +1,9 @@
 package org.monsoonrelay.model.submission;
 
 import java.util.Map;
+import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Durable progress of a submitted job. Immutable.
@@ -10,8 +13,31 @@
  */
 public record JobProgress(SubmissionState state, Map<String, StepRecord> steps) {
 
+	/** A step within its job: the number of the occurrence and that of the step. */
+	private static final Pattern LOCAL_KEY = Pattern.compile("(\\d{1,9})\\.(\\d{1,9})");
+
 	public JobProgress {
+		Objects.requireNonNull(state, "state");
 		steps = Map.copyOf(steps);
 	}
 
+	/**
+	 * Whether this can be the progress of a job: all steps and tasks are the job's.
+	 * @param job the job
+	 * @return {@code true} if so
+	 */
+	public boolean fits(Submission job) {
+		return this.steps.entrySet().stream().allMatch((entry) -> fits(job, entry.getKey(), entry.getValue()));
+	}
+
+	private static boolean fits(Submission job, String key, StepRecord saved) {
+		Matcher local = LOCAL_KEY.matcher(key);
+		if (!local.matches() || Integer.parseInt(local.group(1)) >= job.timetable().occurrences()) {
+			return false;
+		}
+		int step = Integer.parseInt(local.group(2));
+		return step < job.steps().size()
+				&& saved.done().stream().allMatch((index) -> index < job.steps().get(step).count());
+	}
+
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/QueuePolicy.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/QueuePolicy.java
@@ -1,5 +1,7 @@
 package org.monsoonrelay.model.submission;
 
+import java.util.Objects;
+
 /**
  * How the jobs of a queue are to be treated. Immutable.
  *
@@ -14,6 +16,11 @@
 public record QueuePolicy(String queue, String service, int priority, int maximumAttempts, double slackFactor,
 		long targetMillis, EligibilityTimes eligibility) {
 
+	public QueuePolicy {
+		Objects.requireNonNull(queue, "queue");
+		Objects.requireNonNull(service, "service");
+	}
+
 	/**
 	 * Whether workers have to be asked for.
 	 * @return {@code true} if only some workers may run a step
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
@@ -15,7 +15,11 @@
 		Map<Integer, String> checkpoints, int highestAttempt) {
 
 	public StepRecord {
+		if (done.stream().anyMatch((index) -> index < 0)) {
+			throw new IllegalArgumentException("not tasks: " + done);
+		}
 		done = List.copyOf(done);
+		failedAttempts.values().forEach(List::copyOf);
 		failedAttempts = Map.copyOf(failedAttempts);
 		checkpoints = Map.copyOf(checkpoints);
 	}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepSpec.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepSpec.java
@@ -1,11 +1,13 @@
 package org.monsoonrelay.model.submission;
 
 import java.util.List;
+import java.util.Objects;
 
 import org.monsoonrelay.model.capacity.Resources;
 
 /**
- * One step of a submitted job: a number of equal tasks. Immutable.
+ * One step of a submitted job: a number of equal tasks. Invariant: what all its tasks
+ * hold can be counted. Immutable.
  *
  * @param count how many tasks, at least 1
  * @param size what each task holds; processors in thousandths
@@ -30,6 +32,10 @@
 			throw new IllegalArgumentException("a step needs at least one task: " + count);
 		}
 		dependsOn = List.copyOf(dependsOn);
+		Objects.requireNonNull(size, "size");
+		size.times(count);
+		Objects.requireNonNull(requiredLabel, "requiredLabel");
+		Objects.requireNonNull(dataRack, "dataRack");
 	}
 
 	/**
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/Submission.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/Submission.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.model.submission;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A job as a caller handed it in. Immutable.
@@ -15,7 +16,17 @@
 public record Submission(String id, QueuePolicy policy, String spec, List<StepSpec> steps, Timetable timetable,
 		long acceptedMillis) {
 
+	/**
+	 * Most tasks of a job, over all its occurrences. Its progress is one row of 48 KB, in
+	 * which a task that is done takes six bytes.
+	 */
+	public static final int MOST_TASKS = 8000;
+
 	public Submission {
+		Objects.requireNonNull(id, "id");
+		Objects.requireNonNull(policy, "policy");
+		Objects.requireNonNull(spec, "spec");
+		Objects.requireNonNull(timetable, "timetable");
 		steps = List.copyOf(steps);
 		for (int i = 0; i < steps.size(); i++) {
 			int step = i;
@@ -23,6 +34,10 @@
 				throw new IllegalArgumentException("step " + step + " depends on a step that is not before it");
 			}
 		}
+		long tasks = steps.stream().mapToLong(StepSpec::count).sum();
+		if (tasks * timetable.occurrences() > MOST_TASKS) {
+			throw new IllegalArgumentException("more than " + MOST_TASKS + " tasks");
+		}
 		if (steps.isEmpty()) {
 			throw new IllegalArgumentException("a job needs at least one step");
 		}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.OnThread;
 import org.monsoonrelay.logic.platform.PartitionCommit;
@@ -18,6 +17,7 @@
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.pool.HostRecord;
 import org.monsoonrelay.logic.pool.StandbyChoice;
 import org.monsoonrelay.logic.submission.JobTables;
@@ -25,13 +25,12 @@
 
 /**
  * The schedulers of this system: this one registers itself, the others are followed. A
- * host that has gone stays registered and is found out by the calls to it that fail.
- * Confined to the control thread.
+ * host that has gone stays registered and is found out by the calls to it that fail. A
+ * host whose row cannot be read is left out until it can be. Confined to the control
+ * thread.
  */
 final class HostRegistry implements TableFollower.Listener {
 
-	private static final System.Logger LOGGER = System.getLogger(HostRegistry.class.getName());
-
 	private static final Duration SPACING = Duration.ofMillis(300);
 
 	private static final long RETRY_MILLIS = 300;
@@ -44,6 +43,8 @@
 
 	private final Listener listener;
 
+	private final UnreadableRows unreadable;
+
 	private Optional<TableFollower> follower = Optional.empty();
 
 	private final Map<String, HostRecord> hosts = new ConcurrentHashMap<>();
@@ -52,7 +53,9 @@
 
 	private boolean loaded;
 
-	HostRegistry(PartitionedTable table, ScheduledExecutorService control, HostRecord self, Listener listener) {
+	HostRegistry(PartitionedTable table, ScheduledExecutorService control, HostRecord self, Listener listener,
+			UnreadableRows unreadable) {
+		this.unreadable = unreadable;
 		this.table = table;
 		this.control = control;
 		this.self = self;
@@ -162,22 +165,20 @@
 			this.hosts.remove(row.key());
 			return;
 		}
-		try {
-			HostRecord record = Json.readLeniently(row.value(), HostRecord.class);
-			HostRecord known = this.hosts.put(row.key(), record);
-			boolean isSameLife = known != null && known.incarnation().equals(record.incarnation());
-			if (!isSameLife || !this.starts.containsKey(row.key())) {
-				long readyNanos = System.nanoTime()
-						+ (this.loaded ? TimeUnit.MILLISECONDS.toNanos(StandbyChoice.READY_MILLIS) : 0);
-				this.starts.put(row.key(), new Start(row.version(), readyNanos));
-			}
-			if (known != null && !isSameLife) {
-				this.listener.restarted(row.key());
-			}
+		this.unreadable.read(row, HostRecord.class)
+			.ifPresentOrElse((record) -> take(row, record), () -> this.hosts.remove(row.key()));
+	}
+
+	private void take(TableRow row, HostRecord record) {
+		HostRecord known = this.hosts.put(row.key(), record);
+		boolean isSameLife = known != null && known.incarnation().equals(record.incarnation());
+		if (!isSameLife || !this.starts.containsKey(row.key())) {
+			long readyNanos = System.nanoTime()
+					+ (this.loaded ? TimeUnit.MILLISECONDS.toNanos(StandbyChoice.READY_MILLIS) : 0);
+			this.starts.put(row.key(), new Start(row.version(), readyNanos));
 		}
-		catch (JsonProcessingException ex) {
-			LOGGER.log(System.Logger.Level.WARNING, "the row of host {0} is not readable and left out: {1}", row.key(),
-					ex.getOriginalMessage());
+		if (known != null && !isSameLife) {
+			this.listener.restarted(row.key());
 		}
 	}
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -17,6 +17,7 @@
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.PartitionedTable;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.pool.HostRecord;
 import org.monsoonrelay.logic.pool.JobIntake;
 import org.monsoonrelay.logic.pool.LookOrder;
@@ -69,6 +70,8 @@
 
 	private final ScheduledExecutorService control = new ControlThread();
 
+	private final UnreadableRows unreadable;
+
 	private final ConfigurationFeed configuration;
 
 	private final PeerEligibility eligibility;
@@ -94,21 +97,23 @@
 	 * @param table the platform's table
 	 * @param network the other hosts
 	 * @param log takes decisions
+	 * @param unreadable takes note of rows that cannot be read
 	 */
 	public PoolScheduler(HostSettings settings, PeerIdentity self, PartitionedTable table, PeerNetwork network,
-			DecisionLog log) {
+			DecisionLog log, UnreadableRows unreadable) {
 		this.settings = settings;
-		this.configuration = new ConfigurationFeed(table, this.control, log, this::configure);
+		this.unreadable = unreadable;
+		this.configuration = new ConfigurationFeed(table, this.control, log, this::configure, this.unreadable);
 		this.self = new HostRecord(settings.host(), settings.failureDomain(), self.address().toString(), self.session(),
 				settings.processors(), false);
-		this.registry = new HostRegistry(table, this.control, this.self, new HostListener());
+		this.registry = new HostRegistry(table, this.control, this.self, new HostListener(), unreadable);
 		HttpEligibility service = new HttpEligibility(settings.eligibilityAddress()
 			.orElseThrow(() -> new SettingsException("the setting eligibility is missing")));
 		this.eligibility = new PeerEligibility(settings.host(), service, network, this.registry::address);
-		this.ports = new PoolPorts(table, new HttpWorkerOrders(), this.eligibility, this.control, PoolClock.SYSTEM,
-				log);
+		this.ports = new PoolPorts(table, new HttpWorkerOrders(), this.eligibility, this.control, PoolClock.SYSTEM, log,
+				unreadable);
 		this.peers = new OwnerMessages(network, self.address(), this.registry::addresses);
-		this.jobs = new JobIntake(table, this.control);
+		this.jobs = new JobIntake(table, this.control, unreadable);
 		this.election = new OwnerElection(this.ports, this.self, this::won);
 	}
 
@@ -203,7 +208,8 @@
 
 	private void won(TakeOver taken) {
 		PoolOwner owner = new PoolOwner(this.ports, this.jobs, taken, this.peers, this::over);
-		Term next = new Term(owner, new HostListFeed(this.ports.table(), this.control, owner::workers));
+		Term next = new Term(owner,
+				new HostListFeed(this.ports.table(), this.control, owner::workers, this.unreadable));
 		this.term = Optional.of(next);
 		owner.hosts(this.registry.names());
 		if (this.configuration.inForce().version() > 0) {
--- /dev/null
+++ b/monsoonrelay-scheduler/src/test/java/org/monsoonrelay/scheduler/pool/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the scheduler program.
+ */
+package org.monsoonrelay.scheduler.pool;
