--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/Json.java
@@ -101,7 +101,7 @@
 	 * @return the value
 	 * @throws JsonProcessingException if the text does not hold such a value
 	 */
-	static <T> T readRow(String text, Class<T> type) throws JsonProcessingException {
+	public static <T> T readRow(String text, Class<T> type) throws JsonProcessingException {
 		return present(ROWS.readValue(text, type), type);
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
@@ -91,6 +91,25 @@
 
 	}
 
+	@Nested
+	class AWorkerWhoseEntryCannotBeReadAnyMore {
+
+		@Test
+		void keepsItsRunsForLongerThanALeaseAndGetsNothingNew() {
+			PoolCell cell = new PoolCell().withWorkers(1).withRunsOf(15_000);
+			cell.addScheduler();
+			cell.submit("first", PoolCell.step(1, false));
+			cell.time.runFor(500);
+			cell.workers.drain("w0");
+			cell.submit("second", PoolCell.step(1, false));
+			cell.time.runFor(OwnerTerm.LONGEST_ORDER_MILLIS + 6000);
+			cell.assertServed("first");
+			assertThat(cell.workers.startsOf(new TaskKey("first", 0, 0, 0))).isEqualTo(1);
+			assertThat(cell.workers.startsOf(new TaskKey("second", 0, 0, 0))).isZero();
+		}
+
+	}
+
 	@Nested
 	class AJobWhoseRowCannotBeRead {
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -189,7 +189,7 @@
 	// stop this process.
 	private static <T> Optional<T> read(String json, Class<T> type) {
 		try {
-			return Optional.of(Json.readLeniently(json, type));
+			return Optional.of(Json.readRow(json, type));
 		}
 		catch (JsonProcessingException ex) {
 			LOGGER.log(System.Logger.Level.WARNING, "a peer's message is not readable and left out: {0}",
