--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -222,9 +222,10 @@
 	}
 
 	private void turn() {
+		long begun = this.ports.clock().nanos();
 		tellPeers();
 		if (this.jobs.hasBegun() && !this.releasing) {
-			tidy(this.ports.clock().nanos());
+			tidy(begun);
 			account();
 			if (this.configured) {
 				this.placer.place();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -11,6 +11,7 @@
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueSummary;
@@ -56,8 +57,10 @@
 	/** What each process has written. */
 	final ProcessOutput output = new ProcessOutput();
 
+	final UnreadableRows unreadable = new UnreadableRows(this.decisions::add);
+
 	/** What a gateway hears from owners. */
-	final JobStates gateway = new JobStates();
+	final JobStates gateway = new JobStates(this.unreadable);
 
 	private final MemoryTable.Client callers = this.table.client();
 
@@ -191,8 +194,8 @@
 					PoolCell.this.time.clock(), (decision) -> {
 						PoolCell.this.decisions.add(decision);
 						PoolCell.this.output.write(name + life, PoolCell.this.time.millis(), decision);
-					});
-			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time);
+					}, PoolCell.this.unreadable);
+			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time, PoolCell.this.unreadable);
 			PoolCell.this.time.schedule(this.jobs::start, READY_MILLIS, TimeUnit.MILLISECONDS);
 			this.self = new HostRecord(name, "domain", "a:1", name + life, processors, false);
 			this.election = new OwnerElection(this.ports, this.self, this::won);
