Let the tests of the owner's link listen at an address of their own

The test looks for a free port once for the class; any outgoing connection of the machine may take that port of 127.0.0.1 before and between the tests.

Ruled out: the network itself leaving a socket behind, as the first of the five failed too and the two that passed ran before them.

Change: the test listens at a loopback address that belongs to its process. No check is changed.

Left: PeerNetworkTests, PeerAccessTests, CallerRoutesTests, OperatorRoutesTests, OperatorServerFake and JobRoutesTests look for free ports in the same way; not seen to fail by it.

--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.gateway.jobs;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
@@ -92,9 +93,13 @@
 	private final OwnerLink link = new OwnerLink(SELF.address(), this.network, this.states, () -> this.nowNanos,
 			DecisionLog.NONE, () -> this.progress++);
 
+	// An address that other processes do not use: a port that is free at 127.0.0.1 may be
+	// taken by any outgoing connection before it is listened at.
 	private static HostAddress free() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return new HostAddress("127.0.0.1", socket.getLocalPort());
+		long pid = ProcessHandle.current().pid();
+		String address = "127.%d.%d.1".formatted(1 + pid % 250, pid / 250 % 250);
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
+			return new HostAddress(address, socket.getLocalPort());
 		}
 		catch (IOException ex) {
 			throw new IllegalStateException(ex);
