Wait for the listening socket of a peer network to close

Cause: PeerNetwork.close left the closing of its socket to its event loop, so that the address could not be listened at again for a while.

Change: close waits for the socket.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -228,7 +228,8 @@
 	@Override
 	public void close() {
 		if (this.server != null) {
-			this.server.close();
+			// The address can be listened at again once this returns.
+			this.server.close().awaitUninterruptibly();
 		}
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -74,6 +74,23 @@
 		}
 	}
 
+	@Nested
+	class Addresses {
+
+		@Test
+		void areFreeOnceTheirNetworkIsClosed() {
+			HostAddress address = freeAddress();
+			PeerIdentity self = new PeerIdentity("self", "host", "domain-a", address);
+			for (int i = 0; i < 100; i++) {
+				PeerNetwork network = new PeerNetwork(self, SECRET,
+						(from, message) -> CompletableFuture.completedFuture(Envelope.newBuilder()));
+				network.listen();
+				network.close();
+			}
+		}
+
+	}
+
 	@Nested
 	class OneWayMessages {
 
