Take activation and delivery of events out of SchedulerNode

No change of behaviour.

Tests of the scheduler module: 19 run, 0 failures. The tests across processes were not run yet.

--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -3,13 +3,10 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -37,7 +34,6 @@
 import org.monsoonrelay.logic.control.ControlTracker;
 import org.monsoonrelay.logic.control.InForce;
 import org.monsoonrelay.logic.membership.OwnershipKeeper;
-import org.monsoonrelay.logic.placement.AttemptEvent;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.logic.platform.SteadyClock;
 import org.monsoonrelay.logic.platform.TableKeys;
@@ -68,10 +64,6 @@
 
 	private static final Duration WORKER_TIMEOUT = Duration.ofSeconds(2);
 
-	private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
-
-	private static final Duration ACTIVATION_LIMIT = Duration.ofSeconds(10);
-
 	private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
 	private static final int TICK_MILLIS = 50;
@@ -122,9 +114,9 @@
 
 	private final HttpServer operators;
 
-	private final Map<String, Long> claimedSinceNanos = new HashMap<>();
+	private final QueueActivation activation;
 
-	private final Set<String> deliveriesInFlight = new HashSet<>();
+	private final EventDelivery delivery;
 
 	private volatile HostList hosts = new HostList(0, List.of());
 
@@ -154,6 +146,9 @@
 		this.ownership = new OwnershipKeeper(
 				new SessionRecord(this.session, settings.node().failureDomain(), settings.node().peer()), table,
 				this.control, System::nanoTime, Duration.ofMillis(settings.sessionLapseMillis()), this::owner);
+		this.activation = new QueueActivation(System::nanoTime, this.queueManager::isActive,
+				this.queueManager::activate, this::claim);
+		this.delivery = new EventDelivery(this.rackManager, this.queueManager, this.peers, this.network, this.control);
 		this.messages = new SchedulerMessages(this.rackManager, this.queueManager, this.control, time);
 		CellStatusCollector collector = new CellStatusCollector(this.session, this.rackManager::summaries, settings,
 				this.queueManager, this.tracker, this.control, this.peers, this.network);
@@ -203,13 +198,13 @@
 		this.queueManager.satisfiedElsewhere(this.peers.satisfied());
 		this.rackManager.heartbeat();
 		announce();
-		activate();
+		this.activation.round(areAllRacksKnown());
 	}
 
 	private void tick() {
 		this.queueManager.tick();
 		this.rackManager.sendOrders();
-		deliverEvents();
+		this.delivery.round();
 	}
 
 	private void sample() {
@@ -258,11 +253,11 @@
 		String team = key.substring(TableKeys.QUEUES.length());
 		if (!own) {
 			this.queueManager.disown(team);
-			this.claimedSinceNanos.remove(team);
+			this.activation.disowned(team);
 		}
 		else {
 			this.queueManager.own(team, owned.epoch());
-			this.claimedSinceNanos.putIfAbsent(team, System.nanoTime());
+			this.activation.owned(team);
 		}
 	}
 
@@ -282,29 +277,14 @@
 		}
 	}
 
-	private void activate() {
+	private boolean areAllRacksKnown() {
 		long listed = this.hosts.hosts()
 			.stream()
 			.filter((host) -> host.kind() == HostKind.WORKER)
 			.map((host) -> host.rack())
 			.distinct()
 			.count();
-		boolean allKnown = this.racks.isSettled() && this.racks.size() >= listed;
-		long now = System.nanoTime();
-		for (Map.Entry<String, Long> entry : this.claimedSinceNanos.entrySet()) {
-			String team = entry.getKey();
-			long waited = now - entry.getValue();
-			if (this.queueManager.isActive(team)) {
-				continue;
-			}
-			boolean claimed = waited > 2 * TimeUnit.MILLISECONDS.toNanos(SECOND_MILLIS);
-			if ((allKnown && claimed) || waited > ACTIVATION_LIMIT.toNanos()) {
-				this.queueManager.activate(team);
-			}
-			else {
-				claim(team);
-			}
-		}
+		return this.racks.isSettled() && this.racks.size() >= listed;
 	}
 
 	private void claim(String team) {
@@ -313,30 +293,6 @@
 		this.settings.node().peerAddresses().forEach((peer) -> this.network.tell(peer, claim.clone()));
 	}
 
-	private void deliverEvents() {
-		this.rackManager.events().forEach((team, events) -> {
-			if (this.queueManager.teams().contains(team)) {
-				new ArrayList<>(events)
-					.forEach((event) -> this.queueManager.take(event, team, this.rackManager::acknowledge));
-				return;
-			}
-			Optional<HostAddress> owner = this.peers.ownerOfTeam(team).flatMap(this.peers::address);
-			if (owner.isPresent() && this.deliveriesInFlight.add(team)) {
-				deliver(owner.get(), team, events);
-			}
-		});
-	}
-
-	private void deliver(HostAddress owner, String team, List<AttemptEvent> events) {
-		Envelope.Builder request = Envelope.newBuilder().setAttemptEvents(PeerCodec.encodeEvents(team, events));
-		this.network.request(owner, request, PEER_TIMEOUT).whenCompleteAsync((reply, failure) -> {
-			this.deliveriesInFlight.remove(team);
-			if (failure == null) {
-				PeerCodec.decode(reply.getAttemptEvents()).forEach(this.rackManager::acknowledge);
-			}
-		}, this.control);
-	}
-
 	private CompletableFuture<Envelope.Builder> handle(PeerIdentity from, Envelope request) {
 		if (request.hasAnnouncement()) {
 			Announcement announcement = request.getAnnouncement();
