Keep one relay that cuts connections, and one table of conditional rows

CutRelay stood in the tests of adapters and in the stand-ins, in code that was the same in part. Adapters cannot use the stand-ins, which are built on them, so the one test that needed the copy moves to the stand-ins' tests (SilentPeerConnectionsTests) and uses their relay, which stays silent on connections that saw a cut. PeerTimings is public for it. The test asserts what it did.

FakeTable and PlatformFake wrote rows under conditions in the same code; MemoryRows does it for both. PlatformFake now answers with the versions it wrote, as the platform does; no test depends on the difference.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -63,7 +63,7 @@
 		this(self, secret, handler, PeerTimings.DEFAULT);
 	}
 
-	PeerNetwork(PeerIdentity self, String secret, PeerHandler handler, PeerTimings timings) {
+	public PeerNetwork(PeerIdentity self, String secret, PeerHandler handler, PeerTimings timings) {
 		this.self = self;
 		this.secret = secret;
 		this.handler = handler;
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerTimings.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerTimings.java
@@ -8,7 +8,7 @@
  * @param silenceLimit a connection on which nothing has arrived for this long is closed
  * @param pingAfter a side that has sent nothing for this long sends a ping
  */
-record PeerTimings(Duration silenceLimit, Duration pingAfter) {
+public record PeerTimings(Duration silenceLimit, Duration pingAfter) {
 
 	/**
 	 * The timings in use between daemons.
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -147,38 +147,6 @@
 
 	}
 
-	@Nested
-	class SilentConnections {
-
-		private final CutRelay relay = new CutRelay(PeerNetworkTests.this.secondAddress);
-
-		private final PeerNetwork caller = new PeerNetwork(
-				new PeerIdentity("caller", "scheduler", "domain-a", freeAddress()), SECRET,
-				(from, request) -> CompletableFuture.completedFuture(answer("caller", request)),
-				new PeerTimings(Duration.ofHours(1), Duration.ofMillis(10)));
-
-		@AfterEach
-		void closeRelay() {
-			this.caller.close();
-			this.relay.close();
-		}
-
-		@Test
-		void areReplacedOnceARequestOnThemTimesOut() {
-			PeerNetworkTests.this.second.listen();
-			this.caller.request(this.relay.address(), question(), TIMEOUT).join();
-			this.relay.silenceOpenConnections();
-
-			CompletableFuture<Envelope> lost = this.caller.request(this.relay.address(), question(),
-					Duration.ofMillis(200));
-			assertThat(catchThrowable(lost::join)).hasCauseInstanceOf(TimeoutException.class);
-
-			Envelope reply = this.caller.request(this.relay.address(), question(), TIMEOUT).join();
-			assertThat(reply.getStatusReply().getStatusJson()).isEqualTo("second");
-		}
-
-	}
-
 	@Nested
 	class Peers {
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/PlatformFake.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/control/PlatformFake.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
+import org.monsoonrelay.logic.fakes.MemoryRows;
 import org.monsoonrelay.logic.platform.CommitResult;
 import org.monsoonrelay.logic.platform.ConditionalWrite;
 import org.monsoonrelay.logic.platform.ObjectStore;
@@ -25,7 +25,7 @@
 
 	final Map<String, String> objects = new HashMap<>();
 
-	private final TreeMap<String, Row> rows = new TreeMap<>();
+	private final MemoryRows rows = new MemoryRows();
 
 	private final Map<String, Optional<Row>> staleReads = new HashMap<>();
 
@@ -48,8 +48,6 @@
 
 	long bytesWritten;
 
-	private long version;
-
 	/**
 	 * What happens to a commit.
 	 */
@@ -82,11 +80,11 @@
 	}
 
 	Optional<Row> row(String key) {
-		return Optional.ofNullable(this.rows.get(key));
+		return this.rows.row(key);
 	}
 
 	List<Row> rows(String prefix) {
-		return this.rows.tailMap(prefix).values().stream().filter((row) -> row.key().startsWith(prefix)).toList();
+		return this.rows.rows(prefix);
 	}
 
 	void arriveLate() {
@@ -135,22 +133,11 @@
 	}
 
 	private CommitResult write(List<ConditionalWrite> writes) {
-		Map<String, Long> conflicts = new HashMap<>();
-		writes.forEach((write) -> {
-			long found = row(write.key()).map(Row::version).orElse(ConditionalWrite.ABSENT);
-			if (found != write.expectedVersion()) {
-				conflicts.put(write.key(), found);
-			}
-		});
-		if (!conflicts.isEmpty()) {
-			return new CommitResult.Conflict(conflicts);
+		CommitResult result = this.rows.apply(writes);
+		if (result instanceof CommitResult.Committed) {
+			writes.forEach((write) -> this.bytesWritten += write.value().length());
 		}
-		this.version++;
-		writes.forEach((write) -> {
-			this.bytesWritten += write.value().length();
-			this.rows.put(write.key(), new Row(write.key(), write.value(), this.version));
-		});
-		return new CommitResult.Committed(Map.of());
+		return result;
 	}
 
 	@Override
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeTable.java
@@ -1,12 +1,8 @@
 package org.monsoonrelay.logic.fakes;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
 import org.monsoonrelay.logic.platform.CommitResult;
@@ -21,12 +17,10 @@
  */
 public final class FakeTable implements TableService {
 
-	private final NavigableMap<String, Row> rows = new TreeMap<>();
+	private final MemoryRows rows = new MemoryRows();
 
 	private final List<List<ConditionalWrite>> late = new ArrayList<>();
 
-	private long version;
-
 	private boolean down;
 
 	private boolean answersLost;
@@ -53,11 +47,7 @@
 		if (this.down) {
 			return noAnswer(false);
 		}
-		List<Row> found = this.rows.values()
-			.stream()
-			.filter((row) -> row.key().startsWith(prefix) && row.key().compareTo(after) > 0)
-			.limit(limit)
-			.toList();
+		List<Row> found = rows(prefix).stream().filter((row) -> row.key().compareTo(after) > 0).limit(limit).toList();
 		this.rowsRead += found.size();
 		return CompletableFuture.completedFuture(found);
 	}
@@ -76,25 +66,12 @@
 	}
 
 	private CommitResult apply(List<ConditionalWrite> writes) {
-		Map<String, Long> conflicts = new HashMap<>();
-		for (ConditionalWrite write : writes) {
-			long found = row(write.key()).map(Row::version).orElse(ConditionalWrite.ABSENT);
-			if (found != write.expectedVersion()) {
-				conflicts.put(write.key(), found);
-			}
-		}
-		if (!conflicts.isEmpty()) {
-			return new CommitResult.Conflict(conflicts);
-		}
-		this.version++;
-		this.commits++;
-		this.rowsWritten += writes.size();
-		Map<String, Long> versions = new HashMap<>();
-		for (ConditionalWrite write : writes) {
-			this.rows.put(write.key(), new Row(write.key(), write.value(), this.version));
-			versions.put(write.key(), this.version);
+		CommitResult result = this.rows.apply(writes);
+		if (result instanceof CommitResult.Committed) {
+			this.commits++;
+			this.rowsWritten += writes.size();
 		}
-		return new CommitResult.Committed(versions);
+		return result;
 	}
 
 	private static <T> CompletableFuture<T> noAnswer(boolean mayHaveTakenEffect) {
@@ -107,7 +84,7 @@
 	 * @return the row, if it exists
 	 */
 	public Optional<Row> row(String key) {
-		return Optional.ofNullable(this.rows.get(key));
+		return this.rows.row(key);
 	}
 
 	/**
@@ -116,7 +93,7 @@
 	 * @return the rows
 	 */
 	public List<Row> rows(String prefix) {
-		return this.rows.values().stream().filter((row) -> row.key().startsWith(prefix)).toList();
+		return this.rows.rows(prefix);
 	}
 
 	/**
