--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -22,7 +22,7 @@
  * write and of a submission leave one job, through whatever host. A write that the table
  * does not take from this host is tried through another one: while two of seven hosts
  * were turned away for nine seconds 33 submissions were refused instead of 160 to 193
- * (plays of one load). Thread-safe.
+ * (measured on one load). Thread-safe.
  */
 public final class SubmissionService {
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -187,8 +187,7 @@
 	}
 
 	// Read before the control thread gets it: what a peer of another release sends must
-	// not
-	// stop this process.
+	// not stop this process.
 	private static <T> Optional<T> read(String json, Class<T> type) {
 		try {
 			return Optional.of(Json.readRow(json, type));
