--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Lateness.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Lateness.java
@@ -58,21 +58,28 @@
 			return spans;
 		}
 		long first = placed.value("waitedMillis");
-		long known = Math.max(0, learnt);
-		long asked = Math.min(Math.max(0, first - known),
-				all(Decision.EligibilityAnswered.class).stream()
-					.filter((line) -> line.step().equals(placed.step()) && line.number() < placed.number())
-					.mapToLong((line) -> line.value("tookMillis"))
-					.sum());
+		long wait = Math.max(0, first - Math.max(0, learnt));
+		long queued = Math.min(wait, asked(placed, "queuedMillis"));
+		long asked = Math.min(wait - queued, asked(placed, "tookMillis"));
 		if (learnt >= 0) {
 			spans.put("until an owner learnt of it", learnt);
 		}
+		if (queued > 0) {
+			spans.put("until a host had time to ask who may run its first step", queued);
+		}
 		spans.put("in calls for who may run its first step", asked);
-		spans.put("waiting for room before its first start", Math.max(0, first - known - asked));
+		spans.put("waiting for room before its first start", wait - queued - asked);
 		spans.put("from its first start to its end", this.end.value("ageMillis") - first);
 		return spans;
 	}
 
+	private long asked(LogLine placed, String field) {
+		return all(Decision.EligibilityAnswered.class).stream()
+			.filter((line) -> line.step().equals(placed.step()) && line.number() < placed.number())
+			.mapToLong((line) -> line.value(field))
+			.sum();
+	}
+
 	private String repeats() {
 		long longest = all(Decision.TaskEnded.class).stream()
 			.mapToLong((line) -> line.value("ranMillis"))
