Measure starts, acknowledgements, waste, refusals and the table's answers

Cause: a host's metrics had the time of acceptance and its outcomes alone.

Change: DecisionMetrics counts decisions on their way to the lines, so that bounds of lines leave nothing out there; figures that have no line (start, acknowledgement, waste) are handed to the same log as Measure; a decorator of the table counts its calls by outcome.

Ruled out: ports of their own for the three figures, which would have changed each place that builds an owner.

Tests: DecisionMetricsTests, MeteredPartitionedTableTests, MeasuresTests (new with the change, not failed before). What the metrics cost was not measured at this commit.

--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -9,13 +9,16 @@
 import com.codahale.metrics.MetricRegistry;
 import org.monsoonrelay.adapters.http.HealthRoutes;
 import org.monsoonrelay.adapters.http.HttpServer;
+import org.monsoonrelay.adapters.logging.DecisionMetrics;
 import org.monsoonrelay.adapters.logging.DecisionWriter;
 import org.monsoonrelay.adapters.peer.PeerException;
 import org.monsoonrelay.adapters.peer.PeerIdentity;
 import org.monsoonrelay.adapters.peer.PeerNetwork;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
+import org.monsoonrelay.adapters.platform.MeteredPartitionedTable;
 import org.monsoonrelay.gateway.jobs.JobGateway;
 import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.ObservedTable;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.UnreadableRows;
@@ -62,12 +65,15 @@
 		PeerIdentity self = new PeerIdentity(UUID.randomUUID().toString(), ROLE, settings.failureDomain(),
 				settings.peerAddress());
 		this.network = new PeerNetwork(self, HostSettings.PEER_SECRET, (from, message) -> handle(message));
-		PartitionedTable table = new ObservedTable(new HttpTable(settings.tableAddress()), this::tableAnswered);
 		MetricRegistry metrics = new MetricRegistry();
-		UnreadableRows unreadable = new UnreadableRows(this.log);
+		PartitionedTable table = new ObservedTable(
+				new MeteredPartitionedTable(new HttpTable(settings.tableAddress()), metrics, System::nanoTime),
+				this::tableAnswered);
+		DecisionLog counted = new DecisionMetrics(this.log, metrics);
+		UnreadableRows unreadable = new UnreadableRows(counted);
 		metrics.gauge("rows.unreadable", () -> unreadable::count);
-		this.scheduler = new PoolScheduler(settings, self, table, this.network, this.log, unreadable);
-		this.gateway = new JobGateway(settings, table, this.scheduler.configuration(), this.network, metrics, this.log,
+		this.scheduler = new PoolScheduler(settings, self, table, this.network, counted, unreadable);
+		this.gateway = new JobGateway(settings, table, this.scheduler.configuration(), this.network, metrics, counted,
 				unreadable);
 		this.metricsServer = new HttpServer(new HostAddress(settings.ip(), METRICS_PORT), MAXIMUM_BODY_BYTES,
 				new HealthRoutes(metrics, this.gateway::notReady)::addTo);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/DecisionLog.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/DecisionLog.java
@@ -1,8 +1,8 @@
 package org.monsoonrelay.logic.events;
 
 /**
- * Takes a line for each decision. Implementations are thread-safe, never block and may
- * leave lines out under load, counting them.
+ * Takes a line for each decision, and figures that have none. Implementations are
+ * thread-safe, never block and may leave lines out under load, counting them.
  */
 public interface DecisionLog {
 
@@ -16,4 +16,12 @@
 	 */
 	void write(Decision decision);
 
+	/**
+	 * Take a figure that no line is written for.
+	 * @param measure what was measured
+	 * @param value the figure in its unit
+	 */
+	default void measured(Measure measure, long value) {
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -1,8 +1,10 @@
 package org.monsoonrelay.logic.pool;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -12,6 +14,7 @@
 
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.Measure;
 import org.monsoonrelay.logic.platform.OnThread;
 import org.monsoonrelay.model.submission.SubmittedJob;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -76,6 +79,8 @@
 
 	private final Set<String> waitingForDurable = new HashSet<>();
 
+	private final Map<String, Long> endsTakenNanos = new HashMap<>();
+
 	private boolean closed;
 
 	RunController(WorkerOrders orders, OwnerTerm term, WorkerPool pool, JobRegistry jobs, Predicate<String> isLoaded,
@@ -106,9 +111,14 @@
 	void watch(PoolWorker worker) {
 		boolean isKnown = this.pool.worker(worker.id()).filter((known) -> known == worker).isPresent();
 		if (this.closed || !isKnown) {
+			this.endsTakenNanos.remove(worker.id());
 			return;
 		}
 		long sentNanos = this.clock.nanos();
+		if (worker.processedEnds() <= worker.durableEnds()) {
+			Optional.ofNullable(this.endsTakenNanos.remove(worker.id()))
+				.ifPresent((taken) -> this.log.measured(Measure.ACKNOWLEDGEMENT, millisSince(taken)));
+		}
 		boolean extend = worker.isReached() && this.term.mayOrder();
 		OptionalLong lease = extend ? OptionalLong.of(worker.lease().extend(sentNanos, this.term.leaseMillis()))
 				: OptionalLong.empty();
@@ -139,6 +149,10 @@
 		}
 	}
 
+	private long millisSince(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - nanos);
+	}
+
 	private void silent(PoolWorker worker, String reason) {
 		if (worker.isReached()) {
 			this.log.write(new Decision.WorkerSilent(worker.id(), reason, worker.runCount()));
@@ -159,6 +173,7 @@
 		this.pool.accounted(worker.id());
 		this.listener.changed();
 		if (worker.processedEnds() > worker.durableEnds()) {
+			this.endsTakenNanos.putIfAbsent(worker.id(), this.clock.nanos());
 			this.waitingForDurable.add(worker.id());
 			this.control.schedule(() -> resume(worker.id()), DURABLE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
 		}
@@ -236,6 +251,7 @@
 		}
 		if (outcome.kind() == StartOutcome.Kind.DONE) {
 			worker.lease().heard(outcome.clockMillis(), this.clock.nanos());
+			this.log.measured(Measure.START, millisSince(run.orderedNanos()));
 			confirm(run);
 			return;
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
@@ -7,6 +7,7 @@
 
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.Measure;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepProgress;
@@ -66,7 +67,10 @@
 		long ranMillis = -1;
 		Run run = worker.run(end.task()).filter((held) -> held.attempt() == end.attempt()).orElse(null);
 		if (run != null) {
-			ranMillis = run.isAdopted() ? -1 : TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.orderedNanos());
+			ranMillis = run.isAdopted() ? -1 : ageMillis(run);
+			if (end.kind() != EndKind.DONE) {
+				wasted(run);
+			}
 			clear(worker, run);
 		}
 		this.log.write(new Decision.TaskEnded(end.task().job(), end.task().toString(), end.attempt(), worker.id(),
@@ -79,6 +83,15 @@
 		settle(job, end.task().stepKey(), end.kind() == EndKind.DONE);
 	}
 
+	private long ageMillis(Run run) {
+		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.orderedNanos());
+	}
+
+	// Of a run that another owner started only what it took since is known.
+	private void wasted(Run run) {
+		this.log.measured(Measure.WASTE, ageMillis(run) * run.size().processors());
+	}
+
 	private static boolean hasTask(SubmittedJob job, TaskKey task) {
 		return task.step() < job.submission().steps().size()
 				&& task.index() < job.submission().steps().get(task.step()).count()
@@ -122,6 +135,7 @@
 	 */
 	void lost(PoolWorker worker, Run run, String reason) {
 		clear(worker, run);
+		wasted(run);
 		TaskKey task = run.task();
 		this.log.write(new Decision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), reason));
 		this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.Measure;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.UnreadableRows;
@@ -57,6 +60,8 @@
 	/** What each process has written. */
 	final ProcessOutput output = new ProcessOutput();
 
+	final Map<Measure, List<Long>> measures = new EnumMap<>(Measure.class);
+
 	final UnreadableRows unreadable = new UnreadableRows(this.decisions::add);
 
 	/** What a gateway hears from owners. */
@@ -168,6 +173,28 @@
 		return value.isEmpty() ? SubmissionState.QUEUED : Json.read(value, JobProgress.class).state();
 	}
 
+	/** Takes what one process decides and measures. */
+	private final class Log implements DecisionLog {
+
+		private final String process;
+
+		Log(String process) {
+			this.process = process;
+		}
+
+		@Override
+		public void write(Decision decision) {
+			PoolCell.this.decisions.add(decision);
+			PoolCell.this.output.write(this.process, PoolCell.this.time.millis(), decision);
+		}
+
+		@Override
+		public void measured(Measure measure, long value) {
+			PoolCell.this.measures.computeIfAbsent(measure, (kind) -> new ArrayList<>()).add(value);
+		}
+
+	}
+
 	/** One scheduler process. */
 	final class Scheduler implements OwnerPeers {
 
@@ -191,10 +218,7 @@
 			EligibilitySource all = (host, step, ids, timeout) -> CompletableFuture
 				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
 			this.ports = new PoolPorts(this.tableClient, this.workerClient, all, PoolCell.this.time,
-					PoolCell.this.time.clock(), (decision) -> {
-						PoolCell.this.decisions.add(decision);
-						PoolCell.this.output.write(name + life, PoolCell.this.time.millis(), decision);
-					}, PoolCell.this.unreadable);
+					PoolCell.this.time.clock(), new Log(name + life), PoolCell.this.unreadable);
 			this.jobs = new JobIntake(this.tableClient, PoolCell.this.time, PoolCell.this.unreadable);
 			PoolCell.this.time.schedule(this.jobs::start, READY_MILLIS, TimeUnit.MILLISECONDS);
 			this.self = new HostRecord(name, "domain", "a:1", name + life, processors, false);
