--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.events.Decision;
 
@@ -65,9 +66,12 @@
 			String lost = all(Decision.DependencyLost.class).stream()
 				.filter((dependency) -> dependency.source().equals(line.source()))
 				.map((dependency) -> dependency.text("dependency") + " was lost there: " + dependency.text("reason"))
-				.findFirst()
-				.orElse("UNKNOWN".equals(outcome) ? "a try had no answer and none settled it while the caller waited"
-						: "no way to store it was open; the table had turned writes of that host down in a row");
+				.distinct()
+				.collect(Collectors.joining("; "));
+			if (lost.isEmpty()) {
+				lost = "UNKNOWN".equals(outcome) ? "a try had no answer and none settled it while the caller waited"
+						: "no way to store it was open; the table had turned writes of that host down in a row";
+			}
 			causes.add("answered " + outcome + " by " + line.source() + " after " + line.value("tookMillis") + " ms: "
 					+ lost);
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Waiting.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Waiting.java
@@ -4,6 +4,7 @@
 import java.util.LongSummaryStatistics;
 import java.util.NavigableSet;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.events.Decision;
@@ -17,22 +18,22 @@
 	private Waiting() {
 	}
 
-	// Steps that ran without a line for their start were placed as well.
+	// A step whose tasks are named was placed, whether the lines of the starts are there
+	// or
+	// not.
 	private static NavigableSet<String> placed(List<LogLine> lines) {
-		return steps(lines, Decision.TaskPlaced.class, Decision.TaskEnded.class);
+		return steps(lines, (line) -> line.has("task"));
 	}
 
 	private static NavigableSet<String> asked(List<LogLine> lines) {
-		NavigableSet<String> asked = steps(lines, Decision.EligibilityAnswered.class, Decision.EligibilityFailed.class);
+		NavigableSet<String> asked = steps(lines,
+				(line) -> line.is(Decision.EligibilityAnswered.class) || line.is(Decision.EligibilityFailed.class));
 		asked.removeAll(placed(lines));
 		return asked;
 	}
 
-	private static NavigableSet<String> steps(List<LogLine> lines, Class<?> one, Class<?> other) {
-		return lines.stream()
-			.filter((line) -> line.is(one) || line.is(other))
-			.map(LogLine::step)
-			.collect(Collectors.toCollection(TreeSet::new));
+	private static NavigableSet<String> steps(List<LogLine> lines, Predicate<LogLine> wanted) {
+		return lines.stream().filter(wanted).map(LogLine::step).collect(Collectors.toCollection(TreeSet::new));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/JobStoryTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/JobStoryTests.java
@@ -256,6 +256,29 @@
 						+ "it while the caller waited");
 		}
 
+		@Test
+		void doesNotSayThatAStepWaitsWhoseStartsLackInTheLines() {
+			String asked = "h1 {\"at\":1,\"event\":\"EligibilityAnswered\",\"job\":\"a\",\"step\":\"0.0\","
+					+ "\"host\":\"h5\",\"asked\":11,\"allowed\":7,\"tookMillis\":1084}";
+			String lost = "h1 {\"at\":1,\"event\":\"TaskLost\",\"job\":\"a\",\"task\":\"a.0.0.9\",\"attempt\":1,"
+					+ "\"worker\":\"w1\",\"reason\":\"neither running nor ended on its worker\"}";
+			assertThat(story(asked, lost).causes()).containsExactly(
+					"1 runs were lost with worker w1: neither running nor ended on its worker; "
+							+ "a.0.0.9 was not placed again",
+					"no line tells its end: no step after 0.0 was placed, and no line tells that it was asked who "
+							+ "may run the next one");
+		}
+
+		@Test
+		void namesAllThatAGatewayHadLost() {
+			String lost = "g {\"at\":1,\"event\":\"DependencyLost\",\"dependency\":\"%s\",\"reason\":\"cut\"}";
+			assertThat(story(lost.formatted("table"), lost.formatted("storing jobs"),
+					"g " + ANSWERED.replace("ACCEPTED", "UNKNOWN"))
+				.causes())
+				.containsExactly("answered UNKNOWN by g after 13 ms: table was lost there: cut; "
+						+ "storing jobs was lost there: cut");
+		}
+
 		@Test
 		void saysWhichRunsAreOpen() {
 			assertThat(story("h1 " + LEARNT, "h1 " + placed(0, 1, 1), "h1 " + placed(1, 1, 1)).causes())
