Tell in the story of a job that its row cannot be read

Cause: RowUnreadable names the job's row by its key, which 'explain' passed over; seen by saysThatARowOfTheJobCannotBeRead, written with the change.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -32,6 +32,7 @@
 		List<String> causes = new ArrayList<>();
 		refused(causes);
 		notStored(causes);
+		notReadable(causes);
 		startedAgainAfterItsEnd(causes);
 		lost(causes);
 		startsThatFailed(causes);
@@ -77,6 +78,13 @@
 		}
 	}
 
+	private void notReadable(List<String> causes) {
+		for (LogLine line : all(Decision.RowUnreadable.class)) {
+			causes.add("left alone by " + line.source() + ": its row in " + line.text("table") + " cannot be read, "
+					+ line.text("reason"));
+		}
+	}
+
 	private void startedAgainAfterItsEnd(List<String> causes) {
 		Map<String, LogLine> done = new HashMap<>();
 		for (LogLine line : this.lines) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/JobStory.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/JobStory.java
@@ -106,9 +106,8 @@
 	}
 
 	private boolean isOwn(LogLine line) {
-		String request = line.text("request");
 		if (!line.text("job").equals(this.job)) {
-			return request.equals(this.id) || request.endsWith("/" + this.id);
+			return isOf(line.text("request")) || isOf(line.text("key"));
 		}
 		if (this.job.equals(this.id)) {
 			return true;
@@ -118,6 +117,11 @@
 		return !isOther && (step.isEmpty() || this.id.startsWith(this.job + '.' + step + '.'));
 	}
 
+	// The path of a request, or the key of a row.
+	private boolean isOf(String path) {
+		return path.equals(this.id) || path.endsWith('/' + this.id) || path.startsWith(this.id + '/');
+	}
+
 	/**
 	 * Whether any line names the id.
 	 * @return {@code false} if there is nothing to tell
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Vocabulary.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Vocabulary.java
@@ -12,7 +12,7 @@
 
 	private static final Set<String> GATEWAYS = names(Decision.SubmissionAnswered.class, Decision.WriteRelayed.class,
 			Decision.CancellationAnswered.class, Decision.RequestRefused.class, Decision.DependencyLost.class,
-			Decision.DependencyBack.class);
+			Decision.DependencyBack.class, Decision.RowUnreadable.class);
 
 	private static final Set<String> OWNERSHIP = names(Decision.OwnershipTaken.class, Decision.OwnershipSettled.class,
 			Decision.OwnershipLost.class, Decision.WorkersAccounted.class);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/JobStoryTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/JobStoryTests.java
@@ -279,6 +279,15 @@
 						+ "storing jobs was lost there: cut");
 		}
 
+		@Test
+		void saysThatARowOfTheJobCannotBeRead() {
+			String unreadable = "{\"at\":1,\"event\":\"RowUnreadable\",\"table\":\"%s\",\"key\":\"%s\",\"reason\":\"no steps\"}";
+			assertThat(story("h1 " + unreadable.formatted("jobs", "a"), "h1 " + unreadable.formatted("jobs", "ab"),
+					"g " + ANSWERED)
+				.causes()).containsExactly("left alone by h1: its row in jobs cannot be read, no steps",
+						"accepted, but no line tells that an owner has learnt of it");
+		}
+
 		@Test
 		void saysWhichRunsAreOpen() {
 			assertThat(story("h1 " + LEARNT, "h1 " + placed(0, 1, 1), "h1 " + placed(1, 1, 1)).causes())
