Keep recent values instead of samples that favour the last minutes

Each value of a decaying sample costs a weight, a lock and a node of a sorted map; timers keep rates that nobody asked for; counters of the table were looked up by a name built at each call.

Change: histograms keep the last 512 values in an array; the table's counters are fields and its times histograms (table.commit.millis, table.read.millis).

Tests: MeteredPartitionedTableTests reads the renamed histogram (14 ms instead of 14,000,000 ns) and counts one of reads as well.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -144,7 +144,7 @@
 	}
 
 	private void note(String name, long value) {
-		this.spans.computeIfAbsent(name, this.metrics::histogram).update(value);
+		this.spans.computeIfAbsent(name, (key) -> RecentValues.histogram(this.metrics, key)).update(value);
 	}
 
 }
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/MeteredPartitionedTable.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/MeteredPartitionedTable.java
@@ -5,8 +5,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Timer;
+import org.monsoonrelay.adapters.logging.RecentValues;
 import org.monsoonrelay.logic.platform.PartitionCommit;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.PartitionedTable;
@@ -21,11 +23,21 @@
 
 	private final PartitionedTable table;
 
-	private final MetricRegistry metrics;
+	private final Counter committed;
 
-	private final Timer commits;
+	private final Counter conflicts;
 
-	private final Timer reads;
+	private final Counter notDone;
+
+	private final Counter unknown;
+
+	private final Histogram commits;
+
+	private final Histogram reads;
+
+	private final Calls readCalls;
+
+	private final Calls changeCalls;
 
 	private final LongSupplier nanoTime;
 
@@ -37,9 +49,14 @@
 	 */
 	public MeteredPartitionedTable(PartitionedTable table, MetricRegistry metrics, LongSupplier nanoTime) {
 		this.table = table;
-		this.metrics = metrics;
-		this.commits = metrics.timer("table.commit");
-		this.reads = metrics.timer("table.read");
+		this.committed = metrics.counter("table.commits.Committed");
+		this.conflicts = metrics.counter("table.commits.Conflict");
+		this.notDone = metrics.counter("table.commits.NotDone");
+		this.unknown = metrics.counter("table.commits.Unknown");
+		this.commits = RecentValues.histogram(metrics, "table.commit.millis");
+		this.reads = RecentValues.histogram(metrics, "table.read.millis");
+		this.readCalls = Calls.of(metrics, "table.reads.");
+		this.changeCalls = Calls.of(metrics, "table.changes.");
 		this.nanoTime = nanoTime;
 	}
 
@@ -47,29 +64,50 @@
 	public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
 		long begun = this.nanoTime.getAsLong();
 		return this.table.commit(write).whenComplete((commit, failure) -> {
-			this.commits.update(this.nanoTime.getAsLong() - begun, TimeUnit.NANOSECONDS);
-			String outcome = (commit != null) ? commit.getClass().getSimpleName() : "Unknown";
-			this.metrics.counter("table.commits." + outcome).inc();
+			this.commits.update(millisSince(begun));
+			counter(commit).inc();
 		});
 	}
 
+	private Counter counter(PartitionCommit commit) {
+		if (commit instanceof PartitionCommit.Committed) {
+			return this.committed;
+		}
+		if (commit instanceof PartitionCommit.Conflict) {
+			return this.conflicts;
+		}
+		return (commit instanceof PartitionCommit.NotDone) ? this.notDone : this.unknown;
+	}
+
+	private long millisSince(long begun) {
+		return TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong() - begun);
+	}
+
 	@Override
 	public CompletableFuture<TablePage> read(String name, String partition, String from, int limit) {
 		long begun = this.nanoTime.getAsLong();
 		return this.table.read(name, partition, from, limit).whenComplete((page, failure) -> {
-			this.reads.update(this.nanoTime.getAsLong() - begun, TimeUnit.NANOSECONDS);
-			count("table.reads.", failure);
+			this.reads.update(millisSince(begun));
+			this.readCalls.count(failure);
 		});
 	}
 
 	@Override
 	public CompletableFuture<TableChanges> changes(String name, long after, Duration wait) {
 		return this.table.changes(name, after, wait)
-			.whenComplete((changes, failure) -> count("table.changes.", failure));
+			.whenComplete((changes, failure) -> this.changeCalls.count(failure));
 	}
 
-	private void count(String call, Throwable failure) {
-		this.metrics.counter(call + ((failure != null) ? "failed" : "answered")).inc();
+	private record Calls(Counter answered, Counter failed) {
+
+		static Calls of(MetricRegistry metrics, String name) {
+			return new Calls(metrics.counter(name + "answered"), metrics.counter(name + "failed"));
+		}
+
+		void count(Throwable failure) {
+			((failure != null) ? this.failed : this.answered).inc();
+		}
+
 	}
 
 }
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/MeteredPartitionedTableTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/MeteredPartitionedTableTests.java
@@ -35,7 +35,7 @@
 		this.nanos += 14_000_000;
 		this.answers.commit.complete(new PartitionCommit.Conflict(List.of()));
 		assertThat(count("table.commits.Conflict")).isEqualTo(1);
-		assertThat(this.metrics.timer("table.commit").getSnapshot().getMax()).isEqualTo(14_000_000);
+		assertThat(this.metrics.histogram("table.commit.millis").getSnapshot().getMax()).isEqualTo(14);
 		this.answers.commit = CompletableFuture.completedFuture(new PartitionCommit.Unknown("no answer"));
 		this.table.commit(PartitionWrite.to("p"));
 		assertThat(count("table.commits.Unknown")).isEqualTo(1);
@@ -48,6 +48,7 @@
 		this.answers.page.complete(new TablePage(List.of(), false, 1));
 		this.answers.news.completeExceptionally(new PlatformException("no answer", true, null));
 		assertThat(count("table.reads.answered")).isEqualTo(1);
+		assertThat(this.metrics.histogram("table.read.millis").getCount()).isEqualTo(1);
 		assertThat(count("table.changes.failed")).isEqualTo(1);
 		assertThat(count("table.changes.answered")).isZero();
 	}
