--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WalksFromAnIdTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WalksFromAnIdTests.java
@@ -154,6 +154,19 @@
 			assertThat(causes(story)).contains("starts that failed: {NO_ANSWER at w");
 		}
 
+		@Test
+		void aGangThatFindsNoRoom() {
+			PoolCell cell = WalksFromAnIdTests.this.cell.withRunsOf(60_000).withEligibility();
+			cell.addScheduler();
+			cell.time.runFor(1000);
+			cell.submit("long", PoolCell.step(11, false));
+			cell.time.runFor(500);
+			cell.submit("gang", PoolCell.step(4, true));
+			cell.time.runFor(3000);
+			assertThat(causes(cell.output.story("gang"))).contains("no line tells its end: step 0.0 was not placed")
+				.contains("so that it waited for room on those");
+		}
+
 		@Test
 		void attemptsThatTwoOwnersSaw() {
 			PoolCell cell = new PoolCell();
