Let the tests of peers listen at addresses of their own process

Ruled out: a socket that is not closed yet, since close waits for it.

Change: FreeAddress finds ports at a loopback address that belongs to the process. No check is changed.

--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerAccessTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerAccessTests.java
@@ -1,8 +1,6 @@
 package org.monsoonrelay.adapters.peer;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -34,10 +32,8 @@
 	private PeerNetwork network;
 
 	@BeforeEach
-	void listen() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			this.address = new HostAddress("127.0.0.1", socket.getLocalPort());
-		}
+	void listen() {
+		this.address = FreeAddress.find();
 		this.network = network(SECRET, this.address);
 		this.network.listen();
 	}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -31,9 +31,9 @@
 
 	private static final String SECRET = "cell-secret";
 
-	private final HostAddress firstAddress = freeAddress();
+	private final HostAddress firstAddress = FreeAddress.find();
 
-	private final HostAddress secondAddress = freeAddress();
+	private final HostAddress secondAddress = FreeAddress.find();
 
 	private final PeerNetwork first = network("first", this.firstAddress, SECRET);
 
@@ -65,21 +65,12 @@
 				: Envelope.newBuilder().setEmpty(Empty.getDefaultInstance());
 	}
 
-	private static HostAddress freeAddress() {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return new HostAddress("127.0.0.1", socket.getLocalPort());
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("no port is free", ex);
-		}
-	}
-
 	@Nested
 	class Addresses {
 
 		@Test
 		void areFreeOnceTheirNetworkIsClosed() {
-			HostAddress address = freeAddress();
+			HostAddress address = FreeAddress.find();
 			PeerIdentity self = new PeerIdentity("self", "host", "domain-a", address);
 			for (int i = 0; i < 100; i++) {
 				PeerNetwork network = new PeerNetwork(self, SECRET,
@@ -98,7 +89,7 @@
 		void reachAllPeersAndThisProcess() {
 			List<HostAddress> heard = new CopyOnWriteArrayList<>();
 			CountDownLatch all = new CountDownLatch(3);
-			List<HostAddress> addresses = List.of(freeAddress(), freeAddress(), freeAddress());
+			List<HostAddress> addresses = List.of(FreeAddress.find(), FreeAddress.find(), FreeAddress.find());
 			List<PeerNetwork> networks = addresses.stream()
 				.map((address) -> new PeerNetwork(new PeerIdentity(address.toString(), "host", "domain-a", address),
 						SECRET, (from, message) -> {
