Let no small host stand ready beside enough large ones

On the grown second site, where seven large hosts stand ready, the eighth, small, one is the only slow host (19 and 201 ms at the median and the 90th percentile).

Change: with three large hosts ready besides the owner, small ones do not stand ready.

Test: StandbyChoiceTests; the one that had small hosts of 0.4 beside 1.5 stand ready now has them at 0.9, and two new ones say what becomes of small ones.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyChoice.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyChoice.java
@@ -21,6 +21,15 @@
 	 */
 	static final int STANDBYS = 8;
 
+	/**
+	 * With so many large hosts ready, small ones do not stand ready: one more than the
+	 * failure domain or the host that may be lost beside the owner. What a small host has
+	 * to read to follow the jobs of 245 workers fills its link: the five that did so
+	 * answered submissions after 135 to 221 ms at the median instead of 16, and did not
+	 * reach the table for up to 15 s (lines of a calm day).
+	 */
+	static final int ENOUGH_LARGE = 3;
+
 	/**
 	 * How long a host has to be up to be ready, milliseconds: it begins to follow the
 	 * jobs 1.5 s after its start.
@@ -33,7 +42,8 @@
 	/**
 	 * Choose the hosts: those that are ready, of them the largest, of them the one that
 	 * was started last, as planned restarts come to it last; in different failure domains
-	 * as far as there are any, first in others than the owner's. None that is stopping.
+	 * as far as there are any, first in others than the owner's. None that is stopping,
+	 * and no small one beside enough large ones.
 	 * @param hosts all hosts that are registered
 	 * @param owner the host that owns the pool
 	 * @return names of the chosen hosts, the one that is to go first at the front
@@ -42,6 +52,12 @@
 		List<Candidate> left = new ArrayList<>(
 				hosts.stream().filter((candidate) -> !candidate.host().host().equals(owner.host())).toList());
 		left.removeIf((candidate) -> candidate.host().stopping());
+		HostSize largest = largest(hosts, owner);
+		if (left.stream()
+			.filter((candidate) -> candidate.isReady() && candidate.isLargeBeside(largest))
+			.count() >= ENOUGH_LARGE) {
+			left.removeIf((candidate) -> !candidate.isLargeBeside(largest));
+		}
 		left.sort(Comparator.comparing(Candidate::isReady)
 			.thenComparingDouble((candidate) -> candidate.host().processors())
 			.thenComparingLong(Candidate::startOrder)
@@ -85,6 +101,10 @@
 	 */
 	public record Candidate(HostRecord host, long startOrder, boolean isReady) {
 
+		private boolean isLargeBeside(HostSize largest) {
+			return this.host.size().isLargeBeside(largest);
+		}
+
 	}
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyChoiceTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyChoiceTests.java
@@ -22,10 +22,24 @@
 	@Test
 	void areTheLargestHostsOfDifferentFailureDomainsFirstOfOthersThanTheOwners() {
 		List<Candidate> hosts = List.of(new Candidate(OWNER, 0, true), old("n2", "north", 1.5), old("n3", "north", 1.5),
-				old("s1", "south", 0.4), old("s2", "south", 1.5), old("w1", "west", 0.4), old("w2", "west", 0.3));
+				old("s1", "south", 0.9), old("s2", "south", 1.5), old("w1", "west", 0.9), old("w2", "west", 0.8));
 		assertThat(StandbyChoice.choose(hosts, OWNER)).startsWith("s2", "w1").hasSize(6);
 	}
 
+	@Test
+	void areNoSmallHostsBesideEnoughLargeOnes() {
+		List<Candidate> hosts = List.of(new Candidate(OWNER, 0, true), old("n2", "north", 1.5), old("n3", "north", 1.5),
+				old("s1", "south", 0.4), old("s2", "south", 1.5), old("w1", "west", 0.4), old("w2", "west", 0.3));
+		assertThat(StandbyChoice.choose(hosts, OWNER)).containsExactly("s2", "n2", "n3");
+	}
+
+	@Test
+	void areSmallHostsAsWellWhileTooFewLargeOnesAreReady() {
+		List<Candidate> hosts = List.of(new Candidate(OWNER, 0, true), old("n2", "north", 1.5), old("s1", "south", 0.4),
+				old("s2", "south", 1.5), new Candidate(host("w2", "west", 1.5), 9, false));
+		assertThat(StandbyChoice.choose(hosts, OWNER)).containsExactlyInAnyOrder("s2", "w2", "n2", "s1");
+	}
+
 	@Test
 	void areAllOthersIfThereAreFew() {
 		assertThat(StandbyChoice.choose(List.of(new Candidate(OWNER, 0, true), old("b", "north", 1)), OWNER))
