Keep the newer of two counts of waiting jobs, whichever comes first

Cause, suspected: JobStates took the last count to arrive, from the feed or from the owner's message. The owner tells a count only when it changes, so an older page of the feed that arrives later stays.

Ruled out by reading: a former owner's count (left out by its epoch), a count before all jobs are loaded (the owner counts only then).

Change: a count carries the version of the write that counted it, and gives way to a newer one only; versions grow over all owners, so the rule for epochs falls away. JobStatesTests: the two new tests failed with the order of arrival (10 for 26), the checks of the older ones are as before.

A host of the former release reads no count in the new message and goes by the feed, and the other way round.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
@@ -26,6 +26,7 @@
 import org.monsoonrelay.logic.submission.CommitRelay;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.logic.submission.StoredListener;
 import org.monsoonrelay.model.host.HostAddress;
@@ -233,9 +234,10 @@
 	private void take(StatesNews news) {
 		Map<String, SubmissionState> told = new HashMap<>();
 		news.getJobsList().forEach((job) -> told.put(job.getJob(), SubmissionState.valueOf(job.getState())));
-		Optional<QueueSummary> pending = news.getCounted() ? Optional.of(new QueueSummary(news.getPendingMap()))
-				: Optional.empty();
-		this.states.told(news.getEpoch(), told, pending);
+		Optional<QueueCount> pending = Optional
+			.of(new QueueCount(new QueueSummary(news.getPendingMap()), news.getCountedVersion()))
+			.filter((count) -> count.version() > 0);
+		this.states.told(told, pending);
 	}
 
 	private record Owner(long epoch, HostAddress address, long version, long sinceNanos, long heardNanos) {
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
@@ -207,7 +207,7 @@
 		StatesNews news = StatesNews.newBuilder()
 			.setEpoch(3)
 			.addJobs(JobNews.newBuilder().setJob("a").setState("COMPLETED"))
-			.setCounted(true)
+			.setCountedVersion(7)
 			.putPending("q", 2)
 			.build();
 		assertThat(this.link.take(Envelope.newBuilder().setStatesNews(news).build())).isTrue();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerPeers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerPeers.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.SubmissionState;
 
 /**
@@ -26,7 +26,7 @@
 	 * @param states the new states, by job
 	 * @param pending the jobs that wait, if they were counted anew
 	 */
-	void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueSummary> pending);
+	void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending);
 
 	/**
 	 * The pool was given up: another host may own it at once.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolJournal.java
@@ -15,6 +15,7 @@
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.SubmissionState;
@@ -294,7 +295,7 @@
 			this.listener.released(this.record, this.version);
 			return;
 		}
-		this.listener.durable(states, batch.countedAnew());
+		this.listener.durable(states, batch.countedAnew(this.version));
 		if (this.releasing && !this.inFlight && !this.closed) {
 			send(compose());
 		}
@@ -303,8 +304,9 @@
 	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, SubmissionState> states,
 			Optional<QueueSummary> summary, boolean isCountedAnew, Map<String, Long> ends) {
 
-		Optional<QueueSummary> countedAnew() {
-			return this.isCountedAnew ? this.summary : Optional.empty();
+		Optional<QueueCount> countedAnew(long version) {
+			return this.summary.filter((counted) -> this.isCountedAnew)
+				.map((counted) -> new QueueCount(counted, version));
 		}
 
 	}
@@ -319,7 +321,7 @@
 		 * @param states the states that it made durable, by job
 		 * @param pending the jobs that wait, if the write changed their count
 		 */
-		void durable(Map<String, SubmissionState> states, Optional<QueueSummary> pending);
+		void durable(Map<String, SubmissionState> states, Optional<QueueCount> pending);
 
 		/**
 		 * The table does not take this host's writes; it may take another's.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 
 import org.monsoonrelay.logic.events.Decision;
-import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.StepKey;
@@ -329,7 +329,7 @@
 	private final class JournalListener implements PoolJournal.Listener {
 
 		@Override
-		public void durable(Map<String, SubmissionState> states, Optional<QueueSummary> pending) {
+		public void durable(Map<String, SubmissionState> states, Optional<QueueCount> pending) {
 			PoolOwner owner = PoolOwner.this;
 			if (owner.term.mayStartNewJobs()) {
 				owner.registry.releaseHeld(owner.journal::isConfirmed);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/SpacedNews.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/SpacedNews.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.SubmissionState;
 
 /**
@@ -33,7 +33,7 @@
 
 	private final Map<String, SubmissionState> states = new HashMap<>();
 
-	private Optional<QueueSummary> pending = Optional.empty();
+	private Optional<QueueCount> pending = Optional.empty();
 
 	private long epoch;
 
@@ -54,7 +54,7 @@
 	}
 
 	@Override
-	public void durable(long ofEpoch, Map<String, SubmissionState> told, Optional<QueueSummary> counted) {
+	public void durable(long ofEpoch, Map<String, SubmissionState> told, Optional<QueueCount> counted) {
 		if (this.waiting && ofEpoch != this.epoch) {
 			tell();
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
@@ -16,8 +16,8 @@
 /**
  * The durable states of jobs as a gateway knows them, from the feed of the owner's writes
  * and from what this gateway accepted. Invariants: a state never goes back from a final
- * one; of a job whose progress cannot be read no state is told that may have passed.
- * Thread-safe.
+ * one; of a job whose progress cannot be read no state is told that may have passed; a
+ * count never gives way to an older one, whichever way each came. Thread-safe.
  */
 public final class JobStates implements TableFollower.Listener {
 
@@ -27,9 +27,7 @@
 
 	private final UnreadableRows unreadable;
 
-	private final AtomicLong newestEpoch = new AtomicLong();
-
-	private volatile QueueSummary summary = QueueSummary.NONE;
+	private final AtomicReference<QueueCount> count = new AtomicReference<>(QueueCount.NONE);
 
 	public JobStates(UnreadableRows unreadable) {
 		this.unreadable = unreadable;
@@ -53,7 +51,8 @@
 			return;
 		}
 		if (row.key().equals(JobTables.SUMMARY_KEY)) {
-			this.unreadable.read(row, QueueSummary.class).ifPresent((counted) -> this.summary = counted);
+			this.unreadable.read(row, QueueSummary.class)
+				.ifPresent((counted) -> note(new QueueCount(counted, row.version())));
 			return;
 		}
 		this.unreadable.read(row, JobProgress.class).ifPresentOrElse((progress) -> {
@@ -73,17 +72,19 @@
 
 	/**
 	 * Take in what an owner of the pool says has become durable. States are facts whoever
-	 * tells them; the count of a former owner is left out.
-	 * @param epoch the owner's epoch
+	 * tells them; an older count than the one known is left out.
 	 * @param told the new states, by job
 	 * @param pending the jobs that wait, if they were counted anew
 	 */
-	public void told(long epoch, Map<String, SubmissionState> told, Optional<QueueSummary> pending) {
+	public void told(Map<String, SubmissionState> told, Optional<QueueCount> pending) {
 		told.forEach(this::note);
-		boolean isNewest = this.newestEpoch.accumulateAndGet(epoch, Math::max) == epoch;
-		if (isNewest) {
-			pending.ifPresent((counted) -> this.summary = counted);
-		}
+		pending.ifPresent(this::note);
+	}
+
+	// An owner tells a count only when it changes, so that an older one from the feed, or
+	// from a former owner, would stay.
+	private void note(QueueCount counted) {
+		this.count.accumulateAndGet(counted, QueueCount::newer);
 	}
 
 	/**
@@ -122,7 +123,7 @@
 	 * @return the owner's last word
 	 */
 	public int pending(String queue) {
-		return this.summary.pending().getOrDefault(queue, 0);
+		return this.count.get().summary().pending().getOrDefault(queue, 0);
 	}
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
@@ -18,7 +18,7 @@
 import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
-import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.EligibilityTimes;
 import org.monsoonrelay.model.submission.QueueConfiguration;
@@ -289,9 +289,9 @@
 		}
 
 		@Override
-		public void durable(long epoch, Map<String, SubmissionState> told, java.util.Optional<QueueSummary> pending) {
+		public void durable(long epoch, Map<String, SubmissionState> told, java.util.Optional<QueueCount> pending) {
 			PlayedLoad load = PlayedLoad.this;
-			load.states.told(epoch, told, pending);
+			load.states.told(told, pending);
 			told.forEach((job, state) -> {
 				if (state == SubmissionState.COMPLETED) {
 					Played played = load.jobs.get(job);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolCell.java
@@ -17,6 +17,7 @@
 import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.EligibilityTimes;
@@ -242,8 +243,8 @@
 		}
 
 		@Override
-		public void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueSummary> pending) {
-			PoolCell.this.gateway.told(epoch, states, pending);
+		public void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending) {
+			PoolCell.this.gateway.told(states, pending);
 		}
 
 		@Override
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/QuestionedPool.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/QuestionedPool.java
@@ -12,7 +12,7 @@
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobTables;
-import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.EligibilityTimes;
 import org.monsoonrelay.model.submission.QueueConfiguration;
@@ -195,7 +195,7 @@
 		}
 
 		@Override
-		public void durable(long epoch, Map<String, SubmissionState> states, java.util.Optional<QueueSummary> pending) {
+		public void durable(long epoch, Map<String, SubmissionState> states, java.util.Optional<QueueCount> pending) {
 		}
 
 		@Override
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SpacedNewsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SpacedNewsTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.submission.SubmissionState;
 
@@ -13,9 +14,9 @@
 
 class SpacedNewsTests {
 
-	private static final QueueSummary ONE = new QueueSummary(Map.of("q", 1));
+	private static final QueueCount ONE = new QueueCount(new QueueSummary(Map.of("q", 1)), 1);
 
-	private static final QueueSummary TWO = new QueueSummary(Map.of("q", 2));
+	private static final QueueCount TWO = new QueueCount(new QueueSummary(Map.of("q", 2)), 2);
 
 	private final VirtualTime time = new VirtualTime();
 
@@ -84,8 +85,8 @@
 		}
 
 		@Override
-		public void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueSummary> pending) {
-			String counted = pending.map((summary) -> String.valueOf(summary.pending().get("q"))).orElse("-");
+		public void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending) {
+			String counted = pending.map((count) -> String.valueOf(count.summary().pending().get("q"))).orElse("-");
 			SpacedNewsTests.this.told.add(epoch + " " + states + " " + counted);
 		}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
@@ -30,6 +30,15 @@
 		return row(job, new JobProgress(state, Map.of()));
 	}
 
+	private static TableRow count(long version, int waiting) {
+		return new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, JobTables.SUMMARY_KEY,
+				Json.write(new QueueSummary(Map.of("q", waiting))), version, false);
+	}
+
+	private static Optional<QueueCount> counted(long version, int waiting) {
+		return Optional.of(new QueueCount(new QueueSummary(Map.of("q", waiting)), version));
+	}
+
 	@Test
 	void areTheOwnersLastDurableWord() {
 		this.states.note("a", SubmissionState.QUEUED);
@@ -54,16 +63,39 @@
 
 	@Test
 	void areTakenFromOwnersWithoutTheFeed() {
-		this.states.told(4, Map.of("a", SubmissionState.RUNNING), Optional.of(new QueueSummary(Map.of("q", 3))));
-		this.states.told(4, Map.of("a", SubmissionState.COMPLETED), Optional.empty());
+		this.states.told(Map.of("a", SubmissionState.RUNNING), counted(4, 3));
+		this.states.told(Map.of("a", SubmissionState.COMPLETED), Optional.empty());
 		assertThat(this.states.state("a")).contains(SubmissionState.COMPLETED);
 		assertThat(this.states.pending("q")).isEqualTo(3);
 	}
 
+	/**
+	 * A host said that 10 jobs wait where 26 had waited for 5 s. It hears a count in two
+	 * ways, by the table's feed and by the owner's message, and took whatever came last.
+	 * A page of the feed that was read before the owner's write and arrives after its
+	 * message brought the older count back, which stayed: the owner tells a count again
+	 * only once it has changed.
+	 */
+	@Test
+	void keepTheNewerCountWhenTheFeedBringsAnOlderOne() {
+		this.states.told(Map.of(), counted(9, 26));
+		this.states.changed(List.of(count(8, 10)));
+		assertThat(this.states.pending("q")).isEqualTo(26);
+		this.states.snapshot(JobTables.POOL_PARTITION, List.of(count(10, 27)));
+		assertThat(this.states.pending("q")).isEqualTo(27);
+	}
+
+	@Test
+	void keepTheNewerCountWhenTheOwnersMessageComesLate() {
+		this.states.changed(List.of(count(9, 26)));
+		this.states.told(Map.of(), counted(8, 10));
+		assertThat(this.states.pending("q")).isEqualTo(26);
+	}
+
 	@Test
 	void areTakenFromAFormerOwnerButNotItsCount() {
-		this.states.told(5, Map.of(), Optional.of(new QueueSummary(Map.of("q", 3))));
-		this.states.told(4, Map.of("a", SubmissionState.COMPLETED), Optional.of(new QueueSummary(Map.of("q", 9))));
+		this.states.told(Map.of(), counted(5, 3));
+		this.states.told(Map.of("a", SubmissionState.COMPLETED), counted(4, 9));
 		assertThat(this.states.state("a")).contains(SubmissionState.COMPLETED);
 		assertThat(this.states.pending("q")).isEqualTo(3);
 	}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/OwnerMessages.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/OwnerMessages.java
@@ -15,7 +15,7 @@
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.pool.OwnerPeers;
 import org.monsoonrelay.logic.pool.OwnerRecord;
-import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.model.submission.SubmissionState;
 
@@ -48,10 +48,10 @@
 	}
 
 	@Override
-	public void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueSummary> pending) {
+	public void durable(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending) {
 		StatesNews.Builder news = StatesNews.newBuilder().setEpoch(epoch);
 		states.forEach((job, state) -> news.addJobs(JobNews.newBuilder().setJob(job).setState(state.name())));
-		pending.ifPresent((counted) -> news.setCounted(true).putAllPending(counted.pending()));
+		pending.ifPresent((count) -> news.setCountedVersion(count.version()).putAllPending(count.summary().pending()));
 		tell(Envelope.newBuilder().setStatesNews(news));
 	}
 
