End a program whose classes are missing instead of letting it stand

What callers saw: a host whose program file is cut while it starts neither serves nor ends until somebody kills it, so that nothing starts it anew.

Cause: a class that is not found is an Error. Program caught exceptions only, so the main thread ended without an exit code, and threads started before kept the process.

Change: an Error gives one line and the exit code of a failure, on both ways a program is run. ProgramTests: the new test failed with the NoClassDefFoundError before.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/Program.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/Program.java
@@ -8,8 +8,8 @@
 import picocli.CommandLine;
 
 /**
- * Runs a program's command and turns what stops it into one clear line and an exit code.
- * Stateless and thread-safe.
+ * Runs a program's command and turns what stops it into one clear line and an exit code,
+ * whatever it is. Stateless and thread-safe.
  */
 public final class Program {
 
@@ -48,7 +48,12 @@
 			errors.println(failed.getCommandName() + ": " + ex.getMessage());
 			return exitCode(ex);
 		});
-		return line.execute(arguments);
+		try {
+			return line.execute(arguments);
+		}
+		catch (Error ex) {
+			return failed(line.getCommandName(), ex, errors);
+		}
 	}
 
 	/**
@@ -71,6 +76,16 @@
 			errors.println(name + ": " + ex.getMessage());
 			return exitCode(ex);
 		}
+		catch (Error ex) {
+			return failed(name, ex, errors);
+		}
+	}
+
+	// Without an exit code the process would stay, as its other threads go on: it would
+	// serve nobody and never be started anew.
+	private static int failed(String name, Error failure, PrintStream errors) {
+		errors.println(name + ": " + failure);
+		return FAILED;
 	}
 
 	private static int exitCode(Exception failure) {
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/ProgramTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/ProgramTests.java
@@ -46,12 +46,37 @@
 		assertThat(errors()).isEqualToIgnoringNewLines("daemon: port in use");
 	}
 
+	/**
+	 * A process whose program file was cut while it started neither served nor ended for
+	 * ten minutes, until it was killed. A class that is not found is an error and no
+	 * exception: it ended the main thread without an exit code, and the threads that had
+	 * been started before kept the process.
+	 */
+	@Test
+	void classThatIsNotFoundEndsTheProgramWithOneClearLine() {
+		assertThat(run(new Cut())).isEqualTo(Program.FAILED);
+		assertThat(run(new Cut(), "--")).isEqualTo(Program.FAILED);
+		assertThat(errors().lines()).hasSize(2)
+			.allMatch((line) -> line.equals("daemon: java.lang.NoClassDefFoundError: org/monsoonrelay/Missing"));
+	}
+
 	@Test
 	void unknownArgumentsAreRefused() {
 		assertThat(run(new Faulty(), "--nonsense")).isEqualTo(Program.INVALID);
 		assertThat(errors()).contains("--nonsense");
 	}
 
+	/** A daemon one of whose classes is missing. */
+	@Command(name = "daemon")
+	static final class Cut implements Callable<Integer> {
+
+		@Override
+		public Integer call() {
+			throw new NoClassDefFoundError("org/monsoonrelay/Missing");
+		}
+
+	}
+
 	/** A daemon whose settings have a fault. */
 	@Command(name = "daemon")
 	static final class Faulty implements Callable<Integer> {
