Put a release in the place of the running one instead of writing over it

What callers saw: a host whose release is built over while it runs can end with code 134 and takes its callers' open requests with it.

Cause: deploy/build.sh copied the program file in place. The class archive is mapped into each process; a page that goes or changes under it is a bus error, and a program file that changes gives classes that are not found. The archive itself was removed before it was written, which is safe, but for a while it belonged to no program.

ReleaseTests failed with a plain cp ("former" expected, "later ").

Change: all files of a release are written beside and renamed.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,11 +6,13 @@
 mvn -B -ntp -q -DskipTests -Dcheckstyle.skip -Dspring-javaformat.skip \
 	-pl monsoonrelay-host -am package
 mkdir -p target
+# An archive holds for the very file that it was recorded from: the former one goes first.
 record() {
-	cp "monsoonrelay-$1/target/monsoonrelay-$1-0.1.0-SNAPSHOT-all.jar" "target/monsoonrelay-$1.jar"
 	rm -f "target/monsoonrelay-$1.jsa"
-	java -XX:ArchiveClassesAtExit="target/monsoonrelay-$1.jsa" -Xss512k -XX:+UseSerialGC \
-		-XX:TieredStopAtLevel=1 -cp "target/monsoonrelay-$1.jar" "$2" --rehearse "$3" >/dev/null 2>&1 ||
+	sh deploy/replace.sh "monsoonrelay-$1/target/monsoonrelay-$1-0.1.0-SNAPSHOT-all.jar" "target/monsoonrelay-$1.jar"
+	java -XX:ArchiveClassesAtExit="target/monsoonrelay-$1.jsa.new" -Xss512k -XX:+UseSerialGC \
+		-XX:TieredStopAtLevel=1 -cp "target/monsoonrelay-$1.jar" "$2" --rehearse "$3" >/dev/null 2>&1 &&
+		mv -f "target/monsoonrelay-$1.jsa.new" "target/monsoonrelay-$1.jsa" ||
 		echo "no class archive for $1, it starts slower" >&2
 }
 record host org.monsoonrelay.host.HostMain 17300
