--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
@@ -23,6 +23,11 @@
 		return this.client.send(HttpRequest.newBuilder(URI.create(url)).build(), HttpResponse.BodyHandlers.ofString());
 	}
 
+	@Test
+	void bringsNoNativeCodeBesideTheJdks() {
+		assertThat(getClass().getClassLoader().getResource("META-INF/native")).isNull();
+	}
+
 	@Test
 	void whoseTableCannotBeReachedIsNotReadyRefusesAndStopsWhenAsked() throws Exception {
 		Host host = new Host(this.settings);
