--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -159,6 +159,12 @@
 	@Nested
 	class Peers {
 
+		/**
+		 * The last request failed once with the failure of the request before it: the
+		 * failed connection was forgotten only after its caller had been told. Beside 32
+		 * busy processes 40 of 400 rounds failed so, each with "cannot reach peer" though
+		 * the peer listened.
+		 */
 		@Test
 		void areReachedAgainAfterTheyWereDown() {
 			for (int round = 0; round < 50; round++) {
