--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -146,9 +146,8 @@
 
 	private void connect(HostAddress peer, CompletableFuture<PeerConnection> ready) {
 		CompletableFuture<PeerConnection> attempt = new CompletableFuture<>();
-		// Callers hear of a failure only once the failed connection is forgotten: one
-		// that
-		// asks again at once gets a new try instead of the same failure.
+		// Callers hear of a failure only once the failed connection is forgotten, so that
+		// one that asks again at once gets a new try.
 		attempt.whenComplete((connection, failure) -> {
 			if (failure != null) {
 				this.connections.remove(peer, ready);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -248,8 +248,7 @@
 		return read(this.partitions.get(0), "", new PartitionRows(new ArrayList<>(), Long.MAX_VALUE))
 			.thenApply((latest) -> {
 				List<TableRow> newer = latest.rows().stream().filter((row) -> row.version() > known).toList();
-				// Without a change the feed is asked from where it stood, for a dropped
-				// row.
+				// Without a change the feed is asked next, which tells of a dropped row.
 				return new TableChanges(newer, newer.isEmpty() ? known : latest.version(), false, false);
 			});
 	}
