Let two runs of the host's test listen beside each other

They used the same ten ports of the machine, so that one of two builds at the same time failed to listen. The ports depend on the process now.

--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
@@ -15,10 +15,20 @@
 
 	private static final int FIRST_PORT = 17_640;
 
-	private final HostSettings settings = HostSettings.rehearsal(FIRST_PORT);
+	private static final int PORTS = 10;
+
+	private static final int PLACES = 200;
+
+	private final HostSettings settings = HostSettings.rehearsal(firstPort());
 
 	private final HttpClient client = HttpClient.newHttpClient();
 
+	// Another run of this test beside this one listens elsewhere.
+	private static int firstPort() {
+		long place = ProcessHandle.current().pid() % PLACES;
+		return FIRST_PORT + PORTS * (int) place;
+	}
+
 	private HttpResponse<String> get(String url) throws Exception {
 		return this.client.send(HttpRequest.newBuilder(URI.create(url)).build(), HttpResponse.BodyHandlers.ofString());
 	}
