--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
@@ -76,10 +76,10 @@
 	}
 
 	/**
-	 * Hosts told counts and states that were 15 s old and grew older all the while. The
+	 * What hosts heard by the feed grew older all the while, 15.6 s old after 35 s. The
 	 * table gives at most 500 rows an answer, and a follower paused after each answer as
-	 * if it had heard all: beside 700 new rows a second, 500 rows in 2 s. Shown by the
-	 * versions of a calm day: at the end of an answer the follower stood 250 versions
+	 * if it had heard all: an answer covered 205 versions while the table went on by 656.
+	 * Shown by the versions of a calm day: at the end of an answer the follower stood 250
 	 * behind the owner's message at 1 s, 2,647 at 20 s and 4,474 at 36 s.
 	 */
 	@Test
@@ -124,8 +124,8 @@
 
 	/**
 	 * The owner writes its row up to fifty times a second, and each host was sent every
-	 * version of it after a pause: 0.4 MB a host in each 2 s, seven tenths of all that
-	 * hosts read from the table.
+	 * version of it after a pause: 0.4 MB a host, seven tenths of the bytes of all larger
+	 * answers of the feeds.
 	 */
 	@Test
 	void ofTheLatestRowsOnlyPassesOverTheHistoryOfAPause() throws Exception {
