Keep hosts for cheap eligibility calls by the load seen

What callers saw: on large cells steps waited up to 3.5 s for an answer who may run them while hosts that could have asked had nothing to do.

Cause: CallHosts kept a third of the hosts for calls up to 40 ms and half of them from calls over 250 ms. Both bounds came from one small cell. On a cell whose cheapest call takes 49 ms nobody used the first third, and two of its three kinds shared the second half.

Change: kinds of calls are known by their configured costs. A call leaves as many hosts to kinds that cost half of it or less as square-root staffing gives for the host time these took in the last seconds, at least one and at most half, which is also what is kept before anything was observed. It takes any other idle host. Kinds that leave half of the hosts to the others go first; the rest goes in the order of the queue.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -1,26 +1,40 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import org.monsoonrelay.model.submission.EligibilityTimes;
+
 /**
  * Chooses the host that makes a call for eligibility. The service answers one call of a
- * host at a time, so that a call of 10 ms must not stand behind one of 700 ms: the first
- * third of the hosts takes short calls only, half of them nothing long. Answers the load
- * of a cell in which calls take 1.8 s of a second, 0.9 s of it long ones. Not
- * thread-safe: confined to the control thread.
+ * host at a time, so that a cheap call must not stand behind a dear one. A call leaves as
+ * many hosts to the kinds that cost half of it or less as square-root staffing gives for
+ * the host time that these took lately, and takes any other host that is idle. Answers
+ * loads in which dear calls come faster than a fixed share of the hosts can make them
+ * while the hosts kept for cheap calls are idle. Invariant: half of the hosts, rounded
+ * up, are open to every call. Not thread-safe: confined to the control thread.
  */
 final class CallHosts {
 
-	/** Calls up to this may share a host with short ones, milliseconds. */
+	/**
+	 * A call up to this may wait behind others of up to this together, milliseconds: a
+	 * peer that is asked instead is hardly sooner.
+	 */
 	static final double SHORT_MILLIS = 40;
 
-	/** Calls beyond this go to the second half of the hosts only, milliseconds. */
-	static final double LONG_MILLIS = 250;
+	/** Hosts kept beyond the mean load, in square roots of it: lets few calls wait. */
+	private static final double STAFFING_FACTOR = 2;
+
+	/** A kind of calls is cheaper than another if this many fit into its time. */
+	private static final double CHEAPER_FACTOR = 2;
+
+	/** Most hosts kept for cheaper calls, as a share of all. */
+	private static final double MOST_KEPT_SHARE = 0.5;
 
 	/**
 	 * How long a host is left out after a failed call, milliseconds; twice as long after
@@ -32,20 +46,37 @@
 
 	private static final double MICROS_PER_MILLI = 1000;
 
-	private static final double SHORT_SHARE = 1.0 / 3;
-
-	private static final double NOT_LONG_SHARE = 0.5;
-
 	// Whole microseconds: sums of fractions leave a rest that would keep a host busy for
 	// good.
 	private final Map<String, Long> outstandingMicros = new HashMap<>();
 
+	// The dearest kind of call that a host makes now.
+	private final Map<String, EligibilityTimes> making = new HashMap<>();
+
 	private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
 
 	private final Map<String, Integer> failures = new HashMap<>();
 
+	private final CallLoad load;
+
 	private List<String> hosts = List.of();
 
+	/**
+	 * Begin without hosts.
+	 * @param nowNanos the current time
+	 */
+	CallHosts(long nowNanos) {
+		this.load = new CallLoad(nowNanos);
+	}
+
+	/**
+	 * Note that calls of a kind may come, for which hosts are kept.
+	 * @param kind what they cost
+	 */
+	void expect(EligibilityTimes kind) {
+		this.load.expect(kind);
+	}
+
 	/**
 	 * Name the hosts that can make calls.
 	 * @param available the hosts, those for short calls first
@@ -53,6 +84,7 @@
 	void update(List<String> available) {
 		this.hosts = List.copyOf(available);
 		this.outstandingMicros.keySet().retainAll(this.hosts);
+		this.making.keySet().retainAll(this.hosts);
 	}
 
 	/**
@@ -65,12 +97,14 @@
 	}
 
 	/**
-	 * Choose a host for a call now.
+	 * Choose a host for a call now. Dear calls take hosts from the end of the list, so
+	 * that the first ones, which are nearest, serve cheap ones.
+	 * @param kind its kind
 	 * @param costMillis how long the service takes
 	 * @param nowNanos the current time
 	 * @return the host, empty if the call had better wait
 	 */
-	Optional<String> choose(double costMillis, long nowNanos) {
+	Optional<String> choose(EligibilityTimes kind, double costMillis, long nowNanos) {
 		List<String> usable = new ArrayList<>();
 		for (String host : this.hosts) {
 			if (nowNanos - this.avoidedUntilNanos.getOrDefault(host, nowNanos) >= 0) {
@@ -78,22 +112,52 @@
 			}
 		}
 		if (usable.isEmpty()) {
-			usable = this.hosts;
+			usable = new ArrayList<>(this.hosts);
 		}
-		for (int i = 0; i < usable.size(); i++) {
-			String host = usable.get(i);
-			if (takes(i, usable.size(), costMillis) && hasTime(host, costMillis)) {
-				return Optional.of(host);
+		boolean isCheapest = this.load.kinds().stream().noneMatch((other) -> isCheaper(other, kind));
+		if (!isCheapest) {
+			if (usable.size() - kept(kind, usable.size(), nowNanos) <= takenFromCheaper(kind, usable)) {
+				return Optional.empty();
 			}
+			Collections.reverse(usable);
 		}
-		return Optional.empty();
+		return usable.stream().filter((host) -> hasTime(host, costMillis)).findFirst();
 	}
 
-	private static boolean takes(int position, int count, double costMillis) {
-		if (costMillis <= SHORT_MILLIS || position == count - 1) {
-			return true;
+	/**
+	 * Where a kind of calls stands among those that wait: kinds that leave half of the
+	 * hosts to the others come first, the cheapest before the rest, as they hardly take
+	 * from the others.
+	 * @param kind the kind
+	 * @param nowNanos the current time
+	 * @return the place, 0 first, the same for all kinds whose calls come in the order of
+	 * the queue
+	 */
+	int precedence(EligibilityTimes kind, long nowNanos) {
+		double share = this.load.of((other) -> !isCheaper(kind, other), nowNanos);
+		if (staffing(share) > MOST_KEPT_SHARE * this.hosts.size()) {
+			return Integer.MAX_VALUE;
 		}
-		return position >= count * ((costMillis > LONG_MILLIS) ? NOT_LONG_SHARE : SHORT_SHARE);
+		return (int) this.load.kinds().stream().filter((other) -> isCheaper(other, kind)).count();
+	}
+
+	private int kept(EligibilityTimes kind, int count, long nowNanos) {
+		int most = (int) (MOST_KEPT_SHARE * count);
+		double least = Math.max(1, this.load.uncertainty(nowNanos) * most);
+		double wanted = staffing(this.load.of((other) -> isCheaper(other, kind), nowNanos));
+		return (int) Math.min(most, Math.ceil(Math.max(least, wanted)));
+	}
+
+	private static double staffing(double load) {
+		return load + STAFFING_FACTOR * Math.sqrt(load);
+	}
+
+	private long takenFromCheaper(EligibilityTimes kind, List<String> usable) {
+		return usable.stream().map(this.making::get).filter((made) -> made != null && !isCheaper(made, kind)).count();
+	}
+
+	private static boolean isCheaper(EligibilityTimes kind, EligibilityTimes than) {
+		return CHEAPER_FACTOR * kind.costMillis(1) <= than.costMillis(1);
 	}
 
 	private boolean hasTime(String host, double costMillis) {
@@ -105,12 +169,17 @@
 		return Math.round(millis * MICROS_PER_MILLI);
 	}
 
-	void begun(String host, double costMillis) {
+	void begun(String host, EligibilityTimes kind, double costMillis, long nowNanos) {
+		this.load.note(kind, costMillis, nowNanos);
 		this.outstandingMicros.merge(host, micros(costMillis), Long::sum);
+		this.making.merge(host, kind, (former, next) -> isCheaper(former, next) ? next : former);
 	}
 
 	void ended(String host, double costMillis) {
 		this.outstandingMicros.computeIfPresent(host, (name, waiting) -> Math.max(0, waiting - micros(costMillis)));
+		if (outstanding(host) <= 0) {
+			this.making.remove(host);
+		}
 	}
 
 	void succeeded(String host) {
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallLoad.java
@@ -0,0 +1,95 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import org.monsoonrelay.model.submission.EligibilityTimes;
+
+/**
+ * The host time that calls for eligibility of each kind took lately, as an exponentially
+ * weighted mean. Invariant: the loads are those at the time of the last call noted. Not
+ * thread-safe: confined to the control thread.
+ */
+final class CallLoad {
+
+	/** Time constant of the mean, milliseconds; a few of the dearest calls. */
+	private static final double WINDOW_MILLIS = 2000;
+
+	private final Map<EligibilityTimes, Double> hosts = new HashMap<>();
+
+	private final long begunNanos;
+
+	private long notedNanos;
+
+	/**
+	 * Begin to observe.
+	 * @param nowNanos the current time
+	 */
+	CallLoad(long nowNanos) {
+		this.begunNanos = nowNanos;
+		this.notedNanos = nowNanos;
+	}
+
+	/**
+	 * Note that calls of a kind may come.
+	 * @param kind what they cost
+	 */
+	void expect(EligibilityTimes kind) {
+		this.hosts.putIfAbsent(kind, 0.0);
+	}
+
+	/**
+	 * Note a call.
+	 * @param kind its kind
+	 * @param costMillis how long it takes a host
+	 * @param nowNanos the current time
+	 */
+	void note(EligibilityTimes kind, double costMillis, long nowNanos) {
+		double left = remaining(this.notedNanos, nowNanos);
+		this.hosts.replaceAll((other, load) -> load * left);
+		this.hosts.merge(kind, costMillis / WINDOW_MILLIS, Double::sum);
+		this.notedNanos = nowNanos;
+	}
+
+	/**
+	 * Kinds of calls that may come.
+	 * @return the kinds
+	 */
+	Set<EligibilityTimes> kinds() {
+		return this.hosts.keySet();
+	}
+
+	/**
+	 * How many hosts calls kept busy on the mean.
+	 * @param kinds tells the kinds to count
+	 * @param nowNanos the current time
+	 * @return the mean number of hosts, in erlangs
+	 */
+	double of(Predicate<EligibilityTimes> kinds, long nowNanos) {
+		double sum = 0;
+		for (Map.Entry<EligibilityTimes, Double> load : this.hosts.entrySet()) {
+			if (kinds.test(load.getKey())) {
+				sum += load.getValue();
+			}
+		}
+		return sum * remaining(this.notedNanos, nowNanos);
+	}
+
+	/**
+	 * How little is known yet.
+	 * @param nowNanos the current time
+	 * @return 1 at the beginning, falling to 0
+	 */
+	double uncertainty(long nowNanos) {
+		return remaining(this.begunNanos, nowNanos);
+	}
+
+	private static double remaining(long sinceNanos, long nowNanos) {
+		return Math.exp(-(double) TimeUnit.NANOSECONDS.toMicros(nowNanos - sinceNanos)
+				/ TimeUnit.MILLISECONDS.toMicros((long) WINDOW_MILLIS));
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -51,7 +53,7 @@
 
 	private final Consumer<StepKey> answered;
 
-	private final CallHosts hosts = new CallHosts();
+	private final CallHosts hosts;
 
 	private final Map<StepKey, StepEligibility> entries = new HashMap<>();
 
@@ -66,6 +68,7 @@
 		this.clock = clock;
 		this.log = log;
 		this.answered = answered;
+		this.hosts = new CallHosts(clock.nanos());
 	}
 
 	/**
@@ -91,6 +94,7 @@
 	void ask(StepKey step, EligibilityTimes times, Supplier<QuestionDraft> draft, int rank) {
 		StepEligibility known = this.entries.computeIfAbsent(step, (key) -> new StepEligibility(this.clock.nanos()));
 		known.rank(rank);
+		this.hosts.expect(times);
 		if (known.mayAsk(this.clock.nanos())) {
 			Wish first = this.waiting.get(step);
 			this.waiting.put(step,
@@ -116,26 +120,37 @@
 	}
 
 	/**
-	 * Send the questions for which a host has time: short ones first, which hardly take
-	 * from the others, and long ones in the order of the queue. In the order of their
-	 * costs the dearest kind was never asked about while others waited: long-running
-	 * tasks stood still for 27 s behind a loss of power (read off the lines of a played
-	 * day).
+	 * Send the questions for which a host has time: kinds first that hardly take from the
+	 * others, then in the order of the queue. In the order of their costs alone the
+	 * dearest kind would never be asked about while others wait.
 	 */
 	void dispatch() {
 		if (this.waiting.isEmpty()) {
 			return;
 		}
+		long now = this.clock.nanos();
+		Map<EligibilityTimes, Integer> precedence = new HashMap<>();
+		this.waiting.values()
+			.forEach((wish) -> precedence.computeIfAbsent(wish.times(), (kind) -> this.hosts.precedence(kind, now)));
 		List<Wish> wishes = new ArrayList<>(this.waiting.values());
-		wishes.sort(Comparator.comparing((Wish wish) -> wish.costMillis() > CallHosts.LONG_MILLIS)
+		wishes.sort(Comparator.comparing((Wish wish) -> precedence.get(wish.times()))
 			.thenComparingInt((wish) -> rank(wish.step()))
 			.thenComparingDouble(Wish::costMillis));
-		long now = this.clock.nanos();
+		Set<EligibilityTimes> without = new HashSet<>();
 		for (Wish wish : wishes) {
-			// Whom to name is worked out for those alone that can be sent.
-			if (this.hosts.choose(wish.costMillis(), now).isPresent()) {
+			// Whom to name is worked out for those alone that can be sent. A host that
+			// has
+			// no time for one question has none for the next of its kind.
+			boolean mayWait = wish.costMillis() <= CallHosts.SHORT_MILLIS;
+			if (!mayWait && without.contains(wish.times())) {
+				continue;
+			}
+			if (this.hosts.choose(wish.times(), wish.costMillis(), now).isPresent()) {
 				dispatch(wish, now);
 			}
+			else {
+				without.add(wish.times());
+			}
 		}
 	}
 
@@ -149,7 +164,7 @@
 		List<String> named = draft.workers().stream().limit(WorkersToAsk.MOST).toList();
 		int firstAsked = (int) named.stream().filter((worker) -> !known.wasAsked(worker)).count();
 		Question question = new Question(wish.step(), wish.times(), named, firstAsked, wish.sinceNanos());
-		Optional<String> host = this.hosts.choose(question.costMillis(), now);
+		Optional<String> host = this.hosts.choose(question.times(), question.costMillis(), now);
 		if (host.isEmpty()) {
 			// It waits as one of its true cost from now on.
 			this.waiting.put(wish.step(),
@@ -170,7 +185,7 @@
 		long sentNanos = this.clock.nanos();
 		int rank = rank(question.step());
 		this.sent++;
-		this.hosts.begun(host, question.costMillis());
+		this.hosts.begun(host, question.times(), question.costMillis(), sentNanos);
 		Duration timeout = Duration.ofMillis((long) (TIMEOUT_FACTOR * this.hosts.outstanding(host) + TIMEOUT_MILLIS));
 		this.source.ask(host, question.step(), question.workers(), timeout)
 			.whenComplete(OnThread.of(this.control, (tickets, failure) -> {
