Ask about further workers for steps that can wait only in pools with room

What callers saw: on large busy cells most calls for eligibility named workers that nobody had asked about, and wide jobs fell behind.

Cause: a step whose known workers are full asks about others that have room now, 40 a call. In a pool of 260 workers some always have, and the room is mostly gone when the answer comes, so that it asks again.

Change: in a pool that is used by more than 0.6 a step with two seconds to spare waits for the workers that it knows, if these are large enough for it. Gangs and long-running steps ask as before, as does every step in a pool with room, where it would stand still beside free workers.

WorkersToAskTests.areNoOthersForAStepThatCanWait... fails before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -39,6 +39,12 @@
 	 */
 	private static final long SEARCH_ALL_MILLIS = 200;
 
+	/**
+	 * Share of the pool in use beyond which a step with time to spare waits for room on
+	 * the workers known as allowed instead of asking about others.
+	 */
+	private static final double BUSY_SHARE = 0.6;
+
 	/**
 	 * How long chosen room is kept beyond the expected time of an answer, milliseconds.
 	 */
@@ -70,6 +76,8 @@
 
 	private boolean accounted;
 
+	private boolean busy;
+
 	TaskPlacer(JobRegistry jobs, WorkerPool pool, RunController runs, EligibilityTracker eligibility, OwnerTerm term,
 			PoolClock clock, PlacementRules rules) {
 		this.jobs = jobs;
@@ -106,6 +114,7 @@
 		long nowMillis = this.clock.millis();
 		this.runs.doubtSilent();
 		this.jobs.updateSteps(nowMillis);
+		this.busy = this.pool.usedShare(this.clock.nanos()) > BUSY_SHARE;
 		List<WaitingStep> steps = new ArrayList<>();
 		Map<WaitingStep, StepTurn> waiting = new HashMap<>();
 		for (ActiveStep step : this.jobs.openSteps()) {
@@ -219,7 +228,13 @@
 		List<PoolWorker> unasked = possible(turn).stream()
 			.filter((worker) -> !turn.eligibility().wasAsked(worker.id()))
 			.toList();
-		return WorkersToAsk.others(turn, known(turn), unasked);
+		return WorkersToAsk.others(turn, known(turn), unasked, canWait(turn));
+	}
+
+	private boolean canWait(StepTurn turn) {
+		StepSpec spec = turn.step().spec();
+		boolean hasTime = turn.step().view().latestStartMillis() - this.clock.millis() > this.spareMillis;
+		return hasTime && !spec.gang() && !spec.longRunning() && this.busy;
 	}
 
 	// The same step in the turn in which its question goes out.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -197,6 +197,23 @@
 		return this.workers.values();
 	}
 
+	/**
+	 * How much of the workers that take tasks is in use.
+	 * @param nowNanos the current time
+	 * @return share of their processors that runs hold, 1 if there are no such workers
+	 */
+	double usedShare(long nowNanos) {
+		long capacity = 0;
+		long used = 0;
+		for (PoolWorker worker : this.workers.values()) {
+			if (worker.isOpen(nowNanos)) {
+				capacity += worker.info().capacity().processors();
+				used += worker.committed().processors();
+			}
+		}
+		return (capacity > 0) ? (double) used / capacity : 1;
+	}
+
 	/**
 	 * What an owner's row says of the workers. Immutable.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
@@ -105,18 +105,22 @@
 	 * Choose workers that nobody has asked about: if those known as allowed are too few,
 	 * or if others have room for the tasks that wait. A step asks so while none of those
 	 * known as allowed has room; without it, it would wait for them beside workers that
-	 * have nothing to do.
+	 * have nothing to do. A step that can wait does so for those known as allowed: room
+	 * found elsewhere is mostly gone when the answer comes, and the next question seeks
+	 * it again.
 	 * @param turn the step
 	 * @param known the workers known as allowed
 	 * @param unasked the workers that nobody has asked about
+	 * @param canWait whether the step can wait a little and still be in time
 	 * @return the chosen ones, none if there is nothing to ask
 	 */
-	static List<PoolWorker> others(StepTurn turn, Collection<PoolWorker> known, List<PoolWorker> unasked) {
+	static List<PoolWorker> others(StepTurn turn, Collection<PoolWorker> known, List<PoolWorker> unasked,
+			boolean canWait) {
 		int wanted = turn.step().spec().gang() ? turn.tasks().size() : 1;
 		int size = capacity(turn, known);
 		boolean isShort = size < ENOUGH_PLACES_PER_TASK * turn.step().spec().count();
 		int free = free(turn, unasked);
-		boolean isRoomElsewhere = free > 0 && free(turn, known) + LIKELY_SHARE * free >= wanted;
+		boolean isRoomElsewhere = !canWait && free > 0 && free(turn, known) + LIKELY_SHARE * free >= wanted;
 		if (!isShort && !isRoomElsewhere) {
 			return List.of();
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkersToAskTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkersToAskTests.java
@@ -34,6 +34,15 @@
 			.toList();
 	}
 
+	private static List<PoolWorker> openWorkers(int count) {
+		List<PoolWorker> workers = workers(count);
+		workers.forEach((worker) -> {
+			worker.markReached();
+			worker.markNamed();
+		});
+		return workers;
+	}
+
 	private static void fill(PoolWorker worker) {
 		for (int i = 0; i < 4; i++) {
 			worker.add(Run.ordered(new TaskKey("other", 0, 0, i), 1, worker.id(), SIZE, 0));
@@ -54,6 +63,26 @@
 			.isSubsetOf(pool.subList(150, 200));
 	}
 
+	@Test
+	void areOthersIfTheseHaveRoomAndThoseKnownHaveNone() {
+		List<PoolWorker> pool = openWorkers(200);
+		pool.subList(0, 40).forEach(WorkersToAskTests::fill);
+		assertThat(WorkersToAsk.others(turn("a", 4), pool.subList(0, 40), pool.subList(40, 200), false)).isNotEmpty();
+	}
+
+	@Test
+	void areNoOthersForAStepThatCanWaitForThoseKnown() {
+		List<PoolWorker> pool = openWorkers(200);
+		pool.subList(0, 40).forEach(WorkersToAskTests::fill);
+		assertThat(WorkersToAsk.others(turn("a", 4), pool.subList(0, 40), pool.subList(40, 200), true)).isEmpty();
+	}
+
+	@Test
+	void areOthersForAStepThatCanWaitIfThoseKnownAreTooFew() {
+		List<PoolWorker> pool = openWorkers(200);
+		assertThat(WorkersToAsk.others(turn("a", 4), pool.subList(0, 2), pool.subList(2, 200), true)).isNotEmpty();
+	}
+
 	@Test
 	void areMoreForAWiderStep() {
 		assertThat(WorkersToAsk.choose(turn("a", 60), workers(200))).hasSize(60);
