Share the lines of a period among events, outcomes first

What operators saw: an owner of 260 workers left out lines in every period (LinesLeftOut, 3 to 100 each), among them ends of jobs, and did not say of which event.

Cause: each event had 30 lines in a tenth of a second, 300 a second, while such an owner places 430 tasks a second, and placed steps come in bursts. Lines that other events did not use were lost.

Change: 150 lines a period. Each event still has 30 whatever the others do; what is left goes to lines that tell the outcome of a job or a request, then to the rest. LinesLeftOut says how many by event.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionWriter.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionWriter.java
@@ -5,15 +5,17 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -25,28 +27,25 @@
 /**
  * Writes decisions as JSON lines. Never blocks who decides: lines wait in a bounded
  * buffer that one thread empties ten times a second. What does not fit, and what exceeds
- * the limit of its kind, is left out and counted in a line of its own. Thread-safe.
+ * the {@link LineBudget}, is left out and counted by event in a line of its own.
+ * Thread-safe.
  */
 public final class DecisionWriter implements DecisionLog, AutoCloseable {
 
 	/** Lines that may wait; at 1,000 lines a second two seconds of a stalled reader. */
 	private static final int BUFFERED_LINES = 2000;
 
-	/** Lines of one kind in a period; 300 a second, twice what a heavy day writes. */
-	private static final int LINES_PER_KIND = 30;
-
 	private static final long PERIOD_MILLIS = 100;
 
 	/**
 	 * Bytes that are written at once, whole lines; a pipe takes so much without dividing
-	 * it. Of blocks of 20 KB readers kept the first 8 KB: half of the lines of an owner
-	 * of 245 workers were missing.
+	 * it, and a reader that keeps only the first part of a block loses nothing.
 	 */
 	private static final int BLOCK_BYTES = 4096;
 
 	private final BlockingQueue<Stamped> buffer = new ArrayBlockingQueue<>(BUFFERED_LINES);
 
-	private final AtomicLong leftOut = new AtomicLong();
+	private final Map<String, Long> leftOut = new ConcurrentHashMap<>();
 
 	private final ObjectMapper mapper = new ObjectMapper().disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
 
@@ -80,10 +79,14 @@
 	@Override
 	public void write(Decision decision) {
 		if (!this.buffer.offer(new Stamped(this.wallMillis.getAsLong(), decision))) {
-			this.leftOut.incrementAndGet();
+			leaveOut(decision);
 		}
 	}
 
+	private void leaveOut(Decision decision) {
+		this.leftOut.merge(LineBudget.event(decision), 1L, Long::sum);
+	}
+
 	/**
 	 * Write what waits.
 	 */
@@ -94,28 +97,47 @@
 			return;
 		}
 		List<byte[]> encoded = new ArrayList<>();
-		Map<String, Integer> written = new HashMap<>();
-		for (Stamped line : lines) {
-			String event = line.decision().getClass().getSimpleName();
-			if (written.merge(event, 1, Integer::sum) > LINES_PER_KIND) {
-				this.leftOut.incrementAndGet();
+		BitSet chosen = LineBudget.choose(lines.stream().map(Stamped::decision).toList());
+		for (int i = 0; i < lines.size(); i++) {
+			Stamped line = lines.get(i);
+			if (!chosen.get(i)) {
+				leaveOut(line.decision());
 				continue;
 			}
-			ObjectNode node = this.mapper.createObjectNode().put("at", line.atMillis()).put("event", event);
+			ObjectNode node = this.mapper.createObjectNode()
+				.put("at", line.atMillis())
+				.put("event", LineBudget.event(line.decision()));
 			node.setAll((ObjectNode) this.mapper.valueToTree(line.decision()));
-			encoded.add((node + "\n").getBytes(StandardCharsets.UTF_8));
-		}
-		long missing = this.leftOut.getAndSet(0);
-		if (missing > 0) {
-			encoded.add(("{\"event\":\"LinesLeftOut\",\"count\":" + missing + "}\n").getBytes(StandardCharsets.UTF_8));
+			encoded.add(bytes(node));
 		}
+		missing().ifPresent((node) -> encoded.add(bytes(node)));
 		try {
 			write(encoded);
 		}
 		catch (IOException ex) {
 			// Nobody reads; the lines count as left out.
-			this.leftOut.addAndGet(lines.size());
+			lines.forEach((line) -> leaveOut(line.decision()));
+		}
+	}
+
+	private Optional<ObjectNode> missing() {
+		ObjectNode byEvent = this.mapper.createObjectNode();
+		long count = 0;
+		for (String event : new TreeSet<>(this.leftOut.keySet())) {
+			long missing = this.leftOut.remove(event);
+			byEvent.put(event, missing);
+			count += missing;
+		}
+		if (count == 0) {
+			return Optional.empty();
 		}
+		ObjectNode node = this.mapper.createObjectNode().put("event", "LinesLeftOut").put("count", count);
+		node.set("byEvent", byEvent);
+		return Optional.of(node);
+	}
+
+	private static byte[] bytes(ObjectNode line) {
+		return (line + "\n").getBytes(StandardCharsets.UTF_8);
 	}
 
 	private void write(List<byte[]> encoded) throws IOException {
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
@@ -32,14 +32,51 @@
 
 	@Test
 	void aFloodOfOneKindIsCutAndCountedAndOthersAreKept() {
-		for (int i = 0; i < 100; i++) {
-			this.writer.write(new Decision.CancellationAnswered("a", "ACCEPTED", i));
+		for (int i = 0; i < 1000; i++) {
+			this.writer.write(new Decision.WriteRelayed("a", "h", "ACCEPTED", i));
 		}
 		this.writer.write(new Decision.RequestRefused("b", "no such queue", 1));
 		this.writer.flush();
-		assertThat(lines()).hasSize(32);
-		assertThat(lines().get(30)).contains("RequestRefused");
-		assertThat(lines().get(31)).isEqualTo("{\"event\":\"LinesLeftOut\",\"count\":70}");
+		assertThat(lines()).hasSize(151);
+		assertThat(lines().get(149)).contains("RequestRefused");
+		assertThat(lines().get(150))
+			.isEqualTo("{\"event\":\"LinesLeftOut\",\"count\":851,\"byEvent\":{\"WriteRelayed\":851}}");
+	}
+
+	@Test
+	void linesThatTellAnOutcomeAreKeptBeforeOthersThatFlood() {
+		for (int i = 0; i < 100; i++) {
+			this.writer.write(new Decision.WriteRelayed("a", "h", "ACCEPTED", i));
+		}
+		for (int i = 0; i < 100; i++) {
+			this.writer.write(new Decision.RequestRefused("b", "no such queue", i));
+		}
+		this.writer.flush();
+		assertThat(lines()).filteredOn((line) -> line.contains("\"event\":\"RequestRefused\"")).hasSize(100);
+		assertThat(lines()).filteredOn((line) -> line.contains("\"event\":\"WriteRelayed\"")).hasSize(50);
+	}
+
+	@Test
+	void eachKindHasAShareHoweverManyOutcomesThereAre() {
+		for (int i = 0; i < 1000; i++) {
+			this.writer.write(new Decision.RequestRefused("b", "no such queue", i));
+		}
+		for (int i = 0; i < 100; i++) {
+			this.writer.write(new Decision.WriteRelayed("a", "h", "ACCEPTED", i));
+		}
+		this.writer.flush();
+		assertThat(lines()).filteredOn((line) -> line.contains("\"event\":\"WriteRelayed\"")).hasSize(30);
+	}
+
+	@Test
+	void whatWasLeftOutIsCountedOnce() {
+		for (int i = 0; i < 200; i++) {
+			this.writer.write(new Decision.RequestRefused("b", "r", i));
+		}
+		this.writer.flush();
+		this.writer.write(new Decision.RequestRefused("b", "r", 200));
+		this.writer.flush();
+		assertThat(lines()).filteredOn((line) -> line.contains("LinesLeftOut")).hasSize(1);
 	}
 
 	@Test
@@ -48,7 +85,8 @@
 			this.writer.write(new Decision.RequestRefused("b", "r", i));
 		}
 		this.writer.flush();
-		assertThat(lines().get(lines().size() - 1)).isEqualTo("{\"event\":\"LinesLeftOut\",\"count\":4970}");
+		assertThat(lines().get(lines().size() - 1))
+			.isEqualTo("{\"event\":\"LinesLeftOut\",\"count\":4850,\"byEvent\":{\"RequestRefused\":4850}}");
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/Decision.java
@@ -6,6 +6,15 @@
  */
 public sealed interface Decision {
 
+	/**
+	 * Whether this tells what became of a job or a request in the end, which no other
+	 * line does.
+	 * @return {@code true} if it has to be kept before others
+	 */
+	default boolean concludes() {
+		return false;
+	}
+
 	/**
 	 * A process has begun to serve.
 	 *
@@ -128,6 +137,11 @@
 	record SubmissionAnswered(String job, String queue, String outcome, long tookMillis,
 			long configurationVersion) implements Decision {
 
+		@Override
+		public boolean concludes() {
+			return true;
+		}
+
 	}
 
 	/**
@@ -139,6 +153,11 @@
 	 */
 	record RequestRefused(String request, String reason, long configurationVersion) implements Decision {
 
+		@Override
+		public boolean concludes() {
+			return true;
+		}
+
 	}
 
 	/**
@@ -150,6 +169,11 @@
 	 */
 	record CancellationAnswered(String job, String outcome, long tookMillis) implements Decision {
 
+		@Override
+		public boolean concludes() {
+			return true;
+		}
+
 	}
 
 	/**
@@ -174,6 +198,11 @@
 	 */
 	record JobEnded(String job, String state, long ageMillis, long lateMillis) implements Decision {
 
+		@Override
+		public boolean concludes() {
+			return true;
+		}
+
 	}
 
 	/**
