--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -33,8 +33,8 @@
 
 	/**
 	 * Connections that may be idle, as a multiple of the exchanges at once. Bounds the
-	 * descriptors of an owner, which starts several tasks on a worker at once: without a
-	 * bound it had 1,980 open on a calm day with 245 workers, of 4,200.
+	 * descriptors of an owner, which starts several tasks at once on each of hundreds of
+	 * workers.
 	 */
 	private static final int IDLE_FACTOR = 2;
 
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/JsonLinesConfigurator.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/JsonLinesConfigurator.java
@@ -16,8 +16,8 @@
 /**
  * Configures logging in code: JSON lines on standard error, bounded by the
  * {@link FloodFilter}. A file named by {@code logback.configurationFile} goes before it.
- * A program that reads an XML file for this starts 45 ms later (of 480 ms, time of the
- * class loads of one start). Confined to the thread that first logs.
+ * Reading an XML file for this would add a tenth to a start. Confined to the thread that
+ * first logs.
  */
 @ConfiguratorRank(ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
 public final class JsonLinesConfigurator extends ContextAwareBase implements Configurator {
--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -30,9 +30,8 @@
 
 /**
  * The process of a host: a gateway and a scheduler that share the connections, the log
- * and the virtual machine. Two processes took 1.6 s more from a loss of power to the next
- * owner on 0.75 of a core (2.7 s in a start of seven hosts, 1.1 s since in one of six,
- * read off their lines). Composition only. Thread-safe.
+ * and the virtual machine: a second process on a part of a core would delay the next
+ * owner after a loss of power. Composition only. Thread-safe.
  */
 final class Host implements HostProcess {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Surroundings.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Surroundings.java
@@ -19,10 +19,7 @@
  */
 final class Surroundings {
 
-	/**
-	 * Lines that are kept, the oldest give way. A played day of 245 workers with outages
-	 * wrote fewer than 1,500 of them.
-	 */
+	/** Lines that are kept, the oldest give way. */
 	private static final int MOST_KEPT = 20_000;
 
 	private static final List<String> MARKS = List.of("\"Ownership", "\"Worker", "\"Dependency", "\"ProcessStarted\"");
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/GangSparingBestFit.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/GangSparingBestFit.java
@@ -9,8 +9,7 @@
 /**
  * Best fit that first spares the workers which waiting gangs may use: of workers wanted
  * by equally few gangs the fullest one that still has room. Keeps room for gangs
- * together; on a queueing model of the load as played (33 workers, 8 seeds) worth earned
- * rose from 0.91 of what was owed with plain best fit to 0.94. A worker on which the task
+ * together, which answers loads near the capacity of the pool. A worker on which the task
  * failed last comes last, data nearby comes first. Stateless.
  */
 final class GangSparingBestFit implements WorkerChoice {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/LeastSlackOrder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/LeastSlackOrder.java
@@ -8,8 +8,7 @@
  * has to start soonest before the others; steps that are late follow, those that are
  * hopelessly late last. Answers loads that fill the pool, where serving late work first
  * would make all work late, and where long-running tasks would never be restarted if
- * their age made them late: some waited 27 s behind a loss of power (read off the lines
- * of a played day). Stateless.
+ * their age made them late. Stateless.
  */
 final class LeastSlackOrder implements QueueOrder {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -45,8 +45,8 @@
 
 	/**
 	 * How long an owner whose heartbeats were heard may be silent while its row stands
-	 * still, milliseconds: five heartbeats. A right guess gains 1.6 s against the lapse
-	 * (worked out), a wrong one costs a hand-over.
+	 * still, milliseconds: five heartbeats. A right guess comes before the lapse, a wrong
+	 * one costs a hand-over.
 	 */
 	private static final long SILENCE_MILLIS = 550;
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyChoice.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyChoice.java
@@ -9,8 +9,8 @@
 
 /**
  * Chooses the hosts that stand ready to own the pool and therefore follow all jobs, and
- * their order. One that does so reads every job and all progress: with 38 hosts these
- * reads were most of what the table sent. Stateless.
+ * their order. One that does so reads every job and all progress, which adds up over tens
+ * of hosts. Stateless.
  */
 public final class StandbyChoice {
 
@@ -24,9 +24,8 @@
 	/**
 	 * With so many large hosts ready, small ones do not stand ready: one more than the
 	 * failure domain or the host that may be lost beside the owner. What a small host has
-	 * to read to follow the jobs of 245 workers fills its link: the five that did so
-	 * answered submissions after 135 to 221 ms at the median instead of 16, and did not
-	 * reach the table for up to 15 s (lines of a calm day).
+	 * to read to follow the jobs of hundreds of workers fills its link, and callers'
+	 * submissions wait behind it.
 	 */
 	static final int ENOUGH_LARGE = 3;
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -33,9 +33,8 @@
 	/**
 	 * How long a step that found no room is offered only workers that changed since,
 	 * milliseconds. Bounds what a change costs that no worker shows, as the end of a
-	 * pause of starts there. Of a load played for 8 s on 245 workers placing took 26 of
-	 * 31 s of processor time while each turn searched all workers for all steps, 3 of 10
-	 * s since (sampled).
+	 * pause of starts there. Searching all workers for all steps in each turn would take
+	 * most of an owner's processor time.
 	 */
 	private static final long SEARCH_ALL_MILLIS = 200;
 
@@ -314,9 +313,9 @@
 	}
 
 	// Room is kept once the question goes out, and on workers known as allowed. Kept for
-	// gangs whose questions waited, and on workers of which two thirds turned out not to
-	// be allowed, room that nobody used grew to 0.72 of a pool of 245 workers, and steps
-	// starved beside it (lines of a calm day).
+	// questions that wait, or where a gang may turn out not to be allowed, it would grow
+	// to
+	// most of a pool, and steps would starve beside it.
 	private QuestionDraft renewal(StepTurn turn, GangDemand demand, RoomForGangs kept) {
 		if (turn.tasks().isEmpty() || !turn.policy().needsEligibility()) {
 			return QuestionDraft.NONE;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TurnTimer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TurnTimer.java
@@ -18,9 +18,7 @@
 	/**
 	 * After a turn the control thread does other things for this many times as long:
 	 * placing takes a tenth of its time at most, however much waits, and heartbeats,
-	 * acceptance and renewals are not held up by a burst. On a calm day of 245 workers
-	 * the busiest second of an owner took 0.33 of a core instead of 0.46 with a factor of
-	 * 3, and wide jobs earned 0.88 instead of 0.80 of what they were owed (a day each).
+	 * acceptance and renewals are not held up by a burst.
 	 */
 	static final long PAUSE_FACTOR = 9;
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -125,8 +125,7 @@
 	 * What the owner's row has to say of the workers from its next write on. A worker
 	 * that does not answer or is leaving takes nothing until a row names it again, so
 	 * that no more than its present runs can be there. One that is gone would otherwise
-	 * hold up all jobs of the next owner for the length of a lease, which was seen to
-	 * take 9.4 s.
+	 * hold up all jobs of the next owner for the length of a lease.
 	 * @return the workers
 	 */
 	Named toName() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
@@ -44,8 +44,8 @@
 	private static final int ENOUGH_PLACES_PER_TASK = 3;
 
 	/**
-	 * Share of workers that nobody has asked about which are likely to be allowed: 0.35
-	 * to 0.7 on the loads played.
+	 * Share of workers that nobody has asked about which are likely to be allowed; more
+	 * are on most queues.
 	 */
 	private static final double LIKELY_SHARE = 1.0 / 3;
 
@@ -80,9 +80,7 @@
 	 * Choose workers for a further question about a step that is not a gang: those that
 	 * have room now, then others that are known as allowed and whose tickets have lapsed.
 	 * Room that becomes free on these is then used at once: naming only the few with room
-	 * took a question of 0.2 s for each of them, up to 27 for a step, and served less
-	 * (0.953 and 0.967 instead of 0.986 and 1.0 of what gangs beside them were owed,
-	 * played load of 245 workers, two seeds).
+	 * would take a question for each of them.
 	 * @param turn the step
 	 * @param known the workers known as allowed
 	 * @param withRoom those of them that have room now
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -20,17 +20,15 @@
  * once its row exists; it is called not accepted only if no write of its row can take
  * effect any more. Every write is conditional on the row's absence, so that repeats of a
  * write and of a submission leave one job, through whatever host. A write that the table
- * does not take from this host is tried through another one: while two of seven hosts
- * were turned away for nine seconds 33 submissions were refused instead of 160 to 193
- * (measured on one load). Thread-safe.
+ * does not take from this host is tried through another one, so that callers of a host
+ * that the table turns away are not refused. Thread-safe.
  */
 public final class SubmissionService {
 
 	/**
 	 * Failed writes in a row, with no answer of the table between, after which it counts
-	 * as down for this host. Callers' jobs do not find out whether it still is: trying
-	 * one every 250 ms on each of nine hosts left 104 callers without a certain answer in
-	 * an outage of 4.2 s (measured).
+	 * as down for this host. Callers' jobs do not find out whether it still is: each one
+	 * tried in an outage may leave a caller without a certain answer.
 	 */
 	private static final int DOWN_AFTER = 3;
 
