Show that lost answers of starts run no task twice

Now all workers lose all answers of starts, for single tasks and gangs, and the owner is killed before it knows what runs. Each task starts once.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MisbehavingWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/MisbehavingWorkersTests.java
@@ -1,6 +1,10 @@
 package org.monsoonrelay.logic.pool;
 
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -103,4 +107,52 @@
 		}
 	}
 
+	@Nested
+	class ThatLoseTheAnswersOfStarts {
+
+		private static final int TASKS = 6;
+
+		private final PoolCell cell = new PoolCell().withRunsOf(1500);
+
+		@BeforeEach
+		void addWorkers() {
+			for (int i = 0; i < 3; i++) {
+				this.cell.workers.add("w" + i, PoolCell.CAPACITY).losesStartAnswers(true);
+			}
+		}
+
+		private void ranOnce(String job) {
+			assertThat(this.cell.durableState(job)).as(job).isEqualTo(SubmissionState.COMPLETED);
+			assertThat(this.cell.workers.faults()).isEmpty();
+			for (int i = 0; i < TASKS; i++) {
+				assertThat(this.cell.workers.startsOf(new TaskKey(job, 0, 0, i))).isEqualTo(1);
+			}
+		}
+
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void runEachTaskOnce(boolean gang) {
+			this.cell.addScheduler();
+			this.cell.time.runFor(500);
+			this.cell.submit("a", PoolCell.step(TASKS, gang));
+			this.cell.time.runFor(LEASE_OVER_MILLIS);
+			ranOnce("a");
+		}
+
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void runEachTaskOnceThoughTheOwnerIsLostBeforeItKnows(boolean gang) {
+			PoolCell.Scheduler first = this.cell.addScheduler();
+			this.cell.addScheduler();
+			this.cell.time.runFor(500);
+			this.cell.submit("a", PoolCell.step(TASKS, gang));
+			this.cell.time.runFor(100);
+			assertThat(this.cell.workers.aliveCount()).isEqualTo(TASKS);
+			first.kill();
+			this.cell.time.runFor(LEASE_OVER_MILLIS + 3000);
+			ranOnce("a");
+		}
+
+	}
+
 }
