--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/LineBudget.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/LineBudget.java
@@ -18,7 +18,7 @@
 	/** Lines that an event may write in a period whatever the others do. */
 	static final int LINES_PER_EVENT = 30;
 
-	/** Lines in a period while no event needs more than its share. */
+	/** Lines in a period; more only where each event is within its own share. */
 	static final int LINES = 150;
 
 	private LineBudget() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallHosts.java
@@ -51,7 +51,7 @@
 	private final Map<String, Long> outstandingMicros = new HashMap<>();
 
 	// The dearest kind of call that a host makes now.
-	private final Map<String, EligibilityTimes> making = new HashMap<>();
+	private final Map<String, EligibilityTimes> dearest = new HashMap<>();
 
 	private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
 
@@ -84,7 +84,7 @@
 	void update(List<String> available) {
 		this.hosts = List.copyOf(available);
 		this.outstandingMicros.keySet().retainAll(this.hosts);
-		this.making.keySet().retainAll(this.hosts);
+		this.dearest.keySet().retainAll(this.hosts);
 	}
 
 	/**
@@ -134,8 +134,8 @@
 	 * the queue
 	 */
 	int precedence(EligibilityTimes kind, long nowNanos) {
-		double share = this.load.of((other) -> !isCheaper(kind, other), nowNanos);
-		if (staffing(share) > MOST_KEPT_SHARE * this.hosts.size()) {
+		double busy = this.load.of((other) -> !isCheaper(kind, other), nowNanos);
+		if (staffing(busy) > MOST_KEPT_SHARE * this.hosts.size()) {
 			return Integer.MAX_VALUE;
 		}
 		return (int) this.load.kinds().stream().filter((other) -> isCheaper(other, kind)).count();
@@ -153,7 +153,7 @@
 	}
 
 	private long takenFromCheaper(EligibilityTimes kind, List<String> usable) {
-		return usable.stream().map(this.making::get).filter((made) -> made != null && !isCheaper(made, kind)).count();
+		return usable.stream().map(this.dearest::get).filter((made) -> made != null && !isCheaper(made, kind)).count();
 	}
 
 	private static boolean isCheaper(EligibilityTimes kind, EligibilityTimes than) {
@@ -172,13 +172,13 @@
 	void begun(String host, EligibilityTimes kind, double costMillis, long nowNanos) {
 		this.load.note(kind, costMillis, nowNanos);
 		this.outstandingMicros.merge(host, micros(costMillis), Long::sum);
-		this.making.merge(host, kind, (former, next) -> isCheaper(former, next) ? next : former);
+		this.dearest.merge(host, kind, (former, next) -> isCheaper(former, next) ? next : former);
 	}
 
 	void ended(String host, double costMillis) {
 		this.outstandingMicros.computeIfPresent(host, (name, waiting) -> Math.max(0, waiting - micros(costMillis)));
 		if (outstanding(host) <= 0) {
-			this.making.remove(host);
+			this.dearest.remove(host);
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallLoad.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CallLoad.java
@@ -10,8 +10,8 @@
 
 /**
  * The host time that calls for eligibility of each kind took lately, as an exponentially
- * weighted mean. Invariant: the loads are those at the time of the last call noted. Not
- * thread-safe: confined to the control thread.
+ * weighted mean. Kinds are kept for the owner's term. Invariant: the loads are those at
+ * the time of the last call noted. Not thread-safe: confined to the control thread.
  */
 final class CallLoad {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -138,9 +138,8 @@
 			.thenComparingDouble(Wish::costMillis));
 		Set<EligibilityTimes> without = new HashSet<>();
 		for (Wish wish : wishes) {
-			// Whom to name is worked out for those alone that can be sent. A host that
-			// has
-			// no time for one question has none for the next of its kind.
+			// A kind that found no host finds none for its next question either. Whom to
+			// name is worked out for those alone that can be sent.
 			boolean mayWait = wish.costMillis() <= CallHosts.SHORT_MILLIS;
 			if (!mayWait && without.contains(wish.times())) {
 				continue;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -312,10 +312,8 @@
 				: 0;
 	}
 
-	// Room is kept once the question goes out, and on workers known as allowed. Kept for
-	// questions that wait, or where a gang may turn out not to be allowed, it would grow
-	// to
-	// most of a pool, and steps would starve beside it.
+	// Room is kept once the question goes out, and on workers known as allowed: kept for
+	// questions that wait it would grow to most of a pool, with steps starving beside.
 	private QuestionDraft renewal(StepTurn turn, GangDemand demand, RoomForGangs kept) {
 		if (turn.tasks().isEmpty() || !turn.policy().needsEligibility()) {
 			return QuestionDraft.NONE;
