Wait for the event loops of a peer network that is closed

Cause: a channel that is registered with a selector keeps its socket until the selector's next selection. close() returned when the channel was closed, and the next network has an event loop of its own, so that it could bind first. Shown without Netty: a registered channel that is closed still holds its address, and no more after selectNow.

Ruled out: another process at that address, which belongs to the test's process id.

Change: close() waits for the end of its event loops, a second at most.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/peer/PeerNetwork.java
@@ -41,6 +41,9 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
+	/** How long tasks of the event loops may hold up a close, seconds. */
+	private static final int SHUTDOWN_SECONDS = 1;
+
 	private final PeerIdentity self;
 
 	private final String secret;
@@ -49,7 +52,7 @@
 
 	private final PeerTimings timings;
 
-	private final EventLoopGroup group = new NioEventLoopGroup(NETWORK_THREADS, new DefaultThreadFactory("peer", true));
+	private final EventLoopGroup group;
 
 	private final Map<HostAddress, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
 
@@ -64,6 +67,12 @@
 	}
 
 	public PeerNetwork(PeerIdentity self, String secret, PeerHandler handler, PeerTimings timings) {
+		this(self, secret, handler, timings,
+				new NioEventLoopGroup(NETWORK_THREADS, new DefaultThreadFactory("peer", true)));
+	}
+
+	PeerNetwork(PeerIdentity self, String secret, PeerHandler handler, PeerTimings timings, EventLoopGroup group) {
+		this.group = group;
 		this.self = self;
 		this.secret = secret;
 		this.handler = handler;
@@ -230,13 +239,18 @@
 		}
 	}
 
+	/**
+	 * Close all connections and stop listening. The address can be listened at again once
+	 * this returns: a selector keeps the listening socket of a closed channel until its
+	 * next selection, so that only the end of the event loops says that it is gone.
+	 */
 	@Override
 	public void close() {
 		if (this.server != null) {
-			// The address can be listened at again once this returns.
-			this.server.close().awaitUninterruptibly();
+			this.server.close();
 		}
-		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		this.group.shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS)
+			.awaitUninterruptibly(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
 	}
 
 }
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/peer/PeerNetworkTests.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.SingleThreadEventExecutor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -24,6 +26,7 @@
 import org.monsoonrelay.model.host.HostAddress;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
 class PeerNetworkTests {
@@ -81,6 +84,57 @@
 			}
 		}
 
+		/**
+		 * A process that listened again right after a close found its address in use,
+		 * once in a run of all tests. The close returned when its channel was closed, but
+		 * the selector of the event loop keeps the socket of a closed channel, which goes
+		 * on listening, until its next selection. Here a task stands between the two.
+		 */
+		@Test
+		void areNotSaidToBeFreeBeforeTheSelectorHasLetGoOfThem() throws Exception {
+			PeerIdentity self = new PeerIdentity("self", "host", "domain-a", FreeAddress.find());
+			NioEventLoopGroup loop = new NioEventLoopGroup(1);
+			PeerNetwork network = new PeerNetwork(self, SECRET,
+					(from, message) -> CompletableFuture.completedFuture(Envelope.newBuilder()), PeerTimings.DEFAULT,
+					loop);
+			network.listen();
+			CountDownLatch isHeld = new CountDownLatch(1);
+			CountDownLatch closeIsQueued = new CountDownLatch(1);
+			CountDownLatch isClosed = new CountDownLatch(1);
+			CountDownLatch maySelect = new CountDownLatch(1);
+			loop.execute(() -> {
+				isHeld.countDown();
+				await(closeIsQueued);
+			});
+			await(isHeld);
+			CompletableFuture<Void> closing = CompletableFuture.runAsync(network::close);
+			while (((SingleThreadEventExecutor) loop.next()).pendingTasks() == 0) {
+				Thread.onSpinWait();
+			}
+			loop.execute(() -> {
+				isClosed.countDown();
+				await(maySelect);
+			});
+			closeIsQueued.countDown();
+			await(isClosed);
+			assertThatThrownBy(() -> closing.get(200, TimeUnit.MILLISECONDS)).isInstanceOf(TimeoutException.class);
+			maySelect.countDown();
+			closing.get(10, TimeUnit.SECONDS);
+			PeerNetwork next = new PeerNetwork(self, SECRET,
+					(from, message) -> CompletableFuture.completedFuture(Envelope.newBuilder()));
+			next.listen();
+			next.close();
+		}
+
+		private void await(CountDownLatch latch) {
+			try {
+				latch.await();
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+
 	}
 
 	@Nested
