--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkersToAsk.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
@@ -63,17 +64,22 @@
 			return possible;
 		}
 		ActiveStep step = turn.step();
-		List<PoolWorker> ranked = possible.stream()
-			.sorted(Comparator.comparingDouble((PoolWorker worker) -> -places(step, worker))
-				.thenComparingInt((worker) -> (step.key() + worker.id()).hashCode()))
-			.toList();
+		String key = step.key().toString();
+		List<Candidate> ranked = new ArrayList<>();
+		for (PoolWorker worker : possible) {
+			ranked.add(new Candidate(worker, places(step, worker), (key + worker.id()).hashCode()));
+		}
+		ranked.sort(Candidate.MOST_PLACES_FIRST);
+		List<PoolWorker> chosen = new ArrayList<>();
 		double wanted = PLACES_PER_TASK * step.spec().count();
-		int count = 0;
-		while (count < Math.min(MOST, ranked.size()) && (count < USUAL || wanted > 0)) {
-			wanted -= places(step, ranked.get(count));
-			count++;
+		for (Candidate candidate : ranked) {
+			if (chosen.size() >= MOST || (chosen.size() >= USUAL && wanted <= 0)) {
+				break;
+			}
+			wanted -= candidate.places();
+			chosen.add(candidate.worker());
 		}
-		return ranked.subList(0, count);
+		return chosen;
 	}
 
 	/**
@@ -162,4 +168,16 @@
 		return free + SOON_FREE_SHARE * (all - free);
 	}
 
+	/**
+	 * A worker with what its place in the order needs, worked out once: a sort compares
+	 * each worker several times.
+	 */
+	private record Candidate(PoolWorker worker, double places, int spread) {
+
+		private static final Comparator<Candidate> MOST_PLACES_FIRST = Comparator.comparingDouble(Candidate::places)
+			.reversed()
+			.thenComparingInt(Candidate::spread);
+
+	}
+
 }
