--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -115,6 +115,7 @@
 
 	@Override
 	public void rehearse() {
+		PeerRehearsal.run(this.settings, this.network);
 		this.scheduler.rehearse();
 		this.gateway.rehearse();
 	}
--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
@@ -1,13 +1,17 @@
 package org.monsoonrelay.host;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.platform.HostSettings;
 import org.monsoonrelay.platform.ReadyRoute;
+import picocli.CommandLine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -38,6 +42,23 @@
 		assertThat(getClass().getClassLoader().getResource("META-INF/native")).isNull();
 	}
 
+	@Test
+	void rehearsalBringsAJobFromItsCallerToAWorkerAndBack() {
+		PrintStream console = System.out;
+		ByteArrayOutputStream written = new ByteArrayOutputStream();
+		System.setOut(new PrintStream(written, true, StandardCharsets.UTF_8));
+		int code;
+		try {
+			code = new CommandLine(new HostMain()).execute("--rehearse", String.valueOf(firstPort()));
+		}
+		finally {
+			System.setOut(console);
+		}
+		assertThat(code).isZero();
+		assertThat(written.toString(StandardCharsets.UTF_8)).contains("\"event\":\"OwnershipTaken\"",
+				"\"event\":\"TaskPlaced\"", "\"event\":\"JobEnded\"");
+	}
+
 	@Test
 	void whoseTableCannotBeReachedIsNotReadyRefusesAndStopsWhenAsked() throws Exception {
 		Host host = new Host(this.settings);
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -31,6 +31,7 @@
 import org.monsoonrelay.logic.pool.TakeOver;
 import org.monsoonrelay.logic.pool.WorkerInfo;
 import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.platform.ConfigurationFeed;
@@ -232,8 +233,10 @@
 	 * Let a few exchanges fail, so that the classes on their way are loaded.
 	 */
 	public void rehearse() {
-		WorkerInfo nobody = new WorkerInfo("none", "none", this.settings.table(), "none", Resources.NONE, List.of(),
-				"none", false, 0);
+		List<Integer> ports = this.settings.internalPorts();
+		HostAddress unused = new HostAddress(this.settings.ip(), ports.get(ports.size() - 1));
+		WorkerInfo nobody = new WorkerInfo("none", "none", unused.toString(), "none", Resources.NONE, List.of(), "none",
+				false, 0);
 		LookOrder look = new LookOrder(0, 0, OptionalLong.empty(), Duration.ZERO);
 		for (int i = 0; i < REHEARSALS; i++) {
 			this.ports.orders().look(nobody, look).join();
