--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
 
 import org.monsoonrelay.logic.submission.QueueSummary;
@@ -267,22 +266,6 @@
 		return Optional.ofNullable(this.open.get(key));
 	}
 
-	/**
-	 * How long runs still take by their declared times; what has run for longer is taken
-	 * to end now.
-	 * @param runs the runs
-	 * @param nowNanos the current time
-	 * @return milliseconds until the last one has ended
-	 */
-	long remainingMillis(Collection<Run> runs, long nowNanos) {
-		long latest = 0;
-		for (Run run : runs) {
-			long declared = step(run.task().stepKey()).map((step) -> step.spec().estimateMillis()).orElse(0L);
-			latest = Math.max(latest, declared - TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedNanos()));
-		}
-		return latest;
-	}
-
 	Collection<ActiveStep> openSteps() {
 		return this.open.values();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -24,7 +24,7 @@
 
 	private final FailureStreak failures = new FailureStreak();
 
-	private final Map<TaskKey, Run> runs = new HashMap<>();
+	private final RunSet runs = new RunSet();
 
 	private final Map<StepKey, Hold> holds = new HashMap<>();
 
@@ -193,17 +193,17 @@
 
 	void add(Run run) {
 		release(run.task());
-		this.runs.put(run.task(), run);
+		this.runs.add(run);
 		commit(this.committed.plus(run.size()));
 	}
 
 	Optional<Run> release(TaskKey task) {
-		Run run = this.runs.remove(task);
-		if (run != null) {
+		Optional<Run> released = this.runs.remove(task);
+		released.ifPresent((run) -> {
 			commit(this.committed.minus(run.size()));
 			noteChange();
-		}
-		return Optional.ofNullable(run);
+		});
+		return released;
 	}
 
 	/**
@@ -255,11 +255,20 @@
 	}
 
 	Optional<Run> run(TaskKey task) {
-		return Optional.ofNullable(this.runs.get(task));
+		return this.runs.of(task);
 	}
 
 	Collection<Run> runs() {
-		return List.copyOf(this.runs.values());
+		return this.runs.all();
+	}
+
+	/**
+	 * How long until what runs here has ended by what is declared of it.
+	 * @param nowNanos the current time
+	 * @return milliseconds, 0 if nothing runs
+	 */
+	long emptyInMillis(long nowNanos) {
+		return this.runs.emptyInMillis(nowNanos);
 	}
 
 	int runCount() {
@@ -267,7 +276,7 @@
 	}
 
 	long countOf(StepKey step) {
-		return this.runs.keySet().stream().filter((task) -> task.stepKey().equals(step)).count();
+		return this.runs.countOf(step);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -1,5 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.concurrent.TimeUnit;
+
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -29,6 +31,8 @@
 
 	private String checkpoint = "";
 
+	private long declaredEndNanos;
+
 	private Run(TaskKey task, int attempt, String worker, Resources size, State state, long orderedNanos,
 			boolean adopted) {
 		this.task = task;
@@ -38,6 +42,7 @@
 		this.state = state;
 		this.orderedNanos = orderedNanos;
 		this.adopted = adopted;
+		this.declaredEndNanos = orderedNanos;
 	}
 
 	/**
@@ -67,6 +72,22 @@
 		return run;
 	}
 
+	/**
+	 * Note how long the run is declared to take.
+	 * @param millis milliseconds from its order on
+	 */
+	void declare(long millis) {
+		this.declaredEndNanos = this.orderedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	/**
+	 * When the run has ended by what is declared of it.
+	 * @return the time on the monotonic clock, that of its order if nothing is declared
+	 */
+	long declaredEndNanos() {
+		return this.declaredEndNanos;
+	}
+
 	/**
 	 * Note that the worker has confirmed the last order for this run.
 	 * @param nowNanos the current time
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -92,6 +92,7 @@
 		}
 		Run run = Run.adopted(seen, worker.id(), step.get().spec().committedSize(), now);
 		run.saved(seen.checkpoint());
+		run.declare(step.get().spec().estimateMillis());
 		worker.add(run);
 		if (step.get().progress().isDone(index) || step.get().hasRun(index)) {
 			this.stop.accept(run, "the task is done or runs elsewhere");
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -222,6 +222,7 @@
 		long now = this.clock.nanos();
 		TaskKey task = step.key().task(index);
 		Run run = Run.ordered(task, attempt, worker.id(), step.spec().committedSize(), now);
+		run.declare(step.spec().estimateMillis());
 		worker.add(run);
 		step.started(run);
 		this.log.write(new Decision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(), this.term.epoch(),
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
@@ -0,0 +1,81 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * The runs that may be alive on a worker. Invariant: there is one of a task at most. Not
+ * thread-safe: confined to the control thread.
+ */
+final class RunSet {
+
+	private final Map<TaskKey, Run> runs = new HashMap<>();
+
+	// Each gang that waits asks for it in each turn; it changes only with the runs.
+	private long emptyNanos;
+
+	private boolean emptyKnown;
+
+	void add(Run run) {
+		this.emptyKnown = false;
+		this.runs.put(run.task(), run);
+	}
+
+	Optional<Run> remove(TaskKey task) {
+		this.emptyKnown = false;
+		return Optional.ofNullable(this.runs.remove(task));
+	}
+
+	Optional<Run> of(TaskKey task) {
+		return Optional.ofNullable(this.runs.get(task));
+	}
+
+	List<Run> all() {
+		return List.copyOf(this.runs.values());
+	}
+
+	int size() {
+		return this.runs.size();
+	}
+
+	long countOf(StepKey step) {
+		return this.runs.keySet().stream().filter((task) -> task.stepKey().equals(step)).count();
+	}
+
+	/**
+	 * How long until all runs have ended by what is declared of them; what has run for
+	 * longer is taken to end now.
+	 * @param nowNanos the current time
+	 * @return milliseconds until the last one has ended, 0 if there is none
+	 */
+	long emptyInMillis(long nowNanos) {
+		if (this.runs.isEmpty()) {
+			return 0;
+		}
+		if (!this.emptyKnown) {
+			this.emptyNanos = lastDeclaredEndNanos();
+			this.emptyKnown = true;
+		}
+		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.emptyNanos - nowNanos));
+	}
+
+	private long lastDeclaredEndNanos() {
+		Iterator<Run> each = this.runs.values().iterator();
+		long last = each.next().declaredEndNanos();
+		while (each.hasNext()) {
+			long next = each.next().declaredEndNanos();
+			if (next - last > 0) {
+				last = next;
+			}
+		}
+		return last;
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -304,7 +304,7 @@
 	private List<PoolWorker> reserve(WaitingStep next, StepTurn turn, RoomForGangs kept) {
 		long spare = next.latestStartMillis() - this.clock.millis();
 		return (spare < 0) ? List.of() : kept.reserve(turn, known(turn), spare - questionMillis(turn),
-				(worker) -> this.jobs.remainingMillis(worker.runs(), turn.nowNanos()));
+				(worker) -> worker.emptyInMillis(turn.nowNanos()));
 	}
 
 	private static long questionMillis(StepTurn turn) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.model.capacity.Resources;
@@ -60,4 +61,22 @@
 		assertThat(this.worker.free()).isEqualTo(new Resources(200, 900, 1));
 	}
 
+	private static Run declared(int index, long orderedMillis, long millis) {
+		Run run = Run.ordered(new TaskKey("job", 0, 0, index), 1, "w", SIZE,
+				TimeUnit.MILLISECONDS.toNanos(orderedMillis));
+		run.declare(millis);
+		return run;
+	}
+
+	@Test
+	void isEmptyOnceItsLastRunHasEndedByItsDeclaredTime() {
+		assertThat(this.worker.emptyInMillis(0)).isZero();
+		this.worker.add(declared(1, 0, 300));
+		this.worker.add(declared(2, 100, 600));
+		assertThat(this.worker.emptyInMillis(TimeUnit.MILLISECONDS.toNanos(200))).isEqualTo(500);
+		this.worker.release(new TaskKey("job", 0, 0, 2));
+		assertThat(this.worker.emptyInMillis(TimeUnit.MILLISECONDS.toNanos(200))).isEqualTo(100);
+		assertThat(this.worker.emptyInMillis(TimeUnit.MILLISECONDS.toNanos(400))).isZero();
+	}
+
 }
