--- /dev/null
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakClient.java
@@ -0,0 +1,209 @@
+package org.monsoonrelay.systemtests.soak;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+/**
+ * A client that hands in one job after the other over a connection that it keeps until it
+ * breaks, and tries a job that was not accepted again elsewhere. Confined to one thread;
+ * what it learnt may be read once that has ended.
+ */
+final class SoakClient implements Runnable {
+
+	private static final int OK = 200;
+
+	private static final int REFUSED = 503;
+
+	private static final int UNKNOWN = 504;
+
+	private static final int TIMEOUT_MILLIS = 6000;
+
+	private static final int MOST_TRIES = 6;
+
+	private static final String JOB = """
+			{"steps": [{"count": 3, "cpu": 2000, "mem_mb": 500, "estimate_ms": 300},
+			 {"count": 4, "cpu": 2000, "mem_mb": 500, "estimate_ms": 300, "depends_on": [0], "gang": true}]}""";
+
+	/** Tasks of a job. */
+	static final int TASKS = 7;
+
+	private final Random random;
+
+	private final List<SoakHost> hosts;
+
+	private final Consumer<String> faults;
+
+	private final Set<String> accepted = new HashSet<>();
+
+	private final Set<String> refused = new HashSet<>();
+
+	private volatile boolean stopping;
+
+	private int host;
+
+	private Socket connection;
+
+	private InputStream answers;
+
+	SoakClient(long seed, List<SoakHost> hosts, Consumer<String> faults) {
+		this.random = new Random(seed);
+		this.hosts = hosts;
+		this.faults = faults;
+		this.host = this.random.nextInt(hosts.size());
+	}
+
+	void stop() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Jobs that were accepted.
+	 * @return their ids
+	 */
+	Set<String> accepted() {
+		return this.accepted;
+	}
+
+	/**
+	 * Jobs of which every try was refused, so that none of them may have run.
+	 * @return their ids
+	 */
+	Set<String> refused() {
+		return this.refused;
+	}
+
+	@Override
+	public void run() {
+		while (!this.stopping) {
+			handIn("%016x".formatted(this.random.nextLong()));
+			pause(this.random.nextInt(30));
+		}
+		leave();
+	}
+
+	private void handIn(String job) {
+		boolean isSurelyRefused = true;
+		for (int i = 0; i < MOST_TRIES; i++) {
+			int code = ask("POST", job, JOB).code();
+			if (code == OK) {
+				this.accepted.add(job);
+				return;
+			}
+			isSurelyRefused &= code == REFUSED;
+			if (code != REFUSED && code != UNKNOWN) {
+				this.faults.accept("job " + job + " was answered with " + code);
+			}
+			leave();
+			pause(50 + this.random.nextInt(250));
+		}
+		if (isSurelyRefused) {
+			this.refused.add(job);
+		}
+	}
+
+	/**
+	 * Read a job's state.
+	 * @param job the job's id
+	 * @return the answer's body, empty if none came
+	 */
+	String state(String job) {
+		Told told = ask("GET", job, "");
+		if (told.code() != OK) {
+			leave();
+		}
+		return told.body();
+	}
+
+	private Told ask(String method, String job, String body) {
+		try {
+			connect();
+			byte[] content = body.getBytes(StandardCharsets.UTF_8);
+			String head = method + " /" + PlatformFake.QUEUE + "/" + job + " HTTP/1.1\r\nHost: " + PlatformFake.QUEUE
+					+ "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n";
+			this.connection.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+			return answer();
+		}
+		catch (IOException ex) {
+			// What became of the job is not known.
+			return new Told(UNKNOWN, "");
+		}
+	}
+
+	private void connect() throws IOException {
+		if (this.connection == null) {
+			this.connection = new Socket();
+			this.connection.setSoTimeout(TIMEOUT_MILLIS);
+			this.connection.connect(new InetSocketAddress(this.hosts.get(this.host).ip(), SoakHost.CALLER_PORT),
+					TIMEOUT_MILLIS);
+			this.answers = new BufferedInputStream(this.connection.getInputStream());
+		}
+	}
+
+	private Told answer() throws IOException {
+		String status = line();
+		int length = 0;
+		boolean isLast = false;
+		for (String header = line(); !header.isEmpty(); header = line()) {
+			String known = header.toLowerCase(Locale.ROOT);
+			if (known.startsWith("content-length:")) {
+				length = Integer.parseInt(known.substring(known.indexOf(':') + 1).trim());
+			}
+			isLast |= known.startsWith("connection:") && known.contains("close");
+		}
+		byte[] body = this.answers.readNBytes(length);
+		if (body.length < length) {
+			throw new EOFException("an answer ended early");
+		}
+		if (isLast) {
+			leave();
+		}
+		return new Told(Integer.parseInt(status.split(" ")[1]), new String(body, StandardCharsets.UTF_8));
+	}
+
+	private String line() throws IOException {
+		StringBuilder line = new StringBuilder();
+		for (int next = this.answers.read(); next != '\n'; next = this.answers.read()) {
+			if (next < 0) {
+				throw new EOFException("the connection ended");
+			}
+			line.append((char) next);
+		}
+		return line.toString().trim();
+	}
+
+	private void leave() {
+		this.host = (this.host + 1) % this.hosts.size();
+		if (this.connection != null) {
+			try {
+				this.connection.close();
+			}
+			catch (IOException ex) {
+				// It is not used any more.
+			}
+			this.connection = null;
+		}
+	}
+
+	private static void pause(long millis) {
+		LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+	}
+
+	/** An answer. */
+	private record Told(int code, String body) {
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakHost.java
@@ -0,0 +1,169 @@
+package org.monsoonrelay.systemtests.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A host whose program is started again whenever it ends. Invariant: an end that no
+ * signal explains is told as a fault. Thread-safe.
+ */
+final class SoakHost {
+
+	static final int CALLER_PORT = 8161;
+
+	private static final int READINESS_PORT = 8167;
+
+	private static final int FIRST_INTERNAL_PORT = 7720;
+
+	private static final int LAST_INTERNAL_PORT = 7735;
+
+	private static final long RESTART_MILLIS = 100;
+
+	/** The virtual machine's exit codes for these signals. */
+	private static final int TERMINATED = 143;
+
+	private static final int KILLED = 137;
+
+	private static final Path JAR = Path.of("..", "monsoonrelay-host", "target",
+			"monsoonrelay-host-0.1.0-SNAPSHOT-all.jar");
+
+	private final String ip;
+
+	private final Path settings;
+
+	private final Path log;
+
+	private final ScheduledExecutorService timer;
+
+	private final Consumer<String> faults;
+
+	private final Set<String> signals = ConcurrentHashMap.newKeySet();
+
+	private Process process;
+
+	private long lifeBegin;
+
+	private boolean closed;
+
+	SoakHost(String name, String ip, String platform, Path folder, ScheduledExecutorService timer,
+			Consumer<String> faults) {
+		this.ip = ip;
+		this.settings = folder.resolve(name + ".json");
+		this.log = folder.resolve(name + ".log");
+		this.timer = timer;
+		this.faults = faults;
+		write(this.settings,
+				"""
+						{"host": "%s", "failureDomain": "d%d", "ip": "%s", "callers": "%s:%d", "readiness": "%s:%d",
+						 "internalPorts": [%d, %d], "table": "%s", "eligibility": "%s", "orders": "call", "stopSeconds": 2,
+						 "processorShare": 1, "processorCount": 1, "linkMbps": 1000}"""
+					.formatted(name, Math.floorMod(name.hashCode(), 2), ip, ip, CALLER_PORT, ip, READINESS_PORT,
+							FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT, platform, platform));
+		write(this.log, "");
+	}
+
+	private static void write(Path file, String text) {
+		try {
+			Files.writeString(file, text, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+					StandardOpenOption.WRITE);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	String ip() {
+		return this.ip;
+	}
+
+	synchronized void start() {
+		if (this.closed) {
+			return;
+		}
+		ProcessBuilder command = new ProcessBuilder(
+				List.of("java", "-Xmx128m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+						"-XX:+ErrorFileToStdout", "-cp", JAR.toString(), "org.monsoonrelay.host.HostMain"));
+		command.environment().put("MONSOONRELAY_NODE_FILE", this.settings.toString());
+		// Overwrites native memory when it is freed, so that what uses it after fails.
+		command.environment().put("GLIBC_TUNABLES", "glibc.malloc.perturb=165");
+		this.signals.clear();
+		try {
+			this.lifeBegin = Files.size(this.log);
+			this.process = command.redirectErrorStream(true)
+				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()))
+				.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		this.process.onExit().thenAccept(this::ended);
+	}
+
+	private synchronized void ended(Process life) {
+		int code = life.exitValue();
+		boolean isStopped = this.signals.contains("TERM") && (code == 0 || code == TERMINATED);
+		boolean isKilled = this.signals.contains("KILL") && code == KILLED;
+		if (!this.closed && !isStopped && !isKilled) {
+			this.faults.accept(this.log + ": a process ended by itself with code " + code + ", sent " + this.signals);
+		}
+		if (!this.closed) {
+			this.timer.schedule(this::start, RESTART_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	/**
+	 * Send a signal. A hang-up is for a program that has begun to serve; before that it
+	 * ends any process.
+	 * @param name the signal's name
+	 */
+	synchronized void signal(String name) {
+		if (!this.process.isAlive() || (name.equals("HUP") && !hasStarted())) {
+			return;
+		}
+		this.signals.add(name);
+		try {
+			new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid()))
+				.redirectError(ProcessBuilder.Redirect.DISCARD)
+				.start()
+				.waitFor();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private boolean hasStarted() {
+		try {
+			byte[] written = Files.readAllBytes(this.log);
+			int begin = (int) this.lifeBegin;
+			return new String(written, begin, written.length - begin, StandardCharsets.UTF_8)
+				.contains("\"event\":\"ProcessStarted\"");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	void close() {
+		Process last;
+		synchronized (this) {
+			this.closed = true;
+			last = this.process;
+		}
+		last.destroyForcibly().onExit().join();
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/WorkerFake.java
@@ -0,0 +1,143 @@
+package org.monsoonrelay.systemtests.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * A worker whose tasks are done after a while that their names tell. Invariants: orders
+ * of an older fence than one seen are refused; of a task only attempts higher than those
+ * seen are run. Thread-safe.
+ */
+final class WorkerFake {
+
+	private static final int SHORTEST_MILLIS = 40;
+
+	private static final int LONGER_MILLIS = 400;
+
+	private static final int OK = 200;
+
+	private static final int REFUSED = 409;
+
+	private final ScheduledExecutorService timer;
+
+	private final Map<String, Integer> running = new HashMap<>();
+
+	private final Map<String, Integer> attempts = new HashMap<>();
+
+	private final List<List<Object>> ended = new ArrayList<>();
+
+	private final List<String> done = new ArrayList<>();
+
+	private final Set<String> begun = new HashSet<>();
+
+	private long fence;
+
+	private long forgotten;
+
+	WorkerFake(ScheduledExecutorService timer) {
+		this.timer = timer;
+	}
+
+	synchronized Answer start(JsonNode order) {
+		String task = order.path("task").asText();
+		int attempt = order.path("attempt").asInt();
+		if (isFenced(order)) {
+			return refused("fence");
+		}
+		if (this.running.getOrDefault(task, -1) == attempt) {
+			return taken();
+		}
+		if (attempt <= this.attempts.getOrDefault(task, 0)) {
+			return refused("old");
+		}
+		this.attempts.put(task, attempt);
+		this.running.put(task, attempt);
+		this.begun.add(task);
+		long millis = SHORTEST_MILLIS + Math.floorMod(task.hashCode(), LONGER_MILLIS);
+		this.timer.schedule(() -> end(task, attempt, "done"), millis, TimeUnit.MILLISECONDS);
+		return taken();
+	}
+
+	synchronized Answer stop(JsonNode order) {
+		if (isFenced(order)) {
+			return refused("fence");
+		}
+		String task = order.path("task").asText();
+		int attempt = order.path("attempt").asInt();
+		this.attempts.merge(task, attempt, Math::max);
+		end(task, attempt, "stopped");
+		return taken();
+	}
+
+	private synchronized void end(String task, int attempt, String how) {
+		if (!this.running.remove(task, attempt)) {
+			return;
+		}
+		if (how.equals("done")) {
+			this.done.add(task);
+		}
+		this.ended.add(List.of(this.forgotten + this.ended.size() + 1, task, attempt, how, ""));
+		notifyAll();
+	}
+
+	synchronized Answer look(JsonNode order) throws InterruptedException {
+		if (isFenced(order)) {
+			return refused("fence");
+		}
+		long acknowledged = order.path("ack_cursor").asLong();
+		while (this.forgotten < acknowledged && !this.ended.isEmpty()) {
+			this.ended.remove(0);
+			this.forgotten++;
+		}
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(order.path("wait_ms").asLong());
+		while (this.ended.isEmpty() && System.nanoTime() - end < 0) {
+			TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, end - System.nanoTime()));
+		}
+		List<List<Object>> lives = new ArrayList<>();
+		this.running.forEach((task, attempt) -> lives.add(List.of(task, attempt, "", 100)));
+		return new Answer(OK, Map.of("clock_ms", clock(), "running", lives, "finished", List.copyOf(this.ended)));
+	}
+
+	private boolean isFenced(JsonNode order) {
+		long told = order.path("fencing_token").asLong();
+		this.fence = Math.max(this.fence, told);
+		return told < this.fence;
+	}
+
+	private static Answer taken() {
+		return new Answer(OK, Map.of("clock_ms", clock()));
+	}
+
+	private static Answer refused(String reason) {
+		return new Answer(REFUSED, Map.of("clock_ms", clock(), "reason", reason));
+	}
+
+	private static long clock() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
+	/**
+	 * Tasks that were done here.
+	 * @return their names, one for each time
+	 */
+	synchronized List<String> done() {
+		return List.copyOf(this.done);
+	}
+
+	/**
+	 * Tasks that were begun here.
+	 * @return their names
+	 */
+	synchronized Set<String> begun() {
+		return Set.copyOf(this.begun);
+	}
+
+}
