--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakHost.java
@@ -6,9 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -29,6 +29,9 @@
 
 	private static final long RESTART_MILLIS = 100;
 
+	/** What a program that is told to stop a second time ends with. */
+	private static final int HALTED = 1;
+
 	/** The virtual machine's exit codes for these signals. */
 	private static final int TERMINATED = 143;
 
@@ -47,7 +50,7 @@
 
 	private final Consumer<String> faults;
 
-	private final Set<String> signals = ConcurrentHashMap.newKeySet();
+	private final List<String> signals = new ArrayList<>();
 
 	private Process process;
 
@@ -112,8 +115,9 @@
 	private synchronized void ended(Process life) {
 		int code = life.exitValue();
 		boolean isStopped = this.signals.contains("TERM") && (code == 0 || code == TERMINATED);
+		boolean isHalted = Collections.frequency(this.signals, "TERM") > 1 && code == HALTED;
 		boolean isKilled = this.signals.contains("KILL") && code == KILLED;
-		if (!this.closed && !isStopped && !isKilled) {
+		if (!this.closed && !isStopped && !isHalted && !isKilled) {
 			this.faults.accept(this.log + ": a process ended by itself with code " + code + ", sent " + this.signals);
 		}
 		if (!this.closed) {
