--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakHost.java
@@ -52,6 +52,8 @@
 
 	private final List<String> signals = new ArrayList<>();
 
+	private final Thread onExit = new Thread(this::kill);
+
 	private Process process;
 
 	private long lifeBegin;
@@ -73,6 +75,7 @@
 					.formatted(name, Math.floorMod(name.hashCode(), 2), ip, ip, CALLER_PORT, ip, READINESS_PORT,
 							FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT, platform, platform));
 		write(this.log, "");
+		Runtime.getRuntime().addShutdownHook(this.onExit);
 	}
 
 	private static void write(Path file, String text) {
@@ -162,12 +165,19 @@
 	}
 
 	void close() {
+		kill();
+		Runtime.getRuntime().removeShutdownHook(this.onExit);
+	}
+
+	private void kill() {
 		Process last;
 		synchronized (this) {
 			this.closed = true;
 			last = this.process;
 		}
-		last.destroyForcibly().onExit().join();
+		if (last != null) {
+			last.destroyForcibly().onExit().join();
+		}
 	}
 
 }
