--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/HttpBackendClient.java
@@ -65,16 +65,34 @@
 
 	private static final Duration NO_TIMEOUT = Duration.ZERO;
 
+	/**
+	 * A connection that was idle longer is more of a risk than a new one costs: it may be
+	 * closed by the server or have gone silent.
+	 */
+	private static final Duration KEEP_ALIVE = Duration.ofSeconds(1);
+
 	private final OkHttpClient base;
 
 	private final InstantSource clock;
 
+	private final Duration keepAlive;
+
 	private final AtomicLong suspicions = new AtomicLong();
 
 	private final Map<HostAddress, ServerConnections> connections = new ConcurrentHashMap<>();
 
 	public HttpBackendClient(InstantSource clock) {
+		this(clock, KEEP_ALIVE);
+	}
+
+	/**
+	 * Create a client.
+	 * @param clock the time
+	 * @param keepAlive how long an idle connection is kept
+	 */
+	HttpBackendClient(InstantSource clock, Duration keepAlive) {
 		this.clock = clock;
+		this.keepAlive = keepAlive;
 		Dispatcher dispatcher = new Dispatcher();
 		dispatcher.setMaxRequests(Integer.MAX_VALUE);
 		dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
@@ -104,7 +122,7 @@
 		}
 		Instant begun = this.clock.instant();
 		ServerConnections pooled = this.connections.computeIfAbsent(server,
-				(address) -> new ServerConnections(this.base, this.clock, this.suspicions.get()));
+				(address) -> new ServerConnections(this.base, this.clock, this.keepAlive, this.suspicions.get()));
 		ServerConnections.Generation generation = pooled.generation(this.suspicions.get());
 		Call call = generation.client().newCall(toSend);
 		call.timeout().timeout(Math.max(1, Duration.between(begun, giveUpAt).toMillis()), TimeUnit.MILLISECONDS);
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/ServerConnections.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/ServerConnections.java
@@ -18,27 +18,24 @@
 
 	private static final int MAXIMUM_IDLE = 16;
 
-	/**
-	 * A connection that was idle longer is more of a risk than a new one costs: it may be
-	 * closed by the server or have gone silent.
-	 */
-	private static final int KEEP_ALIVE_SECONDS = 1;
-
 	private final OkHttpClient base;
 
 	private final InstantSource clock;
 
+	private final Duration keepAlive;
+
 	private Generation current;
 
-	ServerConnections(OkHttpClient base, InstantSource clock, long suspicions) {
+	ServerConnections(OkHttpClient base, InstantSource clock, Duration keepAlive, long suspicions) {
 		this.base = base;
 		this.clock = clock;
+		this.keepAlive = keepAlive;
 		this.current = new Generation(fresh(), suspicions);
 	}
 
 	private OkHttpClient fresh() {
 		return this.base.newBuilder()
-			.connectionPool(new ConnectionPool(MAXIMUM_IDLE, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+			.connectionPool(new ConnectionPool(MAXIMUM_IDLE, this.keepAlive.toMillis(), TimeUnit.MILLISECONDS))
 			.build();
 	}
 
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/HttpBackendClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/HttpBackendClientTests.java
@@ -29,7 +29,10 @@
 	/** Within this another exchange ends also on a busy machine. */
 	private static final Duration SURE = Duration.ofSeconds(2);
 
-	private final HttpBackendClient client = new HttpBackendClient(Clock.systemUTC());
+	/** Connections stay open however long a busy machine holds a test up. */
+	private static final Duration KEPT = Duration.ofMinutes(5);
+
+	private final HttpBackendClient client = new HttpBackendClient(Clock.systemUTC(), KEPT);
 
 	private static RawServer answering(String answer) {
 		return new RawServer((connection) -> {
