--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakClient.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakClient.java
@@ -40,6 +40,9 @@
 	/** Tasks of a job. */
 	static final int TASKS = 7;
 
+	/** Tasks of the job's gang. */
+	static final int GANG_TASKS = 4;
+
 	private final Random random;
 
 	private final List<SoakHost> hosts;
