--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -9,7 +9,10 @@
 import com.codahale.metrics.MetricRegistry;
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.Measure;
+import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 /**
  * Counts decisions and keeps the spans that they tell, whether their lines are left out
@@ -54,25 +57,25 @@
 	}
 
 	private void count(Decision decision) {
-		if (decision instanceof Decision.TaskPlaced placed) {
+		if (decision instanceof JobDecision.TaskPlaced placed) {
 			placed(placed);
 		}
-		else if (decision instanceof Decision.TaskEnded ended) {
+		else if (decision instanceof JobDecision.TaskEnded ended) {
 			ended(ended);
 		}
-		else if (decision instanceof Decision.JobEnded ended) {
+		else if (decision instanceof JobDecision.JobEnded ended) {
 			count("pool.jobs." + ended.state());
 			if (ended.lateMillis() > 0) {
 				count("pool.jobs.late");
 			}
 		}
-		else if (decision instanceof Decision.EligibilityAnswered answered) {
+		else if (decision instanceof JobDecision.EligibilityAnswered answered) {
 			note("pool.eligibility.millis", answered.tookMillis());
 		}
-		else if (decision instanceof Decision.RequestRefused refused) {
+		else if (decision instanceof JobDecision.RequestRefused refused) {
 			count("refusals.reason." + reason(refused.reason()));
 		}
-		else if (decision instanceof Decision.StartFailed failed) {
+		else if (decision instanceof JobDecision.StartFailed failed) {
 			count("pool.starts.failed." + failed.outcome());
 		}
 		else {
@@ -80,14 +83,14 @@
 		}
 	}
 
-	private void placed(Decision.TaskPlaced placed) {
+	private void placed(JobDecision.TaskPlaced placed) {
 		count("pool.starts.sent");
 		if (placed.attempt() == 1) {
 			note("pool.queue_wait.millis", placed.waitedMillis());
 		}
 	}
 
-	private void ended(Decision.TaskEnded ended) {
+	private void ended(JobDecision.TaskEnded ended) {
 		count("pool.ends." + ended.end());
 		if (LAPSED.equals(ended.end())) {
 			count("pool.leases.lapsed");
@@ -95,25 +98,25 @@
 	}
 
 	private void countRare(Decision decision) {
-		if (decision instanceof Decision.OwnershipTaken) {
+		if (decision instanceof PoolDecision.OwnershipTaken) {
 			count("pool.ownership.taken");
 		}
-		else if (decision instanceof Decision.OwnershipLost) {
+		else if (decision instanceof PoolDecision.OwnershipLost) {
 			count("pool.ownership.lost");
 		}
-		else if (decision instanceof Decision.WorkerSilent) {
+		else if (decision instanceof PoolDecision.WorkerSilent) {
 			count("pool.workers.silent");
 		}
-		else if (decision instanceof Decision.WorkerLost) {
+		else if (decision instanceof PoolDecision.WorkerLost) {
 			count("pool.workers.lost");
 		}
-		else if (decision instanceof Decision.TaskLost) {
+		else if (decision instanceof JobDecision.TaskLost) {
 			count("pool.runs.lost");
 		}
-		else if (decision instanceof Decision.DependencyLost) {
+		else if (decision instanceof ProcessDecision.DependencyLost) {
 			count("dependencies.lost");
 		}
-		else if (decision instanceof Decision.WriteRelayed relayed) {
+		else if (decision instanceof JobDecision.WriteRelayed relayed) {
 			count("submissions.relayed." + relayed.outcome());
 		}
 	}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -6,7 +6,9 @@
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.Measure;
+import org.monsoonrelay.logic.events.PoolDecision;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,7 +26,7 @@
 
 	@Test
 	void handEachDecisionOn() {
-		Decision decision = new Decision.OwnershipTaken(1, "", "it was never owned");
+		Decision decision = new PoolDecision.OwnershipTaken(1, "", "it was never owned");
 		this.log.write(decision);
 		assertThat(this.written).containsExactly(decision);
 		assertThat(count("pool.ownership.taken")).isEqualTo(1);
@@ -32,16 +34,16 @@
 
 	@Test
 	void keepTheWaitOfFirstAttemptsAlone() {
-		this.log.write(new Decision.TaskPlaced("a", "a.0.0.0", 1, "w", 1, 5, 300));
-		this.log.write(new Decision.TaskPlaced("a", "a.0.0.0", 2, "w", 1, 5, 9000));
+		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 1, "w", 1, 5, 300));
+		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 2, "w", 1, 5, 9000));
 		assertThat(this.metrics.histogram("pool.queue_wait.millis").getSnapshot().getMax()).isEqualTo(300);
 		assertThat(count("pool.starts.sent")).isEqualTo(2);
 	}
 
 	@Test
 	void countEndsByHowTheyEndedAndLeasesThatLapsed() {
-		this.log.write(new Decision.TaskEnded("a", "a.0.0.0", 1, "w", "DONE", 300));
-		this.log.write(new Decision.TaskEnded("a", "a.0.0.1", 1, "w", "LAPSED", 300));
+		this.log.write(new JobDecision.TaskEnded("a", "a.0.0.0", 1, "w", "DONE", 300));
+		this.log.write(new JobDecision.TaskEnded("a", "a.0.0.1", 1, "w", "LAPSED", 300));
 		assertThat(count("pool.ends.DONE")).isEqualTo(1);
 		assertThat(count("pool.ends.LAPSED")).isEqualTo(1);
 		assertThat(count("pool.leases.lapsed")).isEqualTo(1);
@@ -49,8 +51,8 @@
 
 	@Test
 	void countJobsByStateAndThoseThatWereLate() {
-		this.log.write(new Decision.JobEnded("a", "COMPLETED", 100, -5));
-		this.log.write(new Decision.JobEnded("b", "COMPLETED", 100, 5));
+		this.log.write(new JobDecision.JobEnded("a", "COMPLETED", 100, -5));
+		this.log.write(new JobDecision.JobEnded("b", "COMPLETED", 100, 5));
 		assertThat(count("pool.jobs.COMPLETED")).isEqualTo(2);
 		assertThat(count("pool.jobs.late")).isEqualTo(1);
 	}
@@ -58,8 +60,8 @@
 	@Test
 	void countRefusalsByReasonUnderABoundedNumberOfNames() {
 		for (int i = 0; i < 1000; i++) {
-			this.log.write(new Decision.RequestRefused("a", "no such queue", 1));
-			this.log.write(new Decision.RequestRefused("a", "body: '" + i + "'", 1));
+			this.log.write(new JobDecision.RequestRefused("a", "no such queue", 1));
+			this.log.write(new JobDecision.RequestRefused("a", "body: '" + i + "'", 1));
 		}
 		assertThat(count("refusals.reason.no_such_queue")).isEqualTo(1000);
 		assertThat(count("refusals.reason.other")).isEqualTo(1000 - 23);
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,7 +24,7 @@
 
 	@Test
 	void aDecisionIsOneLineWithItsInputs() {
-		this.writer.write(new Decision.CancellationAnswered("a\nb", "ACCEPTED", 12));
+		this.writer.write(new JobDecision.CancellationAnswered("a\nb", "ACCEPTED", 12));
 		this.writer.flush();
 		assertThat(lines()).containsExactly("{\"at\":77,\"event\":\"CancellationAnswered\",\"job\":\"a\\nb\","
 				+ "\"outcome\":\"ACCEPTED\",\"tookMillis\":12}");
@@ -33,9 +33,9 @@
 	@Test
 	void aFloodOfOneKindIsCutAndCountedAndOthersAreKept() {
 		for (int i = 0; i < 1000; i++) {
-			this.writer.write(new Decision.WriteRelayed("a", "h", "ACCEPTED", i));
+			this.writer.write(new JobDecision.WriteRelayed("a", "h", "ACCEPTED", i));
 		}
-		this.writer.write(new Decision.RequestRefused("b", "no such queue", 1));
+		this.writer.write(new JobDecision.RequestRefused("b", "no such queue", 1));
 		this.writer.flush();
 		assertThat(lines()).hasSize(151);
 		assertThat(lines().get(149)).contains("RequestRefused");
@@ -46,10 +46,10 @@
 	@Test
 	void linesThatTellAnOutcomeAreKeptBeforeOthersThatFlood() {
 		for (int i = 0; i < 100; i++) {
-			this.writer.write(new Decision.WriteRelayed("a", "h", "ACCEPTED", i));
+			this.writer.write(new JobDecision.WriteRelayed("a", "h", "ACCEPTED", i));
 		}
 		for (int i = 0; i < 100; i++) {
-			this.writer.write(new Decision.RequestRefused("b", "no such queue", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "no such queue", i));
 		}
 		this.writer.flush();
 		assertThat(lines()).filteredOn((line) -> line.contains("\"event\":\"RequestRefused\"")).hasSize(100);
@@ -59,10 +59,10 @@
 	@Test
 	void eachKindHasAShareHoweverManyOutcomesThereAre() {
 		for (int i = 0; i < 1000; i++) {
-			this.writer.write(new Decision.RequestRefused("b", "no such queue", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "no such queue", i));
 		}
 		for (int i = 0; i < 100; i++) {
-			this.writer.write(new Decision.WriteRelayed("a", "h", "ACCEPTED", i));
+			this.writer.write(new JobDecision.WriteRelayed("a", "h", "ACCEPTED", i));
 		}
 		this.writer.flush();
 		assertThat(lines()).filteredOn((line) -> line.contains("\"event\":\"WriteRelayed\"")).hasSize(30);
@@ -71,10 +71,10 @@
 	@Test
 	void whatWasLeftOutIsCountedOnce() {
 		for (int i = 0; i < 200; i++) {
-			this.writer.write(new Decision.RequestRefused("b", "r", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "r", i));
 		}
 		this.writer.flush();
-		this.writer.write(new Decision.RequestRefused("b", "r", 200));
+		this.writer.write(new JobDecision.RequestRefused("b", "r", 200));
 		this.writer.flush();
 		assertThat(lines()).filteredOn((line) -> line.contains("LinesLeftOut")).hasSize(1);
 	}
@@ -82,7 +82,7 @@
 	@Test
 	void aFullBufferBlocksNobody() {
 		for (int i = 0; i < 5000; i++) {
-			this.writer.write(new Decision.RequestRefused("b", "r", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "r", i));
 		}
 		this.writer.flush();
 		assertThat(lines().get(lines().size() - 1))
@@ -104,7 +104,7 @@
 			}
 		}, () -> 1);
 		for (int i = 0; i < 30; i++) {
-			inBlocks.write(new Decision.RequestRefused("x".repeat(500), "r", i));
+			inBlocks.write(new JobDecision.RequestRefused("x".repeat(500), "r", i));
 		}
 		inBlocks.flush();
 		assertThat(blocks).hasSizeGreaterThan(3).allMatch((block) -> block.length() <= 4096 && block.endsWith("\n"));
@@ -119,9 +119,9 @@
 				throw new IOException("closed");
 			}
 		}, () -> 1);
-		unread.write(new Decision.RequestRefused("b", "r", 1));
+		unread.write(new JobDecision.RequestRefused("b", "r", 1));
 		unread.flush();
-		unread.write(new Decision.RequestRefused("b", "r", 2));
+		unread.write(new JobDecision.RequestRefused("b", "r", 2));
 		unread.close();
 	}
 
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
@@ -17,8 +17,9 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.JobCancelled;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.OwnerHeartbeat;
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.StatesNews;
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionCommit;
 import org.monsoonrelay.logic.platform.PartitionWrite;
@@ -102,7 +103,7 @@
 		boolean isFresh = this.owner.filter(this::wasHeardLately).isPresent();
 		if (!isFresh && !this.lost) {
 			this.lost = true;
-			this.log.write(new Decision.DependencyLost(OWNER, "no heartbeat for " + FRESH_MILLIS + " ms"));
+			this.log.write(new ProcessDecision.DependencyLost(OWNER, "no heartbeat for " + FRESH_MILLIS + " ms"));
 		}
 		return isFresh;
 	}
@@ -152,7 +153,7 @@
 			.whenComplete((commit, failure) -> {
 				String job = write.puts().isEmpty() ? "" : JobTables.job(write.puts().get(0).key());
 				long tookMillis = TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong() - begunNanos);
-				this.log.write(new Decision.WriteRelayed(job, through.toString(), commit.getClass().getSimpleName(),
+				this.log.write(new JobDecision.WriteRelayed(job, through.toString(), commit.getClass().getSimpleName(),
 						tookMillis));
 			});
 	}
@@ -227,7 +228,7 @@
 		}
 		if (this.lost) {
 			this.lost = false;
-			this.log.write(new Decision.DependencyBack(OWNER, -1));
+			this.log.write(new ProcessDecision.DependencyBack(OWNER, -1));
 		}
 	}
 
--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -17,8 +17,8 @@
 import org.monsoonrelay.adapters.peer.generated.PeerMessages.Envelope;
 import org.monsoonrelay.adapters.platform.MeteredPartitionedTable;
 import org.monsoonrelay.gateway.jobs.JobGateway;
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.ProcessDecision;
 import org.monsoonrelay.logic.platform.ObservedTable;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.UnreadableRows;
@@ -106,10 +106,10 @@
 		this.gateway.start();
 		Executor later = CompletableFuture.delayedExecutor(METRICS_DELAY_SECONDS, TimeUnit.SECONDS);
 		CompletableFuture.runAsync(this.metricsServer::start, later).exceptionally((failure) -> {
-			this.log.write(new Decision.DependencyLost("metrics", String.valueOf(failure.getMessage())));
+			this.log.write(new ProcessDecision.DependencyLost("metrics", String.valueOf(failure.getMessage())));
 			return null;
 		});
-		this.log.write(new Decision.ProcessStarted(ROLE, this.settings.host(), this.settings.failureDomain(),
+		this.log.write(new ProcessDecision.ProcessStarted(ROLE, this.settings.host(), this.settings.failureDomain(),
 				ManagementFactory.getRuntimeMXBean().getUptime()));
 	}
 
@@ -122,14 +122,14 @@
 
 	@Override
 	public void reloaded(String outcome) {
-		this.log.write(new Decision.SettingsReloaded(ROLE, outcome));
+		this.log.write(new ProcessDecision.SettingsReloaded(ROLE, outcome));
 	}
 
 	// Gives the pool up while callers are still served.
 	@Override
 	public void stop() {
 		long begun = System.nanoTime();
-		this.log.write(new Decision.ProcessStopping(ROLE, 0));
+		this.log.write(new ProcessDecision.ProcessStopping(ROLE, 0));
 		CompletableFuture<Void> released = this.scheduler.release();
 		this.gateway.drain();
 		released.join();
@@ -137,7 +137,8 @@
 		this.network.close();
 		this.scheduler.close();
 		this.metricsServer.close();
-		this.log.write(new Decision.ProcessStopped(ROLE, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun)));
+		this.log
+			.write(new ProcessDecision.ProcessStopped(ROLE, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun)));
 		this.log.close();
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 /**
  * Says what became of a job and why, by its lines alone. Each sentence rests on lines
@@ -49,7 +51,7 @@
 	}
 
 	private void refused(List<String> causes) {
-		for (LogLine line : all(Decision.RequestRefused.class)) {
+		for (LogLine line : all(JobDecision.RequestRefused.class)) {
 			String cause = "refused by " + line.source() + ": " + line.text("reason") + ", decided by configuration "
 					+ line.text("configurationVersion");
 			if (!causes.contains(cause)) {
@@ -59,12 +61,12 @@
 	}
 
 	private void notStored(List<String> causes) {
-		for (LogLine line : all(Decision.SubmissionAnswered.class)) {
+		for (LogLine line : all(JobDecision.SubmissionAnswered.class)) {
 			String outcome = line.text("outcome");
 			if (ACCEPTED.equals(outcome)) {
 				continue;
 			}
-			String lost = all(Decision.DependencyLost.class).stream()
+			String lost = all(ProcessDecision.DependencyLost.class).stream()
 				.filter((dependency) -> dependency.source().equals(line.source()))
 				.map((dependency) -> dependency.text("dependency") + " was lost there: " + dependency.text("reason"))
 				.distinct()
@@ -79,7 +81,7 @@
 	}
 
 	private void notReadable(List<String> causes) {
-		for (LogLine line : all(Decision.RowUnreadable.class)) {
+		for (LogLine line : all(ProcessDecision.RowUnreadable.class)) {
 			causes.add("left alone by " + line.source() + ": its row in " + line.text("table") + " cannot be read, "
 					+ line.text("reason"));
 		}
@@ -89,10 +91,10 @@
 		Map<String, LogLine> done = new HashMap<>();
 		for (LogLine line : this.lines) {
 			String task = line.text("task");
-			if (line.is(Decision.TaskEnded.class) && "DONE".equals(line.text("end"))) {
+			if (line.is(JobDecision.TaskEnded.class) && "DONE".equals(line.text("end"))) {
 				done.putIfAbsent(task, line);
 			}
-			else if (line.is(Decision.TaskPlaced.class) && done.containsKey(task)) {
+			else if (line.is(JobDecision.TaskPlaced.class) && done.containsKey(task)) {
 				LogLine end = done.get(task);
 				causes.add(task + " was placed again as attempt " + line.value("attempt") + " on " + line.text("worker")
 						+ " by the owner of epoch " + line.value("fence") + " after attempt " + end.value("attempt")
@@ -103,11 +105,11 @@
 
 	private void lost(List<String> causes) {
 		Map<String, List<LogLine>> byWorker = new LinkedHashMap<>();
-		for (LogLine line : all(Decision.TaskLost.class)) {
+		for (LogLine line : all(JobDecision.TaskLost.class)) {
 			byWorker.computeIfAbsent(line.text("worker"), (worker) -> new ArrayList<>()).add(line);
 		}
 		byWorker.forEach((worker, runs) -> {
-			String silent = all(Decision.WorkerSilent.class).stream()
+			String silent = all(PoolDecision.WorkerSilent.class).stream()
 				.filter((line) -> line.text("worker").equals(worker))
 				.map((line) -> "; it was silent before: " + line.text("reason"))
 				.findFirst()
@@ -116,14 +118,14 @@
 			causes.add(runs.size() + " runs were lost with worker " + worker + ": " + run.text("reason") + silent + "; "
 					+ next(run));
 		});
-		long foreign = all(Decision.TaskEnded.class).stream().filter((line) -> line.value("ranMillis") < 0).count();
+		long foreign = all(JobDecision.TaskEnded.class).stream().filter((line) -> line.value("ranMillis") < 0).count();
 		if (foreign > 0) {
 			causes.add(foreign + " runs ended that an earlier owner had started" + takeOver());
 		}
 	}
 
 	private String next(LogLine lost) {
-		return all(Decision.TaskPlaced.class).stream()
+		return all(JobDecision.TaskPlaced.class).stream()
 			.filter((line) -> line.text("task").equals(lost.text("task"))
 					&& line.value("attempt") > lost.value("attempt"))
 			.map((line) -> line.text("task") + " was placed again as attempt " + line.value("attempt") + " on "
@@ -133,7 +135,7 @@
 	}
 
 	private String takeOver() {
-		return first(Decision.OwnershipTaken.class)
+		return first(PoolDecision.OwnershipTaken.class)
 			.map((line) -> ": " + line.source() + " took the pool over from " + line.text("previousHolder")
 					+ " as epoch " + line.value("epoch") + ", " + line.text("reason"))
 			.orElse("");
@@ -141,7 +143,7 @@
 
 	private void startsThatFailed(List<String> causes) {
 		Map<String, Integer> byOutcome = new LinkedHashMap<>();
-		all(Decision.StartFailed.class)
+		all(JobDecision.StartFailed.class)
 			.forEach((line) -> byOutcome.merge(line.text("outcome") + " at " + line.text("worker"), 1, Integer::sum));
 		if (!byOutcome.isEmpty()) {
 			causes.add("starts that failed: " + byOutcome);
@@ -149,21 +151,21 @@
 	}
 
 	private void ended(List<String> causes) {
-		Optional<LogLine> end = first(Decision.JobEnded.class);
+		Optional<LogLine> end = first(JobDecision.JobEnded.class);
 		if (end.isPresent()) {
 			LogLine line = end.get();
 			if ("FAILED".equals(line.text("state"))) {
 				causes.add("failed: " + failures());
 			}
 			if ("CANCELLED".equals(line.text("state"))) {
-				causes.add("cancelled" + first(Decision.CancellationAnswered.class)
+				causes.add("cancelled" + first(JobDecision.CancellationAnswered.class)
 					.map((answer) -> ", as a caller asked of " + answer.source())
 					.orElse(""));
 			}
 			causes.add(new Lateness(this.lines, line).text() + pause());
 			return;
 		}
-		boolean isAccepted = all(Decision.SubmissionAnswered.class).stream()
+		boolean isAccepted = all(JobDecision.SubmissionAnswered.class).stream()
 			.anyMatch((line) -> ACCEPTED.equals(line.text("outcome")));
 		if (this.lines.stream().anyMatch(Vocabulary::isOwnersOfJob)) {
 			causes.add("no line tells its end: " + open() + pause());
@@ -175,7 +177,7 @@
 
 	private String failures() {
 		Map<String, List<String>> failed = new LinkedHashMap<>();
-		for (LogLine line : all(Decision.TaskEnded.class)) {
+		for (LogLine line : all(JobDecision.TaskEnded.class)) {
 			if ("FAILED".equals(line.text("end"))) {
 				failed.computeIfAbsent(line.text("task"), (task) -> new ArrayList<>())
 					.add("attempt " + line.value("attempt") + " on " + line.text("worker"));
@@ -193,10 +195,10 @@
 		Map<String, LogLine> running = new LinkedHashMap<>();
 		for (LogLine line : this.lines) {
 			String run = line.text("task") + " attempt " + line.text("attempt");
-			if (line.is(Decision.TaskPlaced.class)) {
+			if (line.is(JobDecision.TaskPlaced.class)) {
 				running.put(run, line);
 			}
-			else if (line.is(Decision.TaskEnded.class) || line.is(Decision.TaskLost.class)) {
+			else if (line.is(JobDecision.TaskEnded.class) || line.is(JobDecision.TaskLost.class)) {
 				running.remove(run);
 			}
 		}
@@ -212,7 +214,7 @@
 	// An epoch that was taken and not settled places nothing of what it has not loaded.
 	private String pause() {
 		StringBuilder text = new StringBuilder();
-		for (LogLine taken : all(Decision.OwnershipTaken.class)) {
+		for (LogLine taken : all(PoolDecision.OwnershipTaken.class)) {
 			long epoch = taken.value("epoch");
 			text.append("; ")
 				.append(taken.source())
@@ -221,9 +223,9 @@
 				.append(" (")
 				.append(taken.text("reason"))
 				.append("), ")
-				.append(took(Decision.OwnershipSettled.class, epoch, "had loaded all jobs"))
+				.append(took(PoolDecision.OwnershipSettled.class, epoch, "had loaded all jobs"))
 				.append(", ")
-				.append(took(Decision.WorkersAccounted.class, epoch, "had heard of all workers"));
+				.append(took(PoolDecision.WorkersAccounted.class, epoch, "had heard of all workers"));
 		}
 		return text.toString();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseOrder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseOrder.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 
 /**
  * Puts lines of several processes into one order. Invariants: the lines of one process
@@ -57,7 +57,7 @@
 
 	// Callers' answers first, a cancellation as late as what follows from it lets it be.
 	private static long rank(Told told) {
-		if (told.line().is(Decision.CancellationAnswered.class)) {
+		if (told.line().is(JobDecision.CancellationAnswered.class)) {
 			return Long.MAX_VALUE;
 		}
 		return Vocabulary.isGateways(told.line()) ? Long.MIN_VALUE : told.epoch();
@@ -75,8 +75,8 @@
 		}
 		LogLine earlier = cause.line();
 		LogLine later = effect.line();
-		if (earlier.is(Decision.CancellationAnswered.class)) {
-			return later.is(Decision.JobEnded.class) && CANCELLED.equals(later.text("state"));
+		if (earlier.is(JobDecision.CancellationAnswered.class)) {
+			return later.is(JobDecision.JobEnded.class) && CANCELLED.equals(later.text("state"));
 		}
 		boolean isSameTask = earlier.has("task") && earlier.text("task").equals(later.text("task"));
 		if (!isSameTask) {
@@ -84,7 +84,7 @@
 		}
 		long attempt = earlier.value("attempt");
 		return attempt < later.value("attempt") || (attempt == later.value("attempt")
-				&& earlier.is(Decision.TaskPlaced.class) && !later.is(Decision.TaskPlaced.class));
+				&& earlier.is(JobDecision.TaskPlaced.class) && !later.is(JobDecision.TaskPlaced.class));
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/JobStory.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/JobStory.java
@@ -6,7 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
 
 /**
  * What the lines of any number of processes say of one job, task or request. Lines are
@@ -78,10 +79,10 @@
 	}
 
 	private void take(LogLine line) {
-		if (line.is(Decision.OwnershipTaken.class)) {
+		if (line.is(PoolDecision.OwnershipTaken.class)) {
 			this.epochs.put(line.source(), line.value("epoch"));
 		}
-		else if (line.is(Decision.TaskPlaced.class)) {
+		else if (line.is(JobDecision.TaskPlaced.class)) {
 			this.epochs.put(line.source(), line.value("fence"));
 		}
 		if (isOwn(line)) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Lateness.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Lateness.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 
 /**
  * Where the time of a job that has ended went, by the spans that its lines tell. Each
@@ -47,11 +47,11 @@
 
 	private Map<String, Long> spans() {
 		Map<String, Long> spans = new LinkedHashMap<>();
-		long learnt = all(Decision.JobLearnt.class).stream()
+		long learnt = all(JobDecision.JobLearnt.class).stream()
 			.mapToLong((line) -> line.value("ageMillis"))
 			.findFirst()
 			.orElse(-1);
-		LogLine placed = all(Decision.TaskPlaced.class).stream()
+		LogLine placed = all(JobDecision.TaskPlaced.class).stream()
 			.min(Comparator.comparingLong((line) -> line.value("waitedMillis")))
 			.orElse(null);
 		if (placed == null) {
@@ -74,29 +74,29 @@
 	}
 
 	private long asked(LogLine placed, String field) {
-		return all(Decision.EligibilityAnswered.class).stream()
+		return all(JobDecision.EligibilityAnswered.class).stream()
 			.filter((line) -> line.step().equals(placed.step()) && line.number() < placed.number())
 			.mapToLong((line) -> line.value(field))
 			.sum();
 	}
 
 	private String repeats() {
-		long longest = all(Decision.TaskEnded.class).stream()
+		long longest = all(JobDecision.TaskEnded.class).stream()
 			.mapToLong((line) -> line.value("ranMillis"))
 			.max()
 			.orElse(-1);
-		long again = all(Decision.TaskPlaced.class).stream().map((line) -> line.text("task")).distinct().count();
-		long starts = all(Decision.TaskPlaced.class).size();
+		long again = all(JobDecision.TaskPlaced.class).stream().map((line) -> line.text("task")).distinct().count();
+		long starts = all(JobDecision.TaskPlaced.class).size();
 		StringBuilder text = new StringBuilder();
 		if (longest >= 0) {
 			text.append("; its longest run took ").append(longest).append(" ms");
 		}
 		if (starts > again) {
 			text.append("; ").append(starts - again).append(" of ").append(starts).append(" starts were repeats (");
-			Map<String, Long> ends = all(Decision.TaskEnded.class).stream()
+			Map<String, Long> ends = all(JobDecision.TaskEnded.class).stream()
 				.filter((line) -> !"DONE".equals(line.text("end")))
 				.collect(Collectors.groupingBy((line) -> line.text("end"), LinkedHashMap::new, Collectors.counting()));
-			long lost = all(Decision.TaskLost.class).size();
+			long lost = all(JobDecision.TaskLost.class).size();
 			if (lost > 0) {
 				ends.put("lost", lost);
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Surroundings.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Surroundings.java
@@ -11,7 +11,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 /**
  * What lines say of owners, workers and dependencies, kept up to a bound, and which of it
@@ -54,12 +55,12 @@
 	}
 
 	private static boolean isEnded(List<Told> own) {
-		return own.stream().anyMatch((told) -> told.line().is(Decision.JobEnded.class));
+		return own.stream().anyMatch((told) -> told.line().is(JobDecision.JobEnded.class));
 	}
 
 	// A job that ended under the owner that learnt it has seen no other.
 	private List<Told> ownership(List<Told> own) {
-		if (own.stream().allMatch((told) -> told.line().is(Decision.RequestRefused.class))) {
+		if (own.stream().allMatch((told) -> told.line().is(JobDecision.RequestRefused.class))) {
 			return List.of();
 		}
 		LongSummaryStatistics epochs = own.stream()
@@ -85,13 +86,13 @@
 		for (Told told : own) {
 			LogLine line = told.line();
 			String run = line.text("task") + ' ' + line.text("attempt");
-			if (line.is(Decision.TaskPlaced.class)) {
+			if (line.is(JobDecision.TaskPlaced.class)) {
 				open.put(run, line.text("worker"));
 			}
-			else if (line.is(Decision.TaskEnded.class)) {
+			else if (line.is(JobDecision.TaskEnded.class)) {
 				open.remove(run);
 			}
-			else if (line.is(Decision.TaskLost.class) || line.is(Decision.StartFailed.class)) {
+			else if (line.is(JobDecision.TaskLost.class) || line.is(JobDecision.StartFailed.class)) {
 				doubtful.add(line.text("worker"));
 			}
 		}
@@ -114,18 +115,18 @@
 		Set<Told> bearing = new HashSet<>();
 		for (Told answer : own) {
 			LogLine line = answer.line();
-			boolean isAnswer = line.is(Decision.SubmissionAnswered.class)
-					|| line.is(Decision.CancellationAnswered.class);
+			boolean isAnswer = line.is(JobDecision.SubmissionAnswered.class)
+					|| line.is(JobDecision.CancellationAnswered.class);
 			if (!isAnswer || "ACCEPTED".equals(line.text("outcome"))) {
 				continue;
 			}
 			Map<String, Told> lost = new HashMap<>();
 			for (Told told : this.kept) {
 				boolean isBefore = told.line().source().equals(line.source()) && told.line().number() < line.number();
-				if (isBefore && told.line().is(Decision.DependencyLost.class)) {
+				if (isBefore && told.line().is(ProcessDecision.DependencyLost.class)) {
 					lost.put(told.line().text("dependency"), told);
 				}
-				else if (isBefore && told.line().is(Decision.DependencyBack.class)) {
+				else if (isBefore && told.line().is(ProcessDecision.DependencyBack.class)) {
 					lost.remove(told.line().text("dependency"));
 				}
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Vocabulary.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Vocabulary.java
@@ -3,22 +3,25 @@
 import java.util.Set;
 import java.util.stream.Stream;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 /**
  * Which events are whose. Stateless and thread-safe.
  */
 final class Vocabulary {
 
-	private static final Set<String> GATEWAYS = names(Decision.SubmissionAnswered.class, Decision.WriteRelayed.class,
-			Decision.CancellationAnswered.class, Decision.RequestRefused.class, Decision.DependencyLost.class,
-			Decision.DependencyBack.class, Decision.RowUnreadable.class);
+	private static final Set<String> GATEWAYS = names(JobDecision.SubmissionAnswered.class,
+			JobDecision.WriteRelayed.class, JobDecision.CancellationAnswered.class, JobDecision.RequestRefused.class,
+			ProcessDecision.DependencyLost.class, ProcessDecision.DependencyBack.class,
+			ProcessDecision.RowUnreadable.class);
 
-	private static final Set<String> OWNERSHIP = names(Decision.OwnershipTaken.class, Decision.OwnershipSettled.class,
-			Decision.OwnershipLost.class, Decision.WorkersAccounted.class);
+	private static final Set<String> OWNERSHIP = names(PoolDecision.OwnershipTaken.class,
+			PoolDecision.OwnershipSettled.class, PoolDecision.OwnershipLost.class, PoolDecision.WorkersAccounted.class);
 
-	private static final Set<String> WORKERS = names(Decision.WorkerSilent.class, Decision.WorkerLost.class,
-			Decision.WorkerAvoided.class);
+	private static final Set<String> WORKERS = names(PoolDecision.WorkerSilent.class, PoolDecision.WorkerLost.class,
+			PoolDecision.WorkerAvoided.class);
 
 	private Vocabulary() {
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Waiting.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/Waiting.java
@@ -7,7 +7,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 
 /**
  * What the last step waits for that the lines of an open job name. Stateless and
@@ -26,8 +26,8 @@
 	}
 
 	private static NavigableSet<String> asked(List<LogLine> lines) {
-		NavigableSet<String> asked = steps(lines,
-				(line) -> line.is(Decision.EligibilityAnswered.class) || line.is(Decision.EligibilityFailed.class));
+		NavigableSet<String> asked = steps(lines, (line) -> line.is(JobDecision.EligibilityAnswered.class)
+				|| line.is(JobDecision.EligibilityFailed.class));
 		asked.removeAll(placed(lines));
 		return asked;
 	}
@@ -53,8 +53,8 @@
 					+ ", and no line tells that it was asked who may run the next one";
 		}
 		String step = asked.last();
-		List<LogLine> answers = of(lines, step, Decision.EligibilityAnswered.class);
-		List<LogLine> failed = of(lines, step, Decision.EligibilityFailed.class);
+		List<LogLine> answers = of(lines, step, JobDecision.EligibilityAnswered.class);
+		List<LogLine> failed = of(lines, step, JobDecision.EligibilityFailed.class);
 		if (answers.isEmpty()) {
 			return "step " + step + " was not placed: it could not be asked who may run it, " + failed.size()
 					+ " calls failed, the last by " + failed.get(failed.size() - 1).text("host") + ": "
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/UnreadableRows.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/UnreadableRows.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 /**
  * The rows of the table that this process could not read: written by others, by another
@@ -71,7 +71,7 @@
 		this.count.incrementAndGet();
 		String told = bounded(String.valueOf(reason));
 		if (!told.equals(this.reasons.put(name(row), told))) {
-			this.log.write(new Decision.RowUnreadable(row.table(), row.key(), told));
+			this.log.write(new ProcessDecision.RowUnreadable(row.table(), row.key(), told));
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -16,8 +16,8 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.platform.OnThread;
 import org.monsoonrelay.model.submission.EligibilityTimes;
 import org.monsoonrelay.model.submission.StepKey;
@@ -211,13 +211,13 @@
 		StepKey step = question.step();
 		if (failure != null) {
 			known.failed(now + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS));
-			this.log.write(new Decision.EligibilityFailed(step.job(), step.local(), sent.host(),
+			this.log.write(new JobDecision.EligibilityFailed(step.job(), step.local(), sent.host(),
 					String.valueOf(failure.getMessage())));
 			return;
 		}
 		long valid = TimeUnit.MILLISECONDS.toNanos(question.times().validMillis() - TICKET_MARGIN_MILLIS);
 		known.answered(question.workers(), tickets, now + valid);
-		this.log.write(new Decision.EligibilityAnswered(step.job(), step.local(), sent.host(),
+		this.log.write(new JobDecision.EligibilityAnswered(step.job(), step.local(), sent.host(),
 				question.workers().size(), tickets.size(), question.firstAsked(), sent.rank(),
 				TimeUnit.NANOSECONDS.toMillis(sent.nanos() - question.askedNanos()),
 				TimeUnit.NANOSECONDS.toMillis(now - sent.nanos())));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -7,8 +7,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.OnThread;
 import org.monsoonrelay.logic.platform.PartitionCommit;
@@ -170,14 +171,14 @@
 		this.readable = false;
 		this.reading = false;
 		this.free.unavailable();
-		this.log.write(new Decision.DependencyLost("table", String.valueOf(failure.getMessage())));
+		this.log.write(new ProcessDecision.DependencyLost("table", String.valueOf(failure.getMessage())));
 	}
 
 	@Override
 	public void back() {
 		this.readable = true;
 		this.changedNanos = this.clock.nanos();
-		this.log.write(new Decision.DependencyBack("table", -1));
+		this.log.write(new ProcessDecision.DependencyBack("table", -1));
 	}
 
 	/**
@@ -389,7 +390,7 @@
 	private void won(TakeOver taken, String formerHost, String reason) {
 		this.current = Optional.of(taken.record());
 		this.version = taken.version();
-		this.log.write(new Decision.OwnershipTaken(taken.record().epoch(), formerHost, reason));
+		this.log.write(new PoolDecision.OwnershipTaken(taken.record().epoch(), formerHost, reason));
 		this.winner.accept(taken);
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolLoadLog.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolLoadLog.java
@@ -2,8 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.PoolDecision;
 
 /**
  * Tells once a second what the pool looks like: what runs, what is held, what waits, and
@@ -81,7 +81,7 @@
 			steps += (waiting > 0) ? 1 : 0;
 			tasks += waiting;
 		}
-		this.log.write(new Decision.PoolLoad(this.epoch, workers, capacity, committed, held, steps, tasks,
+		this.log.write(new PoolDecision.PoolLoad(this.epoch, workers, capacity, committed, held, steps, tasks,
 				this.eligibility.sentCount(), this.eligibility.queuedCount(), this.turns,
 				TimeUnit.NANOSECONDS.toMillis(this.turnNanos), TimeUnit.NANOSECONDS.toMillis(this.longestNanos)));
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -7,7 +7,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.QueueConfiguration;
@@ -260,7 +261,8 @@
 			this.accounted = true;
 			this.placer.accounted();
 			this.ports.log()
-				.write(new Decision.WorkersAccounted(this.epoch, this.taken.inherited().workers().size(), ageMillis()));
+				.write(new PoolDecision.WorkersAccounted(this.epoch, this.taken.inherited().workers().size(),
+						ageMillis()));
 		}
 	}
 
@@ -277,7 +279,7 @@
 			return;
 		}
 		close();
-		this.ports.log().write(new Decision.OwnershipLost(this.epoch, reason));
+		this.ports.log().write(new PoolDecision.OwnershipLost(this.epoch, reason));
 		this.over.accept(reason);
 	}
 
@@ -296,7 +298,7 @@
 			owner.runs.learnt(submission.id());
 			long age = owner.ports.clock().millis() - submission.acceptedMillis();
 			owner.ports.log()
-				.write(new Decision.JobLearnt(submission.id(), submission.policy().queue(), age,
+				.write(new JobDecision.JobLearnt(submission.id(), submission.policy().queue(), age,
 						submission.steps().size()));
 		}
 
@@ -321,7 +323,8 @@
 			PoolOwner owner = PoolOwner.this;
 			owner.journal.count();
 			owner.ports.log()
-				.write(new Decision.OwnershipSettled(owner.epoch, owner.registry.unendedCount(), owner.ageMillis()));
+				.write(new PoolDecision.OwnershipSettled(owner.epoch, owner.registry.unendedCount(),
+						owner.ageMillis()));
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -12,9 +12,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.Measure;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.platform.OnThread;
 import org.monsoonrelay.model.submission.SubmittedJob;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -155,7 +156,7 @@
 
 	private void silent(PoolWorker worker, String reason) {
 		if (worker.isReached()) {
-			this.log.write(new Decision.WorkerSilent(worker.id(), reason, worker.runCount()));
+			this.log.write(new PoolDecision.WorkerSilent(worker.id(), reason, worker.runCount()));
 		}
 		worker.markSilent();
 		this.control.schedule(() -> watch(worker), SILENT_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
@@ -168,7 +169,7 @@
 		this.adoption.reconcile(worker, seen.running(), sentNanos);
 		if (!worker.isReached()) {
 			worker.markReached();
-			this.log.write(new Decision.WorkerReached(worker.id(), seen.running().size()));
+			this.log.write(new PoolDecision.WorkerReached(worker.id(), seen.running().size()));
 		}
 		this.pool.accounted(worker.id());
 		this.listener.changed();
@@ -225,7 +226,7 @@
 		run.declare(step.spec().estimateMillis());
 		worker.add(run);
 		step.started(run);
-		this.log.write(new Decision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(), this.term.epoch(),
+		this.log.write(new JobDecision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(), this.term.epoch(),
 				worker.lease().ageMillis(now), this.ends.ageMillis(step.job())));
 		StartOrder order = new StartOrder(task, attempt, step.job().submission().spec(), 0, this.term.epoch(),
 				step.progress().checkpoint(index), ticket);
@@ -256,7 +257,7 @@
 			confirm(run);
 			return;
 		}
-		this.log.write(new Decision.StartFailed(run.task().job(), run.task().toString(), run.attempt(), worker.id(),
+		this.log.write(new JobDecision.StartFailed(run.task().job(), run.task().toString(), run.attempt(), worker.id(),
 				outcome.kind().name()));
 		switch (outcome.kind()) {
 			case FENCED -> this.listener.fenced(worker.id());
@@ -316,8 +317,8 @@
 			return;
 		}
 		run.stopping();
-		this.log.write(
-				new Decision.TaskStopped(run.task().job(), run.task().toString(), run.attempt(), run.worker(), reason));
+		this.log.write(new JobDecision.TaskStopped(run.task().job(), run.task().toString(), run.attempt(), run.worker(),
+				reason));
 		sendStop(run, worker.get());
 	}
 
@@ -351,7 +352,7 @@
 	 */
 	void doubtSilent() {
 		for (PoolWorker worker : SilenceWatch.judge(this.pool.all(), this.clock.nanos())) {
-			this.log.write(new Decision.WorkerSilent(worker.id(),
+			this.log.write(new PoolDecision.WorkerSilent(worker.id(),
 					"orders there or in its failure domain are unanswered", worker.runCount()));
 		}
 	}
@@ -381,7 +382,7 @@
 		if (worker.isLost()) {
 			return;
 		}
-		this.log.write(new Decision.WorkerLost(worker.id(), reason, worker.runCount()));
+		this.log.write(new PoolDecision.WorkerLost(worker.id(), reason, worker.runCount()));
 		for (Run run : worker.runs()) {
 			this.ends.lost(worker, run, reason);
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskEnds.java
@@ -5,9 +5,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.Measure;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepProgress;
@@ -73,7 +74,7 @@
 			}
 			clear(worker, run);
 		}
-		this.log.write(new Decision.TaskEnded(end.task().job(), end.task().toString(), end.attempt(), worker.id(),
+		this.log.write(new JobDecision.TaskEnded(end.task().job(), end.task().toString(), end.attempt(), worker.id(),
 				end.kind().name(), ranMillis));
 		SubmittedJob job = this.jobs.job(end.task().job()).orElse(null);
 		if (job == null || !hasTask(job, end.task())) {
@@ -122,7 +123,7 @@
 	private void failed(PoolWorker worker, TaskKey task) {
 		this.jobs.step(task.stepKey()).ifPresent((step) -> step.failedOn(task.index(), worker.id()));
 		if (worker.failures().failed(task.job(), this.clock.nanos())) {
-			this.log.write(new Decision.WorkerAvoided(worker.id(), worker.failures().failuresInRow(),
+			this.log.write(new PoolDecision.WorkerAvoided(worker.id(), worker.failures().failuresInRow(),
 					FailureStreak.AVOID_MILLIS));
 		}
 	}
@@ -137,7 +138,7 @@
 		clear(worker, run);
 		wasted(run);
 		TaskKey task = run.task();
-		this.log.write(new Decision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), reason));
+		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), reason));
 		this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
 			job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint());
 			settle(job, task.stepKey(), false);
@@ -185,7 +186,7 @@
 	 */
 	void ended(SubmittedJob job) {
 		long lateMillis = this.clock.millis() - job.submission().deadlineMillis(0);
-		this.log.write(new Decision.JobEnded(job.id(), job.state().name(), ageMillis(job), lateMillis));
+		this.log.write(new JobDecision.JobEnded(job.id(), job.state().name(), ageMillis(job), lateMillis));
 		for (ActiveStep step : this.jobs.openStepsOf(job.id())) {
 			if (!step.progress().isComplete()) {
 				step.aliveRuns().forEach((run) -> this.stop.accept(run, "its job has ended"));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/StorageWatch.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/StorageWatch.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 /**
  * Whether this host can store jobs now, through the table itself or through the owner of
@@ -80,7 +80,7 @@
 		this.failed = 0;
 		if (!this.able) {
 			this.able = true;
-			this.log.write(new Decision.DependencyBack(NAME,
+			this.log.write(new ProcessDecision.DependencyBack(NAME,
 					TimeUnit.NANOSECONDS.toMillis(this.heardNanos - this.unableNanos)));
 		}
 	}
@@ -120,7 +120,7 @@
 		if (this.able && (isSilent || this.failed >= FAILED_QUESTIONS)) {
 			this.able = false;
 			this.unableNanos = this.nanoTime.getAsLong();
-			this.log.write(new Decision.DependencyLost(NAME,
+			this.log.write(new ProcessDecision.DependencyLost(NAME,
 					isSilent ? "the table does not answer and the owner of " + "the pool is not heard to write"
 							: "the table turns reads down"));
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/UnreadableRowsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/UnreadableRowsTests.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,8 +25,9 @@
 		this.rows.note(row("k", ""), "first");
 		this.rows.note(row("k", ""), "second");
 		this.rows.note(row("l", ""), "second");
-		assertThat(this.decisions).containsExactly(new Decision.RowUnreadable("t", "k", "first"),
-				new Decision.RowUnreadable("t", "k", "second"), new Decision.RowUnreadable("t", "l", "second"));
+		assertThat(this.decisions).containsExactly(new ProcessDecision.RowUnreadable("t", "k", "first"),
+				new ProcessDecision.RowUnreadable("t", "k", "second"),
+				new ProcessDecision.RowUnreadable("t", "l", "second"));
 		assertThat(this.rows.count()).isEqualTo(4);
 	}
 
@@ -45,7 +47,7 @@
 		this.rows.note(row("k4999", ""), "x".repeat(100_000));
 		this.rows.note(row("k0", ""), "x".repeat(100_000));
 		assertThat(this.decisions).hasSize(5001)
-			.allSatisfy((decision) -> assertThat(((Decision.RowUnreadable) decision).reason()).hasSize(200));
+			.allSatisfy((decision) -> assertThat(((ProcessDecision.RowUnreadable) decision).reason()).hasSize(200));
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PlayedLoad.java
@@ -14,6 +14,7 @@
 
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.UnreadableRows;
@@ -67,7 +68,7 @@
 
 	private final Map<String, double[]> calls = new TreeMap<>();
 
-	private final List<Decision.PoolLoad> loads = new ArrayList<>();
+	private final List<PoolDecision.PoolLoad> loads = new ArrayList<>();
 
 	private final Map<String, Played> jobs = new TreeMap<>();
 
@@ -105,7 +106,7 @@
 	}
 
 	private void note(Decision decision) {
-		if (decision instanceof Decision.PoolLoad load) {
+		if (decision instanceof PoolDecision.PoolLoad load) {
 			this.loads.add(load);
 		}
 	}
@@ -243,7 +244,7 @@
 	 * @param loads the owner's view of the pool, second by second
 	 */
 	record Served(Map<String, double[]> sums, List<String> starved, List<String> faults, Map<String, double[]> calls,
-			List<Decision.PoolLoad> loads) {
+			List<PoolDecision.PoolLoad> loads) {
 
 		double share() {
 			double earned = this.sums.values().stream().mapToDouble((sum) -> sum[0]).sum();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolLoadLogTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolLoadLogTests.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.PoolDecision;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -12,10 +12,10 @@
 
 	private final PoolCell cell = new PoolCell();
 
-	private List<Decision.PoolLoad> loads() {
+	private List<PoolDecision.PoolLoad> loads() {
 		return this.cell.decisions.stream()
-			.filter(Decision.PoolLoad.class::isInstance)
-			.map(Decision.PoolLoad.class::cast)
+			.filter(PoolDecision.PoolLoad.class::isInstance)
+			.map(PoolDecision.PoolLoad.class::cast)
 			.toList();
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -2,7 +2,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -73,7 +73,7 @@
 			Submission job = PoolOwnerTests.this.cell.submit("a", PoolCell.step(3, false));
 			PoolOwnerTests.this.cell.time.runFor(6);
 			owner.owner.orElseThrow().accepted(job, PoolOwnerTests.this.cell.table.version());
-			assertThat(PoolOwnerTests.this.cell.decisions).hasAtLeastOneElementOfType(Decision.JobLearnt.class);
+			assertThat(PoolOwnerTests.this.cell.decisions).hasAtLeastOneElementOfType(JobDecision.JobLearnt.class);
 			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 0, 2))).isZero();
 			PoolOwnerTests.this.cell.time.runFor(WRITE_MILLIS);
 			assertThat(PoolOwnerTests.this.cell.workers.startsOf(new TaskKey("a", 0, 0, 2))).isEqualTo(1);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverBesideSilentWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverBesideSilentWorkersTests.java
@@ -1,7 +1,8 @@
 package org.monsoonrelay.logic.pool;
 
 import org.junit.jupiter.api.Test;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -118,9 +119,9 @@
 		first.kill();
 		this.cell.decisions.clear();
 		this.cell.time.runFor(2000);
-		assertThat(this.cell.decisions).hasAtLeastOneElementOfType(Decision.OwnershipTaken.class)
-			.hasAtLeastOneElementOfType(Decision.EligibilityAnswered.class)
-			.doesNotHaveAnyElementsOfTypes(Decision.WorkersAccounted.class);
+		assertThat(this.cell.decisions).hasAtLeastOneElementOfType(PoolDecision.OwnershipTaken.class)
+			.hasAtLeastOneElementOfType(JobDecision.EligibilityAnswered.class)
+			.doesNotHaveAnyElementsOfTypes(PoolDecision.WorkersAccounted.class);
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverLoadingTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverLoadingTests.java
@@ -1,7 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import org.junit.jupiter.api.Test;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -113,8 +113,8 @@
 		this.cell.decisions.clear();
 		this.cell.addScheduler("restarted");
 		this.cell.time.runFor(1000);
-		assertThat(this.cell.decisions).hasAtLeastOneElementOfType(Decision.OwnershipSettled.class)
-			.hasAtLeastOneElementOfType(Decision.WorkersAccounted.class);
+		assertThat(this.cell.decisions).hasAtLeastOneElementOfType(PoolDecision.OwnershipSettled.class)
+			.hasAtLeastOneElementOfType(PoolDecision.WorkersAccounted.class);
 		this.cell.time.runFor(3000);
 		assertThat(first.owner).isEmpty();
 		for (int i = 0; i < 40; i++) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.ProcessDecision;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -31,7 +31,7 @@
 
 	private long told(String table) {
 		return this.cell.decisions.stream()
-			.filter((decision) -> decision instanceof Decision.RowUnreadable row && row.table().equals(table))
+			.filter((decision) -> decision instanceof ProcessDecision.RowUnreadable row && row.table().equals(table))
 			.count();
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WalksFromAnIdTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WalksFromAnIdTests.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.explain.JobStory;
 import org.monsoonrelay.logic.explain.LogLine;
 import org.monsoonrelay.logic.submission.JobTables;
@@ -42,8 +42,8 @@
 		}
 		this.cell.time.runFor(8000);
 		String late = this.cell.decisions.stream()
-			.filter((decision) -> decision instanceof Decision.JobEnded end && end.lateMillis() > 0)
-			.map((decision) -> ((Decision.JobEnded) decision).job())
+			.filter((decision) -> decision instanceof JobDecision.JobEnded end && end.lateMillis() > 0)
+			.map((decision) -> ((JobDecision.JobEnded) decision).job())
 			.reduce((earlier, later) -> later)
 			.orElseThrow();
 		JobStory story = this.cell.output.story(late);
