--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/HttpBackendClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/platform/HttpBackendClientTests.java
@@ -257,7 +257,7 @@
 
 				assertThat(send(server, request("three", List.of()), SHORT))
 					.isEqualTo(new AttemptResult.Silent("timeout"));
-				assertThat(text(send(server, request("four", List.of()), SHORT))).isEqualTo("ok");
+				assertThat(text(send(server, request("four", List.of()), LONG))).isEqualTo("ok");
 				assertThat(server.connections()).isEqualTo(3);
 			}
 		}
@@ -269,7 +269,7 @@
 				openTwo(other);
 
 				assertThat(send(server, request("three", List.of()), SHORT)).isInstanceOf(AttemptResult.Silent.class);
-				assertThat(text(send(other, request("four", List.of()), SHORT))).isEqualTo("ok");
+				assertThat(text(send(other, request("four", List.of()), LONG))).isEqualTo("ok");
 			}
 		}
 
