--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,7 @@
 	rm -f "target/monsoonrelay-$1.jsa"
 	sh deploy/replace.sh "monsoonrelay-$1/target/monsoonrelay-$1-0.1.0-SNAPSHOT-all.jar" "target/monsoonrelay-$1.jar"
 	java -XX:ArchiveClassesAtExit="target/monsoonrelay-$1.jsa.new" -Xss512k -XX:+UseSerialGC \
-		-XX:TieredStopAtLevel=1 -cp "target/monsoonrelay-$1.jar" "$2" --rehearse "$3" >/dev/null 2>&1 &&
+		-XX:TieredStopAtLevel=1 -cp "target/monsoonrelay-$1.jar" "$2" --training-run "$3" >/dev/null 2>&1 &&
 		mv -f "target/monsoonrelay-$1.jsa.new" "target/monsoonrelay-$1.jsa" ||
 		echo "no class archive for $1, it starts slower" >&2
 }
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -60,7 +60,7 @@
 
 	private static final int DRAIN_CHECK_MILLIS = 20;
 
-	private static final int REHEARSALS = 5;
+	private static final int TRAINING_CALLS = 5;
 
 	private static final int STORAGE_CHECK_MILLIS = 50;
 
@@ -205,9 +205,9 @@
 	/**
 	 * Let a few exchanges fail, so that the classes on their way are loaded.
 	 */
-	public void rehearse() {
+	public void train() {
 		JsonHttpClient client = new JsonHttpClient(Duration.ofSeconds(1), Duration.ofSeconds(1), 2);
-		for (int i = 0; i < REHEARSALS; i++) {
+		for (int i = 0; i < TRAINING_CALLS; i++) {
 			client.get(this.settings.callerAddress().orElseThrow().url() + "/none")
 				.thenCombine(client.get(this.settings.readinessAddress().orElseThrow().url() + ReadyRoute.PATH),
 						(first, second) -> first.code() + second.code())
--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -114,10 +114,10 @@
 	}
 
 	@Override
-	public void rehearse() {
-		PeerRehearsal.run(this.settings, this.network);
-		this.scheduler.rehearse();
-		this.gateway.rehearse();
+	public void train() {
+		PeerTraining.run(this.settings, this.network);
+		this.scheduler.train();
+		this.gateway.train();
 	}
 
 	@Override
--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/PeerTraining.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/PeerTraining.java
@@ -18,17 +18,17 @@
 import org.monsoonrelay.platform.HostSettings;
 
 /**
- * A peer that exchanges messages with a rehearsed host, so that the classes of messages
- * and their codec are loaded. Its news are those of no epoch, which change nothing.
- * Stateless.
+ * A peer that exchanges messages with a host in a training run, so that the classes of
+ * messages and their codec are loaded. Its news are those of no epoch, which change
+ * nothing. Stateless.
  */
-final class PeerRehearsal {
+final class PeerTraining {
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
-	private static final String NOBODY = "rehearsal";
+	private static final String NOBODY = "training";
 
-	private PeerRehearsal() {
+	private PeerTraining() {
 	}
 
 	/**
--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
@@ -23,7 +23,7 @@
 
 	private static final int PLACES = 200;
 
-	private final HostSettings settings = HostSettings.rehearsal(firstPort());
+	private final HostSettings settings = HostSettings.forTraining(firstPort());
 
 	private final HttpClient client = HttpClient.newHttpClient();
 
@@ -43,13 +43,13 @@
 	}
 
 	@Test
-	void rehearsalBringsAJobFromItsCallerToAWorkerAndBack() {
+	void trainingRunBringsAJobFromItsCallerToAWorkerAndBack() {
 		PrintStream console = System.out;
 		ByteArrayOutputStream written = new ByteArrayOutputStream();
 		System.setOut(new PrintStream(written, true, StandardCharsets.UTF_8));
 		int code;
 		try {
-			code = new CommandLine(new HostMain()).execute("--rehearse", String.valueOf(firstPort()));
+			code = new CommandLine(new HostMain()).execute("--training-run", String.valueOf(firstPort()));
 		}
 		finally {
 			System.setOut(console);
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -48,7 +48,7 @@
 
 	private static final System.Logger LOGGER = System.getLogger(PoolScheduler.class.getName());
 
-	private static final int REHEARSALS = 5;
+	private static final int TRAINING_CALLS = 5;
 
 	/**
 	 * A scheduler that does not own the pool begins to read the jobs this long after its
@@ -232,13 +232,13 @@
 	/**
 	 * Let a few exchanges fail, so that the classes on their way are loaded.
 	 */
-	public void rehearse() {
+	public void train() {
 		List<Integer> ports = this.settings.internalPorts();
 		HostAddress unused = new HostAddress(this.settings.ip(), ports.get(ports.size() - 1));
 		WorkerInfo nobody = new WorkerInfo("none", "none", unused.toString(), "none", Resources.NONE, List.of(), "none",
 				false, 0);
 		LookOrder look = new LookOrder(0, 0, OptionalLong.empty(), Duration.ZERO);
-		for (int i = 0; i < REHEARSALS; i++) {
+		for (int i = 0; i < TRAINING_CALLS; i++) {
 			this.ports.orders().look(nobody, look).join();
 			this.ports.table().commit(PartitionWrite.to("none")).join();
 		}
