--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/Answer.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/Answer.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.systemtests.soak;
+package org.monsoonrelay.systemtests.host;
 
 /**
  * An answer of a stand-in. Immutable.
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/HostSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostSoakTests.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.systemtests.soak;
+package org.monsoonrelay.systemtests.host;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.systemtests.soak;
+package org.monsoonrelay.systemtests.host;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -21,8 +21,7 @@
 import com.sun.net.httpserver.HttpServer;
 
 /**
- * The platform of a soak at one address: table, eligibility service and workers.
- * Thread-safe.
+ * The platform at one address: table, eligibility service and workers. Thread-safe.
  */
 final class PlatformFake implements AutoCloseable {
 
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakClient.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.systemtests.soak;
+package org.monsoonrelay.systemtests.host;
 
 import java.io.BufferedInputStream;
 import java.io.EOFException;
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/soak/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.systemtests.soak;
+package org.monsoonrelay.systemtests.host;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -37,8 +37,11 @@
 
 	private static final int KILLED = 137;
 
-	private static final Path JAR = Path.of("..", "monsoonrelay-host", "target",
-			"monsoonrelay-host-0.1.0-SNAPSHOT-all.jar");
+	/** The program of a host. */
+	static final Path JAR = Path.of("..", "monsoonrelay-host", "target", "monsoonrelay-host-0.1.0-SNAPSHOT-all.jar");
+
+	/** Its main class. */
+	static final String MAIN = "org.monsoonrelay.host.HostMain";
 
 	private final String ip;
 
@@ -67,15 +70,26 @@
 		this.log = folder.resolve(name + ".log");
 		this.timer = timer;
 		this.faults = faults;
-		write(this.settings,
+		writeSettings(this.settings, name, ip, platform);
+		write(this.log, "");
+		Runtime.getRuntime().addShutdownHook(this.onExit);
+	}
+
+	/**
+	 * Write the settings of a host.
+	 * @param file where to
+	 * @param name the host's name
+	 * @param ip its address
+	 * @param platform where the platform is
+	 */
+	static void writeSettings(Path file, String name, String ip, String platform) {
+		write(file,
 				"""
 						{"host": "%s", "failureDomain": "d%d", "ip": "%s", "callers": "%s:%d", "readiness": "%s:%d",
 						 "internalPorts": [%d, %d], "table": "%s", "eligibility": "%s", "orders": "call", "stopSeconds": 2,
 						 "processorShare": 1, "processorCount": 1, "linkMbps": 1000}"""
 					.formatted(name, Math.floorMod(name.hashCode(), 2), ip, ip, CALLER_PORT, ip, READINESS_PORT,
 							FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT, platform, platform));
-		write(this.log, "");
-		Runtime.getRuntime().addShutdownHook(this.onExit);
 	}
 
 	private static void write(Path file, String text) {
@@ -96,9 +110,8 @@
 		if (this.closed) {
 			return;
 		}
-		ProcessBuilder command = new ProcessBuilder(
-				List.of("java", "-Xmx128m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-						"-XX:+ErrorFileToStdout", "-cp", JAR.toString(), "org.monsoonrelay.host.HostMain"));
+		ProcessBuilder command = new ProcessBuilder(List.of("java", "-Xmx128m", "-Xss512k", "-XX:+UseSerialGC",
+				"-XX:TieredStopAtLevel=1", "-XX:+ErrorFileToStdout", "-cp", JAR.toString(), MAIN));
 		command.environment().put("MONSOONRELAY_NODE_FILE", this.settings.toString());
 		// Overwrites native memory when it is freed, so that what uses it after fails.
 		command.environment().put("GLIBC_TUNABLES", "glibc.malloc.perturb=165");
