Log with each lost run how it was lost and what else ran there

An operator who followed a lost task found the evidence as one text and could not tell a task that ends its worker from one that met a power loss, a cut or a leaving worker: neither how long the run had been active before its worker fell silent, nor whether the start was ever confirmed, nor what else ran there.

The evidence is typed now (RunLoss), with the texts as before. TaskLost has the cause, whether the start was confirmed, the time until the worker stopped answering and the number of other runs; WorkerLost has the failure domain, whether the worker was leaving and for how long it was silent; a counter counts lost runs for each cause. No decision changes.

Tests: DecisionMetricsTests.countLostRunsByCause, and fields of TaskLost in JobDiagnosisTests.wasLostWithItsWorker; both did not compile before.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -111,8 +111,9 @@
 		else if (decision instanceof PoolDecision.WorkerLost) {
 			count("pool.workers.lost");
 		}
-		else if (decision instanceof JobDecision.TaskLost) {
+		else if (decision instanceof JobDecision.TaskLost lost) {
 			count("pool.runs.lost");
+			count("pool.runs.lost." + lost.cause());
 		}
 		else if (decision instanceof ProcessDecision.DependencyLost) {
 			count("dependencies.lost");
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -49,6 +49,15 @@
 		assertThat(count("pool.leases.lapsed")).isEqualTo(1);
 	}
 
+	@Test
+	void countLostRunsByCause() {
+		this.log.write(new JobDecision.TaskLost("a", "a.0.0.0", 1, "w", "WORKER_REPLACED", "restarted", true, 9, 3));
+		this.log.write(new JobDecision.TaskLost("a", "a.0.0.1", 1, "v", "LEASE_EXPIRED", "silent", true, 9, 0));
+		assertThat(count("pool.runs.lost")).isEqualTo(2);
+		assertThat(count("pool.runs.lost.WORKER_REPLACED")).isEqualTo(1);
+		assertThat(count("pool.runs.lost.LEASE_EXPIRED")).isEqualTo(1);
+	}
+
 	@Test
 	void countJobsByStateAndLateJobs() {
 		this.log.write(new JobDecision.JobEnded("a", "COMPLETED", 100, -5));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -194,9 +194,15 @@
 	 * @param task the task
 	 * @param attempt the attempt
 	 * @param worker the worker
-	 * @param reason evidence that the run was lost
+	 * @param cause kind of the evidence that the run was lost
+	 * @param reason the evidence in words
+	 * @param confirmed whether the worker had confirmed the start
+	 * @param ranMillis time from the start request until the worker stopped answering; of
+	 * a run that another owner started, the time since it was adopted
+	 * @param otherRuns number of other runs that may have been active on the worker
 	 */
-	record TaskLost(String job, String task, int attempt, String worker, String reason) implements JobDecision {
+	record TaskLost(String job, String task, int attempt, String worker, String cause, String reason, boolean confirmed,
+			long ranMillis, int otherRuns) implements JobDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -69,10 +69,14 @@
 	 * A worker was lost: nothing runs on it any more.
 	 *
 	 * @param worker the worker
+	 * @param failureDomain its failure domain
 	 * @param reason evidence that nothing runs on it
+	 * @param draining whether it had announced that it leaves
+	 * @param silentMillis time since it stopped answering
 	 * @param lost number of runs that were lost
 	 */
-	record WorkerLost(String worker, String reason, int lost) implements PoolDecision {
+	record WorkerLost(String worker, String failureDomain, String reason, boolean draining, long silentMillis,
+			int lost) implements PoolDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -39,6 +40,10 @@
 
 	private boolean reachable;
 
+	private boolean silent;
+
+	private long silentSinceNanos;
+
 	// Whether the durable owner record lists this worker as usable.
 	private boolean recorded;
 
@@ -293,14 +298,39 @@
 
 	void markReachable() {
 		this.reachable = true;
+		this.silent = false;
 		this.lost = false;
 		advanceCapacityVersion();
 	}
 
-	void markUnreachable() {
+	void markUnreachable(long nowNanos) {
+		if (!this.silent) {
+			this.silent = true;
+			this.silentSinceNanos = nowNanos;
+		}
 		this.reachable = false;
 	}
 
+	/**
+	 * Returns for how long the worker has not answered polls.
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, 0 if it answered the last poll
+	 */
+	long silentMillis(long nowNanos) {
+		return this.silent ? TimeUnit.NANOSECONDS.toMillis(nowNanos - this.silentSinceNanos) : 0;
+	}
+
+	/**
+	 * Returns the time from an earlier moment until the worker stopped answering polls.
+	 * @param fromNanos the earlier monotonic time
+	 * @param nowNanos the current monotonic time, which counts if the worker answers
+	 * @return milliseconds, 0 if the worker stopped answering before that moment
+	 */
+	long millisToLastContact(long fromNanos, long nowNanos) {
+		long untilNanos = this.silent ? this.silentSinceNanos : nowNanos;
+		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(untilNanos - fromNanos));
+	}
+
 	void update(WorkerInfo newer) {
 		if (!this.listed || !this.info.equals(newer)) {
 			advanceCapacityVersion();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -29,6 +29,8 @@
 
 	private boolean confirmed;
 
+	private boolean startConfirmed;
+
 	private String checkpoint = "";
 
 	private long estimatedEndNanos;
@@ -93,6 +95,7 @@
 	 * @param nowNanos the current monotonic time
 	 */
 	void confirm(long nowNanos) {
+		this.startConfirmed = this.startConfirmed || this.state != State.STOPPING;
 		this.confirmed = true;
 		this.confirmedNanos = nowNanos;
 		if (this.state == State.STARTING) {
@@ -117,6 +120,14 @@
 		return this.confirmed && this.confirmedNanos - pollSentNanos < 0;
 	}
 
+	/**
+	 * Returns whether the worker has confirmed that the run was started.
+	 * @return {@code false} if the start request may never have arrived
+	 */
+	boolean hasBeenConfirmed() {
+		return this.startConfirmed;
+	}
+
 	void updateCheckpoint(String latest) {
 		if (!latest.isEmpty()) {
 			this.checkpoint = latest;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -65,7 +65,7 @@
 		}
 		for (Run run : worker.runs()) {
 			if (!reportedTasks.contains(run.task()) && run.mustAppearInPoll(sentNanos)) {
-				this.terminations.handleLostRun(worker, run, "neither running nor ended on its worker");
+				this.terminations.handleLostRun(worker, run, RunLoss.NOT_REPORTED, worker.runCount() - 1);
 			}
 		}
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -139,7 +140,7 @@
 		}
 		else if (outcome instanceof PollOutcome.Gone) {
 			this.pool.markReconciled(worker.id());
-			markLost(worker, "another life of the worker answers");
+			markLost(worker, RunLoss.WORKER_REPLACED);
 			this.pool.remove(worker.id());
 			this.listener.stateChanged();
 		}
@@ -159,7 +160,7 @@
 		if (worker.isReachable()) {
 			this.log.write(new PoolDecision.WorkerSilent(worker.id(), reason, worker.runCount()));
 		}
-		worker.markUnreachable();
+		worker.markUnreachable(this.clock.nanos());
 		this.control.schedule(() -> poll(worker), UNREACHABLE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -375,7 +376,7 @@
 				continue;
 			}
 			if (worker.lease().isClockKnown() && !worker.isLost()) {
-				markLost(worker, "its lease has lapsed");
+				markLost(worker, RunLoss.LEASE_EXPIRED);
 				this.listener.stateChanged();
 			}
 			if (!worker.isListed()) {
@@ -384,13 +385,15 @@
 		}
 	}
 
-	private void markLost(PoolWorker worker, String reason) {
+	private void markLost(PoolWorker worker, RunLoss loss) {
 		if (worker.isLost()) {
 			return;
 		}
-		this.log.write(new PoolDecision.WorkerLost(worker.id(), reason, worker.runCount()));
-		for (Run run : worker.runs()) {
-			this.terminations.handleLostRun(worker, run, reason);
+		Collection<Run> runs = worker.runs();
+		this.log.write(new PoolDecision.WorkerLost(worker.id(), worker.info().failureDomain(), loss.description(),
+				worker.info().draining(), worker.silentMillis(this.clock.nanos()), runs.size()));
+		for (Run run : runs) {
+			this.terminations.handleLostRun(worker, run, loss, runs.size() - 1);
 		}
 		worker.markLost();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -135,13 +135,16 @@
 	 * Handles a run that is no longer active although its worker reported no termination.
 	 * @param worker the worker
 	 * @param run the run
-	 * @param reason why the run is considered lost
+	 * @param loss how it is known that the run is over
+	 * @param otherRuns number of other runs that may have been active on the worker
 	 */
-	void handleLostRun(PoolWorker worker, Run run, String reason) {
+	void handleLostRun(PoolWorker worker, Run run, RunLoss loss, int otherRuns) {
 		release(worker, run);
 		recordWaste(run);
 		TaskKey task = run.task();
-		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), reason));
+		long ranMillis = worker.millisToLastContact(run.requestedNanos(), this.clock.nanos());
+		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), loss.name(),
+				loss.description(), run.hasBeenConfirmed(), ranMillis, otherRuns));
 		this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
 			job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint());
 			updateJobState(job, task.stepKey(), false);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.JobDecision;
@@ -74,6 +75,13 @@
 			JobTimeline story = cell.logs.story("a");
 			assertThat(events(story)).containsExactly("JobLearnt", "TaskPlaced", "WorkerSilent", "WorkerLost",
 					"TaskLost", "TaskEnded", "JobEnded");
+			assertThat(cell.decisions).filteredOn(JobDecision.TaskLost.class::isInstance)
+				.first(InstanceOfAssertFactories.type(JobDecision.TaskLost.class))
+				.satisfies((lost) -> {
+					assertThat(lost.cause()).isEqualTo("LEASE_EXPIRED");
+					assertThat(lost.confirmed()).isTrue();
+					assertThat(lost.otherRuns()).isZero();
+				});
 			assertThat(causes(story)).contains("1 runs were lost with worker " + holder + ": its lease has lapsed")
 				.contains("it was silent before: ")
 				.contains("a.0.0.0 was placed again as attempt 2 on ");
