--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -204,7 +204,7 @@
 
 		final InMemoryTable.Client tableClient = SimulatedCell.this.table.client();
 
-		final SimulatedWorkers.Client workerClient = SimulatedCell.this.workers.client();
+		final SimulatedWorkerClient workerClient = SimulatedCell.this.workers.client();
 
 		final OwnerElection election;
 
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
@@ -0,0 +1,122 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.logic.pool.RunRequestOutcome.Kind;
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * The client of one scheduler process for simulated workers, which can be disconnected
+ * from some of them. Not thread-safe.
+ */
+final class SimulatedWorkerClient implements WorkerClient {
+
+	private static final long ONE_WAY_LATENCY_MILLIS = 1;
+
+	private static final long REQUEST_TIMEOUT_MILLIS = 450;
+
+	private static final long LONG_POLL_MILLIS = 40;
+
+	private final SimulatedWorkers workers;
+
+	private final VirtualTime time;
+
+	private final Set<String> disconnectedWorkers = new HashSet<>();
+
+	SimulatedWorkerClient(SimulatedWorkers workers, VirtualTime time) {
+		this.workers = workers;
+		this.time = time;
+	}
+
+	void disconnect(String worker) {
+		this.disconnectedWorkers.add(worker);
+	}
+
+	void reconnect(String worker) {
+		this.disconnectedWorkers.remove(worker);
+	}
+
+	private boolean isUnreachable(SimulatedWorkers.SimulatedWorker worker) {
+		return worker.isCrashed() || this.disconnectedWorkers.contains(worker.id());
+	}
+
+	private boolean isReplaced(SimulatedWorkers.SimulatedWorker worker) {
+		return worker.isReplaced() && !this.disconnectedWorkers.contains(worker.id());
+	}
+
+	private SimulatedWorkers.SimulatedWorker findWorker(WorkerInfo info) {
+		return this.workers.find(info.id());
+	}
+
+	@Override
+	public CompletableFuture<PollOutcome> poll(WorkerInfo info, PollRequest request) {
+		CompletableFuture<PollOutcome> response = new CompletableFuture<>();
+		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
+		if (isReplaced(worker)) {
+			after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(new PollOutcome.Gone()));
+			return response;
+		}
+		if (isUnreachable(worker)) {
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(new PollOutcome.NoAnswer("no answer")));
+			return response;
+		}
+		after(ONE_WAY_LATENCY_MILLIS, () -> {
+			PollOutcome immediate = worker.poll(request);
+			boolean isDelayed = immediate instanceof PollOutcome.Report report && report.terminatedTasks().isEmpty()
+					&& !request.maxWait().isZero();
+			after(isDelayed ? LONG_POLL_MILLIS : ONE_WAY_LATENCY_MILLIS, () -> response
+				.complete(isUnreachable(worker) ? new PollOutcome.NoAnswer("cut") : worker.poll(request)));
+		});
+		return response;
+	}
+
+	@Override
+	public CompletableFuture<RunRequestOutcome> start(WorkerInfo info, RunStartRequest request) {
+		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
+		CompletableFuture<RunRequestOutcome> response = new CompletableFuture<>();
+		if (isReplaced(worker)) {
+			after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(new RunRequestOutcome(Kind.GONE, -1)));
+		}
+		else if (isUnreachable(worker)) {
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
+		}
+		else if (worker.startDelayMillis() > 0) {
+			after(worker.startDelayMillis(), () -> worker.start(request));
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
+		}
+		else if (worker.losesStartResponses()) {
+			after(ONE_WAY_LATENCY_MILLIS, () -> worker.start(request));
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
+		}
+		else {
+			after(ONE_WAY_LATENCY_MILLIS, () -> {
+				RunRequestOutcome outcome = worker.start(request);
+				after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(outcome));
+			});
+		}
+		return response;
+	}
+
+	@Override
+	public CompletableFuture<RunRequestOutcome> stop(WorkerInfo info, TaskKey task, int attempt, long fencingToken) {
+		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
+		CompletableFuture<RunRequestOutcome> response = new CompletableFuture<>();
+		if (isUnreachable(worker)) {
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
+			return response;
+		}
+		after(ONE_WAY_LATENCY_MILLIS, () -> {
+			RunRequestOutcome outcome = worker.stop(task, attempt, fencingToken);
+			after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(outcome));
+		});
+		return response;
+	}
+
+	private void after(long millis, Runnable action) {
+		this.time.schedule(action, millis, TimeUnit.MILLISECONDS);
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.ToLongFunction;
 
 import org.monsoonrelay.logic.pool.RunRequestOutcome.Kind;
@@ -24,12 +24,6 @@
  */
 final class SimulatedWorkers {
 
-	private static final long ONE_WAY_LATENCY_MILLIS = 1;
-
-	private static final long REQUEST_TIMEOUT_MILLIS = 450;
-
-	private static final long LONG_POLL_MILLIS = 40;
-
 	private final VirtualTime time;
 
 	private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
@@ -46,6 +40,9 @@
 
 	private Resources taskSize = Resources.NONE;
 
+	private BiConsumer<SimulatedWorker, TaskKey> startObserver = (worker, task) -> {
+	};
+
 	SimulatedWorkers(VirtualTime time, ToLongFunction<TaskKey> runMillis) {
 		this.time = time;
 		this.runMillis = runMillis;
@@ -57,8 +54,12 @@
 	}
 
 	SimulatedWorker add(String id, Resources capacity) {
+		return add(id, capacity, "porto");
+	}
+
+	SimulatedWorker add(String id, Resources capacity, String failureDomain) {
 		SimulatedWorker worker = new SimulatedWorker(
-				new WorkerInfo(id, "salon", "10.0.0.1:1", "porto", capacity, List.of("a", "r1"), "r1", false, 0));
+				new WorkerInfo(id, "salon", "10.0.0.1:1", failureDomain, capacity, List.of("a", "r1"), "r1", false, 0));
 		this.workers.put(id, worker);
 		return worker;
 	}
@@ -96,6 +97,31 @@
 		this.workers.get(id).removeFromList();
 	}
 
+	/**
+	 * Crashes a worker, which is back with another id after a while.
+	 * @param worker the worker
+	 * @param restartMillis time until a new incarnation answers, milliseconds
+	 */
+	void crashAndRestart(SimulatedWorker worker, long restartMillis) {
+		if (worker.crashed) {
+			return;
+		}
+		worker.crash();
+		this.time.schedule(() -> {
+			worker.replaced = true;
+			worker.removeFromList();
+			add(worker.info.id() + "'", worker.info.capacity(), worker.info.failureDomain());
+		}, restartMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Sets an observer of starts, which may crash the worker.
+	 * @param observer called with each run that starts
+	 */
+	void onStart(BiConsumer<SimulatedWorker, TaskKey> observer) {
+		this.startObserver = observer;
+	}
+
 	List<String> violations() {
 		return this.violations;
 	}
@@ -121,8 +147,12 @@
 	 * workers.
 	 * @return the client
 	 */
-	Client client() {
-		return new Client();
+	SimulatedWorkerClient client() {
+		return new SimulatedWorkerClient(this, this.time);
+	}
+
+	SimulatedWorker find(String id) {
+		return this.workers.get(id);
 	}
 
 	/** One simulated worker. */
@@ -146,6 +176,8 @@
 
 		private boolean crashed;
 
+		private boolean replaced;
+
 		private boolean failing;
 
 		private boolean losesStartResponses;
@@ -182,6 +214,30 @@
 			return this.runningAttempts.size();
 		}
 
+		String id() {
+			return this.info.id();
+		}
+
+		boolean isCrashed() {
+			return this.crashed;
+		}
+
+		boolean isReplaced() {
+			return this.replaced;
+		}
+
+		boolean losesStartResponses() {
+			return this.losesStartResponses;
+		}
+
+		long startDelayMillis() {
+			return this.startDelayMillis;
+		}
+
+		boolean isRunning(TaskKey task) {
+			return this.runningAttempts.containsKey(task);
+		}
+
 		private boolean rejectsFencingToken(long fencingToken) {
 			if (fencingToken < this.highestFencingToken) {
 				return true;
@@ -229,6 +285,7 @@
 			TerminationReason reason = this.failing ? TerminationReason.FAILED : TerminationReason.DONE;
 			simulation.time.schedule(() -> terminateAttempt(task, attempt, reason),
 					simulation.runMillis.applyAsLong(task), TimeUnit.MILLISECONDS);
+			simulation.startObserver.accept(this, task);
 		}
 
 		private void terminateAttempt(TaskKey task, int attempt, TerminationReason reason) {
@@ -237,7 +294,7 @@
 			}
 		}
 
-		private RunRequestOutcome start(RunStartRequest request) {
+		RunRequestOutcome start(RunStartRequest request) {
 			long now = SimulatedWorkers.this.time.millis();
 			if (rejectsFencingToken(request.fencingToken())) {
 				return new RunRequestOutcome(Kind.FENCED, now);
@@ -256,7 +313,7 @@
 			return new RunRequestOutcome(Kind.DONE, now);
 		}
 
-		private RunRequestOutcome stop(TaskKey task, int attempt, long fencingToken) {
+		RunRequestOutcome stop(TaskKey task, int attempt, long fencingToken) {
 			long now = SimulatedWorkers.this.time.millis();
 			if (rejectsFencingToken(fencingToken)) {
 				return new RunRequestOutcome(Kind.FENCED, now);
@@ -268,7 +325,7 @@
 			return new RunRequestOutcome(Kind.DONE, now);
 		}
 
-		private PollOutcome poll(PollRequest request) {
+		PollOutcome poll(PollRequest request) {
 			if (rejectsFencingToken(request.fencingToken())) {
 				return new PollOutcome.Fenced();
 			}
@@ -288,89 +345,4 @@
 
 	}
 
-	/** The client of one scheduler process. */
-	final class Client implements WorkerClient {
-
-		private final Set<String> disconnectedWorkers = new HashSet<>();
-
-		void disconnect(String worker) {
-			this.disconnectedWorkers.add(worker);
-		}
-
-		void reconnect(String worker) {
-			this.disconnectedWorkers.remove(worker);
-		}
-
-		private boolean isUnreachable(SimulatedWorker worker) {
-			return worker.crashed || this.disconnectedWorkers.contains(worker.info.id());
-		}
-
-		private SimulatedWorker findWorker(WorkerInfo info) {
-			return SimulatedWorkers.this.workers.get(info.id());
-		}
-
-		@Override
-		public CompletableFuture<PollOutcome> poll(WorkerInfo info, PollRequest request) {
-			CompletableFuture<PollOutcome> response = new CompletableFuture<>();
-			SimulatedWorker worker = findWorker(info);
-			if (isUnreachable(worker)) {
-				after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(new PollOutcome.NoAnswer("no answer")));
-				return response;
-			}
-			after(ONE_WAY_LATENCY_MILLIS, () -> {
-				PollOutcome immediate = worker.poll(request);
-				boolean isDelayed = immediate instanceof PollOutcome.Report report && report.terminatedTasks().isEmpty()
-						&& !request.maxWait().isZero();
-				after(isDelayed ? LONG_POLL_MILLIS : ONE_WAY_LATENCY_MILLIS, () -> response
-					.complete(isUnreachable(worker) ? new PollOutcome.NoAnswer("cut") : worker.poll(request)));
-			});
-			return response;
-		}
-
-		@Override
-		public CompletableFuture<RunRequestOutcome> start(WorkerInfo info, RunStartRequest request) {
-			SimulatedWorker worker = findWorker(info);
-			CompletableFuture<RunRequestOutcome> response = new CompletableFuture<>();
-			if (isUnreachable(worker)) {
-				after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
-			}
-			else if (worker.startDelayMillis > 0) {
-				after(worker.startDelayMillis, () -> worker.start(request));
-				after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
-			}
-			else if (worker.losesStartResponses) {
-				after(ONE_WAY_LATENCY_MILLIS, () -> worker.start(request));
-				after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
-			}
-			else {
-				after(ONE_WAY_LATENCY_MILLIS, () -> {
-					RunRequestOutcome outcome = worker.start(request);
-					after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(outcome));
-				});
-			}
-			return response;
-		}
-
-		@Override
-		public CompletableFuture<RunRequestOutcome> stop(WorkerInfo info, TaskKey task, int attempt,
-				long fencingToken) {
-			SimulatedWorker worker = findWorker(info);
-			CompletableFuture<RunRequestOutcome> response = new CompletableFuture<>();
-			if (isUnreachable(worker)) {
-				after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
-				return response;
-			}
-			after(ONE_WAY_LATENCY_MILLIS, () -> {
-				RunRequestOutcome outcome = worker.stop(task, attempt, fencingToken);
-				after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(outcome));
-			});
-			return response;
-		}
-
-		private void after(long millis, Runnable action) {
-			SimulatedWorkers.this.time.schedule(action, millis, TimeUnit.MILLISECONDS);
-		}
-
-	}
-
 }
