--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -114,6 +114,10 @@
 		else if (decision instanceof JobDecision.TaskLost lost) {
 			count("pool.runs.lost");
 			count("pool.runs.lost." + lost.cause());
+			count("pool.crashes." + lost.crash());
+		}
+		else if (decision instanceof JobDecision.TaskGivenUp) {
+			count("pool.tasks.given_up");
 		}
 		else if (decision instanceof ProcessDecision.DependencyLost) {
 			count("dependencies.lost");
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -51,11 +51,17 @@
 
 	@Test
 	void countLostRunsByCause() {
-		this.log.write(new JobDecision.TaskLost("a", "a.0.0.0", 1, "w", "WORKER_REPLACED", "restarted", true, 9, 3));
-		this.log.write(new JobDecision.TaskLost("a", "a.0.0.1", 1, "v", "LEASE_EXPIRED", "silent", true, 9, 0));
+		this.log.write(new JobDecision.TaskLost("a", "a.0.0.0", 1, "w", "WORKER_REPLACED", "restarted", "CONFIRMED",
+				true, 9, 3));
+		this.log
+			.write(new JobDecision.TaskLost("a", "a.0.0.1", 1, "v", "LEASE_EXPIRED", "silent", "POSSIBLE", true, 9, 0));
+		this.log.write(new JobDecision.TaskGivenUp("a", "a.0.0.0", 3, 0));
 		assertThat(count("pool.runs.lost")).isEqualTo(2);
 		assertThat(count("pool.runs.lost.WORKER_REPLACED")).isEqualTo(1);
 		assertThat(count("pool.runs.lost.LEASE_EXPIRED")).isEqualTo(1);
+		assertThat(count("pool.crashes.CONFIRMED")).isEqualTo(1);
+		assertThat(count("pool.crashes.POSSIBLE")).isEqualTo(1);
+		assertThat(count("pool.tasks.given_up")).isEqualTo(1);
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -196,13 +196,32 @@
 	 * @param worker the worker
 	 * @param cause kind of the evidence that the run was lost
 	 * @param reason the evidence in words
+	 * @param crash how certain it is that the worker crashed while the task was active
 	 * @param confirmed whether the worker had confirmed the start
 	 * @param ranMillis time from the start request until the worker stopped answering; of
 	 * a run that another owner started, the time since it was adopted
 	 * @param otherRuns number of other runs that may have been active on the worker
 	 */
-	record TaskLost(String job, String task, int attempt, String worker, String cause, String reason, boolean confirmed,
-			long ranMillis, int otherRuns) implements JobDecision {
+	record TaskLost(String job, String task, int attempt, String worker, String cause, String reason, String crash,
+			boolean confirmed, long ranMillis, int otherRuns) implements JobDecision {
+
+	}
+
+	/**
+	 * A task is not started again, because workers crashed while it was active on them.
+	 * Its job has failed.
+	 *
+	 * @param job the job
+	 * @param task the task
+	 * @param confirmedCrashes number of workers that crashed under it
+	 * @param possibleCrashes number of workers that may have crashed under it
+	 */
+	record TaskGivenUp(String job, String task, int confirmedCrashes, int possibleCrashes) implements JobDecision {
+
+		@Override
+		public boolean reportsFinalOutcome() {
+			return true;
+		}
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -72,11 +72,12 @@
 	 * @param failureDomain its failure domain
 	 * @param reason evidence that nothing runs on it
 	 * @param draining whether it had announced that it leaves
+	 * @param outage whether it was lost together with its failure domain
 	 * @param silentMillis time since it stopped answering
 	 * @param lost number of runs that were lost
 	 */
-	record WorkerLost(String worker, String failureDomain, String reason, boolean draining, long silentMillis,
-			int lost) implements PoolDecision {
+	record WorkerLost(String worker, String failureDomain, String reason, boolean draining, boolean outage,
+			long silentMillis, int lost) implements PoolDecision {
 
 	}
 
@@ -113,6 +114,17 @@
 
 	}
 
+	/**
+	 * The previous owner runs an earlier release, which drops recorded crashes: tasks
+	 * that crash their workers are counted anew.
+	 *
+	 * @param epoch the fencing token
+	 * @param previousHost host of the previous owner
+	 */
+	record CrashRecordsMissing(long epoch, String previousHost) implements PoolDecision {
+
+	}
+
 	/**
 	 * This process has lost ownership of the pool.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -178,6 +178,22 @@
 	}
 
 	private String describeFailures() {
+		return first(JobDecision.TaskGivenUp.class).map(this::describeCrashes).orElseGet(this::describeFailedRuns);
+	}
+
+	private String describeCrashes(LogLine givenUp) {
+		String workers = all(JobDecision.TaskLost.class).stream()
+			.filter((line) -> line.text("task").equals(givenUp.text("task")) && !"NONE".equals(line.text("crash")))
+			.map((line) -> "attempt " + line.value("attempt") + " on " + line.text("worker") + " after "
+					+ line.value("ranMillis") + " ms")
+			.collect(Collectors.joining(", "));
+		long possible = givenUp.value("possibleCrashes");
+		return givenUp.text("task") + " is not started again, as " + givenUp.value("confirmedCrashes")
+				+ " workers crashed under it" + ((possible > 0) ? " and " + possible + " may have" : "") + ": "
+				+ workers;
+	}
+
+	private String describeFailedRuns() {
 		Map<String, List<String>> failed = new LinkedHashMap<>();
 		for (LogLine line : all(JobDecision.TaskEnded.class)) {
 			if ("FAILED".equals(line.text("end"))) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 
+import org.monsoonrelay.model.submission.CrashSuspicion;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepProgress;
 import org.monsoonrelay.model.submission.StepSpec;
@@ -135,7 +137,18 @@
 				waiting.add(i);
 			}
 		}
-		return waiting;
+		return this.progress.tasksWithRecordedStart().isEmpty() ? waiting : withoutUndurableRecords(waiting);
+	}
+
+	// The next owner has to know of a crash before the task is started again. Suspected
+	// tasks come last: what keeps them waiting does not concern the others.
+	private List<Integer> withoutUndurableRecords(List<Integer> waiting) {
+		boolean isDurable = !this.job.hasUndurableCrashRecords();
+		List<Integer> startable = waiting.stream()
+			.filter((index) -> isDurable || !this.progress.isStartRecorded(index))
+			.sorted(Comparator.comparing(this::suspicion))
+			.toList();
+		return (this.spec.gang() && startable.size() < waiting.size()) ? List.of() : startable;
 	}
 
 	// Satisfied dependencies stay satisfied, so the result is cached.
@@ -163,6 +176,15 @@
 		return highest + 1;
 	}
 
+	/**
+	 * How strongly a task is suspected to crash its workers.
+	 * @param index the task
+	 * @return the suspicion
+	 */
+	CrashSuspicion suspicion(int index) {
+		return this.progress.crashes(index).suspicion();
+	}
+
 	boolean hasRun(int index) {
 		return this.runs[index] != null;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -280,6 +280,10 @@
 		return this.openStepKeysByJob.getOrDefault(job, Set.of()).stream().map(this.openSteps::get).toList();
 	}
 
+	List<SubmittedJob> inheritedJobs() {
+		return this.inherited.stream().map(this.jobs::get).toList();
+	}
+
 	boolean isInherited(String job) {
 		return this.inherited.contains(job);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -22,16 +22,19 @@
  * @param standbys the standby hosts; the first one takes over first
  * @param confirming whether the owner starts a job whose row is younger than this one
  * only after it has written this row again
+ * @param recordsCrashes whether the owner keeps the crashes recorded in the progress of
+ * jobs; {@code false} in rows of earlier releases, which drop them
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
-		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming) {
+		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
+		boolean recordsCrashes) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true);
+			HostSize.UNKNOWN, List.of(), true, true);
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -49,7 +52,7 @@
 	 */
 	OwnerRecord takenOverBy(HostRecord next) {
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + 1, 1, false, this.workers, this.closed,
-				HostSize.largest(List.of(this.largest, next.size())), this.standbys, this.confirming);
+				HostSize.largest(List.of(this.largest, next.size())), this.standbys, this.confirming, true);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
@@ -36,12 +36,13 @@
 	 * Whether tasks of the step can be placed on a worker now.
 	 * @param worker the worker
 	 * @param count the number of tasks
-	 * @return {@code true} if there is enough free capacity and the limit of tasks per
-	 * worker is kept
+	 * @return {@code true} if there is enough free capacity, the limit of tasks per
+	 * worker is kept and the worker runs no isolated task of another job
 	 */
 	boolean fits(PoolWorker worker, int count) {
 		Resources size = this.step.spec().committedSize();
-		return worker.canAccept((count == 1) ? size : size.times(count), this.nowNanos) && isWithinLimit(worker, count);
+		return worker.canAccept((count == 1) ? size : size.times(count), this.nowNanos) && isWithinLimit(worker, count)
+				&& !worker.isIsolatedFrom(this.step.key().job());
 	}
 
 	private boolean isWithinLimit(PoolWorker worker, int count) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -129,6 +129,10 @@
 
 	/** Starts the scheduling loop and receives the jobs. */
 	public void start() {
+		if (!this.takeOver.previous().recordsCrashes()) {
+			this.dependencies.log()
+				.write(new PoolDecision.CrashRecordsMissing(this.epoch, this.takeOver.previous().host()));
+		}
 		this.loop.start();
 		this.jobTables.attach(this.jobTableListener);
 	}
@@ -256,10 +260,11 @@
 
 	private void checkRecovery() {
 		if (ageMillis() > OwnerLease.MAX_REQUEST_VALIDITY_MILLIS / WorkerLease.MIN_CLOCK_RATE) {
-			this.pool.abandonRecovery();
+			this.runs.losses().abandonRecovery();
 		}
 		if (!this.recoveryComplete && this.pool.isRecoveryComplete()) {
 			this.recoveryComplete = true;
+			this.runs.losses().onRecovered();
 			this.placer.markRecovered();
 			this.dependencies.log()
 				.write(new PoolDecision.WorkersAccounted(this.epoch, this.takeOver.previous().workers().size(),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -204,12 +204,12 @@
 		WorkerPool.RecordedWorkers named = this.workers.workersToRecord();
 		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
-				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS);
+				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true);
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
-		Map<SubmittedJob, SubmissionState> states = new HashMap<>();
+		Map<SubmittedJob, WrittenJob> states = new HashMap<>();
 		int bytes = 0;
 		List<PartitionWrite.Put> puts = new ArrayList<>(write.puts());
 		while (states.size() < MAX_JOBS_PER_WRITE && bytes < MAX_PROGRESS_BYTES_PER_WRITE && this.jobs.hasDirty()) {
@@ -217,7 +217,7 @@
 			JobProgress progress = job.toProgress();
 			String value = Json.write(progress);
 			bytes += value.length();
-			states.put(job, progress.state());
+			states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
 		}
 		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
@@ -287,8 +287,8 @@
 		this.writtenSummary = batch.summary();
 		Map<String, SubmissionState> states = new HashMap<>();
 		batch.states().forEach((job, state) -> {
-			job.markDurable(state);
-			states.put(job.id(), state);
+			job.markDurable(state.state(), state.crashRecords());
+			states.put(job.id(), state.state());
 		});
 		this.workers.markRecorded(batch.record().workers());
 		this.workers.markDurable(batch.terminations());
@@ -303,7 +303,11 @@
 		}
 	}
 
-	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, SubmissionState> states,
+	private record WrittenJob(SubmissionState state, int crashRecords) {
+
+	}
+
+	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, WrittenJob> states,
 			Optional<QueueSummary> summary, boolean isCountChanged, Map<String, Long> terminations) {
 
 		Optional<QueueCount> changedCount(long version) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -1,13 +1,9 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -28,7 +24,7 @@
 
 	private final RunSet runs = new RunSet();
 
-	private final Map<StepKey, Hold> holds = new HashMap<>();
+	private final HeldCapacity holds = new HeldCapacity();
 
 	private WorkerInfo info;
 
@@ -40,9 +36,7 @@
 
 	private boolean reachable;
 
-	private boolean silent;
-
-	private long silentSinceNanos;
+	private final PollSilence silence = new PollSilence();
 
 	// Whether the durable owner record lists this worker as usable.
 	private boolean recorded;
@@ -226,40 +220,23 @@
 	 */
 	void hold(StepKey step, Resources size, long untilNanos) {
 		releaseHold(step);
-		this.holds.put(step, new Hold(size, untilNanos));
+		this.holds.put(step, size, untilNanos);
 		setCommitted(this.committed.plus(size));
 	}
 
 	Resources held() {
-		Resources held = Resources.NONE;
-		for (Hold hold : this.holds.values()) {
-			held = held.plus(hold.size());
-		}
-		return held;
+		return this.holds.total();
 	}
 
 	void releaseHold(StepKey step) {
-		if (this.holds.isEmpty()) {
-			return;
-		}
-		Hold hold = this.holds.remove(step);
-		if (hold != null) {
-			setCommitted(this.committed.minus(hold.size()));
+		this.holds.remove(step).ifPresent((size) -> {
+			setCommitted(this.committed.minus(size));
 			advanceCapacityVersion();
-		}
+		});
 	}
 
 	void expireHolds(long nowNanos) {
-		if (this.holds.isEmpty()) {
-			return;
-		}
-		List<StepKey> expired = new ArrayList<>();
-		this.holds.forEach((step, hold) -> {
-			if (nowNanos - hold.untilNanos() > 0) {
-				expired.add(step);
-			}
-		});
-		expired.forEach(this::releaseHold);
+		this.holds.expired(nowNanos).forEach(this::releaseHold);
 	}
 
 	Optional<Run> run(TaskKey task) {
@@ -287,6 +264,24 @@
 		return this.runs.runCountOf(step);
 	}
 
+	/**
+	 * Returns the runs of tasks that are suspected to crash their workers.
+	 * @return the runs, none on most workers
+	 */
+	List<Run> suspectedRuns() {
+		return this.runs.suspectedRuns();
+	}
+
+	/**
+	 * Returns whether this worker accepts no tasks of a job, because it runs an isolated
+	 * task of another one.
+	 * @param job the job's id
+	 * @return {@code true} if it does not
+	 */
+	boolean isIsolatedFrom(String job) {
+		return this.runs.hasIsolatedRunOfAnotherJob(job);
+	}
+
 	/**
 	 * Records that no run can be active on this worker any more.
 	 */
@@ -298,37 +293,18 @@
 
 	void markReachable() {
 		this.reachable = true;
-		this.silent = false;
+		this.silence.end();
 		this.lost = false;
 		advanceCapacityVersion();
 	}
 
 	void markUnreachable(long nowNanos) {
-		if (!this.silent) {
-			this.silent = true;
-			this.silentSinceNanos = nowNanos;
-		}
+		this.silence.begin(nowNanos);
 		this.reachable = false;
 	}
 
-	/**
-	 * Returns for how long the worker has not answered polls.
-	 * @param nowNanos the current monotonic time
-	 * @return milliseconds, 0 if it answered the last poll
-	 */
-	long silentMillis(long nowNanos) {
-		return this.silent ? TimeUnit.NANOSECONDS.toMillis(nowNanos - this.silentSinceNanos) : 0;
-	}
-
-	/**
-	 * Returns the time from an earlier moment until the worker stopped answering polls.
-	 * @param fromNanos the earlier monotonic time
-	 * @param nowNanos the current monotonic time, which counts if the worker answers
-	 * @return milliseconds, 0 if the worker stopped answering before that moment
-	 */
-	long millisToLastContact(long fromNanos, long nowNanos) {
-		long untilNanos = this.silent ? this.silentSinceNanos : nowNanos;
-		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(untilNanos - fromNanos));
+	PollSilence silence() {
+		return this.silence;
 	}
 
 	void update(WorkerInfo newer) {
@@ -420,8 +396,4 @@
 		return this.durableSequence;
 	}
 
-	private record Hold(Resources size, long untilNanos) {
-
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.CrashSuspicion;
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
@@ -23,6 +24,8 @@
 
 	private final boolean adopted;
 
+	private CrashSuspicion suspicion = CrashSuspicion.NONE;
+
 	private State state;
 
 	private long confirmedNanos;
@@ -82,6 +85,15 @@
 		this.estimatedEndNanos = this.requestedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
+	/**
+	 * Sets how strongly the task is suspected to crash the worker, before the run is
+	 * added to the worker.
+	 * @param next the suspicion
+	 */
+	void setSuspicion(CrashSuspicion next) {
+		this.suspicion = next;
+	}
+
 	/**
 	 * Returns the estimated end of the run.
 	 * @return the monotonic time, that of the start request if no estimate is set
@@ -146,6 +158,10 @@
 		return this.workerId;
 	}
 
+	CrashSuspicion suspicion() {
+		return this.suspicion;
+	}
+
 	Resources size() {
 		return this.size;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -94,6 +94,7 @@
 		Run run = Run.adopted(reported, worker.id(), step.get().spec().committedSize(), now);
 		run.updateCheckpoint(reported.checkpoint());
 		run.setEstimateMillis(step.get().spec().estimateMillis());
+		run.setSuspicion(step.get().suspicion(index));
 		worker.add(run);
 		if (step.get().progress().isDone(index) || step.get().hasRun(index)) {
 			this.stopRun.accept(run, "the task is done or runs elsewhere");
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -63,8 +62,12 @@
 
 	private final JobRegistry jobs;
 
+	private final CrashTracker crashes;
+
 	private final RunTerminationHandler terminations;
 
+	private final WorkerLossHandler losses;
+
 	private final RunAdoption adoption;
 
 	private final EligibilityTracker eligibility;
@@ -96,7 +99,9 @@
 		this.log = log;
 		this.listener = listener;
 		UnknownJobs unknownJobs = new UnknownJobs(jobs, isLoaded, clock);
-		this.terminations = new RunTerminationHandler(jobs, unknownJobs, log, clock, this::stop);
+		this.crashes = new CrashTracker(jobs, pool, log, clock);
+		this.terminations = new RunTerminationHandler(jobs, unknownJobs, this.crashes, log, clock, this::stop);
+		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, clock, log);
 		this.adoption = new RunAdoption(jobs, this.terminations, unknownJobs, clock, this::confirm, this::stop);
 	}
 
@@ -139,9 +144,7 @@
 			handleReport(worker, report, sentNanos);
 		}
 		else if (outcome instanceof PollOutcome.Gone) {
-			this.pool.markReconciled(worker.id());
-			markLost(worker, RunLoss.WORKER_REPLACED);
-			this.pool.remove(worker.id());
+			this.losses.handleReplaced(worker);
 			this.listener.stateChanged();
 		}
 		else if (outcome instanceof PollOutcome.Fenced) {
@@ -157,16 +160,14 @@
 	}
 
 	private void handleNoAnswer(PoolWorker worker, String reason) {
-		if (worker.isReachable()) {
-			this.log.write(new PoolDecision.WorkerSilent(worker.id(), reason, worker.runCount()));
-		}
-		worker.markUnreachable(this.clock.nanos());
+		this.losses.handleUnreachable(worker, reason);
 		this.control.schedule(() -> poll(worker), UNREACHABLE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void handleReport(PoolWorker worker, PollOutcome.Report report, long sentNanos) {
 		worker.lease().updateClock(report.clockMillis(), this.clock.nanos());
 		worker.responseReceived(this.clock.nanos());
+		this.crashes.workerAnswered(worker.id());
 		this.terminations.process(worker, report.terminatedTasks());
 		this.adoption.reconcile(worker, report.runningTasks(), sentNanos);
 		if (!worker.isReachable()) {
@@ -212,7 +213,9 @@
 	 * @param job the job's id
 	 */
 	void onJobLoaded(String job) {
+		this.terminations.onJobLoaded(job);
 		this.adoption.onJobLoaded(job, this.pool.workers());
+		this.losses.onJobLoaded(job);
 	}
 
 	/**
@@ -228,6 +231,7 @@
 		TaskKey task = step.key().task(index);
 		Run run = Run.starting(task, attempt, worker.id(), step.spec().committedSize(), now);
 		run.setEstimateMillis(step.spec().estimateMillis());
+		run.setSuspicion(step.suspicion(index));
 		worker.add(run);
 		step.addRun(run);
 		this.log.write(new JobDecision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(),
@@ -266,12 +270,20 @@
 				outcome.kind().name()));
 		switch (outcome.kind()) {
 			case FENCED -> this.listener.workerFenced(worker.id());
-			case GONE -> handlePollOutcome(worker, new PollOutcome.Gone(), 0);
+			case GONE -> handleReplacedBeforeStart(run, worker, retries);
 			case NO_ANSWER -> retryStart(step, run, worker, request, retries + 1);
 			default -> handleRefusedStart(step, run, worker, outcome.kind(), retries);
 		}
 	}
 
+	private void handleReplacedBeforeStart(Run run, PoolWorker worker, int retries) {
+		if (retries == 0) {
+			// No earlier request can have started the run on the former incarnation.
+			this.terminations.handleRefusedStart(worker, run);
+		}
+		handlePollOutcome(worker, new PollOutcome.Gone(), 0);
+	}
+
 	private void confirm(Run run) {
 		if (run.state() == Run.State.STARTING) {
 			run.confirm(this.clock.nanos());
@@ -367,35 +379,17 @@
 	 * Expires holds and leases, and removes expired workers that are no longer listed.
 	 */
 	void expireLeases() {
-		long now = this.clock.nanos();
-		for (PoolWorker worker : List.copyOf(this.pool.workers())) {
-			worker.expireHolds(now);
-			boolean isExpired = !worker.isReachable()
-					&& (!worker.lease().isClockKnown() || worker.lease().isExpired(now));
-			if (!isExpired) {
-				continue;
-			}
-			if (worker.lease().isClockKnown() && !worker.isLost()) {
-				markLost(worker, RunLoss.LEASE_EXPIRED);
-				this.listener.stateChanged();
-			}
-			if (!worker.isListed()) {
-				this.pool.remove(worker.id());
-			}
+		if (this.losses.expireLeases()) {
+			this.listener.stateChanged();
 		}
 	}
 
-	private void markLost(PoolWorker worker, RunLoss loss) {
-		if (worker.isLost()) {
-			return;
-		}
-		Collection<Run> runs = worker.runs();
-		this.log.write(new PoolDecision.WorkerLost(worker.id(), worker.info().failureDomain(), loss.description(),
-				worker.info().draining(), worker.silentMillis(this.clock.nanos()), runs.size()));
-		for (Run run : runs) {
-			this.terminations.handleLostRun(worker, run, loss, runs.size() - 1);
-		}
-		worker.markLost();
+	CrashTracker crashes() {
+		return this.crashes;
+	}
+
+	WorkerLossHandler losses() {
+		return this.losses;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import org.monsoonrelay.model.submission.CrashSuspicion;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -18,6 +20,8 @@
 
 	private final Map<TaskKey, Run> runs = new HashMap<>();
 
+	private final List<Run> suspectedRuns = new ArrayList<>();
+
 	// Cached because each waiting gang queries it in each turn; it changes only when a
 	// run is added or removed.
 	private long idleNanos;
@@ -27,11 +31,16 @@
 	void add(Run run) {
 		this.idleTimeKnown = false;
 		this.runs.put(run.task(), run);
+		if (run.suspicion() != CrashSuspicion.NONE) {
+			this.suspectedRuns.add(run);
+		}
 	}
 
 	Optional<Run> remove(TaskKey task) {
 		this.idleTimeKnown = false;
-		return Optional.ofNullable(this.runs.remove(task));
+		Optional<Run> removed = Optional.ofNullable(this.runs.remove(task));
+		removed.ifPresent(this.suspectedRuns::remove);
+		return removed;
 	}
 
 	Optional<Run> find(TaskKey task) {
@@ -42,6 +51,22 @@
 		return List.copyOf(this.runs.values());
 	}
 
+	List<Run> suspectedRuns() {
+		return this.suspectedRuns;
+	}
+
+	boolean hasIsolatedRunOfAnotherJob(String job) {
+		if (this.suspectedRuns.isEmpty()) {
+			return false;
+		}
+		for (Run run : this.suspectedRuns) {
+			if (run.suspicion() == CrashSuspicion.ISOLATED && !run.task().job().equals(job)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	int size() {
 		return this.runs.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -10,16 +10,18 @@
 import org.monsoonrelay.logic.events.Metric;
 import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.CrashEvidence;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepProgress;
 import org.monsoonrelay.model.submission.SubmittedJob;
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * Updates jobs when their runs terminate. Invariants: only failures count as attempts; if
- * a member of a gang terminates without success, all members of the gang are stopped;
- * when a job ends, all its runs are stopped; a termination is ignored only if its job has
- * ended or is presumed not to exist. Not thread-safe: confined to the control thread.
+ * Updates jobs when their runs terminate. Invariants: only failures count as attempts,
+ * and crashes of workers are counted apart; if a member of a gang terminates without
+ * success, all members of the gang are stopped; when a job ends, all its runs are
+ * stopped; a termination is ignored only if its job has ended or is presumed not to
+ * exist. Not thread-safe: confined to the control thread.
  */
 final class RunTerminationHandler {
 
@@ -27,16 +29,19 @@
 
 	private final UnknownJobs unknownJobs;
 
+	private final CrashTracker crashes;
+
 	private final DecisionLog log;
 
 	private final PoolClock clock;
 
 	private final BiConsumer<Run, String> stopRun;
 
-	RunTerminationHandler(JobRegistry jobs, UnknownJobs unknownJobs, DecisionLog log, PoolClock clock,
-			BiConsumer<Run, String> stopRun) {
+	RunTerminationHandler(JobRegistry jobs, UnknownJobs unknownJobs, CrashTracker crashes, DecisionLog log,
+			PoolClock clock, BiConsumer<Run, String> stopRun) {
 		this.jobs = jobs;
 		this.unknownJobs = unknownJobs;
+		this.crashes = crashes;
 		this.log = log;
 		this.clock = clock;
 		this.stopRun = stopRun;
@@ -83,6 +88,7 @@
 		if (job == null || !hasTask(job, termination.task())) {
 			return;
 		}
+		this.crashes.clearIfStable(job, termination.task(), ranMillis);
 		recordProgress(worker, termination, job);
 		updateJobState(job, termination.task().stepKey(), termination.reason() == TerminationReason.DONE);
 	}
@@ -142,11 +148,51 @@
 		release(worker, run);
 		recordWaste(run);
 		TaskKey task = run.task();
-		long ranMillis = worker.millisToLastContact(run.requestedNanos(), this.clock.nanos());
+		long ranMillis = worker.silence().millisUntil(run.requestedNanos(), this.clock.nanos());
+		CrashEvidence evidence = this.crashes.assess(worker, run, loss);
 		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), loss.name(),
-				loss.description(), run.hasBeenConfirmed(), ranMillis, otherRuns));
+				loss.description(), evidence.name(), run.hasBeenConfirmed(), ranMillis, otherRuns));
+		if (evidence == CrashEvidence.POSSIBLE && loss == RunLoss.LEASE_EXPIRED) {
+			this.crashes.awaitAnswer(worker.id(), task);
+		}
+		this.jobs.job(task.job())
+			.filter((job) -> hasTask(job, task))
+			.ifPresent((job) -> job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint()));
+		recordCrash(task, ranMillis, evidence);
+	}
+
+	/**
+	 * Handles a run that an earlier owner may have started on a worker that is lost.
+	 * @param task the task
+	 */
+	void handleInheritedLoss(TaskKey task) {
+		this.crashes.recordInheritedLoss(task);
+		recordCrash(task, 0, CrashEvidence.POSSIBLE);
+	}
+
+	/**
+	 * Handles the runs of a job that an earlier owner may have lost without knowing. To
+	 * be called once the recovery is complete.
+	 * @param job the job
+	 */
+	void handleUnknownLosses(SubmittedJob job) {
+		this.crashes.findUnknownLosses(job).forEach(this::handleInheritedLoss);
+	}
+
+	/**
+	 * Records the crashes under tasks of a job that were found before it was loaded.
+	 * @param job the job's id
+	 */
+	void onJobLoaded(String job) {
+		this.crashes.takeDeferred(job).forEach((crash) -> recordCrash(crash.task(), 0, crash.evidence()));
+	}
+
+	private void recordCrash(TaskKey task, long ranMillis, CrashEvidence evidence) {
+		if (evidence != CrashEvidence.NONE && this.unknownJobs.isAwaited(task.job())) {
+			this.crashes.defer(task, evidence);
+		}
 		this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
-			job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint());
+			this.crashes.record(job, task, ranMillis, evidence);
 			updateJobState(job, task.stepKey(), false);
 		});
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -55,7 +55,7 @@
 
 	private final EligibilityTracker eligibility;
 
-	private final OwnerLease lease;
+	private final StartGate gate;
 
 	private final PoolClock clock;
 
@@ -71,8 +71,6 @@
 
 	private Map<String, QueuePolicy> policies = Map.of();
 
-	private boolean recovered;
-
 	private boolean busy;
 
 	TaskPlacer(JobRegistry jobs, WorkerPool pool, RunController runs, EligibilityTracker eligibility, OwnerLease lease,
@@ -81,11 +79,11 @@
 		this.pool = pool;
 		this.runs = runs;
 		this.eligibility = eligibility;
-		this.lease = lease;
+		this.gate = new StartGate(jobs, pool, lease, runs.crashes());
 		this.clock = clock;
 		this.order = rules.order();
-		this.selector = rules.selector();
-		this.gangs = new GangPlanner(rules.selector());
+		this.selector = new CrashIsolation(rules.selector(), pool);
+		this.gangs = new GangPlanner(this.selector);
 		this.slackThresholdMillis = rules.slackThresholdMillis();
 		this.maxReservedShare = rules.maxReservedShare();
 	}
@@ -101,7 +99,7 @@
 	 * jobs that are not running may be started.
 	 */
 	void markRecovered() {
-		this.recovered = true;
+		this.gate.markRecovered();
 	}
 
 	/**
@@ -115,7 +113,7 @@
 		List<QueueEntry> entries = new ArrayList<>();
 		Map<QueueEntry, PlacementContext> contexts = new HashMap<>();
 		for (ActiveStep step : this.jobs.openSteps()) {
-			List<Integer> tasks = startableTasks(step);
+			List<Integer> tasks = this.gate.startableTasks(step);
 			if (tasks.isEmpty()) {
 				dependentsToPrefetch(step).stream().map(ActiveStep::queueEntry).forEach(entries::add);
 				continue;
@@ -123,7 +121,7 @@
 			// Eligibility is requested even while the step waits for earlier owners'
 			// runs.
 			entries.add(step.queueEntry());
-			if (mayStart(step)) {
+			if (this.gate.mayStart(step)) {
 				contexts.put(step.queueEntry(), contextOf(step, tasks));
 			}
 		}
@@ -150,24 +148,6 @@
 				this.clock.nanos());
 	}
 
-	// A gang waits until none of its tasks may run on a worker that has not answered.
-	private List<Integer> startableTasks(ActiveStep step) {
-		List<Integer> waiting = step.waitingTasks();
-		if (waiting.isEmpty() || this.pool.hasNoUnconfirmedTasks()) {
-			return waiting;
-		}
-		List<Integer> safe = waiting.stream()
-			.filter((index) -> !this.pool.mayRunUnconfirmed(step.key().task(index)))
-			.toList();
-		return (step.spec().gang() && safe.size() < waiting.size()) ? List.of() : safe;
-	}
-
-	private boolean mayStart(ActiveStep step) {
-		String job = step.job().id();
-		boolean mayAlreadyRun = !this.recovered && this.jobs.isInherited(job);
-		return this.lease.canGrantLeases() && !mayAlreadyRun && !this.jobs.isDeferred(job);
-	}
-
 	private GangDemand gangDemand(Collection<PlacementContext> contexts) {
 		GangDemand demand = new GangDemand();
 		for (PlacementContext context : contexts) {
@@ -209,6 +189,9 @@
 				}
 				return;
 			}
+			if (!this.gate.prepareStart(step, List.of(index))) {
+				continue;
+			}
 			start(context, index, step.nextAttempt(index), worker.get());
 			if (!context.fits(worker.get(), 1)) {
 				usable.remove(worker.get());
@@ -283,6 +266,9 @@
 		Optional<Map<Integer, PoolWorker>> ready = this.gangs.plan(context,
 				fitting.stream().filter(context::hasTicket).toList(), demand);
 		if (ready.isPresent()) {
+			if (!this.gate.prepareStart(step, context.tasks())) {
+				return;
+			}
 			int attempt = step.nextAttempt(0);
 			ready.get().forEach((index, worker) -> start(context, index, attempt, worker));
 			return;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.monsoonrelay.model.submission.TaskKey;
@@ -92,6 +93,16 @@
 		this.unconfirmedTasks.remove(id);
 	}
 
+	/**
+	 * Returns whether an earlier owner may have started any task on a worker that has not
+	 * reported since.
+	 * @param id the worker's id
+	 * @return {@code true} if the runs on that worker are not known
+	 */
+	boolean isUnreconciled(String id) {
+		return this.unreconciledWorkers.contains(id);
+	}
+
 	/**
 	 * Returns whether the runs on all workers that an earlier owner used are known.
 	 * @return {@code true} if the recovery is complete
@@ -100,6 +111,20 @@
 		return this.unreconciledWorkers.isEmpty();
 	}
 
+	/**
+	 * Returns the tasks that may be active on a worker that was unreachable or draining
+	 * under an earlier owner and has not reported since.
+	 * @param worker the worker's id
+	 * @return the tasks
+	 */
+	Set<TaskKey> unconfirmedTasks(String worker) {
+		return this.unconfirmedTasks.getOrDefault(worker, Set.of());
+	}
+
+	Set<TaskKey> unconfirmedTasks() {
+		return this.unconfirmedTasks.values().stream().flatMap(Set::stream).collect(Collectors.toSet());
+	}
+
 	/**
 	 * Ends the recovery because all leases granted by earlier owners have expired.
 	 */
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashingTasks.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashingTasks.java
@@ -20,7 +20,9 @@
 
 	private static final long TIME_TO_CRASH_MILLIS = 10;
 
-	/** Less than three of the lease's ten seconds, as with a worker that restarts. */
+	/**
+	 * Less than a lease, so that the new incarnation answers before the lease expires.
+	 */
 	static final long RESTART_MILLIS = 3000;
 
 	private final SimulatedCell cell;
@@ -33,6 +35,8 @@
 
 	private long timeToCrashMillis = TIME_TO_CRASH_MILLIS;
 
+	private long restartMillis = RESTART_MILLIS;
+
 	/**
 	 * Makes tasks crash their workers.
 	 * @param cell the cell
@@ -47,6 +51,11 @@
 		});
 	}
 
+	CrashingTasks withRestartMillis(long millis) {
+		this.restartMillis = millis;
+		return this;
+	}
+
 	CrashingTasks afterMillis(long millis) {
 		this.timeToCrashMillis = millis;
 		return this;
@@ -59,7 +68,7 @@
 		this.cell.time.schedule(() -> {
 			if (worker.isRunning(task)) {
 				this.crashes.merge(task, 1, Integer::sum);
-				this.cell.workers.crashAndRestart(worker, RESTART_MILLIS);
+				this.cell.workers.crashAndRestart(worker, this.restartMillis);
 			}
 		}, this.timeToCrashMillis, TimeUnit.MILLISECONDS);
 	}
@@ -68,6 +77,10 @@
 		return this.crashes.getOrDefault(task, 0);
 	}
 
+	int totalCrashes() {
+		return this.crashes.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
 	List<String> violations() {
 		return this.violations;
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -114,6 +114,10 @@
 		}, restartMillis, TimeUnit.MILLISECONDS);
 	}
 
+	void crashAndRestartAll(long restartMillis) {
+		List.copyOf(this.workers.values()).forEach((worker) -> crashAndRestart(worker, restartMillis));
+	}
+
 	/**
 	 * Sets an observer of starts, which may crash the worker.
 	 * @param observer called with each run that starts
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepKey.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepKey.java
@@ -11,6 +11,18 @@
 
 	private static final int PRIME = 31;
 
+	/**
+	 * Parse the form that {@link #localName()} returns.
+	 * @param job the job's id
+	 * @param localName the form {@code occurrence.step}
+	 * @return the key
+	 */
+	static StepKey ofLocalName(String job, String localName) {
+		int dot = localName.indexOf('.');
+		return new StepKey(job, Integer.parseInt(localName.substring(0, dot)),
+				Integer.parseInt(localName.substring(dot + 1)));
+	}
+
 	/**
 	 * Key of a task of the step.
 	 * @param index number of the task
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -9,10 +9,10 @@
 import java.util.TreeSet;
 
 /**
- * Progress of a step: its completed tasks, failed attempts and checkpoints. Invariants: a
- * completed task stays completed; a failed attempt is counted once, even if its end is
- * reported several times. Not thread-safe: confined to the control thread of the pool's
- * owner.
+ * Progress of a step: its completed tasks, failed attempts, crashes and checkpoints.
+ * Invariants: a completed task stays completed; a failed attempt is counted once, even if
+ * its end is reported several times; crashes are counted for each member of a gang. Not
+ * thread-safe: confined to the control thread of the pool's owner.
  */
 public final class StepProgress {
 
@@ -24,6 +24,9 @@
 
 	private final Map<Integer, String> checkpoints = new HashMap<>();
 
+	// Also contains tasks without crashes whose starts the next owner has to know of.
+	private final Map<Integer, TaskCrashes> crashes = new HashMap<>();
+
 	private int highestAttempt;
 
 	public StepProgress(StepSpec spec) {
@@ -42,6 +45,7 @@
 		saved.failedAttempts()
 			.forEach((index, attempts) -> progress.failedAttempts.put(index, new TreeSet<>(attempts)));
 		progress.checkpoints.putAll(saved.checkpoints());
+		progress.crashes.putAll(saved.crashes());
 		progress.highestAttempt = saved.highestAttempt();
 		return progress;
 	}
@@ -55,6 +59,7 @@
 		int counted = trackedIndex(index);
 		boolean isNew = !this.done.get(counted);
 		this.done.set(counted);
+		this.crashes.remove(index);
 		this.checkpoints.remove(counted);
 		return isNew;
 	}
@@ -70,6 +75,76 @@
 		return this.failedAttempts.computeIfAbsent(trackedIndex(index), (task) -> new TreeSet<>()).add(attempt);
 	}
 
+	/**
+	 * Record that a worker may have crashed while a task was active on it.
+	 * @param index number of the task
+	 * @param evidence how certain that is
+	 */
+	public void recordCrash(int index, CrashEvidence evidence) {
+		if (evidence != CrashEvidence.NONE) {
+			this.crashes.merge(index, TaskCrashes.NONE.plus(evidence), (known, one) -> known.plus(evidence));
+		}
+	}
+
+	/**
+	 * Take back a possible crash: the worker has turned out to be up.
+	 * @param index number of the task
+	 */
+	public void retractPossibleCrash(int index) {
+		this.crashes.computeIfPresent(index, (task, known) -> known.withoutPossible());
+	}
+
+	/**
+	 * Forget the crashes of a task that has proved not to be their cause.
+	 * @param index number of the task
+	 */
+	public void clearCrashes(int index) {
+		this.crashes.remove(index);
+	}
+
+	/**
+	 * Crashes of workers on which a task was active.
+	 * @param index number of the task
+	 * @return the crashes, none for most tasks
+	 */
+	public TaskCrashes crashes(int index) {
+		return this.crashes.getOrDefault(index, TaskCrashes.NONE);
+	}
+
+	/**
+	 * Record that a task may be started from now on. An owner that takes over and finds
+	 * neither the run nor its end assumes that the run was lost with its worker.
+	 * @param index number of the task
+	 */
+	public void recordStart(int index) {
+		this.crashes.putIfAbsent(index, TaskCrashes.NONE);
+	}
+
+	/**
+	 * Whether a start of a task, or a crash under it, is recorded.
+	 * @param index number of the task
+	 * @return {@code true} if so
+	 */
+	public boolean isStartRecorded(int index) {
+		return this.crashes.containsKey(index);
+	}
+
+	/**
+	 * Tasks of which a start or a crash is recorded.
+	 * @return numbers of the tasks
+	 */
+	public Set<Integer> tasksWithRecordedStart() {
+		return Set.copyOf(this.crashes.keySet());
+	}
+
+	/**
+	 * Whether a task is given up because it crashes its workers.
+	 * @return {@code true} if there is such a task
+	 */
+	public boolean hasCrashingTask() {
+		return this.crashes.values().stream().anyMatch((task) -> task.suspicion() == CrashSuspicion.GIVEN_UP);
+	}
+
 	/**
 	 * Record the number of an attempt that ended.
 	 * @param attempt number of the attempt
@@ -129,7 +204,8 @@
 	public StepRecord toRecord() {
 		Map<Integer, List<Integer>> failed = new HashMap<>();
 		this.failedAttempts.forEach((index, attempts) -> failed.put(index, List.copyOf(attempts)));
-		return new StepRecord(this.done.stream().boxed().toList(), failed, this.checkpoints, this.highestAttempt);
+		return new StepRecord(this.done.stream().boxed().toList(), failed, this.checkpoints, this.highestAttempt,
+				this.crashes);
 	}
 
 	private int trackedIndex(int index) {
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
@@ -10,9 +10,10 @@
  * @param failedAttempts failed attempts by task
  * @param checkpoints checkpoints by task
  * @param highestAttempt highest number of an attempt that ended
+ * @param crashes crashed workers by task; absent from records of earlier releases
  */
 public record StepRecord(List<Integer> done, Map<Integer, List<Integer>> failedAttempts,
-		Map<Integer, String> checkpoints, int highestAttempt) {
+		Map<Integer, String> checkpoints, int highestAttempt, Map<Integer, TaskCrashes> crashes) {
 
 	public StepRecord {
 		if (done.stream().anyMatch((index) -> index < 0)) {
@@ -22,6 +23,7 @@
 		failedAttempts.values().forEach(List::copyOf);
 		failedAttempts = Map.copyOf(failedAttempts);
 		checkpoints = Map.copyOf(checkpoints);
+		crashes = (crashes != null) ? Map.copyOf(crashes) : Map.of();
 	}
 
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -1,13 +1,16 @@
 package org.monsoonrelay.model.submission;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
  * A submitted job with its progress. Invariants: a final state never changes; a job is
  * completed only when every task of every occurrence is complete; it has failed only when
- * a task that is not long-running has failed as often as the queue allows. Not
- * thread-safe: confined to the control thread of the pool's owner.
+ * a task that is not long-running has failed as often as the queue allows, or when a task
+ * is given up because it crashes its workers. Not thread-safe: confined to the control
+ * thread of the pool's owner.
  */
 public final class SubmittedJob {
 
@@ -19,6 +22,10 @@
 
 	private SubmissionState durableState = SubmissionState.QUEUED;
 
+	private int crashRecords;
+
+	private int durableCrashRecords;
+
 	public SubmittedJob(Submission submission) {
 		this.submission = submission;
 	}
@@ -81,6 +88,49 @@
 		}
 	}
 
+	/**
+	 * Record that a worker may have crashed while a task was active on it.
+	 * @param task the task
+	 * @param evidence how certain that is
+	 */
+	public void recordCrash(TaskKey task, CrashEvidence evidence) {
+		if (evidence != CrashEvidence.NONE) {
+			this.crashRecords++;
+			progress(task.stepKey()).recordCrash(task.index(), evidence);
+		}
+	}
+
+	/**
+	 * Record that a task may be started once this is durable.
+	 * @param task the task
+	 */
+	public void recordStart(TaskKey task) {
+		this.crashRecords++;
+		progress(task.stepKey()).recordStart(task.index());
+	}
+
+	/**
+	 * Tasks of which a start or a crash is recorded.
+	 * @return the tasks
+	 */
+	public List<TaskKey> tasksWithRecordedStart() {
+		List<TaskKey> tasks = new ArrayList<>();
+		this.steps.forEach((local, progress) -> {
+			StepKey key = StepKey.ofLocalName(id(), local);
+			progress.tasksWithRecordedStart().forEach((index) -> tasks.add(key.task(index)));
+		});
+		return tasks;
+	}
+
+	/**
+	 * Whether crashes or starts are recorded that the next owner would not know of. The
+	 * tasks are not started until the records are durable.
+	 * @return {@code true} if a record is not durable yet
+	 */
+	public boolean hasUndurableCrashRecords() {
+		return this.crashRecords != this.durableCrashRecords;
+	}
+
 	/**
 	 * Update the state after the progress of a step has changed: the job may have failed
 	 * or be completed.
@@ -91,7 +141,10 @@
 			return;
 		}
 		StepSpec spec = this.submission.steps().get(key.step());
-		if (!spec.longRunning() && progress(key).maximumFailures() >= this.submission.policy().maximumAttempts()) {
+		StepProgress progress = progress(key);
+		boolean hasFailedTooOften = !spec.longRunning()
+				&& progress.maximumFailures() >= this.submission.policy().maximumAttempts();
+		if (hasFailedTooOften || progress.hasCrashingTask()) {
 			this.state = SubmissionState.FAILED;
 		}
 		else if (isEveryStepComplete()) {
@@ -114,9 +167,20 @@
 	/**
 	 * Record that a state is durable and may be reported to callers.
 	 * @param durable the durable state
+	 * @param durableCrashes the value of {@link #crashRecords()} when the progress was
+	 * written
 	 */
-	public void markDurable(SubmissionState durable) {
+	public void markDurable(SubmissionState durable, int durableCrashes) {
 		this.durableState = durable;
+		this.durableCrashRecords = durableCrashes;
+	}
+
+	/**
+	 * Number of crashes and starts recorded by this process.
+	 * @return the number, which only increases
+	 */
+	public int crashRecords() {
+		return this.crashRecords;
 	}
 
 	/**
--- /dev/null
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskCrashes.java
@@ -0,0 +1,54 @@
+package org.monsoonrelay.model.submission;
+
+/**
+ * The workers that crashed while a task was active on them. Immutable.
+ *
+ * @param confirmed number of workers with evidence {@link CrashEvidence#CONFIRMED}
+ * @param possible number of workers with evidence {@link CrashEvidence#POSSIBLE}
+ */
+public record TaskCrashes(int confirmed, int possible) {
+
+	/** Of a task under which no worker has crashed. */
+	public static final TaskCrashes NONE = new TaskCrashes(0, 0);
+
+	private static final int LIMIT = 3;
+
+	private static final int ISOLATION_THRESHOLD = 2;
+
+	public TaskCrashes {
+		if (confirmed < 0 || possible < 0) {
+			throw new IllegalArgumentException("not numbers of crashes: " + confirmed + ", " + possible);
+		}
+	}
+
+	TaskCrashes plus(CrashEvidence evidence) {
+		return switch (evidence) {
+			case NONE -> this;
+			case POSSIBLE -> new TaskCrashes(this.confirmed, this.possible + 1);
+			case CONFIRMED -> new TaskCrashes(this.confirmed + 1, this.possible);
+		};
+	}
+
+	TaskCrashes withoutPossible() {
+		return new TaskCrashes(this.confirmed, Math.max(0, this.possible - 1));
+	}
+
+	/**
+	 * Returns how strongly the task is suspected. One possible crash is disregarded,
+	 * since a power loss or a network partition affects every task once. Possible crashes
+	 * alone do not isolate a task: after repeated power losses that would slow down most
+	 * jobs.
+	 * @return the suspicion
+	 */
+	public CrashSuspicion suspicion() {
+		long counted = (long) this.confirmed + Math.max(0, this.possible - 1);
+		if (counted >= LIMIT) {
+			return CrashSuspicion.GIVEN_UP;
+		}
+		if (counted >= ISOLATION_THRESHOLD && this.confirmed > 0) {
+			return CrashSuspicion.ISOLATED;
+		}
+		return (counted > 0) ? CrashSuspicion.SUSPECTED : CrashSuspicion.NONE;
+	}
+
+}
