Take the loss of a whole rack as an outage, too

A rack that loses power takes up to a quarter of a pool with it, less than half of a failure domain, so that each of its runs counted as a confirmed crash of its task; three such losses would have failed jobs that crash nothing. OutageDetector compares with the rack as well as with the failure domain.

OutageDetectorTests.halfOfARackThatIsLostTogetherIsAnOutage states the case the rule lacked; the other tests of the class hold for the former rule as well. CrashingTasksTests green.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -72,7 +72,7 @@
 	 * @param failureDomain its failure domain
 	 * @param reason evidence that nothing runs on it
 	 * @param draining whether it had announced that it leaves
-	 * @param outage whether it was lost together with its failure domain
+	 * @param outage whether it was lost together with its rack or failure domain
 	 * @param silentMillis time since it stopped answering
 	 * @param lost number of runs that were lost
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OutageDetector.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OutageDetector.java
@@ -3,17 +3,19 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
- * Detects that the workers of a failure domain became unreachable together, as with a
- * power loss. Not thread-safe: confined to the control thread.
+ * Detects that the workers of a rack or failure domain became unreachable together, as
+ * with a power loss. Not thread-safe: confined to the control thread.
  */
 final class OutageDetector {
 
 	/**
-	 * Within this time all workers of a failure domain that loses power are found to be
-	 * unreachable, milliseconds: a poll waits for 1,000 and times out 450 later.
+	 * Within this time all workers that lose power together are found to be unreachable,
+	 * milliseconds: a poll waits for 1,000 and times out 450 later.
 	 */
 	private static final long WINDOW_MILLIS = 2000;
 
@@ -36,31 +38,40 @@
 		while (!this.lastContacts.isEmpty() && this.lastContacts.peekFirst().nanos() - oldest < 0) {
 			this.lastContacts.removeFirst();
 		}
-		this.lastContacts.addLast(new Contact(worker.id(), worker.info().failureDomain(), nowNanos));
+		this.lastContacts.addLast(new Contact(worker.info(), nowNanos));
 	}
 
 	/**
-	 * Returns whether a worker became unreachable together with at least half of its
-	 * failure domain.
+	 * Returns whether a worker became unreachable together with at least half of its rack
+	 * or failure domain.
 	 * @param worker the worker
 	 * @param workers all workers of the pool
 	 * @param nowNanos the current monotonic time
 	 * @return {@code true} if all of them probably failed for one reason
 	 */
 	boolean isPartOfOutage(PoolWorker worker, Collection<PoolWorker> workers, long nowNanos) {
-		String domain = worker.info().failureDomain();
 		long lostNanos = worker.silence().sinceNanos(nowNanos);
-		long together = this.lastContacts.stream()
-			.filter((contact) -> contact.failureDomain().equals(domain))
+		List<Contact> together = this.lastContacts.stream()
 			.filter((contact) -> Math.abs(contact.nanos() - lostNanos) <= TimeUnit.MILLISECONDS.toNanos(WINDOW_MILLIS))
+			.toList();
+		return isOutageOf(WorkerInfo::rack, worker.info(), together, workers)
+				|| isOutageOf(WorkerInfo::failureDomain, worker.info(), together, workers);
+	}
+
+	private static boolean isOutageOf(Function<WorkerInfo, String> group, WorkerInfo worker, List<Contact> together,
+			Collection<PoolWorker> workers) {
+		String name = group.apply(worker);
+		long lost = together.stream()
 			.map(Contact::worker)
+			.filter((other) -> group.apply(other).equals(name))
+			.map(WorkerInfo::id)
 			.distinct()
 			.count();
-		long size = workers.stream().filter((other) -> other.info().failureDomain().equals(domain)).count();
-		return together >= MIN_WORKERS && together >= MIN_SHARE * size;
+		long size = workers.stream().filter((other) -> group.apply(other.info()).equals(name)).count();
+		return lost >= MIN_WORKERS && lost >= MIN_SHARE * size;
 	}
 
-	private record Contact(String worker, String failureDomain, long nanos) {
+	private record Contact(WorkerInfo worker, long nanos) {
 
 	}
 
