Test that workers whose capacity shrinks are given no more than they have

A worker may take away part of its capacity while it runs and give it back.

Not tested: a worker that shrinks while the list of workers cannot be read; an owner goes on with the last list for up to 8.8 s then.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -24,6 +24,9 @@
  */
 final class SimulatedWorkers {
 
+	/** Time for which starts may exceed a capacity that has shrunk, milliseconds. */
+	private static final long RESIZE_GRACE_MILLIS = 3000;
+
 	private final VirtualTime time;
 
 	private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
@@ -114,6 +117,21 @@
 		}, restartMillis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Changes the capacity of a worker. A smaller capacity counts as a limit of starts
+	 * once the schedulers had time to learn of it.
+	 * @param id the worker's id
+	 * @param capacity the new capacity
+	 */
+	void resize(String id, Resources capacity) {
+		SimulatedWorker worker = this.workers.get(id);
+		worker.formerCapacity = worker.limit();
+		worker.formerUntilMillis = this.time.millis() + RESIZE_GRACE_MILLIS;
+		WorkerInfo info = worker.info;
+		worker.info = new WorkerInfo(info.id(), info.service(), info.address(), info.failureDomain(), capacity,
+				info.labels(), info.rack(), info.draining(), info.remainingMillis());
+	}
+
 	void crashAndRestartAll(long restartMillis) {
 		List.copyOf(this.workers.values()).forEach((worker) -> crashAndRestart(worker, restartMillis));
 	}
@@ -182,6 +200,10 @@
 
 		private boolean replaced;
 
+		private Resources formerCapacity = Resources.NONE;
+
+		private long formerUntilMillis;
+
 		private boolean failing;
 
 		private boolean losesStartResponses;
@@ -218,6 +240,12 @@
 			return this.runningAttempts.size();
 		}
 
+		private Resources limit() {
+			boolean isInGrace = SimulatedWorkers.this.time.millis() < this.formerUntilMillis;
+			return (isInGrace && this.formerCapacity.covers(this.info.capacity())) ? this.formerCapacity
+					: this.info.capacity();
+		}
+
 		String id() {
 			return this.info.id();
 		}
@@ -283,7 +311,7 @@
 				simulation.violations.add("start after the acknowledged termination of " + task);
 			}
 			this.runningAttempts.put(task, attempt);
-			if (!this.info.capacity().covers(simulation.taskSize.times(this.runningAttempts.size()))) {
+			if (!limit().covers(simulation.taskSize.times(this.runningAttempts.size()))) {
 				simulation.violations.add("runs exceed the capacity of " + this.info.id());
 			}
 			TerminationReason reason = this.failing ? TerminationReason.FAILED : TerminationReason.DONE;
