--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/routing/ServiceRouterTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/routing/ServiceRouterTests.java
@@ -172,6 +172,18 @@
 			assertUnknown(outcome);
 		}
 
+		@Test
+		void areNotSentToEveryServerWhenEachOfThemBreaksOff() {
+			ServiceRouterTests.this.router = router(12, 1, 100);
+			CompletableFuture<RequestOutcome> outcome = routeRepeatable();
+			for (int i = 0; i < ServiceRouterTests.this.attempts.size(); i++) {
+				completeAttempt(i, INCOMPLETE);
+			}
+
+			assertUnknown(outcome);
+			assertThat(ServiceRouterTests.this.attempts).hasSize(3);
+		}
+
 		@Test
 		void areRetriedOutsideTheBudgetWhenTheirConnectionsAreStale() {
 			ServiceRouterTests.this.router = router(3, 2 * RETRY_CAPACITY, 100);
