Soak hosts with tasks that crash their workers

CrashingTasksSoakTests runs hosts as processes under overlapping stops, kills, pauses and hang-ups, beside tasks that crash each worker which starts them. It asks that their jobs fail, that no such task is started three times more after three crashes, and that all other jobs are done: none given up, no task again after its end was acknowledged.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostSoakTests.java
@@ -88,7 +88,7 @@
 		return clients;
 	}
 
-	private static void disturb(Random random, List<SoakHost> hosts, ScheduledExecutorService timer) {
+	static void disturb(Random random, List<SoakHost> hosts, ScheduledExecutorService timer) {
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Integer.getInteger("soak.seconds", 15));
 		while (System.nanoTime() - end < 0) {
 			SoakHost host = hosts.get(random.nextInt(hosts.size()));
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -8,12 +8,13 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -30,6 +31,8 @@
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
+	private static final int OTHER_INSTANCE = 421;
+
 	private static final String CONFIGURATION = """
 			{"version": 1, "services": [{"name": "soak", "enforces_capacity": false}],
 			 "routes": [{"name": "soak", "host": "soak", "path_prefix": "/soak/", "timeout_ms": 3000,
@@ -38,7 +41,9 @@
 
 	private final TableFake table = new TableFake();
 
-	private final Map<String, WorkerFake> workers = new LinkedHashMap<>();
+	private final Map<String, WorkerFake> workers = new ConcurrentHashMap<>();
+
+	private final WorkerCrashes crashes;
 
 	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
 
@@ -55,9 +60,9 @@
 		}
 		put("op", "config", CONFIGURATION);
 		GangFake gangs = new GangFake(this.timer);
+		this.crashes = new WorkerCrashes(this.workers, this.timer);
 		for (int i = 0; i < workerCount; i++) {
-			this.workers.put("w" + i, new WorkerFake(this.timer, gangs));
-			put("servers", "w" + i, """
+			addWorker("w" + i, gangs, """
 					{"service": "soak", "address": "%s:%d", "zone": "d%d", "state": "ready", "labels": ["r%d"],
 					 "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}}""".formatted(ip, port, i % 2, i / 4));
 		}
@@ -66,6 +71,23 @@
 		this.server.start();
 	}
 
+	private void addWorker(String id, GangFake gangs, String entry) {
+		this.workers.put(id, new WorkerFake(this.timer, gangs));
+		put("servers", id, entry);
+		this.crashes.onRestart(id, () -> {
+			this.table.put("servers", id, null);
+			addWorker(id + "x", gangs, entry);
+		});
+	}
+
+	/**
+	 * Worker crashes that jobs cause.
+	 * @return the crashes
+	 */
+	WorkerCrashes crashes() {
+		return this.crashes;
+	}
+
 	private void put(String name, String key, String value) {
 		this.table.put(name, key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
 	}
@@ -73,6 +95,10 @@
 	private void handle(HttpExchange exchange) throws IOException {
 		try (exchange) {
 			Answer answer = answer(exchange);
+			if (answer == null) {
+				// A crashed worker: the connection is closed without a response.
+				return;
+			}
 			byte[] body = JSON.writeValueAsBytes(answer.body());
 			exchange.sendResponseHeaders(answer.code(), body.length);
 			exchange.getResponseBody().write(body);
@@ -85,7 +111,21 @@
 	private Answer answer(HttpExchange exchange) throws IOException, InterruptedException {
 		Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
 		JsonNode body = JSON.readTree(exchange.getRequestBody().readAllBytes());
-		WorkerFake worker = this.workers.get(exchange.getRequestHeaders().getFirst("X-Monsoonrelay-Expect-Instance"));
+		String id = exchange.getRequestHeaders().getFirst("X-Monsoonrelay-Expect-Instance");
+		WorkerFake worker = (id != null) ? this.workers.get(id) : null;
+		if (id != null && worker == null) {
+			return this.crashes.isReplaced(id) ? new Answer(OTHER_INSTANCE, Map.of()) : null;
+		}
+		Answer answer = answer(exchange, query, body, worker);
+		if (worker != null) {
+			this.crashes.answered(id, exchange.getRequestURI().getPath(), body, answer.code());
+			return (this.workers.get(id) == worker) ? answer : null;
+		}
+		return answer;
+	}
+
+	private Answer answer(HttpExchange exchange, Map<String, String> query, JsonNode body, WorkerFake worker)
+			throws InterruptedException {
 		return switch (exchange.getRequestURI().getPath()) {
 			case "/api/rows-tx" -> this.table.commit(body);
 			case "/api/rows-get" -> this.table.read(query.get("table"), query.get("part"),
@@ -122,7 +162,8 @@
 	 */
 	Map<String, Integer> done() {
 		Map<String, Integer> counts = new HashMap<>();
-		this.workers.values().forEach((worker) -> worker.done().forEach((task) -> counts.merge(task, 1, Integer::sum)));
+		Stream.concat(this.workers.values().stream(), this.crashes.crashed().stream())
+			.forEach((worker) -> worker.done().forEach((task) -> counts.merge(task, 1, Integer::sum)));
 		return counts;
 	}
 
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
@@ -33,7 +33,10 @@
 
 	private static final int MOST_TRIES = 6;
 
-	private static final String JOB = """
+	private static final int LONGEST_PAUSE_MILLIS = 30;
+
+	/** A job of tasks and a gang that depends on them. */
+	static final String JOB = """
 			{"steps": [{"count": 3, "cpu": 2000, "mem_mb": 500, "estimate_ms": 300},
 			 {"count": 4, "cpu": 2000, "mem_mb": 500, "estimate_ms": 300, "depends_on": [0], "gang": true}]}""";
 
@@ -49,6 +52,8 @@
 
 	private final Consumer<String> faults;
 
+	private final Work work;
+
 	private final Set<String> accepted = new HashSet<>();
 
 	private final Set<String> refused = new HashSet<>();
@@ -62,6 +67,12 @@
 	private InputStream answers;
 
 	SoakClient(long seed, List<SoakHost> hosts, Consumer<String> faults) {
+		this(seed, hosts, faults, new Work(JOB, LONGEST_PAUSE_MILLIS, (job) -> {
+		}));
+	}
+
+	SoakClient(long seed, List<SoakHost> hosts, Consumer<String> faults, Work work) {
+		this.work = work;
 		this.random = new Random(seed);
 		this.hosts = hosts;
 		this.faults = faults;
@@ -91,8 +102,10 @@
 	@Override
 	public void run() {
 		while (!this.stopping) {
-			handIn("%016x".formatted(this.random.nextLong()));
-			pause(this.random.nextInt(30));
+			String job = "%016x".formatted(this.random.nextLong());
+			this.work.announce().accept(job);
+			handIn(job);
+			pause(this.random.nextInt(this.work.longestPauseMillis()));
 		}
 		leave();
 	}
@@ -100,7 +113,7 @@
 	private void handIn(String job) {
 		boolean isSurelyRefused = true;
 		for (int i = 0; i < MOST_TRIES; i++) {
-			int code = ask("POST", job, JOB).code();
+			int code = ask("POST", job, this.work.job()).code();
 			if (code == OK) {
 				this.accepted.add(job);
 				return;
@@ -204,6 +217,17 @@
 		LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
 	}
 
+	/**
+	 * What a client hands in.
+	 *
+	 * @param job the text of each job
+	 * @param longestPauseMillis longest pause between two jobs
+	 * @param announce told of each job's id before it is handed in
+	 */
+	record Work(String job, int longestPauseMillis, Consumer<String> announce) {
+
+	}
+
 	/** An answer. */
 	private record Told(int code, String body) {
 
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
@@ -22,6 +22,7 @@
 	synchronized void put(String table, String key, String value) {
 		this.version++;
 		store(new Name(table, "", key), value);
+		notifyAll();
 	}
 
 	private void store(Name name, String value) {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
@@ -24,10 +24,12 @@
 
 	private static final int OK = 200;
 
+	private static final int TERMINATION_REASON = 3;
+
 	private static final int REFUSED = 409;
 
 	/** The step of a soak's job that is a gang. */
-	private static final String GANG_STEP = ".0.1.";
+	static final String GANG_STEP = ".0.1.";
 
 	private final ScheduledExecutorService timer;
 
@@ -41,6 +43,8 @@
 
 	private final List<String> done = new ArrayList<>();
 
+	private final List<String> uncertain = new ArrayList<>();
+
 	private final Set<String> begun = new HashSet<>();
 
 	private long fence;
@@ -120,6 +124,28 @@
 		return new Answer(OK, Map.of("clock_ms", clock(), "running", lives, "finished", List.copyOf(this.ended)));
 	}
 
+	/**
+	 * Crash: nothing runs any more, and ends that were not acknowledged are lost.
+	 */
+	synchronized void crash() {
+		Map<String, Integer> lost = Map.copyOf(this.running);
+		this.running.clear();
+		lost.forEach((task, attempt) -> {
+			if (task.contains(GANG_STEP)) {
+				this.gangs.stopped(task, attempt);
+			}
+		});
+		for (List<Object> end : this.ended) {
+			String task = (String) end.get(1);
+			if (end.get(TERMINATION_REASON).equals("done")) {
+				this.done.remove(task);
+				this.uncertain.add(task);
+			}
+		}
+		this.ended.clear();
+		notifyAll();
+	}
+
 	private boolean isFenced(JsonNode order) {
 		long told = order.path("fencing_token").asLong();
 		this.fence = Math.max(this.fence, told);
@@ -146,6 +172,14 @@
 		return List.copyOf(this.done);
 	}
 
+	/**
+	 * Tasks that were done here before a crash, without an acknowledgement of their end.
+	 * @return their names, one for each time
+	 */
+	synchronized List<String> uncertain() {
+		return List.copyOf(this.uncertain);
+	}
+
 	/**
 	 * Tasks that were begun here.
 	 * @return their names
