Delay tasks that are lost with their workers again and again

A task of a declared workload that crashes its worker was placed again as soon as the new incarnation had reported: 120 starts in 120 s in the test, each with a worker and what else ran there.

Task.recordLoss: after the first loss the task is placed at once as before; further ones within ten minutes double a delay from 0.5 to 32 s. An attempt that somebody asked to stop is no loss. The delay is not durable, so that a new owner of the queue begins with 0.5 s; a count in the record would be refused by processes of earlier releases, which read it strictly. The task is not marked failed: these losses cannot be told from those of a worker that is taken away.

RestartedWorkersTests.aTaskThatCrashesItsWorkersIsStartedAfterGrowingDelays failed before ("Expecting actual: 120 to be between: [3, 11]"; the bound is the sum of the delays) and passes. Tests of model and logic green.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptReconciler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptReconciler.java
@@ -133,6 +133,10 @@
 		return this.rackByWorker.getOrDefault(worker, "");
 	}
 
+	boolean isStopRequested(AttemptId attempt) {
+		return this.pendingStops.containsKey(attempt);
+	}
+
 	/**
 	 * Record that a rack owner has reported the state of an attempt.
 	 * @param attempt the attempt
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -291,6 +291,7 @@
 		if (queue == null || queue.loadingJobs().contains(event.attempt().job())) {
 			return;
 		}
+		boolean isStopRequested = this.reconciler.isStopRequested(event.attempt());
 		this.reconciler.recordReport(event.attempt(), isTerminal(event.kind()));
 		Job job = queue.jobs().get(event.attempt().job());
 		if (job == null) {
@@ -300,7 +301,7 @@
 			}
 			return;
 		}
-		applyEvent(job, event, () -> acknowledge.accept(event));
+		applyEvent(job, event, isStopRequested, () -> acknowledge.accept(event));
 	}
 
 	private boolean isUndeclared(JobId id) {
@@ -317,7 +318,7 @@
 		}
 	}
 
-	private void applyEvent(Job job, AttemptEvent event, Runnable acknowledge) {
+	private void applyEvent(Job job, AttemptEvent event, boolean isStopRequested, Runnable acknowledge) {
 		AttemptId attempt = event.attempt();
 		switch (event.kind()) {
 			case RUNNING -> {
@@ -330,7 +331,9 @@
 			}
 			case FINISHED -> acknowledgeWhenDurable(job, job.markFinished(attempt), acknowledge);
 			case FAILED -> acknowledgeWhenDurable(job, job.markFailed(attempt, this.clock.instant()), acknowledge);
-			case GONE -> acknowledgeWhenDurable(job, job.markNotRunning(attempt), acknowledge);
+			case GONE -> acknowledgeWhenDurable(job,
+					isStopRequested ? job.markNotRunning(attempt) : job.markLost(attempt, this.clock.instant()),
+					acknowledge);
 		}
 	}
 
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -196,6 +196,18 @@
 		return wasOpen;
 	}
 
+	/**
+	 * Record that the attempt was lost with its worker: it is over, but nobody stopped
+	 * it.
+	 * @param attempt the attempt
+	 * @param now the current time, from which a backoff counts
+	 * @return {@code true} if the task is waiting again
+	 */
+	public boolean markLost(AttemptId attempt, Instant now) {
+		taskOf(attempt).recordLoss(attempt.attempt(), now);
+		return markNotRunning(attempt);
+	}
+
 	/**
 	 * Record that the lease of the attempt's worker expired. A repeatable task waits to
 	 * be placed again; a run-once task becomes in doubt, as its state is unknown.
@@ -217,9 +229,7 @@
 	 */
 	public List<AttemptId> cancel() {
 		List<AttemptId> open = openAttempts();
-		this.tasks.allTasks()
-			.filter((task) -> !task.state().isFinal())
-			.forEach((task) -> this.tasks.setState(task, TaskState.CANCELLED));
+		this.tasks.setStates((task) -> !task.state().isFinal(), TaskState.CANCELLED);
 		return open;
 	}
 
@@ -236,14 +246,10 @@
 			this.tasks.setDeclaredCount(declared.tasks());
 		}
 		if (declared.once()) {
-			this.tasks.allTasks()
-				.filter(Task::mayRunUnconfirmed)
-				.forEach((task) -> this.tasks.setState(task, TaskState.IN_DOUBT));
+			this.tasks.setStates(Task::mayRunUnconfirmed, TaskState.IN_DOUBT);
 		}
 		if (isService()) {
-			this.tasks.allTasks()
-				.filter((task) -> task.state() == TaskState.CANCELLED)
-				.forEach((task) -> this.tasks.setState(task, TaskState.WAITING));
+			this.tasks.setStates((task) -> task.state() == TaskState.CANCELLED, TaskState.WAITING);
 		}
 		return this.tasks.allTasks().skip(declared.tasks()).filter(Task::isOpen).map(this::attemptOf).toList();
 	}
@@ -357,11 +363,7 @@
 	 * @return the record
 	 */
 	public JobRecord toRecord(String writeId, long knownHosts) {
-		List<TaskRecord> changed = this.tasks.allTasks()
-			.filter((task) -> task.attempt() > 0 || task.state() != TaskState.WAITING)
-			.map(Task::toRecord)
-			.toList();
-		return new JobRecord(this.queueEpoch, writeId, knownHosts, changed, this.finishedAt);
+		return new JobRecord(this.queueEpoch, writeId, knownHosts, this.tasks.changedRecords(), this.finishedAt);
 	}
 
 	private Task taskOf(AttemptId attempt) {
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Task.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Task.java
@@ -15,6 +15,9 @@
 
 	private static final Duration INITIAL_BACKOFF = Duration.ofMillis(500);
 
+	/** A task whose last loss was longer ago is not suspected to cause its losses. */
+	private static final Duration LOSS_MEMORY = Duration.ofMinutes(10);
+
 	private final int index;
 
 	private TaskState state = TaskState.WAITING;
@@ -31,6 +34,10 @@
 
 	private Instant notBefore = Instant.MIN;
 
+	private int losses;
+
+	private Instant lastLoss = Instant.MIN;
+
 	Task(int index) {
 		this.index = index;
 	}
@@ -82,6 +89,26 @@
 		markEnded();
 	}
 
+	/**
+	 * Record that an attempt was lost with its worker, which the task may have crashed.
+	 * After the first loss the task may be started at once, after further ones the
+	 * backoff doubles each time.
+	 * @param number number of the attempt
+	 * @param now the current time, from which the backoff counts
+	 */
+	void recordLoss(long number, Instant now) {
+		if (number != this.attempt || this.state != TaskState.RUNNING) {
+			return;
+		}
+		boolean isRepeated = this.losses > 0 && now.isBefore(this.lastLoss.plus(LOSS_MEMORY));
+		this.losses = isRepeated ? this.losses + 1 : 1;
+		this.lastLoss = now;
+		if (isRepeated) {
+			int doublings = Math.min(this.losses - 2, MAXIMUM_BACKOFF_DOUBLINGS);
+			this.notBefore = now.plus(INITIAL_BACKOFF.multipliedBy(1L << doublings));
+		}
+	}
+
 	boolean hasFailedTooOften() {
 		return this.failures >= MAXIMUM_FAILURES;
 	}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/TaskList.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/TaskList.java
@@ -7,6 +7,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -68,6 +69,10 @@
 		update(task, () -> task.setState(state));
 	}
 
+	void setStates(Predicate<Task> condition, TaskState state) {
+		allTasks().filter(condition).forEach((task) -> setState(task, state));
+	}
+
 	private void update(Task task, Runnable change) {
 		count(task, -1);
 		this.openCount -= task.isOpen() ? 1 : 0;
@@ -117,6 +122,16 @@
 		return present;
 	}
 
+	/**
+	 * Tasks that have left their initial state, in their durable form.
+	 * @return the records
+	 */
+	List<TaskRecord> changedRecords() {
+		return allTasks().filter((task) -> task.attempt() > 0 || task.state() != TaskState.WAITING)
+			.map(Task::toRecord)
+			.toList();
+	}
+
 	int openCount() {
 		return this.openCount;
 	}
