Let clients of a soak go on until a job was accepted

Seed 9 of CrashingTasksSoakTests was red once in 26 seeds by hand: "Expecting actual not to be empty", no crashing job had been accepted. In its 10 s the client that hands them in came twice, while hosts started ("no configuration yet", refused eight times in all). The check asks for one accepted job and stays; clients now go on after the disturbances until they have one.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
@@ -101,7 +101,7 @@
 
 	@Override
 	public void run() {
-		while (!this.stopping) {
+		while (!this.stopping || this.accepted.isEmpty()) {
 			String job = "%016x".formatted(this.random.nextLong());
 			this.work.announce().accept(job);
 			handIn(job);
