Separate starts of earlier owners from the assessment of crashes

CrashTracker held two things: which lost runs are crashes, and which starts of earlier owners may have been lost unseen. The latter is InheritedStarts now.

CrashingTasksTests, CrashRecordsTests, FaultyWorkersTests, TakeOver*Tests, JobDiagnosisTests green.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CrashTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CrashTracker.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.events.JobDecision;
@@ -49,10 +47,6 @@
 
 	private final Map<String, List<DeferredCrash>> deferred = new HashMap<>();
 
-	private final Set<TaskKey> inheritedLosses = new HashSet<>();
-
-	private boolean unknownRunsLost;
-
 	CrashTracker(JobRegistry jobs, WorkerPool pool, DecisionLog log, PoolClock clock) {
 		this.jobs = jobs;
 		this.pool = pool;
@@ -93,18 +87,21 @@
 	 * @param task the task
 	 * @param ranMillis for how long the run was active
 	 * @param evidence the assessment of the loss
+	 * @return {@code true} if the loss counts against the task
 	 */
-	void record(SubmittedJob job, TaskKey task, long ranMillis, CrashEvidence evidence) {
+	boolean record(SubmittedJob job, TaskKey task, long ranMillis, CrashEvidence evidence) {
 		StepProgress progress = job.progress(task.stepKey());
-		if (job.isEnded() || progress.isDone(task.index()) || clearIfStable(job, task, ranMillis)) {
-			return;
+		if (job.isEnded() || progress.isDone(task.index()) || clearIfStable(job, task, ranMillis)
+				|| evidence == CrashEvidence.NONE) {
+			return false;
 		}
 		job.recordCrash(task, evidence);
 		TaskCrashes crashes = progress.crashes(task.index());
-		if (evidence != CrashEvidence.NONE && crashes.suspicion() == CrashSuspicion.GIVEN_UP) {
+		if (crashes.suspicion() == CrashSuspicion.GIVEN_UP) {
 			this.log
 				.write(new JobDecision.TaskGivenUp(job.id(), task.toString(), crashes.confirmed(), crashes.possible()));
 		}
+		return true;
 	}
 
 	/**
@@ -140,64 +137,6 @@
 		return Optional.ofNullable(this.deferred.remove(job)).orElse(List.of());
 	}
 
-	/**
-	 * Records that a worker was lost on which an earlier owner may have started any task.
-	 */
-	void unknownRunsLost() {
-		this.unknownRunsLost = true;
-	}
-
-	/**
-	 * Returns whether starts of a job have to be recorded before they are sent: the
-	 * earlier owner may have lost a run of the job without knowing, and so may this one.
-	 * @param job the job
-	 * @return {@code true} if so
-	 */
-	private boolean mustRecordStarts(SubmittedJob job) {
-		return this.unknownRunsLost && this.jobs.isInherited(job.id());
-	}
-
-	/**
-	 * Returns whether tasks may be started at once. If the next owner has to know of the
-	 * starts, they are recorded first.
-	 * @param step the step
-	 * @param tasks indexes of the tasks
-	 * @return {@code true} if no start had to be recorded
-	 */
-	boolean prepareStart(ActiveStep step, List<Integer> tasks) {
-		List<Integer> unrecorded = mustRecordStarts(step.job())
-				? tasks.stream().filter((index) -> !step.progress().isStartRecorded(index)).toList() : List.of();
-		if (unrecorded.isEmpty()) {
-			return true;
-		}
-		unrecorded.forEach((index) -> step.job().recordStart(step.key().task(index)));
-		this.jobs.markDirty(step.job());
-		return false;
-	}
-
-	void recordInheritedLoss(TaskKey task) {
-		this.inheritedLosses.add(task);
-	}
-
-	/**
-	 * Returns the tasks of a job that an earlier owner may have started and that may have
-	 * been lost with their worker, as neither a run nor an end is known. To be called
-	 * once the recovery is complete.
-	 * @param job the job
-	 * @return the tasks, without those of which the loss is known
-	 */
-	List<TaskKey> findUnknownLosses(SubmittedJob job) {
-		if (!mustRecordStarts(job) || job.isEnded()) {
-			return List.of();
-		}
-		return job.tasksWithRecordedStart()
-			.stream()
-			.filter((task) -> !job.progress(task.stepKey()).isDone(task.index()))
-			.filter((task) -> this.jobs.step(task.stepKey()).filter((step) -> step.hasRun(task.index())).isEmpty())
-			.filter((task) -> !this.inheritedLosses.contains(task))
-			.toList();
-	}
-
 	/**
 	 * Records that a possible crash is to be taken back if the worker answers.
 	 * @param worker the worker's id
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedStarts.java
@@ -0,0 +1,84 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.monsoonrelay.model.submission.SubmittedJob;
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * Starts of earlier owners whose runs may have been lost with their workers before any
+ * record named them. Invariant: once such a loss is possible, starts of inherited jobs
+ * are durable before they are sent, so that the next owner knows of them. Not
+ * thread-safe: confined to the control thread.
+ */
+final class InheritedStarts {
+
+	private final JobRegistry jobs;
+
+	private final Set<TaskKey> knownLosses = new HashSet<>();
+
+	private boolean unknownRunsLost;
+
+	InheritedStarts(JobRegistry jobs) {
+		this.jobs = jobs;
+	}
+
+	/**
+	 * Records that a worker was lost on which an earlier owner may have started any task.
+	 */
+	void recordUnknownLoss() {
+		this.unknownRunsLost = true;
+	}
+
+	private boolean mustRecordStarts(SubmittedJob job) {
+		return this.unknownRunsLost && this.jobs.isInherited(job.id());
+	}
+
+	/**
+	 * Returns whether tasks may be started at once. If the next owner has to know of the
+	 * starts, they are recorded first.
+	 * @param step the step
+	 * @param tasks indexes of the tasks
+	 * @return {@code true} if no start had to be recorded
+	 */
+	boolean prepareStart(ActiveStep step, List<Integer> tasks) {
+		List<Integer> unrecorded = mustRecordStarts(step.job())
+				? tasks.stream().filter((index) -> !step.progress().isStartRecorded(index)).toList() : List.of();
+		if (unrecorded.isEmpty()) {
+			return true;
+		}
+		unrecorded.forEach((index) -> step.job().recordStart(step.key().task(index)));
+		this.jobs.markDirty(step.job());
+		return false;
+	}
+
+	/**
+	 * Records the loss of a run that the owner record names.
+	 * @param task the task
+	 */
+	void recordKnownLoss(TaskKey task) {
+		this.knownLosses.add(task);
+	}
+
+	/**
+	 * Returns the tasks of a job that an earlier owner may have started and that may have
+	 * been lost with their worker, as neither a run nor an end is known. To be called
+	 * once the recovery is complete.
+	 * @param job the job
+	 * @return the tasks, without those of which the loss is known
+	 */
+	List<TaskKey> findUnknownLosses(SubmittedJob job) {
+		if (!mustRecordStarts(job) || job.isEnded()) {
+			return List.of();
+		}
+		return job.tasksWithRecordedStart()
+			.stream()
+			.filter((task) -> !job.progress(task.stepKey()).isDone(task.index()))
+			.filter((task) -> this.jobs.step(task.stepKey()).filter((step) -> step.hasRun(task.index())).isEmpty())
+			.filter((task) -> !this.knownLosses.contains(task))
+			.toList();
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -64,6 +64,8 @@
 
 	private final CrashTracker crashes;
 
+	private final InheritedStarts inheritedStarts;
+
 	private final RunTerminationHandler terminations;
 
 	private final WorkerLossHandler losses;
@@ -100,8 +102,11 @@
 		this.listener = listener;
 		UnknownJobs unknownJobs = new UnknownJobs(jobs, isLoaded, clock);
 		this.crashes = new CrashTracker(jobs, pool, log, clock);
-		this.terminations = new RunTerminationHandler(jobs, unknownJobs, this.crashes, log, clock, this::stop);
-		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, clock, log);
+		this.inheritedStarts = new InheritedStarts(jobs);
+		this.terminations = new RunTerminationHandler(jobs, unknownJobs, this.crashes, this.inheritedStarts, log, clock,
+				this::stop);
+		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, this.inheritedStarts, clock,
+				log);
 		this.adoption = new RunAdoption(jobs, this.terminations, unknownJobs, clock, this::confirm, this::stop);
 	}
 
@@ -384,8 +389,8 @@
 		}
 	}
 
-	CrashTracker crashes() {
-		return this.crashes;
+	InheritedStarts inheritedStarts() {
+		return this.inheritedStarts;
 	}
 
 	WorkerLossHandler losses() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -31,17 +31,20 @@
 
 	private final CrashTracker crashes;
 
+	private final InheritedStarts inheritedStarts;
+
 	private final DecisionLog log;
 
 	private final PoolClock clock;
 
 	private final BiConsumer<Run, String> stopRun;
 
-	RunTerminationHandler(JobRegistry jobs, UnknownJobs unknownJobs, CrashTracker crashes, DecisionLog log,
-			PoolClock clock, BiConsumer<Run, String> stopRun) {
+	RunTerminationHandler(JobRegistry jobs, UnknownJobs unknownJobs, CrashTracker crashes,
+			InheritedStarts inheritedStarts, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stopRun) {
 		this.jobs = jobs;
 		this.unknownJobs = unknownJobs;
 		this.crashes = crashes;
+		this.inheritedStarts = inheritedStarts;
 		this.log = log;
 		this.clock = clock;
 		this.stopRun = stopRun;
@@ -152,13 +155,12 @@
 		CrashEvidence evidence = this.crashes.assess(worker, run, loss);
 		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), loss.name(),
 				loss.description(), evidence.name(), run.hasBeenConfirmed(), ranMillis, otherRuns));
-		if (evidence == CrashEvidence.POSSIBLE && loss == RunLoss.LEASE_EXPIRED) {
-			this.crashes.awaitAnswer(worker.id(), task);
-		}
 		this.jobs.job(task.job())
 			.filter((job) -> hasTask(job, task))
 			.ifPresent((job) -> job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint()));
-		recordCrash(task, ranMillis, evidence);
+		if (recordCrash(task, ranMillis, evidence) && loss == RunLoss.LEASE_EXPIRED) {
+			this.crashes.awaitAnswer(worker.id(), task);
+		}
 	}
 
 	/**
@@ -166,7 +168,7 @@
 	 * @param task the task
 	 */
 	void handleInheritedLoss(TaskKey task) {
-		this.crashes.recordInheritedLoss(task);
+		this.inheritedStarts.recordKnownLoss(task);
 		recordCrash(task, 0, CrashEvidence.POSSIBLE);
 	}
 
@@ -176,7 +178,7 @@
 	 * @param job the job
 	 */
 	void handleUnknownLosses(SubmittedJob job) {
-		this.crashes.findUnknownLosses(job).forEach(this::handleInheritedLoss);
+		this.inheritedStarts.findUnknownLosses(job).forEach(this::handleInheritedLoss);
 	}
 
 	/**
@@ -187,14 +189,15 @@
 		this.crashes.takeDeferred(job).forEach((crash) -> recordCrash(crash.task(), 0, crash.evidence()));
 	}
 
-	private void recordCrash(TaskKey task, long ranMillis, CrashEvidence evidence) {
+	private boolean recordCrash(TaskKey task, long ranMillis, CrashEvidence evidence) {
 		if (evidence != CrashEvidence.NONE && this.unknownJobs.isAwaited(task.job())) {
 			this.crashes.defer(task, evidence);
 		}
-		this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).ifPresent((job) -> {
-			this.crashes.record(job, task, ranMillis, evidence);
+		return this.jobs.job(task.job()).filter((job) -> hasTask(job, task)).map((job) -> {
+			boolean isCounted = this.crashes.record(job, task, ranMillis, evidence);
 			updateJobState(job, task.stepKey(), false);
-		});
+			return isCounted;
+		}).orElse(false);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -16,15 +16,15 @@
 
 	private final OwnerLease lease;
 
-	private final CrashTracker crashes;
+	private final InheritedStarts inheritedStarts;
 
 	private boolean recovered;
 
-	StartGate(JobRegistry jobs, WorkerPool pool, OwnerLease lease, CrashTracker crashes) {
+	StartGate(JobRegistry jobs, WorkerPool pool, OwnerLease lease, InheritedStarts inheritedStarts) {
 		this.jobs = jobs;
 		this.pool = pool;
 		this.lease = lease;
-		this.crashes = crashes;
+		this.inheritedStarts = inheritedStarts;
 	}
 
 	/**
@@ -60,7 +60,7 @@
 	 * @return {@code false} if the next owner has to know of the starts first
 	 */
 	boolean prepareStart(ActiveStep step, List<Integer> tasks) {
-		return this.crashes.prepareStart(step, tasks);
+		return this.inheritedStarts.prepareStart(step, tasks);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -79,7 +79,7 @@
 		this.pool = pool;
 		this.runs = runs;
 		this.eligibility = eligibility;
-		this.gate = new StartGate(jobs, pool, lease, runs.crashes());
+		this.gate = new StartGate(jobs, pool, lease, runs.inheritedStarts());
 		this.clock = clock;
 		this.order = rules.order();
 		this.selector = new CrashIsolation(rules.selector(), pool);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -23,6 +23,8 @@
 
 	private final CrashTracker crashes;
 
+	private final InheritedStarts inheritedStarts;
+
 	private final PoolClock clock;
 
 	private final DecisionLog log;
@@ -30,11 +32,12 @@
 	private boolean recovered;
 
 	WorkerLossHandler(WorkerPool pool, JobRegistry jobs, RunTerminationHandler terminations, CrashTracker crashes,
-			PoolClock clock, DecisionLog log) {
+			InheritedStarts inheritedStarts, PoolClock clock, DecisionLog log) {
 		this.pool = pool;
 		this.jobs = jobs;
 		this.terminations = terminations;
 		this.crashes = crashes;
+		this.inheritedStarts = inheritedStarts;
 		this.clock = clock;
 		this.log = log;
 	}
@@ -62,7 +65,7 @@
 		}
 		Set<TaskKey> inherited = this.pool.unconfirmedTasks(worker.id());
 		if (this.pool.isUnreconciled(worker.id()) && !worker.info().draining()) {
-			this.crashes.unknownRunsLost();
+			this.inheritedStarts.recordUnknownLoss();
 		}
 		this.pool.markReconciled(worker.id());
 		this.crashes.workerReplaced(worker.id());
@@ -80,7 +83,7 @@
 	void abandonRecovery() {
 		Set<TaskKey> inherited = this.pool.unconfirmedTasks();
 		if (!this.pool.isRecoveryComplete()) {
-			this.crashes.unknownRunsLost();
+			this.inheritedStarts.recordUnknownLoss();
 		}
 		this.pool.abandonRecovery();
 		inherited.forEach(this.terminations::handleInheritedLoss);
