--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashingTasksTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashingTasksTests.java
@@ -146,7 +146,7 @@
 	@Nested
 	class TasksThatOnlyMetACrash {
 
-		private static final int INNOCENT_JOBS = 24;
+		private static final int OTHER_JOBS = 24;
 
 		@ParameterizedTest
 		@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
@@ -156,7 +156,7 @@
 			Random random = new Random(seed);
 			cell.addScheduler();
 			cell.time.runFor(500);
-			for (int i = 0; i < INNOCENT_JOBS; i++) {
+			for (int i = 0; i < OTHER_JOBS; i++) {
 				cell.submit("good" + i, SimulatedCell.step(1 + random.nextInt(4), random.nextInt(4) == 0));
 				if (i % 6 == 0) {
 					cell.submit("bad" + i, SimulatedCell.step(1, false));
@@ -165,10 +165,10 @@
 			}
 			cell.time.runFor(60_000);
 			assertThat(crashing.violations()).isEmpty();
-			for (int i = 0; i < INNOCENT_JOBS; i++) {
+			for (int i = 0; i < OTHER_JOBS; i++) {
 				cell.assertCompleted("good" + i);
 			}
-			for (int i = 0; i < INNOCENT_JOBS; i += 6) {
+			for (int i = 0; i < OTHER_JOBS; i += 6) {
 				assertThat(cell.durableState("bad" + i)).isEqualTo(SubmissionState.FAILED);
 			}
 		}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -197,8 +197,7 @@
 	}
 
 	/**
-	 * Record that the attempt was lost with its worker: it is over, but nobody stopped
-	 * it.
+	 * Record that the attempt was lost with its worker and not stopped.
 	 * @param attempt the attempt
 	 * @param now the current time, from which a backoff counts
 	 * @return {@code true} if the task is waiting again
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
@@ -63,13 +63,13 @@
 					platform.crashes()::addCrashingJob);
 			SoakClient.Work others = new SoakClient.Work(SoakClient.JOB, LONGEST_PAUSE_MILLIS, (job) -> {
 			});
-			SoakClient saboteur = new SoakClient(-seed, hosts, faults::add, crashing);
+			SoakClient crashingClient = new SoakClient(-seed, hosts, faults::add, crashing);
 			List<SoakClient> clients = new ArrayList<>();
 			for (int i = 0; i < CLIENTS; i++) {
 				clients.add(new SoakClient(seed * CLIENTS + i, hosts, faults::add, others));
 			}
-			play(seed, hosts, timer, Stream.concat(Stream.of(saboteur), clients.stream()).toList());
-			check(platform, saboteur, clients, faults);
+			play(seed, hosts, timer, Stream.concat(Stream.of(crashingClient), clients.stream()).toList());
+			check(platform, crashingClient, clients, faults);
 		}
 		finally {
 			timer.shutdownNow();
@@ -88,11 +88,11 @@
 		}
 	}
 
-	private static void check(PlatformFake platform, SoakClient saboteur, List<SoakClient> clients,
+	private static void check(PlatformFake platform, SoakClient crashingClient, List<SoakClient> clients,
 			List<String> faults) {
-		assertThat(saboteur.accepted()).isNotEmpty();
-		for (String job : saboteur.accepted()) {
-			Await.until("job " + job + " has failed", () -> saboteur.state(job).contains("failed"));
+		assertThat(crashingClient.accepted()).isNotEmpty();
+		for (String job : crashingClient.accepted()) {
+			Await.until("job " + job + " has failed", () -> crashingClient.state(job).contains("failed"));
 		}
 		List<String> accepted = clients.stream().flatMap((client) -> client.accepted().stream()).toList();
 		assertThat(accepted).isNotEmpty();
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerCrashes.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerCrashes.java
@@ -81,7 +81,7 @@
 	}
 
 	/**
-	 * Look at a request that a worker has answered.
+	 * Crash the worker if it has started a task of a crashing job.
 	 * @param worker the worker's id
 	 * @param path the path of the request
 	 * @param order the request
