Take back the limit of attempts that servers break off

The code of ServiceRouter and PendingRequest is that of before. The fault stays: a request that each of 12 servers breaks off is sent 21 times, until the retry budget of the service is used up. To mend it, a server that crashed has to be told from one that dropped a connection.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/PendingRequest.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/PendingRequest.java
@@ -31,8 +31,6 @@
 
 	private volatile boolean mayHaveRun;
 
-	private volatile int brokenAttempts;
-
 	PendingRequest(ForwardedRequest request, long sequence) {
 		this.request = request;
 		this.sequence = sequence;
@@ -68,18 +66,6 @@
 		return this.mayHaveRun;
 	}
 
-	void recordBrokenAttempt() {
-		this.brokenAttempts++;
-	}
-
-	/**
-	 * Return the number of attempts that a server broke off while it had the request.
-	 * @return the number of attempts
-	 */
-	int brokenAttempts() {
-		return this.brokenAttempts;
-	}
-
 	Set<HostAddress> triedServers() {
 		return this.triedServers;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/routing/ServiceRouter.java
@@ -19,9 +19,8 @@
  * slot is queued by traffic class and deadline; a request that is not expected to meet
  * its deadline is refused at once. Invariants: a request that is not repeatable is sent
  * again only if it cannot have run before; a request is reported as not run only if no
- * byte of it reached a backend server or the server refused it before starting it; a
- * request is not sent again after several servers broke it off; each acquired slot is
- * released once. Thread-safe.
+ * byte of it reached a backend server or the server refused it before starting it; each
+ * acquired slot is released once. Thread-safe.
  */
 public final class ServiceRouter {
 
@@ -29,12 +28,6 @@
 
 	private static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(60);
 
-	/**
-	 * Number of servers that may break off a request before it is suspected to be the
-	 * cause and not sent again.
-	 */
-	private static final int MAXIMUM_BROKEN_ATTEMPTS = 3;
-
 	private final BackendPool pool;
 
 	private final BackendClient client;
@@ -190,11 +183,7 @@
 		if (staleConnection || result instanceof AttemptResult.Incomplete) {
 			pending.markMayHaveRun();
 		}
-		if (result instanceof AttemptResult.Incomplete incomplete && !incomplete.timedOut()) {
-			pending.recordBrokenAttempt();
-		}
-		boolean canRetry = pending.brokenAttempts() < MAXIMUM_BROKEN_ATTEMPTS
-				&& (!pending.mayHaveRun() || pending.request().operation().repeatable());
+		boolean canRetry = !pending.mayHaveRun() || pending.request().operation().repeatable();
 		boolean beforeDeadline = this.clock.instant().isBefore(pending.request().deadline());
 		boolean refusedByServer = result instanceof AttemptResult.Refused;
 		if (canRetry && beforeDeadline && (refusedByServer || staleConnection || this.retryBudget.tryAcquire())) {
