Log which incarnation of a worker answers and the numbers of its ends

A report with another start, or with a clock that was reset if no start is told, is logged as WorkerRestarted with both starts, both clocks and the highest number that was acknowledged to the former incarnation; TaskEnded has the number of the end, WorkerReached the start. A counter, pool.workers.restarted. No decision depends on any of it yet.

What belongs to one incarnation of a worker (lease, numbers of ends) is kept in a class of its own for that; its content is unchanged.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -108,6 +108,9 @@
 		else if (decision instanceof PoolDecision.WorkerSilent) {
 			count("pool.workers.silent");
 		}
+		else if (decision instanceof PoolDecision.WorkerRestarted) {
+			count("pool.workers.restarted");
+		}
 		else if (decision instanceof PoolDecision.WorkerLost) {
 			count("pool.workers.lost");
 		}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -42,13 +42,19 @@
 
 	@Test
 	void countTerminationsByReasonAndExpiredLeases() {
-		this.log.write(new JobDecision.TaskEnded("a", "a.0.0.0", 1, "w", "DONE", 300));
-		this.log.write(new JobDecision.TaskEnded("a", "a.0.0.1", 1, "w", "LAPSED", 300));
+		this.log.write(new JobDecision.TaskEnded("a", "a.0.0.0", 1, "w", 1, "DONE", 300));
+		this.log.write(new JobDecision.TaskEnded("a", "a.0.0.1", 1, "w", 2, "LAPSED", 300));
 		assertThat(count("pool.ends.DONE")).isEqualTo(1);
 		assertThat(count("pool.ends.LAPSED")).isEqualTo(1);
 		assertThat(count("pool.leases.lapsed")).isEqualTo(1);
 	}
 
+	@Test
+	void countRestartsOfWorkers() {
+		this.log.write(new PoolDecision.WorkerRestarted("w", 1, 2, 900, 5, 7, 3));
+		assertThat(count("pool.workers.restarted")).isEqualTo(1);
+	}
+
 	@Test
 	void countLostRunsByCause() {
 		this.log.write(new JobDecision.TaskLost("a", "a.0.0.0", 1, "w", "WORKER_REPLACED", "restarted", "CONFIRMED",
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -179,10 +179,11 @@
 	 * @param task the task
 	 * @param attempt the attempt
 	 * @param worker the worker
+	 * @param sequence sequence number of the end within the incarnation of the worker
 	 * @param end how the run ended
 	 * @param ranMillis time since the start request was sent, -1 if another owner sent it
 	 */
-	record TaskEnded(String job, String task, int attempt, String worker, String end,
+	record TaskEnded(String job, String task, int attempt, String worker, long sequence, String end,
 			long ranMillis) implements JobDecision {
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -48,9 +48,11 @@
 	 * A worker is reachable and may be given work.
 	 *
 	 * @param worker the worker
+	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
+	 * clock, -1 if it does not tell
 	 * @param running number of tasks that run on it
 	 */
-	record WorkerReached(String worker, int running) implements PoolDecision {
+	record WorkerReached(String worker, long startedMillis, int running) implements PoolDecision {
 
 	}
 
@@ -65,6 +67,24 @@
 
 	}
 
+	/**
+	 * Another incarnation of a worker than before answered under its id.
+	 *
+	 * @param worker the worker
+	 * @param formerStartedMillis when the former incarnation was started, epoch
+	 * milliseconds on its clock, -1 if it did not tell
+	 * @param startedMillis when this incarnation was started, likewise
+	 * @param formerClockMillis last known reading of the former incarnation's clock
+	 * @param clockMillis reading of this incarnation's clock
+	 * @param acknowledged highest sequence number of a termination that was acknowledged
+	 * to the former incarnation
+	 * @param running number of runs that may have been active on the worker
+	 */
+	record WorkerRestarted(String worker, long formerStartedMillis, long startedMillis, long formerClockMillis,
+			long clockMillis, long acknowledged, int running) implements PoolDecision {
+
+	}
+
 	/**
 	 * A worker was lost: nothing runs on it any more.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
@@ -22,7 +22,7 @@
 			PoolDecision.OwnershipSettled.class, PoolDecision.OwnershipLost.class, PoolDecision.WorkersAccounted.class);
 
 	private static final Set<String> WORKERS = names(PoolDecision.WorkerSilent.class, PoolDecision.WorkerLost.class,
-			PoolDecision.WorkerAvoided.class);
+			PoolDecision.WorkerAvoided.class, PoolDecision.WorkerRestarted.class);
 
 	private EventCategories() {
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollOutcome.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Outcome of polling a worker.
@@ -10,12 +11,14 @@
 	/**
 	 * The worker reported its active runs and unacknowledged terminations. Immutable.
 	 *
+	 * @param startedMillis when the incarnation that answers was started, epoch
+	 * milliseconds on the worker's clock; empty if it does not tell
 	 * @param clockMillis the worker's clock, milliseconds
 	 * @param runningTasks runs that are still active
 	 * @param terminatedTasks terminations that are not yet acknowledged, by ascending
 	 * sequence number
 	 */
-	record Report(long clockMillis, List<RunningTask> runningTasks,
+	record Report(OptionalLong startedMillis, long clockMillis, List<RunningTask> runningTasks,
 			List<TerminatedTask> terminatedTasks) implements PollOutcome {
 
 		public Report {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.function.LongSupplier;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -18,7 +17,7 @@
  */
 final class PoolWorker {
 
-	private final WorkerLease lease = new WorkerLease();
+	private final WorkerIncarnation incarnation = new WorkerIncarnation();
 
 	private final FailureStreak failures = new FailureStreak();
 
@@ -43,15 +42,6 @@
 
 	private boolean lost;
 
-	private long processedSequence;
-
-	private long durableSequence;
-
-	// Sequence numbers that are processed although an earlier one may be deferred.
-	private final TreeSet<Long> processedAhead = new TreeSet<>();
-
-	private List<TerminatedTask> deferredTerminations = List.of();
-
 	private long capacityVersion;
 
 	private final LongSupplier nextCapacityVersion;
@@ -331,35 +321,6 @@
 		this.recorded = false;
 	}
 
-	void markDurable(long sequence) {
-		this.durableSequence = Math.max(this.durableSequence, sequence);
-	}
-
-	boolean hasProcessed(TerminatedTask termination) {
-		return termination.sequence() <= this.processedSequence || this.processedAhead.contains(termination.sequence());
-	}
-
-	void markProcessed(TerminatedTask termination) {
-		this.processedAhead.add(termination.sequence());
-	}
-
-	/**
-	 * Defers terminations that were reported but cannot be processed yet. Only
-	 * terminations before the first deferred one count as processed without gaps.
-	 * @param terminations the deferred terminations by ascending sequence number
-	 */
-	void deferTerminations(List<TerminatedTask> terminations) {
-		this.deferredTerminations = List.copyOf(terminations);
-		long firstDeferred = terminations.isEmpty() ? Long.MAX_VALUE : terminations.get(0).sequence();
-		while (!this.processedAhead.isEmpty() && this.processedAhead.first() < firstDeferred) {
-			this.processedSequence = this.processedAhead.pollFirst();
-		}
-	}
-
-	List<TerminatedTask> deferredTerminations() {
-		return this.deferredTerminations;
-	}
-
 	WorkerInfo info() {
 		return this.info;
 	}
@@ -368,8 +329,16 @@
 		return this.info.id();
 	}
 
+	WorkerIncarnation incarnation() {
+		return this.incarnation;
+	}
+
 	WorkerLease lease() {
-		return this.lease;
+		return this.incarnation.lease();
+	}
+
+	TerminationSequence terminations() {
+		return this.incarnation.terminations();
 	}
 
 	FailureStreak failures() {
@@ -388,12 +357,4 @@
 		return this.lost;
 	}
 
-	long processedSequence() {
-		return this.processedSequence;
-	}
-
-	long durableSequence() {
-		return this.durableSequence;
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -51,7 +51,7 @@
 	 */
 	void reconcile(PoolWorker worker, List<RunningTask> running, long sentNanos) {
 		Set<TaskKey> reportedTasks = new HashSet<>();
-		worker.deferredTerminations().forEach((termination) -> reportedTasks.add(termination.task()));
+		worker.terminations().deferred().forEach((termination) -> reportedTasks.add(termination.task()));
 		for (RunningTask reported : running) {
 			reportedTasks.add(reported.task());
 			Optional<Run> known = worker.run(reported.task());
@@ -119,7 +119,7 @@
 			return;
 		}
 		for (PoolWorker worker : workers) {
-			this.terminations.process(worker, worker.deferredTerminations());
+			this.terminations.process(worker, worker.terminations().deferred());
 			worker.runs()
 				.stream()
 				.filter((run) -> run.task().job().equals(job))
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -125,7 +125,7 @@
 			return;
 		}
 		long sentNanos = this.clock.nanos();
-		if (worker.processedSequence() <= worker.durableSequence()) {
+		if (worker.terminations().isDurable()) {
 			Optional.ofNullable(this.terminationsProcessedNanos.remove(worker.id()))
 				.ifPresent((processedNanos) -> this.log.recordMetric(Metric.ACKNOWLEDGEMENT_LATENCY,
 						millisSince(processedNanos)));
@@ -135,7 +135,8 @@
 				? OptionalLong.of(worker.lease().extend(sentNanos, this.ownerLease.workerLeaseMillis()))
 				: OptionalLong.empty();
 		Duration wait = Duration.ofMillis(worker.isReachable() ? POLL_WAIT_MILLIS : 0);
-		PollRequest request = new PollRequest(this.ownerLease.epoch(), worker.durableSequence(), leaseEndMillis, wait);
+		PollRequest request = new PollRequest(this.ownerLease.epoch(), worker.terminations().durable(), leaseEndMillis,
+				wait);
 		this.workerClient.poll(worker.info(), request)
 			.whenComplete(ExecutorCallback.on(this.control,
 					(outcome, failure) -> handlePollOutcome(worker, outcome, sentNanos)));
@@ -170,6 +171,8 @@
 	}
 
 	private void handleReport(PoolWorker worker, PollOutcome.Report report, long sentNanos) {
+		logIfRestarted(worker, report);
+		worker.incarnation().recordStart(report.startedMillis());
 		worker.lease().updateClock(report.clockMillis(), this.clock.nanos());
 		worker.responseReceived(this.clock.nanos());
 		this.crashes.workerAnswered(worker.id());
@@ -177,16 +180,17 @@
 		this.adoption.reconcile(worker, report.runningTasks(), sentNanos);
 		if (!worker.isReachable()) {
 			worker.markReachable();
-			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.runningTasks().size()));
+			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
+					report.runningTasks().size()));
 		}
 		this.pool.markReconciled(worker.id());
 		this.listener.stateChanged();
-		if (worker.processedSequence() > worker.durableSequence()) {
+		if (!worker.terminations().isDurable()) {
 			this.terminationsProcessedNanos.putIfAbsent(worker.id(), this.clock.nanos());
 			this.awaitingDurability.add(worker.id());
 			this.control.schedule(() -> resumePolling(worker.id()), MAX_DURABILITY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		}
-		else if (!worker.deferredTerminations().isEmpty()) {
+		else if (!worker.terminations().deferred().isEmpty()) {
 			this.control.schedule(() -> poll(worker), DEFERRED_POLL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		else {
@@ -194,14 +198,21 @@
 		}
 	}
 
+	private void logIfRestarted(PoolWorker worker, PollOutcome.Report report) {
+		WorkerIncarnation known = worker.incarnation();
+		if (known.isContradictedBy(report)) {
+			this.log.write(new PoolDecision.WorkerRestarted(worker.id(), known.startedMillis().orElse(-1),
+					report.startedMillis().orElse(-1), known.lease().clockMillis(), report.clockMillis(),
+					known.terminations().durable(), worker.runCount()));
+		}
+	}
+
 	/**
 	 * Resumes the polls that were delayed until terminations are durable.
 	 */
 	void onTerminationsDurable() {
 		for (String id : List.copyOf(this.awaitingDurability)) {
-			if (this.pool.worker(id)
-				.filter((worker) -> worker.processedSequence() <= worker.durableSequence())
-				.isPresent()) {
+			if (this.pool.worker(id).filter((worker) -> worker.terminations().isDurable()).isPresent()) {
 				resumePolling(id);
 			}
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -60,7 +60,7 @@
 	void process(PoolWorker worker, List<TerminatedTask> reported) {
 		List<TerminatedTask> deferred = new ArrayList<>();
 		for (TerminatedTask termination : reported) {
-			if (worker.hasProcessed(termination)) {
+			if (worker.terminations().hasProcessed(termination)) {
 				continue;
 			}
 			if (this.unknownJobs.isAwaited(termination.task().job())) {
@@ -68,9 +68,9 @@
 				continue;
 			}
 			process(worker, termination);
-			worker.markProcessed(termination);
+			worker.terminations().markProcessed(termination);
 		}
-		worker.deferTerminations(deferred);
+		worker.terminations().defer(deferred);
 	}
 
 	private void process(PoolWorker worker, TerminatedTask termination) {
@@ -86,7 +86,7 @@
 			release(worker, run);
 		}
 		this.log.write(new JobDecision.TaskEnded(termination.task().job(), termination.task().toString(),
-				termination.attempt(), worker.id(), termination.reason().name(), ranMillis));
+				termination.attempt(), worker.id(), termination.sequence(), termination.reason().name(), ranMillis));
 		SubmittedJob job = this.jobs.job(termination.task().job()).orElse(null);
 		if (job == null || !hasTask(job, termination.task())) {
 			return;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
@@ -42,6 +42,14 @@
 		return this.clockKnown;
 	}
 
+	/**
+	 * Returns the last known reading of the worker's clock.
+	 * @return milliseconds, 0 if no reading is known
+	 */
+	long clockMillis() {
+		return this.clockMillis;
+	}
+
 	long clockAgeMillis(long nowNanos) {
 		return this.clockKnown ? TimeUnit.NANOSECONDS.toMillis(nowNanos - this.clockReadNanos) : -1;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -211,7 +211,7 @@
 	 */
 	Map<String, Long> processedSequences() {
 		Map<String, Long> sequences = new HashMap<>();
-		this.workers.values().forEach((worker) -> sequences.put(worker.id(), worker.processedSequence()));
+		this.workers.values().forEach((worker) -> sequences.put(worker.id(), worker.terminations().processed()));
 		return sequences;
 	}
 
@@ -220,7 +220,8 @@
 	 * @param sequences the sequence numbers by the worker's id
 	 */
 	void markDurable(Map<String, Long> sequences) {
-		sequences.forEach((id, sequence) -> worker(id).ifPresent((worker) -> worker.markDurable(sequence)));
+		sequences
+			.forEach((id, sequence) -> worker(id).ifPresent((worker) -> worker.terminations().markDurable(sequence)));
 	}
 
 	Optional<PoolWorker> worker(String id) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -372,7 +373,8 @@
 			}
 			List<RunningTask> running = new ArrayList<>();
 			this.runningAttempts.forEach((task, attempt) -> running.add(new RunningTask(task, attempt, "", 100, 0)));
-			return new PollOutcome.Report(SimulatedWorkers.this.time.millis(), running, this.terminatedTasks);
+			return new PollOutcome.Report(OptionalLong.empty(), SimulatedWorkers.this.time.millis(), running,
+					this.terminatedTasks);
 		}
 
 	}
