Test that ends reported by a restarted worker are not acknowledged unread

Simulated workers restart under the id that they had: empty lists, numbers from 1, no fencing token seen, a clock that starts anew, leases of ten seconds at most. Requests are carried out by the incarnation that they arrive at.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
@@ -54,25 +54,44 @@
 	@Override
 	public CompletableFuture<PollOutcome> poll(WorkerInfo info, PollRequest request) {
 		CompletableFuture<PollOutcome> response = new CompletableFuture<>();
-		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
-		if (isReplaced(worker)) {
+		SimulatedWorkers.SimulatedWorker sentTo = findWorker(info);
+		if (isReplaced(sentTo)) {
 			after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(new PollOutcome.Gone()));
 			return response;
 		}
-		if (isUnreachable(worker)) {
+		if (isUnreachable(sentTo)) {
 			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(new PollOutcome.NoAnswer("no answer")));
 			return response;
 		}
-		after(ONE_WAY_LATENCY_MILLIS, () -> {
-			PollOutcome immediate = worker.poll(request);
-			boolean isDelayed = immediate instanceof PollOutcome.Report report && report.terminatedTasks().isEmpty()
-					&& !request.maxWait().isZero();
-			after(isDelayed ? LONG_POLL_MILLIS : ONE_WAY_LATENCY_MILLIS, () -> response
-				.complete(isUnreachable(worker) ? new PollOutcome.NoAnswer("cut") : worker.poll(request)));
-		});
+		if (sentTo.pollDelayMillis() > 0) {
+			after(sentTo.pollDelayMillis(), () -> pollLate(info, request));
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(new PollOutcome.NoAnswer("no answer")));
+			return response;
+		}
+		after(ONE_WAY_LATENCY_MILLIS, () -> pollOnArrival(findWorker(info), request, response));
 		return response;
 	}
 
+	private void pollLate(WorkerInfo info, PollRequest request) {
+		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
+		if (!worker.isCrashed()) {
+			worker.poll(request);
+		}
+	}
+
+	private void pollOnArrival(SimulatedWorkers.SimulatedWorker worker, PollRequest request,
+			CompletableFuture<PollOutcome> response) {
+		if (isUnreachable(worker)) {
+			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(new PollOutcome.NoAnswer("no answer")));
+			return;
+		}
+		PollOutcome immediate = worker.poll(request);
+		boolean isDelayed = immediate instanceof PollOutcome.Report report && report.terminatedTasks().isEmpty()
+				&& !request.maxWait().isZero();
+		after(isDelayed ? LONG_POLL_MILLIS : ONE_WAY_LATENCY_MILLIS, () -> response
+			.complete(isUnreachable(worker) ? new PollOutcome.NoAnswer("cut") : worker.poll(request)));
+	}
+
 	@Override
 	public CompletableFuture<RunRequestOutcome> start(WorkerInfo info, RunStartRequest request) {
 		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
@@ -84,22 +103,28 @@
 			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
 		}
 		else if (worker.startDelayMillis() > 0) {
-			after(worker.startDelayMillis(), () -> worker.start(request));
+			after(worker.startDelayMillis(), () -> startOnArrival(info, request));
 			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
 		}
 		else if (worker.losesStartResponses()) {
-			after(ONE_WAY_LATENCY_MILLIS, () -> worker.start(request));
+			after(ONE_WAY_LATENCY_MILLIS, () -> startOnArrival(info, request));
 			after(REQUEST_TIMEOUT_MILLIS, () -> response.complete(RunRequestOutcome.NO_ANSWER));
 		}
 		else {
 			after(ONE_WAY_LATENCY_MILLIS, () -> {
-				RunRequestOutcome outcome = worker.start(request);
-				after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(outcome));
+				RunRequestOutcome outcome = startOnArrival(info, request);
+				after(outcome.kind().isResponse() ? ONE_WAY_LATENCY_MILLIS : REQUEST_TIMEOUT_MILLIS,
+						() -> response.complete(outcome));
 			});
 		}
 		return response;
 	}
 
+	private RunRequestOutcome startOnArrival(WorkerInfo info, RunStartRequest request) {
+		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
+		return worker.isCrashed() ? RunRequestOutcome.NO_ANSWER : worker.start(request);
+	}
+
 	@Override
 	public CompletableFuture<RunRequestOutcome> stop(WorkerInfo info, TaskKey task, int attempt, long fencingToken) {
 		SimulatedWorkers.SimulatedWorker worker = findWorker(info);
@@ -109,7 +134,7 @@
 			return response;
 		}
 		after(ONE_WAY_LATENCY_MILLIS, () -> {
-			RunRequestOutcome outcome = worker.stop(task, attempt, fencingToken);
+			RunRequestOutcome outcome = findWorker(info).stop(task, attempt, fencingToken);
 			after(ONE_WAY_LATENCY_MILLIS, () -> response.complete(outcome));
 		});
 		return response;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -25,6 +25,9 @@
  */
 final class SimulatedWorkers {
 
+	/** Maximum duration of a lease from the request on, milliseconds. */
+	static final long MAX_LEASE_MILLIS = 10_000;
+
 	/** Time for which starts may exceed a capacity that has shrunk, milliseconds. */
 	private static final long RESIZE_GRACE_MILLIS = 3000;
 
@@ -44,6 +47,10 @@
 
 	private Resources taskSize = Resources.NONE;
 
+	private RestartedId restartedId = RestartedId.NEW;
+
+	private boolean tellingStarts = true;
+
 	private BiConsumer<SimulatedWorker, TaskKey> startObserver = (worker, task) -> {
 	};
 
@@ -52,6 +59,22 @@
 		this.runMillis = runMillis;
 	}
 
+	/**
+	 * Sets whether a worker that restarts keeps its id.
+	 * @param id the id that it has then
+	 */
+	void setRestartedId(RestartedId id) {
+		this.restartedId = id;
+	}
+
+	/**
+	 * Sets whether workers tell when they were started.
+	 * @param isTelling whether they do
+	 */
+	void setTellingStarts(boolean isTelling) {
+		this.tellingStarts = isTelling;
+	}
+
 	SimulatedWorkers taskSize(Resources size) {
 		this.taskSize = size;
 		return this;
@@ -62,9 +85,16 @@
 	}
 
 	SimulatedWorker add(String id, Resources capacity, String failureDomain) {
-		SimulatedWorker worker = new SimulatedWorker(
-				new WorkerInfo(id, "salon", "10.0.0.1:1", failureDomain, capacity, List.of("a", "r1"), "r1", false, 0));
-		this.workers.put(id, worker);
+		return add(new WorkerInfo(id, "salon", "10.0.0.1:1", failureDomain, capacity, List.of("a", "r1"), "r1", false,
+				0, OptionalLong.empty()), 0);
+	}
+
+	private SimulatedWorker add(WorkerInfo info, long clockOriginMillis) {
+		OptionalLong startedMillis = this.tellingStarts ? OptionalLong.of(this.time.millis()) : OptionalLong.empty();
+		SimulatedWorker worker = new SimulatedWorker(new WorkerInfo(info.id(), info.service(), info.address(),
+				info.failureDomain(), info.capacity(), info.labels(), info.rack(), false, 0, startedMillis),
+				clockOriginMillis);
+		this.workers.put(info.id(), worker);
 		return worker;
 	}
 
@@ -80,7 +110,7 @@
 		SimulatedWorker worker = this.workers.get(id);
 		WorkerInfo info = worker.info;
 		worker.info = new WorkerInfo(info.id(), info.service(), info.address(), info.failureDomain(), info.capacity(),
-				info.labels(), info.rack(), true, 2000);
+				info.labels(), info.rack(), true, 2000, info.startedMillis());
 	}
 
 	String workerRunning(TaskKey task) {
@@ -102,7 +132,7 @@
 	}
 
 	/**
-	 * Crashes a worker, which is back with another id after a while.
+	 * Crashes a worker, which is back after a while. Its clock starts anew.
 	 * @param worker the worker
 	 * @param restartMillis time until a new incarnation answers, milliseconds
 	 */
@@ -111,11 +141,17 @@
 			return;
 		}
 		worker.crash();
-		this.time.schedule(() -> {
-			worker.replaced = true;
-			worker.removeFromList();
-			add(worker.info.id() + "'", worker.info.capacity(), worker.info.failureDomain());
-		}, restartMillis, TimeUnit.MILLISECONDS);
+		this.time.schedule(() -> restart(worker), restartMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void restart(SimulatedWorker worker) {
+		if (this.restartedId == RestartedId.SAME) {
+			add(worker.info, this.time.millis());
+			return;
+		}
+		worker.replaced = true;
+		worker.removeFromList();
+		add(worker.info.id() + "'", worker.info.capacity(), worker.info.failureDomain());
 	}
 
 	/**
@@ -130,7 +166,7 @@
 		worker.formerUntilMillis = this.time.millis() + RESIZE_GRACE_MILLIS;
 		WorkerInfo info = worker.info;
 		worker.info = new WorkerInfo(info.id(), info.service(), info.address(), info.failureDomain(), capacity,
-				info.labels(), info.rack(), info.draining(), info.remainingMillis());
+				info.labels(), info.rack(), info.draining(), info.remainingMillis(), info.startedMillis());
 	}
 
 	void crashAndRestartAll(long restartMillis) {
@@ -178,7 +214,18 @@
 		return this.workers.get(id);
 	}
 
-	/** One simulated worker. */
+	/** The id of a worker that restarts. */
+	enum RestartedId {
+
+		/** Another one than before. */
+		NEW,
+
+		/** That which it had. */
+		SAME
+
+	}
+
+	/** One incarnation of a simulated worker. */
 	final class SimulatedWorker {
 
 		private final Map<TaskKey, Integer> runningAttempts = new LinkedHashMap<>();
@@ -187,6 +234,8 @@
 
 		private final List<TerminatedTask> terminatedTasks = new ArrayList<>();
 
+		private final long clockOriginMillis;
+
 		private WorkerInfo info;
 
 		private long highestFencingToken;
@@ -211,8 +260,15 @@
 
 		private long startDelayMillis;
 
-		SimulatedWorker(WorkerInfo info) {
+		private long pollDelayMillis;
+
+		SimulatedWorker(WorkerInfo info, long clockOriginMillis) {
 			this.info = info;
+			this.clockOriginMillis = clockOriginMillis;
+		}
+
+		private long clockMillis() {
+			return SimulatedWorkers.this.time.millis() - this.clockOriginMillis;
 		}
 
 		void removeFromList() {
@@ -237,6 +293,18 @@
 			this.startDelayMillis = millis;
 		}
 
+		/**
+		 * Leaves polls unanswered and executes them later.
+		 * @param millis how much later, milliseconds; 0 to answer polls
+		 */
+		void setPollDelayMillis(long millis) {
+			this.pollDelayMillis = millis;
+		}
+
+		long pollDelayMillis() {
+			return this.pollDelayMillis;
+		}
+
 		int runningCount() {
 			return this.runningAttempts.size();
 		}
@@ -280,13 +348,14 @@
 		}
 
 		private void extendLease(long endMillis) {
-			this.leaseEndMillis = Math.max(this.leaseEndMillis, endMillis);
-			SimulatedWorkers.this.time.schedule(this::terminateIfLeaseExpired,
-					Math.max(0, endMillis - SimulatedWorkers.this.time.millis()) + 1, TimeUnit.MILLISECONDS);
+			long end = Math.min(endMillis, clockMillis() + MAX_LEASE_MILLIS);
+			this.leaseEndMillis = Math.max(this.leaseEndMillis, end);
+			SimulatedWorkers.this.time.schedule(this::terminateIfLeaseExpired, Math.max(0, end - clockMillis()) + 1,
+					TimeUnit.MILLISECONDS);
 		}
 
 		private void terminateIfLeaseExpired() {
-			if (SimulatedWorkers.this.time.millis() > this.leaseEndMillis) {
+			if (clockMillis() > this.leaseEndMillis) {
 				List.copyOf(this.runningAttempts.keySet()).forEach((task) -> terminate(task, TerminationReason.LAPSED));
 			}
 		}
@@ -328,7 +397,7 @@
 		}
 
 		RunRequestOutcome start(RunStartRequest request) {
-			long now = SimulatedWorkers.this.time.millis();
+			long now = clockMillis();
 			if (rejectsFencingToken(request.fencingToken())) {
 				return new RunRequestOutcome(Kind.FENCED, now);
 			}
@@ -347,7 +416,7 @@
 		}
 
 		RunRequestOutcome stop(TaskKey task, int attempt, long fencingToken) {
-			long now = SimulatedWorkers.this.time.millis();
+			long now = clockMillis();
 			if (rejectsFencingToken(fencingToken)) {
 				return new RunRequestOutcome(Kind.FENCED, now);
 			}
@@ -373,8 +442,7 @@
 			}
 			List<RunningTask> running = new ArrayList<>();
 			this.runningAttempts.forEach((task, attempt) -> running.add(new RunningTask(task, attempt, "", 100, 0)));
-			return new PollOutcome.Report(OptionalLong.empty(), SimulatedWorkers.this.time.millis(), running,
-					this.terminatedTasks);
+			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, this.terminatedTasks);
 		}
 
 	}
