--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CrashTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CrashTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.events.JobDecision;
@@ -18,7 +19,7 @@
 
 /**
  * Decides which lost runs count as crashes of their workers, and records them in the
- * progress of the jobs. Invariants: a possible crash is taken back when the same
+ * progress of the jobs. Invariants: a possible crash is taken back only when the same
  * incarnation of the worker answers again; a crash under a task whose job is not loaded
  * yet is recorded when it is. Not thread-safe: confined to the control thread.
  */
@@ -43,7 +44,7 @@
 	private final OutageDetector outages = new OutageDetector();
 
 	// Possible crashes by the id of a worker that may answer again.
-	private final Map<String, List<TaskKey>> unresolved = new LinkedHashMap<>();
+	private final Map<String, UnresolvedCrashes> unresolved = new LinkedHashMap<>();
 
 	private final Map<String, List<DeferredCrash>> deferred = new HashMap<>();
 
@@ -74,7 +75,7 @@
 	 * @return how certain it is that the worker crashed while the task was active on it
 	 */
 	CrashEvidence assess(PoolWorker worker, Run run, RunLoss loss) {
-		if (loss == RunLoss.NOT_REPORTED || worker.info().draining()) {
+		if (loss == RunLoss.NOT_REPORTED || worker.isLeaving()) {
 			return CrashEvidence.NONE;
 		}
 		boolean isCertain = loss == RunLoss.WORKER_REPLACED && run.hasBeenConfirmed() && !isPartOfOutage(worker);
@@ -139,25 +140,35 @@
 
 	/**
 	 * Records that a possible crash is to be taken back if the worker answers.
-	 * @param worker the worker's id
+	 * @param worker the worker
 	 * @param task the task that was active there
 	 */
-	void awaitAnswer(String worker, TaskKey task) {
-		if (this.unresolved.size() >= MAX_UNRESOLVED_WORKERS && !this.unresolved.containsKey(worker)) {
+	void awaitAnswer(PoolWorker worker, TaskKey task) {
+		String id = worker.id();
+		if (this.unresolved.size() >= MAX_UNRESOLVED_WORKERS && !this.unresolved.containsKey(id)) {
 			this.unresolved.remove(this.unresolved.keySet().iterator().next());
 		}
-		this.unresolved.computeIfAbsent(worker, (id) -> new ArrayList<>()).add(task);
+		this.unresolved
+			.computeIfAbsent(id,
+					(key) -> new UnresolvedCrashes(worker.incarnation().startedMillis(), new ArrayList<>()))
+			.tasks()
+			.add(task);
 	}
 
 	/**
-	 * Takes back the possible crashes of a worker that answers.
-	 * @param worker the worker's id
+	 * Takes back the possible crashes of a worker that answers, unless another
+	 * incarnation does.
+	 * @param worker the worker
 	 */
-	void workerAnswered(String worker) {
+	void workerAnswered(PoolWorker worker) {
 		if (this.unresolved.isEmpty()) {
 			return;
 		}
-		for (TaskKey task : Optional.ofNullable(this.unresolved.remove(worker)).orElse(List.of())) {
+		List<TaskKey> tasks = Optional.ofNullable(this.unresolved.remove(worker.id()))
+			.filter((crashes) -> crashes.startedMillis().equals(worker.incarnation().startedMillis()))
+			.map(UnresolvedCrashes::tasks)
+			.orElse(List.of());
+		for (TaskKey task : tasks) {
 			this.jobs.job(task.job()).filter((job) -> !job.isEnded()).ifPresent((job) -> {
 				job.progress(task.stepKey()).retractPossibleCrash(task.index());
 				this.jobs.markDirty(job);
@@ -173,6 +184,10 @@
 		this.unresolved.remove(worker);
 	}
 
+	private record UnresolvedCrashes(OptionalLong startedMillis, List<TaskKey> tasks) {
+
+	}
+
 	/**
 	 * A crash under a task whose job is not loaded yet. Immutable.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -277,6 +277,15 @@
 		}
 	}
 
+	/**
+	 * Forgets the eligibility of a worker that has restarted: its tickets are not valid
+	 * any more, and its labels may have changed.
+	 * @param worker the worker's id
+	 */
+	void workerRestarted(String worker) {
+		this.eligibilityByStep.values().forEach((known) -> known.forget(worker));
+	}
+
 	int inFlightCount() {
 		return this.inFlight;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
@@ -38,6 +38,19 @@
 	/** Minimum duration of a worker lease that is worth a request, milliseconds. */
 	static final long MIN_WORKER_LEASE_MILLIS = 400;
 
+	/**
+	 * Maximum duration of a lease that a worker grants, milliseconds. A request that was
+	 * meant for an earlier incarnation of a worker carries an end on that one's clock,
+	 * which may lie that far ahead on the clock of the later one.
+	 */
+	static final long MAX_GRANTED_LEASE_MILLIS = 10_000;
+
+	/**
+	 * Number of fencing tokens per epoch. An owner uses a higher one for a worker once
+	 * requests with the former one might be executed by a later incarnation.
+	 */
+	static final long TOKENS_PER_EPOCH = 100;
+
 	private final long epoch;
 
 	private final PoolClock clock;
@@ -108,4 +121,23 @@
 		return this.epoch;
 	}
 
+	/**
+	 * Returns a fencing token of this owner. Higher than all tokens of earlier owners,
+	 * and not higher than the epoch, so that it is lower than those of later owners.
+	 * @param generation how often the token was raised
+	 * @return the fencing token
+	 */
+	long fencingToken(int generation) {
+		return Math.min(Math.max(1, this.epoch - TOKENS_PER_EPOCH + 1) + generation, this.epoch);
+	}
+
+	/**
+	 * Returns whether the fencing token of a worker cannot be raised any more.
+	 * @param generation how often it was raised
+	 * @return {@code true} if another owner has to take over
+	 */
+	boolean isLastFencingToken(int generation) {
+		return fencingToken(generation) == this.epoch;
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -10,7 +10,8 @@
  *
  * @param holder random id of the owner's process
  * @param host the owner's host
- * @param epoch incremented with each change of owner; the fencing token of its requests
+ * @param epoch increased with each change of owner; the highest fencing token of its
+ * requests
  * @param sequence incremented with each write of the owner
  * @param released whether the owner has released the pool
  * @param workers ids of the workers on which an owner may have started tasks; an owner
@@ -24,17 +25,20 @@
  * only after it has written this row again
  * @param recordsCrashes whether the owner keeps the crashes recorded in the progress of
  * jobs; {@code false} in rows of earlier releases, which drop them
+ * @param incarnations by worker id, when the incarnation was started that the owner last
+ * polled, epoch milliseconds on the worker's clock; without workers that do not tell, and
+ * empty in rows of earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
-		boolean recordsCrashes) {
+		boolean recordsCrashes, Map<String, Long> incarnations) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true);
+			HostSize.UNKNOWN, List.of(), true, true, Map.of());
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -43,6 +47,7 @@
 		closed = (closed != null) ? Map.copyOf(closed) : Map.of();
 		largest = (largest != null) ? largest : HostSize.UNKNOWN;
 		standbys = (standbys != null) ? List.copyOf(standbys) : List.of();
+		incarnations = (incarnations != null) ? Map.copyOf(incarnations) : Map.of();
 	}
 
 	/**
@@ -51,8 +56,9 @@
 	 * @return the record, with the next epoch
 	 */
 	OwnerRecord takenOverBy(HostRecord next) {
-		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + 1, 1, false, this.workers, this.closed,
-				HostSize.largest(List.of(this.largest, next.size())), this.standbys, this.confirming, true);
+		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
+				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
+				this.confirming, true, this.incarnations);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -168,8 +168,9 @@
 	 * @param listed all workers in the current list of workers
 	 */
 	public void updateWorkers(Collection<WorkerInfo> listed) {
-		List<PoolWorker> added = this.pool.update(listed);
-		added.forEach(this.runs::poll);
+		WorkerPool.ListChanges changes = this.pool.update(listed);
+		changes.added().forEach(this.runs::poll);
+		changes.restarted().forEach(this.runs::handleListedRestart);
 		this.loop.requestTurn();
 	}
 
@@ -392,6 +393,11 @@
 			endTerm("worker " + worker + " obeys a later owner");
 		}
 
+		@Override
+		public void fencingTokensUsedUp() {
+			release();
+		}
+
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -204,7 +204,7 @@
 		WorkerPool.RecordedWorkers named = this.workers.workersToRecord();
 		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
-				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true);
+				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations());
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
@@ -226,7 +226,7 @@
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<String, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
+		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
 		return new Batch(whole, next, states, summary, isCountedAnew, ends);
 	}
 
@@ -290,8 +290,8 @@
 			job.markDurable(state.state(), state.crashRecords());
 			states.put(job.id(), state.state());
 		});
-		this.workers.markRecorded(batch.record().workers());
-		this.workers.markDurable(batch.terminations());
+		this.workers.markRecorded(batch.record().workers(), batch.record().incarnations());
+		batch.terminations().forEach(TerminationSequence::markDurable);
 		if (batch.record().released()) {
 			this.closed = true;
 			this.listener.released(this.record, this.version);
@@ -308,7 +308,7 @@
 	}
 
 	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, WrittenJob> states,
-			Optional<QueueSummary> summary, boolean isCountChanged, Map<String, Long> terminations) {
+			Optional<QueueSummary> summary, boolean isCountChanged, Map<TerminationSequence, Long> terminations) {
 
 		Optional<QueueCount> changedCount(long version) {
 			return this.summary.filter((counted) -> this.isCountChanged)
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -10,23 +11,29 @@
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * One incarnation of a worker, with the runs that may be active there and the capacity
- * that they occupy. Invariant: capacity is committed only while all runs that may be
- * active or are being stopped, together with all held capacity, fit the worker's
- * capacity. Not thread-safe: confined to the control thread.
+ * A worker, with the runs that may be active there and the capacity that they occupy.
+ * After a restart, runs of the former incarnation are kept until the next one has
+ * reported. Invariant: capacity is committed only while all runs that may be active or
+ * are being stopped, together with all held capacity, fit the worker's capacity. Not
+ * thread-safe: confined to the control thread.
  */
 final class PoolWorker {
 
-	private final WorkerIncarnation incarnation = new WorkerIncarnation();
-
 	private final FailureStreak failures = new FailureStreak();
 
 	private final RunSet runs = new RunSet();
 
+	private final ResponseTimes responses = new ResponseTimes();
+
 	private final HeldCapacity holds = new HeldCapacity();
 
 	private WorkerInfo info;
 
+	private WorkerIncarnation incarnation;
+
+	// Whether the previous incarnation in the list was about to leave.
+	private boolean formerDraining;
+
 	private Resources committed = Resources.NONE;
 
 	private Resources free;
@@ -46,27 +53,22 @@
 
 	private final LongSupplier nextCapacityVersion;
 
-	private long requestSentNanos;
-
-	private boolean awaitingResponse;
-
 	private boolean suspected;
 
-	private boolean hasResponded;
-
-	private long lastResponseNanos;
-
 	PoolWorker(WorkerInfo info) {
-		this(info, () -> 0);
+		this(info, 0, () -> 0);
 	}
 
 	/**
 	 * Creates a worker.
 	 * @param info the description of the worker from the host list
+	 * @param tokenGeneration how often the fencing token of the worker may have been
+	 * raised before
 	 * @param nextCapacityVersion supplies the next capacity version of the pool
 	 */
-	PoolWorker(WorkerInfo info, LongSupplier nextCapacityVersion) {
+	PoolWorker(WorkerInfo info, int tokenGeneration, LongSupplier nextCapacityVersion) {
 		this.info = info;
+		this.incarnation = WorkerIncarnation.unknown(tokenGeneration);
 		this.nextCapacityVersion = nextCapacityVersion;
 		setCommitted(Resources.NONE);
 		advanceCapacityVersion();
@@ -83,15 +85,8 @@
 		this.capacityVersion = this.nextCapacityVersion.getAsLong();
 	}
 
-	/**
-	 * Records that a request was sent to the worker.
-	 * @param nowNanos the current monotonic time
-	 */
-	void requestSent(long nowNanos) {
-		if (!this.awaitingResponse) {
-			this.awaitingResponse = true;
-			this.requestSentNanos = nowNanos;
-		}
+	ResponseTimes responses() {
+		return this.responses;
 	}
 
 	/**
@@ -99,26 +94,10 @@
 	 * @param nowNanos the current monotonic time
 	 */
 	void responseReceived(long nowNanos) {
-		this.awaitingResponse = false;
-		this.hasResponded = true;
-		this.lastResponseNanos = nowNanos;
+		this.responses.responseReceived(nowNanos);
 		setSuspected(false);
 	}
 
-	/**
-	 * Returns for how long a request has been unanswered without any response from the
-	 * worker.
-	 * @param nowNanos the current monotonic time
-	 * @return nanoseconds, 0 if no request is unanswered
-	 */
-	long unansweredNanos(long nowNanos) {
-		return this.awaitingResponse ? nowNanos - this.requestSentNanos : 0;
-	}
-
-	boolean hasRespondedWithin(long nanos, long nowNanos) {
-		return this.hasResponded && nowNanos - this.lastResponseNanos < nanos;
-	}
-
 	/**
 	 * Sets whether the worker is suspected to be unresponsive. A suspected worker accepts
 	 * no new work.
@@ -166,11 +145,12 @@
 
 	/**
 	 * Returns whether the worker can accept new work, now or after a pause: it is
-	 * reachable, listed and not draining.
+	 * reachable, not draining, and listed with the capacity of its current incarnation.
 	 * @return {@code true} if the worker is usable
 	 */
 	boolean isUsable() {
-		return this.reachable && this.listed && !this.lost && !this.info.draining();
+		return this.reachable && this.listed && !this.lost && !this.info.draining()
+				&& !this.incarnation.follows(this.info);
 	}
 
 	/**
@@ -297,13 +277,61 @@
 		return this.silence;
 	}
 
-	void update(WorkerInfo newer) {
+	/**
+	 * Updates the description of this worker.
+	 * @param newer the entry of the worker list
+	 * @return {@code true} if the entry tells of a later incarnation for the first time
+	 */
+	boolean update(WorkerInfo newer) {
+		boolean isOtherIncarnation = !newer.startedMillis().equals(this.info.startedMillis());
 		if (!this.listed || !this.info.equals(newer)) {
 			advanceCapacityVersion();
 		}
+		if (isOtherIncarnation) {
+			this.formerDraining = this.info.draining();
+		}
 		this.info = newer;
 		setCommitted(this.committed);
 		this.listed = true;
+		return isOtherIncarnation && this.incarnation.isFollowedBy(newer);
+	}
+
+	/**
+	 * Begins the next incarnation of this worker. It accepts no work until it has
+	 * reported, and its requests carry a higher fencing token.
+	 * @param startedMillis when it was started, empty if that is not known yet
+	 * @param nowNanos the current monotonic time
+	 */
+	void restart(OptionalLong startedMillis, long nowNanos) {
+		boolean isLeaving = this.incarnation.isFollowedBy(this.info) ? this.formerDraining : this.info.draining();
+		this.incarnation = this.incarnation.restarted(startedMillis, isLeaving, nowNanos);
+		this.responses.cancelRequests();
+		markUnreachable(nowNanos);
+	}
+
+	/**
+	 * Returns whether the incarnation whose runs are listed here is about to leave, so
+	 * that the loss of these runs is planned.
+	 * @return {@code true} if it is draining
+	 */
+	boolean isLeaving() {
+		return this.incarnation.unresolvedPredecessor()
+			.map(WorkerIncarnation.Predecessor::draining)
+			.orElse(this.info.draining());
+	}
+
+	/**
+	 * Returns up to which sequence number terminations may be acknowledged. None may
+	 * while a start is unanswered, as a later incarnation may have executed it: it would
+	 * discard terminations that nobody has read.
+	 * @return the sequence number, 0 for none
+	 */
+	long acknowledgeableSequence() {
+		return (this.reachable && !hasUnansweredStart()) ? terminations().durable() : 0;
+	}
+
+	boolean hasUnansweredStart() {
+		return this.runs.runs().stream().anyMatch((run) -> !run.hasBeenConfirmed());
 	}
 
 	void markUnlisted() {
@@ -321,6 +349,15 @@
 		this.recorded = false;
 	}
 
+	/**
+	 * Returns whether a worker is still listed with the address that it had.
+	 * @param earlier an earlier description of this worker
+	 * @return {@code false} if it has moved
+	 */
+	boolean isAt(WorkerInfo earlier) {
+		return this.info.address().equals(earlier.address());
+	}
+
 	WorkerInfo info() {
 		return this.info;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -51,7 +51,7 @@
 	 */
 	void reconcile(PoolWorker worker, List<RunningTask> running, long sentNanos) {
 		Set<TaskKey> reportedTasks = new HashSet<>();
-		worker.terminations().deferred().forEach((termination) -> reportedTasks.add(termination.task()));
+		reportedTasks.addAll(worker.terminations().unprocessedTasks());
 		for (RunningTask reported : running) {
 			reportedTasks.add(reported.task());
 			Optional<Run> known = worker.run(reported.task());
@@ -119,6 +119,7 @@
 			return;
 		}
 		for (PoolWorker worker : workers) {
+			this.terminations.processInherited(worker);
 			this.terminations.process(worker, worker.terminations().deferred());
 			worker.runs()
 				.stream()
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -1,13 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
-import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -21,29 +15,16 @@
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * Polls workers, starts and stops runs, and processes the responses. Invariants: a run
- * occupies its capacity until the worker reports its termination, refuses its start or
- * can no longer run it; a request without a response is retried unchanged, and a start
- * that remains unanswered is followed by a stop before its capacity is reused. Not
- * thread-safe: confined to the control thread.
+ * Starts and stops runs and processes the responses. Invariants: a run occupies its
+ * capacity until the worker reports its termination, refuses its start or can no longer
+ * run it; a request without a response is retried unchanged, and a start that remains
+ * unanswered is followed by a stop before its capacity is reused. Not thread-safe:
+ * confined to the control thread.
  */
 final class RunController {
 
-	/**
-	 * Maximum delay of a poll response while no run terminates, milliseconds. Renews a
-	 * lease seven times before it expires and detects a dead connection within two
-	 * seconds.
-	 */
-	private static final long POLL_WAIT_MILLIS = 1000;
-
-	/** Delay before a request to an unreachable worker is retried, milliseconds. */
-	private static final long UNREACHABLE_RETRY_MILLIS = 200;
-
-	/** Maximum delay of polls until terminations are durable, milliseconds. */
-	private static final long MAX_DURABILITY_WAIT_MILLIS = 250;
-
-	/** Poll delay while deferred terminations end polls at once, milliseconds. */
-	private static final long DEFERRED_POLL_DELAY_MILLIS = 100;
+	/** Delay before a stop without a response is sent again, milliseconds. */
+	private static final long STOP_RETRY_DELAY_MILLIS = 200;
 
 	/** Delay before an unanswered start is retried, milliseconds. */
 	private static final long START_RETRY_DELAY_MILLIS = 40;
@@ -82,9 +63,7 @@
 
 	private final RunListener listener;
 
-	private final Set<String> awaitingDurability = new HashSet<>();
-
-	private final Map<String, Long> terminationsProcessedNanos = new HashMap<>();
+	private final WorkerPoller poller;
 
 	private boolean closed;
 
@@ -108,10 +87,13 @@
 		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, this.inheritedStarts, clock,
 				log);
 		this.adoption = new RunAdoption(jobs, this.terminations, unknownJobs, clock, this::confirm, this::stop);
+		this.poller = new WorkerPoller(workerClient, ownerLease, pool, this.crashes, this.terminations, this.losses,
+				this.adoption, eligibility, control, clock, log, listener);
 	}
 
 	void close() {
 		this.closed = true;
+		this.poller.close();
 	}
 
 	/**
@@ -119,109 +101,26 @@
 	 * @param worker the worker
 	 */
 	void poll(PoolWorker worker) {
-		boolean isKnown = this.pool.worker(worker.id()).filter((known) -> known == worker).isPresent();
-		if (this.closed || !isKnown) {
-			this.terminationsProcessedNanos.remove(worker.id());
-			return;
-		}
-		long sentNanos = this.clock.nanos();
-		if (worker.terminations().isDurable()) {
-			Optional.ofNullable(this.terminationsProcessedNanos.remove(worker.id()))
-				.ifPresent((processedNanos) -> this.log.recordMetric(Metric.ACKNOWLEDGEMENT_LATENCY,
-						millisSince(processedNanos)));
-		}
-		boolean extendLease = worker.isReachable() && this.ownerLease.canGrantLeases();
-		OptionalLong leaseEndMillis = extendLease
-				? OptionalLong.of(worker.lease().extend(sentNanos, this.ownerLease.workerLeaseMillis()))
-				: OptionalLong.empty();
-		Duration wait = Duration.ofMillis(worker.isReachable() ? POLL_WAIT_MILLIS : 0);
-		PollRequest request = new PollRequest(this.ownerLease.epoch(), worker.terminations().durable(), leaseEndMillis,
-				wait);
-		this.workerClient.poll(worker.info(), request)
-			.whenComplete(ExecutorCallback.on(this.control,
-					(outcome, failure) -> handlePollOutcome(worker, outcome, sentNanos)));
-	}
-
-	private void handlePollOutcome(PoolWorker worker, PollOutcome outcome, long sentNanos) {
-		if (this.closed) {
-			return;
-		}
-		if (outcome instanceof PollOutcome.Report report) {
-			handleReport(worker, report, sentNanos);
-		}
-		else if (outcome instanceof PollOutcome.Gone) {
-			this.losses.handleReplaced(worker);
-			this.listener.stateChanged();
-		}
-		else if (outcome instanceof PollOutcome.Fenced) {
-			this.listener.workerFenced(worker.id());
-		}
-		else {
-			handleNoAnswer(worker, (outcome instanceof PollOutcome.NoAnswer none) ? none.reason() : "no outcome");
-		}
+		this.poller.poll(worker);
 	}
 
-	private long millisSince(long nanos) {
-		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - nanos);
-	}
-
-	private void handleNoAnswer(PoolWorker worker, String reason) {
-		this.losses.handleUnreachable(worker, reason);
-		this.control.schedule(() -> poll(worker), UNREACHABLE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-	}
-
-	private void handleReport(PoolWorker worker, PollOutcome.Report report, long sentNanos) {
-		logIfRestarted(worker, report);
-		worker.incarnation().recordStart(report.startedMillis());
-		worker.lease().updateClock(report.clockMillis(), this.clock.nanos());
-		worker.responseReceived(this.clock.nanos());
-		this.crashes.workerAnswered(worker.id());
-		this.terminations.process(worker, report.terminatedTasks());
-		this.adoption.reconcile(worker, report.runningTasks(), sentNanos);
-		if (!worker.isReachable()) {
-			worker.markReachable();
-			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
-					report.runningTasks().size()));
-		}
-		this.pool.markReconciled(worker.id());
-		this.listener.stateChanged();
-		if (!worker.terminations().isDurable()) {
-			this.terminationsProcessedNanos.putIfAbsent(worker.id(), this.clock.nanos());
-			this.awaitingDurability.add(worker.id());
-			this.control.schedule(() -> resumePolling(worker.id()), MAX_DURABILITY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-		}
-		else if (!worker.terminations().deferred().isEmpty()) {
-			this.control.schedule(() -> poll(worker), DEFERRED_POLL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-		}
-		else {
-			poll(worker);
-		}
-	}
-
-	private void logIfRestarted(PoolWorker worker, PollOutcome.Report report) {
-		WorkerIncarnation known = worker.incarnation();
-		if (known.isContradictedBy(report)) {
-			this.log.write(new PoolDecision.WorkerRestarted(worker.id(), known.startedMillis().orElse(-1),
-					report.startedMillis().orElse(-1), known.lease().clockMillis(), report.clockMillis(),
-					known.terminations().durable(), worker.runCount()));
-		}
+	/**
+	 * Handles a worker that the worker list tells to have restarted.
+	 * @param worker the worker
+	 */
+	void handleListedRestart(PoolWorker worker) {
+		this.poller.handleRestart(worker, worker.info().startedMillis(), -1);
 	}
 
 	/**
 	 * Resumes the polls that were delayed until terminations are durable.
 	 */
 	void onTerminationsDurable() {
-		for (String id : List.copyOf(this.awaitingDurability)) {
-			if (this.pool.worker(id).filter((worker) -> worker.terminations().isDurable()).isPresent()) {
-				resumePolling(id);
-			}
-		}
+		this.poller.onTerminationsDurable();
 	}
 
-	private void resumePolling(String id) {
-		if (this.awaitingDurability.remove(id)) {
-			this.pool.worker(id).ifPresent(this::poll);
-		}
+	private long millisSince(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - nanos);
 	}
 
 	/**
@@ -253,26 +152,38 @@
 		this.log.write(new JobDecision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(),
 				this.ownerLease.epoch(), worker.lease().clockAgeMillis(now), this.terminations.ageMillis(step.job())));
 		RunStartRequest request = new RunStartRequest(task, attempt, step.job().submission().spec(), 0,
-				this.ownerLease.epoch(), step.progress().checkpoint(index), ticket);
+				fencingToken(worker), step.progress().checkpoint(index), ticket);
 		send(step, run, worker, request, 0);
 	}
 
 	private void send(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request, int retries) {
-		worker.requestSent(this.clock.nanos());
+		worker.responses().requestSent(this.clock.nanos());
+		Addressee addressee = Addressee.of(worker);
 		long leaseEndMillis = worker.lease().extend(this.clock.nanos(), this.ownerLease.workerLeaseMillis());
 		RunStartRequest leased = new RunStartRequest(request.task(), request.attempt(), request.spec(), leaseEndMillis,
-				request.fencingToken(), request.checkpoint(), request.ticket());
+				fencingToken(worker), request.checkpoint(), request.ticket());
 		this.workerClient.start(worker.info(), leased)
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> {
 				boolean isReleased = worker.run(run.task()).filter((active) -> active == run).isEmpty();
-				if (!this.closed && !isReleased) {
-					handleStartOutcome(step, run, worker, request, outcome, retries);
+				if (this.closed || isReleased || !addressee.isCurrent(worker)) {
+					// After a restart, the next report tells whether the run is active.
+					return;
+				}
+				if (addressee.hasRestarted(outcome)) {
+					this.poller.handleRestart(worker, OptionalLong.empty(), outcome.clockMillis());
+					return;
 				}
+				handleStartOutcome(step, run, addressee, request, outcome, retries);
 			}));
 	}
 
-	private void handleStartOutcome(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request,
+	private long fencingToken(PoolWorker worker) {
+		return this.ownerLease.fencingToken(worker.incarnation().tokenGeneration());
+	}
+
+	private void handleStartOutcome(ActiveStep step, Run run, Addressee addressee, RunStartRequest request,
 			RunRequestOutcome outcome, int retries) {
+		PoolWorker worker = addressee.worker();
 		if (outcome.kind().isResponse()) {
 			worker.responseReceived(this.clock.nanos());
 		}
@@ -285,19 +196,34 @@
 		this.log.write(new JobDecision.StartFailed(run.task().job(), run.task().toString(), run.attempt(), worker.id(),
 				outcome.kind().name()));
 		switch (outcome.kind()) {
-			case FENCED -> this.listener.workerFenced(worker.id());
-			case GONE -> handleReplacedBeforeStart(run, worker, retries);
+			case FENCED -> handleFencedStart(step, run, addressee, request, retries);
+			case GONE -> handleReplacedBeforeStart(step, run, addressee, request, retries);
 			case NO_ANSWER -> retryStart(step, run, worker, request, retries + 1);
 			default -> handleRefusedStart(step, run, worker, outcome.kind(), retries);
 		}
 	}
 
-	private void handleReplacedBeforeStart(Run run, PoolWorker worker, int retries) {
+	private void handleFencedStart(ActiveStep step, Run run, Addressee addressee, RunStartRequest request,
+			int retries) {
+		if (addressee.hasCurrentToken()) {
+			this.listener.workerFenced(addressee.worker().id());
+			return;
+		}
+		retryStart(step, run, addressee.worker(), request, retries + 1);
+	}
+
+	private void handleReplacedBeforeStart(ActiveStep step, Run run, Addressee addressee, RunStartRequest request,
+			int retries) {
+		PoolWorker worker = addressee.worker();
+		if (!worker.isAt(addressee.info())) {
+			retryStart(step, run, worker, request, retries + 1);
+			return;
+		}
 		if (retries == 0) {
-			// No earlier request can have started the run on the former incarnation.
+			// No earlier request can have started the run on the former worker.
 			this.terminations.handleRefusedStart(worker, run);
 		}
-		handlePollOutcome(worker, new PollOutcome.Gone(), 0);
+		this.poller.handleReplaced(worker);
 	}
 
 	private void confirm(Run run) {
@@ -315,8 +241,9 @@
 			stop(run, "its start stays unanswered");
 			return;
 		}
+		WorkerIncarnation incarnation = worker.incarnation();
 		this.control.schedule(() -> {
-			boolean isWanted = run.state() == Run.State.STARTING
+			boolean isWanted = run.state() == Run.State.STARTING && worker.incarnation() == incarnation
 					&& worker.run(run.task()).filter((active) -> active == run).isPresent();
 			if (isWanted && !this.closed) {
 				send(step, run, worker, request, retries);
@@ -361,16 +288,35 @@
 		if (this.closed || isReleased) {
 			return;
 		}
-		this.workerClient.stop(worker.info(), run.task(), run.attempt(), this.ownerLease.epoch())
-			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> {
-				switch (outcome.kind()) {
-					case DONE -> run.confirm(this.clock.nanos());
-					case FENCED -> this.listener.workerFenced(worker.id());
-					case GONE -> handlePollOutcome(worker, new PollOutcome.Gone(), 0);
-					default -> this.control.schedule(() -> sendStop(run, worker), UNREACHABLE_RETRY_MILLIS,
-							TimeUnit.MILLISECONDS);
-				}
-			}));
+		Addressee addressee = Addressee.of(worker);
+		this.workerClient.stop(worker.info(), run.task(), run.attempt(), fencingToken(worker))
+			.whenComplete(ExecutorCallback.on(this.control,
+					(outcome, failure) -> handleStopOutcome(run, addressee, outcome)));
+	}
+
+	private void handleStopOutcome(Run run, Addressee addressee, RunRequestOutcome outcome) {
+		PoolWorker worker = addressee.worker();
+		boolean isFenced = outcome.kind() == RunRequestOutcome.Kind.FENCED && addressee.hasCurrentToken();
+		boolean isReplaced = outcome.kind() == RunRequestOutcome.Kind.GONE && worker.isAt(addressee.info());
+		if (this.closed) {
+			return;
+		}
+		if (isFenced) {
+			this.listener.workerFenced(worker.id());
+		}
+		else if (isReplaced) {
+			this.poller.handleReplaced(worker);
+		}
+		else if (addressee.isCurrent(worker) && addressee.hasRestarted(outcome)) {
+			this.poller.handleRestart(worker, OptionalLong.empty(), outcome.clockMillis());
+			sendStop(run, worker);
+		}
+		else if (addressee.isCurrent(worker) && outcome.kind() == RunRequestOutcome.Kind.DONE) {
+			run.confirm(this.clock.nanos());
+		}
+		else {
+			this.control.schedule(() -> sendStop(run, worker), STOP_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+		}
 	}
 
 	/**
@@ -408,4 +354,40 @@
 		return this.losses;
 	}
 
+	/**
+	 * The worker to which a request was sent, as it was then. Immutable.
+	 *
+	 * @param worker the worker
+	 * @param incarnation its incarnation
+	 * @param info its description
+	 * @param tokenGeneration how often the fencing token had been raised
+	 * @param clockMillis the last known reading of its clock
+	 */
+	private record Addressee(PoolWorker worker, WorkerIncarnation incarnation, WorkerInfo info, int tokenGeneration,
+			long clockMillis) {
+
+		static Addressee of(PoolWorker worker) {
+			return new Addressee(worker, worker.incarnation(), worker.info(), worker.incarnation().tokenGeneration(),
+					worker.lease().clockMillis());
+		}
+
+		boolean isCurrent(PoolWorker now) {
+			return now.incarnation() == this.incarnation;
+		}
+
+		boolean hasCurrentToken() {
+			return this.worker.incarnation().tokenGeneration() == this.tokenGeneration;
+		}
+
+		/**
+		 * Returns whether a response stems from a later incarnation: its clock was reset.
+		 * @param outcome the response
+		 * @return {@code true} if the worker has restarted
+		 */
+		boolean hasRestarted(RunRequestOutcome outcome) {
+			return outcome.clockMillis() >= 0 && outcome.clockMillis() < this.clockMillis;
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunListener.java
@@ -16,4 +16,10 @@
 	 */
 	void workerFenced(String worker);
 
+	/**
+	 * Called when no higher fencing token is left for a worker, so that another owner has
+	 * to take over.
+	 */
+	void fencingTokensUsedUp();
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -73,6 +73,17 @@
 		worker.terminations().defer(deferred);
 	}
 
+	/**
+	 * Processes the terminations of former incarnations of a worker whose jobs have been
+	 * loaded since.
+	 * @param worker the worker
+	 */
+	void processInherited(PoolWorker worker) {
+		worker.terminations()
+			.takeInherited((job) -> !this.unknownJobs.isAwaited(job))
+			.forEach((termination) -> process(worker, termination));
+	}
+
 	private void process(PoolWorker worker, TerminatedTask termination) {
 		long ranMillis = -1;
 		Run run = worker.run(termination.task())
@@ -159,7 +170,7 @@
 			.filter((job) -> hasTask(job, task))
 			.ifPresent((job) -> job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint()));
 		if (recordCrash(task, ranMillis, evidence) && loss == RunLoss.LEASE_EXPIRED) {
-			this.crashes.awaitAnswer(worker.id(), task);
+			this.crashes.awaitAnswer(worker, task);
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StepEligibility.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StepEligibility.java
@@ -68,6 +68,15 @@
 		this.tickets.computeIfPresent(worker, (id, ticket) -> new Ticket(ticket.text(), nowNanos));
 	}
 
+	/**
+	 * Forgets what is known of a worker that has restarted.
+	 * @param worker the worker's id
+	 */
+	void forget(String worker) {
+		this.queriedWorkers.remove(worker);
+		this.tickets.remove(worker);
+	}
+
 	/**
 	 * Whether at least one reply has been received.
 	 * @return {@code true} if so
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -1,12 +1,20 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.monsoonrelay.model.submission.TaskKey;
 
 /**
  * Which terminations of one incarnation of a worker are processed, durable or deferred. A
- * worker numbers its terminations from 1 in each incarnation. Not thread-safe: confined
- * to the control thread.
+ * worker numbers its terminations from 1 in each incarnation. Those that former
+ * incarnations reported are kept, without their numbers, until they can be processed. Not
+ * thread-safe: confined to the control thread.
  */
 final class TerminationSequence {
 
@@ -19,6 +27,24 @@
 
 	private List<TerminatedTask> deferred = List.of();
 
+	private List<TerminatedTask> inherited;
+
+	TerminationSequence() {
+		this(List.of());
+	}
+
+	private TerminationSequence(List<TerminatedTask> inherited) {
+		this.inherited = inherited;
+	}
+
+	/**
+	 * Returns the sequence of the worker's next incarnation.
+	 * @return the sequence, which has the deferred terminations of this one
+	 */
+	TerminationSequence ofNextIncarnation() {
+		return new TerminationSequence(Stream.concat(this.inherited.stream(), this.deferred.stream()).toList());
+	}
+
 	boolean hasProcessed(TerminatedTask termination) {
 		return termination.sequence() <= this.processed || this.processedAhead.contains(termination.sequence());
 	}
@@ -44,6 +70,28 @@
 		return this.deferred;
 	}
 
+	/**
+	 * Removes deferred terminations of former incarnations.
+	 * @param isProcessable matches the ids of jobs whose terminations can be processed
+	 * @return the terminations of these jobs
+	 */
+	List<TerminatedTask> takeInherited(Predicate<String> isProcessable) {
+		Map<Boolean, List<TerminatedTask>> parts = this.inherited.stream()
+			.collect(Collectors.partitioningBy((termination) -> isProcessable.test(termination.task().job())));
+		this.inherited = parts.get(false);
+		return parts.get(true);
+	}
+
+	/**
+	 * Returns the tasks whose terminations are known but not processed yet.
+	 * @return the tasks, also those that ended on former incarnations
+	 */
+	Set<TaskKey> unprocessedTasks() {
+		return Stream.concat(this.inherited.stream(), this.deferred.stream())
+			.map(TerminatedTask::task)
+			.collect(Collectors.toSet());
+	}
+
 	/**
 	 * Records that the effects of terminations are durable, so that the worker may
 	 * discard them.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnresponsiveWorkerDetector.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnresponsiveWorkerDetector.java
@@ -40,7 +40,7 @@
 		long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(RESPONSE_TIMEOUT_MILLIS);
 		Map<String, FailureDomainStatus> domains = new HashMap<>();
 		for (PoolWorker worker : workers) {
-			if (worker.unansweredNanos(nowNanos) > timeoutNanos) {
+			if (worker.responses().unansweredNanos(nowNanos) > timeoutNanos) {
 				domains.computeIfAbsent(worker.info().failureDomain(), (name) -> new FailureDomainStatus())
 					.add(worker, nowNanos);
 			}
@@ -48,7 +48,7 @@
 		List<PoolWorker> newlySuspected = new ArrayList<>();
 		for (PoolWorker worker : workers) {
 			FailureDomainStatus domain = domains.get(worker.info().failureDomain());
-			boolean isSuspected = domain != null && (worker.unansweredNanos(nowNanos) > timeoutNanos
+			boolean isSuspected = domain != null && (worker.responses().unansweredNanos(nowNanos) > timeoutNanos
 					|| domain.isUnresponsive(workers, worker, nowNanos));
 			if (isSuspected && !worker.isSuspected()) {
 				newlySuspected.add(worker);
@@ -68,7 +68,8 @@
 
 		void add(PoolWorker worker, long nowNanos) {
 			this.unresponsiveWorkers++;
-			this.longestUnansweredNanos = Math.max(this.longestUnansweredNanos, worker.unansweredNanos(nowNanos));
+			this.longestUnansweredNanos = Math.max(this.longestUnansweredNanos,
+					worker.responses().unansweredNanos(nowNanos));
 		}
 
 		boolean isUnresponsive(Collection<PoolWorker> workers, PoolWorker member, long nowNanos) {
@@ -76,7 +77,8 @@
 				String name = member.info().failureDomain();
 				this.unresponsive = this.unresponsiveWorkers >= MIN_UNRESPONSIVE_PER_DOMAIN && workers.stream()
 					.filter((worker) -> worker.info().failureDomain().equals(name))
-					.noneMatch((worker) -> worker.hasRespondedWithin(this.longestUnansweredNanos, nowNanos));
+					.noneMatch(
+							(worker) -> worker.responses().hasRespondedWithin(this.longestUnansweredNanos, nowNanos));
 			}
 			return this.unresponsive;
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -1,18 +1,61 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
- * What this owner knows of one incarnation of a worker. Not thread-safe: confined to the
- * control thread.
+ * What this owner knows of one incarnation of a worker: the lease on its clock and the
+ * terminations that it reported. A worker that restarts gets a new object, so that
+ * nothing learned of an incarnation is applied to the next one. Invariant: an incarnation
+ * that follows another one is verified only by a report that was requested after the
+ * restart was noticed. Not thread-safe: confined to the control thread.
  */
 final class WorkerIncarnation {
 
-	private final WorkerLease lease = new WorkerLease();
+	private final WorkerLease lease;
 
-	private final TerminationSequence terminations = new TerminationSequence();
+	private final TerminationSequence terminations;
 
-	private OptionalLong startedMillis = OptionalLong.empty();
+	private final Optional<Predecessor> predecessor;
+
+	private OptionalLong startedMillis;
+
+	private int tokenGeneration;
+
+	private boolean verified;
+
+	private WorkerIncarnation(WorkerLease lease, TerminationSequence terminations, OptionalLong startedMillis,
+			int tokenGeneration, Optional<Predecessor> predecessor) {
+		this.lease = lease;
+		this.terminations = terminations;
+		this.startedMillis = startedMillis;
+		this.tokenGeneration = tokenGeneration;
+		this.predecessor = predecessor;
+	}
+
+	/**
+	 * Creates the incarnation of a worker that this owner has not polled yet.
+	 * @param tokenGeneration how often the fencing token of the worker may have been
+	 * raised before
+	 * @return the incarnation
+	 */
+	static WorkerIncarnation unknown(int tokenGeneration) {
+		return new WorkerIncarnation(new WorkerLease(), new TerminationSequence(), OptionalLong.empty(),
+				tokenGeneration, Optional.empty());
+	}
+
+	/**
+	 * Creates the incarnation that follows this one. Its requests carry a higher fencing
+	 * token.
+	 * @param nextStartedMillis when it was started, empty if that is not known yet
+	 * @param isLeaving whether this incarnation was about to leave
+	 * @param nowNanos the current monotonic time
+	 * @return the incarnation
+	 */
+	WorkerIncarnation restarted(OptionalLong nextStartedMillis, boolean isLeaving, long nowNanos) {
+		return new WorkerIncarnation(WorkerLease.ofRestartedWorker(nowNanos), this.terminations.ofNextIncarnation(),
+				nextStartedMillis, this.tokenGeneration + 1, Optional.of(new Predecessor(isLeaving)));
+	}
 
 	WorkerLease lease() {
 		return this.lease;
@@ -22,6 +65,22 @@
 		return this.terminations;
 	}
 
+	/**
+	 * Uses a higher fencing token from now on, so that no earlier request is executed
+	 * once the worker has received a later one.
+	 */
+	void raiseFencingToken() {
+		this.tokenGeneration++;
+	}
+
+	/**
+	 * Returns how often the fencing token of requests to the worker was raised.
+	 * @return the number, see {@link OwnerLease#fencingToken}
+	 */
+	int tokenGeneration() {
+		return this.tokenGeneration;
+	}
+
 	/**
 	 * Returns when the incarnation was started.
 	 * @return epoch milliseconds on the worker's clock, empty while it is not known
@@ -30,23 +89,81 @@
 		return this.startedMillis;
 	}
 
+	/**
+	 * Returns whether the incarnation has reported its runs to this owner.
+	 * @return {@code false} if runs of a former incarnation may still be listed here
+	 */
+	boolean isVerified() {
+		return this.verified;
+	}
+
+	/**
+	 * Returns the incarnation whose runs are lost unless this one reports them.
+	 * @return the former incarnation, empty once this one is verified
+	 */
+	Optional<Predecessor> unresolvedPredecessor() {
+		return this.verified ? Optional.empty() : this.predecessor;
+	}
+
 	/**
 	 * Returns whether a report stems from another incarnation: it tells of another start,
 	 * or, if the worker does not tell, its clock was reset.
 	 * @param report the report
+	 * @param clockWhenSent the last known reading of the worker's clock when the poll was
+	 * sent, milliseconds
 	 * @return {@code true} if the worker has restarted
 	 */
-	boolean isContradictedBy(PollOutcome.Report report) {
+	boolean isContradictedBy(PollOutcome.Report report, long clockWhenSent) {
 		if (this.startedMillis.isPresent() && report.startedMillis().isPresent()) {
 			return !this.startedMillis.equals(report.startedMillis());
 		}
-		return this.lease.isClockKnown() && report.clockMillis() < this.lease.clockMillis();
+		return report.clockMillis() < clockWhenSent;
+	}
+
+	/**
+	 * Returns whether an entry of the worker list tells of a later incarnation.
+	 * @param listed the entry
+	 * @return {@code false} also if either start is not known
+	 */
+	boolean isFollowedBy(WorkerInfo listed) {
+		return this.startedMillis.isPresent() && listed.startedMillis().isPresent()
+				&& listed.startedMillis().getAsLong() > this.startedMillis.getAsLong();
 	}
 
-	void recordStart(OptionalLong millis) {
-		if (millis.isPresent()) {
-			this.startedMillis = millis;
+	/**
+	 * Returns whether an entry of the worker list describes a former incarnation, which
+	 * may have had another capacity.
+	 * @param listed the entry
+	 * @return {@code false} also if either start is not known
+	 */
+	boolean follows(WorkerInfo listed) {
+		return this.startedMillis.isPresent() && listed.startedMillis().isPresent()
+				&& listed.startedMillis().getAsLong() < this.startedMillis.getAsLong();
+	}
+
+	/**
+	 * Records a report of this incarnation.
+	 * @param report the report
+	 * @param nowNanos monotonic time at which it arrived
+	 */
+	void recordReport(PollOutcome.Report report, long nowNanos) {
+		if (report.startedMillis().isPresent()) {
+			this.startedMillis = report.startedMillis();
 		}
+		this.lease.updateClock(report.clockMillis(), nowNanos);
+	}
+
+	void markVerified() {
+		this.verified = true;
+	}
+
+	/**
+	 * The former incarnation of a worker. Immutable.
+	 *
+	 * @param draining whether it was about to leave
+	 */
+	record Predecessor(boolean draining) {
+
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
@@ -3,15 +3,20 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The lease under which all runs on one worker execute, measured on the worker's clock.
- * Invariant: {@link #isExpired} is true only if no request sent by this owner can keep a
- * run active on the worker. Not thread-safe: confined to the control thread.
+ * The lease under which all runs on one incarnation of a worker execute, measured on the
+ * worker's clock. Invariant: {@link #isExpired} is true only if no request sent by this
+ * owner can keep a run active on the worker. Not thread-safe: confined to the control
+ * thread.
  */
 final class WorkerLease {
 
 	/** Minimum rate of a worker's clock relative to the clock of this process. */
 	static final double MIN_CLOCK_RATE = 0.98;
 
+	private final boolean restarted;
+
+	private final long restartNoticedNanos;
+
 	private long clockMillis;
 
 	private long clockReadNanos;
@@ -20,6 +25,25 @@
 
 	private boolean clockKnown;
 
+	WorkerLease() {
+		this(false, 0);
+	}
+
+	private WorkerLease(boolean restarted, long restartNoticedNanos) {
+		this.restarted = restarted;
+		this.restartNoticedNanos = restartNoticedNanos;
+	}
+
+	/**
+	 * Creates the lease of a worker that has restarted. Requests to its former
+	 * incarnation may have granted it a lease.
+	 * @param nowNanos monotonic time at which the restart was noticed
+	 * @return the lease
+	 */
+	static WorkerLease ofRestartedWorker(long nowNanos) {
+		return new WorkerLease(true, nowNanos);
+	}
+
 	/**
 	 * Updates the last known reading of the worker's clock. A reading lower than the last
 	 * one arrived out of order and is ignored.
@@ -28,8 +52,8 @@
 	 */
 	void updateClock(long clock, long nowNanos) {
 		if (!this.clockKnown) {
-			// An earlier owner may have extended the lease until just now.
-			this.leaseEndMillis = clock + OwnerLease.MAX_WORKER_LEASE_MILLIS + OwnerLease.EXPIRY_MILLIS;
+			// Earlier requests may have extended the lease until just now.
+			this.leaseEndMillis = clock + OwnerLease.MAX_GRANTED_LEASE_MILLIS;
 		}
 		if (!this.clockKnown || clock >= this.clockMillis) {
 			this.clockMillis = clock;
@@ -75,6 +99,10 @@
 	 * @return {@code true} if no run started by this owner can still be active
 	 */
 	boolean isExpired(long nowNanos) {
+		if (!this.clockKnown) {
+			return !this.restarted || TimeUnit.NANOSECONDS
+				.toMillis(nowNanos - this.restartNoticedNanos) > OwnerLease.MAX_GRANTED_LEASE_MILLIS / MIN_CLOCK_RATE;
+		}
 		if (this.leaseEndMillis <= this.clockMillis) {
 			return true;
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -1,7 +1,9 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.monsoonrelay.logic.events.DecisionLog;
@@ -9,9 +11,10 @@
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * Handles workers that cannot be reached or are lost with their runs. Invariant: the runs
- * of a worker are lost only if a later incarnation answers or the worker's lease has
- * expired. Not thread-safe: confined to the control thread.
+ * Handles workers that cannot be reached, have restarted or are lost with their runs.
+ * Invariant: a run is lost only if a later incarnation of its worker reports without it,
+ * if another worker answers at its address, or if the lease of its worker has expired.
+ * Not thread-safe: confined to the control thread.
  */
 final class WorkerLossHandler {
 
@@ -56,24 +59,85 @@
 	}
 
 	/**
-	 * Handles a worker in whose place a later incarnation answers.
+	 * Handles a worker at whose address another worker answers.
 	 * @param worker the worker
 	 */
 	void handleReplaced(PoolWorker worker) {
 		if (worker.isReachable()) {
 			this.crashes.workerUnreachable(worker);
 		}
-		Set<TaskKey> inherited = this.pool.unconfirmedTasks(worker.id());
-		if (this.pool.isUnreconciled(worker.id()) && !worker.info().draining()) {
-			this.inheritedStarts.recordUnknownLoss();
-		}
-		this.pool.markReconciled(worker.id());
 		this.crashes.workerReplaced(worker.id());
 		markLost(worker, RunLoss.WORKER_REPLACED);
-		if (!worker.info().draining()) {
-			inherited.forEach(this.terminations::handleInheritedLoss);
+		handleInheritedLosses(worker, Set.of());
+		this.pool.removeReplaced(worker);
+	}
+
+	/**
+	 * Handles the restart of a worker. Which of its runs are lost is known only when the
+	 * new incarnation reports: it may have executed requests that were meant for the
+	 * former one.
+	 * @param worker the worker
+	 * @param startedMillis when the new incarnation was started, empty if not known
+	 */
+	void handleRestart(PoolWorker worker, OptionalLong startedMillis) {
+		if (worker.isReachable()) {
+			this.crashes.workerUnreachable(worker);
+		}
+		this.crashes.workerReplaced(worker.id());
+		worker.restart(startedMillis, this.clock.nanos());
+		this.pool.markRestarted(worker);
+	}
+
+	/**
+	 * Handles the first report of an incarnation of a worker: runs that were started on
+	 * former incarnations and are not reported are lost.
+	 * @param worker the worker
+	 * @param report the report
+	 */
+	void handleFirstReport(PoolWorker worker, PollOutcome.Report report) {
+		Set<TaskKey> reported = new HashSet<>();
+		report.runningTasks().forEach((running) -> reported.add(running.task()));
+		report.terminatedTasks().forEach((terminated) -> reported.add(terminated.task()));
+		if (this.pool.hasRestartedSinceRecord(worker.id(), report)) {
+			this.pool.markRestarted(worker);
+			handleInheritedLosses(worker, reported);
 		}
-		this.pool.remove(worker.id());
+		if (worker.incarnation().unresolvedPredecessor().isPresent()) {
+			loseUnreportedRuns(worker, report, reported);
+		}
+		worker.incarnation().markVerified();
+	}
+
+	private void loseUnreportedRuns(PoolWorker worker, PollOutcome.Report report, Set<TaskKey> reported) {
+		reported.addAll(worker.terminations().unprocessedTasks());
+		List<Run> lost = worker.runs()
+			.stream()
+			.filter((run) -> !reported.contains(run.task()) || isReportedWithAnotherAttempt(run, report))
+			.toList();
+		if (!worker.isLost()) {
+			logLoss(worker, RunLoss.WORKER_REPLACED, lost.size());
+		}
+		lost.forEach((run) -> this.terminations.handleLostRun(worker, run, RunLoss.WORKER_REPLACED, lost.size() - 1));
+	}
+
+	private static boolean isReportedWithAnotherAttempt(Run run, PollOutcome.Report report) {
+		return report.runningTasks()
+			.stream()
+			.anyMatch((running) -> running.task().equals(run.task()) && running.attempt() != run.attempt());
+	}
+
+	// Runs of earlier owners on a worker that has restarted, or was replaced, since.
+	private void handleInheritedLosses(PoolWorker worker, Set<TaskKey> reported) {
+		Set<TaskKey> inherited = this.pool.unconfirmedTasks(worker.id());
+		boolean isUnreconciled = this.pool.isUnreconciled(worker.id());
+		this.pool.markReconciled(worker.id());
+		if (worker.isLeaving()) {
+			return;
+		}
+		if (isUnreconciled) {
+			this.inheritedStarts.recordUnknownLoss();
+		}
+		inherited.stream().filter((task) -> !reported.contains(task)).forEach(this.terminations::handleInheritedLoss);
 	}
 
 	/**
@@ -117,17 +181,16 @@
 		long now = this.clock.nanos();
 		for (PoolWorker worker : List.copyOf(this.pool.workers())) {
 			worker.expireHolds(now);
-			boolean isExpired = !worker.isReachable()
-					&& (!worker.lease().isClockKnown() || worker.lease().isExpired(now));
-			if (!isExpired) {
+			if (worker.isReachable() || !worker.lease().isExpired(now)) {
 				continue;
 			}
-			if (worker.lease().isClockKnown() && !worker.isLost()) {
+			boolean isNewlyLost = !worker.isLost() && (worker.lease().isClockKnown() || worker.runCount() > 0);
+			if (isNewlyLost) {
 				markLost(worker, RunLoss.LEASE_EXPIRED);
 				isAnyLost = true;
 			}
 			if (!worker.isListed()) {
-				this.pool.remove(worker.id());
+				this.pool.remove(worker);
 			}
 		}
 		return isAnyLost;
@@ -138,13 +201,17 @@
 			return;
 		}
 		Collection<Run> runs = worker.runs();
-		this.log.write(new PoolDecision.WorkerLost(worker.id(), worker.info().failureDomain(), loss.description(),
-				worker.info().draining(), this.crashes.isPartOfOutage(worker),
-				worker.silence().millis(this.clock.nanos()), runs.size()));
+		logLoss(worker, loss, runs.size());
 		for (Run run : runs) {
 			this.terminations.handleLostRun(worker, run, loss, runs.size() - 1);
 		}
 		worker.markLost();
 	}
 
+	private void logLoss(PoolWorker worker, RunLoss loss, int lostRuns) {
+		this.log.write(new PoolDecision.WorkerLost(worker.id(), worker.info().failureDomain(), loss.description(),
+				worker.isLeaving(), this.crashes.isPartOfOutage(worker), worker.silence().millis(this.clock.nanos()),
+				lostRuns));
+	}
+
 }
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -0,0 +1,279 @@
+package org.monsoonrelay.logic.pool;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.Metric;
+import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.platform.ExecutorCallback;
+
+/**
+ * Polls workers and processes their reports. Invariants: each incarnation of a worker has
+ * polls of its own, one at a time; terminations are acknowledged only to the incarnation
+ * that reported them; a report of an incarnation that was not known yet is not processed
+ * but requested again with a higher fencing token, so that the worker has executed all
+ * earlier requests that it will ever execute. Not thread-safe: confined to the control
+ * thread.
+ */
+final class WorkerPoller {
+
+	/**
+	 * Maximum delay of a poll response while no run terminates, milliseconds. Renews a
+	 * lease seven times before it expires and detects a dead connection within two
+	 * seconds.
+	 */
+	private static final long POLL_WAIT_MILLIS = 1000;
+
+	/** Delay before an unreachable worker is polled again, milliseconds. */
+	private static final long UNREACHABLE_RETRY_MILLIS = 200;
+
+	/** Maximum delay of polls until terminations are durable, milliseconds. */
+	private static final long MAX_DURABILITY_WAIT_MILLIS = 250;
+
+	/**
+	 * Poll delay while terminations that cannot be acknowledged end polls at once,
+	 * milliseconds.
+	 */
+	private static final long UNACKNOWLEDGED_POLL_DELAY_MILLIS = 100;
+
+	private final WorkerClient workerClient;
+
+	private final OwnerLease ownerLease;
+
+	private final WorkerPool pool;
+
+	private final CrashTracker crashes;
+
+	private final RunTerminationHandler terminations;
+
+	private final WorkerLossHandler losses;
+
+	private final RunAdoption adoption;
+
+	private final EligibilityTracker eligibility;
+
+	private final ScheduledExecutorService control;
+
+	private final PoolClock clock;
+
+	private final DecisionLog log;
+
+	private final RunListener listener;
+
+	private final Map<WorkerIncarnation, PoolWorker> awaitingDurability = new HashMap<>();
+
+	private final Map<WorkerIncarnation, Long> terminationsProcessedNanos = new HashMap<>();
+
+	private boolean closed;
+
+	WorkerPoller(WorkerClient workerClient, OwnerLease ownerLease, WorkerPool pool, CrashTracker crashes,
+			RunTerminationHandler terminations, WorkerLossHandler losses, RunAdoption adoption,
+			EligibilityTracker eligibility, ScheduledExecutorService control, PoolClock clock, DecisionLog log,
+			RunListener listener) {
+		this.workerClient = workerClient;
+		this.ownerLease = ownerLease;
+		this.pool = pool;
+		this.crashes = crashes;
+		this.terminations = terminations;
+		this.losses = losses;
+		this.adoption = adoption;
+		this.eligibility = eligibility;
+		this.control = control;
+		this.clock = clock;
+		this.log = log;
+		this.listener = listener;
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	/**
+	 * Polls the current incarnation of a worker until it restarts or is removed from the
+	 * pool.
+	 * @param worker the worker
+	 */
+	void poll(PoolWorker worker) {
+		WorkerIncarnation incarnation = worker.incarnation();
+		boolean isKnown = this.pool.worker(worker.id()).filter((known) -> known == worker).isPresent();
+		if (this.closed || !isKnown) {
+			this.terminationsProcessedNanos.remove(incarnation);
+			return;
+		}
+		long sentNanos = this.clock.nanos();
+		long acknowledged = worker.acknowledgeableSequence();
+		if (acknowledged >= worker.terminations().processed()) {
+			Optional.ofNullable(this.terminationsProcessedNanos.remove(incarnation))
+				.ifPresent((processedNanos) -> this.log.recordMetric(Metric.ACKNOWLEDGEMENT_LATENCY,
+						TimeUnit.NANOSECONDS.toMillis(sentNanos - processedNanos)));
+		}
+		boolean extendLease = worker.isReachable() && this.ownerLease.canGrantLeases();
+		SentPoll poll = new SentPoll(worker, incarnation, worker.info(), acknowledged, sentNanos,
+				worker.lease().clockMillis());
+		OptionalLong leaseEndMillis = extendLease
+				? OptionalLong.of(worker.lease().extend(sentNanos, this.ownerLease.workerLeaseMillis()))
+				: OptionalLong.empty();
+		Duration wait = Duration.ofMillis(worker.isReachable() ? POLL_WAIT_MILLIS : 0);
+		PollRequest request = new PollRequest(this.ownerLease.fencingToken(worker.incarnation().tokenGeneration()),
+				acknowledged, leaseEndMillis, wait);
+		this.workerClient.poll(worker.info(), request)
+			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> handleOutcome(poll, outcome)));
+	}
+
+	private void pollAfter(PoolWorker worker, WorkerIncarnation incarnation, long delayMillis) {
+		this.control.schedule(() -> {
+			if (worker.incarnation() == incarnation) {
+				poll(worker);
+			}
+		}, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void handleOutcome(SentPoll poll, PollOutcome outcome) {
+		PoolWorker worker = poll.worker();
+		if (this.closed || worker.incarnation() != poll.incarnation()) {
+			return;
+		}
+		if (outcome instanceof PollOutcome.Report report) {
+			handleReport(poll, report);
+		}
+		else if (outcome instanceof PollOutcome.Gone && worker.isAt(poll.addressee())) {
+			handleReplaced(worker);
+		}
+		else if (outcome instanceof PollOutcome.Fenced) {
+			this.listener.workerFenced(worker.id());
+		}
+		else {
+			handleNoAnswer(poll, (outcome instanceof PollOutcome.NoAnswer none) ? none.reason() : "no outcome");
+		}
+	}
+
+	private void handleNoAnswer(SentPoll poll, String reason) {
+		PoolWorker worker = poll.worker();
+		this.losses.handleUnreachable(worker, reason);
+		if (poll.acknowledged() > 0) {
+			// A later incarnation must not execute this poll after it has executed
+			// starts.
+			raiseFencingToken(worker);
+		}
+		pollAfter(worker, poll.incarnation(), UNREACHABLE_RETRY_MILLIS);
+	}
+
+	private void raiseFencingToken(PoolWorker worker) {
+		worker.incarnation().raiseFencingToken();
+		releaseIfTokensAreUsedUp(worker);
+	}
+
+	private void releaseIfTokensAreUsedUp(PoolWorker worker) {
+		if (this.ownerLease.isLastFencingToken(worker.incarnation().tokenGeneration())) {
+			this.listener.fencingTokensUsedUp();
+		}
+	}
+
+	/**
+	 * Handles a worker at whose address another worker answers.
+	 * @param worker the worker
+	 */
+	void handleReplaced(PoolWorker worker) {
+		this.losses.handleReplaced(worker);
+		this.listener.stateChanged();
+	}
+
+	/**
+	 * Handles the restart of a worker under its id.
+	 * @param worker the worker
+	 * @param startedMillis when the new incarnation was started, empty if not known
+	 * @param clockMillis the reading of its clock, -1 if not known
+	 */
+	void handleRestart(PoolWorker worker, OptionalLong startedMillis, long clockMillis) {
+		WorkerIncarnation former = worker.incarnation();
+		this.log.write(new PoolDecision.WorkerRestarted(worker.id(), former.startedMillis().orElse(-1),
+				startedMillis.orElse(-1), former.lease().clockMillis(), clockMillis, former.terminations().durable(),
+				worker.runCount()));
+		this.terminationsProcessedNanos.remove(former);
+		this.eligibility.workerRestarted(worker.id());
+		this.losses.handleRestart(worker, startedMillis);
+		releaseIfTokensAreUsedUp(worker);
+		poll(worker);
+	}
+
+	private void handleReport(SentPoll poll, PollOutcome.Report report) {
+		PoolWorker worker = poll.worker();
+		if (poll.incarnation().isContradictedBy(report, poll.clockMillis())) {
+			handleRestart(worker, report.startedMillis(), report.clockMillis());
+			return;
+		}
+		worker.incarnation().recordReport(report, this.clock.nanos());
+		worker.responseReceived(this.clock.nanos());
+		this.crashes.workerAnswered(worker);
+		if (!worker.incarnation().isVerified()) {
+			this.losses.handleFirstReport(worker, report);
+		}
+		this.terminations.process(worker, report.terminatedTasks());
+		this.adoption.reconcile(worker, report.runningTasks(), poll.sentNanos());
+		if (!worker.isReachable()) {
+			worker.markReachable();
+			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
+					report.runningTasks().size()));
+		}
+		this.pool.markReconciled(worker.id());
+		this.listener.stateChanged();
+		scheduleNextPoll(worker, !report.terminatedTasks().isEmpty());
+	}
+
+	private void scheduleNextPoll(PoolWorker worker, boolean hasUnacknowledged) {
+		WorkerIncarnation incarnation = worker.incarnation();
+		TerminationSequence reported = incarnation.terminations();
+		if (!reported.isDurable()) {
+			this.terminationsProcessedNanos.putIfAbsent(incarnation, this.clock.nanos());
+			this.awaitingDurability.put(incarnation, worker);
+			this.control.schedule(() -> resumePolling(incarnation), MAX_DURABILITY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		else if (!reported.deferred().isEmpty() || (hasUnacknowledged && worker.hasUnansweredStart())) {
+			pollAfter(worker, incarnation, UNACKNOWLEDGED_POLL_DELAY_MILLIS);
+		}
+		else {
+			poll(worker);
+		}
+	}
+
+	/**
+	 * Resumes the polls that were delayed until terminations are durable.
+	 */
+	void onTerminationsDurable() {
+		for (WorkerIncarnation incarnation : List.copyOf(this.awaitingDurability.keySet())) {
+			if (incarnation.terminations().isDurable()) {
+				resumePolling(incarnation);
+			}
+		}
+	}
+
+	private void resumePolling(WorkerIncarnation incarnation) {
+		PoolWorker worker = this.awaitingDurability.remove(incarnation);
+		if (worker != null && worker.incarnation() == incarnation) {
+			poll(worker);
+		}
+	}
+
+	/**
+	 * A poll that was sent. Immutable.
+	 *
+	 * @param worker the worker
+	 * @param incarnation the incarnation that was expected to answer
+	 * @param addressee the description of the worker when the poll was sent
+	 * @param acknowledged the acknowledged sequence number
+	 * @param sentNanos monotonic time at which it was sent
+	 * @param clockMillis last known reading of the worker's clock at that time
+	 */
+	private record SentPoll(PoolWorker worker, WorkerIncarnation incarnation, WorkerInfo addressee, long acknowledged,
+			long sentNanos, long clockMillis) {
+
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -15,9 +17,8 @@
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * The workers of the pool by the id of their incarnation. A worker that is no longer
- * listed is kept until no run can be active there. Not thread-safe: confined to the
- * control thread.
+ * The workers of the pool by id. A worker that is no longer listed is kept until no run
+ * can be active there. Not thread-safe: confined to the control thread.
  */
 final class WorkerPool {
 
@@ -31,6 +32,16 @@
 	// Tasks on workers that were unreachable or draining under an earlier owner.
 	private final Map<String, Set<TaskKey>> unconfirmedTasks = new HashMap<>();
 
+	// The incarnations that an earlier owner polled last.
+	private final Map<String, Long> recordedIncarnations = new HashMap<>();
+
+	// Entries of workers at whose address another worker answers. They are ignored until
+	// they change.
+	private final Map<String, WorkerInfo> replacedEntries = new HashMap<>();
+
+	// At least the token generations of all workers that were removed.
+	private int firstTokenGeneration;
+
 	private long capacityVersion;
 
 	/**
@@ -40,6 +51,7 @@
 	void recoverFrom(OwnerRecord earlier) {
 		this.unreconciledWorkers.addAll(earlier.workers());
 		this.recordedWorkers.addAll(earlier.workers());
+		this.recordedIncarnations.putAll(earlier.incarnations());
 		earlier.closed()
 			.forEach((worker, tasks) -> parseTasks(tasks).ifPresentOrElse(
 					(parsed) -> this.unconfirmedTasks.put(worker, parsed), () -> this.unreconciledWorkers.add(worker)));
@@ -58,19 +70,25 @@
 	/**
 	 * Updates the pool from the host list.
 	 * @param listed all listed workers
-	 * @return the workers that were added to the pool
+	 * @return the workers that were added to the pool or are listed as restarted
 	 */
-	List<PoolWorker> update(Collection<WorkerInfo> listed) {
+	ListChanges update(Collection<WorkerInfo> listed) {
 		Set<String> present = new HashSet<>();
 		List<PoolWorker> added = new ArrayList<>();
+		List<PoolWorker> restarted = new ArrayList<>();
 		for (WorkerInfo info : listed) {
 			present.add(info.id());
 			PoolWorker known = this.workers.get(info.id());
 			if (known != null) {
-				known.update(info);
+				if (known.update(info)) {
+					restarted.add(known);
+				}
+				continue;
+			}
+			if (info.equals(this.replacedEntries.get(info.id()))) {
 				continue;
 			}
-			PoolWorker worker = new PoolWorker(info, () -> ++this.capacityVersion);
+			PoolWorker worker = new PoolWorker(info, this.firstTokenGeneration, () -> ++this.capacityVersion);
 			this.workers.put(info.id(), worker);
 			if (this.recordedWorkers.contains(info.id())) {
 				worker.markRecorded();
@@ -81,7 +99,8 @@
 			.stream()
 			.filter((worker) -> !present.contains(worker.id()))
 			.forEach(PoolWorker::markUnlisted);
-		return added;
+		this.replacedEntries.keySet().retainAll(present);
+		return new ListChanges(added, restarted);
 	}
 
 	/**
@@ -91,6 +110,29 @@
 	void markReconciled(String id) {
 		this.unreconciledWorkers.remove(id);
 		this.unconfirmedTasks.remove(id);
+		this.recordedIncarnations.remove(id);
+	}
+
+	/**
+	 * Returns whether another incarnation of a worker reports than the one that an
+	 * earlier owner polled last.
+	 * @param id the worker's id
+	 * @param report the first report to this owner
+	 * @return {@code false} also if either start is not known
+	 */
+	boolean hasRestartedSinceRecord(String id, PollOutcome.Report report) {
+		Long recorded = this.recordedIncarnations.get(id);
+		return recorded != null && report.startedMillis().isPresent() && report.startedMillis().getAsLong() != recorded;
+	}
+
+	/**
+	 * Records that the owner record names the former incarnation of a worker. The worker
+	 * accepts no work until a record names the current one.
+	 * @param worker the worker
+	 */
+	void markRestarted(PoolWorker worker) {
+		worker.clearRecorded();
+		this.recordedWorkers.remove(worker.id());
 	}
 
 	/**
@@ -131,6 +173,7 @@
 	void abandonRecovery() {
 		this.unreconciledWorkers.clear();
 		this.unconfirmedTasks.clear();
+		this.recordedIncarnations.clear();
 	}
 
 	/**
@@ -161,9 +204,11 @@
 	RecordedWorkers workersToRecord() {
 		Set<String> ids = new HashSet<>(this.unreconciledWorkers);
 		Map<String, List<String>> closed = new HashMap<>();
+		Map<String, Long> incarnations = new HashMap<>(this.recordedIncarnations);
 		this.unconfirmedTasks
 			.forEach((worker, tasks) -> closed.put(worker, tasks.stream().map(TaskKey::toString).toList()));
 		for (PoolWorker worker : this.workers.values()) {
+			worker.incarnation().startedMillis().ifPresent((millis) -> incarnations.put(worker.id(), millis));
 			if (worker.isUsable()) {
 				ids.add(worker.id());
 				continue;
@@ -174,7 +219,8 @@
 				closed.put(worker.id(), worker.runs().stream().map((run) -> run.task().toString()).toList());
 			}
 		}
-		return new RecordedWorkers(ids.stream().sorted().toList(), closed).bounded();
+		incarnations.keySet().removeIf((id) -> !ids.contains(id) && !closed.containsKey(id));
+		return new RecordedWorkers(ids.stream().sorted().toList(), closed, incarnations).bounded();
 	}
 
 	boolean hasUnrecordedWorkers() {
@@ -196,40 +242,60 @@
 	}
 
 	/**
-	 * Records which workers the durable owner record contains.
+	 * Records which workers the durable owner record contains. A worker that has
+	 * restarted since the record was composed does not count.
 	 * @param ids the ids of the workers
+	 * @param incarnations when the workers' incarnations in the record were started
 	 */
-	void markRecorded(Collection<String> ids) {
+	void markRecorded(Collection<String> ids, Map<String, Long> incarnations) {
 		this.recordedWorkers.clear();
-		this.recordedWorkers.addAll(ids);
-		ids.stream().map(this.workers::get).filter((worker) -> worker != null).forEach(PoolWorker::markRecorded);
+		for (String id : ids) {
+			PoolWorker worker = this.workers.get(id);
+			if (worker == null) {
+				this.recordedWorkers.add(id);
+			}
+			else if (Objects.equals(incarnations.get(id), startedMillis(worker))) {
+				this.recordedWorkers.add(id);
+				worker.markRecorded();
+			}
+		}
 	}
 
-	/**
-	 * Returns up to which sequence number the terminations of each worker are processed.
-	 * @return the sequence numbers by the worker's id
-	 */
-	Map<String, Long> processedSequences() {
-		Map<String, Long> sequences = new HashMap<>();
-		this.workers.values().forEach((worker) -> sequences.put(worker.id(), worker.terminations().processed()));
-		return sequences;
+	private static Long startedMillis(PoolWorker worker) {
+		OptionalLong millis = worker.incarnation().startedMillis();
+		return millis.isPresent() ? millis.getAsLong() : null;
 	}
 
 	/**
-	 * Records up to which sequence number the terminations of workers are durable.
-	 * @param sequences the sequence numbers by the worker's id
+	 * Returns up to which sequence number the terminations of each incarnation are
+	 * processed.
+	 * @return the sequence numbers
 	 */
-	void markDurable(Map<String, Long> sequences) {
-		sequences
-			.forEach((id, sequence) -> worker(id).ifPresent((worker) -> worker.terminations().markDurable(sequence)));
+	Map<TerminationSequence, Long> processedSequences() {
+		Map<TerminationSequence, Long> sequences = new HashMap<>();
+		this.workers.values()
+			.forEach((worker) -> sequences.put(worker.terminations(), worker.terminations().processed()));
+		return sequences;
 	}
 
 	Optional<PoolWorker> worker(String id) {
 		return Optional.ofNullable(this.workers.get(id));
 	}
 
-	void remove(String id) {
-		this.workers.remove(id);
+	void remove(PoolWorker worker) {
+		if (this.workers.remove(worker.id(), worker)) {
+			this.firstTokenGeneration = Math.max(this.firstTokenGeneration, worker.incarnation().tokenGeneration());
+		}
+	}
+
+	/**
+	 * Removes a worker at whose address another worker answers. It is added again only
+	 * when its entry in the list changes.
+	 * @param worker the worker
+	 */
+	void removeReplaced(PoolWorker worker) {
+		remove(worker);
+		this.replacedEntries.put(worker.id(), worker.info());
 	}
 
 	Collection<PoolWorker> workers() {
@@ -253,14 +319,27 @@
 		return (capacity > 0) ? (double) used / capacity : 1;
 	}
 
+	/**
+	 * What an update from the worker list has changed. Immutable.
+	 *
+	 * @param added the workers that were added
+	 * @param restarted the workers that are listed as restarted
+	 */
+	record ListChanges(List<PoolWorker> added, List<PoolWorker> restarted) {
+
+	}
+
 	/**
 	 * The workers in an owner record. Immutable.
 	 *
 	 * @param workers ids of the workers on which any task may run
 	 * @param closedWorkers tasks that may run on workers that accept no new work, by the
 	 * worker's id
+	 * @param incarnations by the worker's id, when its incarnation was started; without
+	 * workers that do not tell
 	 */
-	record RecordedWorkers(List<String> workers, Map<String, List<String>> closedWorkers) {
+	record RecordedWorkers(List<String> workers, Map<String, List<String>> closedWorkers,
+			Map<String, Long> incarnations) {
 
 		/** Maximum tasks in a record: a row takes 48 KB, a task 24 bytes. */
 		private static final int MAX_TASKS = 1000;
@@ -275,7 +354,7 @@
 				.distinct()
 				.sorted()
 				.toList();
-			return new RecordedWorkers(all, Map.of());
+			return new RecordedWorkers(all, Map.of(), this.incarnations);
 		}
 
 	}
