Do not take several crashing tasks for an outage of their rack

With workers that restart under their ids, a job with twelve crashing tasks on 24 workers ended half of the rack within two seconds, twice: 28 workers instead of 25. An outage makes the crashes merely possible, so the tasks were not isolated.

A worker that ran a task under which workers certainly crashed before does not show an outage; three others have to be lost together with it. Power losses alone give no such task.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CrashTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CrashTracker.java
@@ -60,7 +60,15 @@
 	 * @param worker the worker
 	 */
 	void workerUnreachable(PoolWorker worker) {
-		this.outages.workerUnreachable(worker, this.clock.nanos());
+		boolean hasCrashingTask = worker.runs().stream().anyMatch((run) -> hasCertainlyCrashedWorkers(run.task()));
+		this.outages.workerUnreachable(worker, hasCrashingTask, this.clock.nanos());
+	}
+
+	private boolean hasCertainlyCrashedWorkers(TaskKey task) {
+		return this.jobs.job(task.job())
+			.filter((job) -> task.step() < job.submission().steps().size())
+			.map((job) -> job.progress(task.stepKey()).crashes(task.index()).confirmed() > 0)
+			.orElse(false);
 	}
 
 	boolean isPartOfOutage(PoolWorker worker) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OutageDetector.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OutageDetector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * Detects that the workers of a rack or failure domain became unreachable together, as
@@ -31,14 +32,16 @@
 	/**
 	 * Records that a worker does not answer any more.
 	 * @param worker the worker
+	 * @param hasCrashingTask whether workers certainly crashed under one of its tasks
+	 * before, which probably is the reason
 	 * @param nowNanos the current monotonic time
 	 */
-	void workerUnreachable(PoolWorker worker, long nowNanos) {
+	void workerUnreachable(PoolWorker worker, boolean hasCrashingTask, long nowNanos) {
 		long oldest = nowNanos - TimeUnit.MILLISECONDS.toNanos(MAX_RESTART_MILLIS);
 		while (!this.lastContacts.isEmpty() && this.lastContacts.peekFirst().nanos() - oldest < 0) {
 			this.lastContacts.removeFirst();
 		}
-		this.lastContacts.addLast(new Contact(worker.info(), nowNanos));
+		this.lastContacts.addLast(new Contact(worker.info(), hasCrashingTask, nowNanos));
 	}
 
 	/**
@@ -61,17 +64,19 @@
 	private static boolean isOutageOf(Function<WorkerInfo, String> group, WorkerInfo worker, List<Contact> together,
 			Collection<PoolWorker> workers) {
 		String name = group.apply(worker);
-		long lost = together.stream()
-			.map(Contact::worker)
-			.filter((other) -> group.apply(other).equals(name))
-			.map(WorkerInfo::id)
-			.distinct()
-			.count();
+		List<Contact> lost = together.stream().filter((contact) -> group.apply(contact.worker()).equals(name)).toList();
 		long size = workers.stream().filter((other) -> group.apply(other.info()).equals(name)).count();
-		return lost >= MIN_WORKERS && lost >= MIN_SHARE * size;
+		// Several crashing tasks can end half of a rack at once, but nothing else with
+		// it.
+		long unexplained = countWorkers(lost.stream().filter((contact) -> !contact.hasCrashingTask()));
+		return unexplained >= MIN_WORKERS && countWorkers(lost.stream()) >= MIN_SHARE * size;
 	}
 
-	private record Contact(WorkerInfo worker, long nanos) {
+	private static long countWorkers(Stream<Contact> contacts) {
+		return contacts.map((contact) -> contact.worker().id()).distinct().count();
+	}
+
+	private record Contact(WorkerInfo worker, boolean hasCrashingTask, long nanos) {
 
 	}
 
