Do not avoid a worker for the failures of its former incarnation

A worker that was restarted because all its tasks failed got no work until the pause for its failures was over. Red before: isNotAvoidedForFailuresOfItsFormerIncarnation.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -19,8 +19,6 @@
  */
 final class PoolWorker {
 
-	private final FailureStreak failures = new FailureStreak();
-
 	private final RunSet runs = new RunSet();
 
 	private final ResponseTimes responses = new ResponseTimes();
@@ -140,7 +138,7 @@
 	 * @return {@code true} if the worker accepts new work
 	 */
 	boolean isAcceptingWork(long nowNanos) {
-		return isUsable() && !this.suspected && this.recorded && !this.failures.isAvoided(nowNanos);
+		return isUsable() && !this.suspected && this.recorded && !failures().isAvoided(nowNanos);
 	}
 
 	/**
@@ -379,7 +377,7 @@
 	}
 
 	FailureStreak failures() {
-		return this.failures;
+		return this.incarnation.failures();
 	}
 
 	boolean isReachable() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -16,6 +16,8 @@
 
 	private final TerminationSequence terminations;
 
+	private final FailureStreak failures = new FailureStreak();
+
 	private final Optional<Predecessor> predecessor;
 
 	private OptionalLong startedMillis;
@@ -157,6 +159,14 @@
 		this.verified = true;
 	}
 
+	/**
+	 * Returns the failures of tasks on this incarnation.
+	 * @return the failures in a row
+	 */
+	FailureStreak failures() {
+		return this.failures;
+	}
+
 	/**
 	 * The former incarnation of a worker. Immutable.
 	 *
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
@@ -222,6 +222,27 @@
 				.allMatch((lost) -> lost.crash().equals("NONE"));
 		}
 
+		@Test
+		void isNotAvoidedForFailuresOfItsFormerIncarnation() {
+			SimulatedCell cell = RestartsUnderTheSameIdTests.this.cell;
+			cell.workers.find("w0").setFailing(true);
+			for (int i = 1; i < WORKERS; i++) {
+				cell.workers.drain("w" + i);
+			}
+			cell.addScheduler();
+			cell.time.runFor(500);
+			for (int i = 0; i < 4; i++) {
+				cell.submit("bad" + i, 1, SimulatedCell.step(1, false));
+			}
+			cell.time.runFor(1500);
+			assertThat(decisions(PoolDecision.WorkerAvoided.class)).isNotEmpty();
+			restart(0, 100);
+			cell.time.runFor(1000);
+			cell.submit("a", SimulatedCell.step(1, false));
+			cell.time.runFor(1000);
+			cell.assertCompleted("a");
+		}
+
 		@Test
 		void isUsedAgainAtOnce() {
 			SimulatedCell cell = RestartsUnderTheSameIdTests.this.cell;
