Start tasks elsewhere once their cut-off worker is listed as restarted

A worker that restarts behind a cut is listed with its new start while it cannot be polled. Runs whose only start request was answered cannot be executed by the new incarnation: they are lost with the former one at once. Runs with an unanswered start still wait, as the new incarnation may execute it. Red before: tasksOfAWorkerBehindACutAreStartedElsewhereOnceItIsListedAsRestarted.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -34,6 +34,8 @@
 
 	private boolean startConfirmed;
 
+	private boolean startRepeated;
+
 	private String checkpoint = "";
 
 	private long estimatedEndNanos;
@@ -140,6 +142,21 @@
 		return this.startConfirmed;
 	}
 
+	/**
+	 * Records that the start request is sent once more, as it was not answered.
+	 */
+	void markStartRepeated() {
+		this.startRepeated = true;
+	}
+
+	/**
+	 * Returns whether no start request of this run can be executed any more.
+	 * @return {@code false} if a request is unanswered
+	 */
+	boolean isStartResolved() {
+		return this.startConfirmed && !this.startRepeated;
+	}
+
 	void updateCheckpoint(String latest) {
 		if (!latest.isEmpty()) {
 			this.checkpoint = latest;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -109,7 +109,7 @@
 	 * @param worker the worker
 	 */
 	void handleListedRestart(PoolWorker worker) {
-		this.poller.handleRestart(worker, worker.info().startedMillis(), -1);
+		this.poller.handleListedRestart(worker);
 	}
 
 	/**
@@ -246,6 +246,7 @@
 			boolean isWanted = run.state() == Run.State.STARTING && worker.incarnation() == incarnation
 					&& worker.run(run.task()).filter((active) -> active == run).isPresent();
 			if (isWanted && !this.closed) {
+				run.markStartRepeated();
 				send(step, run, worker, request, retries);
 			}
 		}, START_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -26,6 +26,8 @@
 
 	private boolean verified;
 
+	private boolean lossLogged;
+
 	private WorkerIncarnation(WorkerLease lease, TerminationSequence terminations, OptionalLong startedMillis,
 			int tokenGeneration, Optional<Predecessor> predecessor) {
 		this.lease = lease;
@@ -159,6 +161,17 @@
 		this.verified = true;
 	}
 
+	/**
+	 * Records that the loss of the former incarnation is logged.
+	 */
+	void markLossLogged() {
+		this.lossLogged = true;
+	}
+
+	boolean isLossLogged() {
+		return this.lossLogged;
+	}
+
 	/**
 	 * Returns the failures of tasks on this incarnation.
 	 * @return the failures in a row
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -88,6 +88,22 @@
 		this.pool.markRestarted(worker);
 	}
 
+	/**
+	 * Handles runs that certainly ended with a former incarnation of their worker, as no
+	 * later one can execute their starts. They do not wait for its report, which may take
+	 * long if the worker is cut off.
+	 * @param worker the worker
+	 * @param runs the runs
+	 */
+	void handleEndedWithFormerIncarnation(PoolWorker worker, List<Run> runs) {
+		if (runs.isEmpty()) {
+			return;
+		}
+		logLoss(worker, RunLoss.WORKER_REPLACED, runs.size());
+		loseRuns(worker, runs);
+		worker.incarnation().markLossLogged();
+	}
+
 	/**
 	 * Handles the first report of an incarnation of a worker: runs that were started on
 	 * former incarnations and are not reported are lost.
@@ -114,10 +130,17 @@
 			.stream()
 			.filter((run) -> !reported.contains(run.task()) || isReportedWithAnotherAttempt(run, report))
 			.toList();
-		if (!worker.isLost()) {
+		boolean isLogged = worker.isLost() || worker.incarnation().isLossLogged();
+		if (!isLogged || !lost.isEmpty()) {
 			logLoss(worker, RunLoss.WORKER_REPLACED, lost.size());
 		}
-		lost.forEach((run) -> this.terminations.handleLostRun(worker, run, RunLoss.WORKER_REPLACED, lost.size() - 1));
+		loseRuns(worker, lost);
+	}
+
+	private void loseRuns(PoolWorker worker, List<Run> runs) {
+		for (Run run : runs) {
+			this.terminations.handleLostRun(worker, run, RunLoss.WORKER_REPLACED, runs.size() - 1);
+		}
 	}
 
 	private static boolean isReportedWithAnotherAttempt(Run run, PollOutcome.Report report) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -185,6 +185,16 @@
 		this.listener.stateChanged();
 	}
 
+	/**
+	 * Handles a worker that is listed as restarted.
+	 * @param worker the worker
+	 */
+	void handleListedRestart(PoolWorker worker) {
+		List<Run> endedRuns = worker.runs().stream().filter(Run::isStartResolved).toList();
+		handleRestart(worker, worker.info().startedMillis(), -1);
+		this.losses.handleEndedWithFormerIncarnation(worker, endedRuns);
+	}
+
 	/**
 	 * Handles the restart of a worker under its id.
 	 * @param worker the worker
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
@@ -167,6 +167,24 @@
 		assertThat(decisions(PoolDecision.WorkerRestarted.class)).hasSize(2);
 	}
 
+	@Test
+	void tasksOfAWorkerBehindACutAreStartedElsewhereOnceItIsListedAsRestarted() {
+		SimulatedCell.Scheduler owner = this.cell.withRunMillis(5000).addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.submit("a", SimulatedCell.step(1, false));
+		this.cell.time.runFor(300);
+		String worker = this.cell.workers.workerRunning(TASK);
+		owner.workerClient.disconnect(worker);
+		this.cell.workers.crashAndRestart(this.cell.workers.find(worker), 200);
+		this.cell.time.runFor(600);
+		assertThat(this.cell.workers.workerRunning(TASK)).isNotEqualTo(worker);
+		this.cell.time.runFor(8000);
+		owner.workerClient.reconnect(worker);
+		this.cell.time.runFor(2000);
+		this.cell.assertCompleted("a");
+		assertThat(decisions(PoolDecision.WorkerLost.class)).hasSize(1);
+	}
+
 	@Test
 	void aRestartIsLoggedOnceWithBothIncarnations() {
 		this.cell.addScheduler();
