Resolve runs by attempt when a restarted worker reports

Found in review, no run showed it: a restarted worker that lists an earlier attempt of a task, of which a later one had been sent to it, left the later one unresolved, as its start is not repeated. Runs are compared by task and attempt. A late answer of a worker that was removed, and may have been added again, is ignored. Runs of earlier owners may have unanswered starts and wait for the report, too.

TaskPlaced names the worker's incarnation; the reason of a lost run no longer says "life".

--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -34,8 +34,8 @@
 
 	@Test
 	void recordTheQueueWaitOfFirstAttemptsOnly() {
-		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 1, "w", 1, 5, 300));
-		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 2, "w", 1, 5, 9000));
+		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 1, "w", -1, 1, 5, 300));
+		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 2, "w", -1, 1, 5, 9000));
 		assertThat(this.metrics.histogram("pool.queue_wait.millis").getSnapshot().getMax()).isEqualTo(300);
 		assertThat(count("pool.starts.sent")).isEqualTo(2);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -137,12 +137,14 @@
 	 * @param task the task
 	 * @param attempt the attempt
 	 * @param worker the worker
-	 * @param fence the fencing token
+	 * @param workerStartedMillis when the worker's incarnation was started, epoch
+	 * milliseconds on its clock, -1 if it does not tell
+	 * @param fence the epoch of the owner
 	 * @param lookAgeMillis age of the last successful poll of the worker
 	 * @param waitedMillis time since the job was accepted
 	 */
-	record TaskPlaced(String job, String task, int attempt, String worker, long fence, long lookAgeMillis,
-			long waitedMillis) implements JobDecision {
+	record TaskPlaced(String job, String task, int attempt, String worker, long workerStartedMillis, long fence,
+			long lookAgeMillis, long waitedMillis) implements JobDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -151,10 +151,10 @@
 
 	/**
 	 * Returns whether no start request of this run can be executed any more.
-	 * @return {@code false} if a request is unanswered
+	 * @return {@code false} if a request is unanswered, possibly one of an earlier owner
 	 */
 	boolean isStartResolved() {
-		return this.startConfirmed && !this.startRepeated;
+		return this.startConfirmed && !this.startRepeated && !this.adopted;
 	}
 
 	void updateCheckpoint(String latest) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -150,7 +150,8 @@
 		worker.add(run);
 		step.addRun(run);
 		this.log.write(new JobDecision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(),
-				this.ownerLease.epoch(), worker.lease().clockAgeMillis(now), this.terminations.ageMillis(step.job())));
+				worker.incarnation().startedMillis().orElse(-1), this.ownerLease.epoch(),
+				worker.lease().clockAgeMillis(now), this.terminations.ageMillis(step.job())));
 		RunStartRequest request = new RunStartRequest(task, attempt, step.job().submission().spec(), 0,
 				fencingToken(worker), step.progress().checkpoint(index), ticket);
 		send(step, run, worker, request, 0);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunLoss.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunLoss.java
@@ -5,8 +5,11 @@
  */
 enum RunLoss {
 
-	/** A later incarnation of the worker answered. */
-	WORKER_REPLACED("another life of the worker answers"),
+	/**
+	 * A later incarnation of the worker is listed or reported without the run, or another
+	 * worker answered at its address.
+	 */
+	WORKER_REPLACED("its worker has restarted or was replaced"),
 
 	/** The worker was unreachable until its lease expired. */
 	LEASE_EXPIRED("its lease has lapsed"),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.events.PoolDecision;
@@ -111,24 +112,26 @@
 	 * @param report the report
 	 */
 	void handleFirstReport(PoolWorker worker, PollOutcome.Report report) {
-		Set<TaskKey> reported = new HashSet<>();
-		report.runningTasks().forEach((running) -> reported.add(running.task()));
-		report.terminatedTasks().forEach((terminated) -> reported.add(terminated.task()));
+		Set<RunId> reported = new HashSet<>();
+		report.runningTasks().forEach((running) -> reported.add(new RunId(running.task(), running.attempt())));
+		report.terminatedTasks()
+			.forEach((terminated) -> reported.add(new RunId(terminated.task(), terminated.attempt())));
 		if (this.pool.hasRestartedSinceRecord(worker.id(), report)) {
 			this.pool.markRestarted(worker);
-			handleInheritedLosses(worker, reported);
+			handleInheritedLosses(worker, reported.stream().map(RunId::task).collect(Collectors.toSet()));
 		}
 		if (worker.incarnation().unresolvedPredecessor().isPresent()) {
-			loseUnreportedRuns(worker, report, reported);
+			loseUnreportedRuns(worker, reported);
 		}
 		worker.incarnation().markVerified();
 	}
 
-	private void loseUnreportedRuns(PoolWorker worker, PollOutcome.Report report, Set<TaskKey> reported) {
-		reported.addAll(worker.terminations().unprocessedTasks());
+	private void loseUnreportedRuns(PoolWorker worker, Set<RunId> reported) {
+		Set<TaskKey> unprocessed = worker.terminations().unprocessedTasks();
 		List<Run> lost = worker.runs()
 			.stream()
-			.filter((run) -> !reported.contains(run.task()) || isReportedWithAnotherAttempt(run, report))
+			.filter((run) -> !reported.contains(new RunId(run.task(), run.attempt())))
+			.filter((run) -> !unprocessed.contains(run.task()))
 			.toList();
 		boolean isLogged = worker.isLost() || worker.incarnation().isLossLogged();
 		if (!isLogged || !lost.isEmpty()) {
@@ -143,12 +146,6 @@
 		}
 	}
 
-	private static boolean isReportedWithAnotherAttempt(Run run, PollOutcome.Report report) {
-		return report.runningTasks()
-			.stream()
-			.anyMatch((running) -> running.task().equals(run.task()) && running.attempt() != run.attempt());
-	}
-
 	// Runs of earlier owners on a worker that has restarted, or was replaced, since.
 	private void handleInheritedLosses(PoolWorker worker, Set<TaskKey> reported) {
 		Set<TaskKey> inherited = this.pool.unconfirmedTasks(worker.id());
@@ -237,4 +234,8 @@
 				lostRuns));
 	}
 
+	private record RunId(TaskKey task, int attempt) {
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -102,8 +102,7 @@
 	 */
 	void poll(PoolWorker worker) {
 		WorkerIncarnation incarnation = worker.incarnation();
-		boolean isKnown = this.pool.worker(worker.id()).filter((known) -> known == worker).isPresent();
-		if (this.closed || !isKnown) {
+		if (this.closed || !isInPool(worker)) {
 			this.terminationsProcessedNanos.remove(incarnation);
 			return;
 		}
@@ -127,6 +126,11 @@
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> handleOutcome(poll, outcome)));
 	}
 
+	// A worker that was removed may have been added again as another object.
+	private boolean isInPool(PoolWorker worker) {
+		return this.pool.worker(worker.id()).filter((known) -> known == worker).isPresent();
+	}
+
 	private void pollAfter(PoolWorker worker, WorkerIncarnation incarnation, long delayMillis) {
 		this.control.schedule(() -> {
 			if (worker.incarnation() == incarnation) {
@@ -137,7 +141,7 @@
 
 	private void handleOutcome(SentPoll poll, PollOutcome outcome) {
 		PoolWorker worker = poll.worker();
-		if (this.closed || worker.incarnation() != poll.incarnation()) {
+		if (this.closed || worker.incarnation() != poll.incarnation() || !isInPool(worker)) {
 			return;
 		}
 		if (outcome instanceof PollOutcome.Report report) {
@@ -181,6 +185,9 @@
 	 * @param worker the worker
 	 */
 	void handleReplaced(PoolWorker worker) {
+		if (!isInPool(worker)) {
+			return;
+		}
 		this.losses.handleReplaced(worker);
 		this.listener.stateChanged();
 	}
