Soak hosts with workers that restart under the id that they had

Each seed of the soak with crashing tasks runs twice: crashed workers are back under another id or under theirs, then with a new start, a clock that begins anew and ends numbered from 1.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
@@ -16,13 +16,16 @@
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
 import org.monsoonrelay.standin.Await;
+import org.monsoonrelay.systemtests.host.PlatformFake.RestartedId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Guards against tasks that take one worker after another, and against jobs that are lost
  * or given up because they met them, while hosts are stopped, killed, paused and hung up
- * in series that overlap. By hand with the properties of {@link HostSoakTests}.
+ * in series that overlap. Crashed workers restart under another id or, in a second run of
+ * each seed, under that which they had. By hand with the properties of
+ * {@link HostSoakTests}.
  */
 class CrashingTasksSoakTests {
 
@@ -43,17 +46,19 @@
 	Stream<DynamicTest> tasksThatCrashTheirWorkersAreGivenUpAndAllOthersAreDone() {
 		long first = Long.getLong("soak.first", 1);
 		return LongStream.range(first, first + Long.getLong("soak.seeds", 1))
-			.mapToObj((seed) -> DynamicTest.dynamicTest("seed " + seed, () -> soak(seed)));
+			.boxed()
+			.flatMap((seed) -> Stream.of(RestartedId.values())
+				.map((id) -> DynamicTest.dynamicTest("seed " + seed + ", restarted id " + id, () -> soak(seed, id))));
 	}
 
-	private static void soak(long seed) throws Exception {
-		Path folder = Files.createDirectories(Path.of("target", "soak", "crashes-" + seed));
+	private static void soak(long seed, RestartedId id) throws Exception {
+		Path folder = Files.createDirectories(Path.of("target", "soak", "crashes-" + seed + "-" + id));
 		List<String> faults = Collections.synchronizedList(new ArrayList<>());
 		long pid = ProcessHandle.current().pid();
 		String net = "127.%d.%d.".formatted(1 + pid % 250, pid / 250 % 250);
 		ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
 		List<SoakHost> hosts = new ArrayList<>();
-		try (PlatformFake platform = new PlatformFake(net + 1, PLATFORM_PORT, WORKERS)) {
+		try (PlatformFake platform = new PlatformFake(net + 1, PLATFORM_PORT, WORKERS, id)) {
 			for (int i = 0; i < Integer.getInteger("soak.hosts", 4); i++) {
 				hosts.add(new SoakHost("host-" + i, net + (10 + i), net + 1 + ":" + PLATFORM_PORT, folder, timer,
 						faults::add));
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -45,6 +45,8 @@
 
 	private final WorkerCrashes crashes;
 
+	private final RestartedId restartedId;
+
 	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
 
 	private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -52,6 +54,11 @@
 	private final HttpServer server;
 
 	PlatformFake(String ip, int port, int workerCount) {
+		this(ip, port, workerCount, RestartedId.NEW);
+	}
+
+	PlatformFake(String ip, int port, int workerCount, RestartedId restartedId) {
+		this.restartedId = restartedId;
 		try {
 			this.server = HttpServer.create(new InetSocketAddress(ip, port), 0);
 		}
@@ -64,7 +71,8 @@
 		for (int i = 0; i < workerCount; i++) {
 			addWorker("w" + i, gangs, """
 					{"service": "soak", "address": "%s:%d", "zone": "d%d", "state": "ready", "labels": ["r%d"],
-					 "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}}""".formatted(ip, port, i % 2, i / 4));
+					 "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}, "born": %%d}""".formatted(ip, port, i % 2,
+					i / 4));
 		}
 		this.server.setExecutor(this.threads);
 		this.server.createContext("/", this::handle);
@@ -72,12 +80,31 @@
 	}
 
 	private void addWorker(String id, GangFake gangs, String entry) {
-		this.workers.put(id, new WorkerFake(this.timer, gangs));
-		put("servers", id, entry);
-		this.crashes.onRestart(id, () -> {
-			this.table.put("servers", id, null);
-			addWorker(id + "x", gangs, entry);
-		});
+		WorkerFake worker = new WorkerFake(this.timer, gangs);
+		this.workers.put(id, worker);
+		put("servers", id, entry.formatted(worker.startedMillis()));
+		this.crashes.onRestart(id, () -> restartWorker(id, gangs, entry));
+	}
+
+	private void restartWorker(String id, GangFake gangs, String entry) {
+		if (this.restartedId == RestartedId.SAME) {
+			addWorker(id, gangs, entry);
+			return;
+		}
+		this.crashes.markReplaced(id);
+		this.table.put("servers", id, null);
+		addWorker(id + "x", gangs, entry);
+	}
+
+	/** The id of a worker that restarts. */
+	enum RestartedId {
+
+		/** Another one than before. */
+		NEW,
+
+		/** That which it had. */
+		SAME
+
 	}
 
 	/**
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerCrashes.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerCrashes.java
@@ -15,8 +15,9 @@
 
 /**
  * Jobs whose tasks crash each worker that starts them. A crashed worker does not answer
- * for a while; then it is back under another id. Invariant: a task that is started three
- * times more after three workers crashed under it is a violation. Thread-safe.
+ * for a while; then it is back, under its id or another one. Invariant: a task that is
+ * started three times more after three workers crashed under it is a violation.
+ * Thread-safe.
  */
 final class WorkerCrashes {
 
@@ -68,6 +69,14 @@
 		this.crashingJobs.add(job);
 	}
 
+	/**
+	 * Record that a worker is back under another id.
+	 * @param worker the former id
+	 */
+	void markReplaced(String worker) {
+		this.replaced.add(worker);
+	}
+
 	boolean isReplaced(String worker) {
 		return this.replaced.contains(worker);
 	}
@@ -91,7 +100,8 @@
 		String task = order.path("task").asText();
 		boolean isStart = path.equals("/api/run-start") && code == OK;
 		if (!isStart || !this.crashingJobs.contains(task.split("\\.")[0])
-				|| !this.seenStarts.add(worker + ' ' + task + ' ' + order.path("attempt").asInt())) {
+				|| !this.seenStarts.add(worker + ' ' + System.identityHashCode(this.workers.get(worker)) + ' ' + task
+						+ ' ' + order.path("attempt").asInt())) {
 			return;
 		}
 		if (this.crashesByTask.getOrDefault(task, 0) >= LIMIT) {
@@ -108,10 +118,7 @@
 		this.crashesByTask.merge(task, 1, Integer::sum);
 		worker.crash();
 		this.crashed.add(worker);
-		this.timer.schedule(() -> {
-			this.replaced.add(id);
-			this.restarts.get(id).run();
-		}, RESTART_MILLIS, TimeUnit.MILLISECONDS);
+		this.timer.schedule(this.restarts.get(id), RESTART_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
@@ -12,9 +12,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * A worker whose tasks are done after a while that their names tell, those of a gang
- * together. Invariants: orders of an older fence than one seen are refused; of a task
- * only attempts higher than those seen are run. Thread-safe.
+ * One incarnation of a worker whose tasks are done after a while that their names tell,
+ * those of a gang together. Its clock and the numbers of its ends begin with it.
+ * Invariants: orders of an older fence than one seen are refused; of a task only attempts
+ * higher than those seen are run. Thread-safe.
  */
 final class WorkerFake {
 
@@ -47,6 +48,10 @@
 
 	private final Set<String> begun = new HashSet<>();
 
+	private final long startedMillis = System.currentTimeMillis();
+
+	private final long startedNanos = System.nanoTime();
+
 	private long fence;
 
 	private long forgotten;
@@ -121,7 +126,12 @@
 		}
 		List<List<Object>> lives = new ArrayList<>();
 		this.running.forEach((task, attempt) -> lives.add(List.of(task, attempt, "", 100)));
-		return new Answer(OK, Map.of("clock_ms", clock(), "running", lives, "finished", List.copyOf(this.ended)));
+		return new Answer(OK, Map.of("born", this.startedMillis, "clock_ms", clock(), "running", lives, "finished",
+				List.copyOf(this.ended)));
+	}
+
+	long startedMillis() {
+		return this.startedMillis;
 	}
 
 	/**
@@ -152,16 +162,16 @@
 		return told < this.fence;
 	}
 
-	private static Answer taken() {
+	private Answer taken() {
 		return new Answer(OK, Map.of("clock_ms", clock()));
 	}
 
-	private static Answer refused(String reason) {
+	private Answer refused(String reason) {
 		return new Answer(REFUSED, Map.of("clock_ms", clock(), "reason", reason));
 	}
 
-	private static long clock() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	private long clock() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos);
 	}
 
 	/**
