--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LeasesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LeasesTests.java
@@ -59,6 +59,21 @@
 			assertThat(this.lease.isExpired(LeasesTests.this.nowNanos)).isTrue();
 		}
 
+		@Test
+		void thatTheFormerIncarnationCausedAreTakenIntoAccount() {
+			WorkerLease restarted = WorkerLease.ofRestartedWorker(LeasesTests.this.nowNanos);
+			advance(10_200);
+			assertThat(restarted.isExpired(LeasesTests.this.nowNanos)).isFalse();
+			restarted.updateClock(40, LeasesTests.this.nowNanos);
+			advance(10_200);
+			assertThat(restarted.isExpired(LeasesTests.this.nowNanos)).isFalse();
+			advance(10);
+			assertThat(restarted.isExpired(LeasesTests.this.nowNanos)).isTrue();
+			WorkerLease silent = WorkerLease.ofRestartedWorker(LeasesTests.this.nowNanos);
+			advance(10_210);
+			assertThat(silent.isExpired(LeasesTests.this.nowNanos)).isTrue();
+		}
+
 		@Test
 		void ignoreClockReadingsThatArriveOutOfOrder() {
 			this.lease.updateClock(25_000, LeasesTests.this.nowNanos);
@@ -86,6 +101,18 @@
 			assertThat(this.term.canGrantLeases()).isFalse();
 		}
 
+		@Test
+		void haveFencingTokensBetweenTheEpochsOfOwners() {
+			PoolClock clock = new PoolClock(() -> LeasesTests.this.nowNanos, () -> LeasesTests.this.nowMillis);
+			OwnerLease first = new OwnerLease(OwnerLease.TOKENS_PER_EPOCH, clock);
+			OwnerLease next = new OwnerLease(2 * OwnerLease.TOKENS_PER_EPOCH, clock);
+			assertThat(first.fencingToken(0)).isEqualTo(1);
+			assertThat(first.fencingToken(1)).isEqualTo(2);
+			assertThat(first.fencingToken(1000)).isEqualTo(first.epoch()).isLessThan(next.fencingToken(0));
+			assertThat(first.isLastFencingToken(98)).isFalse();
+			assertThat(first.isLastFencingToken(99)).isTrue();
+		}
+
 		@Test
 		void expireAtOnceAfterTheProcessWasSuspended() {
 			this.term.renewed(LeasesTests.this.nowNanos, LeasesTests.this.nowMillis);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,57 @@
 		assertThat(this.worker.free()).isEqualTo(new Resources(200, 900, 1));
 	}
 
+	private static WorkerInfo infoOfIncarnation(long startedMillis) {
+		WorkerInfo info = info(1000);
+		return new WorkerInfo(info.id(), info.service(), info.address(), info.failureDomain(), info.capacity(),
+				info.labels(), info.rack(), false, 0, OptionalLong.of(startedMillis));
+	}
+
+	@Test
+	void anEntryOfALaterIncarnationTellsOfARestartOnce() {
+		this.worker.update(infoOfIncarnation(100));
+		this.worker.incarnation().recordReport(reportOfIncarnation(100), 0);
+		assertThat(this.worker.update(infoOfIncarnation(100))).isFalse();
+		assertThat(this.worker.update(infoOfIncarnation(200))).isTrue();
+		assertThat(this.worker.update(infoOfIncarnation(200))).isFalse();
+	}
+
+	@Test
+	void aLateEntryOfAFormerIncarnationTellsOfNoRestartAndIsNotUsed() {
+		this.worker.incarnation().recordReport(reportOfIncarnation(200), 0);
+		this.worker.markReachable();
+		assertThat(this.worker.update(infoOfIncarnation(100))).isFalse();
+		assertThat(this.worker.isUsable()).isFalse();
+		this.worker.update(infoOfIncarnation(200));
+		assertThat(this.worker.isUsable()).isTrue();
+	}
+
+	@Test
+	void aRestartKeepsTheRunsAndForgetsWhatWasAcknowledged() {
+		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
+		this.worker.run(TASK).orElseThrow().confirm(0);
+		this.worker.markReachable();
+		this.worker.terminations().markDurable(7);
+		assertThat(this.worker.acknowledgeableSequence()).isEqualTo(7);
+		this.worker.restart(OptionalLong.of(200), 0);
+		this.worker.markReachable();
+		assertThat(this.worker.acknowledgeableSequence()).isZero();
+		assertThat(this.worker.runCount()).isEqualTo(1);
+		assertThat(this.worker.incarnation().tokenGeneration()).isEqualTo(1);
+	}
+
+	@Test
+	void acknowledgesNothingWhileAStartIsUnanswered() {
+		this.worker.markReachable();
+		this.worker.terminations().markDurable(7);
+		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
+		assertThat(this.worker.acknowledgeableSequence()).isZero();
+	}
+
+	private static PollOutcome.Report reportOfIncarnation(long startedMillis) {
+		return new PollOutcome.Report(OptionalLong.of(startedMillis), 5, List.of(), List.of());
+	}
+
 	private static Run runWithEstimate(int index, long requestedMillis, long estimateMillis) {
 		Run run = Run.starting(new TaskKey("job", 0, 0, index), 1, "w", SIZE,
 				TimeUnit.MILLISECONDS.toNanos(requestedMillis));
