--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollOutcome.java
@@ -29,7 +29,7 @@
 	}
 
 	/**
-	 * A different incarnation of the worker answered, so the polled one no longer exists.
+	 * Another worker answered at the address, so the polled one no longer exists.
 	 */
 	record Gone() implements PollOutcome {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunRequestOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunRequestOutcome.java
@@ -41,7 +41,7 @@
 		/** The worker is unhealthy and did not execute the request. */
 		UNHEALTHY,
 
-		/** The addressed incarnation of the worker no longer exists. */
+		/** Another worker answered at the address. */
 		GONE,
 
 		/** No connection to the worker could be established. */
