--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -277,10 +277,6 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.dependencies.clock().nanos() - this.takenOverNanos);
 	}
 
-	private boolean canFormerOwnerStart() {
-		return ageMillis() < this.takeOver.formerOwnerStartMillis();
-	}
-
 	private void endTerm(String reason) {
 		if (this.closed) {
 			return;
@@ -295,7 +291,8 @@
 		@Override
 		public void submitted(Submission submission, Optional<JobProgress> progress, long version) {
 			PoolOwner owner = PoolOwner.this;
-			boolean isInherited = version <= owner.takeOver.version() || owner.canFormerOwnerStart();
+			boolean canFormerOwnerStart = owner.ageMillis() < owner.takeOver.formerOwnerStartMillis();
+			boolean isInherited = version <= owner.takeOver.version() || canFormerOwnerStart;
 			if (!owner.registry.add(submission, progress, isInherited)) {
 				return;
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -278,7 +278,7 @@
 	/**
 	 * Updates the description of this worker.
 	 * @param newer the entry of the worker list
-	 * @return {@code true} if the entry tells of a later incarnation for the first time
+	 * @return {@code true} if the entry is the first one of a later incarnation
 	 */
 	boolean update(WorkerInfo newer) {
 		boolean isOtherIncarnation = !newer.startedMillis().equals(this.info.startedMillis());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -105,7 +105,7 @@
 	}
 
 	/**
-	 * Handles a worker that the worker list tells to have restarted.
+	 * Handles a worker whose entry in the worker list shows a restart.
 	 * @param worker the worker
 	 */
 	void handleListedRestart(PoolWorker worker) {
@@ -167,7 +167,7 @@
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> {
 				boolean isReleased = worker.run(run.task()).filter((active) -> active == run).isEmpty();
 				if (this.closed || isReleased || !addressee.isCurrent(worker)) {
-					// After a restart, the next report tells whether the run is active.
+					// After a restart, the next report shows whether the run is active.
 					return;
 				}
 				if (addressee.hasRestarted(outcome)) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -110,8 +110,8 @@
 	}
 
 	/**
-	 * Returns whether a report stems from another incarnation: it tells of another start,
-	 * or, if the worker does not tell, its clock was reset.
+	 * Returns whether a report comes from another incarnation: its start differs or, if
+	 * the worker does not send one, its clock was reset.
 	 * @param report the report
 	 * @param clockWhenSent the last known reading of the worker's clock when the poll was
 	 * sent, milliseconds
@@ -125,7 +125,7 @@
 	}
 
 	/**
-	 * Returns whether an entry of the worker list tells of a later incarnation.
+	 * Returns whether an entry of the worker list describes a later incarnation.
 	 * @param listed the entry
 	 * @return {@code false} also if either start is not known
 	 */
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
@@ -62,6 +62,24 @@
 
 		private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
 
+		@Test
+		void wasLostAsItsWorkerRestartedUnderItsId() {
+			SimulatedCell cell = JobDiagnosisTests.this.cell.withRunMillis(2000);
+			cell.workers.setRestartedId(SimulatedWorkers.RestartedId.SAME);
+			cell.addScheduler();
+			cell.time.runFor(500);
+			cell.submit("a", SimulatedCell.step(1, false));
+			cell.time.runFor(300);
+			String holder = cell.workers.workerRunning(TASK);
+			cell.workers.crashAndRestart(cell.workers.find(holder), 100);
+			cell.time.runFor(6000);
+			JobTimeline story = cell.logs.story("a");
+			assertThat(events(story)).containsSubsequence("TaskPlaced", "WorkerRestarted", "WorkerLost", "TaskLost",
+					"TaskEnded", "JobEnded");
+			assertThat(causes(story)).contains("1 runs were lost with worker " + holder + ": its worker has restarted");
+			assertAtMostTwelveLines(story);
+		}
+
 		@Test
 		void wasLostWithItsWorker() {
 			SimulatedCell cell = JobDiagnosisTests.this.cell.withRunMillis(2000);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
@@ -11,7 +11,9 @@
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
+import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -348,6 +350,26 @@
 	@Nested
 	class FencingTokens {
 
+		@Test
+		void followTheEpochOfAnOwnerOfAnEarlierRelease() {
+			SimulatedCell cell = RestartsUnderTheSameIdTests.this.cell;
+			String row = """
+					{"holder":"h","host":"old","epoch":7,"sequence":9,"released":true,"workers":["w0","w1"],
+					"closed":{"w2":["a.0.0.0"]},"largest":null,"standbys":[],"confirming":true,"recordsCrashes":true}""";
+			cell.table.client()
+				.commit(PartitionWrite.to(JobTables.POOL_PARTITION).put(JobTables.OWNER, JobTables.OWNER_KEY, row));
+			for (int i = 0; i < WORKERS; i++) {
+				cell.workers.find("w" + i).stop(new TaskKey("other", 0, 0, 0), 1, 7);
+			}
+			cell.addScheduler();
+			cell.time.runFor(500);
+			restart(0, 100);
+			cell.submit("a", SimulatedCell.step(3, false));
+			cell.time.runFor(5000);
+			cell.assertCompleted("a");
+			assertThat(decisions(PoolDecision.OwnershipLost.class)).isEmpty();
+		}
+
 		@Test
 		void thatAreUsedUpLeadToAnotherOwner() {
 			SimulatedCell cell = RestartsUnderTheSameIdTests.this.cell;
