Show that an owner goes on without renewals, and how old its last one is

What callers saw of tasks that were started again behind a cut could not be told from the lines: nothing said that the former owner acted without renewals, or how old its belief to be the owner was when it started a task.

TaskPlaced has the age of the last renewal. OwnershipUnconfirmed and OwnershipConfirmed are written once for an outage, with what the owner still reaches; a counter pool.ownership.unconfirmed. "explain ID" names a task that a former owner started while its successor learnt of a good end: the lines of the former owner come first there, so that the rule for starts after an end did not see it. No logic of the owner changes.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -105,6 +105,9 @@
 		else if (decision instanceof PoolDecision.OwnershipLost) {
 			count("pool.ownership.lost");
 		}
+		else if (decision instanceof PoolDecision.OwnershipUnconfirmed) {
+			count("pool.ownership.unconfirmed");
+		}
 		else if (decision instanceof PoolDecision.WorkerSilent) {
 			count("pool.workers.silent");
 		}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -34,8 +34,8 @@
 
 	@Test
 	void recordTheQueueWaitOfFirstAttemptsOnly() {
-		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 1, "w", -1, 1, 5, 300));
-		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 2, "w", -1, 1, 5, 9000));
+		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 1, "w", -1, 1, 5, 7, 300));
+		this.log.write(new JobDecision.TaskPlaced("a", "a.0.0.0", 2, "w", -1, 1, 5, 7, 9000));
 		assertThat(this.metrics.histogram("pool.queue_wait.millis").getSnapshot().getMax()).isEqualTo(300);
 		assertThat(count("pool.starts.sent")).isEqualTo(2);
 	}
@@ -55,6 +55,12 @@
 		assertThat(count("pool.workers.restarted")).isEqualTo(1);
 	}
 
+	@Test
+	void countTermsWithoutRenewals() {
+		this.log.write(new PoolDecision.OwnershipUnconfirmed(200, 2210, 8, 25, 40));
+		assertThat(count("pool.ownership.unconfirmed")).isEqualTo(1);
+	}
+
 	@Test
 	void countLostRunsByCause() {
 		this.log.write(new JobDecision.TaskLost("a", "a.0.0.0", 1, "w", "WORKER_REPLACED", "restarted", "CONFIRMED",
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -141,10 +141,11 @@
 	 * milliseconds on its clock, -1 if it does not tell
 	 * @param fence the epoch of the owner
 	 * @param lookAgeMillis age of the last successful poll of the worker
+	 * @param renewalAgeMillis age of the owner's last renewal of the owner record
 	 * @param waitedMillis time since the job was accepted
 	 */
 	record TaskPlaced(String job, String task, int attempt, String worker, long workerStartedMillis, long fence,
-			long lookAgeMillis, long waitedMillis) implements JobDecision {
+			long lookAgeMillis, long renewalAgeMillis, long waitedMillis) implements JobDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -145,6 +145,31 @@
 
 	}
 
+	/**
+	 * The owner continues without confirmed renewals: its lease has expired, and another
+	 * process may own the pool.
+	 *
+	 * @param epoch the fencing token
+	 * @param renewalAgeMillis age of its last renewal
+	 * @param reachableWorkers number of workers that answer it
+	 * @param unreachableWorkers number of workers that do not
+	 * @param running number of runs that may be active on all of them
+	 */
+	record OwnershipUnconfirmed(long epoch, long renewalAgeMillis, int reachableWorkers, int unreachableWorkers,
+			int running) implements PoolDecision {
+
+	}
+
+	/**
+	 * A renewal was confirmed again: no other process has owned the pool meanwhile.
+	 *
+	 * @param epoch the fencing token
+	 * @param unconfirmedMillis time between the last renewal and this one
+	 */
+	record OwnershipConfirmed(long epoch, long unconfirmedMillis) implements PoolDecision {
+
+	}
+
 	/**
 	 * This process has lost ownership of the pool.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -36,6 +36,7 @@
 		addUnstoredSubmissions(causes);
 		addUnreadableRows(causes);
 		addStartsAfterCompletion(causes);
+		addStartsBesideCompletion(causes);
 		addLostRuns(causes);
 		addFailedStarts(causes);
 		addOutcome(causes);
@@ -103,6 +104,25 @@
 		}
 	}
 
+	// The lines of the former owner come first, even if it acted after its successor.
+	private void addStartsBesideCompletion(List<String> causes) {
+		Map<String, LogLine> placed = new HashMap<>();
+		for (LogLine line : this.lines) {
+			String task = line.text("task");
+			if (line.isEvent(JobDecision.TaskPlaced.class)) {
+				placed.put(task, line);
+			}
+			else if (line.isEvent(JobDecision.TaskEnded.class) && "DONE".equals(line.text("end"))
+					&& placed.containsKey(task) && placed.get(task).value("attempt") > line.value("attempt")) {
+				LogLine start = placed.get(task);
+				causes.add(task + " was placed again as attempt " + start.value("attempt") + " on "
+						+ start.text("worker") + " by " + start.source() + ", owner of epoch " + start.value("fence")
+						+ ", while attempt " + line.value("attempt") + " ended well on " + line.text("worker") + ", as "
+						+ line.source() + " learnt");
+			}
+		}
+	}
+
 	private void addLostRuns(List<String> causes) {
 		Map<String, List<LogLine>> byWorker = new LinkedHashMap<>();
 		for (LogLine line : all(JobDecision.TaskLost.class)) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
@@ -19,7 +19,9 @@
 			ProcessDecision.RowUnreadable.class);
 
 	private static final Set<String> OWNERSHIP = names(PoolDecision.OwnershipTaken.class,
-			PoolDecision.OwnershipSettled.class, PoolDecision.OwnershipLost.class, PoolDecision.WorkersAccounted.class);
+			PoolDecision.OwnershipSettled.class, PoolDecision.OwnershipUnconfirmed.class,
+			PoolDecision.OwnershipConfirmed.class, PoolDecision.OwnershipLost.class,
+			PoolDecision.WorkersAccounted.class);
 
 	private static final Set<String> WORKERS = names(PoolDecision.WorkerSilent.class, PoolDecision.WorkerLost.class,
 			PoolDecision.WorkerAvoided.class, PoolDecision.WorkerRestarted.class);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
@@ -90,7 +90,7 @@
 	 * @return milliseconds, negative if the owner's lease has expired for too long
 	 */
 	long workerLeaseMillis() {
-		long remaining = MAX_REQUEST_VALIDITY_MILLIS - millisSinceRenewal();
+		long remaining = MAX_REQUEST_VALIDITY_MILLIS - renewalAgeMillis();
 		return Math.min(MAX_WORKER_LEASE_MILLIS, remaining);
 	}
 
@@ -104,7 +104,15 @@
 	 * asked to take over since the last renewal
 	 */
 	boolean canStartNewJobs() {
-		return !this.contested && millisSinceRenewal() < EXPIRY_MILLIS;
+		return !this.contested && !isExpired();
+	}
+
+	/**
+	 * Whether other hosts may have taken the pool over because the row has not changed.
+	 * @return {@code true} if the owner's lease has expired
+	 */
+	boolean isExpired() {
+		return renewalAgeMillis() >= EXPIRY_MILLIS;
 	}
 
 	/**
@@ -112,7 +120,7 @@
 	 * clock does not count suspensions of the process or host.
 	 * @return milliseconds
 	 */
-	private long millisSinceRenewal() {
+	long renewalAgeMillis() {
 		long elapsed = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.renewedNanos);
 		return Math.max(elapsed, this.clock.millis() - this.renewedWallMillis);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -59,6 +59,8 @@
 
 	private final PoolLoadReporter loadReporter;
 
+	private final RenewalMonitor renewalMonitor;
+
 	private final JobTableReplica jobTables;
 
 	private final JobTableListener jobTableListener = new JobTableListener();
@@ -125,6 +127,7 @@
 				dependencies.clock(), rules);
 		this.loadReporter = new PoolLoadReporter(this.epoch, this.pool, this.registry, this.eligibility,
 				dependencies.log(), this.takenOverNanos);
+		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, dependencies.log());
 	}
 
 	/** Starts the scheduling loop and receives the jobs. */
@@ -230,6 +233,7 @@
 	private void runTurn() {
 		long startNanos = this.dependencies.clock().nanos();
 		sendHeartbeatIfDue();
+		this.renewalMonitor.check();
 		if (this.jobTables.hasReplayed() && !this.releasing) {
 			cleanUp(startNanos);
 			checkRecovery();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -151,7 +151,8 @@
 		step.addRun(run);
 		this.log.write(new JobDecision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(),
 				worker.incarnation().startedMillis().orElse(-1), this.ownerLease.epoch(),
-				worker.lease().clockAgeMillis(now), this.terminations.ageMillis(step.job())));
+				worker.lease().clockAgeMillis(now), this.ownerLease.renewalAgeMillis(),
+				this.terminations.ageMillis(step.job())));
 		RunStartRequest request = new RunStartRequest(task, attempt, step.job().submission().spec(), 0,
 				fencingToken(worker), step.progress().checkpoint(index), ticket);
 		send(step, run, worker, request, 0);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/JobTimelineTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/explain/JobTimelineTests.java
@@ -206,6 +206,15 @@
 						+ "after attempt 1 had ended well on w1");
 		}
 
+		@Test
+		void areNamedIfAFormerOwnerStartsATaskThatItsSuccessorSawEnd() {
+			JobTimeline timeline = timeline("h1 " + placed(0, 1, 1), "h2 " + ownershipTaken(2),
+					"h2 " + ended(0, 1, "DONE"), "h1 " + placed(0, 2, 1));
+			assertThat(timeline.causes())
+				.contains("a.0.0.0 was placed again as attempt 2 on w1 by h1, owner of epoch 1, "
+						+ "while attempt 1 ended well on w1, as h2 learnt");
+		}
+
 		@Test
 		void listsEachAttemptOfATaskThatFailedPermanently() {
 			String end = ENDED.replace("COMPLETED", "FAILED");
