Start a lost task again only after a renewal composed since its loss

An owner behind a cut started tasks on the workers that it still reached, after its successor had read and acknowledged their good ends elsewhere.

Cause: the owner took "no request of mine can keep the run active" for "the run is over and its end is unread". The two differ as soon as a successor may exist: it reaches the worker, extends its lease and acknowledges the end. An owner may exist with a successor from 0.55 s after its last renewal on, and grants leases until 9.2 s after it; a worker counts as lost after 7.14 s. Since losses that count as possible crashes had to be durable first, which covered most cases by chance, not tasks of draining workers, long-running tasks that were stable, nor those that an earlier owner had started there.

Each loss without the worker's report (lease expired, worker replaced or restarted, run not reported, workers given up at the end of the recovery) is now recorded in UnconfirmedLosses. StartGate, which every start passes, holds these tasks back until a write of the owner record that was composed after the loss has taken effect. The write is conditional on the owner's last row, so that it shows that no successor existed at the time of the loss. The write follows a loss at once, as for other changes. First starts, and starts after an end that the worker itself reported under the owner's fencing token, need no proof: a successor starts nothing of these jobs before it has reached, and so fenced, the workers of its predecessor, or their leases have expired.

TaskHeldBack tells of a task that waits while the owner's lease has expired; counter pool.tasks.held_back.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -122,6 +122,9 @@
 			count("pool.runs.lost." + lost.cause());
 			count("pool.crashes." + lost.crash());
 		}
+		else if (decision instanceof JobDecision.TaskHeldBack) {
+			count("pool.tasks.held_back");
+		}
 		else if (decision instanceof JobDecision.TaskGivenUp) {
 			count("pool.tasks.given_up");
 		}
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -58,7 +58,9 @@
 	@Test
 	void countTermsWithoutRenewals() {
 		this.log.write(new PoolDecision.OwnershipUnconfirmed(200, 2210, 8, 25, 40));
+		this.log.write(new JobDecision.TaskHeldBack("a", "a.0.0.0", 7216));
 		assertThat(count("pool.ownership.unconfirmed")).isEqualTo(1);
+		assertThat(count("pool.tasks.held_back")).isEqualTo(1);
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -211,6 +211,18 @@
 
 	}
 
+	/**
+	 * A task whose run was lost is not started again for now: the owner's lease has
+	 * expired, so that a successor may have kept the run active or read its end.
+	 *
+	 * @param job the job
+	 * @param task the task
+	 * @param renewalAgeMillis age of the owner's last renewal of the owner record
+	 */
+	record TaskHeldBack(String job, String task, long renewalAgeMillis) implements JobDecision {
+
+	}
+
 	/**
 	 * A task is not started again, because workers crashed while it was active on them.
 	 * Its job has failed.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -56,6 +56,8 @@
 
 	private final Set<String> timetabled = new LinkedHashSet<>();
 
+	private final UnconfirmedLosses unconfirmedLosses = new UnconfirmedLosses(this::isInherited);
+
 	JobRegistry(long epoch) {
 		this.epoch = epoch;
 	}
@@ -288,6 +290,14 @@
 		return this.inherited.contains(job);
 	}
 
+	/**
+	 * Tasks that are not started again before the owner record is written.
+	 * @return the tasks
+	 */
+	UnconfirmedLosses unconfirmedLosses() {
+		return this.unconfirmedLosses;
+	}
+
 	int unfinishedCount() {
 		return this.unfinished.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -156,7 +156,8 @@
 			return;
 		}
 		long sinceLast = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.lastSentNanos);
-		boolean hasChanges = this.jobs.hasDirty() || this.jobs.hasDeferred() || this.workers.hasUnrecordedWorkers();
+		boolean hasChanges = this.jobs.hasDirty() || this.jobs.hasDeferred() || !this.jobs.unconfirmedLosses().isEmpty()
+				|| this.workers.hasUnrecordedWorkers();
 		boolean isDue = sinceLast >= OwnerLease.RENEWAL_INTERVAL_MILLIS
 				|| (hasChanges && sinceLast >= MIN_WRITE_INTERVAL_MILLIS);
 		if (isDue) {
@@ -227,7 +228,7 @@
 		}
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
 		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
-		return new Batch(whole, next, states, summary, isCountedAnew, ends);
+		return new Batch(whole, next, states, summary, isCountedAnew, ends, this.jobs.unconfirmedLosses().lastLoss());
 	}
 
 	private void send(Batch batch) {
@@ -292,6 +293,7 @@
 		});
 		this.workers.markRecorded(batch.record().workers(), batch.record().incarnations());
 		batch.terminations().forEach(TerminationSequence::markDurable);
+		this.jobs.unconfirmedLosses().confirm(batch.lastLoss());
 		if (batch.record().released()) {
 			this.closed = true;
 			this.listener.released(this.record, this.version);
@@ -308,7 +310,8 @@
 	}
 
 	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, WrittenJob> states,
-			Optional<QueueSummary> summary, boolean isCountChanged, Map<TerminationSequence, Long> terminations) {
+			Optional<QueueSummary> summary, boolean isCountChanged, Map<TerminationSequence, Long> terminations,
+			long lastLoss) {
 
 		Optional<QueueCount> changedCount(long version) {
 			return this.summary.filter((counted) -> this.isCountChanged)
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -82,8 +82,8 @@
 		UnknownJobs unknownJobs = new UnknownJobs(jobs, isLoaded, clock);
 		this.crashes = new CrashTracker(jobs, pool, log, clock);
 		this.inheritedStarts = new InheritedStarts(jobs);
-		this.terminations = new RunTerminationHandler(jobs, unknownJobs, this.crashes, this.inheritedStarts, log, clock,
-				this::stop);
+		this.terminations = new RunTerminationHandler(ownerLease, jobs, unknownJobs, this.crashes, this.inheritedStarts,
+				log, clock, this::stop);
 		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, this.inheritedStarts, clock,
 				log);
 		this.adoption = new RunAdoption(jobs, this.terminations, unknownJobs, clock, this::confirm, this::stop);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -25,6 +25,8 @@
  */
 final class RunTerminationHandler {
 
+	private final OwnerLease ownerLease;
+
 	private final JobRegistry jobs;
 
 	private final UnknownJobs unknownJobs;
@@ -39,8 +41,9 @@
 
 	private final BiConsumer<Run, String> stopRun;
 
-	RunTerminationHandler(JobRegistry jobs, UnknownJobs unknownJobs, CrashTracker crashes,
+	RunTerminationHandler(OwnerLease ownerLease, JobRegistry jobs, UnknownJobs unknownJobs, CrashTracker crashes,
 			InheritedStarts inheritedStarts, DecisionLog log, PoolClock clock, BiConsumer<Run, String> stopRun) {
+		this.ownerLease = ownerLease;
 		this.jobs = jobs;
 		this.unknownJobs = unknownJobs;
 		this.crashes = crashes;
@@ -166,6 +169,7 @@
 		CrashEvidence evidence = this.crashes.assess(worker, run, loss);
 		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), loss.name(),
 				loss.description(), evidence.name(), run.hasBeenConfirmed(), ranMillis, otherRuns));
+		holdBack(task);
 		this.jobs.job(task.job())
 			.filter((job) -> hasTask(job, task))
 			.ifPresent((job) -> job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint()));
@@ -174,11 +178,24 @@
 		}
 	}
 
+	/**
+	 * Keeps a task from being started again until its loss is confirmed.
+	 * @param task the task
+	 */
+	void holdBack(TaskKey task) {
+		this.jobs.unconfirmedLosses().record(task);
+		if (this.ownerLease.isExpired()) {
+			this.log
+				.write(new JobDecision.TaskHeldBack(task.job(), task.toString(), this.ownerLease.renewalAgeMillis()));
+		}
+	}
+
 	/**
 	 * Handles a run that an earlier owner may have started on a worker that is lost.
 	 * @param task the task
 	 */
 	void handleInheritedLoss(TaskKey task) {
+		holdBack(task);
 		this.inheritedStarts.recordKnownLoss(task);
 		recordCrash(task, 0, CrashEvidence.POSSIBLE);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -2,11 +2,14 @@
 
 import java.util.List;
 
+import org.monsoonrelay.model.submission.TaskKey;
+
 /**
  * Decides which waiting tasks may be started in this term of ownership. Invariants: a
  * task that an earlier owner may have started is not started before it is known what runs
- * on that owner's workers; nothing is started while no lease can be granted. Not
- * thread-safe: confined to the control thread.
+ * on that owner's workers; a task whose run was lost is not started before the loss is
+ * confirmed; nothing is started while no lease can be granted. Not thread-safe: confined
+ * to the control thread.
  */
 final class StartGate {
 
@@ -35,18 +38,21 @@
 		this.recovered = true;
 	}
 
-	// A gang waits until none of its tasks may run on a worker that has not answered.
+	// A gang waits until none of its tasks may run elsewhere.
 	List<Integer> startableTasks(ActiveStep step) {
 		List<Integer> waiting = step.waitingTasks();
-		if (waiting.isEmpty() || this.pool.hasNoUnconfirmedTasks()) {
+		boolean isAnyStartable = this.pool.hasNoUnconfirmedTasks() && this.jobs.unconfirmedLosses().isEmpty();
+		if (waiting.isEmpty() || isAnyStartable) {
 			return waiting;
 		}
-		List<Integer> safe = waiting.stream()
-			.filter((index) -> !this.pool.mayRunUnconfirmed(step.key().task(index)))
-			.toList();
+		List<Integer> safe = waiting.stream().filter((index) -> !mayRunElsewhere(step.key().task(index))).toList();
 		return (step.spec().gang() && safe.size() < waiting.size()) ? List.of() : safe;
 	}
 
+	private boolean mayRunElsewhere(TaskKey task) {
+		return this.pool.mayRunUnconfirmed(task) || this.jobs.unconfirmedLosses().contains(task);
+	}
+
 	boolean mayStart(ActiveStep step) {
 		String job = step.job().id();
 		boolean mayAlreadyRun = !this.recovered && this.jobs.isInherited(job);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -148,16 +148,23 @@
 
 	// Runs of earlier owners on a worker that has restarted, or was replaced, since.
 	private void handleInheritedLosses(PoolWorker worker, Set<TaskKey> reported) {
-		Set<TaskKey> inherited = this.pool.unconfirmedTasks(worker.id());
+		List<TaskKey> lost = this.pool.unconfirmedTasks(worker.id())
+			.stream()
+			.filter((task) -> !reported.contains(task))
+			.toList();
 		boolean isUnreconciled = this.pool.isUnreconciled(worker.id());
 		this.pool.markReconciled(worker.id());
+		if (isUnreconciled) {
+			this.jobs.unconfirmedLosses().recordAnyInherited();
+		}
 		if (worker.isLeaving()) {
+			lost.forEach(this.terminations::holdBack);
 			return;
 		}
 		if (isUnreconciled) {
 			this.inheritedStarts.recordUnknownLoss();
 		}
-		inherited.stream().filter((task) -> !reported.contains(task)).forEach(this.terminations::handleInheritedLoss);
+		lost.forEach(this.terminations::handleInheritedLoss);
 	}
 
 	/**
@@ -167,6 +174,7 @@
 	void abandonRecovery() {
 		Set<TaskKey> inherited = this.pool.unconfirmedTasks();
 		if (!this.pool.isRecoveryComplete()) {
+			this.jobs.unconfirmedLosses().recordAnyInherited();
 			this.inheritedStarts.recordUnknownLoss();
 		}
 		this.pool.abandonRecovery();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnersBehindCutsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnersBehindCutsTests.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 
+import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.explain.LogLine;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -75,6 +78,20 @@
 			OwnersBehindCutsTests.this.cell.assertCompleted("a");
 		}
 
+		@Test
+		void isLoggedAsHeldBackByTheFormerOwner() {
+			startOnFarWorker(SimulatedCell.step(1, false), RUN_MILLIS);
+			cutOff();
+			List<LogLine> story = OwnersBehindCutsTests.this.cell.logs.story("a").lines();
+			assertThat(story).extracting((line) -> line.source() + ' ' + line.event())
+				.containsSubsequence("s0first TaskPlaced", "s0first OwnershipUnconfirmed", "s0first TaskLost",
+						"s0first TaskHeldBack", "s1first OwnershipTaken", "s1first TaskEnded", "s1first JobEnded");
+			assertThat(OwnersBehindCutsTests.this.cell.decisions).filteredOn(JobDecision.TaskHeldBack.class::isInstance)
+				.singleElement(InstanceOfAssertFactories.type(JobDecision.TaskHeldBack.class))
+				.satisfies((heldBack) -> assertThat(heldBack.renewalAgeMillis())
+					.isGreaterThan(OwnerLease.MAX_WORKER_LEASE_MILLIS));
+		}
+
 		@Test
 		void isNotStartedAgainWhenItsDrainingWorkerIsSilent() {
 			startOnFarWorker(SimulatedCell.step(1, false), RUN_MILLIS);
