Split the heartbeat off the pool's owner

The interval, its last moment and the message are a class of their own; nothing changes in what is sent or when.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -29,9 +29,6 @@
 	/** Interval between checks for expired leases and ended jobs, milliseconds. */
 	private static final long CLEANUP_INTERVAL_MILLIS = 40;
 
-	/** Minimum interval between heartbeats to other hosts, milliseconds. */
-	private static final long HEARTBEAT_INTERVAL_MILLIS = 100;
-
 	/** Minimum interval between take-over requests, milliseconds. */
 	private static final long TAKE_OVER_REQUEST_INTERVAL_MILLIS = 250;
 
@@ -61,6 +58,8 @@
 
 	private final RenewalMonitor renewalMonitor;
 
+	private final Heartbeat heartbeat;
+
 	private final JobTableReplica jobTables;
 
 	private final JobTableListener jobTableListener = new JobTableListener();
@@ -73,8 +72,6 @@
 
 	private long takeOverRequestedNanos;
 
-	private long heartbeatSentNanos;
-
 	private boolean configured;
 
 	private boolean closed;
@@ -107,7 +104,6 @@
 		this.onTermEnd = onTermEnd;
 		this.takenOverNanos = dependencies.clock().nanos();
 		this.takeOverRequestedNanos = this.takenOverNanos;
-		this.heartbeatSentNanos = this.takenOverNanos;
 		this.cleanedUpNanos = this.takenOverNanos - TimeUnit.MILLISECONDS.toNanos(CLEANUP_INTERVAL_MILLIS);
 		this.loop = new SchedulingLoop(dependencies.control(), dependencies.clock(), this::runTurn);
 		this.lease = new OwnerLease(this.epoch, dependencies.clock());
@@ -128,6 +124,7 @@
 		this.loadReporter = new PoolLoadReporter(this.epoch, this.pool, this.registry, this.eligibility,
 				dependencies.log(), this.takenOverNanos);
 		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, dependencies.log());
+		this.heartbeat = new Heartbeat(this.epoch, peers, dependencies.clock());
 	}
 
 	/** Starts the scheduling loop and receives the jobs. */
@@ -232,7 +229,7 @@
 
 	private void runTurn() {
 		long startNanos = this.dependencies.clock().nanos();
-		sendHeartbeatIfDue();
+		this.heartbeat.sendIfDue(this.stateWriter.version());
 		this.renewalMonitor.check();
 		if (this.jobTables.hasReplayed() && !this.releasing) {
 			cleanUp(startNanos);
@@ -255,14 +252,6 @@
 		}
 	}
 
-	private void sendHeartbeatIfDue() {
-		long now = this.dependencies.clock().nanos();
-		if (now - this.heartbeatSentNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_INTERVAL_MILLIS)) {
-			this.heartbeatSentNanos = now;
-			this.peers.sendHeartbeat(this.epoch, this.stateWriter.version());
-		}
-	}
-
 	private void checkRecovery() {
 		if (ageMillis() > OwnerLease.MAX_REQUEST_VALIDITY_MILLIS / WorkerLease.MIN_CLOCK_RATE) {
 			this.runs.losses().abandonRecovery();
