Use no worker that a record in flight may no longer name

What callers would see: a task done twice after a change of owner.

A successor waits for the workers that the last durable record names. A worker that left the pool and was listed again while a record without it was being written was taken for recorded, as the set of recorded workers is that of the record before. It was given work; if the record in flight took effect and the owner was then cut off or killed, the successor neither reached the worker nor waited for its leases before it started the same tasks elsewhere.

Workers that the record composed last does not name count as unrecorded from its composition on, as those that are not usable already did.

WorkerPoolTests red before ("Expecting value to be false but was true"), green now; 49 tests of the owner and take-overs green.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -24,6 +24,7 @@
 
 	private final Map<String, PoolWorker> workers = new LinkedHashMap<>();
 
+	// Workers that the durable owner record lists as usable, whatever write is in flight.
 	private final Set<String> recordedWorkers = new HashSet<>();
 
 	// Workers on which an earlier owner may have started any task.
@@ -220,6 +221,9 @@
 			}
 		}
 		incarnations.keySet().removeIf((id) -> !ids.contains(id) && !closed.containsKey(id));
+		// From now on the durable record may lack a worker that was removed from the
+		// pool.
+		this.recordedWorkers.retainAll(ids);
 		return new RecordedWorkers(ids.stream().sorted().toList(), closed, incarnations).bounded();
 	}
 
