Name in the owner record what a closed worker ended without a durable write

What callers would see: a task done twice after a change of owner.

An unreachable or draining worker is recorded with the tasks that may run there; a successor starts others at once.

The record names such tasks as well: ends that are not processed, and, if the write does not take all progress, those that are processed but not durable. Progress is therefore taken before the record is composed.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -202,17 +202,27 @@
 		if (this.releasing) {
 			this.listener.releaseStarting();
 		}
-		WorkerPool.RecordedWorkers named = this.workers.workersToRecord();
-		OwnerRecord next = new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
-				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
-				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations());
+		Map<SubmittedJob, WrittenJob> states = new HashMap<>();
+		List<PartitionWrite.Put> puts = takeProgress(states);
+		OwnerRecord next = nextRecord(this.workers.workersToRecord(this.jobs.hasDirty()));
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
-		Map<SubmittedJob, WrittenJob> states = new HashMap<>();
+		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
+		boolean isCountedAnew = summary.isPresent() && !summary.equals(this.writtenSummary);
+		if (isCountedAnew) {
+			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
+		}
+		puts.addAll(write.puts());
+		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
+		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
+		return new Batch(whole, next, states, summary, isCountedAnew, ends, this.jobs.unconfirmedLosses().lastLoss());
+	}
+
+	private List<PartitionWrite.Put> takeProgress(Map<SubmittedJob, WrittenJob> states) {
 		int bytes = 0;
-		List<PartitionWrite.Put> puts = new ArrayList<>(write.puts());
+		List<PartitionWrite.Put> puts = new ArrayList<>();
 		while (states.size() < MAX_JOBS_PER_WRITE && bytes < MAX_PROGRESS_BYTES_PER_WRITE && this.jobs.hasDirty()) {
 			SubmittedJob job = this.jobs.takeDirty(1).get(0);
 			JobProgress progress = job.toProgress();
@@ -221,14 +231,13 @@
 			states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
 		}
-		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
-		boolean isCountedAnew = summary.isPresent() && !summary.equals(this.writtenSummary);
-		if (isCountedAnew) {
-			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
-		}
-		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
-		return new Batch(whole, next, states, summary, isCountedAnew, ends, this.jobs.unconfirmedLosses().lastLoss());
+		return puts;
+	}
+
+	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
+		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
+				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
+				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations());
 	}
 
 	private void send(Batch batch) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -1,8 +1,11 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -25,6 +28,9 @@
 	// Sequence numbers that are processed although an earlier one may be deferred.
 	private final TreeSet<Long> processedAhead = new TreeSet<>();
 
+	// Tasks whose terminations are processed, by their numbers, until they are durable.
+	private final NavigableMap<Long, TaskKey> undurable = new TreeMap<>();
+
 	private List<TerminatedTask> deferred = List.of();
 
 	private List<TerminatedTask> inherited;
@@ -51,6 +57,7 @@
 
 	void markProcessed(TerminatedTask termination) {
 		this.processedAhead.add(termination.sequence());
+		this.undurable.put(termination.sequence(), termination.task());
 	}
 
 	/**
@@ -99,6 +106,15 @@
 	 */
 	void markDurable(long sequence) {
 		this.durable = Math.max(this.durable, sequence);
+		this.undurable.headMap(sequence, true).clear();
+	}
+
+	/**
+	 * Returns the tasks whose terminations are processed but not known to be durable.
+	 * @return the tasks
+	 */
+	Collection<TaskKey> undurableTasks() {
+		return this.undurable.values();
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -197,12 +198,14 @@
 
 	/**
 	 * Returns the workers to write to the next owner record. An unreachable or draining
-	 * worker is recorded with its current runs only and accepts no work until a record
-	 * lists it as usable again. Otherwise a worker that has disappeared would delay all
-	 * jobs of the next owner by the duration of a lease.
+	 * worker is recorded with its current runs, and those whose ends the next owner would
+	 * not know, only and accepts no work until a record lists it as usable again.
+	 * Otherwise a worker that has disappeared would delay all jobs of the next owner by
+	 * the duration of a lease.
+	 * @param hasUnwrittenProgress whether progress of jobs is not durable after the write
 	 * @return the workers to record
 	 */
-	RecordedWorkers workersToRecord() {
+	RecordedWorkers workersToRecord(boolean hasUnwrittenProgress) {
 		Set<String> ids = new HashSet<>(this.unreconciledWorkers);
 		Map<String, List<String>> closed = new HashMap<>();
 		Map<String, Long> incarnations = new HashMap<>(this.recordedIncarnations);
@@ -216,8 +219,9 @@
 			}
 			worker.clearRecorded();
 			this.recordedWorkers.remove(worker.id());
-			if (!worker.isLost() && worker.runCount() > 0) {
-				closed.put(worker.id(), worker.runs().stream().map((run) -> run.task().toString()).toList());
+			Set<TaskKey> tasks = tasksToRecord(worker, hasUnwrittenProgress);
+			if (!tasks.isEmpty()) {
+				closed.put(worker.id(), tasks.stream().map(TaskKey::toString).toList());
 			}
 		}
 		incarnations.keySet().removeIf((id) -> !ids.contains(id) && !closed.containsKey(id));
@@ -227,6 +231,16 @@
 		return new RecordedWorkers(ids.stream().sorted().toList(), closed, incarnations).bounded();
 	}
 
+	private static Set<TaskKey> tasksToRecord(PoolWorker worker, boolean hasUnwrittenProgress) {
+		Set<TaskKey> tasks = new LinkedHashSet<>();
+		worker.runs().forEach((run) -> tasks.add(run.task()));
+		tasks.addAll(worker.terminations().unprocessedTasks());
+		if (hasUnwrittenProgress) {
+			tasks.addAll(worker.terminations().undurableTasks());
+		}
+		return tasks;
+	}
+
 	boolean hasUnrecordedWorkers() {
 		for (PoolWorker worker : this.workers.values()) {
 			if (worker.isUsable() && !this.recordedWorkers.contains(worker.id())) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -14,6 +15,10 @@
 	private static final WorkerInfo INFO = new WorkerInfo("w", "salon", "10.0.0.1:1", "porto",
 			new Resources(4000, 1000, 0), List.of(), "r1", false, 0, OptionalLong.of(5));
 
+	private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
+
+	private static final TaskKey UNLOADED = new TaskKey("unloaded", 0, 0, 0);
+
 	private final WorkerPool pool = new WorkerPool();
 
 	private PoolWorker addReachableWorker() {
@@ -27,14 +32,29 @@
 	@Test
 	void aWorkerThatIsListedAgainAcceptsNoWorkWhileARecordWithoutItMayTakeEffect() {
 		PoolWorker worker = addReachableWorker();
-		this.pool.markRecorded(this.pool.workersToRecord().workers(), Map.of("w", 5L));
+		this.pool.markRecorded(this.pool.workersToRecord(false).workers(), Map.of("w", 5L));
 		assertThat(worker.isAcceptingWork(1)).isTrue();
 		this.pool.update(List.of());
 		this.pool.remove(worker);
-		assertThat(this.pool.workersToRecord().workers()).isEmpty();
+		assertThat(this.pool.workersToRecord(false).workers()).isEmpty();
 		assertThat(addReachableWorker().isAcceptingWork(1)).isFalse();
-		this.pool.markRecorded(this.pool.workersToRecord().workers(), Map.of("w", 5L));
+		this.pool.markRecorded(this.pool.workersToRecord(false).workers(), Map.of("w", 5L));
 		assertThat(this.pool.worker("w").orElseThrow().isAcceptingWork(1)).isTrue();
 	}
 
+	@Test
+	void aDrainingWorkerIsRecordedWithTasksWhoseEndsTheNextOwnerWouldNotKnow() {
+		PoolWorker worker = addReachableWorker();
+		TerminatedTask processed = new TerminatedTask(1, TASK, 1, TerminationReason.DONE, "");
+		worker.terminations().markProcessed(processed);
+		worker.terminations().defer(List.of(new TerminatedTask(2, UNLOADED, 1, TerminationReason.DONE, "")));
+		this.pool.update(List.of(new WorkerInfo(INFO.id(), INFO.service(), INFO.address(), INFO.failureDomain(),
+				INFO.capacity(), INFO.labels(), INFO.rack(), true, 2000, INFO.startedMillis())));
+		assertThat(this.pool.workersToRecord(true).closedWorkers().get("w")).containsExactlyInAnyOrder(TASK.toString(),
+				UNLOADED.toString());
+		assertThat(this.pool.workersToRecord(false).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
+		worker.terminations().markDurable(1);
+		assertThat(this.pool.workersToRecord(true).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
+	}
+
 }
