Wait for a renewal if a worker may have restarted since the owner record

What callers would see: a task done twice, on workers that do not tell when they were started.

An owner behind a cut that reaches a worker of its predecessor for the first time takes the report for the whole truth of what that one started there. If its own successor has read and acknowledged the ends before, and the worker has restarted under its id since, it has forgotten its fencing token as well as the ends: the report lists nothing, and the owner starts the tasks again. Workers that tell their start are known to have restarted, and their tasks are held back since.

Unless the report comes from the incarnation that the owner record names, the tasks that an earlier owner may have started there wait for a renewal that is composed after the report. It costs a take-over one write.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -118,7 +118,10 @@
 			.forEach((terminated) -> reported.add(new RunId(terminated.task(), terminated.attempt())));
 		if (this.pool.hasRestartedSinceRecord(worker.id(), report)) {
 			this.pool.markRestarted(worker);
-			handleInheritedLosses(worker, reported.stream().map(RunId::task).collect(Collectors.toSet()));
+			handleInheritedLosses(worker, reportedTasks(reported));
+		}
+		else if (!this.pool.isIncarnationInRecord(worker.id(), report)) {
+			holdBackInheritedTasks(worker, reportedTasks(reported));
 		}
 		if (worker.incarnation().unresolvedPredecessor().isPresent()) {
 			loseUnreportedRuns(worker, reported);
@@ -126,6 +129,22 @@
 		worker.incarnation().markVerified();
 	}
 
+	private static Set<TaskKey> reportedTasks(Set<RunId> reported) {
+		return reported.stream().map(RunId::task).collect(Collectors.toSet());
+	}
+
+	// A successor may have read ends that the worker has forgotten in a restart since.
+	private void holdBackInheritedTasks(PoolWorker worker, Set<TaskKey> reported) {
+		if (this.pool.isUnreconciled(worker.id())) {
+			this.jobs.unconfirmedLosses().recordAnyInherited();
+		}
+		unreportedTasks(worker, reported).forEach(this.terminations::holdBack);
+	}
+
+	private List<TaskKey> unreportedTasks(PoolWorker worker, Set<TaskKey> reported) {
+		return this.pool.unconfirmedTasks(worker.id()).stream().filter((task) -> !reported.contains(task)).toList();
+	}
+
 	private void loseUnreportedRuns(PoolWorker worker, Set<RunId> reported) {
 		Set<TaskKey> unprocessed = worker.terminations().unprocessedTasks();
 		List<Run> lost = worker.runs()
@@ -148,10 +167,7 @@
 
 	// Runs of earlier owners on a worker that has restarted, or was replaced, since.
 	private void handleInheritedLosses(PoolWorker worker, Set<TaskKey> reported) {
-		List<TaskKey> lost = this.pool.unconfirmedTasks(worker.id())
-			.stream()
-			.filter((task) -> !reported.contains(task))
-			.toList();
+		List<TaskKey> lost = unreportedTasks(worker, reported);
 		boolean isUnreconciled = this.pool.isUnreconciled(worker.id());
 		this.pool.markReconciled(worker.id());
 		if (isUnreconciled) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -127,6 +127,18 @@
 		return recorded != null && report.startedMillis().isPresent() && report.startedMillis().getAsLong() != recorded;
 	}
 
+	/**
+	 * Returns whether the incarnation that an earlier owner polled last is known to
+	 * report.
+	 * @param id the worker's id
+	 * @param report the first report to this owner
+	 * @return {@code false} also if either start is not known
+	 */
+	boolean isIncarnationInRecord(String id, PollOutcome.Report report) {
+		Long recorded = this.recordedIncarnations.get(id);
+		return recorded != null && report.startedMillis().equals(OptionalLong.of(recorded));
+	}
+
 	/**
 	 * Records that the owner record names the former incarnation of a worker. The worker
 	 * accepts no work until a record names the current one.
