Log tasks held back that were lost before the owner's lease expired

TaskHeldBack was written at the loss alone, and only if the lease had expired by then. A task lost 1 s after the last renewal, as its worker had restarted, waited without a line that said why. OwnershipUnconfirmed is followed by a line for each task that waits at that moment.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RenewalMonitor.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RenewalMonitor.java
@@ -1,12 +1,13 @@
 package org.monsoonrelay.logic.pool;
 
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
 
 /**
- * Logs when the owner's lease has expired without a renewal, and when a renewal is
- * confirmed again: two lines for an outage, however long it lasts. Not thread-safe:
- * confined to the control thread.
+ * Logs when the owner's lease has expired without a renewal, with the tasks that are held
+ * back by then, and when a renewal is confirmed again. However long an outage lasts, both
+ * are logged once. Not thread-safe: confined to the control thread.
  */
 final class RenewalMonitor {
 
@@ -14,15 +15,18 @@
 
 	private final WorkerPool pool;
 
+	private final UnconfirmedLosses losses;
+
 	private final DecisionLog log;
 
 	private boolean unconfirmed;
 
 	private long unconfirmedMillis;
 
-	RenewalMonitor(OwnerLease lease, WorkerPool pool, DecisionLog log) {
+	RenewalMonitor(OwnerLease lease, WorkerPool pool, UnconfirmedLosses losses, DecisionLog log) {
 		this.lease = lease;
 		this.pool = pool;
+		this.losses = losses;
 		this.log = log;
 	}
 
@@ -46,6 +50,9 @@
 		int running = this.pool.workers().stream().mapToInt(PoolWorker::runCount).sum();
 		this.log.write(new PoolDecision.OwnershipUnconfirmed(this.lease.epoch(), this.unconfirmedMillis, reachable,
 				this.pool.workers().size() - reachable, running));
+		this.losses.tasks()
+			.forEach((task) -> this.log
+				.write(new JobDecision.TaskHeldBack(task.job(), task.toString(), this.unconfirmedMillis)));
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnconfirmedLosses.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnconfirmedLosses.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.monsoonrelay.model.submission.TaskKey;
@@ -67,6 +68,14 @@
 		this.inheritedLoss = (this.inheritedLoss <= upTo) ? NONE : this.inheritedLoss;
 	}
 
+	/**
+	 * Returns the tasks of the losses that are known one by one.
+	 * @return the tasks
+	 */
+	Set<TaskKey> tasks() {
+		return this.losses.keySet();
+	}
+
 	boolean isEmpty() {
 		return this.losses.isEmpty() && this.inheritedLoss == NONE;
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RenewalMonitorTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RenewalMonitorTests.java
@@ -3,7 +3,9 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -46,4 +48,24 @@
 		assertThat(decisions(PoolDecision.OwnershipConfirmed.class)).isEmpty();
 	}
 
+	@Test
+	void logsTasksThatWereLostBeforeTheLeaseExpired() {
+		this.cell.workers.setRestartedId(SimulatedWorkers.RestartedId.SAME);
+		this.cell.withRunMillis(60_000);
+		SimulatedCell.Scheduler owner = this.cell.addScheduler();
+		this.cell.time.runFor(1000);
+		this.cell.submit("a", SimulatedCell.step(1, false));
+		this.cell.time.runFor(500);
+		owner.tableClient.setRejectsRequests(true);
+		SimulatedWorkers.SimulatedWorker worker = this.cell.workers
+			.find(this.cell.workers.workerRunning(new TaskKey("a", 0, 0, 0)));
+		this.cell.workers.crashAndRestart(worker, 100);
+		this.cell.time.runFor(1500);
+		assertThat(decisions(JobDecision.TaskLost.class)).hasSize(1);
+		assertThat(decisions(JobDecision.TaskHeldBack.class)).isEmpty();
+		this.cell.time.runFor(2500);
+		assertThat(decisions(JobDecision.TaskHeldBack.class)).singleElement()
+			.satisfies((heldBack) -> assertThat(heldBack.task()).isEqualTo("a.0.0.0"));
+	}
+
 }
