Tell jobs of a former owner by their version, not by when they are learnt

What callers would see: a new job's task runs twice at the same time.

An owner whose writes are slow starts new jobs without a confirming write until its lease of 2.2 s expires. A successor that took over earlier counted jobs it learnt within 3.0 s as inherited: 0.8 s for the feed. A feed that is slower, or a part of the table that does not answer, delivered such a job later; the successor took it for new and started it at once beside the run of its predecessor, on workers that only one of them reached.

A job is inherited now unless its row is younger than a write of this owner that was composed 2.2 s or more after the take-over. A write cannot be older than its composition, so that no delay of the feed matters. InheritedJobs has the rule.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -51,14 +51,6 @@
 	 */
 	private static final long HEARTBEAT_TIMEOUT_MILLIS = 550;
 
-	/**
-	 * Time after an early take-over during which a former owner that does not confirm its
-	 * ownership may have started a job that this process learns of, milliseconds: expiry
-	 * of its row plus the delay of a slow job feed. Such jobs wait until the recovery is
-	 * complete.
-	 */
-	private static final long FORMER_OWNER_START_MILLIS = OwnerLease.EXPIRY_MILLIS + 800;
-
 	private final PartitionedTable table;
 
 	private final ScheduledExecutorService control;
@@ -328,7 +320,7 @@
 
 	private void takeOverFromUnresponsiveOwner() {
 		if (canTakeOver()) {
-			takeOver("its owner is silent and does not renew", FORMER_OWNER_START_MILLIS);
+			takeOver("its owner is silent and does not renew", OwnerLease.EXPIRY_MILLIS);
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -42,6 +42,8 @@
 
 	private final OwnerLease lease;
 
+	private final InheritedJobs inheritedJobs;
+
 	private final JobRegistry registry;
 
 	private final WorkerPool pool = new WorkerPool();
@@ -108,6 +110,7 @@
 		this.loop = new SchedulingLoop(dependencies.control(), dependencies.clock(), this::runTurn);
 		this.lease = new OwnerLease(this.epoch, dependencies.clock());
 		this.lease.renewed(takeOver.sentNanos(), takeOver.sentMillis());
+		this.inheritedJobs = new InheritedJobs(takeOver, this.takenOverNanos);
 		this.registry = new JobRegistry(this.epoch);
 		this.pool.recoverFrom(takeOver.previous());
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
@@ -285,9 +288,7 @@
 		@Override
 		public void submitted(Submission submission, Optional<JobProgress> progress, long version) {
 			PoolOwner owner = PoolOwner.this;
-			boolean canFormerOwnerStart = owner.ageMillis() < owner.takeOver.formerOwnerStartMillis();
-			boolean isInherited = version <= owner.takeOver.version() || canFormerOwnerStart;
-			if (!owner.registry.add(submission, progress, isInherited)) {
+			if (!owner.registry.add(submission, progress, owner.inheritedJobs.isInherited(version))) {
 				return;
 			}
 			if (!owner.lease.canStartNewJobs() || !owner.stateWriter.isConfirmed(version)) {
@@ -332,6 +333,7 @@
 		@Override
 		public void writeDurable(Map<String, SubmissionState> states, Optional<QueueCount> pending) {
 			PoolOwner owner = PoolOwner.this;
+			owner.inheritedJobs.recordWrite(owner.stateWriter.composedNanos(), owner.stateWriter.version());
 			if (owner.lease.canStartNewJobs()) {
 				owner.registry.releaseDeferred(owner.stateWriter::isConfirmed);
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -197,6 +197,14 @@
 		return this.version;
 	}
 
+	/**
+	 * Returns when the last write was composed.
+	 * @return monotonic time, nanoseconds
+	 */
+	long composedNanos() {
+		return this.composedNanos;
+	}
+
 	private Batch compose() {
 		this.composedNanos = this.clock.nanos();
 		if (this.releasing) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -41,8 +41,8 @@
 	// A gang waits until none of its tasks may run elsewhere.
 	List<Integer> startableTasks(ActiveStep step) {
 		List<Integer> waiting = step.waitingTasks();
-		boolean isAnyStartable = this.pool.hasNoUnconfirmedTasks() && this.jobs.unconfirmedLosses().isEmpty();
-		if (waiting.isEmpty() || isAnyStartable) {
+		boolean areAllStartable = this.pool.hasNoUnconfirmedTasks() && this.jobs.unconfirmedLosses().isEmpty();
+		if (waiting.isEmpty() || areAllStartable) {
 			return waiting;
 		}
 		List<Integer> safe = waiting.stream().filter((index) -> !mayRunElsewhere(step.key().task(index))).toList();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
@@ -10,7 +10,8 @@
  * @param sentMillis when the row was sent, epoch milliseconds
  * @param previous the row of the former owner
  * @param formerOwnerStartMillis time from the take-over on during which the former owner
- * may still start jobs that it learns of, milliseconds
+ * may still start jobs that are stored and that it learns of, milliseconds; 0 if it
+ * starts none
  */
 public record TakeOver(OwnerRecord record, long version, long sentNanos, long sentMillis, OwnerRecord previous,
 		long formerOwnerStartMillis) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -209,11 +209,11 @@
 	}
 
 	/**
-	 * Returns the workers to write to the next owner record. An unreachable or draining
-	 * worker is recorded with its current runs, and those whose ends the next owner would
-	 * not know, only and accepts no work until a record lists it as usable again.
-	 * Otherwise a worker that has disappeared would delay all jobs of the next owner by
-	 * the duration of a lease.
+	 * Returns the workers to write to the next owner record. Of an unreachable or
+	 * draining worker only the tasks are recorded that run there, or whose ends the next
+	 * owner would not know, and it accepts no work until a record lists it as usable
+	 * again. Otherwise a worker that has disappeared would delay all jobs of the next
+	 * owner by the duration of a lease.
 	 * @param hasUnwrittenProgress whether progress of jobs is not durable after the write
 	 * @return the workers to record
 	 */
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -137,6 +137,10 @@
 
 		private long ownWriteDelayMillis;
 
+		private long answerDelayMillis;
+
+		private long feedDelayMillis;
+
 		void setDisconnected(boolean isDisconnected) {
 			this.disconnected = isDisconnected;
 		}
@@ -159,6 +163,22 @@
 			this.ownWriteDelayMillis = millis;
 		}
 
+		/**
+		 * Delays the answers to this process's writes, which take effect at once.
+		 * @param millis the delay, milliseconds; 0 for none
+		 */
+		void setAnswerDelay(long millis) {
+			this.answerDelayMillis = millis;
+		}
+
+		/**
+		 * Delays the changes that this process reads.
+		 * @param millis the delay, milliseconds; 0 for none
+		 */
+		void setFeedDelay(long millis) {
+			this.feedDelayMillis = millis;
+		}
+
 		private boolean isUnreachable() {
 			return this.disconnected || InMemoryTable.this.down;
 		}
@@ -183,7 +203,7 @@
 			else {
 				after(LATENCY_MILLIS, () -> {
 					PartitionCommit commit = apply(write);
-					after(1, () -> answer.complete(commit));
+					after(1 + this.answerDelayMillis, () -> answer.complete(commit));
 				});
 			}
 			return answer;
@@ -236,7 +256,8 @@
 				.filter((row) -> row.table().equals(table) && row.version() > since)
 				.toList();
 			if (!changed.isEmpty() || remainingMillis <= 0) {
-				answer.complete(new TableChanges(changed, InMemoryTable.this.version, false, false));
+				TableChanges changes = new TableChanges(changed, InMemoryTable.this.version, false, false);
+				after(this.feedDelayMillis, () -> answer.complete(changes));
 				return;
 			}
 			after(POLL_MILLIS, () -> poll(answer, table, since, remainingMillis - POLL_MILLIS));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverWithUnreachableWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverWithUnreachableWorkersTests.java
@@ -79,6 +79,27 @@
 		this.cell.assertCompleted("a");
 	}
 
+	@Test
+	void aJobThatTheFormerOwnerMayHaveStartedIsNotStartedTwiceIfItIsLearntLate() {
+		SimulatedCell.Scheduler first = this.cell.startOwnerAndStandby();
+		SimulatedCell.Scheduler second = this.cell.schedulers.get(1);
+		this.cell.time.runFor(1000);
+		first.tableClient.setAnswerDelay(100);
+		this.cell.time.runFor(3000);
+		first.muteToPeers();
+		first.tableClient.setWriteDelay(60_000);
+		first.workerClient.disconnect("w1");
+		first.workerClient.disconnect("w2");
+		second.workerClient.disconnect("w0");
+		second.tableClient.setFeedDelay(2000);
+		runUntilOwnershipIsTaken(second, 5000);
+		this.cell.time.runFor(50);
+		this.cell.withRunMillis(30_000);
+		this.cell.submit("a", SimulatedCell.step(1, false));
+		this.cell.time.runFor(40_000);
+		assertThat(this.cell.workers.violations()).isEmpty();
+	}
+
 	@Test
 	void aJobSubmittedAfterATakeOverIsStartedAtOnceDespiteUnreachableWorkers() {
 		SimulatedCell.Scheduler first = this.cell.startOwnerAndStandby();
