Log as held back only tasks that have still to be done

A run of a job that has ended, or of a task that is done, left a TaskHeldBack line when it was lost without a renewal, though nothing waited.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -17,6 +17,7 @@
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.SubmittedJob;
+import org.monsoonrelay.model.submission.TaskKey;
 
 /**
  * The jobs that the owner knows, their open steps, and the jobs whose progress is not
@@ -282,6 +283,17 @@
 		return this.openStepKeysByJob.getOrDefault(job, Set.of()).stream().map(this.openSteps::get).toList();
 	}
 
+	/**
+	 * Returns whether a task has still to be done.
+	 * @param task the task
+	 * @return {@code false} also if its job is not known or has no such step
+	 */
+	boolean isUnfinished(TaskKey task) {
+		return job(task.job()).filter((job) -> !job.isEnded() && task.step() < job.submission().steps().size())
+			.filter((job) -> !job.progress(task.stepKey()).isDone(task.index()))
+			.isPresent();
+	}
+
 	List<SubmittedJob> inheritedJobs() {
 		return this.inherited.stream().map(this.jobs::get).toList();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -126,8 +126,7 @@
 				dependencies.clock(), rules);
 		this.loadReporter = new PoolLoadReporter(this.epoch, this.pool, this.registry, this.eligibility,
 				dependencies.log(), this.takenOverNanos);
-		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, this.registry.unconfirmedLosses(),
-				dependencies.log());
+		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, this.registry, dependencies.log());
 		this.heartbeat = new Heartbeat(this.epoch, peers, dependencies.clock());
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RenewalMonitor.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RenewalMonitor.java
@@ -15,7 +15,7 @@
 
 	private final WorkerPool pool;
 
-	private final UnconfirmedLosses losses;
+	private final JobRegistry jobs;
 
 	private final DecisionLog log;
 
@@ -23,10 +23,10 @@
 
 	private long unconfirmedMillis;
 
-	RenewalMonitor(OwnerLease lease, WorkerPool pool, UnconfirmedLosses losses, DecisionLog log) {
+	RenewalMonitor(OwnerLease lease, WorkerPool pool, JobRegistry jobs, DecisionLog log) {
 		this.lease = lease;
 		this.pool = pool;
-		this.losses = losses;
+		this.jobs = jobs;
 		this.log = log;
 	}
 
@@ -50,7 +50,10 @@
 		int running = this.pool.workers().stream().mapToInt(PoolWorker::runCount).sum();
 		this.log.write(new PoolDecision.OwnershipUnconfirmed(this.lease.epoch(), this.unconfirmedMillis, reachable,
 				this.pool.workers().size() - reachable, running));
-		this.losses.tasks()
+		this.jobs.unconfirmedLosses()
+			.tasks()
+			.stream()
+			.filter(this.jobs::isUnfinished)
 			.forEach((task) -> this.log
 				.write(new JobDecision.TaskHeldBack(task.job(), task.toString(), this.unconfirmedMillis)));
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -184,7 +184,7 @@
 	 */
 	void holdBack(TaskKey task) {
 		this.jobs.unconfirmedLosses().record(task);
-		if (this.ownerLease.isExpired()) {
+		if (this.ownerLease.isExpired() && this.jobs.isUnfinished(task)) {
 			this.log
 				.write(new JobDecision.TaskHeldBack(task.job(), task.toString(), this.ownerLease.renewalAgeMillis()));
 		}
