Show that a rack's former owner calls an attempt of its successor gone

What callers would see: a task declared once runs twice at the same time.

A rack has a new owner that its former one has not learnt of yet (it is cut off from the table and the worker, or was suspended). The worker has restarted in between, and the new owner has started an attempt on it. A queue owner that reaches the former owner alone asks it about the attempt. It knows the former incarnation only, takes the difference for a later restart of the worker and reports the attempt as GONE, without a word of the worker.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
@@ -267,6 +267,23 @@
 			assertThat(former.summaries()).isEmpty();
 		}
 
+		@Test
+		void hasNoAttemptOfItsNextOwnerDeclaredGoneByTheFormerOne() {
+			RackManager former = RackManagerTests.this.racks;
+			RackManagerTests.this.worker.restart();
+			RackManagerTests.this.racks = newOwner();
+			takeOver(2);
+			startAttempt(ATTEMPT);
+			assertThat(RackManagerTests.this.workers.running()).containsExactly(ATTEMPT);
+			RackManagerTests.this.racks = former;
+			former.resolve(ATTEMPT, WORKER, "incarnation-2", CellData.TEAM);
+			assertThat(eventKinds()).isEmpty();
+			sendHeartbeats();
+			assertThat(eventKinds()).isEmpty();
+			assertThat(former.summaries()).isEmpty();
+			assertThat(RackManagerTests.this.workers.running()).containsExactly(ATTEMPT);
+		}
+
 		@Test
 		void placesNothingOnAWorkerBeforeItsReport() {
 			RackManagerTests.this.worker.setUnreachable(true);
