Show that an outdated host list frees a run-once task that still runs

What callers would see: a task declared once runs twice at the same time.

A worker leaves the host list and comes back under its name (versions 3, 4 and 5 or later), and the owner of the queue, which knows version 5, starts a task there. Its successor still reads version 3 and then 4, as it may from a peer while the platform does not answer it. The worker is missing from the list, and an earlier list held it: the successor takes it for removed and starts the task elsewhere. Decision 0005 allows that only for a list that is at least as new as the one in the job's record.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RunOnceTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RunOnceTests.java
@@ -141,6 +141,20 @@
 			assertThat(counts(successor)).containsOnlyKeys(TaskState.IN_DOUBT);
 		}
 
+		@Test
+		void keepsItsTaskInDoubtWhenMissingFromAHostListOlderThanTheRecordAndListedBefore() {
+			String other = (busyWorker() == RunOnceTests.this.workers.worker("w1")) ? "w2" : "w1";
+			FakeScheduler successor = new FakeScheduler("second", RunOnceTests.this.table, RunOnceTests.this.workers,
+					RunOnceTests.this.time);
+			successor.racks().acquireOwnership("r1", 2);
+			successor.updateHosts(CellData.hosts(3, CellData.worker("w1", "r1"), CellData.worker("w2", "r1")));
+			successor.updateHosts(CellData.hosts(4, CellData.worker(other, "r1")));
+			declare(successor, 1, 2);
+			successor.runSeconds(10);
+			assertThat(RunOnceTests.this.workers.maximumConcurrentRuns()).isOne();
+			assertThat(counts(successor)).containsOnlyKeys(TaskState.IN_DOUBT);
+		}
+
 	}
 
 	@Nested
