Call an attempt gone only after its worker has refused it

What callers would see: a task declared once runs twice at the same time, after its rack and its worker changed hands.

Cause: a rack's owner that was asked about an attempt of another incarnation of a worker than the one it knows took that for a restart of the worker and reported GONE at once. Which of the two incarnations is the later one it cannot tell. A former owner knows the earlier one until its lease on the worker has expired, or, when it was suspended, until its next heartbeat.

The worker is now asked in either case: it is sent a stop, which it refuses from a former owner, since its successor has fenced it before it started anything there.

--- a/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/SampleScheduler.java
+++ b/monsoonrelay-benchmarks/src/main/java/org/monsoonrelay/benchmarks/capacity/SampleScheduler.java
@@ -156,7 +156,7 @@
 
 		@Override
 		public void resolve(String rack, AttemptId attempt, WorkerId worker, String incarnation, String team) {
-			SampleScheduler.this.racks.resolve(attempt, worker, incarnation, team);
+			SampleScheduler.this.racks.resolve(attempt, worker, team);
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
@@ -208,17 +208,18 @@
 
 	/**
 	 * Determine the state of an attempt whose state is unknown to its queue owner. The
-	 * outcome is reported as an event.
+	 * outcome is reported as an event. An attempt that the worker has not reported is
+	 * gone only once the worker has refused it under this ownership: the worker may have
+	 * a next owner that has started the attempt since the last report.
 	 * @param attempt the attempt
 	 * @param worker the worker that the attempt was placed on
-	 * @param incarnation the worker's incarnation when the attempt was placed
 	 * @param team the team whose quota the attempt counts against
 	 */
-	public void resolve(AttemptId attempt, WorkerId worker, String incarnation, String team) {
-		findWorker(worker).ifPresent((tracked) -> resolve(attempt, tracked, incarnation, team));
+	public void resolve(AttemptId attempt, WorkerId worker, String team) {
+		findWorker(worker).ifPresent((tracked) -> resolve(attempt, tracked, team));
 	}
 
-	private void resolve(AttemptId attempt, TrackedWorker tracked, String incarnation, String team) {
+	private void resolve(AttemptId attempt, TrackedWorker tracked, String team) {
 		tracked.setTeam(attempt, team);
 		if (tracked.isUnresponsive()) {
 			this.attemptEvents.publish(tracked.createEvent(attempt, AttemptEventKind.LAPSED), tracked);
@@ -232,9 +233,6 @@
 				this.attemptEvents.republishRunning(attempt, tracked);
 			}
 		}
-		else if (!tracked.worker().incarnation().equals(incarnation)) {
-			this.attemptEvents.publish(tracked.createEvent(attempt, AttemptEventKind.GONE), tracked);
-		}
 		else {
 			this.attemptEvents.assign(attempt, tracked);
 			tracked.addStop(attempt);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeScheduler.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/fakes/FakeScheduler.java
@@ -168,7 +168,7 @@
 
 	@Override
 	public void resolve(String rack, AttemptId attempt, WorkerId worker, String incarnation, String team) {
-		this.rackOwner.racks.resolve(attempt, worker, incarnation, team);
+		this.rackOwner.racks.resolve(attempt, worker, team);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
@@ -115,7 +115,7 @@
 			takeOver(2);
 			advanceSeconds(3);
 			assertThat(eventKinds()).isEmpty();
-			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, "incarnation-1", CellData.TEAM);
+			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, CellData.TEAM);
 			assertThat(eventKinds()).containsExactly(AttemptEventKind.LAPSED);
 		}
 
@@ -133,7 +133,7 @@
 
 		@Test
 		void completesItsPendingStopsWhenItsHostIsRemoved() {
-			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, "incarnation-1", CellData.TEAM);
+			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, CellData.TEAM);
 			RackManagerTests.this.worker.setUnreachable(true);
 			RackManagerTests.this.racks.update(CellData.hosts(2));
 			assertThat(eventKinds()).containsExactly(AttemptEventKind.GONE);
@@ -164,7 +164,7 @@
 		void isKeptWhenTheWorkerRestarts() {
 			RackManagerTests.this.worker.restart();
 			sendHeartbeats();
-			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, "incarnation-1", CellData.TEAM);
+			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, CellData.TEAM);
 
 			assertThat(eventKinds()).containsExactly(AttemptEventKind.FINISHED);
 		}
@@ -173,7 +173,7 @@
 		void isKeptWhenTheWorkerBecomesUnresponsive() {
 			RackManagerTests.this.worker.setUnreachable(true);
 			advanceSeconds(3);
-			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, "incarnation-1", CellData.TEAM);
+			RackManagerTests.this.racks.resolve(ATTEMPT, WORKER, CellData.TEAM);
 
 			assertThat(eventKinds()).containsExactly(AttemptEventKind.FINISHED);
 		}
@@ -276,7 +276,7 @@
 			startAttempt(ATTEMPT);
 			assertThat(RackManagerTests.this.workers.running()).containsExactly(ATTEMPT);
 			RackManagerTests.this.racks = former;
-			former.resolve(ATTEMPT, WORKER, "incarnation-2", CellData.TEAM);
+			former.resolve(ATTEMPT, WORKER, CellData.TEAM);
 			assertThat(eventKinds()).isEmpty();
 			sendHeartbeats();
 			assertThat(eventKinds()).isEmpty();
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerRackOwners.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerRackOwners.java
@@ -111,7 +111,7 @@
 			.setTeam(team)
 			.build();
 		Envelope.Builder envelope = Envelope.newBuilder().setResolveRequest(request);
-		sendToOwnerOrAll(rack, envelope, (owner) -> owner.resolve(attempt, worker, incarnation, team));
+		sendToOwnerOrAll(rack, envelope, (owner) -> owner.resolve(attempt, worker, team));
 	}
 
 	private void sendToOwnerOrAll(String rack, Envelope.Builder envelope, Consumer<RackManager> localAction) {
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerRequestHandler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerRequestHandler.java
@@ -70,7 +70,7 @@
 			case RESOLVE_REQUEST -> {
 				ResolveRequest resolve = request.getResolveRequest();
 				this.racks.resolve(AttemptId.parse(resolve.getAttempt()), new WorkerId(resolve.getWorker()),
-						resolve.getIncarnation(), resolve.getTeam());
+						resolve.getTeam());
 				yield emptyReply();
 			}
 			case QUEUE_CLAIM -> {
