Take no worker for removed by a host list older than the job's record

What callers would see: a task declared once runs twice at the same time, after its queue has changed hands while host lists lag behind.

Cause: decision 0005 frees a task whose worker is missing from the host list only if the list is at least as new as the one in the job's record. A worker that an earlier list of this process had held was excepted, on the thought that it had then surely been removed. It had, but it may have come back by the version that the record knows, and run the task since.

The condition holds for all now. Records written before their writer had read any list name no version; for these an earlier list of this process stays the only proof, as before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptReconciler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/AttemptReconciler.java
@@ -41,6 +41,8 @@
 
 	private static final int MAXIMUM_MESSAGES_PER_ROUND = 1000;
 
+	private static final long UNKNOWN_VERSION = Long.MAX_VALUE;
+
 	private final RackOwners rackOwners;
 
 	private final RackDirectory racks;
@@ -98,10 +100,10 @@
 
 	/**
 	 * Return the version of the latest host list.
-	 * @return the version, {@link Long#MAX_VALUE} if no host list has been read yet
+	 * @return the version, {@link #UNKNOWN_VERSION} if no host list has been read yet
 	 */
 	long hostsVersion() {
-		return (this.hosts.version() > 0) ? this.hosts.version() : Long.MAX_VALUE;
+		return (this.hosts.version() > 0) ? this.hosts.version() : UNKNOWN_VERSION;
 	}
 
 	/**
@@ -275,18 +277,21 @@
 	/**
 	 * Return whether the worker of a task that may run has been removed from the cell. A
 	 * worker missing from the host list counts as removed if an earlier list read by this
-	 * process held it, or, for a task in doubt, if the list is at least as new as the one
-	 * known when the job was recorded. Otherwise the list may be too old to show it.
+	 * process held it, or if the task is in doubt. The list must be at least as new as
+	 * the one known when the job was recorded. Otherwise it may be too old to show that
+	 * the worker has been added, or has come back.
 	 * @param job the job
 	 * @param task the task
 	 * @return {@code true} if the worker has certainly been removed
 	 */
 	private boolean isWorkerRemoved(Job job, TaskRecord task) {
-		if (this.rackByWorker.containsKey(task.worker())) {
+		boolean isRecordedVersionKnown = job.hostsVersion() != UNKNOWN_VERSION;
+		boolean isOlderThanRecord = isRecordedVersionKnown && this.hosts.version() < job.hostsVersion();
+		if (isOlderThanRecord || this.rackByWorker.containsKey(task.worker())) {
 			return false;
 		}
 		boolean removedSinceRecord = task.state() == TaskState.IN_DOUBT && this.hosts.version() > 0
-				&& this.hosts.version() >= job.hostsVersion();
+				&& isRecordedVersionKnown;
 		return removedSinceRecord || this.everListedWorkers.contains(task.worker());
 	}
 
