Have a former owner of a queue read a record of its successor in its test

The third test of FormerQueueOwnersTests was red for another reason than its name says: nothing in it made the former owner read a record, so that it would have stayed red with the fault mended. It has an end of its own attempt now, whose record the successor has written since, and asks in addition for the end at the successor.

Red on the code of the commit before: expected no team, was "crew".

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/FormerQueueOwnersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/FormerQueueOwnersTests.java
@@ -14,6 +14,8 @@
 import org.monsoonrelay.logic.fakes.FakeTable;
 import org.monsoonrelay.logic.fakes.FakeWorkers;
 import org.monsoonrelay.logic.fakes.ManualTime;
+import org.monsoonrelay.logic.rack.AttemptPhase;
+import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.job.TaskState;
 import org.monsoonrelay.model.workload.RunDeclaration;
 
@@ -28,11 +30,15 @@
 
 	private static final RunDeclaration WAGES = CellData.run("wages", 1, true);
 
+	// One task fits on each worker.
+	private static final RunDeclaration PAIR = new RunDeclaration("pair", "1", CellData.TEAM, 2,
+			new Resources(5, 1024, 0), 60_000, true, false, List.of(), List.of());
+
 	private static final RunDeclaration POSTING = CellData.run("posting", 1, true);
 
-	private static final ActiveControlState FIRST_TEXT = CellData.activeState(1, WAGES);
+	private static final ActiveControlState FIRST_TEXT = CellData.activeState(1, WAGES, PAIR);
 
-	private static final ActiveControlState NEXT_TEXT = CellData.activeState(2, WAGES, POSTING);
+	private static final ActiveControlState NEXT_TEXT = CellData.activeState(2, WAGES, PAIR, POSTING);
 
 	private final ManualTime time = new ManualTime(Instant.EPOCH);
 
@@ -104,14 +110,15 @@
 	}
 
 	@Test
-	void startNothingOnceTheyHaveReadARecordOfTheirSuccessor() {
-		restartWorkers();
-		this.workers.finishAll();
-		this.successor.runSeconds(3);
-		assertThat(counts("wages")).containsOnlyKeys(TaskState.FINISHED);
-		this.former.runSeconds(40);
+	void giveTheQueueUpOnceTheyHaveReadARecordOfTheirSuccessor() {
+		this.workers.worker("w2").restart();
+		this.successor.runSeconds(4);
+		assertThat(counts("pair")).containsOnlyKeys(TaskState.RUNNING);
+		this.workers.worker("w1").endAll(AttemptPhase.FINISHED);
+		this.former.runSeconds(3);
 		assertThat(this.former.queues().teams()).isEmpty();
-		assertThat(this.workers.runs()).containsEntry("wages@1/0", 2);
+		this.successor.runSeconds(3);
+		assertThat(counts("pair")).isEqualTo(Map.of(TaskState.FINISHED, 1, TaskState.RUNNING, 1));
 	}
 
 }
