Leave attempts and records of a later epoch to the queue's next owner

What callers would see: a run-once task runs twice, a finished job is shown as running for good.

Cause: an owner learns of its successor from the rows of owners, which it reads when sessions come or go and every 30 rounds, and not at all while the table does not answer it. Until then it handled each attempt and record as its own. It acknowledged, or stopped, attempts of jobs that only the successor's text declares, whereupon the worker forgot their ends; and after a conflict it went on with the successor's record, so that two owners opened attempts with the same numbers and took each other's ends.

The epoch is in the attempt's number and in the record. One that is higher than the queue's shows that there is a successor: the queue is released, and nothing is acknowledged, so that the rack's owner sends the event again, to the successor. The owners' rows still decide who owns it.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/AttemptEventKind.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/placement/AttemptEventKind.java
@@ -20,6 +20,14 @@
 	/** The worker was unresponsive until its lease expired; the attempt may still run. */
 	LAPSED;
 
+	/**
+	 * Return whether the attempt does not run any more.
+	 * @return {@code false} for {@link #RUNNING} and {@link #LAPSED}
+	 */
+	public boolean isTerminal() {
+		return this != RUNNING && this != LAPSED;
+	}
+
 	/**
 	 * Return whether this is an end of the attempt that its worker has reported. Such a
 	 * report is final: a later restart or an unresponsive worker does not change it.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -16,7 +16,6 @@
 
 import org.monsoonrelay.logic.control.ActiveControlState;
 import org.monsoonrelay.logic.placement.AttemptEvent;
-import org.monsoonrelay.logic.placement.AttemptEventKind;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
@@ -31,11 +30,14 @@
  * Manages the team queues that this process owns: orders their jobs, enforces quotas,
  * places tasks with the owners of racks and stores the progress of jobs. Invariants: an
  * attempt of a run-once task is durable before it is started; a gang starts all of its
- * tasks or none; the end of an attempt is acknowledged only after it is durable. Not
+ * tasks or none; the end of an attempt is acknowledged only after it is durable; an
+ * attempt or record of a later epoch is left to the successor that it shows. Not
  * thread-safe: confined to the control thread, which also handles all replies.
  */
 public final class QueueManager {
 
+	private static final System.Logger LOGGER = System.getLogger(QueueManager.class.getName());
+
 	private static final Duration RECONCILE_INTERVAL = Duration.ofSeconds(1);
 
 	private final Placer placer;
@@ -111,6 +113,15 @@
 		}
 	}
 
+	private boolean releaseIfSuperseded(String team, TeamQueue queue, long epoch) {
+		if (epoch <= queue.epoch()) {
+			return false;
+		}
+		LOGGER.log(System.Logger.Level.INFO, "the queue of {0} has another owner since epoch {1}", team, epoch);
+		releaseOwnership(team);
+		return true;
+	}
+
 	private void discard(Job job) {
 		job.retire();
 		this.store.forget(job.id());
@@ -203,7 +214,9 @@
 				return;
 			}
 			if (failure == null) {
-				add(queue, workload, record);
+				if (!releaseIfSuperseded(team, queue, record.queueEpoch())) {
+					add(queue, workload, record);
+				}
 			}
 			else if (!workload.once() && queue.isDeclaredAfterLoad(id)) {
 				// Cannot have a record yet; all others are loaded again in a later round.
@@ -288,11 +301,12 @@
 	 */
 	public void handleEvent(AttemptEvent event, String team, Consumer<AttemptEvent> acknowledge) {
 		TeamQueue queue = this.queues.get(team);
-		if (queue == null || queue.loadingJobs().contains(event.attempt().job())) {
+		if (queue == null || releaseIfSuperseded(team, queue, event.attempt().queueEpoch())
+				|| queue.loadingJobs().contains(event.attempt().job())) {
 			return;
 		}
 		boolean isStopRequested = this.reconciler.isStopRequested(event.attempt());
-		this.reconciler.recordReport(event.attempt(), isTerminal(event.kind()));
+		this.reconciler.recordReport(event.attempt(), event.kind().isTerminal());
 		Job job = queue.jobs().get(event.attempt().job());
 		if (job == null) {
 			if (isUndeclared(event.attempt().job())) {
@@ -308,12 +322,8 @@
 		return this.inForce.head().version() > 0 && !this.declaredWorkloads.containsKey(id);
 	}
 
-	private static boolean isTerminal(AttemptEventKind kind) {
-		return kind != AttemptEventKind.RUNNING && kind != AttemptEventKind.LAPSED;
-	}
-
 	private void stopUnlessTerminal(AttemptEvent event, String team) {
-		if (!isTerminal(event.kind())) {
+		if (!event.kind().isTerminal()) {
 			this.reconciler.stop(event.attempt(), event.worker(), team);
 		}
 	}
@@ -378,18 +388,4 @@
 		return queue != null && queue.isActive();
 	}
 
-	/**
-	 * Creates the record store of a queue manager.
-	 */
-	public interface JobRecordStoreFactory {
-
-		/**
-		 * Create the record store.
-		 * @param onConflict called with a job whose row another owner has changed
-		 * @return the record store
-		 */
-		JobRecordStore create(Consumer<JobId> onConflict);
-
-	}
-
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/AttemptId.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/AttemptId.java
@@ -13,6 +13,20 @@
 
 	private static final char SEPARATOR = '/';
 
+	private static final int EPOCH_SHIFT = 20;
+
+	static long firstNumber(long queueEpoch) {
+		return queueEpoch << EPOCH_SHIFT;
+	}
+
+	/**
+	 * Epoch of the queue's owner that opened the attempt.
+	 * @return the epoch
+	 */
+	public long queueEpoch() {
+		return this.attempt >> EPOCH_SHIFT;
+	}
+
 	/**
 	 * Parse the form that {@link #toString()} returns.
 	 * @param text the form {@code name@run/task/attempt}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/job/Job.java
@@ -19,8 +19,6 @@
  */
 public final class Job {
 
-	private static final int EPOCH_SHIFT = 20;
-
 	private Workload workload;
 
 	private final TaskList tasks;
@@ -40,7 +38,7 @@
 	public Job(Workload workload, JobRecord recorded, long queueEpoch, Instant now) {
 		this.queueEpoch = queueEpoch;
 		this.hostsVersion = recorded.hostsVersion();
-		this.minimumAttempt = queueEpoch << EPOCH_SHIFT;
+		this.minimumAttempt = AttemptId.firstNumber(queueEpoch);
 		this.workload = workload;
 		this.readySince = now;
 		this.tasks = new TaskList(workload.tasks());
