Show that a former queue owner keeps an end from its successor

What callers would see: a job that has finished is shown as running, and what depends on it does not start.

The reverse of the fault before: a former owner that has not learnt of its successor yet stores the end of an attempt of its own, after the successor has loaded the job's record, and acknowledges it. That is durable, and a run-once task is not started again, since the successor's next write of the record conflicts. But it may have nothing to write: the worker has forgotten the attempt, and nobody tells the successor.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/FormerQueueOwnersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/FormerQueueOwnersTests.java
@@ -121,4 +121,14 @@
 		assertThat(counts("pair")).isEqualTo(Map.of(TaskState.FINISHED, 1, TaskState.RUNNING, 1));
 	}
 
+	@Test
+	void leaveNoSuccessorWaitingForAnEndThatTheyHaveStored() {
+		this.workers.finishAll();
+		this.former.runSeconds(3);
+		this.successor.runSeconds(3);
+		assertThat(counts("wages")).containsOnlyKeys(TaskState.FINISHED);
+		assertThat(counts("pair")).containsOnlyKeys(TaskState.FINISHED);
+		assertThat(this.workers.runs().values()).containsOnly(1);
+	}
+
 }
