Write a job's row when a queue changes hands, before its first end

What callers would see: a job that has finished is shown as running, and what depends on it does not start.

Cause: nothing told a former owner's writes of a job's row from those of its successor before the successor wrote the row for the first time, which may be never: the former owner stored the end of an attempt of its own, acknowledged it, and the worker forgot it.

When an attempt of an earlier epoch is reported as running, the successor now writes the row of its job unless it has done so since it loaded the job.

Price: one row for each job that has running attempts when its queue changes hands, within the budget for writes. Not measured at the size designed for.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobRecordStore.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobRecordStore.java
@@ -47,6 +47,8 @@
 
 	private final Map<JobId, Long> rowVersions = new HashMap<>();
 
+	private final Set<JobId> writtenJobs = new HashSet<>();
+
 	private final Map<JobId, PendingWrite> pendingWrites = new LinkedHashMap<>();
 
 	private final Set<JobId> inFlightJobs = new HashSet<>();
@@ -83,6 +85,7 @@
 	public CompletableFuture<JobRecord> load(JobId id) {
 		return this.table.read(TableKeys.job(id)).thenApplyAsync((row) -> {
 			this.pendingWrites.remove(id);
+			this.writtenJobs.remove(id);
 			this.rowVersions.put(id, row.map(Row::version).orElse(ConditionalWrite.ABSENT));
 			return row.map((found) -> Json.read(found.value(), JobRecord.class)).orElse(JobRecord.NONE);
 		}, this.controlExecutor);
@@ -102,6 +105,19 @@
 			.add(onDurable);
 	}
 
+	/**
+	 * Enqueue a job unless its row has been written since it was loaded. Until then a
+	 * former owner of the queue could store and acknowledge ends unnoticed: the write
+	 * conflicts if it has done so, and if not, its next write does.
+	 * @param job the job
+	 */
+	void enqueueUnlessWritten(Job job) {
+		if (!this.writtenJobs.contains(job.id()) && !isPending(job.id())) {
+			enqueue(job, () -> {
+			});
+		}
+	}
+
 	/**
 	 * Commit enqueued jobs as far as the write budget allows, unless a commit is in
 	 * flight. If reading back an unanswered commit has failed, retries that instead.
@@ -210,6 +226,7 @@
 			return;
 		}
 		this.rowVersions.put(id, version);
+		this.writtenJobs.add(id);
 		entry.callbacks.forEach(Runnable::run);
 	}
 
@@ -232,6 +249,7 @@
 	public void forget(JobId id) {
 		this.pendingWrites.remove(id);
 		this.rowVersions.remove(id);
+		this.writtenJobs.remove(id);
 	}
 
 	/**
