Prove that half of a rack behind a cut repeats no run-once task

A rack's and queue's owner is cut off from the table and from one of the rack's two workers for 60 s and more; its successor reaches that worker, reads the end there and stores it. The former owner keeps the task in doubt: the lapse of its own lease on the worker frees no run-once task, and a start needs a write of the job's row, which it cannot make.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/PartitionedDomainTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/PartitionedDomainTests.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.control.ActiveControlState;
 import org.monsoonrelay.logic.fakes.CellData;
 import org.monsoonrelay.logic.fakes.FakeScheduler;
 import org.monsoonrelay.logic.fakes.FakeTable;
@@ -19,8 +20,10 @@
 import org.monsoonrelay.logic.platform.PlatformException;
 import org.monsoonrelay.logic.platform.Row;
 import org.monsoonrelay.logic.platform.TableService;
+import org.monsoonrelay.logic.rack.AttemptPhase;
 import org.monsoonrelay.logic.rack.WorkerAgents;
 import org.monsoonrelay.model.job.TaskState;
+import org.monsoonrelay.model.workload.RunDeclaration;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -33,6 +36,13 @@
 	private static final HostList HOSTS = CellData.hosts(1, CellData.worker("cut", "r1"),
 			CellData.worker("outside", "r2"));
 
+	// One task fits on each worker.
+	private static final ActiveControlState FULL_WORKERS = CellData.activeState(1, new RunDeclaration("wages", "1",
+			CellData.TEAM, 2, CellData.WORKER, 60_000, true, false, List.of(), List.of()));
+
+	private static final Map<TaskState, Integer> ONE_FINISHED_AND_ONE_IN_DOUBT = Map.of(TaskState.FINISHED, 1,
+			TaskState.IN_DOUBT, 1);
+
 	private final ManualTime time = new ManualTime(Instant.EPOCH);
 
 	private final FakeTable table = new FakeTable();
@@ -63,7 +73,10 @@
 	private final WorkerAgents outsideWorkerAgents = (host, command) -> (isPartitioned() && host.name().equals("cut"))
 			? unreachable() : this.workers.send(host, command);
 
-	private final FakeScheduler insideScheduler = new FakeScheduler("inside", this.insideTable, this.workers,
+	private final WorkerAgents insideWorkerAgents = (host, command) -> (isPartitioned() && host.name().equals("far"))
+			? unreachable() : this.workers.send(host, command);
+
+	private final FakeScheduler insideScheduler = new FakeScheduler("inside", this.insideTable, this.insideWorkerAgents,
 			this.time);
 
 	private final FakeScheduler outsideScheduler = new FakeScheduler("outside", this.table, this.outsideWorkerAgents,
@@ -78,11 +91,16 @@
 	}
 
 	private void takeOver(FakeScheduler scheduler, long epoch, String... racks) {
-		scheduler.updateHosts(HOSTS);
+		takeOver(scheduler, epoch, HOSTS,
+				CellData.activeState(1, CellData.run("wages", 2, true), CellData.run("roster", 2, false)), racks);
+	}
+
+	private void takeOver(FakeScheduler scheduler, long epoch, HostList hosts, ActiveControlState state,
+			String... racks) {
+		scheduler.updateHosts(hosts);
 		List.of(racks).forEach((rack) -> scheduler.racks().acquireOwnership(rack, epoch));
 		scheduler.runScheduledWork();
-		scheduler.queues()
-			.update(CellData.activeState(1, CellData.run("wages", 2, true), CellData.run("roster", 2, false)));
+		scheduler.queues().update(state);
 		scheduler.queues().acquireOwnership(CellData.TEAM, epoch);
 		scheduler.control().drain();
 		scheduler.queues().activate(CellData.TEAM);
@@ -120,4 +138,26 @@
 		assertThat(this.insideScheduler.racks().summaries()).isEmpty();
 	}
 
+	@Test
+	void startsNoRunOnceTaskAgainThatItsSuccessorHasFinishedOnTheOtherHalfOfARack() {
+		HostList halves = CellData.hosts(1, CellData.worker("cut", "r1"), CellData.worker("far", "r1"));
+		takeOver(this.insideScheduler, 1, halves, FULL_WORKERS, "r1");
+		this.insideScheduler.runSeconds(2);
+		assertThat(this.workers.worker("far").runningCount()).isOne();
+		this.partitioned = true;
+		takeOver(this.outsideScheduler, 2, halves, FULL_WORKERS, "r1");
+		this.outsideScheduler.runSeconds(4);
+		this.workers.worker("far").endAll(AttemptPhase.FINISHED);
+		this.outsideScheduler.runSeconds(3);
+		this.workers.worker("cut").endAll(AttemptPhase.FINISHED);
+		this.insideScheduler.runSeconds(60);
+		assertThat(counts(this.outsideScheduler).get("wages")).isEqualTo(ONE_FINISHED_AND_ONE_IN_DOUBT);
+		assertThat(counts(this.insideScheduler).get("wages")).isEqualTo(ONE_FINISHED_AND_ONE_IN_DOUBT);
+		this.partitioned = false;
+		this.insideScheduler.runSeconds(4);
+		this.outsideScheduler.runSeconds(4);
+		assertThat(counts(this.outsideScheduler).get("wages")).isEqualTo(Map.of(TaskState.FINISHED, 2));
+		assertThat(this.workers.runs()).isEqualTo(Map.of("wages@1/0", 1, "wages@1/1", 1));
+	}
+
 }
