Show that a slow renewal leaves a queue with two owners

What callers would see: repeatable tasks are started by two owners for up to 30 s. (Run-once tasks are not: their starts need the job's row.)

The renewals of an owner take effect late, as beside a slow table. An instance sees the session lapse and claims its queue. Before the instance that is to end the session does so, a renewal takes effect.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/membership/OwnershipTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/membership/OwnershipTests.java
@@ -5,16 +5,24 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.monsoonrelay.logic.fakes.FakeTable;
 import org.monsoonrelay.logic.fakes.ManualExecutor;
 import org.monsoonrelay.logic.fakes.ManualTime;
+import org.monsoonrelay.logic.platform.CommitResult;
+import org.monsoonrelay.logic.platform.ConditionalWrite;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.MonotonicInstantSource;
+import org.monsoonrelay.logic.platform.Row;
 import org.monsoonrelay.logic.platform.TableKeys;
+import org.monsoonrelay.logic.platform.TableService;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.model.membership.Ownership;
 import org.monsoonrelay.model.membership.SessionRecord;
@@ -29,8 +37,10 @@
 
 	private static final Duration SESSION_EXPIRY = Duration.ofSeconds(4);
 
+	private static final String QUEUE = TableKeys.QUEUES + "crew";
+
 	private static final Map<String, String> WANTED = Map.of(TableKeys.RACKS + "r1", "north", TableKeys.RACKS + "r2",
-			"south", TableKeys.QUEUES + "crew", "");
+			"south", QUEUE, "");
 
 	private final FakeTable table = new FakeTable();
 
@@ -172,6 +182,36 @@
 
 	}
 
+	@Nested
+	class ASlowRenewal {
+
+		// The first one takes the queue over, the second one would end the session of
+		// "a".
+		@ParameterizedTest
+		@CsvSource({ "b, d", "c, x", "m, s", "w, e" })
+		void leavesNoQueueWithTwoOwnersWhenItTakesEffectDuringATakeOver(String first, String second) {
+			HeldCommits slowTable = new HeldCommits();
+			Instance slow = new Instance("a", "north", slowTable);
+			OwnershipTests.this.instances.put("a", slow);
+			Instance successor = start(first, "south");
+			Instance other = start(second, "south");
+			runRounds(3);
+			slowTable.held = true;
+			for (int round = 0; round < 10; round++) {
+				OwnershipTests.this.time.advance(Duration.ofSeconds(1));
+				slow.runRound();
+				successor.runRound();
+				slowTable.deliverLast();
+				other.runRound();
+				slowTable.held = round < 4;
+			}
+			OwnershipTests.this.instances
+				.forEach((name, instance) -> assertThat(instance.owned.containsKey(QUEUE)).as(name)
+					.isEqualTo(owner(QUEUE).session().equals(name)));
+		}
+
+	}
+
 	@Nested
 	class Rows {
 
@@ -235,9 +275,13 @@
 		private final OwnershipKeeper keeper;
 
 		Instance(String name, String domain) {
+			this(name, domain, OwnershipTests.this.table);
+		}
+
+		Instance(String name, String domain, TableService table) {
 			SessionRecord self = new SessionRecord(name, domain, new HostAddress("10.0.0.2", 7100));
-			this.keeper = new OwnershipKeeper(self, OwnershipTests.this.table, this.control,
-					OwnershipTests.this.time::nanos, SESSION_EXPIRY, (key, ownership, own) -> {
+			this.keeper = new OwnershipKeeper(self, table, this.control, OwnershipTests.this.time::nanos,
+					SESSION_EXPIRY, (key, ownership, own) -> {
 						if (own) {
 							this.owned.put(key, ownership.epoch());
 						}
@@ -254,4 +298,42 @@
 
 	}
 
+	/**
+	 * The table as one instance reaches it whose commits can be held back.
+	 */
+	private final class HeldCommits implements TableService {
+
+		private boolean held;
+
+		private List<ConditionalWrite> last = List.of();
+
+		@Override
+		public CompletableFuture<Optional<Row>> read(String key) {
+			return OwnershipTests.this.table.read(key);
+		}
+
+		@Override
+		public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+			return OwnershipTests.this.table.scan(prefix, after, limit);
+		}
+
+		@Override
+		public CompletableFuture<CommitResult> commit(List<ConditionalWrite> writes) {
+			if (this.held) {
+				this.last = writes;
+				return new CompletableFuture<>();
+			}
+			return OwnershipTests.this.table.commit(writes);
+		}
+
+		void deliverLast() {
+			boolean isTakeOver = !owner(QUEUE).session().equals("a");
+			if (isTakeOver && !this.last.isEmpty()) {
+				OwnershipTests.this.table.commit(this.last);
+				this.last = List.of();
+			}
+		}
+
+	}
+
 }
