End a lapsed session before what it owned is claimed

What callers would see: repeatable tasks are started by two owners for up to 30 s while the table is slow.

Cause: the ownerships of a lapsed session were claimed by one instance and its row was ended by another, neither on condition of the other. A renewal that took effect in between left the claims standing and the session alive, and the former owner reads the rows of owners only when sessions change.

What a session owned is now claimed after its row was ended, on condition of the version at which it lapsed. If a renewal came first, there is no claim, and the next round looks again; if the end came first, the renewal conflicts, and the former owner finds its session ended. An instance that loses the race for the end claims a round later, as the session counts as ended by then. One more call to the table before a claim after a lapse, no more rounds for a single successor.

OwnershipTests and FormerQueueOwnersTests green, among them the 6 rounds after a kill and the 1 round of a planned stop.

Left: a claim that takes effect a round or more after the end of the session may still be missed by a former owner that is alive again by then.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
@@ -28,7 +28,8 @@
  * Renews this instance's session and takes over racks and queues without a live owner.
  * Invariants: an ownership is used only after its conditional write took effect or was
  * read back; the epoch increases with each change of owner and is taken from the table
- * only; rows of ended sessions are reused, so that their number depends on the number of
+ * only; what a lapsed session owned is claimed only after the row of the session was
+ * ended; rows of ended sessions are reused, so that their number depends on the number of
  * instances and not on their restarts. The ownership rows are read when sessions start or
  * end, when the outcome of a claim is unknown, and periodically. Not thread-safe:
  * confined to the control thread.
@@ -101,9 +102,10 @@
 		records.forEach((row, record) -> this.liveness.observe(record, row.version(), now));
 		renew(records);
 		List<SessionRecord> live = live();
-		records.forEach((row, record) -> endIfExpired(row, record, live));
+		ExpiredSessions expired = new ExpiredSessions(records, live);
+		expired.endAssigned();
 		if (isOwnerReadDue(live, wanted.keySet())) {
-			readOwnersAndClaim(wanted, live);
+			readOwnersAndClaim(wanted, live, expired);
 		}
 	}
 
@@ -135,16 +137,6 @@
 			.min(Comparator.comparing(Row::key));
 	}
 
-	private void endIfExpired(Row row, SessionRecord record, List<SessionRecord> live) {
-		boolean hasExpired = !record.hasEnded() && live.stream().noneMatch((session) -> session.equals(record));
-		boolean isSuccessor = OwnershipPlan.successor(row.key(), "", Ownership.NONE, live)
-			.filter(this.self::equals)
-			.isPresent();
-		if (hasExpired && isSuccessor) {
-			this.table.commit(List.of(new ConditionalWrite(row.key(), Json.write(record.asEnded()), row.version())));
-		}
-	}
-
 	private boolean isOwnerReadDue(List<SessionRecord> live, Set<String> wanted) {
 		Set<String> sessions = live.stream().map(SessionRecord::session).collect(Collectors.toSet());
 		boolean changed = !sessions.equals(this.knownLive) || !wanted.equals(this.knownWanted);
@@ -154,11 +146,20 @@
 		return changed || this.roundsUntilOwnerRead < 0;
 	}
 
-	private void readOwnersAndClaim(Map<String, String> wanted, List<SessionRecord> live) {
+	private void readOwnersAndClaim(Map<String, String> wanted, List<SessionRecord> live, ExpiredSessions expired) {
 		this.roundsUntilOwnerRead = 0;
 		this.table.scan(TableKeys.OWNERS, "", MAX_ROWS).thenAcceptAsync((rows) -> {
 			this.roundsUntilOwnerRead = ROUNDS_BETWEEN_OWNER_READS;
-			claim(claims(rows, wanted, live));
+			claims(rows, wanted, live).stream()
+				.collect(Collectors.groupingBy(Claim::formerSession))
+				.forEach((session, claims) -> expired.end(session).thenAcceptAsync((hasEnded) -> {
+					if (hasEnded) {
+						claim(claims);
+					}
+					else {
+						this.roundsUntilOwnerRead = 0;
+					}
+				}, this.control));
 		}, this.control);
 	}
 
@@ -172,8 +173,9 @@
 			this.listener.onOwnership(key, owned, owned.session().equals(this.self.session()));
 			OwnershipPlan.successor(key, domain, owned, live)
 				.filter((successor) -> successor.session().equals(this.self.session()))
-				.ifPresent((successor) -> claims.add(new Claim(key, owned.transferredTo(this.self.session()),
-						row.map(Row::version).orElse(ConditionalWrite.ABSENT))));
+				.ifPresent((successor) -> claims
+					.add(new Claim(key, owned.session(), owned.transferredTo(this.self.session()),
+							row.map(Row::version).orElse(ConditionalWrite.ABSENT))));
 		});
 		return claims;
 	}
@@ -226,7 +228,61 @@
 
 	}
 
-	private record Claim(String key, Ownership next, long version) {
+	private record Claim(String key, String formerSession, Ownership next, long version) {
+
+	}
+
+	/**
+	 * The sessions that have expired in one round. What a session owned is claimed only
+	 * after its row has been ended on condition of the version at which it expired: a
+	 * renewal that takes effect first prevents the claim, and one that comes later
+	 * conflicts, so that the former owner notices.
+	 */
+	private final class ExpiredSessions {
+
+		private final Map<String, ConditionalWrite> ends = new TreeMap<>();
+
+		private final Map<String, CompletableFuture<Boolean>> results = new HashMap<>();
+
+		private final List<SessionRecord> live;
+
+		ExpiredSessions(Map<Row, SessionRecord> records, List<SessionRecord> live) {
+			this.live = live;
+			records.forEach((row, record) -> {
+				if (!record.hasEnded() && !live.contains(record)) {
+					this.ends.put(record.session(),
+							new ConditionalWrite(row.key(), Json.write(record.asEnded()), row.version()));
+				}
+			});
+		}
+
+		/**
+		 * End the sessions that it falls to this instance to end.
+		 */
+		void endAssigned() {
+			this.ends.forEach((session, write) -> {
+				if (OwnershipPlan.successor(write.key(), "", Ownership.NONE, this.live)
+					.filter(OwnershipKeeper.this.self::equals)
+					.isPresent()) {
+					end(session);
+				}
+			});
+		}
+
+		/**
+		 * End a session if it has expired.
+		 * @param session the session
+		 * @return completes, never exceptionally, with whether the session does not stand
+		 * in the way of a claim: its row was ended, or it has not expired
+		 */
+		CompletableFuture<Boolean> end(String session) {
+			if (!this.ends.containsKey(session)) {
+				return CompletableFuture.completedFuture(true);
+			}
+			return this.results.computeIfAbsent(session,
+					(expired) -> OwnershipKeeper.this.table.commit(List.of(this.ends.get(expired)))
+						.handle((result, failure) -> result instanceof CommitResult.Committed));
+		}
 
 	}
 
