Show that a slow claim leaves a queue with two owners

A session is ended, and the claim of what it owned is under way for more than a round. The former owner finds its session ended, reads the rows of owners, in which it still stands, renews its session and goes on. When the claim takes effect, sessions do not change any more.

Red each time: expected not to own the queue, but did, 5 rounds later.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/membership/OwnershipTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/membership/OwnershipTests.java
@@ -212,6 +212,35 @@
 
 	}
 
+	@Nested
+	class ASlowClaim {
+
+		@Test
+		void leavesNoQueueWithTwoOwnersWhenTheFormerOneIsAliveAgainBefore() {
+			HeldCommits renewals = new HeldCommits();
+			Instance former = new Instance("a", "north", renewals);
+			OwnershipTests.this.instances.put("a", former);
+			runRounds(3);
+			assertThat(former.owned).containsKey(QUEUE);
+			HeldCommits claims = new HeldCommits();
+			OwnershipTests.this.instances.put("b", new Instance("b", "south", claims));
+			runRounds(3);
+			renewals.held = true;
+			claims.heldKey = QUEUE;
+			for (int round = 0; claims.last.isEmpty() && round < 20; round++) {
+				runRounds(1);
+			}
+			assertThat(claims.last).isNotEmpty();
+			renewals.held = false;
+			claims.heldKey = "none";
+			runRounds(5);
+			OwnershipTests.this.table.commit(claims.last);
+			runRounds(5);
+			assertThat(former.owned.containsKey(QUEUE)).isEqualTo(owner(QUEUE).session().equals("a"));
+		}
+
+	}
+
 	@Nested
 	class Rows {
 
@@ -305,6 +334,8 @@
 
 		private boolean held;
 
+		private String heldKey = "none";
+
 		private List<ConditionalWrite> last = List.of();
 
 		@Override
@@ -319,7 +350,7 @@
 
 		@Override
 		public CompletableFuture<CommitResult> commit(List<ConditionalWrite> writes) {
-			if (this.held) {
+			if (this.held || writes.stream().anyMatch((write) -> write.key().equals(this.heldKey))) {
 				this.last = writes;
 				return new CompletableFuture<>();
 			}
