Claim anew what an ended session owned

What callers would see: repeatable tasks are started by two owners for up to 30 s while the table is slow.

Cause: an owner whose session was ended went on with what the rows of owners still gave it, once it had renewed the session, although the claim of a successor could be under way.

It now releases what it owned until it has claimed it again itself, with the next epoch, by a write that is conditional on the owner's row: either that write or the one under way takes effect. The session counts as ended if its row is not there as it wrote it, which holds in the first round as well, when it owns nothing.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
@@ -29,10 +29,11 @@
  * Invariants: an ownership is used only after its conditional write took effect or was
  * read back; the epoch increases with each change of owner and is taken from the table
  * only; what a lapsed session owned is claimed only after the row of the session was
- * ended; rows of ended sessions are reused, so that their number depends on the number of
- * instances and not on their restarts. The ownership rows are read when sessions start or
- * end, when the outcome of a claim is unknown, and periodically. Not thread-safe:
- * confined to the control thread.
+ * ended; an instance whose session was ended claims anew what it owned, since claims of
+ * others may be under way; rows of ended sessions are reused, so that their number
+ * depends on the number of instances and not on their restarts. The ownership rows are
+ * read when sessions start or end, when the outcome of a claim is unknown, and
+ * periodically. Not thread-safe: confined to the control thread.
  */
 public final class OwnershipKeeper {
 
@@ -60,6 +61,11 @@
 
 	private Set<String> knownWanted = Set.of();
 
+	// By key, the last epoch of the ownership when this session was found ended.
+	private final Map<String, Long> endedEpochs = new HashMap<>();
+
+	private boolean sessionWasEnded;
+
 	private int roundsUntilOwnerRead;
 
 	private boolean inProgress;
@@ -100,6 +106,10 @@
 			.collect(Collectors.toMap((row) -> row, (row) -> Json.read(row.value(), SessionRecord.class)));
 		this.liveness.retain(records.values().stream().map(SessionRecord::session).collect(Collectors.toSet()));
 		records.forEach((row, record) -> this.liveness.observe(record, row.version(), now));
+		if (!records.containsValue(this.self)) {
+			this.sessionWasEnded = true;
+			this.roundsUntilOwnerRead = 0;
+		}
 		renew(records);
 		List<SessionRecord> live = live();
 		ExpiredSessions expired = new ExpiredSessions(records, live);
@@ -167,11 +177,17 @@
 		Map<String, Row> owners = new HashMap<>();
 		rows.forEach((row) -> owners.put(row.key(), row));
 		List<Claim> claims = new ArrayList<>();
+		if (this.sessionWasEnded) {
+			this.sessionWasEnded = false;
+			owners.forEach((key, row) -> this.endedEpochs.put(key, Json.read(row.value(), Ownership.class).epoch()));
+		}
 		new TreeMap<>(wanted).forEach((key, domain) -> {
 			Optional<Row> row = Optional.ofNullable(owners.get(key));
 			Ownership owned = row.map((found) -> Json.read(found.value(), Ownership.class)).orElse(Ownership.NONE);
-			this.listener.onOwnership(key, owned, owned.session().equals(this.self.session()));
-			OwnershipPlan.successor(key, domain, owned, live)
+			boolean own = owned.session().equals(this.self.session());
+			boolean ended = own && owned.epoch() <= this.endedEpochs.getOrDefault(key, 0L);
+			this.listener.onOwnership(key, owned, own && !ended);
+			OwnershipPlan.successor(key, domain, ended ? Ownership.NONE : owned, live)
 				.filter((successor) -> successor.session().equals(this.self.session()))
 				.ifPresent((successor) -> claims
 					.add(new Claim(key, owned.session(), owned.transferredTo(this.self.session()),
