--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnersBehindCutsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnersBehindCutsTests.java
@@ -1,92 +1,60 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.assertj.core.api.InstanceOfAssertFactories;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.explain.LogLine;
+import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * An owner that is cut off from the table, from the other hosts and from the workers of
- * another failure domain for longer than all leases. Its successor reaches those workers
- * and no others.
+ * An owner that is cut off for longer than all leases starts no task that its successor
+ * has accounted for.
  */
 class OwnersBehindCutsTests {
 
-	private static final long CUT_MILLIS = 25_000;
+	private final OwnerBehindCut cut = new OwnerBehindCut();
 
-	private static final long RUN_MILLIS = 4000;
+	private final SimulatedCell cell = this.cut.cell;
 
-	private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
-
-	private final SimulatedCell cell = new SimulatedCell();
-
-	private SimulatedCell.Scheduler former;
-
-	private SimulatedCell.Scheduler successor;
-
-	@BeforeEach
-	void startCell() {
-		this.cell.workers.add("near", SimulatedCell.CAPACITY, "porto");
-		this.cell.workers.add("far", SimulatedCell.CAPACITY, "gaia");
-		this.former = this.cell.startOwnerAndStandby();
-		this.successor = this.cell.schedulers.get(1);
-		this.cell.time.runFor(1000);
-	}
-
-	private void startOnFarWorker(StepSpec step, long runMillis) {
-		this.cell.withRunMillis(runMillis);
-		this.former.workerClient.disconnect("near");
-		this.cell.time.runFor(600);
-		this.cell.submit("a", step);
-		this.cell.time.runFor(300);
-		this.former.workerClient.reconnect("near");
-		this.cell.time.runFor(1000);
-		assertThat(this.cell.workers.workerRunning(TASK)).isEqualTo("far");
-	}
-
-	private void cutOff() {
-		this.former.muteToPeers();
-		this.former.tableClient.setDisconnected(true);
-		this.former.workerClient.disconnect("far");
-		this.successor.workerClient.disconnect("near");
-		this.cell.time.runFor(CUT_MILLIS);
-	}
-
-	private void endCut() {
-		this.former.tableClient.setDisconnected(false);
-		this.former.workerClient.reconnect("far");
-		this.successor.workerClient.reconnect("near");
-		this.cell.time.runFor(CUT_MILLIS);
+	private void assertNotStartedAgain() {
+		this.cut.cutOff();
+		this.cut.endCut();
+		this.cell.assertCompleted("a");
 	}
 
 	@Nested
 	class ATaskThatTheSuccessorHasAccountedFor {
 
+		private final OwnerBehindCut cut = OwnersBehindCutsTests.this.cut;
+
+		private final SimulatedCell cell = OwnersBehindCutsTests.this.cell;
+
 		@Test
 		void isNotStartedAgainWhenItsWorkerIsSilent() {
-			startOnFarWorker(SimulatedCell.step(1, false), RUN_MILLIS);
-			cutOff();
-			endCut();
-			OwnersBehindCutsTests.this.cell.assertCompleted("a");
+			this.cut.startOn("far", OwnerBehindCut.RUN_MILLIS, SimulatedCell.step(1, false));
+			assertNotStartedAgain();
 		}
 
 		@Test
 		void isLoggedAsHeldBackByTheFormerOwner() {
-			startOnFarWorker(SimulatedCell.step(1, false), RUN_MILLIS);
-			cutOff();
-			List<LogLine> story = OwnersBehindCutsTests.this.cell.logs.story("a").lines();
+			this.cut.startOn("far", OwnerBehindCut.RUN_MILLIS, SimulatedCell.step(1, false));
+			this.cut.cutOff();
+			List<LogLine> story = this.cell.logs.story("a").lines();
 			assertThat(story).extracting((line) -> line.source() + ' ' + line.event())
 				.containsSubsequence("s0first TaskPlaced", "s0first OwnershipUnconfirmed", "s0first TaskLost",
 						"s0first TaskHeldBack", "s1first OwnershipTaken", "s1first TaskEnded", "s1first JobEnded");
-			assertThat(OwnersBehindCutsTests.this.cell.decisions).filteredOn(JobDecision.TaskHeldBack.class::isInstance)
+			assertThat(this.cell.decisions).filteredOn(JobDecision.TaskHeldBack.class::isInstance)
 				.singleElement(InstanceOfAssertFactories.type(JobDecision.TaskHeldBack.class))
 				.satisfies((heldBack) -> assertThat(heldBack.renewalAgeMillis())
 					.isGreaterThan(OwnerLease.MAX_WORKER_LEASE_MILLIS));
@@ -94,24 +62,144 @@
 
 		@Test
 		void isNotStartedAgainWhenItsDrainingWorkerIsSilent() {
-			startOnFarWorker(SimulatedCell.step(1, false), RUN_MILLIS);
-			OwnersBehindCutsTests.this.cell.workers.drain("far");
-			OwnersBehindCutsTests.this.cell.time.runFor(500);
-			cutOff();
-			endCut();
-			OwnersBehindCutsTests.this.cell.assertCompleted("a");
+			this.cut.startOn("far", OwnerBehindCut.RUN_MILLIS, SimulatedCell.step(1, false));
+			this.cut.drainFarWorker();
+			assertNotStartedAgain();
 		}
 
 		@Test
 		void isNotStartedBesideItsLongRunThatTheSuccessorKeepsAlive() {
-			StepSpec longRunning = new StepSpec(1, SimulatedCell.TASK, RUN_MILLIS, List.of(), false, false, "", "", 0,
-					false, false, true, false);
-			startOnFarWorker(longRunning, Integer.MAX_VALUE);
-			OwnersBehindCutsTests.this.cell.time.runFor(12_000);
-			cutOff();
-			endCut();
-			assertThat(OwnersBehindCutsTests.this.cell.workers.violations()).isEmpty();
-			assertThat(OwnersBehindCutsTests.this.cell.workers.startCount(TASK)).isEqualTo(1);
+			StepSpec longRunning = new StepSpec(1, SimulatedCell.TASK, OwnerBehindCut.RUN_MILLIS, List.of(), false,
+					false, "", "", 0, false, false, true, false);
+			this.cut.startOn("far", Integer.MAX_VALUE, longRunning);
+			this.cell.time.runFor(12_000);
+			this.cut.cutOff();
+			this.cut.endCut();
+			assertThat(this.cell.workers.violations()).isEmpty();
+			assertThat(this.cut.startCount(OwnerBehindCut.TASK)).isEqualTo(1);
+		}
+
+		@Test
+		void isNotStartedAgainAsAMemberOfAGang() {
+			this.cut.startOn("far", OwnerBehindCut.RUN_MILLIS, SimulatedCell.step(2, true));
+			this.cut.drainFarWorker();
+			assertNotStartedAgain();
+		}
+
+		@Test
+		void isNotStartedBesideRunsOfItsGangThatTheSuccessorKeepsAlive() {
+			this.cell.workers.add("near2", SimulatedCell.CAPACITY, "porto");
+			this.cut.successor.workerClient.disconnect("near2");
+			this.cell.time.runFor(500);
+			this.cell.withRunMillis(20_000).submit("a", SimulatedCell.step(6, true));
+			this.cell.time.runFor(1000);
+			assertThat(this.cell.workers.find("far").runningCount()).isBetween(1, 5);
+			this.cut.drainFarWorker();
+			this.cut.cutOff();
+			for (int i = 0; i < 6; i++) {
+				assertThat(this.cut.startCount(new TaskKey("a", 0, 0, i))).isEqualTo(1);
+			}
+			this.cut.successor.workerClient.reconnect("near2");
+			this.cut.endCut();
+			this.cell.assertCompleted("a");
+		}
+
+		@Test
+		void isNotStartedAgainIfTheTableRejectsOnlyWritesOfTheFormerOwner() {
+			this.cut.startOn("far", OwnerBehindCut.RUN_MILLIS, SimulatedCell.step(1, false));
+			this.cut.drainFarWorker();
+			this.cut.beginCut();
+			this.cut.former.tableClient.setDisconnected(false);
+			this.cut.former.tableClient.setRejectsRequests(true);
+			this.cell.time.runFor(OwnerBehindCut.CUT_MILLIS);
+			this.cut.former.tableClient.setRejectsRequests(false);
+			this.cut.endCut();
+			this.cell.assertCompleted("a");
+		}
+
+		@Test
+		void isNotStartedAgainByAFormerOwnerThatWasSuspended() {
+			this.cut.startOn("far", OwnerBehindCut.RUN_MILLIS, SimulatedCell.step(1, false));
+			this.cut.drainFarWorker();
+			this.cut.former.process.suspend();
+			this.cut.beginCut();
+			this.cell.time.runFor(8000);
+			this.cut.former.process.resume();
+			this.cell.time.runFor(OwnerBehindCut.CUT_MILLIS);
+			this.cut.endCut();
+			this.cell.assertCompleted("a");
+		}
+
+		@ParameterizedTest
+		@EnumSource(RestartedId.class)
+		void isNotStartedAgainWhenItsDrainingWorkerHasRestartedSince(RestartedId id) {
+			this.cell.workers.setRestartedId(id);
+			this.cut.startOn("far", 3000, SimulatedCell.step(1, false));
+			this.cut.drainFarWorker();
+			this.cut.beginCut();
+			restartFarWorkerOnceItsEndIsAcknowledged();
+			this.cut.endCut();
+			this.cell.assertCompleted("a");
+		}
+
+		private void restartFarWorkerOnceItsEndIsAcknowledged() {
+			this.cell.time.runFor(4000);
+			this.cell.assertCompleted("a");
+			this.cut.successor.workerClient.setDisconnectedFrom("gaia", true);
+			this.cell.workers.crashAndRestart(this.cell.workers.find("far"), 100);
+			this.cut.former.workerClient.reconnect("far");
+			this.cell.time.runFor(OwnerBehindCut.CUT_MILLIS);
+			this.cut.successor.workerClient.setDisconnectedFrom("gaia", false);
+		}
+
+		@ParameterizedTest
+		@EnumSource(RestartedId.class)
+		void isNotStartedAgainWhenAnEarlierOwnerStartedItOnADrainingWorkerThatHasRestartedSince(RestartedId id) {
+			this.cell.workers.setRestartedId(id);
+			this.cell.workers.setListDelayMillis(3000);
+			this.cut.startOn("far", 6500, SimulatedCell.step(1, false));
+			this.cut.drainFarWorker();
+			replaceFormerOwnerBehindCutFromFarWorker(2500);
+			this.cut.beginCut();
+			restartFarWorkerOnceItsEndIsAcknowledged();
+			this.cut.endCut();
+			this.cell.assertCompleted("a");
+		}
+
+		@Test
+		void isNotStartedAgainWhenItsRestartedWorkerWasDrainedAfterTheLastRecordOfTheOwnerThatStartedIt() {
+			this.cell.workers.setRestartedId(RestartedId.SAME);
+			this.cell.workers.setListDelayMillis(3000);
+			this.cut.startOn("far", 6500, SimulatedCell.step(1, false));
+			this.cell.time.schedule(() -> this.cell.workers.drain("far"), 50, TimeUnit.MILLISECONDS);
+			replaceFormerOwnerBehindCutFromFarWorker(2500);
+			this.cut.beginCut();
+			restartFarWorkerOnceItsEndIsAcknowledged();
+			this.cut.endCut();
+			this.cell.assertCompleted("a");
+		}
+
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void isNotStartedAgainWhenAnEarlierOwnerStartedItOnAWorkerThatIsNotReached(boolean isDraining) {
+			this.cut.startOn("far", 7000, SimulatedCell.step(1, false));
+			if (isDraining) {
+				this.cut.drainFarWorker();
+			}
+			replaceFormerOwnerBehindCutFromFarWorker(3000);
+			assertNotStartedAgain();
+		}
+
+		private void replaceFormerOwnerBehindCutFromFarWorker(long millis) {
+			SimulatedCell.Scheduler third = this.cell.addScheduler();
+			this.cell.time.runFor(10);
+			this.cut.successor.workerClient.disconnect("far");
+			third.workerClient.disconnect("far");
+			this.cut.former.kill();
+			this.cell.time.runFor(millis);
+			this.cut.successor = (this.cell.owner() == third) ? this.cut.successor : third;
+			this.cut.former = this.cell.owner();
+			this.cut.successor.workerClient.reconnect("far");
 		}
 
 	}
