Reproduce a crash counted against a task without a start

What callers would see: a job with a task that met two crashes is failed although the task was not started again since.

InheritedStarts.findUnknownLosses asks for tasks with a recorded start, and StepProgress counts a recorded crash as one. A task with two confirmed crashes that waits gets a possible crash at each change of owner whose recovery ends with the expiry of leases; the second one gives it up.

The test keeps such a task waiting over two changes of owner, on workers that another job fills.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashingTasksTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashingTasksTests.java
@@ -1,5 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.function.Predicate;
 
@@ -10,9 +12,14 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
+import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.model.submission.StepRecord;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.TaskCrashes;
 import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -160,6 +167,55 @@
 			assertThat(cell.workers.startCount(TASK)).isEqualTo(1);
 		}
 
+		// Guards against counting a crash without a start since the last crash.
+		@Test
+		void aTaskThatWaitsSinceItsLastCrashIsNotGivenUpAfterChangesOfOwners() {
+			SimulatedCell cell = CrashingTasksTests.this.cell;
+			CrashingTasks crashing = crashing((task) -> TASK.equals(task) && cell.workers.startCount(TASK) <= 2);
+			cell.startOwnerAndStandby();
+			List<WorkerInfo> intact = new ArrayList<>(cell.workers.listedWorkers());
+			cell.submit("bad", SimulatedCell.step(1, false));
+			for (int millis = 0; millis < 20_000 && !durableCrashes().equals(new TaskCrashes(2, 0)); millis++) {
+				cell.time.runFor(1);
+			}
+			assertThat(crashing.crashCount(TASK)).isEqualTo(2);
+			intact.retainAll(cell.workers.listedWorkers());
+			takeOverWithout(intact.get(0).id());
+			cell.withRunMillis(1_000_000);
+			cell.submit("busy", SimulatedCell.step(20, false));
+			cell.time.runFor(15_000);
+			cell.withRunMillis(SimulatedCell.RUN_MILLIS);
+			takeOverWithout(intact.get(1).id());
+			cell.time.runFor(5000);
+			assertThat(cell.workers.startCount(TASK)).isEqualTo(2);
+			cell.cancel("busy");
+			cell.time.runFor(30_000);
+			assertThat(cell.decisions).filteredOn(JobDecision.TaskGivenUp.class::isInstance).isEmpty();
+			cell.assertCompleted("bad");
+			assertThat(cell.workers.startCount(TASK)).isEqualTo(3);
+		}
+
+		private TaskCrashes durableCrashes() {
+			String stored = CrashingTasksTests.this.cell.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION,
+					TASK.job());
+			StepRecord step = stored.isEmpty() ? null
+					: Json.read(stored, JobProgress.class).steps().get(TASK.stepKey().localName());
+			return (step != null) ? step.crashes().getOrDefault(TASK.index(), TaskCrashes.NONE) : TaskCrashes.NONE;
+		}
+
+		// The recovery ends with the expiry of the worker's lease.
+		private void takeOverWithout(String unreachable) {
+			SimulatedCell cell = CrashingTasksTests.this.cell;
+			SimulatedCell.Scheduler former = cell.owner();
+			cell.schedulers.stream()
+				.filter((scheduler) -> scheduler != former)
+				.forEach((scheduler) -> scheduler.workerClient.disconnect(unreachable));
+			former.kill();
+			cell.addScheduler().workerClient.disconnect(unreachable);
+			cell.time.runFor(3000);
+			assertThat(cell.owner()).isNotSameAs(former);
+		}
+
 	}
 
 	@Nested
