Count a possible crash only after a start since the last crash

What callers saw: a job with a task that met two crashes was failed although the task was not started again since.

An owner whose recovery ends with the expiry of leases assumes that a task with a recorded start was lost. A recorded crash was taken for a recorded start, so that each change of owner counted one more.

TaskCrashes says whether a start is recorded since the last counted crash; recording a start sets it and counting a crash clears it. Only tasks with it are assumed to be lost, so that each recorded start counts at most once. Starts of tasks with crashes are always durable before they are sent, so that a further crash stays counted if the owner is lost with it; this takes one write more before such a task starts again.

Rows of earlier releases have no such field and read as false: a task that an owner of such a release started may be counted one crash less.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedStarts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedStarts.java
@@ -4,14 +4,16 @@
 import java.util.List;
 import java.util.Set;
 
+import org.monsoonrelay.model.submission.StepProgress;
 import org.monsoonrelay.model.submission.SubmittedJob;
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
  * Starts of earlier owners whose runs may have been lost with their workers before any
  * record named them. Invariant: once such a loss is possible, starts of inherited jobs
- * are durable before they are sent, so that the next owner knows of them. Not
- * thread-safe: confined to the control thread.
+ * are durable before they are sent, so that the next owner knows of them; starts of tasks
+ * with crashes always are. A recorded start counts as lost once: the crash that is then
+ * recorded ends it. Not thread-safe: confined to the control thread.
  */
 final class InheritedStarts {
 
@@ -44,8 +46,12 @@
 	 * @return {@code true} if no start had to be recorded
 	 */
 	boolean prepareStart(ActiveStep step, List<Integer> tasks) {
-		List<Integer> unrecorded = mustRecordStarts(step.job())
-				? tasks.stream().filter((index) -> !step.progress().isStartRecorded(index)).toList() : List.of();
+		StepProgress progress = step.progress();
+		boolean mustRecordAll = mustRecordStarts(step.job());
+		List<Integer> unrecorded = tasks.stream()
+			.filter((index) -> mustRecordAll || progress.isStartRecorded(index))
+			.filter((index) -> !progress.isStartRecordedSinceCrash(index))
+			.toList();
 		if (unrecorded.isEmpty()) {
 			return true;
 		}
@@ -75,6 +81,7 @@
 		}
 		return job.tasksWithRecordedStart()
 			.stream()
+			.filter((task) -> job.progress(task.stepKey()).isStartRecordedSinceCrash(task.index()))
 			.filter((task) -> !job.progress(task.stepKey()).isDone(task.index()))
 			.filter((task) -> this.jobs.step(task.stepKey()).filter((step) -> step.hasRun(task.index())).isEmpty())
 			.filter((task) -> !this.knownLosses.contains(task))
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashRecordsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CrashRecordsTests.java
@@ -53,6 +53,27 @@
 		assertThat(read.maximumFailures()).isEqualTo(1);
 	}
 
+	@Test
+	void ofEarlierReleasesNameNoStartSinceTheCrash() throws JsonProcessingException {
+		String stored = """
+				{"state":"RUNNING","steps":{"0.0":{"done":[],"failedAttempts":{},"checkpoints":{},
+				"highestAttempt":2,"crashes":{"1":{"confirmed":2,"possible":1}}}}}""";
+		StepProgress read = restore(stored).progress(TASK.stepKey());
+		assertThat(read.crashes(1)).isEqualTo(new TaskCrashes(2, 1, false));
+	}
+
+	@Test
+	void tellWhetherATaskWasStartedSinceItsLastCrash() throws JsonProcessingException {
+		SubmittedJob job = new SubmittedJob(this.cell.submit("a", SimulatedCell.step(3, false)));
+		job.recordStart(TASK);
+		job.recordCrash(TASK, CrashEvidence.CONFIRMED);
+		assertThat(restore(Json.write(job.toProgress())).progress(TASK.stepKey()).crashes(1))
+			.isEqualTo(new TaskCrashes(1, 0, false));
+		job.recordStart(TASK);
+		assertThat(restore(Json.write(job.toProgress())).progress(TASK.stepKey()).crashes(1))
+			.isEqualTo(new TaskCrashes(1, 0, true));
+	}
+
 	@Test
 	void areSaidToBeMissingAfterAnOwnerOfAnEarlierRelease() {
 		String row = """
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -117,7 +117,7 @@
 	 * @param index number of the task
 	 */
 	public void recordStart(int index) {
-		this.crashes.putIfAbsent(index, TaskCrashes.NONE);
+		this.crashes.merge(index, TaskCrashes.ONLY_STARTED, (known, start) -> known.started());
 	}
 
 	/**
@@ -129,6 +129,15 @@
 		return this.crashes.containsKey(index);
 	}
 
+	/**
+	 * Whether a start of a task is recorded since the last crash under it.
+	 * @param index number of the task
+	 * @return {@code true} if so
+	 */
+	public boolean isStartRecordedSinceCrash(int index) {
+		return crashes(index).startRecorded();
+	}
+
 	/**
 	 * Tasks of which a start or a crash is recorded.
 	 * @return numbers of the tasks
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskCrashes.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskCrashes.java
@@ -1,16 +1,22 @@
 package org.monsoonrelay.model.submission;
 
 /**
- * The workers that crashed while a task was active on them. Immutable.
+ * The workers that crashed while a task was active on them, and whether the task may have
+ * been started since. Immutable.
  *
  * @param confirmed number of workers with evidence {@link CrashEvidence#CONFIRMED}
  * @param possible number of workers with evidence {@link CrashEvidence#POSSIBLE}
+ * @param startRecorded whether a start is recorded since the last counted crash;
+ * {@code false} in records of earlier releases
  */
-public record TaskCrashes(int confirmed, int possible) {
+public record TaskCrashes(int confirmed, int possible, boolean startRecorded) {
 
 	/** Of a task under which no worker has crashed. */
 	public static final TaskCrashes NONE = new TaskCrashes(0, 0);
 
+	/** Of a task of which only a start is recorded. */
+	static final TaskCrashes ONLY_STARTED = new TaskCrashes(0, 0, true);
+
 	private static final int LIMIT = 3;
 
 	private static final int ISOLATION_THRESHOLD = 2;
@@ -21,6 +27,14 @@
 		}
 	}
 
+	public TaskCrashes(int confirmed, int possible) {
+		this(confirmed, possible, false);
+	}
+
+	TaskCrashes started() {
+		return new TaskCrashes(this.confirmed, this.possible, true);
+	}
+
 	TaskCrashes plus(CrashEvidence evidence) {
 		return switch (evidence) {
 			case NONE -> this;
@@ -30,7 +44,7 @@
 	}
 
 	TaskCrashes withoutPossible() {
-		return new TaskCrashes(this.confirmed, Math.max(0, this.possible - 1));
+		return new TaskCrashes(this.confirmed, Math.max(0, this.possible - 1), this.startRecorded);
 	}
 
 	/**
