Soak hosts with cuts that outlast every lease

What: workers keep a lease as the platform describes it (never shorter, 10 s ahead at most, everything ends as lapsed with it, a start after its own deadline is refused as late). The platform listens at one address for each host and tells each host that address for all workers, so that paths from a host to a worker or to the table can be cut: a request that arrives during the cut is never carried out, one under way is not answered. Workers may drain. TaskRuns records all runs. A fault is a start after the acknowledged end "done" of the task, and a run beside another one whose lease holds; an end does not count if its worker's lease lapsed (or it crashed) between the end and the acknowledgement. A task may be done once, apart from ends that do not count; a gang's end counts for all members. The two other soaks check the faults, too. Peer connections are not cut.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
@@ -105,6 +105,7 @@
 			Await.until("job " + job + " is completed", () -> clients.get(0).state(job).contains("completed"));
 		}
 		faults.addAll(platform.crashes().violations());
+		faults.addAll(platform.runs().faults());
 		Map<String, Integer> done = platform.done();
 		Set<String> uncertain = platform.crashes().uncertain();
 		for (String job : accepted) {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/GangFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/GangFake.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -17,8 +18,6 @@
  */
 final class GangFake {
 
-	private static final long WORK_MILLIS = 200;
-
 	private static final long WAIT_MILLIS = 3000;
 
 	private final ScheduledExecutorService timer;
@@ -40,9 +39,10 @@
 	 * @param task the member's task
 	 * @param attempt its attempt, which is the gang's
 	 * @param size how many members the gang has
+	 * @param workMillis how long it works once all are present
 	 * @param end told once how the member ends
 	 */
-	synchronized void join(String task, int attempt, int size, Consumer<String> end) {
+	synchronized void join(String task, int attempt, int size, long workMillis, Consumer<String> end) {
 		String gang = gang(task, attempt);
 		if (this.over.contains(gang)) {
 			this.timer.execute(() -> end.accept("alone"));
@@ -54,7 +54,7 @@
 		}
 		present.put(task, end);
 		if (present.size() == size) {
-			this.timer.schedule(() -> end(gang, "done"), WORK_MILLIS, TimeUnit.MILLISECONDS);
+			this.timer.schedule(() -> end(gang, "done"), workMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -65,7 +65,7 @@
 	 */
 	synchronized void stopped(String task, int attempt) {
 		String gang = gang(task, attempt);
-		this.members.getOrDefault(gang, Map.of()).remove(task);
+		Optional.ofNullable(this.members.get(gang)).ifPresent((present) -> present.remove(task));
 		this.timer.execute(() -> end(gang, "broken"));
 	}
 
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostSoakTests.java
@@ -109,6 +109,7 @@
 		for (String job : accepted) {
 			Await.until("job " + job + " is completed", () -> reader.state(job).contains("completed"));
 		}
+		faults.addAll(platform.runs().faults());
 		Map<String, Integer> done = platform.done();
 		for (String job : accepted) {
 			List<Integer> counts = done.entrySet()
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -10,10 +10,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -22,7 +24,8 @@
 import com.sun.net.httpserver.HttpServer;
 
 /**
- * The platform at one address: table, eligibility service and workers. Thread-safe.
+ * The platform: table, eligibility service and workers, at one address for all hosts or,
+ * so that paths can be cut, at one for each host. Thread-safe.
  */
 final class PlatformFake implements AutoCloseable {
 
@@ -33,6 +36,12 @@
 
 	private static final int OTHER_INSTANCE = 421;
 
+	private static final String INSTANCE_HEADER = "X-Monsoonrelay-Expect-Instance";
+
+	private static final String WORKER_TABLE = "servers";
+
+	private static final int REMAINING_MILLIS = 600_000;
+
 	private static final String CONFIGURATION = """
 			{"version": 1, "services": [{"name": "soak", "enforces_capacity": false}],
 			 "routes": [{"name": "soak", "host": "soak", "path_prefix": "/soak/", "timeout_ms": 3000,
@@ -51,7 +60,19 @@
 
 	private final ExecutorService threads = Executors.newCachedThreadPool();
 
-	private final HttpServer server;
+	private final PathCuts cuts = new PathCuts();
+
+	private final TaskRuns runs = new TaskRuns();
+
+	private final Map<String, String> entries = new ConcurrentHashMap<>();
+
+	private final Map<Integer, String> hostsByPort = new ConcurrentHashMap<>();
+
+	private final List<HttpServer> servers = new ArrayList<>();
+
+	private final String ip;
+
+	private final int port;
 
 	PlatformFake(String ip, int port, int workerCount) {
 		this(ip, port, workerCount, RestartedId.NEW);
@@ -59,12 +80,8 @@
 
 	PlatformFake(String ip, int port, int workerCount, RestartedId restartedId) {
 		this.restartedId = restartedId;
-		try {
-			this.server = HttpServer.create(new InetSocketAddress(ip, port), 0);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		this.ip = ip;
+		this.port = port;
 		put("op", "config", CONFIGURATION);
 		GangFake gangs = new GangFake(this.timer);
 		this.crashes = new WorkerCrashes(this.workers, this.timer);
@@ -74,15 +91,39 @@
 					 "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0}, "born": %%d}""".formatted(ip, port, i % 2,
 					i / 4));
 		}
-		this.server.setExecutor(this.threads);
-		this.server.createContext("/", this::handle);
-		this.server.start();
+		listen(port);
+	}
+
+	private void listen(int port) {
+		try {
+			HttpServer server = HttpServer.create(new InetSocketAddress(this.ip, port), 0);
+			server.setExecutor(this.threads);
+			server.createContext("/", this::handle);
+			server.start();
+			this.servers.add(server);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Listen for one host, which is then told of no other address.
+	 * @param host the host's name
+	 * @return the address for its settings
+	 */
+	String listenFor(String host) {
+		int own = this.port + this.servers.size();
+		this.hostsByPort.put(own, host);
+		listen(own);
+		return this.ip + ":" + own;
 	}
 
 	private void addWorker(String id, GangFake gangs, String entry) {
-		WorkerFake worker = new WorkerFake(this.timer, gangs);
+		WorkerFake worker = new WorkerFake(id, this.timer, gangs, this.runs);
 		this.workers.put(id, worker);
-		put("servers", id, entry.formatted(worker.startedMillis()));
+		this.entries.put(id, entry.formatted(worker.startedMillis()));
+		put(WORKER_TABLE, id, this.entries.get(id));
 		this.crashes.onRestart(id, () -> restartWorker(id, gangs, entry));
 	}
 
@@ -92,7 +133,7 @@
 			return;
 		}
 		this.crashes.markReplaced(id);
-		this.table.put("servers", id, null);
+		this.table.put(WORKER_TABLE, id, null);
 		addWorker(id + "x", gangs, entry);
 	}
 
@@ -115,13 +156,59 @@
 		return this.crashes;
 	}
 
+	/**
+	 * Cuts of paths from hosts that have an address of their own.
+	 * @return the cuts
+	 */
+	PathCuts cuts() {
+		return this.cuts;
+	}
+
+	/**
+	 * All runs and the faults among them.
+	 * @return the runs
+	 */
+	TaskRuns runs() {
+		return this.runs;
+	}
+
+	/**
+	 * Workers of a failure domain.
+	 * @param failureDomain its number
+	 * @return their ids
+	 */
+	Set<String> workersIn(int failureDomain) {
+		return this.entries.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().contains("\"zone\": \"d" + failureDomain + '"'))
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+	}
+
+	/**
+	 * Let a worker announce that it will leave, which it never does.
+	 * @param id the worker's id
+	 */
+	void drain(String id) {
+		String draining = "\"draining\", \"remaining_ms\": " + REMAINING_MILLIS;
+		put(WORKER_TABLE, id, this.entries.compute(id, (known, entry) -> entry.replace("\"ready\"", draining)));
+	}
+
 	private void put(String name, String key, String value) {
-		this.table.put(name, key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+		this.table.put(name, key, encode(value));
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
 		try (exchange) {
-			Answer answer = answer(exchange);
+			long arrivedNanos = System.nanoTime();
+			String host = this.hostsByPort.getOrDefault(exchange.getLocalAddress().getPort(), "");
+			String target = target(exchange);
+			boolean isCutOff = this.cuts.wasCutSince(host, target, arrivedNanos);
+			Answer answer = isCutOff ? null : answer(exchange);
+			if (this.cuts.wasCutSince(host, target, arrivedNanos)) {
+				this.cuts.awaitEnd(host, target);
+				return;
+			}
 			if (answer == null) {
 				// A crashed worker: the connection is closed without a response.
 				return;
@@ -135,10 +222,16 @@
 		}
 	}
 
+	private static String target(HttpExchange exchange) {
+		String worker = exchange.getRequestHeaders().getFirst(INSTANCE_HEADER);
+		boolean isTable = exchange.getRequestURI().getPath().startsWith("/api/rows-");
+		return (worker != null) ? worker : isTable ? PathCuts.TABLE : "";
+	}
+
 	private Answer answer(HttpExchange exchange) throws IOException, InterruptedException {
 		Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
 		JsonNode body = JSON.readTree(exchange.getRequestBody().readAllBytes());
-		String id = exchange.getRequestHeaders().getFirst("X-Monsoonrelay-Expect-Instance");
+		String id = exchange.getRequestHeaders().getFirst(INSTANCE_HEADER);
 		WorkerFake worker = (id != null) ? this.workers.get(id) : null;
 		if (id != null && worker == null) {
 			return this.crashes.isReplaced(id) ? new Answer(OTHER_INSTANCE, Map.of()) : null;
@@ -155,10 +248,10 @@
 			throws InterruptedException {
 		return switch (exchange.getRequestURI().getPath()) {
 			case "/api/rows-tx" -> this.table.commit(body);
-			case "/api/rows-get" -> this.table.read(query.get("table"), query.get("part"),
-					query.getOrDefault("from", ""), Integer.parseInt(query.get("limit")));
-			case "/api/rows-feed" -> this.table.changes(query.get("table"), Long.parseLong(query.get("depends_on")),
-					Long.parseLong(query.get("wait_ms")));
+			case "/api/rows-get" -> forHost(exchange, this.table.read(query.get("table"), query.get("part"),
+					query.getOrDefault("from", ""), Integer.parseInt(query.get("limit"))));
+			case "/api/rows-feed" -> forHost(exchange, this.table.changes(query.get("table"),
+					Long.parseLong(query.get("depends_on")), Long.parseLong(query.get("wait_ms"))));
 			case "/api/advise" -> allowed(body);
 			case "/api/run-start" -> worker.start(body);
 			case "/api/run-stop" -> worker.stop(body);
@@ -167,6 +260,30 @@
 		};
 	}
 
+	/**
+	 * A host sees all workers at its own address, which tells whose requests they are.
+	 */
+	private Answer forHost(HttpExchange exchange, Answer answer) {
+		int asked = exchange.getLocalAddress().getPort();
+		if (asked == this.port || !(answer.body() instanceof TableFake.Rows rows)) {
+			return answer;
+		}
+		return new Answer(answer.code(), rows
+			.withValues((row) -> row.table().equals(WORKER_TABLE) ? readdress(row.value(), asked) : row.value()));
+	}
+
+	private String readdress(String value, int to) {
+		if (value == null) {
+			return null;
+		}
+		String entry = new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
+		return encode(entry.replace(this.ip + ":" + this.port, this.ip + ":" + to));
+	}
+
+	private static String encode(String value) {
+		return Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+	}
+
 	private static Map<String, String> query(String raw) {
 		Map<String, String> values = new HashMap<>();
 		for (String pair : (raw != null) ? raw.split("&") : new String[0]) {
@@ -207,7 +324,8 @@
 
 	@Override
 	public void close() {
-		this.server.stop(0);
+		this.cuts.close();
+		this.servers.forEach((server) -> server.stop(0));
 		this.threads.shutdownNow();
 		this.timer.shutdownNow();
 	}
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * A host whose program is started again whenever it ends. Invariant: an end that no
@@ -43,6 +44,10 @@
 	/** Its main class. */
 	static final String MAIN = "org.monsoonrelay.host.HostMain";
 
+	private static final Pattern TAKE_OVER = Pattern.compile("\"event\":\"OwnershipTaken\".*?\"epoch\":(\\d+)");
+
+	private final String name;
+
 	private final String ip;
 
 	private final Path settings;
@@ -65,6 +70,7 @@
 
 	SoakHost(String name, String ip, String platform, Path folder, ScheduledExecutorService timer,
 			Consumer<String> faults) {
+		this.name = name;
 		this.ip = ip;
 		this.settings = folder.resolve(name + ".json");
 		this.log = folder.resolve(name + ".log");
@@ -83,13 +89,15 @@
 	 * @param platform where the platform is
 	 */
 	static void writeSettings(Path file, String name, String ip, String platform) {
-		write(file,
-				"""
-						{"host": "%s", "failureDomain": "d%d", "ip": "%s", "callers": "%s:%d", "readiness": "%s:%d",
-						 "internalPorts": [%d, %d], "table": "%s", "eligibility": "%s", "orders": "call", "stopSeconds": 2,
-						 "processorShare": 1, "processorCount": 1, "linkMbps": 1000}"""
-					.formatted(name, Math.floorMod(name.hashCode(), 2), ip, ip, CALLER_PORT, ip, READINESS_PORT,
-							FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT, platform, platform));
+		write(file, """
+				{"host": "%s", "failureDomain": "d%d", "ip": "%s", "callers": "%s:%d", "readiness": "%s:%d",
+				 "internalPorts": [%d, %d], "table": "%s", "eligibility": "%s", "orders": "call", "stopSeconds": 2,
+				 "processorShare": 1, "processorCount": 1, "linkMbps": 1000}""".formatted(name, failureDomain(name), ip,
+				ip, CALLER_PORT, ip, READINESS_PORT, FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT, platform, platform));
+	}
+
+	private static int failureDomain(String name) {
+		return Math.floorMod(name.hashCode(), 2);
 	}
 
 	private static void write(Path file, String text) {
@@ -102,10 +110,35 @@
 		}
 	}
 
+	String name() {
+		return this.name;
+	}
+
 	String ip() {
 		return this.ip;
 	}
 
+	int failureDomain() {
+		return failureDomain(this.name);
+	}
+
+	/**
+	 * The highest epoch as which this host has owned the pool, by its log.
+	 * @return the epoch, -1 if it has never owned it
+	 */
+	long lastEpoch() {
+		try {
+			return TAKE_OVER.matcher(Files.readString(this.log))
+				.results()
+				.mapToLong((found) -> Long.parseLong(found.group(1)))
+				.max()
+				.orElse(-1);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	synchronized void start() {
 		if (this.closed) {
 			return;
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -106,6 +107,13 @@
 	/** Rows as they travel. */
 	record Rows(Collection<Row> rows, boolean truncated, long ver) {
 
+		Rows withValues(Function<Row, String> value) {
+			List<Row> changed = this.rows.stream()
+				.map((row) -> new Row(row.table(), row.part(), row.key(), value.apply(row), row.ver(), row.deleted()))
+				.toList();
+			return new Rows(changed, this.truncated, this.ver);
+		}
+
 	}
 
 }
--- /dev/null
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkTime.java
@@ -0,0 +1,31 @@
+package org.monsoonrelay.systemtests.host;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * How long the tasks of a job work, which the job's text tells as {@code LOW-HIGH} in
+ * milliseconds. Immutable.
+ *
+ * @param low time that a gang works, and the least that another task does
+ * @param high bound of the time that a task works
+ */
+record WorkTime(int low, int high) {
+
+	private static final WorkTime BRIEF = new WorkTime(40, 440);
+
+	private static final int BRIEF_GANG_MILLIS = 200;
+
+	static WorkTime of(JsonNode order) {
+		String[] bounds = order.path("spec").asText().split("-");
+		return (bounds.length == 2) ? new WorkTime(Integer.parseInt(bounds[0]), Integer.parseInt(bounds[1])) : BRIEF;
+	}
+
+	long ofTask(String task) {
+		return this.low + Math.floorMod(task.hashCode(), this.high - this.low);
+	}
+
+	long ofGang() {
+		return equals(BRIEF) ? BRIEF_GANG_MILLIS : this.low;
+	}
+
+}
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
@@ -12,18 +12,19 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * One incarnation of a worker whose tasks are done after a while that their names tell,
- * those of a gang together. Its clock and the numbers of its ends begin with it.
- * Invariants: orders of an older fence than one seen are refused; of a task only attempts
- * higher than those seen are run. Thread-safe.
+ * One incarnation of a worker whose tasks are done after a while that their names and the
+ * texts of their jobs tell, those of a gang together. Its clock and the numbers of its
+ * ends begin with it. Invariants: orders of an older fence than one seen are refused; of
+ * a task only attempts higher than those seen are run; nothing runs without a lease.
+ * Thread-safe.
  */
 final class WorkerFake {
 
-	private static final int SHORTEST_MILLIS = 40;
+	private static final int OK = 200;
 
-	private static final int LONGER_MILLIS = 400;
+	private static final int TASK = 1;
 
-	private static final int OK = 200;
+	private static final int ATTEMPT = 2;
 
 	private static final int TERMINATION_REASON = 3;
 
@@ -32,10 +33,16 @@
 	/** The step of a soak's job that is a gang. */
 	static final String GANG_STEP = ".0.1.";
 
+	private final String name;
+
 	private final ScheduledExecutorService timer;
 
 	private final GangFake gangs;
 
+	private final TaskRuns runs;
+
+	private final LeaseFake lease = new LeaseFake();
+
 	private final Map<String, Integer> running = new HashMap<>();
 
 	private final Map<String, Integer> attempts = new HashMap<>();
@@ -50,15 +57,19 @@
 
 	private final long startedMillis = System.currentTimeMillis();
 
-	private final long startedNanos = System.nanoTime();
-
 	private long fence;
 
 	private long forgotten;
 
-	WorkerFake(ScheduledExecutorService timer, GangFake gangs) {
+	private boolean watchingLease;
+
+	private boolean crashed;
+
+	WorkerFake(String name, ScheduledExecutorService timer, GangFake gangs, TaskRuns runs) {
+		this.name = name + '@' + System.identityHashCode(this);
 		this.timer = timer;
 		this.gangs = gangs;
+		this.runs = runs;
 	}
 
 	synchronized Answer start(JsonNode order) {
@@ -67,6 +78,10 @@
 		if (isFenced(order)) {
 			return refused("fence");
 		}
+		if (order.path("deadline_ms").asLong() <= this.lease.clockMillis()) {
+			return refused("late");
+		}
+		extendLease(order);
 		if (this.running.getOrDefault(task, -1) == attempt) {
 			return taken();
 		}
@@ -76,12 +91,13 @@
 		this.attempts.put(task, attempt);
 		this.running.put(task, attempt);
 		this.begun.add(task);
+		this.runs.started(task, attempt, this.name, this.fence, this.lease::holds);
+		WorkTime workTime = WorkTime.of(order);
 		if (task.contains(GANG_STEP)) {
-			this.gangs.join(task, attempt, SoakClient.GANG_TASKS, (how) -> end(task, attempt, how));
+			this.gangs.join(task, attempt, SoakClient.GANG_TASKS, workTime.ofGang(), (how) -> end(task, attempt, how));
 		}
 		else {
-			long millis = SHORTEST_MILLIS + Math.floorMod(task.hashCode(), LONGER_MILLIS);
-			this.timer.schedule(() -> end(task, attempt, "done"), millis, TimeUnit.MILLISECONDS);
+			this.timer.schedule(() -> end(task, attempt, "done"), workTime.ofTask(task), TimeUnit.MILLISECONDS);
 		}
 		return taken();
 	}
@@ -94,16 +110,20 @@
 		int attempt = order.path("attempt").asInt();
 		this.attempts.merge(task, attempt, Math::max);
 		end(task, attempt, "stopped");
-		if (task.contains(GANG_STEP)) {
-			this.gangs.stopped(task, attempt);
-		}
+		breakGang(task, attempt);
 		return taken();
 	}
 
 	private synchronized void end(String task, int attempt, String how) {
+		expire();
 		if (!this.running.remove(task, attempt)) {
 			return;
 		}
+		record(task, attempt, how);
+	}
+
+	private void record(String task, int attempt, String how) {
+		this.runs.ended(task, attempt, this.name, how);
 		if (how.equals("done")) {
 			this.done.add(task);
 		}
@@ -111,13 +131,53 @@
 		notifyAll();
 	}
 
+	private void extendLease(JsonNode order) {
+		expire();
+		this.lease.extend(order.path("deadline_ms").asLong());
+		watchLease();
+	}
+
+	private void watchLease() {
+		if (!this.watchingLease && this.lease.holds()) {
+			this.watchingLease = true;
+			this.timer.schedule(this::checkLease, this.lease.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private synchronized void checkLease() {
+		expire();
+		this.watchingLease = false;
+		watchLease();
+	}
+
+	private void expire() {
+		if (this.crashed || this.lease.holds()) {
+			return;
+		}
+		this.runs.lapsed(this.name);
+		Map<String, Integer> lost = Map.copyOf(this.running);
+		this.running.clear();
+		lost.forEach((task, attempt) -> {
+			record(task, attempt, "lapsed");
+			breakGang(task, attempt);
+		});
+	}
+
+	private void breakGang(String task, int attempt) {
+		if (task.contains(GANG_STEP)) {
+			this.gangs.stopped(task, attempt);
+		}
+	}
+
 	synchronized Answer look(JsonNode order) throws InterruptedException {
 		if (isFenced(order)) {
 			return refused("fence");
 		}
+		extendLease(order);
 		long acknowledged = order.path("ack_cursor").asLong();
 		while (this.forgotten < acknowledged && !this.ended.isEmpty()) {
-			this.ended.remove(0);
+			List<Object> end = this.ended.remove(0);
+			this.runs.acknowledged((String) end.get(TASK), (Integer) end.get(ATTEMPT), this.name);
 			this.forgotten++;
 		}
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(order.path("wait_ms").asLong());
@@ -126,8 +186,8 @@
 		}
 		List<List<Object>> lives = new ArrayList<>();
 		this.running.forEach((task, attempt) -> lives.add(List.of(task, attempt, "", 100)));
-		return new Answer(OK, Map.of("born", this.startedMillis, "clock_ms", clock(), "running", lives, "finished",
-				List.copyOf(this.ended)));
+		return new Answer(OK, Map.of("born", this.startedMillis, "clock_ms", this.lease.clockMillis(), "running", lives,
+				"finished", List.copyOf(this.ended)));
 	}
 
 	long startedMillis() {
@@ -138,15 +198,16 @@
 	 * Crash: nothing runs any more, and ends that were not acknowledged are lost.
 	 */
 	synchronized void crash() {
+		this.crashed = true;
+		this.runs.lapsed(this.name);
 		Map<String, Integer> lost = Map.copyOf(this.running);
 		this.running.clear();
 		lost.forEach((task, attempt) -> {
-			if (task.contains(GANG_STEP)) {
-				this.gangs.stopped(task, attempt);
-			}
+			this.runs.ended(task, attempt, this.name, "crashed");
+			breakGang(task, attempt);
 		});
 		for (List<Object> end : this.ended) {
-			String task = (String) end.get(1);
+			String task = (String) end.get(TASK);
 			if (end.get(TERMINATION_REASON).equals("done")) {
 				this.done.remove(task);
 				this.uncertain.add(task);
@@ -163,15 +224,11 @@
 	}
 
 	private Answer taken() {
-		return new Answer(OK, Map.of("clock_ms", clock()));
+		return new Answer(OK, Map.of("clock_ms", this.lease.clockMillis()));
 	}
 
 	private Answer refused(String reason) {
-		return new Answer(REFUSED, Map.of("clock_ms", clock(), "reason", reason));
-	}
-
-	private long clock() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos);
+		return new Answer(REFUSED, Map.of("clock_ms", this.lease.clockMillis(), "reason", reason));
 	}
 
 	/**
