Store that a job with long-running tasks has started

What callers saw: a job whose tasks run until it is cancelled was told as queued for as long as none of them ended, also when all of them were at work.

Cause: the state of a job is written with the next change of its progress. The start of a task is none, as most jobs have an end soon after; long-running tasks may have none for hours. The first start of such a job marks its progress as to be written now, also when a new owner adopts its runs. One row for each such job, and none for others.

Found by the soak of owners behind cuts. PoolOwnerTests red before ("expected: RUNNING"), green now; 79 tests of owners, take-overs and series of cuts green.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -14,6 +14,7 @@
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.SubmittedJob;
@@ -241,6 +242,17 @@
 		this.changed.add(job.id());
 	}
 
+	/**
+	 * Records that a task of a job has started. The state of most jobs is written with
+	 * the first end of a task; a job with long-running tasks may have none.
+	 * @param job the job
+	 */
+	void markStarted(SubmittedJob job) {
+		if (job.markStarted() && job.submission().steps().stream().anyMatch(StepSpec::longRunning)) {
+			markDirty(job);
+		}
+	}
+
 	/**
 	 * Removes jobs whose progress is to be written next from the dirty jobs.
 	 * @param maximum the maximum number of jobs
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -101,7 +101,7 @@
 			return;
 		}
 		step.get().addRun(run);
-		step.get().job().markStarted();
+		this.jobs.markStarted(step.get().job());
 	}
 
 	private Optional<ActiveStep> findOpenStep(TaskKey task) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -231,7 +231,7 @@
 	private void confirm(Run run) {
 		if (run.state() == Run.State.STARTING) {
 			run.confirm(this.clock.nanos());
-			this.jobs.job(run.task().job()).ifPresent(SubmittedJob::markStarted);
+			this.jobs.job(run.task().job()).ifPresent(this.jobs::markStarted);
 		}
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -1,8 +1,11 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -23,6 +26,17 @@
 	@Nested
 	class WhenNothingFails {
 
+		@Test
+		void aJobWhoseTasksRunUntilItIsCancelledIsStoredAsRunning() {
+			SimulatedCell cell = PoolOwnerTests.this.cell.withRunMillis(Integer.MAX_VALUE);
+			cell.addScheduler();
+			cell.submit("a", new StepSpec(2, SimulatedCell.TASK, SimulatedCell.RUN_MILLIS, List.of(), false, false, "",
+					"", 0, false, false, true, false));
+			cell.time.runFor(3000);
+			assertThat(cell.workers.runningTaskCount()).isEqualTo(2);
+			assertThat(cell.durableState("a")).isEqualTo(SubmissionState.RUNNING);
+		}
+
 		@Test
 		void aNewOwnerStoresThatNoJobIsWaiting() {
 			SimulatedCell.Scheduler first = PoolOwnerTests.this.cell.addScheduler();
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -72,11 +72,14 @@
 
 	/**
 	 * Record that a task has started.
+	 * @return {@code true} if no task had started before
 	 */
-	public void markStarted() {
-		if (this.state == SubmissionState.QUEUED) {
+	public boolean markStarted() {
+		boolean isFirst = this.state == SubmissionState.QUEUED;
+		if (isFirst) {
 			this.state = SubmissionState.RUNNING;
 		}
+		return isFirst;
 	}
 
 	/**
