--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -86,11 +86,11 @@
 	}
 
 	/**
-	 * A worker was lost: nothing runs on it any more.
+	 * A worker was lost: this owner keeps nothing active on it any more.
 	 *
 	 * @param worker the worker
 	 * @param failureDomain its failure domain
-	 * @param reason evidence that nothing runs on it
+	 * @param reason evidence of that
 	 * @param draining whether it had announced that it leaves
 	 * @param outage whether it was lost together with its rack or failure domain
 	 * @param silentMillis time since it stopped answering
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -251,7 +251,7 @@
 	}
 
 	/**
-	 * Records that no run can be active on this worker any more.
+	 * Records that this owner keeps no run active on this worker any more.
 	 */
 	void markLost() {
 		this.lost = true;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
@@ -96,7 +96,8 @@
 	 * Returns whether the lease has expired even if the worker's clock runs at the
 	 * minimum rate.
 	 * @param nowNanos the current monotonic time
-	 * @return {@code true} if no run started by this owner can still be active
+	 * @return {@code true} if no run can be active unless a successor of this owner has
+	 * extended the lease
 	 */
 	boolean isExpired(long nowNanos) {
 		if (!this.clockKnown) {
