--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -16,8 +16,8 @@
  * @param released whether the owner has released the pool
  * @param workers ids of the workers on which an owner may have started tasks; an owner
  * starts nothing on a worker before this row names the worker here
- * @param closed by worker id, the only tasks that may still run on workers that are
- * unresponsive or leaving
+ * @param closed by worker id, the only tasks that may still run, or whose ends are listed
+ * and not durable, on workers that are unresponsive or leaving
  * @param largest size of the largest host; hosts that are far smaller leave the pool to
  * others
  * @param standbys the standby hosts; the first one takes over first
