Tell to which incarnation starts were sent and which runs nobody awaits

The owner's lines did not tell how many requests of an attempt had gone to which incarnation, nor that a worker reported a run that was not expected: TaskStopped names neither. StartFailed has the incarnation, the number of requests and their age; UnexpectedRun names the incarnation that reports the run and what is known of the task; explain tells both in one line.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -156,9 +156,32 @@
 	 * @param task the task
 	 * @param attempt the attempt
 	 * @param worker the worker
+	 * @param workerStartedMillis when the incarnation was started to which the request
+	 * was sent, epoch milliseconds on its clock, -1 if it does not tell
 	 * @param outcome outcome that the worker returned
+	 * @param requests number of start requests sent so far for the attempt
+	 * @param ageMillis time since the first of them was sent
 	 */
-	record StartFailed(String job, String task, int attempt, String worker, String outcome) implements JobDecision {
+	record StartFailed(String job, String task, int attempt, String worker, long workerStartedMillis, String outcome,
+			int requests, long ageMillis) implements JobDecision {
+
+	}
+
+	/**
+	 * A worker reports an active run of a task that is not waiting for its report: a
+	 * start request was executed late, possibly by a later incarnation.
+	 *
+	 * @param job the job
+	 * @param task the task
+	 * @param attempt the attempt
+	 * @param worker the worker
+	 * @param workerStartedMillis when the incarnation that reports the run was started,
+	 * epoch milliseconds on its clock, -1 if it does not tell
+	 * @param taskStatus what the owner knows of the task
+	 * @param adopted whether the run goes on; it is stopped otherwise
+	 */
+	record UnexpectedRun(String job, String task, int attempt, String worker, long workerStartedMillis,
+			String taskStatus, boolean adopted) implements JobDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -39,6 +39,7 @@
 		addStartsBesideCompletion(causes);
 		addLostRuns(causes);
 		addFailedStarts(causes);
+		addUnexpectedRuns(causes);
 		addOutcome(causes);
 		return causes;
 	}
@@ -172,6 +173,22 @@
 		}
 	}
 
+	private void addUnexpectedRuns(List<String> causes) {
+		for (LogLine line : all(JobDecision.UnexpectedRun.class)) {
+			String sentTo = all(JobDecision.TaskPlaced.class).stream()
+				.filter((placed) -> placed.text("task").equals(line.text("task"))
+						&& placed.value("attempt") == line.value("attempt"))
+				.map((placed) -> ", its start was sent to " + placed.text("worker") + " started at "
+						+ placed.value("workerStartedMillis"))
+				.findFirst()
+				.orElse("");
+			causes.add("attempt " + line.value("attempt") + " of " + line.text("task") + " was found active on "
+					+ line.text("worker") + " started at " + line.value("workerStartedMillis") + sentTo
+					+ "; the owner knew the task as " + line.text("taskStatus")
+					+ ("true".equals(line.text("adopted")) ? " and let it go on" : " and stopped it"));
+		}
+	}
+
 	private void addOutcome(List<String> causes) {
 		Optional<LogLine> end = first(JobDecision.JobEnded.class);
 		if (end.isPresent()) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -8,6 +8,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
@@ -29,16 +31,19 @@
 
 	private final PoolClock clock;
 
+	private final DecisionLog log;
+
 	private final Consumer<Run> confirmRun;
 
 	private final BiConsumer<Run, String> stopRun;
 
 	RunAdoption(JobRegistry jobs, RunTerminationHandler terminations, UnknownJobs unknownJobs, PoolClock clock,
-			Consumer<Run> confirmRun, BiConsumer<Run, String> stopRun) {
+			DecisionLog log, Consumer<Run> confirmRun, BiConsumer<Run, String> stopRun) {
 		this.jobs = jobs;
 		this.terminations = terminations;
 		this.unknownJobs = unknownJobs;
 		this.clock = clock;
+		this.log = log;
 		this.confirmRun = confirmRun;
 		this.stopRun = stopRun;
 	}
@@ -87,6 +92,7 @@
 					this.terminations.committedSize(reported.task(), worker), now);
 			worker.add(unassigned);
 			if (!this.unknownJobs.isAwaited(reported.task().job())) {
+				logUnexpectedRun(worker, reported, "JOB_ENDED_OR_UNKNOWN", false);
 				this.stopRun.accept(unassigned, "its job has ended or is not known");
 			}
 			return;
@@ -96,14 +102,25 @@
 		run.setEstimateMillis(step.get().spec().estimateMillis());
 		run.setSuspicion(step.get().suspicion(index));
 		worker.add(run);
-		if (step.get().progress().isDone(index) || step.get().hasRun(index)) {
+		boolean isDone = step.get().progress().isDone(index);
+		if (isDone || step.get().hasRun(index)) {
+			logUnexpectedRun(worker, reported, isDone ? "DONE" : "RUNS_ELSEWHERE", false);
 			this.stopRun.accept(run, "the task is done or runs elsewhere");
 			return;
 		}
+		if (!this.jobs.isInherited(reported.task().job())) {
+			logUnexpectedRun(worker, reported, "WAITING", true);
+		}
 		step.get().addRun(run);
 		this.jobs.markStarted(step.get().job());
 	}
 
+	private void logUnexpectedRun(PoolWorker worker, RunningTask reported, String taskStatus, boolean isAdopted) {
+		TaskKey task = reported.task();
+		this.log.write(new JobDecision.UnexpectedRun(task.job(), task.toString(), reported.attempt(), worker.id(),
+				worker.incarnation().startedMillis().orElse(-1), taskStatus, isAdopted));
+	}
+
 	private Optional<ActiveStep> findOpenStep(TaskKey task) {
 		return this.jobs.openRunningStep(task.stepKey()).filter((open) -> task.index() < open.spec().count());
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -86,7 +86,7 @@
 				log, clock, this::stop);
 		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, this.inheritedStarts, clock,
 				log);
-		this.adoption = new RunAdoption(jobs, this.terminations, unknownJobs, clock, this::confirm, this::stop);
+		this.adoption = new RunAdoption(jobs, this.terminations, unknownJobs, clock, log, this::confirm, this::stop);
 		this.poller = new WorkerPoller(workerClient, ownerLease, pool, this.crashes, this.terminations, this.losses,
 				this.adoption, eligibility, control, clock, log, listener);
 	}
@@ -196,7 +196,8 @@
 			return;
 		}
 		this.log.write(new JobDecision.StartFailed(run.task().job(), run.task().toString(), run.attempt(), worker.id(),
-				outcome.kind().name()));
+				addressee.incarnation().startedMillis().orElse(-1), outcome.kind().name(), retries + 1,
+				millisSince(run.requestedNanos())));
 		switch (outcome.kind()) {
 			case FENCED -> handleFencedStart(step, run, addressee, request, retries);
 			case GONE -> handleReplacedBeforeStart(step, run, addressee, request, retries);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
@@ -80,6 +80,24 @@
 			assertAtMostTwelveLines(story);
 		}
 
+		@Test
+		void wasFoundOnAnotherWorkerAfterItHadEnded() {
+			SimulatedCell cell = JobDiagnosisTests.this.cell.withRunMillis((task) -> (task.index() == 0) ? 200 : 3000);
+			cell.addScheduler();
+			cell.time.runFor(500);
+			cell.submit("a", SimulatedCell.step(2, false));
+			cell.time.runFor(100);
+			String other = cell.workers.workerRunning(TASK).equals("w0") ? "w1" : "w0";
+			cell.time.runFor(400);
+			cell.workers.find(other).start(new RunStartRequest(TASK, 1, "text", cell.time.millis() + 1000, 1, "", ""));
+			cell.time.runFor(300);
+			JobTimeline story = cell.logs.story("a");
+			assertThat(events(story)).containsSubsequence("TaskEnded", "UnexpectedRun", "TaskStopped");
+			assertThat(causes(story)).contains("attempt 1 of a.0.0.0 was found active on " + other + " started at ")
+				.contains(", its start was sent to w")
+				.contains("; the owner knew the task as DONE and stopped it");
+		}
+
 		@Test
 		void wasLostWithItsWorker() {
 			SimulatedCell cell = JobDiagnosisTests.this.cell.withRunMillis(2000);
