Send a start without an answer again only if a later incarnation may run it

What callers saw: a task that had completed, with its end acknowledged and its job shown as completed, ran again. Found by the listed test, for crashes 2220, 2230 and 2240 ms after the submission.

Cause: a start without an answer was sent again unchanged after 490 ms. One of the requests ran the task; the others were still on their way and forgotten with the run. The next incarnation of the worker has seen no fencing token and no attempt, and executes what reaches it before the owner's first poll.

With a single request it does not appear, which rules out that the first one is executed twice.

Why it works: a request whose run was reported is executed; if there is no other one, nothing is left for the next incarnation. Starts with a ticket are still repeated: the ticket is valid for one incarnation, the others refuse it (simulated workers now check that). So are starts of tasks that need not run only once.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -17,9 +17,10 @@
 /**
  * Starts and stops runs and processes the responses. Invariants: a run occupies its
  * capacity until the worker reports its termination, refuses its start or can no longer
- * run it; a request without a response is retried unchanged, and a start that remains
- * unanswered is followed by a stop before its capacity is reused. Not thread-safe:
- * confined to the control thread.
+ * run it; a stop without a response is repeated; a start without a response is repeated,
+ * unchanged, only if it does no harm that another incarnation of the worker executes it;
+ * a start that remains unanswered is followed by a stop before its capacity is reused.
+ * Not thread-safe: confined to the control thread.
  */
 final class RunController {
 
@@ -32,6 +33,12 @@
 	/** Number of unanswered start requests after which the run is stopped. */
 	private static final int MAX_START_REQUESTS = 4;
 
+	/**
+	 * Time from the first timeout of a start that is not repeated until the run is
+	 * stopped, milliseconds. An executed start is reported within a second.
+	 */
+	private static final long UNANSWERED_START_WAIT_MILLIS = 1500;
+
 	/** How long a worker is avoided after it refused a start, milliseconds. */
 	private static final long REFUSAL_BACKOFF_MILLIS = 500;
 
@@ -201,7 +208,7 @@
 		switch (outcome.kind()) {
 			case FENCED -> handleFencedStart(step, run, addressee, request, retries);
 			case GONE -> handleReplacedBeforeStart(step, run, addressee, request, retries);
-			case NO_ANSWER -> retryStart(step, run, worker, request, retries + 1);
+			case NO_ANSWER -> handleUnansweredStart(step, run, worker, request, retries);
 			default -> handleRefusedStart(step, run, worker, outcome.kind(), retries);
 		}
 	}
@@ -236,6 +243,25 @@
 		}
 	}
 
+	private void handleUnansweredStart(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request,
+			int retries) {
+		if (StartRepetition.isHarmless(step.spec(), request.ticket())) {
+			retryStart(step, run, worker, request, retries + 1);
+			return;
+		}
+		WorkerIncarnation incarnation = worker.incarnation();
+		this.control.schedule(() -> {
+			if (isAwaitingStart(run, worker, incarnation)) {
+				stop(run, "its start stays unanswered");
+			}
+		}, UNANSWERED_START_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private boolean isAwaitingStart(Run run, PoolWorker worker, WorkerIncarnation incarnation) {
+		return !this.closed && run.state() == Run.State.STARTING && worker.incarnation() == incarnation
+				&& worker.run(run.task()).filter((active) -> active == run).isPresent();
+	}
+
 	private void retryStart(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request, int retries) {
 		if (run.state() != Run.State.STARTING) {
 			return;
@@ -246,9 +272,7 @@
 		}
 		WorkerIncarnation incarnation = worker.incarnation();
 		this.control.schedule(() -> {
-			boolean isWanted = run.state() == Run.State.STARTING && worker.incarnation() == incarnation
-					&& worker.run(run.task()).filter((active) -> active == run).isPresent();
-			if (isWanted && !this.closed) {
+			if (isAwaitingStart(run, worker, incarnation)) {
 				run.markStartRepeated();
 				send(step, run, worker, request, retries);
 			}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulation.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulation.java
@@ -131,7 +131,7 @@
 		for (String worker : queried) {
 			double sample = new Random((step + worker).hashCode() * 2_654_435_761L).nextDouble();
 			if (sample < loadClass.eligibleShare()) {
-				tickets.put(worker, "ticket");
+				tickets.put(worker, this.workers.ticket(worker));
 			}
 		}
 		CompletableFuture<Map<String, String>> answer = new CompletableFuture<>();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ManualEligibilityPool.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ManualEligibilityPool.java
@@ -169,7 +169,7 @@
 			.filter((worker) -> Integer.parseInt(worker.substring(1)) % 3 == 0)
 			.toList();
 		request.answer()
-			.complete(eligible.stream().collect(Collectors.toMap((worker) -> worker, (worker) -> "ticket")));
+			.complete(eligible.stream().collect(Collectors.toMap((worker) -> worker, this.workers::ticket)));
 		runBriefly();
 		return eligible;
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -238,8 +238,8 @@
 		private boolean muted;
 
 		Scheduler(String name, String incarnation, double processors) {
-			EligibilityClient all = (host, step, ids, timeout) -> CompletableFuture
-				.completedFuture(ids.stream().collect(Collectors.toMap((id) -> id, (id) -> "ticket")));
+			EligibilityClient all = (host, step, ids, timeout) -> CompletableFuture.completedFuture(
+					ids.stream().collect(Collectors.toMap((id) -> id, SimulatedCell.this.workers::ticket)));
 			ScheduledExecutorService control = this.process.executor();
 			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, all, control,
 					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -271,6 +271,15 @@
 		return new SimulatedWorkerClient(this, this.time);
 	}
 
+	/**
+	 * Returns a ticket that the current incarnation of a worker accepts.
+	 * @param id the worker's id
+	 * @return the ticket, which later incarnations refuse
+	 */
+	String ticket(String id) {
+		return this.workers.get(id).ticket();
+	}
+
 	SimulatedWorker find(String id) {
 		return this.workers.get(id);
 	}
@@ -335,6 +344,14 @@
 			return SimulatedWorkers.this.time.millis() - this.clockOriginMillis;
 		}
 
+		private String ticket() {
+			return "ticket of the incarnation of " + this.clockOriginMillis;
+		}
+
+		private boolean rejectsTicket(String ticket) {
+			return !ticket.isEmpty() && !ticket.equals(ticket());
+		}
+
 		private void updateEntry() {
 			this.entry = this.info;
 		}
@@ -481,6 +498,9 @@
 			if (Integer.valueOf(request.attempt()).equals(this.runningAttempts.get(request.task()))) {
 				return new RunRequestOutcome(Kind.DONE, now);
 			}
+			if (rejectsTicket(request.ticket())) {
+				return new RunRequestOutcome(Kind.TICKET_REFUSED, now);
+			}
 			if (this.highestTerminatedAttempts.getOrDefault(request.task(), 0) >= request.attempt()) {
 				return new RunRequestOutcome(Kind.OLD_ATTEMPT, now);
 			}
