Start a task again only once its unanswered start cannot be executed any more

What callers saw: a task whose start was given up completed elsewhere and ran once more, beside that run or after it, on the next incarnation of the worker.

Cause: a stop, or a report under a higher fencing token, proves that this incarnation does not execute the request any more. The owner took it for a proof that nobody does. The next incarnation knows neither.

Why it works: a start that must not be executed twice and carries no ticket is resolved by a report of its attempt, by an answer, by another worker at the address, or by its age. Until then the run keeps its place on the worker, or, if it is over (restart, expired lease, broken gang), the task waits in UnresolvedStarts, which StartGate asks. If a later incarnation executes the request meanwhile, that is simply the run of the task. Workers execute requests up to 12 s late; older ones count as lost after 12.5 s. The run is not stopped after two seconds any more: waiting for its late start is shorter than waiting for the request to be lost. Ends are acknowledged after two seconds as before.

Successors do not know of such starts yet.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -246,6 +246,23 @@
 
 	}
 
+	/**
+	 * A start was given up although its request may still be executed, by a later
+	 * incarnation of the worker: the task is not started again until the run is reported
+	 * or the request counts as lost.
+	 *
+	 * @param job the job
+	 * @param task the task
+	 * @param attempt the attempt
+	 * @param worker the worker, empty if an earlier owner sent the request
+	 * @param ageMillis age of the request, at least
+	 * @param lostAfterMillis age from which on the request counts as lost
+	 */
+	record StartUnresolved(String job, String task, int attempt, String worker, long ageMillis,
+			long lostAfterMillis) implements JobDecision {
+
+	}
+
 	/**
 	 * A task is not started again, because workers crashed while it was active on them.
 	 * Its job has failed.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -171,6 +171,12 @@
 		if (!byOutcome.isEmpty()) {
 			causes.add("starts that failed: " + byOutcome);
 		}
+		for (LogLine line : all(JobDecision.StartUnresolved.class)) {
+			String worker = line.text("worker").isEmpty() ? "by an earlier owner" : "to " + line.text("worker");
+			causes.add(line.text("task") + " waited, as the start of attempt " + line.value("attempt") + " sent "
+					+ worker + " might still be executed; it counts as lost at an age of "
+					+ line.value("lostAfterMillis") + " ms and was " + line.value("ageMillis") + " ms old");
+		}
 	}
 
 	private void addUnexpectedRuns(List<String> causes) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -60,6 +60,8 @@
 
 	private final UnconfirmedLosses unconfirmedLosses = new UnconfirmedLosses(this::isInherited);
 
+	private final UnresolvedStarts unresolvedStarts = new UnresolvedStarts();
+
 	JobRegistry(long epoch) {
 		this.epoch = epoch;
 	}
@@ -322,6 +324,14 @@
 		return this.unconfirmedLosses;
 	}
 
+	/**
+	 * Tasks that are not started again while an earlier start may be executed.
+	 * @return the tasks
+	 */
+	UnresolvedStarts unresolvedStarts() {
+		return this.unresolvedStarts;
+	}
+
 	int unfinishedCount() {
 		return this.unfinished.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -320,16 +320,17 @@
 
 	/**
 	 * Returns up to which sequence number terminations may be acknowledged. None may
-	 * while a start is unanswered, as a later incarnation may have executed it: it would
-	 * discard terminations that nobody has read.
+	 * while a recent start is unanswered, as a later incarnation may have executed it: it
+	 * would discard terminations that nobody has read.
+	 * @param nowNanos the current monotonic time
 	 * @return the sequence number, 0 for none
 	 */
-	long acknowledgeableSequence() {
-		return (this.reachable && !hasUnansweredStart()) ? terminations().durable() : 0;
+	long acknowledgeableSequence(long nowNanos) {
+		return (this.reachable && !hasRecentUnansweredStart(nowNanos)) ? terminations().durable() : 0;
 	}
 
-	boolean hasUnansweredStart() {
-		return this.runs.runs().stream().anyMatch((run) -> !run.hasBeenConfirmed());
+	boolean hasRecentUnansweredStart(long nowNanos) {
+		return this.runs.hasRecentUnansweredStart(nowNanos);
 	}
 
 	void markUnlisted() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -59,6 +59,7 @@
 		reportedTasks.addAll(worker.terminations().unprocessedTasks());
 		for (RunningTask reported : running) {
 			reportedTasks.add(reported.task());
+			this.jobs.unresolvedStarts().resolve(reported.task(), reported.attempt());
 			Optional<Run> known = worker.run(reported.task());
 			if (known.isEmpty()) {
 				adopt(worker, reported);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -33,12 +33,6 @@
 	/** Number of unanswered start requests after which the run is stopped. */
 	private static final int MAX_START_REQUESTS = 4;
 
-	/**
-	 * Time from the first timeout of a start that is not repeated until the run is
-	 * stopped, milliseconds. An executed start is reported within a second.
-	 */
-	private static final long UNANSWERED_START_WAIT_MILLIS = 1500;
-
 	/** How long a worker is avoided after it refused a start, milliseconds. */
 	private static final long REFUSAL_BACKOFF_MILLIS = 500;
 
@@ -167,6 +161,7 @@
 
 	private void send(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request, int retries) {
 		worker.responses().requestSent(this.clock.nanos());
+		run.startRequested(this.clock.nanos(), StartRepetition.isHarmless(step.spec(), request.ticket()));
 		Addressee addressee = Addressee.of(worker);
 		long leaseEndMillis = worker.lease().extend(this.clock.nanos(), this.ownerLease.workerLeaseMillis());
 		RunStartRequest leased = new RunStartRequest(request.task(), request.attempt(), request.spec(), leaseEndMillis,
@@ -250,11 +245,12 @@
 			return;
 		}
 		WorkerIncarnation incarnation = worker.incarnation();
+		long remainingMillis = UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS - millisSince(run.lastRequestNanos());
 		this.control.schedule(() -> {
 			if (isAwaitingStart(run, worker, incarnation)) {
 				stop(run, "its start stays unanswered");
 			}
-		}, UNANSWERED_START_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		}, Math.max(0, remainingMillis), TimeUnit.MILLISECONDS);
 	}
 
 	private boolean isAwaitingStart(Run run, PoolWorker worker, WorkerIncarnation incarnation) {
@@ -366,9 +362,11 @@
 	}
 
 	/**
-	 * Expires holds and leases, and removes expired workers that are no longer listed.
+	 * Expires holds, leases and unanswered starts, and removes expired workers that are
+	 * no longer listed.
 	 */
 	void expireLeases() {
+		this.jobs.unresolvedStarts().expire(this.clock.nanos());
 		if (this.losses.expireLeases()) {
 			this.listener.stateChanged();
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
@@ -18,6 +18,11 @@
  */
 final class RunSet {
 
+	/**
+	 * Age of a recent start, nanoseconds. An executed one is reported within a second.
+	 */
+	private static final long RECENT_START_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
+
 	private final Map<TaskKey, Run> runs = new HashMap<>();
 
 	private final List<Run> suspectedRuns = new ArrayList<>();
@@ -67,6 +72,21 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether a recent start is unanswered.
+	 * @param nowNanos the current monotonic time
+	 * @return {@code false} also if a start remains unanswered for longer than an
+	 * executed one takes to be reported
+	 */
+	boolean hasRecentUnansweredStart(long nowNanos) {
+		for (Run run : this.runs.values()) {
+			if (!run.hasBeenConfirmed() && nowNanos - run.requestedNanos() < RECENT_START_NANOS) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	int size() {
 		return this.runs.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -88,6 +88,7 @@
 	}
 
 	private void process(PoolWorker worker, TerminatedTask termination) {
+		this.jobs.unresolvedStarts().resolve(termination.task(), termination.attempt());
 		long ranMillis = -1;
 		Run run = worker.run(termination.task())
 			.filter((active) -> active.attempt() == termination.attempt())
@@ -170,6 +171,7 @@
 		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), loss.name(),
 				loss.description(), evidence.name(), run.hasBeenConfirmed(), ranMillis, otherRuns));
 		holdBack(task);
+		holdBackIfUnresolved(run);
 		this.jobs.job(task.job())
 			.filter((job) -> hasTask(job, task))
 			.ifPresent((job) -> job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint()));
@@ -178,6 +180,17 @@
 		}
 	}
 
+	private void holdBackIfUnresolved(Run run) {
+		TaskKey task = run.task();
+		if (!run.isStartUnresolved() || !this.jobs.isUnfinished(task)) {
+			return;
+		}
+		this.jobs.unresolvedStarts().record(task, run.attempt(), run.lastRequestNanos());
+		this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(), run.attempt(), run.workerId(),
+				TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.lastRequestNanos()),
+				UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS));
+	}
+
 	/**
 	 * Keeps a task from being started again until its loss is confirmed.
 	 * @param task the task
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -8,7 +8,8 @@
  * Decides which waiting tasks may be started in this term of ownership. Invariants: a
  * task that an earlier owner may have started is not started before it is known what runs
  * on that owner's workers; a task whose run was lost is not started before the loss is
- * confirmed; nothing is started while no lease can be granted. Not thread-safe: confined
+ * confirmed; a task is not started while a start request of an earlier run may still be
+ * executed; nothing is started while no lease can be granted. Not thread-safe: confined
  * to the control thread.
  */
 final class StartGate {
@@ -41,7 +42,8 @@
 	// A gang waits until none of its tasks may run elsewhere.
 	List<Integer> startableTasks(ActiveStep step) {
 		List<Integer> waiting = step.waitingTasks();
-		boolean areAllStartable = this.pool.hasNoUnconfirmedTasks() && this.jobs.unconfirmedLosses().isEmpty();
+		boolean areAllStartable = this.pool.hasNoUnconfirmedTasks() && this.jobs.unconfirmedLosses().isEmpty()
+				&& this.jobs.unresolvedStarts().isEmpty();
 		if (waiting.isEmpty() || areAllStartable) {
 			return waiting;
 		}
@@ -50,7 +52,8 @@
 	}
 
 	private boolean mayRunElsewhere(TaskKey task) {
-		return this.pool.mayRunUnconfirmed(task) || this.jobs.unconfirmedLosses().contains(task);
+		return this.pool.mayRunUnconfirmed(task) || this.jobs.unconfirmedLosses().contains(task)
+				|| this.jobs.unresolvedStarts().contains(task);
 	}
 
 	boolean mayStart(ActiveStep step) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -68,6 +68,8 @@
 			this.crashes.workerUnreachable(worker);
 		}
 		this.crashes.workerReplaced(worker.id());
+		// The other worker refuses requests that name this one.
+		worker.runs().forEach(Run::markStartRefused);
 		markLost(worker, RunLoss.WORKER_REPLACED);
 		handleInheritedLosses(worker, Set.of());
 		this.pool.removeReplaced(worker);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -107,7 +107,7 @@
 			return;
 		}
 		long sentNanos = this.clock.nanos();
-		long acknowledged = worker.acknowledgeableSequence();
+		long acknowledged = worker.acknowledgeableSequence(sentNanos);
 		if (acknowledged >= worker.terminations().processed()) {
 			Optional.ofNullable(this.terminationsProcessedNanos.remove(incarnation))
 				.ifPresent((processedNanos) -> this.log.recordMetric(Metric.ACKNOWLEDGEMENT_LATENCY,
@@ -252,7 +252,8 @@
 			this.awaitingDurability.put(incarnation, worker);
 			this.control.schedule(() -> resumePolling(incarnation), MAX_DURABILITY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		}
-		else if (!reported.deferred().isEmpty() || (hasUnacknowledged && worker.hasUnansweredStart())) {
+		else if (!reported.deferred().isEmpty()
+				|| (hasUnacknowledged && worker.hasRecentUnansweredStart(this.clock.nanos()))) {
 			pollAfter(worker, incarnation, UNACKNOWLEDGED_POLL_DELAY_MILLIS);
 		}
 		else {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobDiagnosisTests.java
@@ -202,6 +202,25 @@
 			assertThat(causes(story)).contains("starts that failed: {NO_ANSWER at w");
 		}
 
+		@Test
+		void aTaskWaitsBecauseAnUnansweredStartMayStillBeExecuted() {
+			SimulatedCell cell = JobDiagnosisTests.this.cell;
+			cell.workers.setRestartedId(SimulatedWorkers.RestartedId.SAME);
+			cell.addScheduler();
+			cell.time.runFor(500);
+			for (int i = 0; i < 3; i++) {
+				cell.workers.find("w" + i).setStartDelayMillis(LEASE_EXPIRED_MILLIS);
+			}
+			cell.submit("a", SimulatedCell.step(1, false));
+			cell.time.runFor(600);
+			cell.workers.crashAndRestartAll(50);
+			cell.time.runFor(2000);
+			JobTimeline story = cell.logs.story("a");
+			assertThat(events(story)).containsSubsequence("StartFailed", "TaskLost", "StartUnresolved");
+			assertThat(causes(story)).contains("a.0.0.0 waited, as the start of attempt 1 sent to w")
+				.contains("; it counts as lost at an age of 12500 ms and was ");
+		}
+
 		@Test
 		void aGangFoundNoFreeCapacity() {
 			SimulatedCell cell = JobDiagnosisTests.this.cell.withRunMillis(60_000).withEligibility();
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
@@ -0,0 +1,167 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Start requests that a worker leaves unanswered and executes seconds later, some of them
+ * by its next incarnation.
+ */
+class LateStartsTests {
+
+	private static final int WORKERS = 4;
+
+	private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
+
+	private static final long DELAY_MILLIS = 4000;
+
+	/** From the first request until the worker answers starts again. */
+	private static final long UNANSWERED_MILLIS = 2000;
+
+	/** Between the restart and its discovery by the next poll. */
+	private static final long RESTART_BEFORE_EXECUTION_MILLIS = 30;
+
+	private final SimulatedCell cell = new SimulatedCell().withWorkers(WORKERS);
+
+	private String worker;
+
+	private long sentMillis;
+
+	@BeforeEach
+	void keepIds() {
+		this.cell.workers.setRestartedId(RestartedId.SAME);
+		this.cell.workers.setListDelayMillis(1000);
+	}
+
+	private void sendLateStart() {
+		setStartDelays(DELAY_MILLIS);
+		this.cell.submit("a", SimulatedCell.step(1, false));
+		while (placements() == 0) {
+			this.cell.time.runFor(1);
+		}
+		JobDecision.TaskPlaced placed = (JobDecision.TaskPlaced) this.cell.decisions.stream()
+			.filter(JobDecision.TaskPlaced.class::isInstance)
+			.findFirst()
+			.orElseThrow();
+		this.worker = placed.worker();
+		this.sentMillis = this.cell.time.millis();
+		for (int i = 0; i < WORKERS; i++) {
+			if (!this.worker.equals("w" + i)) {
+				this.cell.workers.find("w" + i).setStartDelayMillis(0);
+			}
+		}
+		this.cell.time.schedule(() -> this.cell.workers.find(this.worker).setStartDelayMillis(0), UNANSWERED_MILLIS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	private void setStartDelays(long millis) {
+		for (int i = 0; i < WORKERS; i++) {
+			this.cell.workers.find("w" + i).setStartDelayMillis(millis);
+		}
+	}
+
+	private long placements() {
+		return this.cell.decisions.stream().filter(JobDecision.TaskPlaced.class::isInstance).count();
+	}
+
+	private void restartBeforeExecution(long requestMillis) {
+		long crashMillis = requestMillis + DELAY_MILLIS - RESTART_BEFORE_EXECUTION_MILLIS;
+		this.cell.time.runFor(crashMillis - this.cell.time.millis());
+		this.cell.workers.crashAndRestart(this.cell.workers.find(this.worker), RESTART_BEFORE_EXECUTION_MILLIS / 2);
+	}
+
+	// Guards against a task that completes elsewhere and is then run by a late start.
+	@Test
+	void thatWereGivenUpRunNoTaskAgainOnTheNextIncarnation() {
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		sendLateStart();
+		restartBeforeExecution(this.sentMillis);
+		this.cell.time.runFor(30_000);
+		this.cell.assertCompleted("a");
+	}
+
+	// Guards against a request that outlives two incarnations.
+	@Test
+	void thatTheNextIncarnationDidNotExecuteRunNoTaskAgainOnTheOneAfterIt() {
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		sendLateStart();
+		this.cell.time.runFor(700);
+		this.cell.workers.crashAndRestart(this.cell.workers.find(this.worker), 50);
+		restartBeforeExecution(this.sentMillis);
+		this.cell.time.runFor(30_000);
+		this.cell.assertCompleted("a");
+	}
+
+	@Test
+	void areAwaitedNoLongerThanWorkersTakeToExecuteThem() {
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		sendLateStart();
+		this.cell.time.runFor(100);
+		this.cell.workers.crashAndRestart(this.cell.workers.find(this.worker), 10);
+		this.cell.workers.setLosingLateRequests(true);
+		this.cell.time.runFor(UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS);
+		this.cell.time.runFor(2000);
+		this.cell.assertCompleted("a");
+		assertThat(placements()).isEqualTo(2);
+	}
+
+	@Test
+	void areNotAwaitedOnceAnotherWorkerAnswersAtTheAddress() {
+		this.cell.workers.setRestartedId(RestartedId.NEW);
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		sendLateStart();
+		this.cell.time.runFor(100);
+		this.cell.workers.crashAndRestart(this.cell.workers.find(this.worker), 10);
+		this.cell.time.runFor(2000);
+		this.cell.assertCompleted("a");
+	}
+
+	@Nested
+	class ThatCarryATicket {
+
+		@BeforeEach
+		void requireTickets() {
+			LateStartsTests.this.cell.withEligibility();
+		}
+
+		// Later incarnations refuse the ticket, so that nothing has to wait.
+		@Test
+		void areRepeatedAndDelayNoTask() {
+			LateStartsTests test = LateStartsTests.this;
+			test.cell.addScheduler();
+			test.cell.time.runFor(500);
+			test.sendLateStart();
+			test.cell.workers.find(test.worker).setStartDelayMillis(0);
+			test.cell.time.runFor(1500);
+			test.cell.assertCompleted("a");
+			assertThat(test.placements()).isEqualTo(1);
+		}
+
+		@Test
+		void areRefusedByTheNextIncarnationOnceTheTaskHasCompletedElsewhere() {
+			LateStartsTests test = LateStartsTests.this;
+			test.cell.addScheduler();
+			test.cell.time.runFor(500);
+			test.sendLateStart();
+			test.cell.time.runFor(3500);
+			test.cell.assertCompleted("a");
+			test.restartBeforeExecution(test.sentMillis);
+			test.cell.time.runFor(10_000);
+			test.cell.assertCompleted("a");
+		}
+
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -93,10 +93,10 @@
 		this.worker.run(TASK).orElseThrow().confirm(0);
 		this.worker.markReachable();
 		this.worker.terminations().markDurable(7);
-		assertThat(this.worker.acknowledgeableSequence()).isEqualTo(7);
+		assertThat(this.worker.acknowledgeableSequence(0)).isEqualTo(7);
 		this.worker.restart(OptionalLong.of(200), 0);
 		this.worker.markReachable();
-		assertThat(this.worker.acknowledgeableSequence()).isZero();
+		assertThat(this.worker.acknowledgeableSequence(0)).isZero();
 		assertThat(this.worker.runCount()).isEqualTo(1);
 		assertThat(this.worker.incarnation().tokenGeneration()).isEqualTo(1);
 	}
@@ -106,7 +106,16 @@
 		this.worker.markReachable();
 		this.worker.terminations().markDurable(7);
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
-		assertThat(this.worker.acknowledgeableSequence()).isZero();
+		assertThat(this.worker.acknowledgeableSequence(0)).isZero();
+		assertThat(this.worker.acknowledgeableSequence(TimeUnit.MILLISECONDS.toNanos(1990))).isZero();
+	}
+
+	@Test
+	void acknowledgesAgainWhileAStartStaysUnanswered() {
+		this.worker.markReachable();
+		this.worker.terminations().markDurable(7);
+		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
+		assertThat(this.worker.acknowledgeableSequence(TimeUnit.MILLISECONDS.toNanos(2000))).isEqualTo(7);
 	}
 
 	private static PollOutcome.Report reportOfIncarnation(long startedMillis) {
