Name unresolved starts in the owner record, for the next owner

What callers saw: after a change of owner a task ran again on a restarted worker, because the former owner's start was still unanswered. Red here in LateStartsTests.AfterATakeOver before.

Cause: a successor knows of workers and tasks from the record, not of requests. It polls each worker, sees no run, and starts the task.

Why it works: starts are tracked from their request on instead of from their loss on, so that the record has what is unanswered at any time, and is written once more for a start that is unanswered for 10 ms. The successor makes these tasks wait for as long as its predecessor's last request may be executed, and passes them on in its own record. A report of the attempt ends the wait.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -28,17 +28,19 @@
  * @param incarnations by worker id, when the incarnation was started that the owner last
  * polled, epoch milliseconds on the worker's clock; without workers that do not tell, and
  * empty in rows of earlier releases
+ * @param unresolvedStarts by task, the attempt whose start request was sent and is not
+ * known to have been executed; empty in rows of earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
-		boolean recordsCrashes, Map<String, Long> incarnations) {
+		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of());
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of());
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -48,6 +50,7 @@
 		largest = (largest != null) ? largest : HostSize.UNKNOWN;
 		standbys = (standbys != null) ? List.copyOf(standbys) : List.of();
 		incarnations = (incarnations != null) ? Map.copyOf(incarnations) : Map.of();
+		unresolvedStarts = (unresolvedStarts != null) ? Map.copyOf(unresolvedStarts) : Map.of();
 	}
 
 	/**
@@ -58,7 +61,7 @@
 	OwnerRecord takenOverBy(HostRecord next) {
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
-				this.confirming, true, this.incarnations);
+				this.confirming, true, this.incarnations, this.unresolvedStarts);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -157,7 +157,8 @@
 		}
 		long sinceLast = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.lastSentNanos);
 		boolean hasChanges = this.jobs.hasDirty() || this.jobs.hasDeferred() || !this.jobs.unconfirmedLosses().isEmpty()
-				|| this.workers.hasUnrecordedWorkers();
+				|| this.workers.hasUnrecordedWorkers()
+				|| this.jobs.unresolvedStarts().needsRecording(this.clock.nanos());
 		boolean isDue = sinceLast >= OwnerLease.RENEWAL_INTERVAL_MILLIS
 				|| (hasChanges && sinceLast >= MIN_WRITE_INTERVAL_MILLIS);
 		if (isDue) {
@@ -245,7 +246,8 @@
 	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
-				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations());
+				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
+				this.jobs.unresolvedStarts().toRecord(this.composedNanos));
 	}
 
 	private void send(Batch batch) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -36,10 +36,6 @@
 
 	private boolean startRepeated;
 
-	private boolean startHarmlessIfLate = true;
-
-	private long lastRequestNanos;
-
 	private String checkpoint = "";
 
 	private long estimatedEndNanos;
@@ -153,41 +149,6 @@
 		this.startRepeated = true;
 	}
 
-	/**
-	 * Records that a start request is about to be sent.
-	 * @param nowNanos the current monotonic time
-	 * @param isHarmlessIfLate whether a later incarnation of the worker may execute it,
-	 * see {@link StartRepetition}
-	 */
-	void startRequested(long nowNanos, boolean isHarmlessIfLate) {
-		this.lastRequestNanos = nowNanos;
-		this.startHarmlessIfLate = isHarmlessIfLate;
-	}
-
-	/**
-	 * Records that no worker can execute the start request any more.
-	 */
-	void markStartRefused() {
-		this.startHarmlessIfLate = true;
-	}
-
-	/**
-	 * Returns whether a later incarnation of the worker may still execute the start
-	 * request, which it must not if the task is started elsewhere.
-	 * @return {@code false} if the run was reported, so that its request was executed
-	 */
-	boolean isStartUnresolved() {
-		return !this.startHarmlessIfLate && !this.startConfirmed;
-	}
-
-	/**
-	 * Returns when the last start request was sent.
-	 * @return monotonic time
-	 */
-	long lastRequestNanos() {
-		return this.lastRequestNanos;
-	}
-
 	/**
 	 * Returns whether no start request of this run can be executed any more.
 	 * @return {@code false} if a request is unanswered, possibly one of an earlier owner
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
@@ -161,13 +162,18 @@
 
 	private void send(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request, int retries) {
 		worker.responses().requestSent(this.clock.nanos());
-		run.startRequested(this.clock.nanos(), StartRepetition.isHarmless(step.spec(), request.ticket()));
+		if (!StartRepetition.isHarmless(step.spec(), request.ticket())) {
+			this.jobs.unresolvedStarts().record(run.task(), run.attempt(), this.clock.nanos());
+		}
 		Addressee addressee = Addressee.of(worker);
 		long leaseEndMillis = worker.lease().extend(this.clock.nanos(), this.ownerLease.workerLeaseMillis());
 		RunStartRequest leased = new RunStartRequest(request.task(), request.attempt(), request.spec(), leaseEndMillis,
 				fencingToken(worker), request.checkpoint(), request.ticket());
 		this.workerClient.start(worker.info(), leased)
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> {
+				if (outcome.kind() != RunRequestOutcome.Kind.NO_ANSWER) {
+					this.jobs.unresolvedStarts().resolve(run.task(), run.attempt());
+				}
 				boolean isReleased = worker.run(run.task()).filter((active) -> active == run).isEmpty();
 				if (this.closed || isReleased || !addressee.isCurrent(worker)) {
 					// After a restart, the next report shows whether the run is active.
@@ -245,7 +251,7 @@
 			return;
 		}
 		WorkerIncarnation incarnation = worker.incarnation();
-		long remainingMillis = UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS - millisSince(run.lastRequestNanos());
+		long remainingMillis = UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS - millisSince(run.requestedNanos());
 		this.control.schedule(() -> {
 			if (isAwaitingStart(run, worker, incarnation)) {
 				stop(run, "its start stays unanswered");
@@ -372,6 +378,18 @@
 		}
 	}
 
+	/**
+	 * Makes tasks wait whose starts an earlier owner may have sent without an answer.
+	 * @param attempts the attempts by task, as written in the owner record
+	 */
+	void restoreUnresolvedStarts(Map<String, Integer> attempts) {
+		long now = this.clock.nanos();
+		this.jobs.unresolvedStarts()
+			.restore(attempts, now)
+			.forEach((task, attempt) -> this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(),
+					attempt, "", 0, UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS)));
+	}
+
 	InheritedStarts inheritedStarts() {
 		return this.inheritedStarts;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -171,7 +171,7 @@
 		this.log.write(new JobDecision.TaskLost(task.job(), task.toString(), run.attempt(), worker.id(), loss.name(),
 				loss.description(), evidence.name(), run.hasBeenConfirmed(), ranMillis, otherRuns));
 		holdBack(task);
-		holdBackIfUnresolved(run);
+		logUnresolvedStart(run);
 		this.jobs.job(task.job())
 			.filter((job) -> hasTask(job, task))
 			.ifPresent((job) -> job.progress(task.stepKey()).saveCheckpoint(task.index(), run.checkpoint()));
@@ -180,15 +180,14 @@
 		}
 	}
 
-	private void holdBackIfUnresolved(Run run) {
+	private void logUnresolvedStart(Run run) {
 		TaskKey task = run.task();
-		if (!run.isStartUnresolved() || !this.jobs.isUnfinished(task)) {
-			return;
+		if (this.jobs.isUnfinished(task)) {
+			this.jobs.unresolvedStarts()
+				.ageMillis(task, run.attempt(), this.clock.nanos())
+				.ifPresent((age) -> this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(),
+						run.attempt(), run.workerId(), age, UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS)));
 		}
-		this.jobs.unresolvedStarts().record(task, run.attempt(), run.lastRequestNanos());
-		this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(), run.attempt(), run.workerId(),
-				TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - run.lastRequestNanos()),
-				UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnresolvedStarts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnresolvedStarts.java
@@ -1,17 +1,22 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * Tasks whose runs are over for this owner although it does not know whether the start
- * request was executed. The current incarnation of the worker refuses it by now, a later
- * one may not. Invariants: a task is contained until the run is reported after all, or
- * until its start request is older than {@link #MAX_EXECUTION_DELAY_MILLIS}; it is not
- * started again before. Not thread-safe: confined to the control thread.
+ * Start requests that must not be executed twice and are not known to have been executed.
+ * A worker may still execute them, and so may its next incarnation, even if this one
+ * refuses them by now. Invariants: a start is contained from its request on until it is
+ * answered, its run is reported, or the request is older than
+ * {@link #MAX_EXECUTION_DELAY_MILLIS}; its task is not started again before. Not
+ * thread-safe: confined to the control thread.
  */
 final class UnresolvedStarts {
 
@@ -21,23 +26,35 @@
 	 */
 	static final long MAX_EXECUTION_DELAY_MILLIS = 12_500;
 
+	/** Maximum starts in the owner record: a row takes 48 KB, a start 28 bytes. */
+	static final int MAX_RECORDED = 300;
+
+	/**
+	 * Age from which on a start is worth a write of the owner record, milliseconds. Most
+	 * are answered within 2 ms.
+	 */
+	private static final long RECORDING_AGE_MILLIS = 10;
+
+	private static final System.Logger LOGGER = System.getLogger(UnresolvedStarts.class.getName());
+
 	private final Map<TaskKey, Start> starts = new HashMap<>();
 
+	private long lastRecordedNanos;
+
 	/**
-	 * Records a start that may still be executed.
+	 * Records a start request that is about to be sent.
 	 * @param task the task
 	 * @param attempt the attempt in the request
-	 * @param requestedNanos monotonic time at which the request was sent
+	 * @param nowNanos the current monotonic time
 	 */
-	void record(TaskKey task, int attempt, long requestedNanos) {
-		this.starts.put(task,
-				new Start(attempt, requestedNanos + TimeUnit.MILLISECONDS.toNanos(MAX_EXECUTION_DELAY_MILLIS)));
+	void record(TaskKey task, int attempt, long nowNanos) {
+		this.starts.put(task, new Start(attempt, nowNanos));
 	}
 
 	/**
-	 * Removes a start because a worker reports its run.
+	 * Removes a start whose request was answered or whose run is reported.
 	 * @param task the task
-	 * @param attempt the attempt that is active or has ended
+	 * @param attempt the attempt
 	 */
 	void resolve(TaskKey task, int attempt) {
 		Start start = this.starts.get(task);
@@ -52,7 +69,7 @@
 	 */
 	void expire(long nowNanos) {
 		if (!this.starts.isEmpty()) {
-			this.starts.values().removeIf((start) -> nowNanos - start.expiryNanos() >= 0);
+			this.starts.values().removeIf((start) -> start.ageMillis(nowNanos) >= MAX_EXECUTION_DELAY_MILLIS);
 		}
 	}
 
@@ -70,16 +87,76 @@
 	}
 
 	/**
-	 * Returns the attempts that may still be started.
+	 * Returns the age of a start request.
+	 * @param task the task
+	 * @param attempt the attempt
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, empty if it is not unresolved
+	 */
+	OptionalLong ageMillis(TaskKey task, int attempt, long nowNanos) {
+		Start start = this.starts.get(task);
+		return (start != null && start.attempt() == attempt) ? OptionalLong.of(start.ageMillis(nowNanos))
+				: OptionalLong.empty();
+	}
+
+	/**
+	 * Returns whether an unanswered start is missing in the last record.
+	 * @param nowNanos the current monotonic time
+	 * @return {@code true} if the owner record should be written
+	 */
+	boolean needsRecording(long nowNanos) {
+		for (Start start : this.starts.values()) {
+			if (start.requestedNanos() - this.lastRecordedNanos > 0
+					&& start.ageMillis(nowNanos) >= RECORDING_AGE_MILLIS) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Returns the starts that the next owner has to know, the latest ones if there are
+	 * too many for a row.
+	 * @param nowNanos the current monotonic time
 	 * @return the attempts by task
 	 */
-	Map<TaskKey, Integer> attempts() {
-		Map<TaskKey, Integer> attempts = new HashMap<>();
-		this.starts.forEach((task, start) -> attempts.put(task, start.attempt()));
-		return attempts;
+	Map<String, Integer> toRecord(long nowNanos) {
+		this.lastRecordedNanos = nowNanos;
+		if (this.starts.isEmpty()) {
+			return Map.of();
+		}
+		return this.starts.entrySet()
+			.stream()
+			.sorted(Collections.reverseOrder(Comparator.comparingLong((entry) -> entry.getValue().requestedNanos())))
+			.limit(MAX_RECORDED)
+			.collect(Collectors.toMap((entry) -> entry.getKey().toString(), (entry) -> entry.getValue().attempt()));
 	}
 
-	private record Start(int attempt, long expiryNanos) {
+	/**
+	 * Adds the starts of an earlier owner. When they were requested is not known.
+	 * @param recorded the attempts by task
+	 * @param nowNanos monotonic time after which the earlier owner sends no start
+	 * @return the starts that were added
+	 */
+	Map<TaskKey, Integer> restore(Map<String, Integer> recorded, long nowNanos) {
+		Map<TaskKey, Integer> restored = new HashMap<>();
+		recorded.forEach((name, attempt) -> {
+			try {
+				restored.put(TaskKey.parse(name), attempt);
+			}
+			catch (IllegalArgumentException ex) {
+				LOGGER.log(System.Logger.Level.WARNING, "the owner record names no task in its starts: {0}", name);
+			}
+		});
+		restored.forEach((task, attempt) -> record(task, attempt, nowNanos));
+		return restored;
+	}
+
+	private record Start(int attempt, long requestedNanos) {
+
+		long ageMillis(long nowNanos) {
+			return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.requestedNanos);
+		}
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -69,7 +69,7 @@
 		}
 		this.crashes.workerReplaced(worker.id());
 		// The other worker refuses requests that name this one.
-		worker.runs().forEach(Run::markStartRefused);
+		worker.runs().forEach((run) -> this.jobs.unresolvedStarts().resolve(run.task(), run.attempt()));
 		markLost(worker, RunLoss.WORKER_REPLACED);
 		handleInheritedLosses(worker, Set.of());
 		this.pool.removeReplaced(worker);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
@@ -1,10 +1,13 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -42,16 +45,17 @@
 	}
 
 	private void sendLateStart() {
-		setStartDelays(DELAY_MILLIS);
 		this.cell.submit("a", SimulatedCell.step(1, false));
-		while (placements() == 0) {
+		awaitLateStart(1);
+	}
+
+	// Delays the start of the last of some placements.
+	private void awaitLateStart(int placements) {
+		setStartDelays(DELAY_MILLIS);
+		while (placements().size() < placements) {
 			this.cell.time.runFor(1);
 		}
-		JobDecision.TaskPlaced placed = (JobDecision.TaskPlaced) this.cell.decisions.stream()
-			.filter(JobDecision.TaskPlaced.class::isInstance)
-			.findFirst()
-			.orElseThrow();
-		this.worker = placed.worker();
+		this.worker = placements().get(placements - 1).worker();
 		this.sentMillis = this.cell.time.millis();
 		for (int i = 0; i < WORKERS; i++) {
 			if (!this.worker.equals("w" + i)) {
@@ -68,8 +72,11 @@
 		}
 	}
 
-	private long placements() {
-		return this.cell.decisions.stream().filter(JobDecision.TaskPlaced.class::isInstance).count();
+	private List<JobDecision.TaskPlaced> placements() {
+		return this.cell.decisions.stream()
+			.filter(JobDecision.TaskPlaced.class::isInstance)
+			.map(JobDecision.TaskPlaced.class::cast)
+			.toList();
 	}
 
 	private void restartBeforeExecution(long requestMillis) {
@@ -113,7 +120,7 @@
 		this.cell.time.runFor(UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS);
 		this.cell.time.runFor(2000);
 		this.cell.assertCompleted("a");
-		assertThat(placements()).isEqualTo(2);
+		assertThat(placements()).hasSize(2);
 	}
 
 	@Test
@@ -128,6 +135,74 @@
 		this.cell.assertCompleted("a");
 	}
 
+	@Nested
+	class AfterATakeOver {
+
+		// Guards against a successor that does not know of its predecessor's requests.
+		@ParameterizedTest
+		@ValueSource(longs = { 50, 450, 1000, 1900, 2500, 3500 })
+		void runNoTaskAgainOnTheNextIncarnation(long takeOverMillis) {
+			LateStartsTests test = LateStartsTests.this;
+			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
+			test.sendLateStart();
+			test.setStartDelays(0);
+			test.cell.time.runFor(takeOverMillis);
+			first.kill();
+			test.restartBeforeExecution(test.sentMillis);
+			test.cell.time.runFor(40_000);
+			test.cell.assertCompleted("a");
+		}
+
+		// Guards against an owner that is lost before its record tells of a start.
+		@ParameterizedTest
+		@ValueSource(longs = { 1, 10, 20 })
+		void runNoTaskAgainIfTheOwnerIsLostJustAfterItsRequest(long takeOverMillis) {
+			LateStartsTests test = LateStartsTests.this;
+			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
+			test.sendLateStart();
+			test.setStartDelays(0);
+			test.cell.time.runFor(takeOverMillis);
+			first.kill();
+			test.restartBeforeExecution(test.sentMillis);
+			test.cell.time.runFor(40_000);
+			test.cell.assertCompleted("a");
+		}
+
+		// Guards against an owner that sends starts while its record is not written.
+		@ParameterizedTest
+		@ValueSource(longs = { 1, 20, 100, 500 })
+		void runNoTaskAgainIfTheRecordWasNotWritten(long takeOverMillis) {
+			LateStartsTests test = LateStartsTests.this;
+			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
+			test.cell.submit("a", SimulatedCell.step(1, false), SimulatedCell.step(1, false, 0));
+			test.cell.time.runFor(300);
+			first.tableClient.setWriteDelay(60_000);
+			test.awaitLateStart(2);
+			test.setStartDelays(0);
+			test.cell.time.runFor(takeOverMillis);
+			first.kill();
+			test.restartBeforeExecution(test.sentMillis);
+			test.cell.time.runFor(40_000);
+			test.cell.assertCompleted("a");
+		}
+
+		@Test
+		void runNoTaskAgainAfterAnotherTakeOver() {
+			LateStartsTests test = LateStartsTests.this;
+			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
+			test.cell.addScheduler();
+			test.sendLateStart();
+			test.cell.time.runFor(500);
+			first.kill();
+			test.cell.time.runFor(1500);
+			test.cell.owner().kill();
+			test.restartBeforeExecution(test.sentMillis);
+			test.cell.time.runFor(40_000);
+			test.cell.assertCompleted("a");
+		}
+
+	}
+
 	@Nested
 	class ThatCarryATicket {
 
@@ -146,7 +221,7 @@
 			test.cell.workers.find(test.worker).setStartDelayMillis(0);
 			test.cell.time.runFor(1500);
 			test.cell.assertCompleted("a");
-			assertThat(test.placements()).isEqualTo(1);
+			assertThat(test.placements()).hasSize(1);
 		}
 
 		@Test
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnresolvedStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnresolvedStartsTests.java
@@ -32,7 +32,8 @@
 	void aStartIsKeptWhileItMayBeExecuted() {
 		this.starts.expire(EXPIRY_NANOS - 1);
 		assertThat(this.starts.contains(TASK)).isTrue();
-		assertThat(this.starts.attempts()).containsExactly(Map.entry(TASK, 3));
+		assertThat(this.starts.ageMillis(TASK, 3, EXPIRY_NANOS - 1))
+			.hasValue(UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS - 1);
 		assertThat(this.starts.contains(new TaskKey("a", 0, 0, 1))).isFalse();
 	}
 
@@ -50,4 +51,34 @@
 		assertThat(this.starts.isEmpty()).isTrue();
 	}
 
+	@Test
+	void anUnansweredStartIsRecordedOnce() {
+		assertThat(this.starts.needsRecording(SENT_NANOS)).isFalse();
+		assertThat(this.starts.needsRecording(EXPIRY_NANOS)).isTrue();
+		this.starts.toRecord(EXPIRY_NANOS);
+		assertThat(this.starts.needsRecording(EXPIRY_NANOS)).isFalse();
+	}
+
+	@Test
+	void theStartsInARecordAreRestored() {
+		UnresolvedStarts next = new UnresolvedStarts();
+		assertThat(next.restore(this.starts.toRecord(EXPIRY_NANOS), EXPIRY_NANOS)).containsExactly(Map.entry(TASK, 3));
+		next.expire(EXPIRY_NANOS);
+		assertThat(next.contains(TASK)).isTrue();
+	}
+
+	@Test
+	void aNameInARecordThatIsNoTaskIsIgnored() {
+		assertThat(this.starts.restore(Map.of("no task", 1), 0)).isEmpty();
+	}
+
+	@Test
+	void aRecordHasTheLatestStartsIfThereAreTooMany() {
+		for (int i = 1; i <= UnresolvedStarts.MAX_RECORDED; i++) {
+			this.starts.record(new TaskKey("b", 0, 0, i), 1, SENT_NANOS + i);
+		}
+		assertThat(this.starts.toRecord(EXPIRY_NANOS)).hasSize(UnresolvedStarts.MAX_RECORDED)
+			.doesNotContainKey("a.0.0.0");
+	}
+
 }
