Tell when a run is confirmed whose start had not been answered

An operator could see that a start was unanswered, not what became of it if the worker executed it seconds later. StartConfirmedLate names the incarnation on which the run is active and the age of the request. The policy is named after what it decides, and the starts of an earlier owner are restored beside its other losses; no change of what is started.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -125,6 +125,9 @@
 		else if (decision instanceof JobDecision.TaskHeldBack) {
 			count("pool.tasks.held_back");
 		}
+		else if (decision instanceof JobDecision.StartConfirmedLate) {
+			count("pool.starts.confirmed_late");
+		}
 		else if (decision instanceof JobDecision.StartUnresolved) {
 			count("pool.starts.unresolved");
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -167,6 +167,22 @@
 
 	}
 
+	/**
+	 * A run is confirmed whose start request was not answered in time.
+	 *
+	 * @param job the job
+	 * @param task the task
+	 * @param attempt the attempt
+	 * @param worker the worker
+	 * @param workerStartedMillis when the incarnation was started on which the run is
+	 * active, epoch milliseconds on its clock, -1 if it does not tell
+	 * @param ageMillis time since the first request was sent
+	 */
+	record StartConfirmedLate(String job, String task, int attempt, String worker, long workerStartedMillis,
+			long ageMillis) implements JobDecision {
+
+	}
+
 	/**
 	 * A worker reports an active run of a task that is not waiting for its report: a
 	 * start request was executed late, possibly by a later incarnation.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -136,7 +136,7 @@
 			this.dependencies.log()
 				.write(new PoolDecision.CrashRecordsMissing(this.epoch, this.takeOver.previous().host()));
 		}
-		this.runs.restoreUnresolvedStarts(this.takeOver.previous().unresolvedStarts());
+		this.runs.losses().restoreUnresolvedStarts(this.takeOver.previous().unresolvedStarts());
 		this.loop.start();
 		this.jobTables.attach(this.jobTableListener);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -34,6 +34,8 @@
 
 	private boolean startConfirmed;
 
+	private boolean startUnanswered;
+
 	private boolean startRepeated;
 
 	private String checkpoint = "";
@@ -142,6 +144,17 @@
 		return this.startConfirmed;
 	}
 
+	/**
+	 * Records that a start request was not answered in time.
+	 */
+	void markStartUnanswered() {
+		this.startUnanswered = true;
+	}
+
+	boolean isStartUnanswered() {
+		return this.startUnanswered;
+	}
+
 	/**
 	 * Records that the start request is sent once more, as it was not answered.
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -1,6 +1,5 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
@@ -162,7 +161,7 @@
 
 	private void send(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request, int retries) {
 		worker.responses().requestSent(this.clock.nanos());
-		if (!StartRepetition.isHarmless(step.spec(), request.ticket())) {
+		if (!LateStartPolicy.isHarmless(step.spec(), request.ticket())) {
 			this.jobs.unresolvedStarts().record(run.task(), run.attempt(), this.clock.nanos());
 		}
 		Addressee addressee = Addressee.of(worker);
@@ -239,14 +238,25 @@
 
 	private void confirm(Run run) {
 		if (run.state() == Run.State.STARTING) {
+			if (run.isStartUnanswered()) {
+				logLateConfirmation(run);
+			}
 			run.confirm(this.clock.nanos());
 			this.jobs.job(run.task().job()).ifPresent(this.jobs::markStarted);
 		}
 	}
 
+	private void logLateConfirmation(Run run) {
+		this.pool.worker(run.workerId())
+			.ifPresent((worker) -> this.log.write(new JobDecision.StartConfirmedLate(run.task().job(),
+					run.task().toString(), run.attempt(), worker.id(), worker.incarnation().startedMillis().orElse(-1),
+					millisSince(run.requestedNanos()))));
+	}
+
 	private void handleUnansweredStart(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request,
 			int retries) {
-		if (StartRepetition.isHarmless(step.spec(), request.ticket())) {
+		run.markStartUnanswered();
+		if (LateStartPolicy.isHarmless(step.spec(), request.ticket())) {
 			retryStart(step, run, worker, request, retries + 1);
 			return;
 		}
@@ -378,18 +388,6 @@
 		}
 	}
 
-	/**
-	 * Makes tasks wait whose starts an earlier owner may have sent without an answer.
-	 * @param attempts the attempts by task, as written in the owner record
-	 */
-	void restoreUnresolvedStarts(Map<String, Integer> attempts) {
-		long now = this.clock.nanos();
-		this.jobs.unresolvedStarts()
-			.restore(attempts, now)
-			.forEach((task, attempt) -> this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(),
-					attempt, "", 0, UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS)));
-	}
-
 	InheritedStarts inheritedStarts() {
 		return this.inheritedStarts;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -3,11 +3,13 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -185,6 +187,18 @@
 		lost.forEach(this.terminations::handleInheritedLoss);
 	}
 
+	/**
+	 * Makes tasks wait whose starts an earlier owner may have sent without an answer.
+	 * @param attempts the attempts by task, as written in the owner record
+	 */
+	void restoreUnresolvedStarts(Map<String, Integer> attempts) {
+		long now = this.clock.nanos();
+		this.jobs.unresolvedStarts()
+			.restore(attempts, now)
+			.forEach((task, attempt) -> this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(),
+					attempt, "", 0, UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS)));
+	}
+
 	/**
 	 * Handles the end of the recovery: the leases of workers that no owner has reached
 	 * since the take-over have expired.
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -123,6 +124,19 @@
 		assertThat(placements()).hasSize(2);
 	}
 
+	@Test
+	void areNotSentAgainBeforeTheWorkerExecutesThem() {
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		sendLateStart();
+		this.cell.time.runFor(6000);
+		this.cell.assertCompleted("a");
+		assertThat(placements()).hasSize(1);
+		assertThat(this.cell.decisions).filteredOn(JobDecision.StartConfirmedLate.class::isInstance)
+			.singleElement(InstanceOfAssertFactories.type(JobDecision.StartConfirmedLate.class))
+			.satisfies((late) -> assertThat(late.ageMillis()).isBetween(DELAY_MILLIS, DELAY_MILLIS + 1000));
+	}
+
 	@Test
 	void areNotAwaitedOnceAnotherWorkerAnswersAtTheAddress() {
 		this.cell.workers.setRestartedId(RestartedId.NEW);
