--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -185,7 +185,8 @@
 
 	/**
 	 * A worker reports an active run of a task that is not waiting for its report: a
-	 * start request was executed late, possibly by a later incarnation.
+	 * start request was executed late, possibly by a later incarnation, or an earlier
+	 * owner started the run as part of a gang that has ended.
 	 *
 	 * @param job the job
 	 * @param task the task
