--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartSeriesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartSeriesTests.java
@@ -18,9 +18,9 @@
 /**
  * Guards against work that is lost or done twice while workers restart under their ids in
  * series that overlap with cuts, late requests, late entries in the worker list and
- * changes of the owner. Late requests are lost with the incarnation that received them:
- * one that the next incarnation executes before the owner reaches it cannot be prevented.
- * By hand with more seeds: {@code -Drestarts.first=1 -Drestarts.seeds=500}.
+ * changes of the owner. The next incarnation of a worker executes late requests that were
+ * sent to the former one. By hand with more seeds:
+ * {@code -Drestarts.first=1 -Drestarts.seeds=500}.
  */
 class RestartSeriesTests {
 
@@ -51,7 +51,6 @@
 		Play(long seed) {
 			this.random = new Random(seed);
 			this.cell.workers.setRestartedId(RestartedId.SAME);
-			this.cell.workers.setLosingLateRequests(true);
 			this.cell.workers.setTellingStarts(this.random.nextInt(4) > 0);
 			this.cell.workers.setListDelayMillis(this.random.nextInt(2000));
 			this.cell.withWorkers(WORKERS).withRunMillis(100 + this.random.nextInt(1500));
