--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
-import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,14 +22,15 @@
 
 	private static final int WORKERS = 4;
 
-	private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
-
 	private static final long DELAY_MILLIS = 4000;
 
 	/** From the first request until the worker answers starts again. */
 	private static final long UNANSWERED_MILLIS = 2000;
 
-	/** Between the restart and its discovery by the next poll. */
+	/** Until all requests are executed or lost, and what they started has ended. */
+	private static final long SETTLED_MILLIS = 40_000;
+
+	/** From the crash until the request is executed, before the next poll. */
 	private static final long RESTART_BEFORE_EXECUTION_MILLIS = 30;
 
 	private final SimulatedCell cell = new SimulatedCell().withWorkers(WORKERS);
@@ -80,21 +80,26 @@
 			.toList();
 	}
 
-	private void restartBeforeExecution(long requestMillis) {
-		long crashMillis = requestMillis + DELAY_MILLIS - RESTART_BEFORE_EXECUTION_MILLIS;
+	// The next incarnation executes the request before any poll reaches it.
+	private void restartBeforeExecution() {
+		long crashMillis = this.sentMillis + DELAY_MILLIS - RESTART_BEFORE_EXECUTION_MILLIS;
 		this.cell.time.runFor(crashMillis - this.cell.time.millis());
 		this.cell.workers.crashAndRestart(this.cell.workers.find(this.worker), RESTART_BEFORE_EXECUTION_MILLIS / 2);
 	}
 
+	private void assertCompletedWithoutASecondRun() {
+		this.cell.time.runFor(SETTLED_MILLIS);
+		this.cell.assertCompleted("a");
+	}
+
 	// Guards against a task that completes elsewhere and is then run by a late start.
 	@Test
 	void thatWereGivenUpRunNoTaskAgainOnTheNextIncarnation() {
 		this.cell.addScheduler();
 		this.cell.time.runFor(500);
 		sendLateStart();
-		restartBeforeExecution(this.sentMillis);
-		this.cell.time.runFor(30_000);
-		this.cell.assertCompleted("a");
+		restartBeforeExecution();
+		assertCompletedWithoutASecondRun();
 	}
 
 	// Guards against a request that outlives two incarnations.
@@ -105,9 +110,8 @@
 		sendLateStart();
 		this.cell.time.runFor(700);
 		this.cell.workers.crashAndRestart(this.cell.workers.find(this.worker), 50);
-		restartBeforeExecution(this.sentMillis);
-		this.cell.time.runFor(30_000);
-		this.cell.assertCompleted("a");
+		restartBeforeExecution();
+		assertCompletedWithoutASecondRun();
 	}
 
 	@Test
@@ -152,6 +156,15 @@
 	@Nested
 	class AfterATakeOver {
 
+		private void assertTaskRunsOnceIfTheOwnerIsLost(SimulatedCell.Scheduler owner, long takeOverMillis) {
+			LateStartsTests test = LateStartsTests.this;
+			test.setStartDelays(0);
+			test.cell.time.runFor(takeOverMillis);
+			owner.kill();
+			test.restartBeforeExecution();
+			test.assertCompletedWithoutASecondRun();
+		}
+
 		// Guards against a successor that does not know of its predecessor's requests.
 		@ParameterizedTest
 		@ValueSource(longs = { 50, 450, 1000, 1900, 2500, 3500 })
@@ -159,12 +172,7 @@
 			LateStartsTests test = LateStartsTests.this;
 			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
 			test.sendLateStart();
-			test.setStartDelays(0);
-			test.cell.time.runFor(takeOverMillis);
-			first.kill();
-			test.restartBeforeExecution(test.sentMillis);
-			test.cell.time.runFor(40_000);
-			test.cell.assertCompleted("a");
+			assertTaskRunsOnceIfTheOwnerIsLost(first, takeOverMillis);
 		}
 
 		// Guards against an owner that is lost before its record tells of a start.
@@ -174,12 +182,7 @@
 			LateStartsTests test = LateStartsTests.this;
 			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
 			test.sendLateStart();
-			test.setStartDelays(0);
-			test.cell.time.runFor(takeOverMillis);
-			first.kill();
-			test.restartBeforeExecution(test.sentMillis);
-			test.cell.time.runFor(40_000);
-			test.cell.assertCompleted("a");
+			assertTaskRunsOnceIfTheOwnerIsLost(first, takeOverMillis);
 		}
 
 		// Guards against an owner that sends starts while its record is not written.
@@ -192,12 +195,7 @@
 			test.cell.time.runFor(300);
 			first.tableClient.setWriteDelay(60_000);
 			test.awaitLateStart(2);
-			test.setStartDelays(0);
-			test.cell.time.runFor(takeOverMillis);
-			first.kill();
-			test.restartBeforeExecution(test.sentMillis);
-			test.cell.time.runFor(40_000);
-			test.cell.assertCompleted("a");
+			assertTaskRunsOnceIfTheOwnerIsLost(first, takeOverMillis);
 		}
 
 		@Test
@@ -210,9 +208,8 @@
 			first.kill();
 			test.cell.time.runFor(1500);
 			test.cell.owner().kill();
-			test.restartBeforeExecution(test.sentMillis);
-			test.cell.time.runFor(40_000);
-			test.cell.assertCompleted("a");
+			test.restartBeforeExecution();
+			test.assertCompletedWithoutASecondRun();
 		}
 
 	}
@@ -246,9 +243,8 @@
 			test.sendLateStart();
 			test.cell.time.runFor(3500);
 			test.cell.assertCompleted("a");
-			test.restartBeforeExecution(test.sentMillis);
-			test.cell.time.runFor(10_000);
-			test.cell.assertCompleted("a");
+			test.restartBeforeExecution();
+			test.assertCompletedWithoutASecondRun();
 		}
 
 	}
