List starts of long-running tasks and cancelled jobs that run late

Both are what remains of the class after the fix: no task waits for the one, and there is none for the other.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.pool.SimulatedWorkers.RestartedId;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -128,6 +130,32 @@
 		assertThat(placements()).hasSize(2);
 	}
 
+	// Guards against a given up start that runs beside the task's next run.
+	@Test
+	void ofALongRunningTaskRunItOnOneWorkerOnly() {
+		this.cell.withRunMillis(60_000).addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.submit("a", new StepSpec(1, SimulatedCell.TASK, SimulatedCell.RUN_MILLIS, List.of(), false, false, "",
+				"", 0, false, false, true, false));
+		awaitLateStart(1);
+		this.cell.workers.drain(this.worker);
+		restartBeforeExecution();
+		this.cell.time.runFor(5000);
+		assertThat(this.cell.workers.violations()).isEmpty();
+	}
+
+	@Test
+	void ofACancelledJobStartNothingOnTheNextIncarnation() {
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		sendLateStart();
+		this.cell.time.runFor(100);
+		this.cell.cancel("a");
+		restartBeforeExecution();
+		this.cell.time.runFor(5000);
+		assertThat(this.cell.workers.startCount(new TaskKey("a", 0, 0, 0))).isZero();
+	}
+
 	@Test
 	void areNotSentAgainBeforeTheWorkerExecutesThem() {
 		this.cell.addScheduler();
