Log why steps wait, since when, and which workers they could use

Callers saw jobs that were shown as running and did not advance. No line of the owner told that a step waits, nor what keeps it waiting: PoolLoad counts waiting steps, and most of what holds a start back leaves no line.

The placement records the reason where it decides, so that the line cannot say anything else than what was done. StepWaiting is written after one second, again every five seconds and when the reason changes; StepsWaiting counts steps by reason once a second.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -280,6 +280,30 @@
 
 	}
 
+	/**
+	 * Tasks of a step have not been started for a while although all steps that it
+	 * depends on are complete.
+	 *
+	 * @param job the job
+	 * @param step {@code occurrence.step}
+	 * @param reason what keeps the tasks waiting
+	 * @param reasonMillis for how long that has been the reason
+	 * @param waitedMillis time since the tasks are ready, or since the last start of a
+	 * task of the step under this owner
+	 * @param tasks number of tasks that wait for workers, 0 if none may be started at all
+	 * @param suspectedTasks number of these that are suspected to crash their workers
+	 * @param running number of active runs of the step
+	 * @param matchingWorkers workers that are large enough
+	 * @param eligibleWorkers workers known to be eligible
+	 * @param acceptingWorkers eligible workers that accept work
+	 * @param freeSlots tasks of the step for which these have free capacity
+	 */
+	record StepWaiting(String job, String step, String reason, long reasonMillis, long waitedMillis, int tasks,
+			int suspectedTasks, int running, int matchingWorkers, int eligibleWorkers, int acceptingWorkers,
+			int freeSlots) implements JobDecision {
+
+	}
+
 	/**
 	 * A task is not started again, because workers crashed while it was active on them.
 	 * Its job has failed.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -1,5 +1,7 @@
 package org.monsoonrelay.logic.events;
 
+import java.util.Map;
+
 /**
  * Decisions of a pool's owner: ownership of the pool, its load, and the state of its
  * workers. Immutable.
@@ -44,6 +46,21 @@
 
 	}
 
+	/**
+	 * Steps whose tasks have been waiting for a second or longer, written once a second
+	 * while there are any, and once more when there are none.
+	 *
+	 * @param epoch the fencing token
+	 * @param steps number of steps by the reason of their wait
+	 */
+	record StepsWaiting(long epoch, Map<String, Integer> steps) implements PoolDecision {
+
+		public StepsWaiting {
+			steps = Map.copyOf(steps);
+		}
+
+	}
+
 	/**
 	 * A worker is reachable and may be given work.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -42,6 +42,8 @@
 
 	private final boolean dependedOn;
 
+	private final StepWait wait = new StepWait();
+
 	private long lastSearchedChange = NOT_SEARCHED;
 
 	private long fullSearchNanos;
@@ -128,6 +130,11 @@
 	 * @return indexes of the tasks; for a gang all of them or none
 	 */
 	List<Integer> waitingTasks() {
+		List<Integer> waiting = tasksWithoutRun();
+		return this.progress.tasksWithRecordedStart().isEmpty() ? waiting : withoutUndurableRecords(waiting);
+	}
+
+	private List<Integer> tasksWithoutRun() {
 		if (this.job.isEnded() || progress().isComplete() || (this.spec.gang() && !isIdle()) || !isReady()) {
 			return List.of();
 		}
@@ -137,7 +144,23 @@
 				waiting.add(i);
 			}
 		}
-		return this.progress.tasksWithRecordedStart().isEmpty() ? waiting : withoutUndurableRecords(waiting);
+		return waiting;
+	}
+
+	/**
+	 * Returns whether tasks wait because a crash or start of theirs is not durable yet.
+	 * @return {@code true} if so
+	 */
+	boolean hasTasksBehindUndurableRecords() {
+		return this.job.hasUndurableCrashRecords() && !tasksWithoutRun().isEmpty();
+	}
+
+	/**
+	 * Returns why the tasks of the step wait and since when.
+	 * @return the wait, without a reason if none is waiting
+	 */
+	StepWait waiting() {
+		return this.wait;
 	}
 
 	// The next owner has to know of a crash before the task is started again. Suspected
@@ -192,6 +215,7 @@
 	void addRun(Run run) {
 		int index = run.task().index();
 		this.runs[index] = run;
+		this.wait.end();
 		recordAttempt(index, run.attempt());
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
@@ -66,4 +66,12 @@
 		return this.eligibility.ticket(worker.id(), this.nowNanos).orElse("");
 	}
 
+	/**
+	 * Records why the waiting tasks are not started in this pass.
+	 * @param reason the reason
+	 */
+	void recordWait(WaitReason reason) {
+		this.step.waiting().record(reason, this.nowNanos);
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -58,6 +58,8 @@
 
 	private final PoolLoadReporter loadReporter;
 
+	private final WaitReporter waitReporter;
+
 	private final RenewalMonitor renewalMonitor;
 
 	private final Heartbeat heartbeat;
@@ -126,6 +128,8 @@
 				dependencies.clock(), rules);
 		this.loadReporter = new PoolLoadReporter(this.epoch, this.pool, this.registry, this.eligibility,
 				dependencies.log(), this.takenOverNanos);
+		this.waitReporter = new WaitReporter(this.epoch, this.placer::waitingSteps, dependencies.log(),
+				this.takenOverNanos);
 		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, this.registry, dependencies.log());
 		this.heartbeat = new Heartbeat(this.epoch, peers, dependencies.clock());
 	}
@@ -241,6 +245,7 @@
 			if (this.configured) {
 				this.placer.placeAll();
 				this.eligibility.sendRequests();
+				this.waitReporter.reportIfDue(startNanos);
 			}
 		}
 		this.stateWriter.flush();
@@ -341,7 +346,7 @@
 				owner.peers.publishStates(owner.epoch, states, pending);
 			}
 			owner.runs.onTerminationsDurable();
-			PoolOwner.this.loop.requestTurn();
+			owner.loop.requestTurn();
 		}
 
 		@Override
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -39,27 +40,65 @@
 		this.recovered = true;
 	}
 
-	// A gang waits until none of its tasks may run elsewhere.
-	List<Integer> startableTasks(ActiveStep step) {
+	/**
+	 * Returns which waiting tasks of a step may be started.
+	 * @param step the step
+	 * @return the tasks for which workers are to be found, and the reason to wait, if any
+	 */
+	StartCheck check(ActiveStep step) {
 		List<Integer> waiting = step.waitingTasks();
+		if (waiting.isEmpty()) {
+			return step.hasTasksBehindUndurableRecords() ? StartCheck.heldBack(WaitReason.RECORDS_NOT_DURABLE)
+					: StartCheck.NONE_WAITING;
+		}
+		List<Integer> startable = withoutTasksElsewhere(step, waiting);
+		if (startable.isEmpty()) {
+			return StartCheck.heldBack(reasonMayRunElsewhere(step, waiting));
+		}
+		return new StartCheck(startable, reasonToWait(step));
+	}
+
+	// A gang waits until none of its tasks may run elsewhere.
+	private List<Integer> withoutTasksElsewhere(ActiveStep step, List<Integer> waiting) {
 		boolean areAllStartable = this.pool.hasNoUnconfirmedTasks() && this.jobs.unconfirmedLosses().isEmpty()
 				&& this.jobs.unresolvedStarts().isEmpty();
-		if (waiting.isEmpty() || areAllStartable) {
+		if (areAllStartable) {
 			return waiting;
 		}
-		List<Integer> safe = waiting.stream().filter((index) -> !mayRunElsewhere(step.key().task(index))).toList();
+		List<Integer> safe = waiting.stream()
+			.filter((index) -> reasonMayRunElsewhere(step.key().task(index)).isEmpty())
+			.toList();
 		return (step.spec().gang() && safe.size() < waiting.size()) ? List.of() : safe;
 	}
 
-	private boolean mayRunElsewhere(TaskKey task) {
-		return this.pool.mayRunUnconfirmed(task) || this.jobs.unconfirmedLosses().contains(task)
-				|| this.jobs.unresolvedStarts().contains(task);
+	private WaitReason reasonMayRunElsewhere(ActiveStep step, List<Integer> waiting) {
+		return waiting.stream()
+			.map((index) -> reasonMayRunElsewhere(step.key().task(index)))
+			.flatMap(Optional::stream)
+			.findFirst()
+			.orElseThrow();
 	}
 
-	boolean mayStart(ActiveStep step) {
+	private Optional<WaitReason> reasonMayRunElsewhere(TaskKey task) {
+		if (this.pool.mayRunUnconfirmed(task)) {
+			return Optional.of(WaitReason.RUN_UNCONFIRMED);
+		}
+		if (this.jobs.unconfirmedLosses().contains(task)) {
+			return Optional.of(WaitReason.LOSS_UNCONFIRMED);
+		}
+		return this.jobs.unresolvedStarts().contains(task) ? Optional.of(WaitReason.START_UNRESOLVED)
+				: Optional.empty();
+	}
+
+	private Optional<WaitReason> reasonToWait(ActiveStep step) {
 		String job = step.job().id();
-		boolean mayAlreadyRun = !this.recovered && this.jobs.isInherited(job);
-		return this.lease.canGrantLeases() && !mayAlreadyRun && !this.jobs.isDeferred(job);
+		if (!this.recovered && this.jobs.isInherited(job)) {
+			return Optional.of(WaitReason.OWNER_RECOVERY);
+		}
+		if (!this.lease.canGrantLeases()) {
+			return Optional.of(WaitReason.LEASE_EXPIRED);
+		}
+		return this.jobs.isDeferred(job) ? Optional.of(WaitReason.JOB_UNCONFIRMED) : Optional.empty();
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -11,7 +11,6 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
-import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.EligibilityTimes;
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.QueuePolicy;
@@ -63,8 +62,12 @@
 
 	private final WorkerSelector selector;
 
+	private final WorkerSearch search;
+
 	private final GangPlanner gangs;
 
+	private final WaitDiagnosis diagnosis;
+
 	private final long slackThresholdMillis;
 
 	private final double maxReservedShare;
@@ -83,7 +86,9 @@
 		this.clock = clock;
 		this.order = rules.order();
 		this.selector = new CrashIsolation(rules.selector(), pool);
+		this.search = new WorkerSearch(pool);
 		this.gangs = new GangPlanner(this.selector);
+		this.diagnosis = new WaitDiagnosis(this.search, new GangPlanner(rules.selector()));
 		this.slackThresholdMillis = rules.slackThresholdMillis();
 		this.maxReservedShare = rules.maxReservedShare();
 	}
@@ -113,16 +118,20 @@
 		List<QueueEntry> entries = new ArrayList<>();
 		Map<QueueEntry, PlacementContext> contexts = new HashMap<>();
 		for (ActiveStep step : this.jobs.openSteps()) {
-			List<Integer> tasks = this.gate.startableTasks(step);
-			if (tasks.isEmpty()) {
+			StartCheck check = this.gate.check(step);
+			check.reason().ifPresent((reason) -> step.waiting().record(reason, this.clock.nanos()));
+			if (check.tasks().isEmpty()) {
+				if (check.reason().isEmpty()) {
+					step.waiting().end();
+				}
 				dependentsToPrefetch(step).stream().map(ActiveStep::queueEntry).forEach(entries::add);
 				continue;
 			}
 			// Eligibility is requested even while the step waits for earlier owners'
 			// runs.
 			entries.add(step.queueEntry());
-			if (this.gate.mayStart(step)) {
-				contexts.put(step.queueEntry(), contextOf(step, tasks));
+			if (check.mayStart()) {
+				contexts.put(step.queueEntry(), contextOf(step, check.tasks()));
 			}
 		}
 		entries.sort(this.order.comparator(nowMillis));
@@ -152,7 +161,7 @@
 		GangDemand demand = new GangDemand();
 		for (PlacementContext context : contexts) {
 			if (context.step().spec().gang()) {
-				eligibleWorkers(context).forEach((worker) -> demand.add(worker.id()));
+				this.search.eligible(context).forEach((worker) -> demand.add(worker.id()));
 			}
 		}
 		return demand;
@@ -161,6 +170,7 @@
 	private void placeStep(QueueEntry entry, PlacementContext context, int rank, GangDemand demand,
 			GangReservations reservations) {
 		if (context.policy().needsEligibility() && !context.eligibility().hasReply()) {
+			context.recordWait(WaitReason.ELIGIBILITY_UNKNOWN);
 			requestInitial(context, rank);
 			return;
 		}
@@ -178,18 +188,21 @@
 		boolean isFullSearch = isDue || step.lastSearchedChange() < 0;
 		long since = isFullSearch ? -1 : step.lastSearchedChange();
 		long changes = this.pool.capacityVersion();
-		List<PoolWorker> fitting = fittingWorkers(context, available.and((worker) -> worker.capacityVersion() > since));
+		List<PoolWorker> fitting = this.search.fitting(context,
+				available.and((worker) -> worker.capacityVersion() > since));
 		List<PoolWorker> usable = new ArrayList<>(fitting.stream().filter(context::hasTicket).toList());
 		for (int index : context.tasks()) {
 			Optional<PoolWorker> worker = this.selector.select(step, index, usable, demand);
 			if (worker.isEmpty()) {
 				step.recordFailedSearch(changes, isFullSearch ? context.nowNanos() : step.fullSearchNanos());
 				if (isFullSearch || !fitting.isEmpty()) {
+					context.recordWait(this.diagnosis.reasonNoTaskFits(context, fitting, usable));
 					request(context, rank, () -> EligibilityRequestDraft.of(followUpCandidates(refresh(context))));
 				}
 				return;
 			}
 			if (!this.gate.prepareStart(step, List.of(index))) {
+				context.recordWait(WaitReason.RECORDS_NOT_DURABLE);
 				continue;
 			}
 			start(context, index, step.nextAttempt(index), worker.get());
@@ -203,19 +216,21 @@
 		if (context.tasks().isEmpty()) {
 			return List.of();
 		}
-		List<PoolWorker> withCapacity = fittingWorkers(context, (worker) -> !context.hasTicket(worker));
+		List<PoolWorker> withCapacity = this.search.fitting(context, (worker) -> !context.hasTicket(worker));
 		return withCapacity.isEmpty() ? additionalCandidates(context)
-				: EligibilityCandidates.selectForRenewal(context, eligibleWorkers(context), withCapacity);
+				: EligibilityCandidates.selectForRenewal(context, this.search.eligible(context), withCapacity);
 	}
 
 	private List<PoolWorker> additionalCandidates(PlacementContext context) {
 		if (context.tasks().isEmpty()) {
 			return List.of();
 		}
-		List<PoolWorker> unqueried = matchingWorkers(context).stream()
+		List<PoolWorker> unqueried = this.search.matching(context)
+			.stream()
 			.filter((worker) -> !context.eligibility().wasQueried(worker.id()))
 			.toList();
-		return EligibilityCandidates.selectAdditional(context, eligibleWorkers(context), unqueried, canWait(context));
+		return EligibilityCandidates.selectAdditional(context, this.search.eligible(context), unqueried,
+				canWait(context));
 	}
 
 	private boolean canWait(PlacementContext context) {
@@ -230,43 +245,23 @@
 		return contextOf(context.step(), context.step().waitingTasks());
 	}
 
-	// Only eligible workers: a third of a large pool is searched in a third of the time.
-	private Collection<PoolWorker> eligibleWorkers(PlacementContext context) {
-		if (!context.policy().needsEligibility()) {
-			return this.pool.workers();
-		}
-		List<PoolWorker> eligible = new ArrayList<>();
-		for (String id : context.eligibility().eligibleWorkers()) {
-			this.pool.worker(id).filter(PoolWorker::isUsable).ifPresent(eligible::add);
-		}
-		return eligible;
-	}
-
-	private List<PoolWorker> fittingWorkers(PlacementContext context, Predicate<PoolWorker> usable) {
-		List<PoolWorker> fitting = new ArrayList<>();
-		for (PoolWorker worker : eligibleWorkers(context)) {
-			if (usable.test(worker) && context.matches(worker) && context.fits(worker, 1)) {
-				fitting.add(worker);
-			}
-		}
-		return fitting;
-	}
-
 	private void placeGang(QueueEntry entry, PlacementContext context, int rank, GangDemand demand,
 			GangReservations reservations) {
 		ActiveStep step = context.step();
 		if (step.isHoldingCapacity()) {
 			if (this.eligibility.isRequestPending(step.key())) {
+				context.recordWait(WaitReason.TICKETS_EXPIRED);
 				return;
 			}
 			step.setHoldingCapacity(false);
 			this.pool.workers().forEach((worker) -> worker.releaseHold(step.key()));
 		}
-		List<PoolWorker> fitting = fittingWorkers(context, reservations::isAvailableToGangs);
+		List<PoolWorker> fitting = this.search.fitting(context, reservations::isAvailableToGangs);
 		Optional<Map<Integer, PoolWorker>> ready = this.gangs.plan(context,
 				fitting.stream().filter(context::hasTicket).toList(), demand);
 		if (ready.isPresent()) {
 			if (!this.gate.prepareStart(step, context.tasks())) {
+				context.recordWait(WaitReason.RECORDS_NOT_DURABLE);
 				return;
 			}
 			int attempt = step.nextAttempt(0);
@@ -275,12 +270,14 @@
 		}
 		Optional<Map<Integer, PoolWorker>> planned = this.gangs.plan(context, fitting, demand);
 		if (planned.isPresent()) {
+			context.recordWait(WaitReason.TICKETS_EXPIRED);
 			planned.get().values().forEach(reservations::setAside);
 			request(context, rank, () -> renewalDraft(refresh(context), demand, reservations));
 			return;
 		}
-		if (EligibilityCandidates.canHoldAllTasks(context, eligibleWorkers(context))) {
-			eligibleWorkers(context).forEach(reservations::setAside);
+		context.recordWait(this.diagnosis.reasonNoGangFits(context, fitting));
+		if (EligibilityCandidates.canHoldAllTasks(context, this.search.eligible(context))) {
+			this.search.eligible(context).forEach(reservations::setAside);
 			List<PoolWorker> reserved = reserveWorkers(entry, context, reservations);
 			if (!reserved.stream().allMatch(context::hasTicket)) {
 				// Renews the tickets in time for when the workers become free.
@@ -296,7 +293,7 @@
 
 	private List<PoolWorker> reserveWorkers(QueueEntry entry, PlacementContext context, GangReservations reservations) {
 		long slackMillis = entry.latestStartMillis() - this.clock.millis();
-		return (slackMillis < 0) ? List.of() : reservations.reserve(context, eligibleWorkers(context),
+		return (slackMillis < 0) ? List.of() : reservations.reserve(context, this.search.eligible(context),
 				slackMillis - requestMillis(context), (worker) -> worker.millisUntilIdle(context.nowNanos()));
 	}
 
@@ -313,7 +310,7 @@
 		if (context.tasks().isEmpty() || !context.policy().needsEligibility()) {
 			return EligibilityRequestDraft.EMPTY;
 		}
-		return this.gangs.plan(context, fittingWorkers(context, reservations::isAvailableToGangs), demand)
+		return this.gangs.plan(context, this.search.fitting(context, reservations::isAvailableToGangs), demand)
 			.map((plan) -> EligibilityRequestDraft.of(plan.values().stream().distinct().toList(),
 					() -> holdCapacity(context, plan)))
 			.orElse(EligibilityRequestDraft.EMPTY);
@@ -329,6 +326,22 @@
 		counts.forEach((worker, count) -> worker.hold(step.key(), step.spec().committedSize().times(count), until));
 	}
 
+	/**
+	 * Describes the steps whose tasks have been waiting for a while.
+	 * @param minMillis minimum time without a start, milliseconds
+	 * @return the steps
+	 */
+	List<WaitingStep> waitingSteps(long minMillis) {
+		long now = this.clock.nanos();
+		List<WaitingStep> waiting = new ArrayList<>();
+		for (ActiveStep step : this.jobs.openSteps()) {
+			if (step.waiting().reason().isPresent() && step.waiting().millis(now) >= minMillis) {
+				waiting.add(this.diagnosis.describe(contextOf(step, step.waitingTasks())));
+			}
+		}
+		return waiting;
+	}
+
 	private void start(PlacementContext context, int index, int attempt, PoolWorker worker) {
 		this.runs.start(context.step(), index, attempt, worker, context.ticket(worker));
 	}
@@ -337,7 +350,7 @@
 		boolean isNeeded = context.policy().needsEligibility() && !context.eligibility().hasReply();
 		if (isNeeded && this.eligibility.mayRequest(context.step().key(), rank)) {
 			request(context, rank, () -> EligibilityRequestDraft
-				.of(EligibilityCandidates.selectInitial(context, matchingWorkers(context))));
+				.of(EligibilityCandidates.selectInitial(context, this.search.matching(context))));
 		}
 	}
 
@@ -348,15 +361,6 @@
 		}
 	}
 
-	private List<PoolWorker> matchingWorkers(PlacementContext context) {
-		Resources size = context.step().spec().committedSize();
-		return this.pool.workers()
-			.stream()
-			.filter((worker) -> worker.isListed() && !worker.isLost() && !worker.info().draining())
-			.filter((worker) -> context.matches(worker) && worker.info().capacity().covers(size))
-			.toList();
-	}
-
 	// Dependents of a step that may end soon; their eligibility is requested in advance.
 	private List<ActiveStep> dependentsToPrefetch(ActiveStep step) {
 		if (!step.hasDependents() || step.isIdle()) {
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
@@ -0,0 +1,94 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * An owner logs why steps wait.
+ */
+class WaitReporterTests {
+
+	private final SimulatedCell cell = new SimulatedCell();
+
+	private List<JobDecision.StepWaiting> linesOf(String job) {
+		return this.cell.decisions.stream()
+			.filter(JobDecision.StepWaiting.class::isInstance)
+			.map(JobDecision.StepWaiting.class::cast)
+			.filter((line) -> line.job().equals(job))
+			.toList();
+	}
+
+	private List<Map<String, Integer>> counts() {
+		return this.cell.decisions.stream()
+			.filter(PoolDecision.StepsWaiting.class::isInstance)
+			.map((decision) -> ((PoolDecision.StepsWaiting) decision).steps())
+			.toList();
+	}
+
+	private void startOwner(int workers) {
+		this.cell.withWorkers(workers).addScheduler();
+		this.cell.time.runFor(SimulatedCell.STANDBY_DELAY_MILLIS);
+	}
+
+	@Test
+	void logsAStepThatWaitsForCapacityAndItsEnd() {
+		this.cell.withRunMillis(8000);
+		startOwner(1);
+		this.cell.submit("a", SimulatedCell.step(6, false));
+		this.cell.time.runFor(7500);
+		assertThat(linesOf("a")).hasSize(2).allSatisfy((line) -> {
+			assertThat(line.reason()).isEqualTo("NO_CAPACITY");
+			assertThat(line.waitedMillis()).isGreaterThanOrEqualTo(WaitReporter.MIN_WAIT_MILLIS);
+			assertThat(List.of(line.tasks(), line.running(), line.matchingWorkers(), line.eligibleWorkers(),
+					line.acceptingWorkers(), line.freeSlots()))
+				.containsExactly(2, 4, 1, 1, 1, 0);
+		});
+		assertThat(counts()).isNotEmpty().containsOnly(Map.of("NO_CAPACITY", 1));
+		this.cell.time.runFor(4000);
+		assertThat(counts()).last().isEqualTo(Map.of());
+	}
+
+	@Test
+	void logsNothingOfAStepThatIsStartedSoon() {
+		startOwner(1);
+		this.cell.submit("a", SimulatedCell.step(8, false));
+		this.cell.time.runFor(3000);
+		this.cell.assertCompleted("a");
+		assertThat(linesOf("a")).isEmpty();
+		assertThat(counts()).isEmpty();
+	}
+
+	@Test
+	void logsThatRunsOfAnEarlierOwnerAreNotKnown() {
+		this.cell.withWorkers(2).startOwnerAndStandby();
+		this.cell.schedulers.get(1).workerClient.disconnect("w1");
+		this.cell.owner().workerClient.disconnect("w0");
+		this.cell.time.runFor(1000);
+		this.cell.submit("a", SimulatedCell.step(6, false));
+		this.cell.time.runFor(100);
+		this.cell.owner().kill();
+		this.cell.time.runFor(6000);
+		assertThat(linesOf("a")).extracting(JobDecision.StepWaiting::reason).contains("OWNER_RECOVERY");
+	}
+
+	@Test
+	void logsThatTheCrashUnderATaskIsNotDurable() {
+		this.cell.withRunMillis(20_000).withWorkers(2);
+		SimulatedCell.Scheduler owner = this.cell.addScheduler();
+		this.cell.time.runFor(SimulatedCell.STANDBY_DELAY_MILLIS);
+		this.cell.submit("a", SimulatedCell.step(1, false));
+		this.cell.time.runFor(500);
+		owner.tableClient.setDisconnected(true);
+		owner.workerClient.disconnect(this.cell.workers.workerRunning(new TaskKey("a", 0, 0, 0)));
+		this.cell.time.runFor(12_000);
+		assertThat(linesOf("a")).extracting(JobDecision.StepWaiting::reason).contains("RECORDS_NOT_DURABLE");
+	}
+
+}
