Move the terms of ownership of a process to a class of their own

What begins and ends with a term of ownership stood in PoolScheduler, which needs a network, and once more in the simulated cell of the tests, which repeated it. OwnershipTerms holds it for both; it does what both did, including what they do when a term ends after the next one has begun.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnerElectionTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnerElectionTests.java
@@ -35,7 +35,7 @@
 	private void assertDoesNotOwnThePoolFor(SimulatedCell.Scheduler host, long millis) {
 		for (long passed = 0; passed < millis; passed += TIME_STEP_MILLIS) {
 			this.cell.time.runFor(TIME_STEP_MILLIS);
-			assertThat(host.owner).as("after %d ms", passed).isEmpty();
+			assertThat(host.owner()).as("after %d ms", passed).isEmpty();
 		}
 	}
 
@@ -54,7 +54,7 @@
 		void leavesThePoolToALargeHostAfterATableOutage(long offset) {
 			this.first.registerStandbys(this.large);
 			outage(offset);
-			assertThat(this.large.owner).isPresent();
+			assertThat(this.large.owner()).isPresent();
 		}
 
 		@ParameterizedTest
@@ -62,7 +62,7 @@
 		void leavesThePoolToALargeHostIfBothAreStandbys(long offset) {
 			this.first.registerStandbys(this.small, this.large);
 			outage(offset);
-			assertThat(this.large.owner).isPresent();
+			assertThat(this.large.owner()).isPresent();
 		}
 
 		private void outage(long offset) {
@@ -89,7 +89,7 @@
 			assertDoesNotOwnThePoolFor(this.small, offset);
 			this.large.tableClient.setDisconnected(false);
 			assertDoesNotOwnThePoolFor(this.small, 4000);
-			assertThat(this.large.owner).isPresent();
+			assertThat(this.large.owner()).isPresent();
 		}
 
 		@ParameterizedTest
@@ -105,7 +105,7 @@
 			assertDoesNotOwnThePoolFor(this.small, offset);
 			this.large.tableClient.setRejectsRequests(false);
 			assertDoesNotOwnThePoolFor(this.small, 4000);
-			assertThat(this.large.owner).isPresent();
+			assertThat(this.large.owner()).isPresent();
 		}
 
 		@Test
@@ -118,7 +118,7 @@
 			OwnerElectionTests.this.cell.time.runFor(500);
 			this.large.tableClient.setDisconnected(false);
 			assertDoesNotOwnThePoolFor(this.small, 4000);
-			assertThat(this.large.owner).isPresent();
+			assertThat(this.large.owner()).isPresent();
 		}
 
 		@Test
@@ -128,7 +128,7 @@
 			this.first.kill();
 			this.large.kill();
 			OwnerElectionTests.this.cell.time.runFor(4000);
-			assertThat(this.small.owner).isPresent();
+			assertThat(this.small.owner()).isPresent();
 		}
 
 	}
@@ -166,7 +166,7 @@
 			this.large.tableClient.setRejectsRequests(false);
 			this.small.tableClient.setRejectsRequests(false);
 			assertDoesNotOwnThePoolFor(this.small, 1000);
-			assertThat(this.large.owner).isPresent();
+			assertThat(this.large.owner()).isPresent();
 		}
 
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -88,7 +88,7 @@
 			PoolOwnerTests.this.cell.time.runFor(500);
 			Submission job = PoolOwnerTests.this.cell.submit("a", SimulatedCell.step(3, false));
 			PoolOwnerTests.this.cell.time.runFor(6);
-			owner.owner.orElseThrow().jobAccepted(job, PoolOwnerTests.this.cell.table.version());
+			owner.owner().orElseThrow().jobAccepted(job, PoolOwnerTests.this.cell.table.version());
 			assertThat(PoolOwnerTests.this.cell.decisions).hasAtLeastOneElementOfType(JobDecision.JobLearnt.class);
 			assertThat(PoolOwnerTests.this.cell.workers.startCount(new TaskKey("a", 0, 0, 2))).isZero();
 			PoolOwnerTests.this.cell.time.runFor(WRITE_MILLIS);
@@ -103,7 +103,7 @@
 			SimulatedCell.Scheduler owner = PoolOwnerTests.this.cell.addScheduler();
 			PoolOwnerTests.this.cell.submit("a", SimulatedCell.step(3, false));
 			PoolOwnerTests.this.cell.time.runFor(500);
-			owner.owner.orElseThrow().jobCancelled("a");
+			owner.owner().orElseThrow().jobCancelled("a");
 			PoolOwnerTests.this.cell.time.runFor(5);
 			assertThat(PoolOwnerTests.this.cell.workers.runningTaskCount()).isZero();
 		}
@@ -145,7 +145,7 @@
 			PoolOwnerTests.this.cell.table.setWriteDelay(0);
 			PoolOwnerTests.this.cell.time.runFor(LEASE_EXPIRED_MILLIS);
 			PoolOwnerTests.this.cell.assertCompleted("a");
-			assertThat(PoolOwnerTests.this.cell.schedulers.stream().filter((each) -> each.owner.isPresent()))
+			assertThat(PoolOwnerTests.this.cell.schedulers.stream().filter((each) -> each.owner().isPresent()))
 				.hasSize(1);
 		}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsBetweenOwnersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsBetweenOwnersTests.java
@@ -42,10 +42,10 @@
 	}
 
 	private void runUntilOwner(SimulatedCell.Scheduler next) {
-		for (int i = 0; i < 500 && next.owner.isEmpty(); i++) {
+		for (int i = 0; i < 500 && next.owner().isEmpty(); i++) {
 			this.cell.time.runFor(10);
 		}
-		assertThat(next.owner).isPresent();
+		assertThat(next.owner()).isPresent();
 	}
 
 	@ParameterizedTest
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
@@ -122,7 +123,7 @@
 
 	Scheduler owner() {
 		return this.schedulers.stream()
-			.filter((scheduler) -> scheduler.owner.isPresent())
+			.filter((scheduler) -> scheduler.owner().isPresent())
 			.findFirst()
 			.orElseThrow(() -> new AssertionError("no scheduler owns the pool"));
 	}
@@ -179,7 +180,7 @@
 	}
 
 	boolean hasOwner() {
-		return this.schedulers.stream().anyMatch((scheduler) -> scheduler.owner.isPresent());
+		return this.schedulers.stream().anyMatch((scheduler) -> scheduler.owner().isPresent());
 	}
 
 	int pendingCount() {
@@ -227,7 +228,8 @@
 
 		final JobTableReplica jobs;
 
-		Optional<PoolOwner> owner = Optional.empty();
+		private final OwnershipTerms terms = new OwnershipTerms(this::createOwner, this::followLists, () -> {
+		});
 
 		private final PoolDependencies dependencies;
 
@@ -237,6 +239,8 @@
 
 		private boolean muted;
 
+		private boolean killed;
+
 		Scheduler(String name, String incarnation, double processors) {
 			EligibilityClient all = (host, step, ids, timeout) -> CompletableFuture.completedFuture(
 					ids.stream().collect(Collectors.toMap((id) -> id, SimulatedCell.this.workers::ticket)));
@@ -246,18 +250,24 @@
 			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable);
 			control.schedule(this.jobs::start, STANDBY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			this.self = new HostRecord(name, "domain", "a:1", name + incarnation, processors, false);
-			this.election = new OwnerElection(this.dependencies, this.self, this::startOwner);
+			this.election = new OwnerElection(this.dependencies, this.self, this.terms::begin);
+		}
+
+		private PoolOwner createOwner(TakeOver takeOver, Consumer<String> onTermEnd) {
+			return new PoolOwner(this.dependencies, this.jobs, takeOver, this, onTermEnd);
 		}
 
-		private void startOwner(TakeOver takeOver) {
-			PoolOwner next = new PoolOwner(this.dependencies, this.jobs, takeOver, this,
-					(reason) -> this.owner = Optional.empty());
-			this.owner = Optional.of(next);
-			next.configure(new QueueConfiguration(1, List.of(new QueueRoute("h", "/", 3000, policy(3))),
+		private Runnable followLists(PoolOwner owner) {
+			owner.configure(new QueueConfiguration(1, List.of(new QueueRoute("h", "/", 3000, policy(3))),
 					List.of(new WorkerService("salon", false))));
-			next.updateHosts(List.of("s0"));
-			next.start();
-			refreshWorkers(next);
+			owner.updateHosts(List.of("s0"));
+			AtomicBoolean isOpen = new AtomicBoolean(true);
+			refreshWorkers(owner, isOpen);
+			return () -> isOpen.set(false);
+		}
+
+		Optional<PoolOwner> owner() {
+			return this.killed ? Optional.empty() : this.terms.owner();
 		}
 
 		@Override
@@ -311,7 +321,7 @@
 			for (Scheduler other : others) {
 				candidates.add(new StandbySelector.Candidate(other.self, candidates.size(), true));
 			}
-			this.owner.orElseThrow().updateRegisteredHosts(candidates, this.self);
+			owner().orElseThrow().updateRegisteredHosts(candidates, this.self);
 		}
 
 		/** Suppresses all messages of this process to other schedulers from now on. */
@@ -319,10 +329,10 @@
 			this.muted = true;
 		}
 
-		private void refreshWorkers(PoolOwner target) {
-			if (this.owner.filter((current) -> current == target).isPresent()) {
+		private void refreshWorkers(PoolOwner target, AtomicBoolean isOpen) {
+			if (isOpen.get() && !this.killed) {
 				this.process.run(() -> target.updateWorkers(SimulatedCell.this.workers.listedWorkers()));
-				SimulatedCell.this.time.schedule(() -> refreshWorkers(target), 250, TimeUnit.MILLISECONDS);
+				SimulatedCell.this.time.schedule(() -> refreshWorkers(target, isOpen), 250, TimeUnit.MILLISECONDS);
 			}
 		}
 
@@ -330,14 +340,14 @@
 		void kill() {
 			this.election.close();
 			this.jobs.close();
-			this.owner.ifPresent(PoolOwner::close);
-			this.owner = Optional.empty();
+			this.killed = true;
+			this.terms.owner().ifPresent(PoolOwner::close);
 		}
 
 		/** Asks the process to stop, which releases the pool. */
 		void stop() {
 			this.election.close();
-			this.owner.ifPresent(PoolOwner::release);
+			owner().ifPresent(PoolOwner::release);
 		}
 
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverLoadingTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverLoadingTests.java
@@ -116,7 +116,7 @@
 		assertThat(this.cell.decisions).hasAtLeastOneElementOfType(PoolDecision.OwnershipSettled.class)
 			.hasAtLeastOneElementOfType(PoolDecision.WorkersAccounted.class);
 		this.cell.time.runFor(3000);
-		assertThat(first.owner).isEmpty();
+		assertThat(first.owner()).isEmpty();
 		for (int i = 0; i < 40; i++) {
 			this.cell.assertCompleted("job" + i);
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverTests.java
@@ -33,7 +33,7 @@
 			SimulatedCell.Scheduler first = TakeOverTests.this.cell.startOwnerAndStandby();
 			first.kill();
 			TakeOverTests.this.cell.time.runFor(750);
-			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner).isPresent();
+			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner()).isPresent();
 		}
 
 		@Test
@@ -42,15 +42,16 @@
 			SimulatedCell.Scheduler standby = TakeOverTests.this.cell.addScheduler();
 			HostRecord owner = new HostRecord("s0", "domain", "a:1", "first", 1, false);
 			HostRecord other = new HostRecord("s2", "domain", "a:1", "first", 1, false);
-			first.owner.orElseThrow()
+			first.owner()
+				.orElseThrow()
 				.updateRegisteredHosts(List.of(new StandbySelector.Candidate(other, 1, true)), owner);
 			TakeOverTests.this.cell.time.runFor(3000);
 			first.kill();
 			TakeOverTests.this.cell.time.runFor(1500);
-			assertThat(standby.owner).isPresent();
+			assertThat(standby.owner()).isPresent();
 			standby.kill();
 			TakeOverTests.this.cell.time.runFor(3000);
-			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner).isPresent();
+			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner()).isPresent();
 		}
 
 		@Test
@@ -59,7 +60,7 @@
 			TakeOverTests.this.cell.time.runFor(2000);
 			first.tableClient.setDisconnected(true);
 			TakeOverTests.this.cell.time.runFor(OwnerLease.EXPIRY_MILLIS + 1000);
-			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner).isPresent();
+			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner()).isPresent();
 		}
 
 		@Test
@@ -91,7 +92,7 @@
 			TakeOverTests.this.cell.time.runFor(300);
 			first.tableClient.setDisconnected(true);
 			TakeOverTests.this.cell.time.runFor(4000);
-			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner).isPresent();
+			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner()).isPresent();
 			first.tableClient.setDisconnected(false);
 			TakeOverTests.this.cell.time.runFor(6000);
 			for (int i = 0; i < 8; i++) {
@@ -119,7 +120,7 @@
 			SimulatedCell.Scheduler first = TakeOverTests.this.cell.startOwnerAndStandby();
 			first.tableClient.setRejectsRequests(true);
 			TakeOverTests.this.cell.time.runFor(900);
-			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner).isPresent();
+			assertThat(TakeOverTests.this.cell.schedulers.get(1).owner()).isPresent();
 			TakeOverTests.this.cell.submit("a", SimulatedCell.step(6, false));
 			TakeOverTests.this.cell.time.runFor(2000);
 			TakeOverTests.this.cell.assertCompleted("a");
@@ -147,7 +148,7 @@
 			TakeOverTests.this.cell.schedulers.clear();
 			SimulatedCell.Scheduler next = TakeOverTests.this.cell.addScheduler("restarted");
 			TakeOverTests.this.cell.time.runFor(300);
-			assertThat(next.owner).isPresent();
+			assertThat(next.owner()).isPresent();
 		}
 
 		@Test
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverWithUnreachableWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverWithUnreachableWorkersTests.java
@@ -177,7 +177,7 @@
 
 	private void runUntilOwnershipIsTaken(SimulatedCell.Scheduler next, long maxMillis) {
 		for (long elapsedMillis = 0; elapsedMillis < maxMillis
-				&& next.owner.isEmpty(); elapsedMillis += TIME_STEP_MILLIS) {
+				&& next.owner().isEmpty(); elapsedMillis += TIME_STEP_MILLIS) {
 			this.cell.time.runFor(TIME_STEP_MILLIS);
 		}
 	}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.monsoonrelay.adapters.peer.PeerIdentity;
@@ -22,6 +23,7 @@
 import org.monsoonrelay.logic.pool.JobTableReplica;
 import org.monsoonrelay.logic.pool.OwnerElection;
 import org.monsoonrelay.logic.pool.OwnerRecord;
+import org.monsoonrelay.logic.pool.OwnershipTerms;
 import org.monsoonrelay.logic.pool.PeerNotifier;
 import org.monsoonrelay.logic.pool.PollRequest;
 import org.monsoonrelay.logic.pool.PoolClock;
@@ -90,7 +92,7 @@
 
 	private final CompletableFuture<Void> released = new CompletableFuture<>();
 
-	private Optional<Term> term = Optional.empty();
+	private final OwnershipTerms terms = new OwnershipTerms(this::createOwner, this::followLists, this::ownershipEnded);
 
 	/**
 	 * Create a scheduler.
@@ -119,7 +121,7 @@
 				new NetworkPeerNotifier(network, self.address(), this.registry::addresses), this.control,
 				PoolClock.SYSTEM);
 		this.jobs = new JobTableReplica(table, this.control, unreadable);
-		this.election = new OwnerElection(this.dependencies, this.self, this::becomeOwner);
+		this.election = new OwnerElection(this.dependencies, this.self, this.terms::begin);
 	}
 
 	/**
@@ -137,7 +139,7 @@
 		if (this.election.isStandby()) {
 			this.jobs.start();
 		}
-		this.term.ifPresent((current) -> updateStandbyCandidates(current.owner()));
+		this.terms.owner().ifPresent(this::updateStandbyCandidates);
 	}
 
 	private void updateStandbyCandidates(PoolOwner owner) {
@@ -183,8 +185,8 @@
 				.map((record) -> () -> this.election.ownerReleased(record, message.getOwnerReleased().getVersion()));
 			case JOB_ACCEPTED -> read(message.getJobAccepted().getSubmissionJson(), Submission.class)
 				.map((submission) -> () -> jobAccepted(submission, message.getJobAccepted().getVersion()));
-			case JOB_CANCELLED -> Optional.of(() -> this.term
-				.ifPresent((current) -> current.owner().jobCancelled(message.getJobCancelled().getJob())));
+			case JOB_CANCELLED -> Optional.of(() -> this.terms.owner()
+				.ifPresent((owner) -> owner.jobCancelled(message.getJobCancelled().getJob())));
 			default -> Optional.empty();
 		};
 	}
@@ -204,31 +206,34 @@
 	}
 
 	private void jobAccepted(Submission submission, long version) {
-		this.term.ifPresent((current) -> current.owner().jobAccepted(submission, version));
+		this.terms.owner().ifPresent((owner) -> owner.jobAccepted(submission, version));
 	}
 
 	private void configurationChanged(QueueConfiguration inForce) {
-		this.term.ifPresent((current) -> current.owner().configure(inForce));
+		this.terms.owner().ifPresent((owner) -> owner.configure(inForce));
 	}
 
-	private void becomeOwner(TakeOver takeOver) {
-		PoolOwner owner = new PoolOwner(this.dependencies, this.jobs, takeOver, this.peers, this::ownershipEnded);
-		Term newTerm = new Term(owner,
-				new WorkerListFollower(this.dependencies.table(), this.control, owner::updateWorkers, this.unreadable));
-		this.term = Optional.of(newTerm);
+	private PoolOwner createOwner(TakeOver takeOver, Consumer<String> onTermEnd) {
+		return new PoolOwner(this.dependencies, this.jobs, takeOver, this.peers, onTermEnd);
+	}
+
+	// Only an owner follows the lists of workers and hosts.
+	private Runnable followLists(PoolOwner owner) {
 		owner.updateHosts(this.registry.hostNames());
 		if (this.configuration.activeConfiguration().version() > 0) {
 			owner.configure(this.configuration.activeConfiguration());
 		}
-		owner.start();
-		newTerm.hostList().start();
+		WorkerListFollower workers = new WorkerListFollower(this.dependencies.table(), this.control,
+				owner::updateWorkers, this.unreadable);
+		workers.start();
 		this.registry.follow();
+		return () -> {
+			workers.close();
+			this.registry.close();
+		};
 	}
 
-	private void ownershipEnded(String reason) {
-		this.term.ifPresent((endedTerm) -> endedTerm.hostList().close());
-		this.registry.close();
-		this.term = Optional.empty();
+	private void ownershipEnded() {
 		this.released.complete(null);
 	}
 
@@ -255,7 +260,7 @@
 		this.control.execute(() -> {
 			this.election.close();
 			this.registry.announceStop();
-			this.term.ifPresentOrElse((current) -> current.owner().release(), () -> this.released.complete(null));
+			this.terms.owner().ifPresentOrElse(PoolOwner::release, () -> this.released.complete(null));
 		});
 		return this.released.completeOnTimeout(null, RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -272,22 +277,17 @@
 		@Override
 		public void hostsChanged(List<String> hosts) {
 			PoolScheduler scheduler = PoolScheduler.this;
-			scheduler.term.ifPresent((current) -> {
-				current.owner().updateHosts(hosts);
-				scheduler.updateStandbyCandidates(current.owner());
+			scheduler.terms.owner().ifPresent((owner) -> {
+				owner.updateHosts(hosts);
+				scheduler.updateStandbyCandidates(owner);
 			});
 		}
 
 		@Override
 		public void hostRestarted(String host) {
-			PoolScheduler.this.term.ifPresent((current) -> current.owner().hostRestarted(host));
+			PoolScheduler.this.terms.owner().ifPresent((owner) -> owner.hostRestarted(host));
 		}
 
 	}
 
-	// A term of ownership. Only an owner follows the lists of workers and hosts.
-	private record Term(PoolOwner owner, WorkerListFollower hostList) {
-
-	}
-
 }
