Add tests of an owner that takes the pool over again

An owner whose last write is not answered, and which no worker tells of its successor, takes the pool over again after that successor is lost. When the answer comes, the end of its first term empties the record of the current term and closes the lists of workers and hosts of the second one:

--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnershipTermsTests.java
@@ -0,0 +1,97 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.Decision;
+import org.monsoonrelay.logic.events.PoolDecision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A process may own the pool several times. The end of one term does not affect another.
+ */
+class OwnershipTermsTests {
+
+	private final SimulatedCell cell = new SimulatedCell();
+
+	@Nested
+	class AnOwnerThatTakesThePoolOverAgainBeforeItNoticesTheEndOfItsTerm {
+
+		private static final long ANSWER_DELAY_MILLIS = 10_000;
+
+		private SimulatedCell.Scheduler host;
+
+		private List<Decision> eventsAtTakeOver;
+
+		// The last write of its first term is answered only after the second take-over,
+		// and
+		// no worker tells it of its successor.
+		@BeforeEach
+		void takeOverTwice() {
+			SimulatedCell cell = OwnershipTermsTests.this.cell;
+			cell.withWorkers(2);
+			this.host = cell.startOwnerAndStandby();
+			this.host.tableClient.setAnswerDelay(ANSWER_DELAY_MILLIS);
+			cell.time.runFor(500);
+			this.host.tableClient.setAnswerDelay(0);
+			List.of("w0", "w1").forEach(this.host.workerClient::disconnect);
+			runUntilTakenOver(2);
+			cell.schedulers.get(1).kill();
+			runUntilTakenOver(3);
+			this.eventsAtTakeOver = ownershipEvents();
+			cell.time.runFor(ANSWER_DELAY_MILLIS);
+			List.of("w0", "w1").forEach(this.host.workerClient::reconnect);
+			cell.time.runFor(2000);
+		}
+
+		private void runUntilTakenOver(int times) {
+			for (int millis = 0; millis < ANSWER_DELAY_MILLIS && takeOverCount() < times; millis++) {
+				OwnershipTermsTests.this.cell.time.runFor(1);
+			}
+			assertThat(takeOverCount()).isEqualTo(times);
+		}
+
+		private long takeOverCount() {
+			return ownershipEvents().stream().filter(PoolDecision.OwnershipTaken.class::isInstance).count();
+		}
+
+		@Test
+		void startsTasksOnWorkersThatAreListedLater() {
+			SimulatedCell cell = OwnershipTermsTests.this.cell;
+			cell.workers.crash("w0");
+			cell.workers.crash("w1");
+			cell.workers.add("later", SimulatedCell.CAPACITY);
+			cell.submit("a", SimulatedCell.step(2, false));
+			cell.time.runFor(15_000);
+			cell.assertCompleted("a");
+		}
+
+		@Test
+		void isStillTheOwnerOfItsProcess() {
+			assertThat(this.host.owner()).isPresent();
+			this.host.stop();
+			OwnershipTermsTests.this.cell.time.runFor(500);
+			assertThat(this.host.owner()).isEmpty();
+			assertThat(ownershipEvents()).last().isEqualTo(new PoolDecision.OwnershipLost(300, "given up"));
+		}
+
+		@Test
+		void endsItsFormerTermAtOnce() {
+			assertThat(this.eventsAtTakeOver)
+				.endsWith(new PoolDecision.OwnershipLost(100, "this process has taken the pool over again"));
+			assertThat(ownershipEvents()).isEqualTo(this.eventsAtTakeOver);
+		}
+
+		private List<Decision> ownershipEvents() {
+			return OwnershipTermsTests.this.cell.decisions.stream()
+				.filter((decision) -> decision instanceof PoolDecision.OwnershipTaken
+						|| decision instanceof PoolDecision.OwnershipLost)
+				.toList();
+		}
+
+	}
+
+}
