End a term of ownership by itself, and before the next one begins

What callers saw: jobs that are shown as running and do not advance, while most workers are idle, until the next change of owner.

Cause: a process whose writes hang does not know that another host has taken the pool over. If that host is lost, the election of the process takes the pool over again, while the owner of its first term still runs. When that one learns of its end, it ended the current term: the lists of workers and hosts were closed, and the process held no owner to hand messages to. The second owner went on, renewed its record and kept every successor away, with the list of workers as it was: workers that restarted or came later were never used, and those that left stayed listed. The end reached the term through a field that held the current one, not through the term that ended.

Now each term has an end of its own, and a process that takes the pool over ends its former term first, so that two owners of one process never work side by side.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnershipTerms.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnershipTerms.java
@@ -6,8 +6,10 @@
 import java.util.function.Function;
 
 /**
- * The terms in which this process owns the pool, one after another. Not thread-safe:
- * confined to the control thread.
+ * The terms in which this process owns the pool, one after another. A process may take
+ * the pool over again before its owner of the former term knows that it was superseded.
+ * Invariants: a term begins after the former one has ended; the end of a term affects
+ * only that term. Not thread-safe: confined to the control thread.
  */
 public final class OwnershipTerms {
 
@@ -38,15 +40,10 @@
 	 * @param takeOver how this process became the owner
 	 */
 	public void begin(TakeOver takeOver) {
-		PoolOwner owner = this.owners.apply(takeOver, this::ended);
-		owner.start();
-		this.current = Optional.of(new Term(owner, this.inputs.apply(owner)));
-	}
-
-	private void ended(String reason) {
-		this.current.ifPresent((term) -> term.closeInputs().run());
-		this.current = Optional.empty();
-		this.onEnd.run();
+		this.current.ifPresent((former) -> former.owner.endTerm("this process has taken the pool over again"));
+		Term term = new Term(takeOver);
+		this.current = Optional.of(term);
+		term.start();
 	}
 
 	/**
@@ -54,10 +51,31 @@
 	 * @return the owner, empty while this process does not own the pool
 	 */
 	public Optional<PoolOwner> owner() {
-		return this.current.map(Term::owner);
+		return this.current.map((term) -> term.owner);
 	}
 
-	private record Term(PoolOwner owner, Runnable closeInputs) {
+	private final class Term {
+
+		private final PoolOwner owner;
+
+		private Runnable closeInputs = () -> {
+		};
+
+		Term(TakeOver takeOver) {
+			this.owner = OwnershipTerms.this.owners.apply(takeOver, (reason) -> ended());
+		}
+
+		void start() {
+			this.owner.start();
+			this.closeInputs = OwnershipTerms.this.inputs.apply(this.owner);
+		}
+
+		private void ended() {
+			OwnershipTerms terms = OwnershipTerms.this;
+			this.closeInputs.run();
+			terms.current = terms.current.filter((term) -> term != this);
+			terms.onEnd.run();
+		}
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -221,7 +221,7 @@
 		this.stateWriter.release();
 	}
 
-	/** Ends the term at once, without releasing the pool. */
+	/** Stops all work at once, without releasing the pool. */
 	public void close() {
 		this.closed = true;
 		this.loop.close();
@@ -279,7 +279,12 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.dependencies.clock().nanos() - this.takenOverNanos);
 	}
 
-	private void endTerm(String reason) {
+	/**
+	 * Ends the term at once, without releasing the pool, and reports that. Has no effect
+	 * if it has ended.
+	 * @param reason why the term ends
+	 */
+	void endTerm(String reason) {
 		if (this.closed) {
 			return;
 		}
