Wait for the release of the current term when a process stops

A process that had lost the pool once, and owned it again, stopped without waiting for the release: the future that a stop waits for was one for the life of the process, and the first loss completed it.

The end is a future of each term now. awaitsTheReleaseOfThePoolWhenItStops is red with one future for the process (a trial: expected not to be done), and green now.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnershipTerms.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnershipTerms.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -17,8 +18,6 @@
 
 	private final Function<PoolOwner, Runnable> inputs;
 
-	private final Runnable onEnd;
-
 	private Optional<Term> current = Optional.empty();
 
 	/**
@@ -26,13 +25,11 @@
 	 * @param owners creates the owner of a term, which reports the reason of its end
 	 * @param inputs configures a started owner and keeps its lists up to date until the
 	 * returned action is called
-	 * @param onEnd called when a term has ended
 	 */
 	public OwnershipTerms(BiFunction<TakeOver, Consumer<String>, PoolOwner> owners,
-			Function<PoolOwner, Runnable> inputs, Runnable onEnd) {
+			Function<PoolOwner, Runnable> inputs) {
 		this.owners = owners;
 		this.inputs = inputs;
-		this.onEnd = onEnd;
 	}
 
 	/**
@@ -46,6 +43,16 @@
 		term.start();
 	}
 
+	/**
+	 * Releases the pool if this process owns it.
+	 * @return completed when the current term has ended
+	 */
+	public CompletableFuture<Void> release() {
+		Optional<Term> released = this.current;
+		released.ifPresent((term) -> term.owner.release());
+		return released.map((term) -> term.end).orElse(CompletableFuture.completedFuture(null));
+	}
+
 	/**
 	 * Returns the owner of the current term.
 	 * @return the owner, empty while this process does not own the pool
@@ -58,6 +65,8 @@
 
 		private final PoolOwner owner;
 
+		private final CompletableFuture<Void> end = new CompletableFuture<>();
+
 		private Runnable closeInputs = () -> {
 		};
 
@@ -74,7 +83,7 @@
 			OwnershipTerms terms = OwnershipTerms.this;
 			this.closeInputs.run();
 			terms.current = terms.current.filter((term) -> term != this);
-			terms.onEnd.run();
+			this.end.complete(null);
 		}
 
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnershipTermsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnershipTermsTests.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -78,6 +79,14 @@
 			assertThat(ownershipEvents()).last().isEqualTo(new PoolDecision.OwnershipLost(300, "given up"));
 		}
 
+		@Test
+		void awaitsTheReleaseOfThePoolWhenItStops() {
+			CompletableFuture<Void> released = this.host.stop();
+			assertThat(released).isNotDone();
+			OwnershipTermsTests.this.cell.time.runFor(500);
+			assertThat(released).isDone();
+		}
+
 		@Test
 		void endsItsFormerTermAtOnce() {
 			assertThat(this.eventsAtTakeOver)
@@ -94,4 +103,29 @@
 
 	}
 
+	@Nested
+	class TheReleaseOfAProcess {
+
+		private SimulatedCell.Scheduler host;
+
+		@BeforeEach
+		void startOwner() {
+			this.host = OwnershipTermsTests.this.cell.withWorkers(1).startOwnerAndStandby();
+		}
+
+		@Test
+		void isCompleteOnceThePoolIsReleased() {
+			CompletableFuture<Void> released = this.host.stop();
+			assertThat(released).isNotDone();
+			OwnershipTermsTests.this.cell.time.runFor(500);
+			assertThat(released).isDone();
+		}
+
+		@Test
+		void isCompleteAtOnceIfItOwnsNothing() {
+			assertThat(OwnershipTermsTests.this.cell.schedulers.get(1).stop()).isDone();
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -228,8 +228,7 @@
 
 		final JobTableReplica jobs;
 
-		private final OwnershipTerms terms = new OwnershipTerms(this::createOwner, this::followLists, () -> {
-		});
+		private final OwnershipTerms terms = new OwnershipTerms(this::createOwner, this::followLists);
 
 		private final PoolDependencies dependencies;
 
@@ -344,10 +343,13 @@
 			this.terms.owner().ifPresent(PoolOwner::close);
 		}
 
-		/** Asks the process to stop, which releases the pool. */
-		void stop() {
+		/**
+		 * Asks the process to stop, which releases the pool.
+		 * @return completed when the pool is released
+		 */
+		CompletableFuture<Void> stop() {
 			this.election.close();
-			owner().ifPresent(PoolOwner::release);
+			return this.terms.release();
 		}
 
 	}
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -90,9 +90,7 @@
 
 	private final PoolDependencies dependencies;
 
-	private final CompletableFuture<Void> released = new CompletableFuture<>();
-
-	private final OwnershipTerms terms = new OwnershipTerms(this::createOwner, this::followLists, this::ownershipEnded);
+	private final OwnershipTerms terms = new OwnershipTerms(this::createOwner, this::followLists);
 
 	/**
 	 * Create a scheduler.
@@ -233,10 +231,6 @@
 		};
 	}
 
-	private void ownershipEnded() {
-		this.released.complete(null);
-	}
-
 	/**
 	 * Make a few calls that fail, so that the classes they use are loaded.
 	 */
@@ -257,12 +251,13 @@
 	 * @return completed when the pool is released or the time limit has passed
 	 */
 	public CompletableFuture<Void> release() {
+		CompletableFuture<Void> released = new CompletableFuture<>();
 		this.control.execute(() -> {
 			this.election.close();
 			this.registry.announceStop();
-			this.terms.owner().ifPresentOrElse(PoolOwner::release, () -> this.released.complete(null));
+			this.terms.release().thenAccept(released::complete);
 		});
-		return this.released.completeOnTimeout(null, RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		return released.completeOnTimeout(null, RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
