Repeat the line about a waiting step only for reasons that last

With eligibility, the reason of a step without room changes for a moment at each renewal of its tickets, so that the line came once a second instead of every five, and reasonMillis was below a second (1499, 186, 770, 528 in a simulated cell). A changed reason is logged once it has applied for a second. StepsWaiting keeps its reasons in order.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -1,6 +1,8 @@
 package org.monsoonrelay.logic.events;
 
+import java.util.Collections;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Decisions of a pool's owner: ownership of the pool, its load, and the state of its
@@ -56,7 +58,7 @@
 	record StepsWaiting(long epoch, Map<String, Integer> steps) implements PoolDecision {
 
 		public StepsWaiting {
-			steps = Map.copyOf(steps);
+			steps = Collections.unmodifiableMap(new TreeMap<>(steps));
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StepWait.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StepWait.java
@@ -12,6 +12,8 @@
 
 	private Optional<WaitReason> reason = Optional.empty();
 
+	private Optional<WaitReason> loggedReason = Optional.empty();
+
 	private long beganNanos;
 
 	private long reasonBeganNanos;
@@ -26,11 +28,10 @@
 	void record(WaitReason latest, long nowNanos) {
 		if (this.reason.isEmpty()) {
 			this.beganNanos = nowNanos;
-			this.nextLogNanos = nowNanos;
+			this.loggedReason = Optional.empty();
 		}
 		if (this.reason.filter((known) -> known == latest).isEmpty()) {
 			this.reasonBeganNanos = nowNanos;
-			this.nextLogNanos = nowNanos;
 		}
 		this.reason = Optional.of(latest);
 	}
@@ -61,12 +62,25 @@
 		return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.reasonBeganNanos);
 	}
 
-	boolean isLogDue(long nowNanos) {
-		return nowNanos - this.nextLogNanos >= 0;
+	/**
+	 * Returns whether a line about the wait is due: the first one, one about a reason
+	 * that has applied for a while, or the repetition of the last one.
+	 * @param minReasonMillis for how long a new reason has to apply, milliseconds
+	 * @param nowNanos the current monotonic time
+	 * @return {@code true} if so
+	 */
+	boolean isLogDue(long minReasonMillis, long nowNanos) {
+		boolean isNewReason = !this.reason.equals(this.loggedReason) && reasonMillis(nowNanos) >= minReasonMillis;
+		return this.loggedReason.isEmpty() || isNewReason || nowNanos - this.nextLogNanos >= 0;
 	}
 
-	void setNextLogNanos(long nanos) {
-		this.nextLogNanos = nanos;
+	/**
+	 * Records that the current reason is logged.
+	 * @param repetitionNanos monotonic time at which the line is to be repeated
+	 */
+	void markLogged(long repetitionNanos) {
+		this.loggedReason = this.reason;
+		this.nextLogNanos = repetitionNanos;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReporter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReporter.java
@@ -11,13 +11,16 @@
 import org.monsoonrelay.logic.events.PoolDecision;
 
 /**
- * Logs the steps whose tasks have been waiting for a while: each when its reason to wait
- * changes and at a longer interval, and their number by reason once per second. Not
- * thread-safe: confined to the control thread.
+ * Logs the steps whose tasks have been waiting for a while: each when another reason
+ * applies for a while and at a longer interval, and their number by reason once per
+ * second. Not thread-safe: confined to the control thread.
  */
 final class WaitReporter {
 
-	/** Time without a start after which a step is reported, milliseconds. */
+	/**
+	 * Time without a start after which a step is reported, and time after which another
+	 * reason of its wait is, milliseconds.
+	 */
 	static final long MIN_WAIT_MILLIS = 1000;
 
 	private static final long REPORT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -74,10 +77,10 @@
 
 	private void logStep(WaitingStep waiting, WaitReason reason, long nowNanos) {
 		ActiveStep step = waiting.step();
-		if (!step.waiting().isLogDue(nowNanos)) {
+		if (!step.waiting().isLogDue(MIN_WAIT_MILLIS, nowNanos)) {
 			return;
 		}
-		step.waiting().setNextLogNanos(nowNanos + REPEAT_INTERVAL_NANOS);
+		step.waiting().markLogged(nowNanos + REPEAT_INTERVAL_NANOS);
 		this.log.write(new JobDecision.StepWaiting(step.job().id(), step.key().localName(), reason.name(),
 				step.waiting().reasonMillis(nowNanos), step.waiting().millis(nowNanos), waiting.tasks(),
 				waiting.suspectedTasks(), step.activeRuns().size(), waiting.matchingWorkers(),
