Show the number of waiting steps by reason as gauges

Operators saw jobs that were shown as running and did not advance, and no metric told how many steps wait nor why: pool.queue_wait.millis is recorded with a start, so that a step that is not started leaves nothing.

Each StepsWaiting becomes gauges pool.steps.waiting.REASON. All of them read one immutable map that is replaced as a whole: a reason that is missing in the next report shows 0 without any bookkeeping, and so do all once the process has lost the pool, as the next owner reports its steps at another host. A gauge is registered when its reason first occurs; the reasons are the names of an enum. The log writer writes the field as an object, which a test now holds.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -16,8 +16,9 @@
 
 /**
  * Counts decisions, records the durations that they report and passes them to the next
- * log. Includes decisions whose lines are omitted from the log. Never blocks the caller.
- * Thread-safe.
+ * log. Includes decisions whose lines are omitted from the log. Gauges of waiting steps
+ * show the latest report of this process and none after it has lost the pool. Never
+ * blocks the caller. Thread-safe.
  */
 public final class DecisionMetrics implements DecisionLog {
 
@@ -41,6 +42,10 @@
 
 	private final Map<String, Histogram> histograms = new ConcurrentHashMap<>();
 
+	private final Set<String> waitReasons = ConcurrentHashMap.newKeySet();
+
+	private volatile Map<String, Integer> waitingSteps = Map.of();
+
 	/**
 	 * Creates a log that counts decisions.
 	 * @param next the log that receives each decision afterwards
@@ -79,11 +84,29 @@
 		else if (decision instanceof JobDecision.StartFailed failed) {
 			count("pool.starts.failed." + failed.outcome());
 		}
+		else if (decision instanceof PoolDecision.StepsWaiting waiting) {
+			showWaitingSteps(waiting.steps());
+		}
 		else {
 			countOther(decision);
 		}
 	}
 
+	// All gauges read one map, so that a reason that is missing in it counts as 0. The
+	// reasons are the names of an enum.
+	private void showWaitingSteps(Map<String, Integer> steps) {
+		this.waitingSteps = steps;
+		for (String reason : steps.keySet()) {
+			if (this.waitReasons.add(reason)) {
+				this.metrics.gauge("pool.steps.waiting." + reason, () -> () -> waitingSteps(reason));
+			}
+		}
+	}
+
+	private int waitingSteps(String reason) {
+		return this.waitingSteps.getOrDefault(reason, 0);
+	}
+
 	private void countPlacement(JobDecision.TaskPlaced placed) {
 		count("pool.starts.sent");
 		if (placed.attempt() == 1) {
@@ -104,6 +127,7 @@
 		}
 		else if (decision instanceof PoolDecision.OwnershipLost) {
 			count("pool.ownership.lost");
+			this.waitingSteps = Map.of();
 		}
 		else if (decision instanceof PoolDecision.OwnershipUnconfirmed) {
 			count("pool.ownership.unconfirmed");
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.JobDecision;
@@ -108,4 +111,48 @@
 		assertThat(this.written).isEmpty();
 	}
 
+	@Nested
+	class GaugesOfWaitingSteps {
+
+		private void report(Map<String, Integer> steps) {
+			DecisionMetricsTests.this.log.write(new PoolDecision.StepsWaiting(100, steps));
+		}
+
+		private Map<String, Object> gauges() {
+			Map<String, Object> values = new TreeMap<>();
+			DecisionMetricsTests.this.metrics.getGauges().forEach((name, gauge) -> values.put(name, gauge.getValue()));
+			return values;
+		}
+
+		@Test
+		void showTheLatestReportByReason() {
+			report(Map.of("NO_CAPACITY", 3));
+			report(Map.of("NO_CAPACITY", 2, "OWNER_RECOVERY", 7));
+			assertThat(gauges())
+				.isEqualTo(Map.of("pool.steps.waiting.NO_CAPACITY", 2, "pool.steps.waiting.OWNER_RECOVERY", 7));
+			assertThat(DecisionMetricsTests.this.written).hasSize(2);
+		}
+
+		@Test
+		void returnToZeroIfTheReasonIsMissingInTheNextReport() {
+			report(Map.of("NO_CAPACITY", 2, "OWNER_RECOVERY", 7));
+			report(Map.of("NO_CAPACITY", 2));
+			assertThat(gauges()).containsEntry("pool.steps.waiting.OWNER_RECOVERY", 0)
+				.containsEntry("pool.steps.waiting.NO_CAPACITY", 2);
+			report(Map.of());
+			assertThat(gauges()).hasSize(2).allSatisfy((name, value) -> assertThat(value).isEqualTo(0));
+		}
+
+		@Test
+		void returnToZeroIfTheProcessLosesThePoolAndShowItsNextTerm() {
+			report(Map.of("NO_CAPACITY", 2, "OWNER_RECOVERY", 7));
+			DecisionMetricsTests.this.log.write(new PoolDecision.OwnershipLost(100, "another host owns the pool"));
+			assertThat(gauges()).hasSize(2).allSatisfy((name, value) -> assertThat(value).isEqualTo(0));
+			report(Map.of("OWNER_RECOVERY", 1));
+			assertThat(gauges())
+				.isEqualTo(Map.of("pool.steps.waiting.NO_CAPACITY", 0, "pool.steps.waiting.OWNER_RECOVERY", 1));
+		}
+
+	}
+
 }
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
@@ -6,9 +6,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -30,6 +32,16 @@
 				+ "\"outcome\":\"ACCEPTED\",\"tookMillis\":12}");
 	}
 
+	@Test
+	void aCountByReasonIsWrittenAsAnObject() {
+		this.writer.write(new PoolDecision.StepsWaiting(100, Map.of("NO_CAPACITY", 2)));
+		this.writer.write(new PoolDecision.StepsWaiting(100, Map.of()));
+		this.writer.flush();
+		assertThat(lines()).containsExactly(
+				"{\"at\":77,\"event\":\"StepsWaiting\",\"epoch\":100,\"steps\":{\"NO_CAPACITY\":2}}",
+				"{\"at\":77,\"event\":\"StepsWaiting\",\"epoch\":100,\"steps\":{}}");
+	}
+
 	@Test
 	void aFloodOfOneEventIsLimitedAndCountedAndOtherEventsAreWritten() {
 		for (int i = 0; i < 1000; i++) {
