Explain why the steps of a job wait

Operators saw jobs that were shown as running and did not advance. No line said why: explain told that a step "waited for room" whenever it had been asked who may run it, and TimeBreakdown called all that was left before the first start a wait for room. Both were guesses.

explain now has one sentence for each step with StepWaiting lines: the reason in words, for how long, waiting tasks, eligible workers that accept work and the room on them, and the other reasons in order, each once.

Why it works: the sentence repeats what the owner logged and adds nothing. Times are lower bounds, since the last line may be up to five seconds old. A step "waits" only while the job has no end and no line after its last one tells of a new run; runs of a former owner become active without a line, and show when more runs are over than were active. "Waited for room" is left out where owners logged only other reasons. A reason of another release stands as it is, and a test demands words for each reason of this one.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/CauseFinder.java
@@ -40,6 +40,7 @@
 		addLostRuns(causes);
 		addFailedStarts(causes);
 		addUnexpectedRuns(causes);
+		causes.addAll(StepWaitReport.sentences(this.lines));
 		addOutcome(causes);
 		return causes;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/PendingStepReport.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/PendingStepReport.java
@@ -63,11 +63,16 @@
 		LongSummaryStatistics took = answers.stream().mapToLong((line) -> line.value("tookMillis")).summaryStatistics();
 		return "step " + step + " was not placed: it was asked " + answers.size() + " times who may run it ("
 				+ allowed.getMin() + " to " + allowed.getMax() + " workers allowed, " + took.getSum() + " ms in calls, "
-				+ failed.size() + " calls failed), so that it waited for room on those";
+				+ failed.size() + " calls failed)" + (StepWaitReport.mayWaitForRoom(linesOfStep(lines, step))
+						? ", so that it waited for room on those" : "");
 	}
 
 	private static List<LogLine> linesOfStep(List<LogLine> lines, String step, Class<?> decision) {
-		return lines.stream().filter((line) -> line.isEvent(decision) && line.step().equals(step)).toList();
+		return linesOfStep(lines, step).stream().filter((line) -> line.isEvent(decision)).toList();
+	}
+
+	private static List<LogLine> linesOfStep(List<LogLine> lines, String step) {
+		return lines.stream().filter((line) -> line.step().equals(step)).toList();
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/TimeBreakdown.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/TimeBreakdown.java
@@ -68,11 +68,19 @@
 			durations.put("until a host had time to ask who may run its first step", queued);
 		}
 		durations.put("in calls for who may run its first step", inCalls);
-		durations.put("waiting for room before its first start", wait - queued - inCalls);
+		durations.put(waitsForRoom(placed) ? "waiting for room before its first start" : "waiting for its first start",
+				wait - queued - inCalls);
 		durations.put("from its first start to its end", this.end.value("ageMillis") - first);
 		return durations;
 	}
 
+	private boolean waitsForRoom(LogLine placed) {
+		return StepWaitReport.mayWaitForRoom(this.lines.stream()
+			.filter((line) -> line.step().equals(placed.step()) && line.source().equals(placed.source())
+					&& line.number() < placed.number())
+			.toList());
+	}
+
 	private long sumOfEligibilityField(LogLine placed, String field) {
 		return all(JobDecision.EligibilityAnswered.class).stream()
 			.filter((line) -> line.step().equals(placed.step()) && line.number() < placed.number())
