Let suspected runs hold others back only until they have passed a probation

Callers saw long-running tasks that were not started again, and other tasks that waited, beside idle workers and without an end, once they had met two crashes of their workers.

Cause: a run keeps the suspicion that it was started with, and CrashIsolation and PlacementContext counted it for as long as the run lasted: for the eighth of the workers, for one isolated task of a job at a time, for keeping suspects of other jobs apart, and for keeping all tasks of other jobs off its worker.

A run is now on probation from its start, or its adoption by a new owner, until its worker has answered a poll that was sent one second after it confirmed the start. Only runs on probation hold others back. The answer ends it rather than the clock: a poll to a silent worker takes up to 1.5 s to fail, and by the clock a worker that has just crashed would end it. Polls to a worker with a run on probation wait no longer than until its end, so that the answer comes at once; two more polls for each start of a suspected task.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
@@ -37,12 +37,12 @@
 	 * @param worker the worker
 	 * @param count the number of tasks
 	 * @return {@code true} if there is enough free capacity, the limit of tasks per
-	 * worker is kept and the worker runs no isolated task of another job
+	 * worker is kept and no isolated task of another job is on probation there
 	 */
 	boolean fits(PoolWorker worker, int count) {
 		Resources size = this.step.spec().committedSize();
 		return worker.canAccept((count == 1) ? size : size.times(count), this.nowNanos) && isWithinLimit(worker, count)
-				&& !worker.isIsolatedFrom(this.step.key().job());
+				&& !worker.suspectedRuns().hasIsolatedOnProbationOfAnother(this.step.key().job());
 	}
 
 	private boolean isWithinLimit(PoolWorker worker, int count) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -232,24 +231,10 @@
 		return this.runs.runCountOf(step);
 	}
 
-	/**
-	 * Returns the runs of tasks that are suspected to crash their workers.
-	 * @return the runs, none on most workers
-	 */
-	List<Run> suspectedRuns() {
+	SuspectedRuns suspectedRuns() {
 		return this.runs.suspectedRuns();
 	}
 
-	/**
-	 * Returns whether this worker accepts no tasks of a job, because it runs an isolated
-	 * task of another one.
-	 * @param job the job's id
-	 * @return {@code true} if it does not
-	 */
-	boolean isIsolatedFrom(String job) {
-		return this.runs.hasIsolatedRunOfAnotherJob(job);
-	}
-
 	/**
 	 * Records that this owner keeps no run active on this worker any more.
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -12,6 +12,12 @@
  */
 final class Run {
 
+	/**
+	 * Time from the confirmed start of a run until its worker has to answer once more,
+	 * nanoseconds. Tasks that crash their workers mostly do so shortly after their start.
+	 */
+	private static final long PROBATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+
 	private final TaskKey task;
 
 	private final int attempt;
@@ -34,6 +40,10 @@
 
 	private boolean startConfirmed;
 
+	private long probationEndNanos;
+
+	private boolean onProbation = true;
+
 	private boolean startUnanswered;
 
 	private boolean startRepeated;
@@ -111,7 +121,10 @@
 	 * @param nowNanos the current monotonic time
 	 */
 	void confirm(long nowNanos) {
-		this.startConfirmed = this.startConfirmed || this.state != State.STOPPING;
+		if (!this.startConfirmed && this.state != State.STOPPING) {
+			this.startConfirmed = true;
+			this.probationEndNanos = nowNanos + PROBATION_NANOS;
+		}
 		this.confirmed = true;
 		this.confirmedNanos = nowNanos;
 		if (this.state == State.STARTING) {
@@ -144,6 +157,30 @@
 		return this.startConfirmed;
 	}
 
+	/**
+	 * Ends the probation if the worker has survived it. A worker that does not answer
+	 * ends none.
+	 * @param answeredNanos monotonic time at which a request was sent that the worker has
+	 * answered
+	 */
+	void endProbationIfDue(long answeredNanos) {
+		if (this.startConfirmed && answeredNanos - this.probationEndNanos >= 0) {
+			this.onProbation = false;
+		}
+	}
+
+	boolean isOnProbation() {
+		return this.onProbation;
+	}
+
+	/**
+	 * Returns from when on an answer of the worker ends the probation.
+	 * @return the monotonic time, meaningless before the start is confirmed
+	 */
+	long probationEndNanos() {
+		return this.probationEndNanos;
+	}
+
 	/**
 	 * Records that a start request was not answered in time.
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunSet.java
@@ -1,6 +1,5 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -8,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import org.monsoonrelay.model.submission.CrashSuspicion;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -25,7 +23,7 @@
 
 	private final Map<TaskKey, Run> runs = new HashMap<>();
 
-	private final List<Run> suspectedRuns = new ArrayList<>();
+	private final SuspectedRuns suspectedRuns = new SuspectedRuns();
 
 	// Cached because each waiting gang queries it in each turn; it changes only when a
 	// run is added or removed.
@@ -36,9 +34,7 @@
 	void add(Run run) {
 		this.idleTimeKnown = false;
 		this.runs.put(run.task(), run);
-		if (run.suspicion() != CrashSuspicion.NONE) {
-			this.suspectedRuns.add(run);
-		}
+		this.suspectedRuns.add(run);
 	}
 
 	Optional<Run> remove(TaskKey task) {
@@ -56,22 +52,10 @@
 		return List.copyOf(this.runs.values());
 	}
 
-	List<Run> suspectedRuns() {
+	SuspectedRuns suspectedRuns() {
 		return this.suspectedRuns;
 	}
 
-	boolean hasIsolatedRunOfAnotherJob(String job) {
-		if (this.suspectedRuns.isEmpty()) {
-			return false;
-		}
-		for (Run run : this.suspectedRuns) {
-			if (run.suspicion() == CrashSuspicion.ISOLATED && !run.task().job().equals(job)) {
-				return true;
-			}
-		}
-		return false;
-	}
-
 	/**
 	 * Returns whether a recent start is unanswered.
 	 * @param nowNanos the current monotonic time
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
@@ -39,7 +39,7 @@
 	/** The eligible workers accept no work or have too little free capacity. */
 	NO_CAPACITY,
 
-	/** Free capacity is next to other tasks that are suspected to crash their workers. */
+	/** Tasks that are suspected to crash their workers have just been started. */
 	CRASH_ISOLATION
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -119,13 +119,19 @@
 		OptionalLong leaseEndMillis = extendLease
 				? OptionalLong.of(worker.lease().extend(sentNanos, this.ownerLease.workerLeaseMillis()))
 				: OptionalLong.empty();
-		Duration wait = Duration.ofMillis(worker.isReachable() ? POLL_WAIT_MILLIS : 0);
 		PollRequest request = new PollRequest(this.ownerLease.fencingToken(worker.incarnation().tokenGeneration()),
-				acknowledged, leaseEndMillis, wait);
+				acknowledged, leaseEndMillis, maxWait(worker, sentNanos));
 		this.workerClient.poll(worker.info(), request)
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> handleOutcome(poll, outcome)));
 	}
 
+	// Tasks may wait for the end of a probation, which takes an answer.
+	private static Duration maxWait(PoolWorker worker, long nowNanos) {
+		return worker.isReachable()
+				? Duration.ofMillis(worker.suspectedRuns().millisUntilProbationEnds(nowNanos, POLL_WAIT_MILLIS))
+				: Duration.ZERO;
+	}
+
 	// A worker that was removed may have been added again as another object.
 	private boolean isInPool(PoolWorker worker) {
 		return this.pool.worker(worker.id()).filter((known) -> known == worker).isPresent();
@@ -234,6 +240,7 @@
 		}
 		this.terminations.process(worker, report.terminatedTasks());
 		this.adoption.reconcile(worker, report.runningTasks(), poll.sentNanos());
+		worker.suspectedRuns().workerAnswered(poll.sentNanos());
 		if (!worker.isReachable()) {
 			worker.markReachable();
 			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/CrashSuspicion.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/CrashSuspicion.java
@@ -8,10 +8,10 @@
 	/** No worker, or only one that may have crashed for another reason. */
 	NONE,
 
-	/** Runs on no worker together with a suspected task of another job. */
+	/** Starts on no worker where a suspected task of another job has just started. */
 	SUSPECTED,
 
-	/** Runs on a worker that accepts no tasks of other jobs meanwhile. */
+	/** Starts on a worker that accepts no tasks of other jobs for a while. */
 	ISOLATED,
 
 	/** Is not started again. */
