Let late answers about ownerships change nothing that later epochs settled

A scheduler could give up a rack or a queue that it had just claimed, and nobody served it until the next read of the owners, up to 30 rounds later. It could also go back to an ownership that another session had taken over, or keep one through the end of its own session that it has to claim anew.

Rounds overlap: the owners are read again each round until a read is answered, and claims are committed beside them. An answer was applied to whatever the scheduler owned by then. A read from before a claim said "not own" and ended the ownership of the claim; the answer to a claim brought back an ownership that a later read had shown with its successor; a read from before the end of the session used up the note that the session had ended, with the epochs of before.

An answer now says which ownership it is about: the keeper notes the latest epoch it has read or written of each row, and an answer with an earlier one changes nothing. The epochs at the end of a session are taken only from a read that was sent after the end was found.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/membership/OwnershipKeeper.java
@@ -30,10 +30,11 @@
  * read back; the epoch increases with each change of owner and is taken from the table
  * only; what a lapsed session owned is claimed only after the row of the session was
  * ended; an instance whose session was ended claims anew what it owned, since claims of
- * others may be under way; rows of ended sessions are reused, so that their number
- * depends on the number of instances and not on their restarts. The ownership rows are
- * read when sessions start or end, when the outcome of a claim is unknown, and
- * periodically. Not thread-safe: confined to the control thread.
+ * others may be under way; a late answer that shows an earlier epoch than the latest one
+ * known changes nothing; rows of ended sessions are reused, so that their number depends
+ * on the number of instances and not on their restarts. The ownership rows are read when
+ * sessions start or end, when the outcome of a claim is unknown, and periodically. Not
+ * thread-safe: confined to the control thread.
  */
 public final class OwnershipKeeper {
 
@@ -61,10 +62,15 @@
 
 	private Set<String> knownWanted = Set.of();
 
+	// By key, the latest epoch of the ownership that was read or written.
+	private final Map<String, Long> knownEpochs = new HashMap<>();
+
 	// By key, the last epoch of the ownership when this session was found ended.
 	private final Map<String, Long> endedEpochs = new HashMap<>();
 
-	private boolean sessionWasEnded;
+	private long sessionEnds;
+
+	private long recordedSessionEnds;
 
 	private int roundsUntilOwnerRead;
 
@@ -107,7 +113,7 @@
 		this.liveness.retain(records.values().stream().map(SessionRecord::session).collect(Collectors.toSet()));
 		records.forEach((row, record) -> this.liveness.observe(record, row.version(), now));
 		if (!records.containsValue(this.self)) {
-			this.sessionWasEnded = true;
+			this.sessionEnds++;
 			this.roundsUntilOwnerRead = 0;
 		}
 		renew(records);
@@ -158,9 +164,13 @@
 
 	private void readOwnersAndClaim(Map<String, String> wanted, List<SessionRecord> live, ExpiredSessions expired) {
 		this.roundsUntilOwnerRead = 0;
+		long endsBefore = this.sessionEnds;
 		this.table.scan(TableKeys.OWNERS, "", MAX_ROWS).thenAcceptAsync((rows) -> {
 			this.roundsUntilOwnerRead = ROUNDS_BETWEEN_OWNER_READS;
-			claims(rows, wanted, live).stream()
+			Map<String, Row> owners = new HashMap<>();
+			rows.forEach((row) -> owners.put(row.key(), row));
+			recordSessionEnds(owners, endsBefore);
+			claims(owners, wanted, live).stream()
 				.collect(Collectors.groupingBy(Claim::formerSession))
 				.forEach((session, claims) -> expired.end(session).thenAcceptAsync((hasEnded) -> {
 					if (hasEnded) {
@@ -173,19 +183,40 @@
 		}, this.control);
 	}
 
-	private List<Claim> claims(List<Row> rows, Map<String, String> wanted, List<SessionRecord> live) {
-		Map<String, Row> owners = new HashMap<>();
-		rows.forEach((row) -> owners.put(row.key(), row));
-		List<Claim> claims = new ArrayList<>();
-		if (this.sessionWasEnded) {
-			this.sessionWasEnded = false;
-			owners.forEach((key, row) -> this.endedEpochs.put(key, Json.read(row.value(), Ownership.class).epoch()));
+	// Rows read before an end was found may miss what the session owned at its end.
+	private void recordSessionEnds(Map<String, Row> owners, long endsBefore) {
+		if (endsBefore > this.recordedSessionEnds) {
+			this.recordedSessionEnds = endsBefore;
+			owners.forEach((key, row) -> this.endedEpochs.merge(key, Json.read(row.value(), Ownership.class).epoch(),
+					Math::max));
 		}
+	}
+
+	/**
+	 * Record that an ownership was read or written under an epoch.
+	 * @param key key of the ownership row
+	 * @param epoch the epoch
+	 * @return {@code false} if a later epoch is known already
+	 */
+	private boolean isLatest(String key, long epoch) {
+		return this.knownEpochs.merge(key, epoch, Math::max) == epoch;
+	}
+
+	private boolean hasEnded(String key, long epoch) {
+		return epoch <= this.endedEpochs.getOrDefault(key, 0L);
+	}
+
+	private List<Claim> claims(Map<String, Row> owners, Map<String, String> wanted, List<SessionRecord> live) {
+		List<Claim> claims = new ArrayList<>();
 		new TreeMap<>(wanted).forEach((key, domain) -> {
 			Optional<Row> row = Optional.ofNullable(owners.get(key));
 			Ownership owned = row.map((found) -> Json.read(found.value(), Ownership.class)).orElse(Ownership.NONE);
+			if (!isLatest(key, owned.epoch())) {
+				this.roundsUntilOwnerRead = 0;
+				return;
+			}
 			boolean own = owned.session().equals(this.self.session());
-			boolean ended = own && owned.epoch() <= this.endedEpochs.getOrDefault(key, 0L);
+			boolean ended = own && hasEnded(key, owned.epoch());
 			this.listener.onOwnership(key, owned, own && !ended);
 			OwnershipPlan.successor(key, domain, ended ? Ownership.NONE : owned, live)
 				.filter((successor) -> successor.session().equals(this.self.session()))
@@ -204,7 +235,7 @@
 				.toList();
 			this.table.commit(writes).whenCompleteAsync((result, failure) -> {
 				if (result instanceof CommitResult.Committed) {
-					batch.forEach((claim) -> this.listener.onOwnership(claim.key(), claim.next(), true));
+					batch.forEach(this::claimTookEffect);
 					LOGGER.log(System.Logger.Level.INFO, "took over {0} ownerships", batch.size());
 				}
 				else {
@@ -214,6 +245,12 @@
 		}
 	}
 
+	private void claimTookEffect(Claim claim) {
+		if (isLatest(claim.key(), claim.next().epoch()) && !hasEnded(claim.key(), claim.next().epoch())) {
+			this.listener.onOwnership(claim.key(), claim.next(), true);
+		}
+	}
+
 	/**
 	 * End the session, so that other instances take over at once.
 	 * @return completes, never exceptionally, when the session has ended or the attempt
