Let reads and writes of a former queue ownership not act on the next one

A scheduler that lost a team's queue and owned it again could run a run-once task twice, leave a task in STARTING for good, or wait for ever for the end of a task that had finished.

The record store keeps its state by job and not by term of ownership. The answer to a read that the former term had sent dropped the pending write of the job's present object, together with the start or the acknowledgement that waited for it: the start was never sent, and the repeated event of an end was then acknowledged as if it had been stored. The same answer set the row version that the next write is conditional on, so that a record that nobody had loaded, with an end in it, was overwritten. And a write in flight of the former term counted as one of the present term, which then skipped the write that keeps a former owner from storing ends unnoticed.

A read now only returns what it found; the queue manager has the store adopt it after it has checked that the queue that asked for it is still the owned one. A write in flight counts for the job object that it writes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobRecordStore.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobRecordStore.java
@@ -51,7 +51,7 @@
 
 	private final Map<JobId, PendingWrite> pendingWrites = new LinkedHashMap<>();
 
-	private final Set<JobId> inFlightJobs = new HashSet<>();
+	private final Set<Job> inFlightJobs = new HashSet<>();
 
 	private boolean commitInFlight;
 
@@ -78,17 +78,27 @@
 	}
 
 	/**
-	 * Load the record of a job.
+	 * Read the record of a job. Writes build on it once it is {@linkplain #adopt
+	 * adopted}.
 	 * @param id the job
-	 * @return the record, or {@link JobRecord#NONE} if there is none
+	 * @return the record, with {@link JobRecord#NONE} if there is none
 	 */
-	public CompletableFuture<JobRecord> load(JobId id) {
-		return this.table.read(TableKeys.job(id)).thenApplyAsync((row) -> {
-			this.pendingWrites.remove(id);
-			this.writtenJobs.remove(id);
-			this.rowVersions.put(id, row.map(Row::version).orElse(ConditionalWrite.ABSENT));
-			return row.map((found) -> Json.read(found.value(), JobRecord.class)).orElse(JobRecord.NONE);
-		}, this.controlExecutor);
+	CompletableFuture<StoredRecord> load(JobId id) {
+		return this.table.read(TableKeys.job(id))
+			.thenApply((row) -> new StoredRecord(
+					row.map((found) -> Json.read(found.value(), JobRecord.class)).orElse(JobRecord.NONE),
+					row.map(Row::version).orElse(ConditionalWrite.ABSENT)));
+	}
+
+	/**
+	 * Base the next write of a job on a record.
+	 * @param id the job, which is represented by the record from now on
+	 * @param stored the record
+	 */
+	void adopt(JobId id, StoredRecord stored) {
+		this.pendingWrites.remove(id);
+		this.writtenJobs.remove(id);
+		this.rowVersions.put(id, stored.version());
 	}
 
 	/**
@@ -112,7 +122,7 @@
 	 * @param job the job
 	 */
 	void enqueueUnlessWritten(Job job) {
-		if (!this.writtenJobs.contains(job.id()) && !isPending(job.id())) {
+		if (!this.writtenJobs.contains(job.id()) && !isPending(job)) {
 			enqueue(job, () -> {
 			});
 		}
@@ -148,7 +158,7 @@
 			.map((entry) -> toConditionalWrite(entry.job, writeId))
 			.toList();
 		this.commitInFlight = true;
-		this.inFlightJobs.addAll(batch.keySet());
+		batch.values().forEach((entry) -> this.inFlightJobs.add(entry.job));
 		this.commitCount++;
 		this.writeBudget.spend(batch.size());
 		this.table.commit(writes)
@@ -261,12 +271,13 @@
 	}
 
 	/**
-	 * Return whether a job has state that is not durable yet.
-	 * @param id the job
+	 * Return whether a job has state that is not durable yet. A write in flight of a
+	 * retired object of the job does not count.
+	 * @param job the job
 	 * @return {@code true} if a write of the job is enqueued or in flight
 	 */
-	public boolean isPending(JobId id) {
-		return this.pendingWrites.containsKey(id) || this.inFlightJobs.contains(id);
+	boolean isPending(Job job) {
+		return this.pendingWrites.containsKey(job.id()) || this.inFlightJobs.contains(job);
 	}
 
 	/**
@@ -285,6 +296,16 @@
 		return this.commitCount;
 	}
 
+	/**
+	 * The record of a job as it was read.
+	 *
+	 * @param record the record
+	 * @param version the version of its row
+	 */
+	record StoredRecord(JobRecord record, long version) {
+
+	}
+
 	/**
 	 * A job to write.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -208,15 +208,16 @@
 	}
 
 	private void load(String team, TeamQueue queue, JobId id) {
-		this.store.load(id).whenCompleteAsync((record, failure) -> {
+		this.store.load(id).whenCompleteAsync((stored, failure) -> {
 			queue.loadingJobs().remove(id);
 			Workload workload = this.declaredWorkloads.get(id);
 			if (this.queues.get(team) != queue || workload == null) {
 				return;
 			}
 			if (failure == null) {
-				if (!releaseIfSuperseded(team, queue, record.queueEpoch())) {
-					add(queue, workload, record);
+				if (!releaseIfSuperseded(team, queue, stored.record().queueEpoch())) {
+					this.store.adopt(id, stored);
+					add(queue, workload, stored.record());
 				}
 			}
 			else if (!workload.once() && queue.isDeclaredAfterLoad(id)) {
@@ -354,7 +355,7 @@
 
 	private void acknowledgeWhenDurable(Job job, boolean changed, Runnable acknowledge) {
 		job.recordFinish(this.clock.instant());
-		if (changed || this.store.isPending(job.id())) {
+		if (changed || this.store.isPending(job)) {
 			this.store.enqueue(job, acknowledge);
 		}
 		else {
