Ignore a late report of a host that was removed from the list meanwhile

An attempt could stay RUNNING in the books of its team for ever after its host had been taken off the host list: the event that it is gone was lost.

The reply to a command was checked against the rack, not against the entry of the worker that the command was sent to. A reply that came after the removal was applied to the removed entry and replaced the unacknowledged end of its attempts by RUNNING; nothing asks that entry again. If the host was listed again before its queue owners saw a list without it, they did not learn of the end from the list either.

A reply now counts only for the entry that the command was sent for while the rack still holds it. Ends that had been acknowledged already were safe: the entry still had to forget them.

Before: RackManagerTests.ALateReportOfARemovedHost .doesNotReplaceTheEndOfItsAttempts "Expecting actual: [RUNNING] to contain exactly: [GONE]". After: it and the other tests of the class pass.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rack/RackManager.java
@@ -283,7 +283,8 @@
 		WorkerCommand command = tracked.createCommand(rack.epoch(), this.leaseDuration.toMillis());
 		this.agents.send(tracked.host(), command).whenCompleteAsync((report, failure) -> {
 			tracked.setCommandInFlight(false);
-			if (report != null && this.racks.get(rack.name()) == rack) {
+			boolean isPresent = this.racks.get(rack.name()) == rack && rack.worker(tracked.worker().id()) == tracked;
+			if (report != null && isPresent) {
 				handleReport(rack, tracked, command, report);
 			}
 		}, this.controlExecutor);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rack/RackManagerTests.java
@@ -246,6 +246,24 @@
 
 	}
 
+	@Nested
+	class ALateReportOfARemovedHost {
+
+		@Test
+		void doesNotReplaceTheEndOfItsAttempts() {
+			startAttempt(ATTEMPT);
+			acknowledgeAll();
+			RackManagerTests.this.racks.sendHeartbeats();
+			RackManagerTests.this.racks.update(CellData.hosts(2));
+			assertThat(eventKinds()).containsExactly(AttemptEventKind.GONE);
+
+			RackManagerTests.this.control.drain();
+
+			assertThat(eventKinds()).containsExactly(AttemptEventKind.GONE);
+		}
+
+	}
+
 	@Nested
 	class ARackTakenOver {
 
