Settle no run-once attempt by a record that its former owner can still change

A run-once task could run a second time after its queue went to another owner: the new owner stopped the running attempt, or acknowledged its end without having stored it, and started the task again.

A new owner loads the records of its jobs, but a former owner that has not noticed yet can still write them until the new one does: it records an attempt and starts it. Events of that attempt reached the new owner while it was reserving room for an attempt of its own, which has a higher number. It took the former one as replaced: RUNNING was answered with a stop, FINISHED was acknowledged as old, and the worker forgot it. Only then did the new owner's own write conflict; the reloaded record named an attempt that nobody knew.

An event of an attempt of an earlier epoch that is not open according to the loaded record now waits until the row was written under the present ownership. That write conflicts if the former owner recorded the attempt, and the record is loaded again; if it does not, the former owner's writes do from then on. Rack owners repeat what is not acknowledged. Repeatable tasks and attempts that are open are handled at once as before.

Before, UnconfirmedRecordTests: stopsNoAttemptThatTheFormerOwnerHasRecorded SinceTheLoad and acknowledgesNoEndOfAnAttemptThatTheFormerOwnerHasRecorded SinceTheLoad "expected: {"wages@1/0"=1} but was: {"wages@1/0"=2}". After: both pass, and RunOnceTests, FormerQueueOwnersTests, QueueRecoveryTests, PartitionedDomainTests, LeavingWorkerTests, RestartedWorkersTests and TeamSchedulerTests.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobRecordStore.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/JobRecordStore.java
@@ -12,6 +12,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import org.monsoonrelay.logic.placement.AttemptEvent;
+import org.monsoonrelay.logic.placement.AttemptEventKind;
 import org.monsoonrelay.logic.platform.CommitResult;
 import org.monsoonrelay.logic.platform.ConditionalWrite;
 import org.monsoonrelay.logic.platform.Json;
@@ -117,15 +119,37 @@
 
 	/**
 	 * Enqueue a job unless its row has been written since it was loaded. Until then a
-	 * former owner of the queue could store and acknowledge ends unnoticed: the write
+	 * former owner of the queue could store starts and ends unnoticed: the write
 	 * conflicts if it has done so, and if not, its next write does.
 	 * @param job the job
+	 * @return {@code true} if the row has been written
 	 */
-	void enqueueUnlessWritten(Job job) {
-		if (!this.writtenJobs.contains(job.id()) && !isPending(job)) {
+	private boolean enqueueUnlessWritten(Job job) {
+		boolean isWritten = this.writtenJobs.contains(job.id());
+		if (!isWritten && !isPending(job)) {
 			enqueue(job, () -> {
 			});
 		}
+		return isWritten;
+	}
+
+	/**
+	 * Check whether an event of an attempt that a former owner of the queue opened has to
+	 * wait until the job's row has been written, which is enqueued if so. The former
+	 * owner may have stored the start of a run-once attempt that is not open according to
+	 * the loaded record; the attempt must neither be stopped nor be taken as settled.
+	 * @param job the job
+	 * @param event the event
+	 * @return {@code true} if the event cannot be handled yet
+	 */
+	boolean mustWriteBefore(Job job, AttemptEvent event) {
+		if (job.workload().once() && !job.openAttempts().contains(event.attempt())) {
+			return !enqueueUnlessWritten(job);
+		}
+		if (event.kind() == AttemptEventKind.RUNNING && !job.isFinal()) {
+			enqueueUnlessWritten(job);
+		}
+		return false;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -16,7 +16,6 @@
 
 import org.monsoonrelay.logic.control.ActiveControlState;
 import org.monsoonrelay.logic.placement.AttemptEvent;
-import org.monsoonrelay.logic.placement.AttemptEventKind;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
@@ -318,8 +317,8 @@
 			return;
 		}
 		boolean isInherited = event.attempt().queueEpoch() < queue.epoch();
-		if (isInherited && event.kind() == AttemptEventKind.RUNNING && !job.isFinal()) {
-			this.store.enqueueUnlessWritten(job);
+		if (isInherited && this.store.mustWriteBefore(job, event)) {
+			return;
 		}
 		applyEvent(job, event, isStopRequested, () -> acknowledge.accept(event));
 	}
