Deliver nothing to the listener of a closed table follower

A closed follower started no more calls but passed on the answer to the one in flight, a poll of up to 0.9 s or the read of a catch-up. It is now dropped, and the contract of close says so.

Before: TableFollowerTests.deliversNothingAfterItWasClosed "Expecting empty but was: ["late"]". After: it passes, and OwnerElectionTests do.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -121,7 +121,8 @@
 	}
 
 	/**
-	 * Stop following; the listener may still receive the response to one call in flight.
+	 * Stop following. The listener receives nothing from now on, also no response to a
+	 * call in flight: it may follow the table again through another follower.
 	 */
 	public void close() {
 		this.closed = true;
@@ -140,7 +141,7 @@
 		}
 		int ofGeneration = this.loadGeneration;
 		changesSoFar().whenComplete(ExecutorCallback.on(this.executor, (changes, failure) -> {
-			if (ofGeneration != this.loadGeneration) {
+			if (this.closed || ofGeneration != this.loadGeneration) {
 				return;
 			}
 			if (failure != null || changes.historyLost()) {
@@ -231,6 +232,9 @@
 			return;
 		}
 		call.get().whenComplete(ExecutorCallback.on(this.executor, (changes, failure) -> {
+			if (this.closed) {
+				return;
+			}
 			if (failure != null) {
 				handleFailure(failure, () -> poll(call));
 				return;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
@@ -148,6 +148,18 @@
 		latest.close();
 	}
 
+	@Test
+	void deliversNothingAfterItWasClosed() throws Exception {
+		this.follower.start();
+		awaitExecutor();
+		this.table.answer("p", new TablePage(List.of(), false, 7));
+		awaitExecutor();
+		this.executor.submit(this.follower::close).get(10, TimeUnit.SECONDS);
+		this.table.answerPoll(new TableChanges(List.of(row("p", "late", 8)), 8, false, false));
+		awaitExecutor();
+		assertThat(this.receivedKeys).isEmpty();
+	}
+
 	private final class RecordingListener implements TableFollower.Listener {
 
 		@Override
