--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -150,8 +150,8 @@
 				this::ownershipChanged);
 		this.activation = new QueueActivation(System::nanoTime, this.queueManager::isActive,
 				this.queueManager::activate, this::claimQueue);
-		this.eventDelivery = new EventDelivery(this.rackManager, this.queueManager, this.peers, this.network,
-				this.control);
+		this.eventDelivery = new EventDelivery(this.rackManager, this.queueManager, this.peers,
+				(peer, events) -> this.network.request(peer, events, EventDelivery.PEER_TIMEOUT), this.control);
 		this.requestHandler = new SchedulerRequestHandler(this.rackManager, this.queueManager, this.control, time);
 		CellStatusCollector collector = new CellStatusCollector(this.session, this.rackManager::summaries, settings,
 				this.queueManager, this.tracker, this.control, this.peers, this.network);
