Keep what is known of the other hosts when their list is followed again

A host that owned the pool a second time, or lost the history of the host table, had no ready standby for the first 3 s, did not hear that the process of another host had restarted meanwhile, and could take the rows that its former follower delivered late for restarts.

Following again did not close the former follower; two then fed the same registry for good.

--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/HostRegistry.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.platform.ExecutorCallback;
 import org.monsoonrelay.logic.platform.Json;
@@ -70,9 +72,11 @@
 	}
 
 	/**
-	 * Start following the rows of the other hosts.
+	 * Start following the rows of the other hosts. Replaces an earlier follower.
 	 */
 	void follow() {
+		close();
+		this.hasInitialSnapshot = false;
 		TableFollower next = new TableFollower(this.table, JobTables.HOSTS, List.of(""), POLL_INTERVAL, this.control,
 				this);
 		this.follower = Optional.of(next);
@@ -146,7 +150,8 @@
 
 	@Override
 	public void snapshot(String partition, List<TableRow> rows) {
-		this.hosts.keySet().retainAll(List.of(this.self.host()));
+		Set<String> registered = rows.stream().map(TableRow::key).collect(Collectors.toSet());
+		this.hosts.keySet().removeIf((host) -> !host.equals(this.self.host()) && !registered.contains(host));
 		changed(rows);
 		this.hasInitialSnapshot = true;
 	}
