Ignore the racks that a replaced scheduler session announces late

After a scheduler had restarted, a last announcement of its former session could bring that session back as the owner of its racks. Requests for these racks then found no address, and the racks counted as known and reported: a new queue owner could start to place tasks before any owner had told what runs there. Nothing removed the entry until the rack had an owner of a later epoch.

The directory of peers ignored such an announcement, but its racks were entered all the same. Announcements now go through PeerAnnouncements, which applies one of a replaced session to neither directory.

--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerDirectory.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/PeerDirectory.java
@@ -35,7 +35,7 @@
 	 */
 	List<String> announcementReceived(Announcement announcement, long nowNanos) {
 		String session = announcement.getSession();
-		if (this.replacedSessions.contains(session)) {
+		if (isReplaced(session)) {
 			return List.of();
 		}
 		List<String> endedSessions = this.bySession.entrySet()
@@ -50,6 +50,15 @@
 		return endedSessions;
 	}
 
+	/**
+	 * Return whether a restarted process has replaced a session.
+	 * @param session the session
+	 * @return {@code true} if its announcements are ignored
+	 */
+	boolean isReplaced(String session) {
+		return this.replacedSessions.contains(session);
+	}
+
 	/**
 	 * Remove the peers whose last announcement is older than the expiry time.
 	 * @param nowNanos the current monotonic time, in nanoseconds
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -99,6 +99,8 @@
 
 	private final RackDirectory racks;
 
+	private final PeerAnnouncements announcements;
+
 	private final RackManager rackManager;
 
 	private final QueueManager queueManager;
@@ -135,6 +137,7 @@
 		this.follower = new ControlFollower(this.controlLog, this.tracker);
 		this.peers = new PeerDirectory(Duration.ofMillis(settings.sessionLapseMillis()).toNanos());
 		this.racks = new RackDirectory(RandomSource.XO_RO_SHI_RO_128_PP.create());
+		this.announcements = new PeerAnnouncements(this.peers, this.racks);
 		this.rackManager = new RackManager(new HttpWorkerAgents(WORKER_TIMEOUT), this.control, time, System::nanoTime,
 				Duration.ofMillis(settings.workerLeaseMillis()));
 		PeerIdentity self = new PeerIdentity(this.session, ROLE, settings.node().failureDomain(),
@@ -196,7 +199,7 @@
 		this.hostListFollower.poll(this.network, this.settings.node().peerAddresses());
 		this.ownership.runRound(requiredOwners());
 		this.jobRowBudget.setRowsPerSecond(Math.max(1, JOB_ROWS_PER_SECOND / this.ownership.liveCount()));
-		this.peers.removeUnresponsive(System.nanoTime()).forEach(this.racks::removeSession);
+		this.announcements.removeUnresponsive(System.nanoTime());
 		this.racks.update(this.session, this.rackManager.summaries());
 		this.queueManager.setDependenciesSatisfiedElsewhere(this.peers.satisfiedDependencies());
 		this.rackManager.sendHeartbeats();
@@ -301,7 +304,7 @@
 		if (request.hasAnnouncement()) {
 			Announcement announcement = request.getAnnouncement();
 			this.follower.handleAnnouncement(this.network, from.address(), announcement.getVersion());
-			this.control.execute(() -> announcementReceived(announcement));
+			this.control.execute(() -> this.announcements.received(announcement, System.nanoTime()));
 		}
 		if (request.hasHostsRequest()) {
 			return CompletableFuture.completedFuture(this.hostListFollower.createReply(request.getHostsRequest()));
@@ -312,13 +315,6 @@
 		return this.requestHandler.handle(request);
 	}
 
-	private void announcementReceived(Announcement announcement) {
-		this.peers.announcementReceived(announcement, System.nanoTime()).forEach(this.racks::removeSession);
-		if (announcement.getRole().equals(ROLE)) {
-			this.racks.update(announcement.getSession(), PeerCodec.decodeSummaries(announcement.getRacksList()));
-		}
-	}
-
 	/**
 	 * Release the session and close. Tasks on workers continue under the next owner.
 	 */
