Count no failed probe that was sent before the table's last response

A gateway could report that jobs cannot be stored, and refuse callers, right after the table had answered it: two probes that it had sent during a silence before, and that were given up only now, made it unavailable until the next response.

A failed probe did not say which probe it was. It now carries the time at which it was sent and is ignored if a response has been recorded since.

Before, with the time passed but not used: StorageAvailabilityMonitorTests.ignoresTheFailureOfProbesThatWereSentBeforeA LaterResponse "Expecting value to be true but was false".

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -150,9 +150,10 @@
 
 	// No such row exists, so that the answer is small.
 	private void probeTable() {
+		long sentNanos = System.nanoTime();
 		this.table.read(JobTables.HOSTS, "", AFTER_LAST_HOST, 1).whenComplete((page, failure) -> {
 			if (failure != null) {
-				this.storage.recordFailedProbe();
+				this.storage.recordFailedProbe(sentNanos);
 			}
 		});
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/StorageAvailabilityMonitor.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/StorageAvailabilityMonitor.java
@@ -61,7 +61,7 @@
 	/**
 	 * Create a monitor. Storage initially counts as available.
 	 * @param probe starts a small read of the table; its result is reported to
-	 * {@link #recordResponse()} or {@link #recordFailedProbe()}
+	 * {@link #recordResponse()} or {@link #recordFailedProbe(long)}
 	 * @param nanoTime the monotonic clock, nanoseconds
 	 * @param log receives changes of the availability
 	 */
@@ -87,9 +87,14 @@
 	}
 
 	/**
-	 * Record a probe that was rejected or aborted.
+	 * Record a probe that was rejected or aborted. Ignored if a response was recorded
+	 * after the probe had been sent.
+	 * @param sentNanos the time at which the probe was sent, nanoseconds
 	 */
-	public synchronized void recordFailedProbe() {
+	public synchronized void recordFailedProbe(long sentNanos) {
+		if (sentNanos - this.lastResponseNanos < 0) {
+			return;
+		}
 		this.failedProbes++;
 		updateAvailability();
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/StorageAvailabilityMonitorTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/StorageAvailabilityMonitorTests.java
@@ -20,7 +20,11 @@
 	private int probes;
 
 	private final StorageAvailabilityMonitor monitor = new StorageAvailabilityMonitor(() -> this.probes++,
-			() -> TimeUnit.MILLISECONDS.toNanos(this.nowMillis), this.decisions::add);
+			this::nowNanos, this.decisions::add);
+
+	private long nowNanos() {
+		return TimeUnit.MILLISECONDS.toNanos(this.nowMillis);
+	}
 
 	private void runFor(long millis, Runnable each) {
 		for (long end = this.nowMillis + millis; this.nowMillis < end;) {
@@ -65,10 +69,21 @@
 	void detectsRejectedProbesWithoutWaitingForATimeout() {
 		runFor(StorageAvailabilityMonitor.PROBE_AFTER_SILENCE_MILLIS + CHECK_INTERVAL_MILLIS, () -> {
 		});
-		this.monitor.recordFailedProbe();
+		this.monitor.recordFailedProbe(nowNanos());
 		assertThat(this.monitor.isAvailable()).isTrue();
-		this.monitor.recordFailedProbe();
+		this.monitor.recordFailedProbe(nowNanos());
 		assertThat(this.monitor.isAvailable()).isFalse();
 	}
 
+	@Test
+	void ignoresTheFailureOfProbesThatWereSentBeforeALaterResponse() {
+		runFor(StorageAvailabilityMonitor.PROBE_AFTER_SILENCE_MILLIS + CHECK_INTERVAL_MILLIS, () -> {
+		});
+		long sentNanos = nowNanos();
+		runFor(CHECK_INTERVAL_MILLIS, this.monitor::recordResponse);
+		this.monitor.recordFailedProbe(sentNanos);
+		this.monitor.recordFailedProbe(sentNanos);
+		assertThat(this.monitor.isAvailable()).isTrue();
+	}
+
 }
