--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/QueueManager.java
@@ -16,7 +16,6 @@
 
 import org.monsoonrelay.logic.control.ActiveControlState;
 import org.monsoonrelay.logic.placement.AttemptEvent;
-import org.monsoonrelay.logic.placement.AttemptEventKind;
 import org.monsoonrelay.logic.platform.HostList;
 import org.monsoonrelay.model.job.AttemptId;
 import org.monsoonrelay.model.job.Job;
@@ -208,15 +207,16 @@
 	}
 
 	private void load(String team, TeamQueue queue, JobId id) {
-		this.store.load(id).whenCompleteAsync((record, failure) -> {
+		this.store.load(id).whenCompleteAsync((stored, failure) -> {
 			queue.loadingJobs().remove(id);
 			Workload workload = this.declaredWorkloads.get(id);
 			if (this.queues.get(team) != queue || workload == null) {
 				return;
 			}
 			if (failure == null) {
-				if (!releaseIfSuperseded(team, queue, record.queueEpoch())) {
-					add(queue, workload, record);
+				if (!releaseIfSuperseded(team, queue, stored.record().queueEpoch())) {
+					this.store.adopt(id, stored);
+					add(queue, workload, stored.record());
 				}
 			}
 			else if (!workload.once() && queue.isDeclaredAfterLoad(id)) {
@@ -317,8 +317,8 @@
 			return;
 		}
 		boolean isInherited = event.attempt().queueEpoch() < queue.epoch();
-		if (isInherited && event.kind() == AttemptEventKind.RUNNING && !job.isFinal()) {
-			this.store.enqueueUnlessWritten(job);
+		if (isInherited && this.store.mustWriteBefore(job, event)) {
+			return;
 		}
 		applyEvent(job, event, isStopRequested, () -> acknowledge.accept(event));
 	}
@@ -354,7 +354,7 @@
 
 	private void acknowledgeWhenDurable(Job job, boolean changed, Runnable acknowledge) {
 		job.recordFinish(this.clock.instant());
-		if (changed || this.store.isPending(job.id())) {
+		if (changed || this.store.isPending(job)) {
 			this.store.enqueue(job, acknowledge);
 		}
 		else {
