Tell reserved capacity and kept-apart tasks from a lack of capacity

CAPACITY_RESERVED is a reason of its own, and CRASH_ISOLATION is also told if all room is on workers of isolated tasks. Only steps without a fitting worker are looked at again; no placement changes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/StepWaitReport.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/StepWaitReport.java
@@ -31,6 +31,7 @@
 			Map.entry("TICKETS_EXPIRED", "room on eligible workers, but their tickets have to be renewed"),
 			Map.entry("NO_ELIGIBLE_WORKER", "no eligible worker among those that were asked about"),
 			Map.entry(NO_CAPACITY, "no eligible worker that accepts work and has enough room"),
+			Map.entry("CAPACITY_RESERVED", "free capacity set aside or reserved for gangs"),
 			Map.entry("CRASH_ISOLATION", "room only beside other tasks that are suspected to crash their workers"));
 
 	private StepWaitReport() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PlacementContext.java
@@ -40,11 +40,23 @@
 	 * worker is kept and no isolated task of another job is on probation there
 	 */
 	boolean fits(PoolWorker worker, int count) {
-		Resources size = this.step.spec().committedSize();
-		return worker.canAccept((count == 1) ? size : size.times(count), this.nowNanos) && isWithinLimit(worker, count)
+		return hasCapacity(worker, count)
 				&& !worker.suspectedRuns().hasIsolatedOnProbationOfAnother(this.step.key().job());
 	}
 
+	/**
+	 * Whether a worker has capacity for tasks of the step, regardless of what else it
+	 * runs.
+	 * @param worker the worker
+	 * @param count the number of tasks
+	 * @return {@code true} if there is enough free capacity and the limit of tasks per
+	 * worker is kept
+	 */
+	boolean hasCapacity(PoolWorker worker, int count) {
+		Resources size = this.step.spec().committedSize();
+		return worker.canAccept((count == 1) ? size : size.times(count), this.nowNanos) && isWithinLimit(worker, count);
+	}
+
 	private boolean isWithinLimit(PoolWorker worker, int count) {
 		int limit = this.step.spec().maximumPerWorker();
 		return limit == 0 || worker.runCountOf(this.step.key()) + count <= limit;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitDiagnosis.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitDiagnosis.java
@@ -36,7 +36,19 @@
 		if (!usable.isEmpty()) {
 			return WaitReason.CRASH_ISOLATION;
 		}
-		return fitting.isEmpty() ? reasonWithoutCapacity(context) : WaitReason.TICKETS_EXPIRED;
+		return fitting.isEmpty() ? reasonWithoutFittingWorker(context) : WaitReason.TICKETS_EXPIRED;
+	}
+
+	private WaitReason reasonWithoutFittingWorker(PlacementContext context) {
+		List<PoolWorker> withCapacity = this.search.eligible(context)
+			.stream()
+			.filter((worker) -> context.matches(worker) && context.hasCapacity(worker, 1))
+			.toList();
+		if (withCapacity.isEmpty()) {
+			return reasonWithoutCapacity(context);
+		}
+		return withCapacity.stream().anyMatch((worker) -> context.fits(worker, 1)) ? WaitReason.CAPACITY_RESERVED
+				: WaitReason.CRASH_ISOLATION;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
@@ -39,6 +39,9 @@
 	/** The eligible workers accept no work or have too little free capacity. */
 	NO_CAPACITY,
 
+	/** Free capacity is set aside or reserved for gangs. */
+	CAPACITY_RESERVED,
+
 	/** Tasks that are suspected to crash their workers have just been started. */
 	CRASH_ISOLATION
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -15,6 +16,8 @@
  */
 class WaitReporterTests {
 
+	private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
+
 	private final SimulatedCell cell = new SimulatedCell();
 
 	private List<JobDecision.StepWaiting> linesOf(String job) {
@@ -86,9 +89,44 @@
 		this.cell.submit("a", SimulatedCell.step(1, false));
 		this.cell.time.runFor(500);
 		owner.tableClient.setDisconnected(true);
-		owner.workerClient.disconnect(this.cell.workers.workerRunning(new TaskKey("a", 0, 0, 0)));
+		owner.workerClient.disconnect(this.cell.workers.workerRunning(TASK));
 		this.cell.time.runFor(12_000);
 		assertThat(linesOf("a")).extracting(JobDecision.StepWaiting::reason).contains("RECORDS_NOT_DURABLE");
 	}
 
+	@Test
+	void logsThatCapacityIsReservedForAGang() {
+		this.cell.withRunMillis(6000);
+		startOwner(2);
+		this.cell.submit("busy", SimulatedCell.step(4, false));
+		this.cell.time.runFor(200);
+		this.cell.submit("gang", SimulatedCell.step(8, true));
+		this.cell.time.runFor(200);
+		this.cell.submit("a", longStep());
+		this.cell.time.runFor(2000);
+		assertThat(linesOf("gang")).extracting(JobDecision.StepWaiting::reason).contains("NO_CAPACITY");
+		assertThat(linesOf("a")).extracting(JobDecision.StepWaiting::reason).contains("CAPACITY_RESERVED");
+	}
+
+	// With so much slack that it leaves the capacity to the gang.
+	private static StepSpec longStep() {
+		return new StepSpec(1, SimulatedCell.TASK, 20_000, List.of(), false, false, "", "", 0, false, false, false,
+				false);
+	}
+
+	@Test
+	void logsThatAnotherSuspectedTaskHasJustBeenStarted() {
+		new CrashingTasks(this.cell, (task) -> this.cell.workers.startCount(task) <= 2);
+		this.cell.withRunMillis(20_000);
+		startOwner(6);
+		this.cell.submit("a", SimulatedCell.step(1, false));
+		this.cell.submit("b", SimulatedCell.step(1, false));
+		for (int millis = 0; millis < 20_000 && this.cell.workers.startCount(TASK) < 3; millis++) {
+			this.cell.time.runFor(1);
+		}
+		this.cell.owner().workerClient.disconnect(this.cell.workers.workerRunning(TASK));
+		this.cell.time.runFor(3000);
+		assertThat(linesOf("b")).extracting(JobDecision.StepWaiting::reason).contains("CRASH_ISOLATION");
+	}
+
 }
