--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,6 +32,8 @@
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.QueuePolicy;
 import org.monsoonrelay.model.submission.QueueRoute;
+import org.monsoonrelay.model.submission.StepKey;
+import org.monsoonrelay.model.submission.StepRecord;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
@@ -85,6 +88,10 @@
 
 	private boolean needsEligibility;
 
+	private double eligibleShare = 1;
+
+	private long eligibilityMillis;
+
 	SimulatedCell withRunMillis(long millis) {
 		return withRunMillis((task) -> millis);
 	}
@@ -106,6 +113,40 @@
 		return this;
 	}
 
+	/**
+	 * Makes all jobs need eligibility.
+	 * @param share share of the workers that may run a step
+	 * @param millis duration of an eligibility request, milliseconds
+	 * @return this cell
+	 */
+	SimulatedCell withEligibility(double share, long millis) {
+		this.eligibleShare = share;
+		this.eligibilityMillis = millis;
+		return withEligibility();
+	}
+
+	/**
+	 * Returns whether a worker may run a step, which follows from their names.
+	 * @param step the step
+	 * @param worker the worker's id
+	 * @return {@code true} if it may
+	 */
+	boolean isEligible(StepKey step, String worker) {
+		return new Random((step + worker).hashCode() * 2_654_435_761L).nextDouble() < this.eligibleShare;
+	}
+
+	private CompletableFuture<Map<String, String>> requestTickets(StepKey step, List<String> ids) {
+		Map<String, String> tickets = ids.stream()
+			.filter((id) -> isEligible(step, id))
+			.collect(Collectors.toMap((id) -> id, this.workers::ticket));
+		if (this.eligibilityMillis == 0) {
+			return CompletableFuture.completedFuture(tickets);
+		}
+		CompletableFuture<Map<String, String>> reply = new CompletableFuture<>();
+		this.time.schedule((Runnable) () -> reply.complete(tickets), this.eligibilityMillis, TimeUnit.MILLISECONDS);
+		return reply;
+	}
+
 	Scheduler addScheduler() {
 		return addScheduler("first");
 	}
@@ -193,6 +234,26 @@
 		return value.isEmpty() ? SubmissionState.QUEUED : Json.read(value, JobProgress.class).state();
 	}
 
+	/**
+	 * Returns how many steps of a job are complete, of those that depend on one another
+	 * in their order.
+	 * @param id the job's id
+	 * @return the number of the first step that is not complete
+	 */
+	int completedSteps(String id) {
+		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, id);
+		Map<String, StepRecord> saved = value.isEmpty() ? Map.of() : Json.read(value, JobProgress.class).steps();
+		List<StepSpec> steps = Json
+			.read(this.table.value(JobTables.JOBS, JobTables.partition(id), id), Submission.class)
+			.steps();
+		int step = 0;
+		while (step < steps.size() - 1 && saved.containsKey("0." + step)
+				&& saved.get("0." + step).done().size() >= steps.get(step).completionCount()) {
+			step++;
+		}
+		return step;
+	}
+
 	/** Records the decisions and measurements of one process. */
 	private final class Log implements DecisionLog {
 
@@ -241,10 +302,9 @@
 		private boolean killed;
 
 		Scheduler(String name, String incarnation, double processors) {
-			EligibilityClient all = (host, step, ids, timeout) -> CompletableFuture.completedFuture(
-					ids.stream().collect(Collectors.toMap((id) -> id, SimulatedCell.this.workers::ticket)));
+			EligibilityClient service = (host, step, ids, timeout) -> requestTickets(step, ids);
 			ScheduledExecutorService control = this.process.executor();
-			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, all, control,
+			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, service, control,
 					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable);
 			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable);
 			control.schedule(this.jobs::start, STANDBY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
@@ -259,7 +319,7 @@
 		private Runnable followLists(PoolOwner owner) {
 			owner.configure(new QueueConfiguration(1, List.of(new QueueRoute("h", "/", 3000, policy(3))),
 					List.of(new WorkerService("salon", false))));
-			owner.updateHosts(List.of("s0"));
+			owner.updateHosts(List.of("s0", "s1", "s2", "s3"));
 			AtomicBoolean isOpen = new AtomicBoolean(true);
 			refreshWorkers(owner, isOpen);
 			return () -> isOpen.set(false);
