Tell how old the configuration is by which a request is routed

Callers were answered by an older configuration than allowed, and no line told how long ago the table had confirmed it. A host knows that time now: an answer confirms everything up to its composition, at the latest when it was due. It stands in ConfigurationInForce (with the row's version and how it came), RequestRefused, SubmissionAnswered, in the outage of the table and as a gauge. Lines name the version by which a request was routed, not the one in force when they are written.

No logic is changed.

--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionMetricsTests.java
@@ -92,8 +92,8 @@
 	@Test
 	void countRefusalsByReasonWithALimitedNumberOfNames() {
 		for (int i = 0; i < 1000; i++) {
-			this.log.write(new JobDecision.RequestRefused("a", "no such queue", 1));
-			this.log.write(new JobDecision.RequestRefused("a", "body: '" + i + "'", 1));
+			this.log.write(new JobDecision.RequestRefused("a", "no such queue", 1, 0));
+			this.log.write(new JobDecision.RequestRefused("a", "body: '" + i + "'", 1, 0));
 		}
 		assertThat(count("refusals.reason.no_such_queue")).isEqualTo(1000);
 		assertThat(count("refusals.reason.other")).isEqualTo(1000 - 23);
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/logging/DecisionWriterTests.java
@@ -47,7 +47,7 @@
 		for (int i = 0; i < 1000; i++) {
 			this.writer.write(new JobDecision.WriteRelayed("a", "h", "ACCEPTED", i));
 		}
-		this.writer.write(new JobDecision.RequestRefused("b", "no such queue", 1));
+		this.writer.write(new JobDecision.RequestRefused("b", "no such queue", 1, 0));
 		this.writer.flush();
 		assertThat(lines()).hasSize(151);
 		assertThat(lines().get(149)).contains("RequestRefused");
@@ -61,7 +61,7 @@
 			this.writer.write(new JobDecision.WriteRelayed("a", "h", "ACCEPTED", i));
 		}
 		for (int i = 0; i < 100; i++) {
-			this.writer.write(new JobDecision.RequestRefused("b", "no such queue", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "no such queue", i, 0));
 		}
 		this.writer.flush();
 		assertThat(lines()).filteredOn((line) -> line.contains("\"event\":\"RequestRefused\"")).hasSize(100);
@@ -71,7 +71,7 @@
 	@Test
 	void eachEventHasGuaranteedLinesHoweverManyOutcomesThereAre() {
 		for (int i = 0; i < 1000; i++) {
-			this.writer.write(new JobDecision.RequestRefused("b", "no such queue", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "no such queue", i, 0));
 		}
 		for (int i = 0; i < 100; i++) {
 			this.writer.write(new JobDecision.WriteRelayed("a", "h", "ACCEPTED", i));
@@ -83,10 +83,10 @@
 	@Test
 	void omittedLinesAreReportedOnce() {
 		for (int i = 0; i < 200; i++) {
-			this.writer.write(new JobDecision.RequestRefused("b", "r", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "r", i, 0));
 		}
 		this.writer.flush();
-		this.writer.write(new JobDecision.RequestRefused("b", "r", 200));
+		this.writer.write(new JobDecision.RequestRefused("b", "r", 200, 0));
 		this.writer.flush();
 		assertThat(lines()).filteredOn((line) -> line.contains("LinesLeftOut")).hasSize(1);
 	}
@@ -94,7 +94,7 @@
 	@Test
 	void aFullBufferDoesNotBlockTheCaller() {
 		for (int i = 0; i < 5000; i++) {
-			this.writer.write(new JobDecision.RequestRefused("b", "r", i));
+			this.writer.write(new JobDecision.RequestRefused("b", "r", i, 0));
 		}
 		this.writer.flush();
 		assertThat(lines().get(lines().size() - 1))
@@ -116,7 +116,7 @@
 			}
 		}, () -> 1);
 		for (int i = 0; i < 30; i++) {
-			blockWriter.write(new JobDecision.RequestRefused("x".repeat(500), "r", i));
+			blockWriter.write(new JobDecision.RequestRefused("x".repeat(500), "r", i, 0));
 		}
 		blockWriter.flush();
 		assertThat(blocks).hasSizeGreaterThan(3).allMatch((block) -> block.length() <= 4096 && block.endsWith("\n"));
@@ -131,9 +131,9 @@
 				throw new IOException("closed");
 			}
 		}, () -> 1);
-		writerWithoutReader.write(new JobDecision.RequestRefused("b", "r", 1));
+		writerWithoutReader.write(new JobDecision.RequestRefused("b", "r", 1, 0));
 		writerWithoutReader.flush();
-		writerWithoutReader.write(new JobDecision.RequestRefused("b", "r", 2));
+		writerWithoutReader.write(new JobDecision.RequestRefused("b", "r", 2, 0));
 		writerWithoutReader.close();
 	}
 
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -122,7 +122,8 @@
 				this::stateReadInterval, this.timer, jobStates);
 		this.service = new SubmissionService(this.table, jobStates, this.ownerLink, this.ownerLink, this.storage,
 				this.timer, System::nanoTime);
-		JobRoutes routes = new JobRoutes(configuration::activeConfiguration, this.service, PoolClock.SYSTEM, log,
+		metrics.gauge("configuration.age.millis", () -> () -> configuration.knownConfiguration().ageMillis());
+		JobRoutes routes = new JobRoutes(configuration::knownConfiguration, this.service, PoolClock.SYSTEM, log,
 				metrics);
 		this.callers = new HttpServer(required(settings.callerAddress(), "callers"), MAXIMUM_BODY_BYTES,
 				(application) -> {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -27,9 +27,11 @@
 	 * @param outcome outcome returned to the caller
 	 * @param tookMillis time to the answer
 	 * @param configurationVersion version of the configuration that defines the queue
+	 * @param configurationAgeMillis time since the table had confirmed that version when
+	 * the request was routed
 	 */
-	record SubmissionAnswered(String job, String queue, String outcome, long tookMillis,
-			long configurationVersion) implements JobDecision {
+	record SubmissionAnswered(String job, String queue, String outcome, long tookMillis, long configurationVersion,
+			long configurationAgeMillis) implements JobDecision {
 
 		@Override
 		public boolean reportsFinalOutcome() {
@@ -43,9 +45,13 @@
 	 *
 	 * @param request id of the job, or path of the request
 	 * @param reason reason for the refusal
-	 * @param configurationVersion version of the configuration in force
+	 * @param configurationVersion version of the configuration by which the request was
+	 * routed
+	 * @param configurationAgeMillis time since the table had confirmed that version when
+	 * the request was routed, -1 if there was none
 	 */
-	record RequestRefused(String request, String reason, long configurationVersion) implements JobDecision {
+	record RequestRefused(String request, String reason, long configurationVersion,
+			long configurationAgeMillis) implements JobDecision {
 
 		@Override
 		public boolean reportsFinalOutcome() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/ProcessDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/ProcessDecision.java
@@ -63,7 +63,7 @@
 	 * A dependency is available again.
 	 *
 	 * @param dependency name of the dependency
-	 * @param outageMillis duration of the outage
+	 * @param outageMillis duration of the outage, -1 if it is not measured
 	 */
 	record DependencyBack(String dependency, long outageMillis) implements ProcessDecision {
 
@@ -87,8 +87,24 @@
 	 * @param version its version
 	 * @param previousVersion version of the previous configuration
 	 * @param queues number of queues
+	 * @param rowVersion version of its row in the table
+	 * @param source how it was received
+	 * @param sinceConfirmedMillis time since the table last confirmed the previous
+	 * version, within which this one was written; -1 for the first one
 	 */
-	record ConfigurationInForce(long version, long previousVersion, int queues) implements ProcessDecision {
+	record ConfigurationInForce(long version, long previousVersion, int queues, long rowVersion, Source source,
+			long sinceConfirmedMillis) implements ProcessDecision {
+
+		/** How a configuration was received. */
+		public enum Source {
+
+			/** By the change feed. */
+			FEED,
+
+			/** By a read of the whole partition. */
+			READ
+
+		}
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -174,6 +174,7 @@
 		if (this.closed || ofGeneration != this.loadGeneration) {
 			return;
 		}
+		this.listener.onCallSent(Duration.ZERO);
 		read(partition, "", new PartitionRows(new ArrayList<>(), Long.MAX_VALUE))
 			.whenComplete(ExecutorCallback.on(this.executor, (loaded, failure) -> {
 				if (this.closed || ofGeneration != this.loadGeneration) {
@@ -197,6 +198,7 @@
 					return;
 				}
 				this.listener.snapshot(partition, loaded.rows());
+				this.listener.onAnswerDelivered();
 				if (isFirst) {
 					follow();
 				}
@@ -215,28 +217,30 @@
 	}
 
 	private void follow() {
-		poll(() -> this.table.changes(this.name, this.version, Duration.ofMillis(WAIT_MILLIS)));
+		Duration wait = Duration.ofMillis(WAIT_MILLIS);
+		poll(wait, () -> this.table.changes(this.name, this.version, wait));
 	}
 
 	private void followAfterPause() {
 		if (this.latestOnly) {
-			poll(this::latest);
+			poll(Duration.ZERO, this::latest);
 		}
 		else {
 			follow();
 		}
 	}
 
-	private void poll(Supplier<CompletableFuture<TableChanges>> call) {
+	private void poll(Duration wait, Supplier<CompletableFuture<TableChanges>> call) {
 		if (this.closed) {
 			return;
 		}
+		this.listener.onCallSent(wait);
 		call.get().whenComplete(ExecutorCallback.on(this.executor, (changes, failure) -> {
 			if (this.closed) {
 				return;
 			}
 			if (failure != null) {
-				handleFailure(failure, () -> poll(call));
+				handleFailure(failure, () -> poll(wait, call));
 				return;
 			}
 			handleResponse();
@@ -266,6 +270,7 @@
 		}
 		this.version = Math.max(this.version, changes.version());
 		if (changes.rows().isEmpty()) {
+			this.listener.onAnswerDelivered();
 			follow();
 			return;
 		}
@@ -276,6 +281,7 @@
 			follow();
 			return;
 		}
+		this.listener.onAnswerDelivered();
 		this.pause = this.executor.schedule(this::followAfterPause, this.minimumInterval.get().toMillis(),
 				TimeUnit.MILLISECONDS);
 	}
@@ -318,6 +324,20 @@
 		 */
 		void changed(List<TableRow> rows);
 
+		/**
+		 * A call is sent whose answer contains all changes up to its composition.
+		 * Followers of several partitions have several such calls in flight.
+		 * @param wait the longest time for which the table holds the answer back
+		 */
+		default void onCallSent(Duration wait) {
+		}
+
+		/**
+		 * Everything up to the composition of an answer has been delivered.
+		 */
+		default void onAnswerDelivered() {
+		}
+
 		/**
 		 * Calls started to fail.
 		 * @param failure the first failure
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -106,7 +106,7 @@
 		this.settings = settings;
 		this.unreadable = unreadable;
 		this.configuration = new ConfigurationFollower(table, this.control, log, this::configurationChanged,
-				this.unreadable);
+				this.unreadable, System::nanoTime);
 		this.self = new HostRecord(settings.host(), settings.failureDomain(), self.address().toString(), self.session(),
 				settings.processors(), settings.linkMbps(), false);
 		this.registry = new HostRegistry(table, this.control, this.self, new HostListener(), unreadable);
