Show that silent connections keep a configuration change from coming into force

Callers got 404 for an added route and a count for a dropped one for up to 5.1 s after the change was confirmed. JsonHttpClientTests shows the cause on one client: an exchange that times out leaves the other idle connections in the pool, though they are as silent.

--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -230,6 +230,29 @@
 			}
 		}
 
+		// Connections may go silent for good without being closed, all at once.
+		@Test
+		void byTimeoutPreventsReuseOfConnectionsThatWereIdleSinceBeforeItsRequest() throws IOException {
+			CountDownLatch bothReceived = new CountDownLatch(2);
+			try (RawServer server = new RawServer((connection) -> {
+				connection.read();
+				if (connection.number() > 2) {
+					connection.write(RawServer.answer("new"));
+					return;
+				}
+				bothReceived.countDown();
+				await(bothReceived);
+				connection.write(RawServer.answer("old"));
+				connection.read();
+				connection.read();
+			})) {
+				List.of(post(server, "", LONG_TIMEOUT), post(server, "", LONG_TIMEOUT))
+					.forEach(CompletableFuture::join);
+				assertThat(failure(post(server, "", SHORT_TIMEOUT)).mayHaveTakenEffect()).isTrue();
+				assertThat(post(server, "", LONG_TIMEOUT).join().body()).isEqualTo("new");
+			}
+		}
+
 		@Test
 		void isAvoidedByClosingAConnectionWithAnUnsolicitedResponse() throws IOException {
 			CountDownLatch closedAfterUnsolicited = new CountDownLatch(1);
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -43,10 +43,14 @@
 	private static final int REMAINING_MILLIS = 600_000;
 
 	private static final String CONFIGURATION = """
-			{"version": 1, "services": [{"name": "soak", "enforces_capacity": false}],
+			{"version": %d, "services": [{"name": "soak", "enforces_capacity": false}],
 			 "routes": [{"name": "soak", "host": "soak", "path_prefix": "/soak/", "timeout_ms": 3000,
 			  "target_latency_ms": 1000, "priority": 0, "service": "soak", "max_attempts": 3, "slack_factor": 2,
-			  "advice": {"decide_ms": 1, "period_ms": 0.1, "valid_ms": 2000}}]}""";
+			  "advice": {"decide_ms": 1, "period_ms": 0.1, "valid_ms": 2000}}%s]}""";
+
+	private static final String ADDED_ROUTE = """
+			, {"name": "added-%1$d", "host": "soak", "path_prefix": "/added-%1$d/", "timeout_ms": 3000,
+			  "target_latency_ms": 1000, "priority": 0, "service": "soak", "max_attempts": 3, "slack_factor": 2}""";
 
 	private final TableFake table = new TableFake();
 
@@ -62,6 +66,8 @@
 
 	private final PathCuts cuts = new PathCuts();
 
+	private final SilentConnections silentConnections = new SilentConnections();
+
 	private final TaskRuns runs = new TaskRuns();
 
 	private final Map<String, String> entries = new ConcurrentHashMap<>();
@@ -82,7 +88,7 @@
 		this.restartedId = restartedId;
 		this.ip = ip;
 		this.port = port;
-		put("op", "config", CONFIGURATION);
+		put("op", "config", CONFIGURATION.formatted(1, ""));
 		GangFake gangs = new GangFake(this.timer);
 		this.crashes = new WorkerCrashes(this.workers, this.timer);
 		for (int i = 0; i < workerCount; i++) {
@@ -194,6 +200,32 @@
 		put(WORKER_TABLE, id, this.entries.compute(id, (known, entry) -> entry.replace("\"ready\"", draining)));
 	}
 
+	/**
+	 * Change the configuration: the route of the previous version is dropped, a route of
+	 * the new one is added.
+	 * @param version the new version, at least 2
+	 */
+	void configure(int version) {
+		put("op", "config", CONFIGURATION.formatted(version, ADDED_ROUTE.formatted(version)));
+	}
+
+	/**
+	 * Path of the route that a version adds.
+	 * @param version the version
+	 * @return the path
+	 */
+	static String addedPath(int version) {
+		return "/added-" + version + "/";
+	}
+
+	/**
+	 * Connections of the hosts that have gone silent.
+	 * @return the connections
+	 */
+	SilentConnections silentConnections() {
+		return this.silentConnections;
+	}
+
 	private void put(String name, String key, String value) {
 		this.table.put(name, key, encode(value));
 	}
@@ -203,12 +235,20 @@
 			long arrivedNanos = System.nanoTime();
 			String host = this.hostsByPort.getOrDefault(exchange.getLocalAddress().getPort(), "");
 			String target = target(exchange);
+			if (this.silentConnections.requestArrived(exchange.getRemoteAddress())) {
+				this.silentConnections.awaitClose();
+				return;
+			}
 			boolean isCutOff = this.cuts.wasCutSince(host, target, arrivedNanos);
 			Answer answer = isCutOff ? null : answer(exchange);
 			if (this.cuts.wasCutSince(host, target, arrivedNanos)) {
 				this.cuts.awaitEnd(host, target);
 				return;
 			}
+			if (this.silentConnections.isSilent(exchange.getRemoteAddress())) {
+				this.silentConnections.awaitClose();
+				return;
+			}
 			if (answer == null) {
 				// A crashed worker: the connection is closed without a response.
 				return;
@@ -325,6 +365,7 @@
 	@Override
 	public void close() {
 		this.cuts.close();
+		this.silentConnections.close();
 		this.servers.forEach((server) -> server.stop(0));
 		this.threads.shutdownNow();
 		this.timer.shutdownNow();
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
@@ -1,15 +1,8 @@
 package org.monsoonrelay.systemtests.host;
 
-import java.io.BufferedInputStream;
-import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -29,8 +22,6 @@
 
 	private static final int UNKNOWN = 504;
 
-	private static final int TIMEOUT_MILLIS = 6000;
-
 	private static final int MOST_TRIES = 6;
 
 	private static final int LONGEST_PAUSE_MILLIS = 30;
@@ -62,9 +53,7 @@
 
 	private int host;
 
-	private Socket connection;
-
-	private InputStream answers;
+	private HostConnection connection;
 
 	SoakClient(long seed, List<SoakHost> hosts, Consumer<String> faults) {
 		this(seed, hosts, faults, new Work(JOB, LONGEST_PAUSE_MILLIS, (job) -> {
@@ -136,79 +125,34 @@
 	 * @return the answer's body, empty if none came
 	 */
 	String state(String job) {
-		Told told = ask("GET", job, "");
+		HostConnection.Response told = ask("GET", job, "");
 		if (told.code() != OK) {
 			leave();
 		}
 		return told.body();
 	}
 
-	private Told ask(String method, String job, String body) {
+	private HostConnection.Response ask(String method, String job, String body) {
 		try {
-			connect();
-			byte[] content = body.getBytes(StandardCharsets.UTF_8);
-			String head = method + " /" + PlatformFake.QUEUE + "/" + job + " HTTP/1.1\r\nHost: " + PlatformFake.QUEUE
-					+ "\r\nContent-Type: application/json\r\nContent-Length: " + content.length + "\r\n\r\n";
-			this.connection.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
-			return answer();
+			if (this.connection == null) {
+				this.connection = new HostConnection(this.hosts.get(this.host).ip());
+			}
+			HostConnection.Response response = this.connection.send(method, "/" + PlatformFake.QUEUE + "/" + job, body);
+			if (response.isLast()) {
+				leave();
+			}
+			return response;
 		}
 		catch (IOException ex) {
 			// What became of the job is not known.
-			return new Told(UNKNOWN, "");
-		}
-	}
-
-	private void connect() throws IOException {
-		if (this.connection == null) {
-			this.connection = new Socket();
-			this.connection.setSoTimeout(TIMEOUT_MILLIS);
-			this.connection.connect(new InetSocketAddress(this.hosts.get(this.host).ip(), SoakHost.CALLER_PORT),
-					TIMEOUT_MILLIS);
-			this.answers = new BufferedInputStream(this.connection.getInputStream());
+			return new HostConnection.Response(UNKNOWN, "", false);
 		}
 	}
 
-	private Told answer() throws IOException {
-		String status = line();
-		int length = 0;
-		boolean isLast = false;
-		for (String header = line(); !header.isEmpty(); header = line()) {
-			String known = header.toLowerCase(Locale.ROOT);
-			if (known.startsWith("content-length:")) {
-				length = Integer.parseInt(known.substring(known.indexOf(':') + 1).trim());
-			}
-			isLast |= known.startsWith("connection:") && known.contains("close");
-		}
-		byte[] body = this.answers.readNBytes(length);
-		if (body.length < length) {
-			throw new EOFException("an answer ended early");
-		}
-		if (isLast) {
-			leave();
-		}
-		return new Told(Integer.parseInt(status.split(" ")[1]), new String(body, StandardCharsets.UTF_8));
-	}
-
-	private String line() throws IOException {
-		StringBuilder line = new StringBuilder();
-		for (int next = this.answers.read(); next != '\n'; next = this.answers.read()) {
-			if (next < 0) {
-				throw new EOFException("the connection ended");
-			}
-			line.append((char) next);
-		}
-		return line.toString().trim();
-	}
-
 	private void leave() {
 		this.host = (this.host + 1) % this.hosts.size();
 		if (this.connection != null) {
-			try {
-				this.connection.close();
-			}
-			catch (IOException ex) {
-				// It is not used any more.
-			}
+			this.connection.close();
 			this.connection = null;
 		}
 	}
@@ -228,9 +172,4 @@
 
 	}
 
-	/** An answer. */
-	private record Told(int code, String body) {
-
-	}
-
 }
