Trust no idle connection that is older than a request that timed out

After all connections to the table had gone silent, each idle one cost a timeout of its own, one after the other, so that a configuration change came into force up to 5.1 s late; the same held for writes and for calls to workers. Clients of backend servers and peers had rules against this, the common HTTP client had none.

An exchange that times out on a reused connection now closes all connections to that address that have been idle since before its request: nothing shows that they still work. One that became idle later has carried a response meanwhile and stays. A new connection that is not answered says nothing about others, so it closes none.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnection.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnection.java
@@ -23,6 +23,8 @@
 
 	private HttpCall currentCall;
 
+	private long idleSinceNanos;
+
 	HttpConnection(HttpConnectionPool pool, Channel channel) {
 		this.pool = pool;
 		this.channel = channel;
@@ -32,6 +34,14 @@
 		return this.channel.isActive();
 	}
 
+	void becomeIdle(long nowNanos) {
+		this.idleSinceNanos = nowNanos;
+	}
+
+	long idleSinceNanos() {
+		return this.idleSinceNanos;
+	}
+
 	void send(HttpCall call) {
 		this.currentCall = call;
 		this.channel.writeAndFlush(call.createRequest()).addListener((written) -> {
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
@@ -19,9 +19,11 @@
 
 /**
  * The connections to one address, all on one event loop. The connection that became idle
- * last is reused first. The cost of a lookup does not depend on the number of connections
- * to other addresses. Thread-safe: calls are passed to the event loop, to which all other
- * state is confined.
+ * last is reused first. Connections may go silent together without being closed: if an
+ * exchange on a reused connection times out, no connection that has been idle since
+ * before its request is used again. The cost of a lookup does not depend on the number of
+ * connections to other addresses. Thread-safe: calls are passed to the event loop, to
+ * which all other state is confined.
  */
 final class HttpConnectionPool {
 
@@ -79,8 +81,13 @@
 			connection = takeIdle();
 		}
 		if (connection != null) {
-			call.startTimeout(this.loop, connection::close);
-			connection.send(call);
+			HttpConnection reused = connection;
+			long sentNanos = System.nanoTime();
+			call.startTimeout(this.loop, () -> {
+				reused.close();
+				closeIdleSinceBefore(sentNanos);
+			});
+			reused.send(call);
 			return;
 		}
 		ChannelFuture connectFuture = this.bootstrap.connect(this.address.host(), this.address.port());
@@ -88,6 +95,15 @@
 		connectFuture.addListener((done) -> onConnected(connectFuture, call));
 	}
 
+	private void closeIdleSinceBefore(long nanos) {
+		HttpConnection oldest = this.idleConnections.peekFirst();
+		while (oldest != null && oldest.idleSinceNanos() - nanos < 0) {
+			remove(oldest);
+			oldest.close();
+			oldest = this.idleConnections.peekFirst();
+		}
+	}
+
 	private HttpConnection takeIdle() {
 		HttpConnection connection = this.idleConnections.pollLast();
 		if (connection != null) {
@@ -112,6 +128,7 @@
 	 */
 	void release(HttpConnection connection) {
 		if (this.idlePermits.tryAcquire()) {
+			connection.becomeIdle(System.nanoTime());
 			this.idleConnections.addLast(connection);
 		}
 		else {
