Read changes on a new connection when the answer to a poll is overdue

A configuration change came into force late at hosts whose connections to the table had gone silent: a poll without an answer was given up after 2.3 s, longer than the 2 s in which a change has to take effect. The timeout cannot be much shorter, as the answers of a slow table take 0.6 s.

A poll that is not answered 0.3 s after the end of its wait is backed up by a read of the changes so far on a new connection; the first response counts. So one silent connection delays a change by 1.2 s and the time to connect. A refused or failed hedge does not end the poll. JsonHttpClient logs each one.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
@@ -41,6 +41,8 @@
 
 	private final Duration timeout;
 
+	private boolean needsNewConnection;
+
 	private boolean sent;
 
 	private ScheduledFuture<?> timer;
@@ -59,6 +61,19 @@
 		this.timeout = timeout;
 	}
 
+	/**
+	 * Requires a new connection, also if an idle one exists.
+	 * @return this call, which must not have been submitted
+	 */
+	HttpCall onNewConnection() {
+		this.needsNewConnection = true;
+		return this;
+	}
+
+	boolean needsNewConnection() {
+		return this.needsNewConnection;
+	}
+
 	HostAddress address() {
 		return this.address;
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
@@ -76,7 +76,7 @@
 	}
 
 	private void start(HttpCall call) {
-		HttpConnection connection = takeIdle();
+		HttpConnection connection = call.needsNewConnection() ? null : takeIdle();
 		while (connection != null && !connection.isOpen()) {
 			connection = takeIdle();
 		}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -19,13 +21,16 @@
 
 /**
  * Asynchronous HTTP client for JSON bodies, based on Netty. Invariants: no request is
- * sent twice, because a repeated write could take effect twice; a connection on which an
- * exchange timed out is not reused; a pending exchange occupies no thread, because the
- * owner of a pool always has one open exchange with each worker. Responses are completed
- * on the event loops of the connections, which must not be blocked. Thread-safe.
+ * sent twice, because a repeated write could take effect twice, unless a read is hedged;
+ * a connection on which an exchange timed out is not reused; a pending exchange occupies
+ * no thread, because the owner of a pool always has one open exchange with each worker.
+ * Responses are completed on the event loops of the connections, which must not be
+ * blocked. Thread-safe.
  */
 public final class JsonHttpClient {
 
+	private static final System.Logger LOGGER = System.getLogger(JsonHttpClient.class.getName());
+
 	private static final int NETWORK_THREADS = 2;
 
 	private static final EventLoopGroup GROUP = new NioEventLoopGroup(NETWORK_THREADS,
@@ -92,6 +97,28 @@
 		return submit(new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeoutOrDefault(timeout)));
 	}
 
+	/**
+	 * Sends a GET request, and another one on a new connection if no response arrives in
+	 * time: the connection of the first may have gone silent. The first response counts.
+	 * @param url the URL
+	 * @param timeout the maximum time of the first exchange
+	 * @param hedgeUrl the URL of the other request, which has the default timeout
+	 * @param hedgeDelay time after which the other request is sent
+	 * @return the response; fails with {@link PlatformException} if no complete response
+	 * arrives
+	 */
+	public CompletableFuture<Response> getHedged(String url, Duration timeout, String hedgeUrl, Duration hedgeDelay) {
+		HedgedExchange exchange = new HedgedExchange(get(url, timeout));
+		Future<?> timer = GROUP.next().schedule(() -> exchange.hedge(() -> {
+			LOGGER.log(System.Logger.Level.WARNING, "no answer in {0} ms, using a new connection: {1}",
+					hedgeDelay.toMillis(), url);
+			return submit(
+					new HttpCall(HttpMethod.GET, hedgeUrl, NO_BODY, Map.of(), this.callTimeout).onNewConnection());
+		}), hedgeDelay.toNanos(), TimeUnit.NANOSECONDS);
+		exchange.result().whenComplete((response, failure) -> timer.cancel(false));
+		return exchange.result();
+	}
+
 	/**
 	 * Sends a PUT request with the default timeout.
 	 * @param url the URL
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -182,6 +182,81 @@
 
 	}
 
+	@Nested
+	class AHedgedExchange {
+
+		private final String answer = RawServer.answer("hedge");
+
+		private CompletableFuture<JsonHttpClient.Response> get(RawServer server, Duration timeout, Duration delay) {
+			String url = server.address().url() + "/";
+			return JsonHttpClientTests.this.client.getHedged(url + "first", timeout, url + "second", delay);
+		}
+
+		@Test
+		void usesANewConnectionThoughAnotherIsIdle() throws IOException {
+			CountDownLatch firstReceived = new CountDownLatch(1);
+			try (RawServer server = new RawServer((connection) -> {
+				String request = connection.read();
+				if (request.startsWith("GET /first")) {
+					firstReceived.countDown();
+					connection.read();
+				}
+				connection.write(this.answer);
+				connection.read();
+			})) {
+				CompletableFuture<JsonHttpClient.Response> hedged = get(server, LONG_TIMEOUT, Duration.ofMillis(300));
+				await(firstReceived);
+				JsonHttpClientTests.this.client.get(server.address().url() + "/idle").join();
+				assertThat(hedged.join().body()).isEqualTo("hedge");
+				assertThat(server.requests()).hasSize(3);
+				assertThat(server.connections()).isEqualTo(3);
+			}
+		}
+
+		@Test
+		void sendsNothingElseIfTheFirstRequestIsAnsweredInTime() throws IOException {
+			try (RawServer server = new RawServer((connection) -> {
+				connection.read();
+				connection.write(this.answer);
+				connection.read();
+			})) {
+				assertThat(get(server, LONG_TIMEOUT, LONG_TIMEOUT).join().isSuccess()).isTrue();
+				assertThat(server.requests()).hasSize(1);
+			}
+		}
+
+		@Test
+		void returnsTheFirstResponseAlthoughTheHedgeFails() throws IOException {
+			CountDownLatch hedgeReceived = new CountDownLatch(1);
+			try (RawServer server = new RawServer((connection) -> {
+				if (connection.read().startsWith("GET /second")) {
+					connection.close();
+					hedgeReceived.countDown();
+					return;
+				}
+				await(hedgeReceived);
+				connection.write(this.answer);
+			})) {
+				assertThat(get(server, LONG_TIMEOUT, SHORT_TIMEOUT).join().isSuccess()).isTrue();
+			}
+		}
+
+		@Test
+		void failsWithTheFailureOfTheFirstRequestIfBothFail() throws IOException {
+			CountDownLatch hedgeReceived = new CountDownLatch(1);
+			try (RawServer server = new RawServer((connection) -> {
+				if (connection.read().startsWith("GET /second")) {
+					hedgeReceived.countDown();
+				}
+				await(hedgeReceived);
+				connection.close();
+			})) {
+				assertThat(failure(get(server, LONG_TIMEOUT, SHORT_TIMEOUT))).hasMessageContaining("/first");
+			}
+		}
+
+	}
+
 	@Nested
 	class AFailure {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -21,9 +21,9 @@
 public final class TableFollower {
 
 	/**
-	 * How long one call waits for a change, milliseconds. A stalled connection is
-	 * detected after this time plus the grace period of the client, well within the 2 s
-	 * in which a change has to take effect.
+	 * How long one call waits for a change, milliseconds. A silent connection is noticed
+	 * only after this time, which is part of the 2 s in which a change has to take
+	 * effect.
 	 */
 	private static final long WAIT_MILLIS = 900;
 
