Count the age of the configuration from the latest time that is certain

A host that is sent an answer with changes late, as over a link that held it up, took its configuration for newer than it was: the age counted from the end of the wait, but such an answer is composed as soon as there is a change. It could have told 404 for a route added in between. Only an empty answer is composed at the end of the wait; any other one confirms what was accepted before its call was sent. After a change the follower asks once without waiting, so that the age does not stay high: one more call for each change and host.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/FreshnessTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/FreshnessTracker.java
@@ -14,7 +14,9 @@
 
 	private final LongSupplier nanoTime;
 
-	private long answerDueNanos;
+	private long sentNanos;
+
+	private long waitEndNanos;
 
 	private volatile OptionalLong confirmedNanos = OptionalLong.empty();
 
@@ -31,17 +33,19 @@
 	 * @param wait the longest time for which the table holds the answer back
 	 */
 	public void callSent(Duration wait) {
-		this.answerDueNanos = this.nanoTime.getAsLong() + wait.toNanos();
+		this.sentNanos = this.nanoTime.getAsLong();
+		this.waitEndNanos = this.sentNanos + wait.toNanos();
 	}
 
 	/**
-	 * Record that the complete answer to the last call has been delivered. An answer that
-	 * arrives after it was due may have been held up on the way, and confirms only what
-	 * was known when it was due.
+	 * Record that the complete answer to the last call has been delivered. The table
+	 * composes an empty answer at the end of the wait. Any other one may have been
+	 * composed as soon as the call was sent, and held up on the way.
+	 * @param empty whether there was no change
 	 */
-	public void answerDelivered() {
-		long now = this.nanoTime.getAsLong();
-		this.confirmedNanos = OptionalLong.of((now - this.answerDueNanos > 0) ? this.answerDueNanos : now);
+	public void answerDelivered(boolean empty) {
+		boolean hasWaited = empty && this.nanoTime.getAsLong() - this.waitEndNanos >= 0;
+		this.confirmedNanos = OptionalLong.of(hasWaited ? this.waitEndNanos : this.sentNanos);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -63,6 +63,8 @@
 
 	private boolean latestOnly;
 
+	private boolean confirmsChanges;
+
 	/**
 	 * Create a follower.
 	 * @param table the service
@@ -113,6 +115,17 @@
 		return this;
 	}
 
+	/**
+	 * After changes, poll once without waiting, so that the listener soon learns whether
+	 * there are any others: an answer with changes may have been held up on the way. This
+	 * is one more call for each change, for tables that seldom change.
+	 * @return this follower, which must not have been started
+	 */
+	public TableFollower confirmChanges() {
+		this.confirmsChanges = true;
+		return this;
+	}
+
 	/**
 	 * Start following.
 	 */
@@ -198,7 +211,7 @@
 					return;
 				}
 				this.listener.snapshot(partition, loaded.rows());
-				this.listener.onAnswerDelivered();
+				this.listener.onAnswerDelivered(false);
 				if (isFirst) {
 					follow();
 				}
@@ -217,7 +230,10 @@
 	}
 
 	private void follow() {
-		Duration wait = Duration.ofMillis(WAIT_MILLIS);
+		pollChanges(Duration.ofMillis(WAIT_MILLIS));
+	}
+
+	private void pollChanges(Duration wait) {
 		poll(wait, () -> this.table.changes(this.name, this.version, wait));
 	}
 
@@ -225,6 +241,9 @@
 		if (this.latestOnly) {
 			poll(Duration.ZERO, this::latest);
 		}
+		else if (this.confirmsChanges) {
+			pollChanges(Duration.ZERO);
+		}
 		else {
 			follow();
 		}
@@ -270,7 +289,7 @@
 		}
 		this.version = Math.max(this.version, changes.version());
 		if (changes.rows().isEmpty()) {
-			this.listener.onAnswerDelivered();
+			this.listener.onAnswerDelivered(true);
 			follow();
 			return;
 		}
@@ -281,7 +300,7 @@
 			follow();
 			return;
 		}
-		this.listener.onAnswerDelivered();
+		this.listener.onAnswerDelivered(false);
 		this.pause = this.executor.schedule(this::followAfterPause, this.minimumInterval.get().toMillis(),
 				TimeUnit.MILLISECONDS);
 	}
@@ -334,8 +353,9 @@
 
 		/**
 		 * Everything up to the composition of an answer has been delivered.
+		 * @param empty whether there was no change
 		 */
-		default void onAnswerDelivered() {
+		default void onAnswerDelivered(boolean empty) {
 		}
 
 		/**
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
@@ -148,6 +148,25 @@
 		latest.close();
 	}
 
+	@Test
+	void asksAtOnceForOtherChangesIfChangesAreToBeConfirmed() throws Exception {
+		TableFollower confirming = new TableFollower(this.table, TABLE, List.of("p"), Duration.ZERO, this.executor,
+				new RecordingListener())
+			.confirmChanges();
+		confirming.start();
+		this.table.awaitRead();
+		this.table.answer("p", new TablePage(List.of(), false, 7));
+		this.table.awaitPoll();
+		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false, false));
+		this.table.awaitPoll();
+		this.table.answerPoll(new TableChanges(List.of(), 8, false, false));
+		this.table.awaitPoll();
+		assertThat(this.table.waits).hasSize(3)
+			.satisfies((waits) -> assertThat(waits.get(1)).isEqualTo(Duration.ZERO))
+			.satisfies((waits) -> assertThat(waits.get(2)).isEqualTo(waits.get(0)).isPositive());
+		confirming.close();
+	}
+
 	@Test
 	void deliversNothingAfterItWasClosed() throws Exception {
 		this.follower.start();
@@ -184,6 +203,10 @@
 
 		private final Semaphore startedReads = new Semaphore(0);
 
+		private final Semaphore startedPolls = new Semaphore(0);
+
+		private final List<Duration> waits = new ArrayList<>();
+
 		private CompletableFuture<TableChanges> latest = new CompletableFuture<>();
 
 		private long followedFrom = -1;
@@ -197,6 +220,10 @@
 			assertThat(this.startedReads.tryAcquire(10, TimeUnit.SECONDS)).as("a read has begun").isTrue();
 		}
 
+		void awaitPoll() throws InterruptedException {
+			assertThat(this.startedPolls.tryAcquire(10, TimeUnit.SECONDS)).as("a poll has begun").isTrue();
+		}
+
 		synchronized void answerPoll(TableChanges changes) {
 			this.latest.complete(changes);
 		}
@@ -217,7 +244,9 @@
 		@Override
 		public synchronized CompletableFuture<TableChanges> changes(String table, long after, Duration wait) {
 			this.followedFrom = after;
+			this.waits.add(wait);
 			this.latest = new CompletableFuture<>();
+			this.startedPolls.release();
 			return this.latest;
 		}
 
