--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SilentConnectionsSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SilentConnectionsSoakTests.java
@@ -21,7 +21,7 @@
 
 /**
  * Guards against changes of the configuration that come into force too late because
- * connections to the platform have gone silent. By hand with the properties of
+ * connections to the platform have gone silent; a host that says so is not late. By hand with the properties of
  * {@link HostSoakTests} and {@code -Dsoak.rounds=10}.
  */
 class SilentConnectionsSoakTests {
@@ -86,6 +86,7 @@
 			List<String> accepted = clients.stream().flatMap((client) -> client.accepted().stream()).toList();
 			accepted.forEach((job) -> Await.until("job " + job + " is completed",
 					() -> clients.get(0).state(job).contains("completed")));
+			faults.addAll(platform.runs().faults());
 			assertThat(faults).isEmpty();
 		}
 		finally {
