Let no other call run in the place of one that is cancelled while it waits

A hedged poll cancels the exchange that it does not need. If that one was still waiting for its turn, the client took a place as free that it had never had, and ran more exchanges at once than allowed, for as long as the process lived.

JsonHttpClientTests.thatIsCancelledWhileItWaits... failed before (two connections instead of one). The log of a hedge tells its delay without a thousands separator.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
@@ -43,6 +43,8 @@
 
 	private boolean needsNewConnection;
 
+	private boolean running;
+
 	private boolean sent;
 
 	private ScheduledFuture<?> timer;
@@ -74,6 +76,19 @@
 		return this.needsNewConnection;
 	}
 
+	/**
+	 * Whether it is one of the concurrent exchanges, rather than waiting to become one.
+	 * Guarded by the client.
+	 * @return {@code true} from {@link #setRunning()} on
+	 */
+	boolean isRunning() {
+		return this.running;
+	}
+
+	void setRunning() {
+		this.running = true;
+	}
+
 	HostAddress address() {
 		return this.address;
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -111,7 +111,7 @@
 		HedgedExchange exchange = new HedgedExchange(get(url, timeout));
 		Future<?> timer = GROUP.next().schedule(() -> exchange.hedge(() -> {
 			LOGGER.log(System.Logger.Level.WARNING, "no answer in {0} ms, using a new connection: {1}",
-					hedgeDelay.toMillis(), url);
+					Long.toString(hedgeDelay.toMillis()), url);
 			return submit(
 					new HttpCall(HttpMethod.GET, hedgeUrl, NO_BODY, Map.of(), this.callTimeout).onNewConnection());
 		}), hedgeDelay.toNanos(), TimeUnit.NANOSECONDS);
@@ -152,7 +152,7 @@
 	}
 
 	private CompletableFuture<Response> submit(HttpCall call) {
-		call.response().whenComplete((response, failure) -> onCompleted());
+		call.response().whenComplete((response, failure) -> onCompleted(call));
 		if (tryAcquireOrEnqueue(call)) {
 			start(call);
 		}
@@ -162,24 +162,33 @@
 	private synchronized boolean tryAcquireOrEnqueue(HttpCall call) {
 		if (this.runningCount < this.maximumCalls) {
 			this.runningCount++;
+			call.setRunning();
 			return true;
 		}
 		this.waitingCalls.add(call);
 		return false;
 	}
 
-	private void onCompleted() {
-		HttpCall next = pollNextOrRelease();
+	private void onCompleted(HttpCall call) {
+		HttpCall next = pollNextOrRelease(call);
 		if (next != null) {
 			start(next);
 		}
 	}
 
-	private synchronized HttpCall pollNextOrRelease() {
+	private synchronized HttpCall pollNextOrRelease(HttpCall completed) {
+		if (!completed.isRunning()) {
+			// Cancelled while it waited.
+			this.waitingCalls.remove(completed);
+			return null;
+		}
 		HttpCall next = this.waitingCalls.poll();
 		if (next == null) {
 			this.runningCount--;
 		}
+		else {
+			next.setRunning();
+		}
 		return next;
 	}
 
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -129,6 +129,29 @@
 			}
 		}
 
+		@Test
+		void thatIsCancelledWhileItWaitsLetsNoOtherOneRunInItsPlace() throws IOException {
+			CountDownLatch release = new CountDownLatch(1);
+			try (RawServer server = new RawServer((connection) -> {
+				while (true) {
+					connection.read();
+					await(release);
+					connection.write(RawServer.answer(""));
+				}
+			})) {
+				JsonHttpClient single = new JsonHttpClient(LONG_TIMEOUT, LONG_TIMEOUT, 1);
+				CompletableFuture<JsonHttpClient.Response> first = single.get(server.address().url());
+				CompletableFuture<JsonHttpClient.Response> cancelled = single.get(server.address().url());
+				CompletableFuture<JsonHttpClient.Response> last = single.get(server.address().url());
+				cancelled.cancel(false);
+				release.countDown();
+				first.join();
+				last.join();
+				assertThat(server.connections()).isEqualTo(1);
+				assertThat(server.requests()).hasSize(2);
+			}
+		}
+
 		@Test
 		void occupiesNoThreadWhileItIsPending() throws IOException {
 			CountDownLatch allReceived = new CountDownLatch(CONCURRENT_EXCHANGES);
