--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CutRelay.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/CutRelay.java
@@ -23,6 +23,8 @@
 
 	private final ServerSocket server;
 
+	private final HostAddress address;
+
 	private final HostAddress target;
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -41,6 +43,7 @@
 	 * @param target where to forward to
 	 */
 	public CutRelay(HostAddress address, HostAddress target) {
+		this.address = address;
 		this.target = target;
 		try {
 			this.server = new ServerSocket(address.port(), 0, InetAddress.getByName(address.host()));
@@ -51,6 +54,14 @@
 		this.threads.execute(this::accept);
 	}
 
+	/**
+	 * Where it listens.
+	 * @return the address
+	 */
+	public HostAddress address() {
+		return this.address;
+	}
+
 	/**
 	 * Let no byte pass from now on.
 	 */
