Tell a stop during the start of the virtual machine from a process that ends by itself

The soak takes just this as stopped: SIGTERM sent, code 1, and the life's output begins with that error.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
@@ -33,6 +33,11 @@
 	/** What a program that is told to stop a second time ends with. */
 	private static final int HALTED = 1;
 
+	/** What the virtual machine ends with if it is told to stop while it starts. */
+	private static final int ABORTED = 1;
+
+	private static final String ABORTED_LINE = "Error occurred during initialization of VM\njava.lang.InternalError: Bad level: ";
+
 	/** The virtual machine's exit codes for these signals. */
 	private static final int TERMINATED = 143;
 
@@ -165,8 +170,9 @@
 		int code = life.exitValue();
 		boolean isStopped = this.signals.contains("TERM") && (code == 0 || code == TERMINATED);
 		boolean isHalted = Collections.frequency(this.signals, "TERM") > 1 && code == HALTED;
+		boolean isAborted = this.signals.contains("TERM") && code == ABORTED && lifeLog().startsWith(ABORTED_LINE);
 		boolean isKilled = this.signals.contains("KILL") && code == KILLED;
-		if (!this.closed && !isStopped && !isHalted && !isKilled) {
+		if (!this.closed && !isStopped && !isHalted && !isAborted && !isKilled) {
 			this.faults.accept(this.log + ": a process ended by itself with code " + code + ", sent " + this.signals);
 		}
 		if (!this.closed) {
@@ -199,11 +205,14 @@
 	}
 
 	private boolean hasStarted() {
+		return lifeLog().contains("\"event\":\"ProcessStarted\"");
+	}
+
+	private String lifeLog() {
 		try {
 			byte[] written = Files.readAllBytes(this.log);
 			int begin = (int) this.lifeBegin;
-			return new String(written, begin, written.length - begin, StandardCharsets.UTF_8)
-				.contains("\"event\":\"ProcessStarted\"");
+			return new String(written, begin, written.length - begin, StandardCharsets.UTF_8);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
