--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/RouteProbe.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/RouteProbe.java
@@ -28,7 +28,7 @@
 
 	private volatile boolean stopping;
 
-	private int servedVersion = 1;
+	private volatile int servedVersion = 1;
 
 	RouteProbe(SoakHost host, Consumer<String> faults, Consumer<String> log) {
 		this.host = host;
@@ -44,6 +44,14 @@
 		this.change = next;
 	}
 
+	/**
+	 * The latest version whose route the host has served.
+	 * @return the version, 1 if none
+	 */
+	int servedVersion() {
+		return this.servedVersion;
+	}
+
 	void stop() {
 		this.stopping = true;
 	}
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SilentConnectionsSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SilentConnectionsSoakTests.java
@@ -83,7 +83,9 @@
 			List<Thread> threads = Stream.concat(clients.stream(), probes.stream()).map(Thread::new).toList();
 			threads.forEach(Thread::start);
 			Await.until("the first tasks have been done", () -> platform.done().size() > FIRST_TASKS);
-			changeBesideSilence(new Random(seed), platform, relay, probes);
+			int lastVersion = changeBesideSilence(new Random(seed), platform, relay, probes);
+			probes.forEach(
+					(probe) -> Await.until("the last change is served", () -> probe.servedVersion() == lastVersion));
 			clients.forEach(SoakClient::stop);
 			probes.forEach(RouteProbe::stop);
 			for (Thread thread : threads) {
@@ -107,10 +109,10 @@
 		return new CutRelay(new HostAddress(ip, target.port()), target);
 	}
 
-	private static void changeBesideSilence(Random random, PlatformFake platform, CutRelay relay,
+	private static int changeBesideSilence(Random random, PlatformFake platform, CutRelay relay,
 			List<RouteProbe> probes) {
-		int rounds = Integer.getInteger("soak.rounds", 2);
-		for (int version = 2; version < 2 + rounds; version++) {
+		int lastVersion = 1 + Integer.getInteger("soak.rounds", 2);
+		for (int version = 2; version <= lastVersion; version++) {
 			long silentNanos = System.nanoTime();
 			relay.cut();
 			relay.heal();
@@ -123,6 +125,7 @@
 			probes.forEach((probe) -> probe.expect(change));
 			pause(TimeUnit.NANOSECONDS.toMillis(dueNanos - System.nanoTime()) + WATCH_MILLIS);
 		}
+		return lastVersion;
 	}
 
 	private static void pause(long millis) {
