--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -37,6 +37,8 @@
 
 	private static final int OTHER_INSTANCE = 421;
 
+	private static final int TOO_MANY_REQUESTS = 429;
+
 	private static final String INSTANCE_HEADER = "X-Monsoonrelay-Expect-Instance";
 
 	private static final String WORKER_TABLE = "servers";
@@ -77,6 +79,8 @@
 
 	private final List<HttpServer> servers = new ArrayList<>();
 
+	private volatile boolean refusingReads;
+
 	private final String ip;
 
 	private final int port;
@@ -221,6 +225,21 @@
 		put("op", "config", CONFIGURATION.formatted(version, ADDED_ROUTE.formatted(version)));
 	}
 
+	/**
+	 * Refuse reads of the table, or answer them again.
+	 * @param refusing whether to refuse them
+	 */
+	void refuseReads(boolean refusing) {
+		this.refusingReads = refusing;
+	}
+
+	/**
+	 * Lose the table's history of changes up to now.
+	 */
+	void loseHistory() {
+		this.table.loseHistory();
+	}
+
 	/**
 	 * Path of the route that a version adds.
 	 * @param version the version
@@ -282,6 +301,9 @@
 
 	private Answer answer(HttpExchange exchange, Map<String, String> query, JsonNode body, WorkerFake worker)
 			throws InterruptedException {
+		if (this.refusingReads && exchange.getRequestMethod().equals("GET")) {
+			return new Answer(TOO_MANY_REQUESTS, Map.of());
+		}
 		return switch (exchange.getRequestURI().getPath()) {
 			case "/api/rows-tx" -> this.table.commit(body);
 			case "/api/rows-get" -> forHost(exchange, this.table.read(query.get("table"), query.get("part"),
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/RouteProbe.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/RouteProbe.java
@@ -24,7 +24,7 @@
 
 	private final Consumer<String> log;
 
-	private volatile Change change = new Change(1, 0, 0);
+	private volatile Change change = Change.NONE;
 
 	private volatile boolean stopping;
 
@@ -44,6 +44,13 @@
 		this.change = next;
 	}
 
+	/**
+	 * Expect nothing until the next change is confirmed.
+	 */
+	void expectNothing() {
+		this.change = Change.NONE;
+	}
+
 	/**
 	 * The latest version whose route the host has served.
 	 * @return the version, 1 if none
@@ -60,7 +67,7 @@
 	public void run() {
 		while (!this.stopping) {
 			Change expected = this.change;
-			if (expected.version() > 1) {
+			if (expected != Change.NONE) {
 				probe(expected);
 			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLIS));
@@ -73,8 +80,9 @@
 		int dropped = count(expected.version() - 1);
 		if (added == OK && this.servedVersion < expected.version()) {
 			this.servedVersion = expected.version();
-			this.log.accept("%s version %d in force after %d ms".formatted(this.host.name(), expected.version(),
-					TimeUnit.NANOSECONDS.toMillis(sentNanos - expected.ackNanos())));
+			this.log.accept("%s version %d in force after %d ms, due in %d ms".formatted(this.host.name(),
+					expected.version(), TimeUnit.NANOSECONDS.toMillis(sentNanos - expected.ackNanos()),
+					TimeUnit.NANOSECONDS.toMillis(expected.dueNanos() - sentNanos)));
 		}
 		boolean isDue = sentNanos - expected.dueNanos() > 0;
 		if (isDue && expected == this.change && (added == NOT_FOUND || dropped == OK)) {
@@ -102,6 +110,8 @@
 	 */
 	record Change(int version, long ackNanos, long dueNanos) {
 
+		private static final Change NONE = new Change(1, 0, 0);
+
 	}
 
 }
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
@@ -43,8 +43,9 @@
 
 	private static final int KILLED = 137;
 
-	/** The program of a host. */
-	static final Path JAR = Path.of("..", "monsoonrelay-host", "target", "monsoonrelay-host-0.1.0-SNAPSHOT-all.jar");
+	/** The program of a host; that of another version for comparisons by hand. */
+	static final Path JAR = Path
+		.of(System.getProperty("soak.jar", "../monsoonrelay-host/target/monsoonrelay-host-0.1.0-SNAPSHOT-all.jar"));
 
 	/** Its main class. */
 	static final String MAIN = "org.monsoonrelay.host.HostMain";
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
@@ -16,10 +16,22 @@
  */
 final class TableFake {
 
+	private static final int HISTORY_LOST = 410;
+
 	private final Map<Name, Row> rows = new TreeMap<>();
 
 	private long version;
 
+	private long oldestHistory;
+
+	/**
+	 * Lose the history of changes up to now.
+	 */
+	synchronized void loseHistory() {
+		this.oldestHistory = this.version;
+		notifyAll();
+	}
+
 	synchronized void put(String table, String key, String value) {
 		this.version++;
 		store(new Name(table, "", key), value);
@@ -69,10 +81,13 @@
 	synchronized Answer changes(String table, long after, long waitMillis) throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
 		List<Row> newer = newer(table, after);
-		while (newer.isEmpty() && System.nanoTime() - end < 0) {
+		while (newer.isEmpty() && after >= this.oldestHistory && System.nanoTime() - end < 0) {
 			TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, end - System.nanoTime()));
 			newer = newer(table, after);
 		}
+		if (after < this.oldestHistory) {
+			return new Answer(HISTORY_LOST, Map.of());
+		}
 		return new Answer(200, new Rows(newer, false, this.version));
 	}
 
