Ask the table without waiting after a failed poll

Callers at a host whose path to the table had been lost saw an older configuration longer than needed: the first poll after a failure let the table hold its answer back for 0.9 s, so that a connection on which it was lost again was noticed 1.2 s later at the earliest. It now expects an answer at once, and is backed up after 0.3 s. The calls are as many as before while the table fails, and one more per recovery.

TableFollowerTests.asksWithoutWaitingAfterAFailure failed before: the second poll waited 0.9 s.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -13,10 +13,11 @@
  * Follows a table by change feed. It reads every partition in full, polls for changes
  * from the version of the first completed read on, and reads all partitions again if the
  * change history is lost. A partition read at an older version than that is read again. A
- * partition that does not answer delays neither the other partitions nor the changes. The
- * listener receives every change in order, or a snapshot of its partition that contains
- * it; a change may arrive before the snapshot of its partition. Confined to the given
- * executor, on which the listener is called.
+ * partition that does not answer delays neither the other partitions nor the changes.
+ * After a failed poll the next one does not wait, so that a connection without an answer
+ * is noticed sooner. The listener receives every change in order, or a snapshot of its
+ * partition that contains it; a change may arrive before the snapshot of its partition.
+ * Confined to the given executor, on which the listener is called.
  */
 public final class TableFollower {
 
@@ -259,7 +260,7 @@
 				return;
 			}
 			if (failure != null) {
-				handleFailure(failure, () -> poll(wait, call));
+				handleFailure(failure, () -> pollChanges(Duration.ZERO));
 				return;
 			}
 			handleResponse();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
@@ -167,6 +167,22 @@
 		confirming.close();
 	}
 
+	@Test
+	void asksWithoutWaitingAfterAFailure() throws Exception {
+		this.follower.start();
+		this.table.awaitRead();
+		this.table.awaitRead();
+		this.table.answer("p", new TablePage(List.of(), false, 7));
+		this.table.awaitPoll();
+		this.table.failPoll();
+		this.table.awaitPoll();
+		this.table.answerPoll(new TableChanges(List.of(), 7, false, false));
+		this.table.awaitPoll();
+		assertThat(this.table.waits).hasSize(3)
+			.satisfies((waits) -> assertThat(waits.get(1)).isEqualTo(Duration.ZERO))
+			.satisfies((waits) -> assertThat(waits.get(2)).isEqualTo(waits.get(0)).isPositive());
+	}
+
 	@Test
 	void deliversNothingAfterItWasClosed() throws Exception {
 		this.follower.start();
@@ -228,6 +244,10 @@
 			this.latest.complete(changes);
 		}
 
+		synchronized void failPoll() {
+			this.latest.completeExceptionally(new PlatformException("no answer", false, null));
+		}
+
 		@Override
 		public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
 			throw new UnsupportedOperationException("not used");
