Hedge again while neither a call nor its hedge is answered

A poll whose connection had gone silent was backed up once. Hedges now follow at doubled intervals until the timeout of the call, which bounds all of them.

JsonHttpClientTests.AHedgedExchange.isHedgedAgainIfTheHedgeIsUnansweredAsWell failed before (no answer within 30 s).

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HedgedExchange.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HedgedExchange.java
@@ -6,9 +6,9 @@
 import org.monsoonrelay.adapters.http.JsonHttpClient.Response;
 
 /**
- * An exchange that may be backed up by a second one, the hedge. Invariants: the first
- * response counts, and the other exchange is cancelled; the exchange fails only when each
- * one that was started has failed, with the failure of the first. Thread-safe.
+ * An exchange that may be backed up by others, the hedges. Invariants: the first response
+ * counts, and the other exchanges are cancelled; the exchange fails only when each one
+ * that was started has failed, with the failure of the first. Thread-safe.
  */
 final class HedgedExchange {
 
@@ -34,13 +34,16 @@
 	}
 
 	/**
-	 * Starts the hedge, unless the exchange is over.
-	 * @param second starts the second exchange
+	 * Starts a hedge, unless the exchange is over.
+	 * @param hedge starts another exchange
+	 * @return whether it was started
 	 */
-	void hedge(Supplier<CompletableFuture<Response>> second) {
-		if (tryAddPending()) {
-			add(second.get());
+	boolean hedge(Supplier<CompletableFuture<Response>> hedge) {
+		if (!tryAddPending()) {
+			return false;
 		}
+		add(hedge.get());
+		return true;
 	}
 
 	private void add(CompletableFuture<Response> exchange) {
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -98,27 +98,43 @@
 	}
 
 	/**
-	 * Sends a GET request, and another one on a new connection if no response arrives in
-	 * time: the connection of the first may have gone silent. The first response counts.
+	 * Sends a GET request, and others on new connections while no response arrives: the
+	 * connection of the first may have gone silent, and packets may be lost while another
+	 * is opened. The first response counts.
 	 * @param url the URL
-	 * @param timeout the maximum time of the first exchange
-	 * @param hedgeUrl the URL of the other request, which has the default timeout
-	 * @param hedgeDelay time after which the other request is sent
+	 * @param timeout the maximum time of all exchanges together, zero for the default
+	 * timeout
+	 * @param hedgeUrl the URL of the other requests
+	 * @param wait how long the server may hold the response back
+	 * @param overdue time after the wait at which the first of the other requests is
+	 * sent; each further one follows after twice the previous interval
 	 * @return the response; fails with {@link PlatformException} if no complete response
 	 * arrives
 	 */
-	public CompletableFuture<Response> getHedged(String url, Duration timeout, String hedgeUrl, Duration hedgeDelay) {
+	public CompletableFuture<Response> getHedged(String url, Duration timeout, String hedgeUrl, Duration wait,
+			Duration overdue) {
+		long deadlineNanos = System.nanoTime() + timeoutOrDefault(timeout).toNanos();
 		HedgedExchange exchange = new HedgedExchange(get(url, timeout));
-		Future<?> timer = GROUP.next().schedule(() -> exchange.hedge(() -> {
-			LOGGER.log(System.Logger.Level.WARNING, "no answer in {0} ms, using a new connection: {1}",
-					Long.toString(hedgeDelay.toMillis()), url);
-			return submit(
-					new HttpCall(HttpMethod.GET, hedgeUrl, NO_BODY, Map.of(), this.callTimeout).onNewConnection());
-		}), hedgeDelay.toNanos(), TimeUnit.NANOSECONDS);
-		exchange.result().whenComplete((response, failure) -> timer.cancel(false));
+		scheduleHedge(exchange, hedgeUrl, wait.plus(overdue), overdue.multipliedBy(2), deadlineNanos);
 		return exchange.result();
 	}
 
+	private void scheduleHedge(HedgedExchange exchange, String url, Duration delay, Duration interval,
+			long deadlineNanos) {
+		Future<?> timer = GROUP.next().schedule(() -> {
+			Duration remaining = Duration.ofNanos(deadlineNanos - System.nanoTime());
+			if (!remaining.isNegative() && exchange.hedge(() -> getOnNewConnection(url, remaining))) {
+				scheduleHedge(exchange, url, interval, interval.multipliedBy(2), deadlineNanos);
+			}
+		}, delay.toNanos(), TimeUnit.NANOSECONDS);
+		exchange.result().whenComplete((response, failure) -> timer.cancel(false));
+	}
+
+	private CompletableFuture<Response> getOnNewConnection(String url, Duration timeout) {
+		LOGGER.log(System.Logger.Level.WARNING, "no answer in time, using a new connection: {0}", url);
+		return submit(new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeout).onNewConnection());
+	}
+
 	/**
 	 * Sends a PUT request with the default timeout.
 	 * @param url the URL
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -210,9 +210,10 @@
 
 		private final String answer = RawServer.answer("hedge");
 
-		private CompletableFuture<JsonHttpClient.Response> get(RawServer server, Duration timeout, Duration delay) {
+		private CompletableFuture<JsonHttpClient.Response> get(RawServer server, Duration timeout, Duration overdue) {
 			String url = server.address().url() + "/";
-			return JsonHttpClientTests.this.client.getHedged(url + "first", timeout, url + "second", delay);
+			return JsonHttpClientTests.this.client.getHedged(url + "first", timeout, url + "second", Duration.ZERO,
+					overdue);
 		}
 
 		@Test
@@ -236,6 +237,28 @@
 			}
 		}
 
+		@Test
+		void isHedgedAgainIfTheHedgeIsUnansweredAsWell() throws IOException {
+			try (RawServer server = new RawServer((connection) -> {
+				connection.read();
+				if (connection.number() > 2) {
+					connection.write(this.answer);
+				}
+				connection.read();
+			})) {
+				assertThat(get(server, LONG_TIMEOUT, SHORT_TIMEOUT).join().body()).isEqualTo("hedge");
+			}
+		}
+
+		@Test
+		void endsWithTheTimeoutOfTheFirstRequestIfNoneIsAnswered() throws IOException {
+			try (RawServer server = new RawServer((connection) -> connection.read())) {
+				CompletableFuture<JsonHttpClient.Response> response = get(server, Duration.ofMillis(100),
+						Duration.ofMillis(30));
+				assertThat(failure(response)).hasMessageContaining("/first");
+			}
+		}
+
 		@Test
 		void sendsNothingElseIfTheFirstRequestIsAnsweredInTime() throws IOException {
 			try (RawServer server = new RawServer((connection) -> {
