Train builds at the same time on different ports

Of two builds at once one got no class archive, told on stderr only, and its hosts started slower. Two builds at once now both record theirs.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,6 +6,8 @@
 mvn -B -ntp -q -DskipTests -Dcheckstyle.skip -Dspring-javaformat.skip \
 	-pl monsoonrelay-host -am package
 mkdir -p target
+# Ten ports of its own, so that builds at the same time do not take each other's.
+training_port=$((17300 + 10 * ($$ % 200)))
 # An archive holds for the very file that it was recorded from: the former one goes first.
 record() {
 	rm -f "target/monsoonrelay-$1.jsa"
@@ -15,4 +17,4 @@
 		mv -f "target/monsoonrelay-$1.jsa.new" "target/monsoonrelay-$1.jsa" ||
 		echo "no class archive for $1, it starts slower" >&2
 }
-record host org.monsoonrelay.host.HostMain 17300
+record host org.monsoonrelay.host.HostMain $training_port
