Limit the hedges of reads that run at once

Since reads are hedged, an owner that loads all partitions from a slow table could have sent each of them again, up to three times.

JsonHttpClientTests.AHedgedExchange.isNotHedgedWhileTheMaximumNumberOfHedgesIsRunning guards the limit.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -55,6 +56,8 @@
 
 	private final Semaphore idlePermits;
 
+	private final Semaphore hedgePermits;
+
 	private final Duration connectTimeout;
 
 	private final Duration callTimeout;
@@ -64,16 +67,29 @@
 	private int runningCount;
 
 	/**
-	 * Creates a client.
+	 * Creates a client whose exchanges may all be hedged.
 	 * @param connectTimeout the maximum time to establish a connection
 	 * @param callTimeout the maximum time of an exchange without a timeout of its own
 	 * @param maximumCalls the maximum number of concurrent exchanges; further ones wait
 	 */
 	public JsonHttpClient(Duration connectTimeout, Duration callTimeout, int maximumCalls) {
+		this(connectTimeout, callTimeout, maximumCalls, maximumCalls);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param connectTimeout the maximum time to establish a connection
+	 * @param callTimeout the maximum time of an exchange without a timeout of its own
+	 * @param maximumCalls the maximum number of concurrent exchanges; further ones wait
+	 * @param maximumHedges the maximum number of concurrent hedges; no further ones are
+	 * sent
+	 */
+	public JsonHttpClient(Duration connectTimeout, Duration callTimeout, int maximumCalls, int maximumHedges) {
 		this.connectTimeout = connectTimeout;
 		this.callTimeout = callTimeout;
 		this.maximumCalls = maximumCalls;
 		this.idlePermits = new Semaphore(IDLE_FACTOR * maximumCalls);
+		this.hedgePermits = new Semaphore(maximumHedges);
 	}
 
 	/**
@@ -123,16 +139,26 @@
 			long deadlineNanos) {
 		Future<?> timer = GROUP.next().schedule(() -> {
 			Duration remaining = Duration.ofNanos(deadlineNanos - System.nanoTime());
-			if (!remaining.isNegative() && exchange.hedge(() -> getOnNewConnection(url, remaining))) {
+			if (!remaining.isNegative()) {
+				hedge(exchange, () -> getOnNewConnection(url, remaining));
 				scheduleHedge(exchange, url, interval, interval.multipliedBy(2), deadlineNanos);
 			}
 		}, delay.toNanos(), TimeUnit.NANOSECONDS);
 		exchange.result().whenComplete((response, failure) -> timer.cancel(false));
 	}
 
+	private void hedge(HedgedExchange exchange, Supplier<CompletableFuture<Response>> hedge) {
+		if (this.hedgePermits.tryAcquire() && !exchange.hedge(hedge)) {
+			this.hedgePermits.release();
+		}
+	}
+
 	private CompletableFuture<Response> getOnNewConnection(String url, Duration timeout) {
 		LOGGER.log(System.Logger.Level.WARNING, "no answer in time, using a new connection: {0}", url);
-		return submit(new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeout).onNewConnection());
+		CompletableFuture<Response> response = submit(
+				new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeout).onNewConnection());
+		response.whenComplete((result, failure) -> this.hedgePermits.release());
+		return response;
 	}
 
 	/**
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -250,6 +251,22 @@
 			}
 		}
 
+		@Test
+		void isNotHedgedWhileTheMaximumNumberOfHedgesIsRunning() throws IOException {
+			try (RawServer server = new RawServer((connection) -> {
+				connection.read();
+				connection.read();
+			})) {
+				JsonHttpClient single = new JsonHttpClient(LONG_TIMEOUT, LONG_TIMEOUT, CONCURRENT_EXCHANGES, 1);
+				String url = server.address().url() + "/";
+				List<CompletableFuture<JsonHttpClient.Response>> responses = IntStream.range(0, 5)
+					.mapToObj((i) -> single.getHedged(url, Duration.ofSeconds(1), url, Duration.ZERO, SHORT_TIMEOUT))
+					.toList();
+				responses.forEach((response) -> failure(response));
+				assertThat(server.requests()).hasSize(6);
+			}
+		}
+
 		@Test
 		void endsWithTheTimeoutOfTheFirstRequestIfNoneIsAnswered() throws IOException {
 			try (RawServer server = new RawServer((connection) -> connection.read())) {
