--- a/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/LossyRelay.java
+++ b/monsoonrelay-standin/src/main/java/org/monsoonrelay/standin/LossyRelay.java
@@ -204,10 +204,7 @@
 		}
 	}
 
-	/**
-	 * Waits until bytes sent now are not lost, or are sent again after the loss.
-	 * @return whether they arrive at all
-	 */
+	// Returns whether bytes that are sent now arrive, once they do.
 	private synchronized boolean awaitDelivery(Link link, Loss direction) throws InterruptedException {
 		long sentNanos = System.nanoTime();
 		long waitNanos = TimeUnit.MILLISECONDS.toNanos(FIRST_RETRANSMISSION_MILLIS);
