Log counts of waiting jobs and what they rest on

A count that was answered left no line, and nothing told how old it was, so that a count that is too low could not be traced: the owner may not count, may not know the jobs, or the host's copy may be behind.

CountAnswered names the version of the write that counted, how the count came, since when the host has it and how old its copy of the owner's writes is. PoolLoad has the owner's own count and the age of the last durable one. The gauge states.copy.age.millis shows the age of the copy. No decision changes.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -115,7 +115,7 @@
 		this.storage = new StorageAvailabilityMonitor(this::probeTable, System::nanoTime, log);
 		this.table = table;
 		this.drain = new CallerDrain(System::nanoTime, this.storage::isAvailable);
-		JobStates jobStates = new JobStates(unreadable);
+		JobStates jobStates = new JobStates(unreadable, System::nanoTime);
 		this.ownerLink = new OwnerLink(settings.peerAddress(), network, jobStates, System::nanoTime, log,
 				this.storage::recordResponse);
 		this.statesFollower = new TableFollower(this.table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
@@ -123,6 +123,7 @@
 		this.service = new SubmissionService(this.table, jobStates, this.ownerLink, this.ownerLink, this.storage,
 				this.timer, System::nanoTime);
 		metrics.gauge("configuration.age.millis", () -> () -> configuration.knownConfiguration().ageMillis());
+		metrics.gauge("states.copy.age.millis", () -> jobStates::copyAgeMillis);
 		JobRoutes routes = new JobRoutes(configuration::knownConfiguration, this.service, PoolClock.SYSTEM, log,
 				metrics);
 		this.callers = new HttpServer(required(settings.callerAddress(), "callers"), MAXIMUM_BODY_BYTES,
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
@@ -57,7 +57,7 @@
 		return CompletableFuture.completedFuture(Envelope.newBuilder().setEmpty(Empty.getDefaultInstance()));
 	});
 
-	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE));
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE), System::nanoTime);
 
 	private PartitionCommit outcome = new PartitionCommit.Committed(9);
 
@@ -213,7 +213,7 @@
 			.build();
 		assertThat(this.link.handleNotification(Envelope.newBuilder().setStatesNews(news).build())).isTrue();
 		assertThat(this.states.state("a")).contains(SubmissionState.COMPLETED);
-		assertThat(this.states.pending("q")).isEqualTo(2);
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(2);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -40,6 +40,25 @@
 
 	}
 
+	/**
+	 * A caller was told how many jobs wait in a queue.
+	 *
+	 * @param queue the queue
+	 * @param waiting the number of jobs
+	 * @param rowVersion version of the owner's write that counted them, 0 if there was
+	 * none
+	 * @param source how this host received the count
+	 * @param receivedMillis time since then, -1 if there was none
+	 * @param copyAgeMillis time since the table had confirmed this host's copy of what
+	 * owners write, -1 if it had not yet
+	 * @param configurationVersion version of the configuration that defines the queue
+	 * @param configurationAgeMillis time since the table had confirmed that version
+	 */
+	record CountAnswered(String queue, int waiting, long rowVersion, String source, long receivedMillis,
+			long copyAgeMillis, long configurationVersion, long configurationAgeMillis) implements JobDecision {
+
+	}
+
 	/**
 	 * A caller's request was refused.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -38,13 +38,16 @@
 	 * @param questionsSent number of eligibility requests in flight
 	 * @param questionsQueued number of eligibility requests that wait for a host with
 	 * free capacity for calls
+	 * @param jobsWaiting number of jobs of all queues of which no task has started
+	 * @param countAgeMillis time since the last durable count of waiting jobs was made,
+	 * -1 before the first one
 	 * @param turns passes of the scheduling loop since the last line
 	 * @param turnMillis total duration of these passes
 	 * @param longestTurnMillis duration of the longest pass
 	 */
 	record PoolLoad(long epoch, int workers, long capacity, long committed, long held, int stepsWaiting,
-			int tasksWaiting, int questionsSent, int questionsQueued, int turns, long turnMillis,
-			long longestTurnMillis) implements PoolDecision {
+			int tasksWaiting, int questionsSent, int questionsQueued, int jobsWaiting, long countAgeMillis, int turns,
+			long turnMillis, long longestTurnMillis) implements PoolDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -281,6 +281,10 @@
 		return new QueueSummary(pending);
 	}
 
+	int waitingCount() {
+		return summary().pending().values().stream().mapToInt(Integer::intValue).sum();
+	}
+
 	Optional<SubmittedJob> job(String id) {
 		return Optional.ofNullable(this.jobs.get(id));
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolLoadReporter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolLoadReporter.java
@@ -24,6 +24,8 @@
 
 	private final EligibilityTracker eligibility;
 
+	private final PoolStateWriter stateWriter;
+
 	private final DecisionLog log;
 
 	private long reportedNanos;
@@ -34,12 +36,13 @@
 
 	private long longestTurnNanos;
 
-	PoolLoadReporter(long epoch, WorkerPool pool, JobRegistry jobs, EligibilityTracker eligibility, DecisionLog log,
-			long nowNanos) {
+	PoolLoadReporter(long epoch, WorkerPool pool, JobRegistry jobs, EligibilityTracker eligibility,
+			PoolStateWriter stateWriter, DecisionLog log, long nowNanos) {
 		this.epoch = epoch;
 		this.pool = pool;
 		this.jobs = jobs;
 		this.eligibility = eligibility;
+		this.stateWriter = stateWriter;
 		this.log = log;
 		this.reportedNanos = nowNanos;
 	}
@@ -83,8 +86,8 @@
 			tasks += waiting;
 		}
 		this.log.write(new PoolDecision.PoolLoad(this.epoch, workers, capacity, committed, held, steps, tasks,
-				this.eligibility.inFlightCount(), this.eligibility.queuedCount(), this.turns,
-				TimeUnit.NANOSECONDS.toMillis(this.totalTurnNanos),
+				this.eligibility.inFlightCount(), this.eligibility.queuedCount(), this.jobs.waitingCount(),
+				this.stateWriter.countAgeMillis(), this.turns, TimeUnit.NANOSECONDS.toMillis(this.totalTurnNanos),
 				TimeUnit.NANOSECONDS.toMillis(this.longestTurnNanos)));
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -127,7 +127,7 @@
 		this.placer = new TaskPlacer(this.registry, this.pool, this.runs, this.eligibility, this.lease,
 				dependencies.clock(), rules);
 		this.loadReporter = new PoolLoadReporter(this.epoch, this.pool, this.registry, this.eligibility,
-				dependencies.log(), this.takenOverNanos);
+				this.stateWriter, dependencies.log(), this.takenOverNanos);
 		this.waitReporter = new WaitReporter(this.epoch, this.placer, dependencies.log(), this.takenOverNanos);
 		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, this.registry, dependencies.log());
 		this.heartbeat = new Heartbeat(this.epoch, peers, dependencies.clock());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -91,6 +92,8 @@
 
 	private long composedNanos;
 
+	private OptionalLong countedNanos = OptionalLong.empty();
+
 	private boolean releasing;
 
 	private List<String> standbys;
@@ -206,6 +209,16 @@
 		return this.composedNanos;
 	}
 
+	/**
+	 * Returns the time since the jobs were counted that wait according to the last
+	 * durable write.
+	 * @return the age, milliseconds, -1 if there was no such write
+	 */
+	long countAgeMillis() {
+		return this.countedNanos.isEmpty() ? -1
+				: TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.countedNanos.getAsLong());
+	}
+
 	private Batch compose() {
 		this.composedNanos = this.clock.nanos();
 		if (this.releasing) {
@@ -305,6 +318,9 @@
 		this.record = batch.record();
 		this.confirming = this.record.confirming();
 		this.writtenSummary = batch.summary();
+		if (batch.summary().isPresent()) {
+			this.countedNanos = OptionalLong.of(this.composedNanos);
+		}
 		Map<String, SubmissionState> states = new HashMap<>();
 		batch.states().forEach((job, state) -> {
 			job.markDurable(state.state(), state.crashRecords());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
@@ -1,12 +1,16 @@
 package org.monsoonrelay.logic.submission;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
 
+import org.monsoonrelay.logic.platform.FreshnessTracker;
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.platform.UnreadableRows;
@@ -28,10 +32,21 @@
 
 	private final UnreadableRows unreadable;
 
-	private final AtomicReference<QueueCount> newestCount = new AtomicReference<>(QueueCount.NONE);
+	private final LongSupplier nanoTime;
 
-	public JobStates(UnreadableRows unreadable) {
+	private final FreshnessTracker freshness;
+
+	private final AtomicReference<ReceivedCount> newestCount = new AtomicReference<>(ReceivedCount.NONE);
+
+	/**
+	 * Creates states of which nothing is known yet.
+	 * @param unreadable records rows that cannot be read
+	 * @param nanoTime the monotonic clock, nanoseconds
+	 */
+	public JobStates(UnreadableRows unreadable, LongSupplier nanoTime) {
 		this.unreadable = unreadable;
+		this.nanoTime = nanoTime;
+		this.freshness = new FreshnessTracker(nanoTime);
 	}
 
 	@Override
@@ -44,6 +59,16 @@
 		rows.forEach(this::applyRow);
 	}
 
+	@Override
+	public void onCallSent(Duration wait) {
+		this.freshness.callSent(wait);
+	}
+
+	@Override
+	public void onAnswerDelivered(boolean empty) {
+		this.freshness.answerDelivered(empty);
+	}
+
 	private void applyRow(TableRow row) {
 		if (row.deleted()) {
 			this.states.remove(row.key());
@@ -53,7 +78,7 @@
 		}
 		if (row.key().equals(JobTables.SUMMARY_KEY)) {
 			this.unreadable.read(row, QueueSummary.class)
-				.ifPresent((summary) -> updateCount(new QueueCount(summary, row.version())));
+				.ifPresent((summary) -> updateCount(new QueueCount(summary, row.version()), CountSource.TABLE));
 			return;
 		}
 		this.unreadable.read(row, JobProgress.class).ifPresentOrElse((progress) -> {
@@ -79,13 +104,14 @@
 	 */
 	public void applyOwnerUpdate(Map<String, SubmissionState> changedStates, Optional<QueueCount> pending) {
 		changedStates.forEach(this::update);
-		pending.ifPresent(this::updateCount);
+		pending.ifPresent((count) -> updateCount(count, CountSource.MESSAGE));
 	}
 
 	// An owner sends a count only when it changes, so an older count that arrived late,
 	// by feed or from a former owner, would remain until the next change.
-	private void updateCount(QueueCount queueCount) {
-		this.newestCount.accumulateAndGet(queueCount, QueueCount::newer);
+	private void updateCount(QueueCount queueCount, CountSource source) {
+		ReceivedCount received = new ReceivedCount(queueCount, source, this.nanoTime.getAsLong());
+		this.newestCount.accumulateAndGet(received, ReceivedCount::newer);
 	}
 
 	/**
@@ -123,8 +149,22 @@
 	 * @param queue the queue's name
 	 * @return the newest count received from the owner, 0 if there is none
 	 */
-	public int pending(String queue) {
-		return this.newestCount.get().summary().pending().getOrDefault(queue, 0);
+	public WaitingJobs waitingJobs(String queue) {
+		ReceivedCount newest = this.newestCount.get();
+		QueueCount count = newest.count();
+		long receivedMillis = (newest.source() != CountSource.NONE)
+				? TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong() - newest.receivedNanos())
+				: WaitingJobs.UNKNOWN;
+		return new WaitingJobs(count.summary().pending().getOrDefault(queue, 0), count.version(), newest.source(),
+				receivedMillis, copyAgeMillis());
+	}
+
+	/**
+	 * The time since the table confirmed the known states and counts.
+	 * @return the age, milliseconds, or {@link WaitingJobs#UNKNOWN}
+	 */
+	public long copyAgeMillis() {
+		return this.freshness.ageMillis().orElse(WaitingJobs.UNKNOWN);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/QueueCount.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/QueueCount.java
@@ -13,8 +13,4 @@
 	/** No count has been received yet. */
 	public static final QueueCount NONE = new QueueCount(QueueSummary.NONE, 0);
 
-	static QueueCount newer(QueueCount known, QueueCount received) {
-		return (received.version > known.version) ? received : known;
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -154,10 +154,10 @@
 	/**
 	 * Number of jobs waiting in a queue.
 	 * @param queue the queue's name
-	 * @return the number
+	 * @return the number, and what it rests on
 	 */
-	public int pending(String queue) {
-		return this.states.pending(queue);
+	public WaitingJobs waitingJobs(String queue) {
+		return this.states.waitingJobs(queue);
 	}
 
 	private CompletableFuture<AcceptOutcome> store(PartitionWrite write, LongConsumer onStored, long deadlineNanos) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulation.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulation.java
@@ -76,7 +76,7 @@
 
 	private final Map<String, SimulatedJob> jobs = new TreeMap<>();
 
-	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE));
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE), System::nanoTime);
 
 	private final Random random;
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolLoadReporterTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolLoadReporterTests.java
@@ -34,4 +34,22 @@
 		});
 	}
 
+	@Test
+	void reportsTheWaitingJobsAndTheAgeOfTheirDurableCount() {
+		this.cell.withRunMillis(10_000).withWorkers(1).addScheduler();
+		this.cell.time.runFor(SimulatedCell.STANDBY_DELAY_MILLIS);
+		this.cell.submit("0000000000000001", SimulatedCell.step(4, false));
+		this.cell.time.runFor(500);
+		this.cell.submit("0000000000000002", SimulatedCell.step(1, false));
+		this.cell.time.runFor(2000);
+		assertThat(loads()).last().satisfies((load) -> {
+			assertThat(load.jobsWaiting()).isEqualTo(1);
+			assertThat(load.countAgeMillis()).isBetween(0L, OwnerLease.RENEWAL_INTERVAL_MILLIS + 20);
+		});
+		this.cell.table.setDown(true);
+		this.cell.time.runFor(1500);
+		assertThat(loads()).last()
+			.satisfies((load) -> assertThat(load.countAgeMillis()).isGreaterThan(OwnerLease.RENEWAL_INTERVAL_MILLIS));
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolOwnerTests.java
@@ -79,7 +79,7 @@
 			PoolOwnerTests.this.cell.submit("wide", SimulatedCell.step(13, true));
 			PoolOwnerTests.this.cell.time.runFor(1500);
 			assertThat(PoolOwnerTests.this.cell.gateway.state("a")).contains(SubmissionState.COMPLETED);
-			assertThat(PoolOwnerTests.this.cell.gateway.pending("confirm")).isEqualTo(1);
+			assertThat(PoolOwnerTests.this.cell.gateway.waitingJobs("confirm").jobs()).isEqualTo(1);
 		}
 
 		@Test
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -80,7 +80,7 @@
 	final UnreadableRows unreadable = new UnreadableRows(this.decisions::add);
 
 	/** The job states that a gateway knows from owners. */
-	final JobStates gateway = new JobStates(this.unreadable);
+	final JobStates gateway = new JobStates(this.unreadable, this.time.clock()::nanos);
 
 	private final InMemoryTable.Client callerTable = this.table.client();
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
@@ -16,7 +16,7 @@
 
 class JobStatesTests {
 
-	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE));
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE), System::nanoTime);
 
 	private static TableRow row(String key, Object value) {
 		return new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, key, Json.write(value), 1, false);
@@ -57,8 +57,8 @@
 	@Test
 	void countWaitingJobsByQueue() {
 		this.states.changed(List.of(row(JobTables.SUMMARY_KEY, new QueueSummary(Map.of("q", 3)))));
-		assertThat(this.states.pending("q")).isEqualTo(3);
-		assertThat(this.states.pending("other")).isZero();
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(3);
+		assertThat(this.states.waitingJobs("other").jobs()).isZero();
 	}
 
 	@Test
@@ -66,7 +66,7 @@
 		this.states.applyOwnerUpdate(Map.of("a", SubmissionState.RUNNING), queueCount(4, 3));
 		this.states.applyOwnerUpdate(Map.of("a", SubmissionState.COMPLETED), Optional.empty());
 		assertThat(this.states.state("a")).contains(SubmissionState.COMPLETED);
-		assertThat(this.states.pending("q")).isEqualTo(3);
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(3);
 	}
 
 	/**
@@ -80,16 +80,16 @@
 	void keepTheNewerCountWhenTheFeedDeliversAnOlderOne() {
 		this.states.applyOwnerUpdate(Map.of(), queueCount(9, 26));
 		this.states.changed(List.of(summaryRow(8, 10)));
-		assertThat(this.states.pending("q")).isEqualTo(26);
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(26);
 		this.states.snapshot(JobTables.POOL_PARTITION, List.of(summaryRow(10, 27)));
-		assertThat(this.states.pending("q")).isEqualTo(27);
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(27);
 	}
 
 	@Test
 	void keepTheNewerCountWhenTheOwnersMessageArrivesLate() {
 		this.states.changed(List.of(summaryRow(9, 26)));
 		this.states.applyOwnerUpdate(Map.of(), queueCount(8, 10));
-		assertThat(this.states.pending("q")).isEqualTo(26);
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(26);
 	}
 
 	@Test
@@ -97,7 +97,7 @@
 		this.states.applyOwnerUpdate(Map.of(), queueCount(5, 3));
 		this.states.applyOwnerUpdate(Map.of("a", SubmissionState.COMPLETED), queueCount(4, 9));
 		assertThat(this.states.state("a")).contains(SubmissionState.COMPLETED);
-		assertThat(this.states.pending("q")).isEqualTo(3);
+		assertThat(this.states.waitingJobs("q").jobs()).isEqualTo(3);
 	}
 
 	@Test
