Answer no count of waiting jobs that may be outdated

What callers saw: a host told that 4 jobs of a queue wait where 26 had waited for 5 s.

Cause: a count has no age. A host answers the newest one that it has, from the owner's messages or from its copy of the table. Whether an owner counts at all (a new one does once it has read all jobs), whether the copy is behind and whether messages still come, it cannot tell.

Change: an owner that counts writes its count with a renewal at least, also if it has not changed. A host's copy, as last confirmed, has no count as new as one that arrives, so that this one was made after that confirmation. When a message arrives is not used, as it may have been held up.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -41,21 +41,25 @@
 	}
 
 	/**
-	 * A caller was told how many jobs wait in a queue.
+	 * A caller was told how many jobs wait in a queue, or was refused because the known
+	 * number may be outdated.
 	 *
 	 * @param queue the queue
 	 * @param waiting the number of jobs
+	 * @param answered whether the caller was told
 	 * @param rowVersion version of the owner's write that counted them, 0 if there was
 	 * none
 	 * @param source how this host received the count
-	 * @param receivedMillis time since then, -1 if there was none
+	 * @param ageMillis time within which the jobs were counted, -1 if that is not known
+	 * @param receivedMillis time since this host received the count, -1 if there was none
 	 * @param copyAgeMillis time since the table had confirmed this host's copy of what
 	 * owners write, -1 if it had not yet
 	 * @param configurationVersion version of the configuration that defines the queue
 	 * @param configurationAgeMillis time since the table had confirmed that version
 	 */
-	record CountAnswered(String queue, int waiting, long rowVersion, String source, long receivedMillis,
-			long copyAgeMillis, long configurationVersion, long configurationAgeMillis) implements JobDecision {
+	record CountAnswered(String queue, int waiting, boolean answered, long rowVersion, String source, long ageMillis,
+			long receivedMillis, long copyAgeMillis, long configurationVersion,
+			long configurationAgeMillis) implements JobDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/FreshnessTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/FreshnessTracker.java
@@ -48,6 +48,14 @@
 		this.confirmedNanos = OptionalLong.of(hasWaited ? this.waitEndNanos : this.sentNanos);
 	}
 
+	/**
+	 * The time as of which the known content was last confirmed.
+	 * @return monotonic time, nanoseconds, empty if nothing has been confirmed yet
+	 */
+	public OptionalLong confirmedNanos() {
+		return this.confirmedNanos;
+	}
+
 	/**
 	 * The time since the table last confirmed the known content.
 	 * @return the age in milliseconds, empty if nothing has been confirmed yet
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PeerNotifier.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PeerNotifier.java
@@ -25,7 +25,7 @@
 	 * callers.
 	 * @param epoch the owner's epoch
 	 * @param states the new states, by job id
-	 * @param pending the number of waiting jobs, if it has changed
+	 * @param pending the number of waiting jobs, if it was written
 	 */
 	void publishStates(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending);
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -82,6 +82,8 @@
 
 	private Optional<QueueSummary> writtenSummary = Optional.empty();
 
+	private OptionalLong summaryWrittenNanos = OptionalLong.empty();
+
 	private boolean inFlight;
 
 	private boolean closed;
@@ -232,14 +234,21 @@
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
 		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
-		boolean isCountedAnew = summary.isPresent() && !summary.equals(this.writtenSummary);
-		if (isCountedAnew) {
+		boolean isCountWritten = summary.isPresent() && (!summary.equals(this.writtenSummary) || isCountDue());
+		if (isCountWritten) {
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		puts.addAll(write.puts());
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
 		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
-		return new Batch(whole, next, states, summary, isCountedAnew, ends, this.jobs.unconfirmedLosses().lastLoss());
+		return new Batch(whole, next, states, summary, isCountWritten, ends, this.jobs.unconfirmedLosses().lastLoss());
+	}
+
+	// Written again although it has not changed, so that the other hosts know how old it
+	// is.
+	private boolean isCountDue() {
+		return this.summaryWrittenNanos.isEmpty() || TimeUnit.NANOSECONDS
+			.toMillis(this.composedNanos - this.summaryWrittenNanos.getAsLong()) >= OwnerLease.RENEWAL_INTERVAL_MILLIS;
 	}
 
 	private List<PartitionWrite.Put> takeProgress(Map<SubmittedJob, WrittenJob> states) {
@@ -321,6 +330,9 @@
 		if (batch.summary().isPresent()) {
 			this.countedNanos = OptionalLong.of(this.composedNanos);
 		}
+		if (batch.isCountWritten()) {
+			this.summaryWrittenNanos = this.countedNanos;
+		}
 		Map<String, SubmissionState> states = new HashMap<>();
 		batch.states().forEach((job, state) -> {
 			job.markDurable(state.state(), state.crashRecords());
@@ -334,7 +346,7 @@
 			this.listener.released(this.record, this.version);
 			return;
 		}
-		this.listener.writeDurable(states, batch.changedCount(this.version));
+		this.listener.writeDurable(states, batch.writtenCount(this.version));
 		if (this.releasing && !this.inFlight && !this.closed) {
 			send(compose());
 		}
@@ -345,11 +357,11 @@
 	}
 
 	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, WrittenJob> states,
-			Optional<QueueSummary> summary, boolean isCountChanged, Map<TerminationSequence, Long> terminations,
+			Optional<QueueSummary> summary, boolean isCountWritten, Map<TerminationSequence, Long> terminations,
 			long lastLoss) {
 
-		Optional<QueueCount> changedCount(long version) {
-			return this.summary.filter((counted) -> this.isCountChanged)
+		Optional<QueueCount> writtenCount(long version) {
+			return this.summary.filter((counted) -> this.isCountWritten)
 				.map((counted) -> new QueueCount(counted, version));
 		}
 
@@ -361,7 +373,7 @@
 		/**
 		 * Called when a write has taken effect.
 		 * @param states the states that it made durable, by job id
-		 * @param pending the number of waiting jobs, if the write changed it
+		 * @param pending the number of waiting jobs, if the write contains it
 		 */
 		void writeDurable(Map<String, SubmissionState> states, Optional<QueueCount> pending);
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
@@ -22,7 +22,9 @@
  * writes, from the owner's messages, and from jobs that this gateway accepted.
  * Invariants: a final state is never replaced by a state that is not final; no possibly
  * outdated state is reported for a job whose progress row is unreadable; a queue count is
- * never replaced by an older one, whether it arrives by feed or by message. Thread-safe.
+ * never replaced by an older one, whether it arrives by feed or by message; the age of a
+ * count is never less than the time since it was made, but for the duration of the
+ * owner's write. Thread-safe.
  */
 public final class JobStates implements TableFollower.Listener {
 
@@ -109,8 +111,13 @@
 
 	// An owner sends a count only when it changes, so an older count that arrived late,
 	// by feed or from a former owner, would remain until the next change.
+	//
+	// The copy of the table, as last confirmed, has no count as new as this one, so it
+	// was
+	// counted after that. When a message arrives tells nothing: it may have been held up.
 	private void updateCount(QueueCount queueCount, CountSource source) {
-		ReceivedCount received = new ReceivedCount(queueCount, source, this.nanoTime.getAsLong());
+		ReceivedCount received = new ReceivedCount(queueCount, source, this.nanoTime.getAsLong(),
+				this.freshness.confirmedNanos());
 		this.newestCount.accumulateAndGet(received, ReceivedCount::newer);
 	}
 
@@ -152,11 +159,16 @@
 	public WaitingJobs waitingJobs(String queue) {
 		ReceivedCount newest = this.newestCount.get();
 		QueueCount count = newest.count();
-		long receivedMillis = (newest.source() != CountSource.NONE)
-				? TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong() - newest.receivedNanos())
+		long ageMillis = newest.countedAfterNanos().isPresent() ? millisSince(newest.countedAfterNanos().getAsLong())
+				: WaitingJobs.UNKNOWN;
+		long receivedMillis = (newest.source() != CountSource.NONE) ? millisSince(newest.receivedNanos())
 				: WaitingJobs.UNKNOWN;
 		return new WaitingJobs(count.summary().pending().getOrDefault(queue, 0), count.version(), newest.source(),
-				receivedMillis, copyAgeMillis());
+				ageMillis, receivedMillis, copyAgeMillis());
+	}
+
+	private long millisSince(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong() - nanos);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
@@ -1,9 +1,12 @@
 package org.monsoonrelay.logic.submission;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.Json;
@@ -16,7 +19,9 @@
 
 class JobStatesTests {
 
-	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE), System::nanoTime);
+	private long nowNanos = 1;
+
+	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE), () -> this.nowNanos);
 
 	private static TableRow row(String key, Object value) {
 		return new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, key, Json.write(value), 1, false);
@@ -125,4 +130,69 @@
 		assertThat(this.states.state("a")).contains(SubmissionState.FAILED);
 	}
 
+	@Nested
+	class TheAgeOfACount {
+
+		private void advance(long millis) {
+			JobStatesTests.this.nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+		}
+
+		private void confirmCopy(TableRow... rows) {
+			JobStates states = JobStatesTests.this.states;
+			states.onCallSent(Duration.ZERO);
+			advance(10);
+			states.changed(List.of(rows));
+			states.onAnswerDelivered(rows.length == 0);
+		}
+
+		private WaitingJobs count() {
+			return JobStatesTests.this.states.waitingJobs("q");
+		}
+
+		@Test
+		void isNotKnownBeforeTheTableHasConfirmedTheCopyOnce() {
+			JobStatesTests.this.states.applyOwnerUpdate(Map.of(), queueCount(5, 3));
+			assertThat(count().mayBeOutdated()).isTrue();
+			confirmCopy(summaryRow(5, 3));
+			assertThat(count().mayBeOutdated()).isTrue();
+			JobStatesTests.this.states.applyOwnerUpdate(Map.of(), queueCount(6, 4));
+			assertThat(count().mayBeOutdated()).isFalse();
+		}
+
+		@Test
+		void isTheTimeSinceTheTableHadNoNewerOne() {
+			confirmCopy(summaryRow(5, 3));
+			advance(2000);
+			JobStatesTests.this.states.applyOwnerUpdate(Map.of(), queueCount(9, 4));
+			assertThat(count().ageMillis()).isEqualTo(2010);
+			confirmCopy(summaryRow(12, 6));
+			assertThat(count().ageMillis()).isEqualTo(2020);
+			confirmCopy(summaryRow(14, 7));
+			assertThat(count().ageMillis()).isEqualTo(20);
+		}
+
+		@Test
+		void growsWhileNoOwnerCountsAlthoughTheTableAnswers() {
+			confirmCopy();
+			confirmCopy(summaryRow(5, 3));
+			for (int i = 0; i < 5; i++) {
+				advance(800);
+				confirmCopy();
+			}
+			assertThat(count().copyAgeMillis()).isEqualTo(10);
+			assertThat(count().mayBeOutdated()).isTrue();
+		}
+
+		@Test
+		void growsWhileTheTableDoesNotAnswerAlthoughMessagesArriveLate() {
+			confirmCopy(summaryRow(5, 3));
+			for (int version = 6; version < 12; version++) {
+				advance(800);
+				JobStatesTests.this.states.applyOwnerUpdate(Map.of(), queueCount(version, 4));
+			}
+			assertThat(count().mayBeOutdated()).isTrue();
+		}
+
+	}
+
 }
