Let hosts follow the states of jobs instead of their progress

Cause: every host read the whole progress of a job at each end of one of its tasks, 600 to 1,200 rows a second on the grown site, to learn two states a job and the counts. An answer holds 500 rows. On a link of 7 Mbit/s it takes 0.4 to 1.5 s, in which the table has written the next 500, so that a host that is behind once stays behind: it reads without a pause, its answers count as overdue after 0.3 s and are asked for a second time, and what it reads is on its way twice. A host that is or was a standby reads the same rows twice besides.

Change: the owner writes the state of a job into the table states, in the write of the progress that it follows from, when the state changes; hosts follow that table, which has the counts as well. Progress is read by standbys and owners only. A host that does not know a job reads its progress, as states that were written before are not in the table.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -47,8 +47,7 @@
 	private static final Duration NOTIFIED_READ_INTERVAL = Duration.ofMillis(700);
 
 	/**
-	 * The same interval for a steady owner. A call returns the complete progress of each
-	 * changed job once, however often it changed.
+	 * The same interval for a steady owner, whose messages arrive on open connections.
 	 */
 	private static final Duration STEADY_READ_INTERVAL = Duration.ofMillis(2000);
 
@@ -118,7 +117,7 @@
 		JobStates jobStates = new JobStates(unreadable, System::nanoTime);
 		this.ownerLink = new OwnerLink(settings.peerAddress(), network, jobStates, System::nanoTime, log,
 				this.storage::recordResponse);
-		this.statesFollower = new TableFollower(this.table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
+		this.statesFollower = new TableFollower(this.table, JobTables.STATES, List.of(JobTables.POOL_PARTITION),
 				this::stateReadInterval, this.timer, jobStates);
 		this.service = new SubmissionService(this.table, jobStates, this.ownerLink, this.ownerLink, this.storage,
 				this.timer, System::nanoTime);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -23,16 +23,20 @@
 import org.monsoonrelay.model.submission.SubmittedJob;
 
 /**
- * Writes the progress of jobs and renews the owner record in the same transaction.
- * Invariants: every write is conditional on the version of the owner record that this
- * owner wrote last, so that nothing is written after another owner has taken over; at
- * most one write is in flight; a write whose outcome is unknown is retried unchanged
- * until the outcome is known. Not thread-safe: confined to the control thread.
+ * Writes the progress of jobs, and their states if they change, and renews the owner
+ * record in the same transaction. Invariants: every write is conditional on the version
+ * of the owner record that this owner wrote last, so that nothing is written after
+ * another owner has taken over; at most one write is in flight; a write whose outcome is
+ * unknown is retried unchanged until the outcome is known. Not thread-safe: confined to
+ * the control thread.
  */
 final class PoolStateWriter {
 
-	/** Maximum number of jobs per write; a transaction accepts 100 entries. */
-	private static final int MAX_JOBS_PER_WRITE = 80;
+	/**
+	 * Maximum number of rows of jobs per write, two a job if its state changes; a
+	 * transaction accepts 100 entries.
+	 */
+	private static final int MAX_JOB_ROWS_PER_WRITE = 90;
 
 	/**
 	 * Maximum size of the progress per write, bytes; a transaction accepts one megabyte.
@@ -236,7 +240,7 @@
 		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
 		boolean isCountWritten = summary.isPresent() && (!summary.equals(this.writtenSummary) || isCountDue());
 		if (isCountWritten) {
-			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, JobTables.SUMMARY_KEY, Json.write(summary.get())));
+			puts.add(new PartitionWrite.Put(JobTables.STATES, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		puts.addAll(write.puts());
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
@@ -254,13 +258,18 @@
 	private List<PartitionWrite.Put> takeProgress(Map<SubmittedJob, WrittenJob> states) {
 		int bytes = 0;
 		List<PartitionWrite.Put> puts = new ArrayList<>();
-		while (states.size() < MAX_JOBS_PER_WRITE && bytes < MAX_PROGRESS_BYTES_PER_WRITE && this.jobs.hasDirty()) {
+		while (puts.size() < MAX_JOB_ROWS_PER_WRITE - 1 && bytes < MAX_PROGRESS_BYTES_PER_WRITE
+				&& this.jobs.hasDirty()) {
 			SubmittedJob job = this.jobs.takeDirty(1).get(0);
 			JobProgress progress = job.toProgress();
 			String value = Json.write(progress);
 			bytes += value.length();
 			states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
+			if (progress.state() != job.durableState()) {
+				String state = Json.write(new JobProgress(progress.state(), Map.of()));
+				puts.add(new PartitionWrite.Put(JobTables.STATES, job.id(), state));
+			}
 		}
 		return puts;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobTables.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobTables.java
@@ -12,9 +12,18 @@
 	/** Submissions and cancellations, spread over partitions by job. */
 	public static final String JOBS = "jobs";
 
-	/** Progress of jobs and the summary of queues, written by the pool's owner alone. */
+	/**
+	 * Progress of jobs, for the next owner of the pool. Written by the owner alone, with
+	 * each end of a task.
+	 */
 	public static final String PROGRESS = "progress";
 
+	/**
+	 * States of jobs and the summary of queues, for all hosts. Written by the owner
+	 * alone, together with the progress that they follow from, when a state changes.
+	 */
+	public static final String STATES = "states";
+
 	/** Ownership of the pool. */
 	public static final String OWNER = "owner";
 
@@ -30,7 +39,7 @@
 	/** Key of the owner's row in the tables {@link #OWNER} and {@link #PROGRESS}. */
 	public static final String OWNER_KEY = "owner";
 
-	/** Key of the queue summary. */
+	/** Key of the queue summary in the table {@link #STATES}. */
 	public static final String SUMMARY_KEY = "summary";
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.submission;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -12,6 +13,8 @@
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.PlatformException;
+import org.monsoonrelay.logic.platform.TablePage;
+import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
 
@@ -128,29 +131,44 @@
 	}
 
 	/**
-	 * The state of a job, from the known states or else from its row.
+	 * The state of a job, from the known states or else from its rows.
 	 * @param id the job's id
 	 * @return the state, empty if the job does not exist; fails with
 	 * {@link PlatformException} if the state cannot be determined
 	 */
 	public CompletableFuture<Optional<SubmissionState>> state(String id) {
 		if (this.states.isUnreadable(id)) {
-			return CompletableFuture
-				.failedFuture(new PlatformException("the progress of " + id + " cannot be read", false, null));
+			return unreadableProgress(id);
 		}
 		Optional<SubmissionState> known = this.states.state(id);
 		if (known.isPresent()) {
 			return CompletableFuture.completedFuture(known);
 		}
-		return this.table.read(JobTables.JOBS, JobTables.partition(id), id, 1).thenApply((page) -> {
-			boolean exists = page.rows().stream().anyMatch((row) -> row.key().equals(id));
-			if (exists) {
-				this.states.update(id, SubmissionState.QUEUED);
-			}
-			return this.states.state(id);
+		return this.table.read(JobTables.JOBS, JobTables.partition(id), id, 1)
+			.thenCompose((page) -> rowOf(id, page).isPresent() ? readState(id)
+					: CompletableFuture.completedFuture(this.states.state(id)));
+	}
+
+	// The copy of the states may not be complete yet, and has no states that were written
+	// before hosts followed them apart from the progress.
+	private CompletableFuture<Optional<SubmissionState>> readState(String id) {
+		return this.table.read(JobTables.PROGRESS, JobTables.POOL_PARTITION, id, 1).thenCompose((page) -> {
+			rowOf(id, page).ifPresentOrElse((row) -> this.states.changed(List.of(row)),
+					() -> this.states.update(id, SubmissionState.QUEUED));
+			return this.states.isUnreadable(id) ? unreadableProgress(id)
+					: CompletableFuture.completedFuture(this.states.state(id));
 		});
 	}
 
+	private static Optional<TableRow> rowOf(String id, TablePage page) {
+		return page.rows().stream().filter((row) -> row.key().equals(id)).findFirst();
+	}
+
+	private static CompletableFuture<Optional<SubmissionState>> unreadableProgress(String id) {
+		return CompletableFuture
+			.failedFuture(new PlatformException("the progress of " + id + " cannot be read", false, null));
+	}
+
 	/**
 	 * Number of jobs waiting in a queue.
 	 * @param queue the queue's name
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -225,7 +225,7 @@
 	}
 
 	int pendingCount() {
-		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, JobTables.SUMMARY_KEY);
+		String value = this.table.value(JobTables.STATES, JobTables.POOL_PARTITION, JobTables.SUMMARY_KEY);
 		return value.isEmpty() ? 0 : Json.read(value, QueueSummary.class).pending().getOrDefault("confirm", 0);
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/JobStatesTests.java
@@ -24,7 +24,7 @@
 	private final JobStates states = new JobStates(new UnreadableRows(DecisionLog.NONE), () -> this.nowNanos);
 
 	private static TableRow row(String key, Object value) {
-		return new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, key, Json.write(value), 1, false);
+		return new TableRow(JobTables.STATES, JobTables.POOL_PARTITION, key, Json.write(value), 1, false);
 	}
 
 	private static TableRow progressRow(SubmissionState state) {
@@ -36,7 +36,7 @@
 	}
 
 	private static TableRow summaryRow(long version, int waiting) {
-		return new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, JobTables.SUMMARY_KEY,
+		return new TableRow(JobTables.STATES, JobTables.POOL_PARTITION, JobTables.SUMMARY_KEY,
 				Json.write(new QueueSummary(Map.of("q", waiting))), version, false);
 	}
 
@@ -107,7 +107,7 @@
 
 	@Test
 	void ignoreAnUnreadableRow() {
-		this.states.changed(List.of(new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, "b", "{", 1, false),
+		this.states.changed(List.of(new TableRow(JobTables.STATES, JobTables.POOL_PARTITION, "b", "{", 1, false),
 				progressRow(SubmissionState.RUNNING)));
 		assertThat(this.states.state("a")).contains(SubmissionState.RUNNING);
 		assertThat(this.states.state("b")).isEmpty();
