Stop following the jobs on hosts that are no longer standbys

What callers saw: small hosts of a large pool answered late, lost the table and refused requests long after a loss of power of many hosts was over.

Cause: while fewer than three large hosts are ready, small ones are selected as standbys. A host began to follow the jobs and their progress when it was selected, and never stopped, although the selection changes with each start of a host.

Change: StandbyRole stops the replica of a host that was not selected for 10 s and owns no pool; it reads the tables anew when it is selected or takes over.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -145,6 +145,15 @@
 
 	}
 
+	/**
+	 * This host starts to follow the jobs as a standby, or stops to.
+	 *
+	 * @param following whether it follows them now
+	 */
+	record StandbyChanged(boolean following) implements PoolDecision {
+
+	}
+
 	/**
 	 * The owner has loaded the jobs and begins to place tasks.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -18,7 +18,7 @@
 import org.monsoonrelay.model.submission.Submission;
 
 /**
- * A local replica of the job tables. Every scheduler keeps one with a low poll rate, so
+ * A local replica of the job tables. Every standby keeps one with a low poll rate, so
  * that after a take-over only the changes of the last half second have to be read. Once
  * the progress of former owners is read up to the take-over, all known jobs are replayed
  * to the new owner; later jobs are delivered as they arrive. Invariants: a job is
@@ -40,9 +40,13 @@
 	 */
 	private static final Duration STANDBY_POLL_INTERVAL = Duration.ofMillis(500);
 
-	private final TableFollower submissionFeed;
+	private final PartitionedTable table;
 
-	private final TableFollower progressFeed;
+	private final ScheduledExecutorService control;
+
+	private TableFollower submissionFeed;
+
+	private TableFollower progressFeed;
 
 	private final Map<String, StoredJob> unfinished = new HashMap<>();
 
@@ -54,10 +58,8 @@
 
 	private final Set<String> loadedPartitions = new HashSet<>();
 
-	/** Ids of jobs whose row cannot be read. */
 	private final Set<String> unreadableJobs = new HashSet<>();
 
-	/** Ids of jobs whose progress cannot be read. */
 	private final Set<String> unreadableProgress = new HashSet<>();
 
 	private final UnreadableRows unreadable;
@@ -79,30 +81,49 @@
 	 * @param unreadable records rows that cannot be read
 	 */
 	public JobTableReplica(PartitionedTable table, ScheduledExecutorService control, UnreadableRows unreadable) {
+		this.table = table;
+		this.control = control;
 		this.unreadable = unreadable;
-		this.submissionFeed = new TableFollower(table, JobTables.JOBS, JobTables.partitions(), this::pollInterval,
-				control, new SubmissionListener());
-		this.progressFeed = new TableFollower(table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
-				() -> STANDBY_POLL_INTERVAL, control, new ProgressListener());
-	}
-
-	private Duration pollInterval() {
-		return this.owner.isPresent() ? OWNER_POLL_INTERVAL : STANDBY_POLL_INTERVAL;
 	}
 
 	/** Starts to follow the tables. Has no effect if already started. */
 	public void start() {
-		if (!this.started) {
-			this.started = true;
-			this.progressFeed.start();
-			this.submissionFeed.start();
+		if (this.started) {
+			return;
 		}
+		this.started = true;
+		this.submissionFeed = new TableFollower(this.table, JobTables.JOBS, JobTables.partitions(),
+				() -> this.owner.isPresent() ? OWNER_POLL_INTERVAL : STANDBY_POLL_INTERVAL, this.control,
+				new SubmissionListener());
+		this.progressFeed = new TableFollower(this.table, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION),
+				() -> STANDBY_POLL_INTERVAL, this.control, new ProgressListener());
+		this.progressFeed.start();
+		this.submissionFeed.start();
 	}
 
 	/** Stops following the tables. */
 	public void close() {
-		this.submissionFeed.close();
-		this.progressFeed.close();
+		if (this.started) {
+			this.submissionFeed.close();
+			this.progressFeed.close();
+		}
+	}
+
+	/**
+	 * Stops and forgets the content of the tables, unless an owner is attached.
+	 * @return whether it has stopped
+	 */
+	boolean stopIfUnused() {
+		if (!this.started || this.owner.isPresent()) {
+			return false;
+		}
+		close();
+		this.started = false;
+		this.progressLoaded = false;
+		List.of(this.unfinished, this.progress).forEach(Map::clear);
+		List.of(this.ended, this.cancelled, this.loadedPartitions, this.unreadableJobs, this.unreadableProgress)
+			.forEach(Set::clear);
+		return true;
 	}
 
 	/**
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -29,6 +29,7 @@
 import org.monsoonrelay.logic.pool.PoolClock;
 import org.monsoonrelay.logic.pool.PoolDependencies;
 import org.monsoonrelay.logic.pool.PoolOwner;
+import org.monsoonrelay.logic.pool.StandbyRole;
 import org.monsoonrelay.logic.pool.TakeOver;
 import org.monsoonrelay.logic.pool.ThrottledPeerNotifier;
 import org.monsoonrelay.logic.pool.WorkerInfo;
@@ -88,6 +89,8 @@
 
 	private final JobTableReplica jobs;
 
+	private final StandbyRole standby;
+
 	private final OwnerElection election;
 
 	private final PoolDependencies dependencies;
@@ -121,6 +124,7 @@
 				new NetworkPeerNotifier(network, self.address(), this.registry::addresses), this.control,
 				PoolClock.SYSTEM);
 		this.jobs = new JobTableReplica(table, this.control, unreadable);
+		this.standby = new StandbyRole(this.jobs, PoolClock.SYSTEM, log);
 		this.election = new OwnerElection(this.dependencies, this.self, this.terms::begin);
 	}
 
@@ -136,9 +140,7 @@
 	}
 
 	private void checkStandby() {
-		if (this.election.isStandby()) {
-			this.jobs.start();
-		}
+		this.standby.update(this.election.isStandby());
 		this.terms.owner().ifPresent(this::updateStandbyCandidates);
 	}
 
