Stop what is left of a gang under a new owner

A gang of long-running tasks never became whole again when one of its workers and the owner were lost within half a second: no end of the lost members is known to the successor, and a gang starts only when none of its runs is active. The others went on, and no line told of a wait.

Once the recovery is complete, the owner stops the runs of a gang of which a member neither runs, is done, nor may run on a worker that has not reported. Then it is started anew.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -5,12 +5,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
 
 import org.monsoonrelay.model.submission.CrashSuspicion;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepProgress;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.SubmittedJob;
+import org.monsoonrelay.model.submission.TaskKey;
 
 /**
  * A step with tasks that can be scheduled, together with its runs that may still be
@@ -189,6 +192,20 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether only a part of a gang runs.
+	 * @param mayRunUnseen matches tasks that may run although no run is known
+	 * @return {@code true} if a member is missing, so that the others do no work
+	 */
+	boolean isIncompleteGang(Predicate<TaskKey> mayRunUnseen) {
+		if (!this.spec.gang() || isIdle() || this.job.isEnded() || progress().isComplete()) {
+			return false;
+		}
+		return IntStream.range(0, this.runs.length)
+			.filter((index) -> this.runs[index] == null && !progress().isDone(index))
+			.anyMatch((index) -> !mayRunUnseen.test(this.key.task(index)));
+	}
+
 	/**
 	 * Attempt number for the next start of a task; the tasks of a gang share one.
 	 * @param index the task
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.events.JobDecision;
@@ -19,9 +20,9 @@
 /**
  * Updates jobs when their runs terminate. Invariants: only failures count as attempts,
  * and crashes of workers are counted apart; if a member of a gang terminates without
- * success, all members of the gang are stopped; when a job ends, all its runs are
- * stopped; a termination is ignored only if its job has ended or is presumed not to
- * exist. Not thread-safe: confined to the control thread.
+ * success, or is missing, all members of the gang are stopped; when a job ends, all its
+ * runs are stopped; a termination is ignored only if its job has ended or is presumed not
+ * to exist. Not thread-safe: confined to the control thread.
  */
 final class RunTerminationHandler {
 
@@ -275,6 +276,20 @@
 		}
 	}
 
+	/**
+	 * Stops what is left of gangs whose other members were lost under an earlier owner,
+	 * so that no end of theirs is known.
+	 * @param mayRunUnseen matches tasks that may run although no run is known
+	 */
+	void stopIncompleteGangs(Predicate<TaskKey> mayRunUnseen) {
+		this.jobs.openSteps()
+			.stream()
+			.filter((step) -> step.isIncompleteGang(mayRunUnseen))
+			.flatMap((step) -> step.activeRuns().stream())
+			.toList()
+			.forEach((run) -> this.stopRun.accept(run, "another member of its gang is missing"));
+	}
+
 	/**
 	 * Stops all runs of a job that has ended.
 	 * @param job the job
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -233,7 +233,8 @@
 	}
 
 	/**
-	 * Expires holds and leases, and removes expired workers that are no longer listed.
+	 * Expires holds and leases, removes expired workers that are no longer listed, and
+	 * stops gangs of which only a part is left.
 	 * @return {@code true} if runs were lost
 	 */
 	boolean expireLeases() {
@@ -253,9 +254,17 @@
 				this.pool.remove(worker);
 			}
 		}
+		stopIncompleteGangs();
 		return isAnyLost;
 	}
 
+	// During the recovery the other members may still be reported.
+	private void stopIncompleteGangs() {
+		if (this.recovered) {
+			this.terminations.stopIncompleteGangs(this.pool::mayRunUnconfirmed);
+		}
+	}
+
 	private void markLost(PoolWorker worker, RunLoss loss) {
 		if (worker.isLost()) {
 			return;
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
@@ -0,0 +1,52 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.monsoonrelay.model.submission.StepSpec;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Long-running tasks run again soon after they have ended, on any worker with room for
+ * them, however full the other workers are.
+ */
+class LongRunningTasksTests {
+
+	/**
+	 * Until a new owner knows what runs on all workers, and what waited for that runs.
+	 */
+	private static final long TAKE_OVER_MILLIS = 12_000;
+
+	private final SimulatedCell cell = new SimulatedCell();
+
+	private static StepSpec longRunning(int count, boolean gang) {
+		return new StepSpec(count, SimulatedCell.TASK, SimulatedCell.RUN_MILLIS, List.of(), gang, false, "", "", 0,
+				false, false, true, false);
+	}
+
+	private static TaskKey taskOf(String job) {
+		return new TaskKey(job, 0, 0, 0);
+	}
+
+	// Guards against members of a gang that wait for good for those lost with a worker.
+	@ParameterizedTest
+	@ValueSource(longs = { 10, 100, 3000, 60_000 })
+	void ofAGangStartAgainIfOneIsLostTogetherWithTheOwner(long restartMillis) {
+		this.cell.withRunMillis(Integer.MAX_VALUE).withWorkers(6);
+		SimulatedCell.Scheduler owner = this.cell.startOwnerAndStandby();
+		this.cell.time.runFor(1000);
+		this.cell.submit("a", longRunning(6, true));
+		this.cell.time.runFor(1000);
+		assertThat(this.cell.workers.runningTaskCount()).isEqualTo(6);
+		String lost = this.cell.workers.workerRunning(taskOf("a"));
+		this.cell.workers.crashAndRestart(this.cell.workers.find(lost), restartMillis);
+		owner.kill();
+		this.cell.time.runFor(TAKE_OVER_MILLIS);
+		assertThat(this.cell.workers.runningTaskCount()).isEqualTo(6);
+		assertThat(this.cell.workers.violations()).isEmpty();
+	}
+
+}
