Ask for a long-running task also where one of it fits

A long-running task waited for good beside room for it on a worker whose eligibility had not been asked for, while all workers known to be eligible were full. selectAdditional asks for others only if a third of their free slots, the expected share of eligible ones, is at least one; one or two free slots are not. So it was on any worker that joined or restarted with room for one or two of a large task, at any size of the pool.

For a single long-running task one free slot suffices. The cost is bounded: each worker is asked for once for a step. Gangs and other steps are as before.

EligibilityCandidatesTests and LongRunningTasksTests are red without it.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityCandidates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityCandidates.java
@@ -125,8 +125,10 @@
 		int size = totalSlots(context, eligible);
 		boolean hasTooFewSlots = size < MIN_SLOTS_PER_TASK * context.step().spec().count();
 		int free = freeSlots(context, unqueried);
-		boolean hasCapacityElsewhere = !canWait && free > 0
-				&& freeSlots(context, eligible) + EXPECTED_ELIGIBLE_SHARE * free >= required;
+		// A long-running task would otherwise wait beside the last free slots for hours.
+		boolean isExpectedToFit = (context.step().spec().longRunning() && required == 1)
+				|| freeSlots(context, eligible) + EXPECTED_ELIGIBLE_SHARE * free >= required;
+		boolean hasCapacityElsewhere = !canWait && free > 0 && isExpectedToFit;
 		if (!hasTooFewSlots && !hasCapacityElsewhere) {
 			return List.of();
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityCandidatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityCandidatesTests.java
@@ -20,11 +20,20 @@
 	private static final Resources SIZE = new Resources(4000, 100, 0);
 
 	private static PlacementContext context(String job, int tasks) {
-		StepSpec spec = new StepSpec(tasks, SIZE, 500, List.of(), false, false, "", "", 0, false, false, false, false);
+		return context(job,
+				new StepSpec(tasks, SIZE, 500, List.of(), false, false, "", "", 0, false, false, false, false));
+	}
+
+	private static PlacementContext longRunning(String job, boolean gang) {
+		return context(job, new StepSpec(4, SIZE, 500, List.of(), gang, false, "", "", 0, false, false, true, false));
+	}
+
+	private static PlacementContext context(String job, StepSpec spec) {
 		QueuePolicy policy = new QueuePolicy("q", "s", 0, 3, 2, 0, null);
 		Submission submission = new Submission(job, policy, "", List.of(spec), Timetable.AT_ONCE, 0);
 		ActiveStep step = new ActiveStep(new StepKey(job, 0, 0), new SubmittedJob(submission), 0);
-		return new PlacementContext(step, List.of(), policy, StepEligibility.UNKNOWN, 0);
+		return new PlacementContext(step, IntStream.range(0, spec.count()).boxed().toList(), policy,
+				StepEligibility.UNKNOWN, 0);
 	}
 
 	private static List<PoolWorker> workers(int count) {
@@ -44,7 +53,15 @@
 	}
 
 	private static void fill(PoolWorker worker) {
-		for (int i = 0; i < 4; i++) {
+		fill(worker, 4);
+	}
+
+	private static void leaveRoomForOne(PoolWorker worker) {
+		fill(worker, 3);
+	}
+
+	private static void fill(PoolWorker worker, int slots) {
+		for (int i = 0; i < slots; i++) {
 			worker.add(Run.starting(new TaskKey("other", 0, 0, i), 1, worker.id(), SIZE, 0));
 		}
 	}
@@ -73,6 +90,38 @@
 			.isNotEmpty();
 	}
 
+	// Guards against a long-running task that waits beside free capacity for good.
+	@Test
+	void includeOthersForALongRunningStepAlsoIfTheyHaveCapacityForOneTaskOnly() {
+		List<PoolWorker> pool = openWorkers(41);
+		pool.subList(0, 40).forEach(EligibilityCandidatesTests::fill);
+		leaveRoomForOne(pool.get(40));
+		assertThat(EligibilityCandidates.selectAdditional(longRunning("a", false), pool.subList(0, 40),
+				pool.subList(40, 41), false))
+			.containsExactly(pool.get(40));
+	}
+
+	@Test
+	void excludeOthersWithCapacityForOneTaskForOtherStepsAndGangs() {
+		List<PoolWorker> pool = openWorkers(41);
+		pool.subList(0, 40).forEach(EligibilityCandidatesTests::fill);
+		leaveRoomForOne(pool.get(40));
+		for (PlacementContext context : List.of(context("a", 4), longRunning("a", true))) {
+			assertThat(
+					EligibilityCandidates.selectAdditional(context, pool.subList(0, 40), pool.subList(40, 41), false))
+				.isEmpty();
+		}
+	}
+
+	@Test
+	void excludeOthersWithoutCapacityForALongRunningStep() {
+		List<PoolWorker> pool = openWorkers(41);
+		pool.forEach(EligibilityCandidatesTests::fill);
+		assertThat(EligibilityCandidates.selectAdditional(longRunning("a", false), pool.subList(0, 40),
+				pool.subList(40, 41), false))
+			.isEmpty();
+	}
+
 	@Test
 	void excludeOthersForAStepThatCanWaitForEligibleOnes() {
 		List<PoolWorker> pool = openWorkers(200);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.model.submission.StepSpec;
@@ -15,13 +16,22 @@
  */
 class LongRunningTasksTests {
 
+	/** Users allow a long-running task this time without a run beside free capacity. */
+	private static final long MAX_WAIT_MILLIS = 9000;
+
 	/**
 	 * Until a new owner knows what runs on all workers, and what waited for that runs.
 	 */
 	private static final long TAKE_OVER_MILLIS = 12_000;
 
+	private static final long SAMPLE_MILLIS = 50;
+
 	private final SimulatedCell cell = new SimulatedCell();
 
+	private static StepSpec longRunning() {
+		return longRunning(1, false);
+	}
+
 	private static StepSpec longRunning(int count, boolean gang) {
 		return new StepSpec(count, SimulatedCell.TASK, SimulatedCell.RUN_MILLIS, List.of(), gang, false, "", "", 0,
 				false, false, true, false);
@@ -31,6 +41,37 @@
 		return new TaskKey(job, 0, 0, 0);
 	}
 
+	// Runs until a task runs, for the allowed time at most.
+	private void awaitRun(String job) {
+		for (long waited = 0; waited < MAX_WAIT_MILLIS && !isRunning(job); waited += SAMPLE_MILLIS) {
+			this.cell.time.runFor(SAMPLE_MILLIS);
+		}
+	}
+
+	private boolean isRunning(String job) {
+		return this.cell.workers.runningTasks().contains(taskOf(job));
+	}
+
+	// Guards against a worker that is never asked for as it has room for few tasks.
+	@Test
+	void startOnANewWorkerWithRoomForTwoWhileTheOthersAreFull() {
+		this.cell.withEligibility(1, 300).withRunMillis(Integer.MAX_VALUE);
+		this.cell.workers.add("small", SimulatedCell.TASK);
+		this.cell.workers.add("full", SimulatedCell.CAPACITY);
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.submit("a", longRunning());
+		this.cell.time.runFor(1000);
+		assertThat(this.cell.workers.workerRunning(taskOf("a"))).isEqualTo("small");
+		this.cell.submit("b", SimulatedCell.step(4, false));
+		this.cell.time.runFor(1000);
+		assertThat(this.cell.workers.runningTaskCount()).isEqualTo(5);
+		this.cell.workers.crash("small");
+		this.cell.workers.add("new", SimulatedCell.TASK.times(2));
+		awaitRun("a");
+		assertThat(this.cell.workers.workerRunning(taskOf("a"))).isEqualTo("new");
+	}
+
 	// Guards against members of a gang that wait for good for those lost with a worker.
 	@ParameterizedTest
 	@ValueSource(longs = { 10, 100, 3000, 60_000 })
