Do not avoid workers longer for long-running failures

A worker is avoided for 4 s after three failures in a row of two jobs, and each further failure there began these 4 s anew. Runs of long-running tasks never succeed, and those begun before the avoidance go on failing while it lasts; meanwhile no task could start there. With one task at a time the rule is as before: the first failure after an avoidance begins another.

Failures of tasks with limited attempts prolong the avoidance as before.

A refused start pauses a worker apart from that; before, its 0.5 s could replace the rest of the 4 s.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/FailureStreak.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/FailureStreak.java
@@ -7,8 +7,10 @@
 /**
  * Counts consecutive failures of runs on one worker. After too many failures across
  * different jobs, the worker is avoided for a while; the next run then decides whether it
- * is avoided again. This protects jobs with few attempts from a worker on which all runs
- * fail. Not thread-safe: confined to the control thread.
+ * is avoided again. Failures of long-running tasks do not prolong that: none of their
+ * runs succeeds, and those from before could keep a worker unused for minutes. This
+ * protects jobs with few attempts from a worker on which all runs fail. Not thread-safe:
+ * confined to the control thread.
  */
 final class FailureStreak {
 
@@ -32,34 +34,52 @@
 
 	private boolean avoided;
 
+	private long pauseUntilNanos;
+
+	private boolean paused;
+
 	/**
 	 * Records a failed run.
 	 * @param job the id of the run's job
+	 * @param isLongRunning whether the run is one of a long-running task
 	 * @param nowNanos the current monotonic time
 	 * @return {@code true} if the failure causes the worker to be avoided
 	 */
-	boolean recordFailure(String job, long nowNanos) {
+	boolean recordFailure(String job, boolean isLongRunning, long nowNanos) {
 		this.consecutiveFailures++;
 		this.failedJobs.add(job);
-		if (this.consecutiveFailures < MAX_CONSECUTIVE_FAILURES || this.failedJobs.size() < MIN_DISTINCT_JOBS) {
+		boolean isStreak = this.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES
+				&& this.failedJobs.size() >= MIN_DISTINCT_JOBS;
+		if (!isStreak || (isLongRunning && isAvoidedForFailures(nowNanos))) {
 			return false;
 		}
-		avoid(nowNanos, AVOIDANCE_MILLIS);
+		this.avoided = true;
+		this.avoidUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(AVOIDANCE_MILLIS);
 		return true;
 	}
 
-	void avoid(long nowNanos, long millis) {
-		this.avoided = true;
-		this.avoidUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+	/**
+	 * Avoids the worker although no run has failed.
+	 * @param nowNanos the current monotonic time
+	 * @param millis for how long
+	 */
+	void pause(long nowNanos, long millis) {
+		this.paused = true;
+		this.pauseUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
 	void recordSuccess() {
 		this.consecutiveFailures = 0;
 		this.failedJobs.clear();
 		this.avoided = false;
+		this.paused = false;
 	}
 
 	boolean isAvoided(long nowNanos) {
+		return isAvoidedForFailures(nowNanos) || (this.paused && nowNanos - this.pauseUntilNanos < 0);
+	}
+
+	private boolean isAvoidedForFailures(long nowNanos) {
 		return this.avoided && nowNanos - this.avoidUntilNanos < 0;
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -296,7 +296,7 @@
 		switch (kind) {
 			case TICKET_REFUSED -> this.eligibility.ticketRefused(step.key(), worker.id());
 			case OLD_ATTEMPT -> step.recordAttempt(run.task().index(), run.attempt() + 1);
-			default -> worker.failures().avoid(this.clock.nanos(), REFUSAL_BACKOFF_MILLIS);
+			default -> worker.failures().pause(this.clock.nanos(), REFUSAL_BACKOFF_MILLIS);
 		}
 		if (retries > 0 || run.state() != Run.State.STARTING) {
 			// An earlier start request may still be executed.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -141,16 +141,20 @@
 			case FAILED -> {
 				progress.saveCheckpoint(index, termination.checkpoint());
 				if (progress.markFailed(index, termination.attempt())) {
-					recordFailure(worker, termination.task());
+					recordFailure(worker, termination.task(), isLongRunning(job, key));
 				}
 			}
 			default -> progress.saveCheckpoint(index, termination.checkpoint());
 		}
 	}
 
-	private void recordFailure(PoolWorker worker, TaskKey task) {
+	private static boolean isLongRunning(SubmittedJob job, StepKey key) {
+		return job.submission().steps().get(key.step()).longRunning();
+	}
+
+	private void recordFailure(PoolWorker worker, TaskKey task, boolean isLongRunning) {
 		this.jobs.step(task.stepKey()).ifPresent((step) -> step.recordFailure(task.index(), worker.id()));
-		if (worker.failures().recordFailure(task.job(), this.clock.nanos())) {
+		if (worker.failures().recordFailure(task.job(), isLongRunning, this.clock.nanos())) {
 			this.log.write(new PoolDecision.WorkerAvoided(worker.id(), worker.failures().consecutiveFailures(),
 					FailureStreak.AVOIDANCE_MILLIS));
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
@@ -1,10 +1,14 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -52,6 +56,24 @@
 		return this.cell.workers.runningTasks().contains(taskOf(job));
 	}
 
+	// Guards against a worker that is avoided for as long as runs from before fail.
+	@Test
+	void startAgainAlthoughOthersFailOnTheSameWorker() {
+		Map<String, Long> firstRuns = Map.of("a", 1000L, "b", 1300L, "c", 1600L, "d", 5000L, "e", 8500L, "f", 12_000L);
+		Set<String> begun = new HashSet<>();
+		this.cell.withRunMillis((task) -> begun.add(task.job()) ? firstRuns.get(task.job()) : (long) Integer.MAX_VALUE);
+		this.cell.workers.add("w0", new Resources(8000, 1000, 0)).setFailing(true);
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		firstRuns.keySet().forEach((job) -> this.cell.submit(job, longRunning()));
+		this.cell.time.runFor(1500);
+		assertThat(isRunning("c")).isTrue();
+		this.cell.time.runFor(200);
+		assertThat(isRunning("c")).isFalse();
+		awaitRun("c");
+		assertThat(isRunning("c")).isTrue();
+	}
+
 	// Guards against a worker that is never asked for as it has room for few tasks.
 	@Test
 	void startOnANewWorkerWithRoomForTwoWhileTheOthersAreFull() {
