Compare the counts that each host answers with what workers have executed

A caller was told that 4 jobs wait while 26 had waited for 5 s. No test covered a host that is behind: the simulated cell has one gateway that receives every message of owners, and the simulated table answers all rows at once.

Simulated gateways now follow the table with the pauses of the real gateway and hear owners by its rules; messages between them and owners can be lost. The client of the simulated table can limit the rows of an answer of the feed, take a time in proportion to the bytes, and lose its history.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -154,6 +154,12 @@
 
 		private long writeMillis = LATENCY_MILLIS;
 
+		private int feedRows = Integer.MAX_VALUE;
+
+		private long linkBytesPerMillis = Long.MAX_VALUE;
+
+		private long historyBegin;
+
 		void setDisconnected(boolean isDisconnected) {
 			this.disconnected = isDisconnected;
 		}
@@ -200,6 +206,28 @@
 			this.feedDelayMillis = millis;
 		}
 
+		/**
+		 * Limits the rows of one answer of the change feed. Rows of one write stay
+		 * together.
+		 * @param rows the limit
+		 */
+		void setFeedRows(int rows) {
+			this.feedRows = rows;
+		}
+
+		/**
+		 * Sets the rate at which this process receives answers to its reads.
+		 * @param bytesPerMillis the rate, bytes in a millisecond
+		 */
+		void setLinkRate(long bytesPerMillis) {
+			this.linkBytesPerMillis = bytesPerMillis;
+		}
+
+		/** Discards the changes up to now that this process has not read. */
+		void loseChangeHistory() {
+			this.historyBegin = InMemoryTable.this.version;
+		}
+
 		/**
 		 * Sets how long writes of this process take until they have an effect and are
 		 * answered.
@@ -259,8 +287,9 @@
 					.limit(limit + 1L)
 					.toList();
 				boolean truncated = found.size() > limit;
-				answer.complete(new TablePage(truncated ? found.subList(0, limit) : found, truncated,
-						InMemoryTable.this.version));
+				TablePage page = new TablePage(truncated ? found.subList(0, limit) : found, truncated,
+						InMemoryTable.this.version);
+				deliver(page.rows(), 0, () -> answer.complete(page));
 			});
 			return answer;
 		}
@@ -286,15 +315,39 @@
 				answer.complete(TableChanges.HISTORY_LOST);
 				return;
 			}
+			if (since < this.historyBegin) {
+				answer.complete(TableChanges.HISTORY_LOST);
+				return;
+			}
 			List<TableRow> changed = changedSince(since).filter((row) -> row.table().equals(table)).toList();
 			if (!changed.isEmpty() || remainingMillis <= 0) {
-				TableChanges changes = new TableChanges(changed, InMemoryTable.this.version, false, false);
-				after(this.feedDelayMillis, () -> answer.complete(changes));
+				TableChanges changes = limited(changed);
+				deliver(changes.rows(), this.feedDelayMillis, () -> answer.complete(changes));
 				return;
 			}
 			after(POLL_MILLIS, () -> poll(answer, table, since, remainingMillis - POLL_MILLIS));
 		}
 
+		private TableChanges limited(List<TableRow> changed) {
+			if (changed.size() <= this.feedRows) {
+				return new TableChanges(changed, InMemoryTable.this.version, false, false);
+			}
+			long last = changed.get(this.feedRows - 1).version();
+			return new TableChanges(changed.stream().takeWhile((row) -> row.version() <= last).toList(), last, true,
+					false);
+		}
+
+		private void deliver(List<TableRow> rows, long delayMillis, Runnable answer) {
+			long bytes = rows.stream().mapToLong((row) -> row.key().length() + row.value().length()).sum();
+			long millis = delayMillis + bytes / this.linkBytesPerMillis;
+			if (millis > 0) {
+				after(millis, answer);
+			}
+			else {
+				answer.run();
+			}
+		}
+
 		private void after(long millis, Runnable action) {
 			InMemoryTable.this.time.schedule(action, millis, TimeUnit.MILLISECONDS);
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -82,6 +82,9 @@
 	/** The job states that a gateway knows from owners. */
 	final JobStates gateway = new JobStates(this.unreadable, this.time.clock()::nanos);
 
+	/** Gateways with copies of their own. */
+	final List<SimulatedGateway> gateways = new ArrayList<>();
+
 	private final InMemoryTable.Client callerTable = this.table.client();
 
 	private ToLongFunction<TaskKey> runMillis = (task) -> RUN_MILLIS;
@@ -332,11 +335,13 @@
 		@Override
 		public void sendHeartbeat(long epoch, long version) {
 			send((election) -> election.heartbeatReceived(epoch, version));
+			SimulatedCell.this.gateways.forEach((gateway) -> gateway.heartbeatReceived(this, epoch));
 		}
 
 		@Override
 		public void publishStates(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending) {
 			SimulatedCell.this.gateway.applyOwnerUpdate(states, pending);
+			SimulatedCell.this.gateways.forEach((gateway) -> gateway.statesReceived(states, pending));
 		}
 
 		@Override
@@ -395,6 +400,10 @@
 			}
 		}
 
+		boolean isKilled() {
+			return this.killed;
+		}
+
 		/** Ends the process without releasing the pool. */
 		void kill() {
 			this.election.close();
