--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedGateway.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedGateway.java
@@ -51,7 +51,7 @@
 		this.time = cell.time;
 		this.tableClient = cell.table.client();
 		this.states = new JobStates(cell.unreadable, this.time.clock()::nanos);
-		new TableFollower(this.tableClient, JobTables.PROGRESS, List.of(JobTables.POOL_PARTITION), this::readInterval,
+		new TableFollower(this.tableClient, JobTables.STATES, List.of(JobTables.POOL_PARTITION), this::readInterval,
 				this.time, this.states)
 			.start();
 	}
@@ -116,7 +116,8 @@
 	 * @return the number, empty if it says that it does not know
 	 */
 	OptionalInt waitingJobs(String queue) {
-		return OptionalInt.of(this.states.waitingJobs(queue).jobs());
+		WaitingJobs known = this.states.waitingJobs(queue);
+		return known.mayBeOutdated() ? OptionalInt.empty() : OptionalInt.of(known.jobs());
 	}
 
 	/**
