Hedge only reads of which nothing arrives

Cause: a read is sent again on a new connection 0.3 s after the request, or after the end of the server's wait, unless the complete response has arrived. A hedge is meant for a connection that has gone silent.

Evidence: two of the three tests in HedgedExchangeTests were red. isNotHedgedWhileItsResponseIsArriving: "Expected size: 1 but was: 2 in: [GET /first, GET /second]"; isNotHedgedAgainWhileTheResponseOfItsHedgeIsArriving: "Expected size: 2 but was: 3".

Change: bytes that arrive for the first request or for one of its hedges put the next hedge off until the overdue interval after them. They are seen before the decoder, as the aggregator passes on complete responses only. The time is only ever put off: bytes within the server's wait bring no hedge forward, and a request of which nothing arrives, also because it still waits for its place in the client, is hedged when it was before. The doubled intervals, the limit of hedges and the timeouts are as they were: an answer that takes longer than the timeout of its call still fails.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
@@ -41,6 +41,9 @@
 
 	private final Duration timeout;
 
+	private Runnable onReceived = () -> {
+	};
+
 	private boolean needsNewConnection;
 
 	private boolean running;
@@ -72,6 +75,20 @@
 		return this;
 	}
 
+	/**
+	 * Tells when bytes of the response arrive.
+	 * @param listener called on the event loop of the connection, must not block
+	 * @return this call, which must not have been submitted
+	 */
+	HttpCall onReceived(Runnable listener) {
+		this.onReceived = listener;
+		return this;
+	}
+
+	void received() {
+		this.onReceived.run();
+	}
+
 	boolean needsNewConnection() {
 		return this.needsNewConnection;
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnection.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnection.java
@@ -52,6 +52,13 @@
 		});
 	}
 
+	/** Called when bytes have arrived, before they are decoded. */
+	void received() {
+		if (this.currentCall != null) {
+			this.currentCall.received();
+		}
+	}
+
 	void close() {
 		this.channel.close();
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
@@ -7,6 +7,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -150,11 +152,30 @@
 
 		@Override
 		protected void initChannel(SocketChannel channel) {
+			HttpConnection connection = new HttpConnection(HttpConnectionPool.this, channel);
 			channel.pipeline()
 				.addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS))
+				.addLast(new ArrivalHandler(connection))
 				.addLast(new HttpClientCodec())
 				.addLast(new HttpObjectAggregator(MAXIMUM_RESPONSE_BYTES))
-				.addLast(new HttpConnection(HttpConnectionPool.this, channel));
+				.addLast(connection);
+		}
+
+	}
+
+	/** Tells a connection of bytes that the aggregator holds back until the last. */
+	private static final class ArrivalHandler extends ChannelInboundHandlerAdapter {
+
+		private final HttpConnection connection;
+
+		ArrivalHandler(HttpConnection connection) {
+			this.connection = connection;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			this.connection.received();
+			context.fireChannelRead(message);
 		}
 
 	}
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -110,39 +110,53 @@
 	 * arrives
 	 */
 	public CompletableFuture<Response> get(String url, Duration timeout) {
-		return submit(new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeoutOrDefault(timeout)));
+		return submit(newGet(url, timeoutOrDefault(timeout)));
+	}
+
+	private static HttpCall newGet(String url, Duration timeout) {
+		return new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeout);
 	}
 
 	/**
-	 * Sends a GET request, and others on new connections while no response arrives: the
+	 * Sends a GET request, and others on new connections while nothing arrives: the
 	 * connection of the first may have gone silent, and packets may be lost while another
-	 * is opened. The first response counts.
+	 * is opened. While bytes of a response arrive, no other request is sent: on a thin
+	 * link it would only delay them. The first response counts.
 	 * @param url the URL
 	 * @param timeout the maximum time of all exchanges together, zero for the default
 	 * timeout
 	 * @param hedgeUrl the URL of the other requests
 	 * @param wait how long the server may hold the response back
-	 * @param overdue time after the wait at which the first of the other requests is
-	 * sent; each further one follows after twice the previous interval
+	 * @param overdue time after the wait, and after the last bytes that arrived, at which
+	 * the first of the other requests is sent; each further one follows after twice the
+	 * previous interval, and not before that time after the last bytes
 	 * @return the response; fails with {@link PlatformException} if no complete response
 	 * arrives
 	 */
 	public CompletableFuture<Response> getHedged(String url, Duration timeout, String hedgeUrl, Duration wait,
 			Duration overdue) {
 		long deadlineNanos = System.nanoTime() + timeoutOrDefault(timeout).toNanos();
-		HedgedExchange exchange = new HedgedExchange(get(url, timeout));
-		scheduleHedge(exchange, hedgeUrl, wait.plus(overdue), overdue.multipliedBy(2), deadlineNanos);
+		OverdueTime overdueTime = new OverdueTime(wait, overdue);
+		HedgedExchange exchange = new HedgedExchange(
+				submit(newGet(url, timeoutOrDefault(timeout)).onReceived(overdueTime::received)));
+		scheduleHedge(exchange, overdueTime, hedgeUrl, wait.plus(overdue), overdue.multipliedBy(2), deadlineNanos);
 		return exchange.result();
 	}
 
-	private void scheduleHedge(HedgedExchange exchange, String url, Duration delay, Duration interval,
-			long deadlineNanos) {
+	private void scheduleHedge(HedgedExchange exchange, OverdueTime overdueTime, String url, Duration delay,
+			Duration interval, long deadlineNanos) {
 		Future<?> timer = GROUP.next().schedule(() -> {
 			Duration remaining = Duration.ofNanos(deadlineNanos - System.nanoTime());
-			if (!remaining.isNegative()) {
-				hedge(exchange, () -> getOnNewConnection(url, remaining));
-				scheduleHedge(exchange, url, interval, interval.multipliedBy(2), deadlineNanos);
+			Duration putOff = Duration.ofNanos(overdueTime.remainingNanos());
+			if (remaining.isNegative()) {
+				return;
+			}
+			if (putOff.compareTo(Duration.ZERO) > 0) {
+				scheduleHedge(exchange, overdueTime, url, putOff, interval, deadlineNanos);
+				return;
 			}
+			hedge(exchange, () -> getOnNewConnection(url, remaining, overdueTime));
+			scheduleHedge(exchange, overdueTime, url, interval, interval.multipliedBy(2), deadlineNanos);
 		}, delay.toNanos(), TimeUnit.NANOSECONDS);
 		exchange.result().whenComplete((response, failure) -> timer.cancel(false));
 	}
@@ -153,10 +167,10 @@
 		}
 	}
 
-	private CompletableFuture<Response> getOnNewConnection(String url, Duration timeout) {
+	private CompletableFuture<Response> getOnNewConnection(String url, Duration timeout, OverdueTime overdueTime) {
 		LOGGER.log(System.Logger.Level.WARNING, "no answer in time, using a new connection: {0}", url);
 		CompletableFuture<Response> response = submit(
-				new HttpCall(HttpMethod.GET, url, NO_BODY, Map.of(), timeout).onNewConnection());
+				newGet(url, timeout).onReceived(overdueTime::received).onNewConnection());
 		response.whenComplete((result, failure) -> this.hedgePermits.release());
 		return response;
 	}
