Let soaks disturb the paths between hosts

Soaks of real processes disturbed the path to the platform only; messages between hosts were never lost, delayed or left on silent connections.

PeerPaths stands in front of each host. Rows of the table and messages between hosts name the address in front, so that a pair keeps one duplex connection. A path may lose, forget or delay messages in one direction. Lost messages are sent again after doubled waits; what is opened during a loss is held until its end, whereas a lost connection request would fail after 1 s, which is not played.

HostViews holds what a host sees of the table, before in PlatformFake. Hosts may be told that they are small. SoakClient tells when a job was accepted, TaskRuns whether it has begun. No check of an existing test changes.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -6,7 +6,6 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,8 +40,6 @@
 
 	private static final String INSTANCE_HEADER = "X-Monsoonrelay-Expect-Instance";
 
-	private static final String WORKER_TABLE = "servers";
-
 	private static final int REMAINING_MILLIS = 600_000;
 
 	private static final String CONFIGURATION = """
@@ -75,10 +72,10 @@
 
 	private final Map<Integer, String> hostsByPort = new ConcurrentHashMap<>();
 
-	private final Map<Integer, String> relaysByPort = new ConcurrentHashMap<>();
-
 	private final List<HttpServer> servers = new ArrayList<>();
 
+	private final HostViews views;
+
 	private volatile boolean refusingReads;
 
 	private final String ip;
@@ -93,6 +90,7 @@
 		this.restartedId = restartedId;
 		this.ip = ip;
 		this.port = port;
+		this.views = new HostViews(ip, port);
 		put("op", "config", CONFIGURATION.formatted(1, ""));
 		GangFake gangs = new GangFake(this.timer);
 		this.crashes = new WorkerCrashes(this.workers, this.timer);
@@ -136,8 +134,25 @@
 	 * @return the address to which it forwards, with the port at which it listens
 	 */
 	HostAddress listenForRelay(String relayIp) {
-		HostAddress own = HostAddress.parse(listenFor("relay"));
-		this.relaysByPort.put(own.port(), relayIp);
+		return relayTo(relayIp, listenFor("relay"));
+	}
+
+	/**
+	 * Listen for a relay of one host, which sees other hosts where their paths begin.
+	 * @param relayIp where the relay listens
+	 * @param host the host's name
+	 * @param peers the paths between hosts
+	 * @return the address to which it forwards, with the port at which it listens
+	 */
+	HostAddress listenForRelay(String relayIp, String host, PeerPaths peers) {
+		HostAddress own = relayTo(relayIp, listenFor(host));
+		this.views.addPeerView(own.port(), (text) -> peers.seenBy(host, text));
+		return own;
+	}
+
+	private HostAddress relayTo(String relayIp, String address) {
+		HostAddress own = HostAddress.parse(address);
+		this.views.addRelay(own.port(), relayIp);
 		return own;
 	}
 
@@ -145,7 +160,7 @@
 		WorkerFake worker = new WorkerFake(id, this.timer, gangs, this.runs);
 		this.workers.put(id, worker);
 		this.entries.put(id, entry.formatted(worker.startedMillis()));
-		put(WORKER_TABLE, id, this.entries.get(id));
+		put(HostViews.WORKERS, id, this.entries.get(id));
 		this.crashes.onRestart(id, () -> restartWorker(id, gangs, entry));
 	}
 
@@ -155,7 +170,7 @@
 			return;
 		}
 		this.crashes.markReplaced(id);
-		this.table.put(WORKER_TABLE, id, null);
+		this.table.put(HostViews.WORKERS, id, null);
 		addWorker(id + "x", gangs, entry);
 	}
 
@@ -213,7 +228,7 @@
 	 */
 	void drain(String id) {
 		String draining = "\"draining\", \"remaining_ms\": " + REMAINING_MILLIS;
-		put(WORKER_TABLE, id, this.entries.compute(id, (known, entry) -> entry.replace("\"ready\"", draining)));
+		put(HostViews.WORKERS, id, this.entries.compute(id, (known, entry) -> entry.replace("\"ready\"", draining)));
 	}
 
 	/**
@@ -250,7 +265,7 @@
 	}
 
 	private void put(String name, String key, String value) {
-		this.table.put(name, key, encode(value));
+		this.table.put(name, key, HostViews.encode(value));
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
@@ -305,7 +320,7 @@
 			return new Answer(TOO_MANY_REQUESTS, Map.of());
 		}
 		return switch (exchange.getRequestURI().getPath()) {
-			case "/api/rows-tx" -> this.table.commit(body);
+			case "/api/rows-tx" -> forHost(exchange, this.table.commit(body));
 			case "/api/rows-get" -> forHost(exchange, this.table.read(query.get("table"), query.get("part"),
 					query.getOrDefault("from", ""), Integer.parseInt(query.get("limit"))));
 			case "/api/rows-feed" -> forHost(exchange, this.table.changes(query.get("table"),
@@ -318,28 +333,8 @@
 		};
 	}
 
-	/**
-	 * A host sees all workers at its own address, which tells whose requests they are.
-	 */
 	private Answer forHost(HttpExchange exchange, Answer answer) {
-		int asked = exchange.getLocalAddress().getPort();
-		if (asked == this.port || !(answer.body() instanceof TableFake.Rows rows)) {
-			return answer;
-		}
-		return new Answer(answer.code(), rows
-			.withValues((row) -> row.table().equals(WORKER_TABLE) ? readdress(row.value(), asked) : row.value()));
-	}
-
-	private String readdress(String value, int to) {
-		if (value == null) {
-			return null;
-		}
-		String entry = new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
-		return encode(entry.replace(this.ip + ":" + this.port, this.relaysByPort.getOrDefault(to, this.ip) + ":" + to));
-	}
-
-	private static String encode(String value) {
-		return Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+		return this.views.seenAt(exchange.getLocalAddress().getPort(), answer);
 	}
 
 	private static Map<String, String> query(String raw) {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakClient.java
@@ -3,11 +3,14 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * A client that hands in one job after the other over a connection that it keeps until it
@@ -45,7 +48,8 @@
 
 	private final Work work;
 
-	private final Set<String> accepted = new HashSet<>();
+	/** When the answer was there, by job. */
+	private final Map<String, Long> accepted = new ConcurrentHashMap<>();
 
 	private final Set<String> refused = new HashSet<>();
 
@@ -77,7 +81,16 @@
 	 * @return their ids
 	 */
 	Set<String> accepted() {
-		return this.accepted;
+		return this.accepted.keySet();
+	}
+
+	/**
+	 * Jobs that were accepted before a moment, for any thread.
+	 * @param nanos the moment
+	 * @return their ids
+	 */
+	Stream<String> acceptedBefore(long nanos) {
+		return this.accepted.entrySet().stream().filter((entry) -> entry.getValue() - nanos < 0).map(Map.Entry::getKey);
 	}
 
 	/**
@@ -104,7 +117,7 @@
 		for (int i = 0; i < MOST_TRIES; i++) {
 			int code = ask("POST", job, this.work.job()).code();
 			if (code == OK) {
-				this.accepted.add(job);
+				this.accepted.put(job, System.nanoTime());
 				return;
 			}
 			isSurelyRefused &= code == REFUSED;
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
@@ -24,7 +24,7 @@
 
 	private static final int READINESS_PORT = 8167;
 
-	private static final int FIRST_INTERNAL_PORT = 7720;
+	static final int FIRST_INTERNAL_PORT = 7720;
 
 	private static final int LAST_INTERNAL_PORT = 7735;
 
@@ -72,17 +72,24 @@
 
 	private long lifeBegin;
 
+	private volatile long startedNanos = System.nanoTime();
+
 	private boolean closed;
 
 	SoakHost(String name, String ip, String platform, Path folder, ScheduledExecutorService timer,
 			Consumer<String> faults) {
+		this(name, ip, platform, Size.LARGE, folder, timer, faults);
+	}
+
+	SoakHost(String name, String ip, String platform, Size size, Path folder, ScheduledExecutorService timer,
+			Consumer<String> faults) {
 		this.name = name;
 		this.ip = ip;
 		this.settings = folder.resolve(name + ".json");
 		this.log = folder.resolve(name + ".log");
 		this.timer = timer;
 		this.faults = faults;
-		writeSettings(this.settings, name, ip, platform);
+		writeSettings(this.settings, name, ip, platform, size);
 		write(this.log, "");
 		Runtime.getRuntime().addShutdownHook(this.onExit);
 	}
@@ -95,11 +102,25 @@
 	 * @param platform where the platform is
 	 */
 	static void writeSettings(Path file, String name, String ip, String platform) {
-		write(file, """
-				{"host": "%s", "failureDomain": "d%d", "ip": "%s", "callers": "%s:%d", "readiness": "%s:%d",
-				 "internalPorts": [%d, %d], "table": "%s", "eligibility": "%s", "orders": "call", "stopSeconds": 2,
-				 "processorShare": 1, "processorCount": 1, "linkMbps": 1000}""".formatted(name, failureDomain(name), ip,
-				ip, CALLER_PORT, ip, READINESS_PORT, FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT, platform, platform));
+		writeSettings(file, name, ip, platform, Size.LARGE);
+	}
+
+	private static void writeSettings(Path file, String name, String ip, String platform, Size size) {
+		write(file,
+				"""
+						{"host": "%s", "failureDomain": "d%d", "ip": "%s", "callers": "%s:%d", "readiness": "%s:%d",
+						 "internalPorts": [%d, %d], "table": "%s", "eligibility": "%s", "orders": "call", "stopSeconds": 2,
+						 "processorShare": %s, "processorCount": 1, "linkMbps": %d}"""
+					.formatted(name, failureDomain(name), ip, ip, CALLER_PORT, ip, READINESS_PORT, FIRST_INTERNAL_PORT,
+							LAST_INTERNAL_PORT, platform, platform, size.processorShare, size.linkMbps));
+	}
+
+	/**
+	 * When the last process was started.
+	 * @return the moment
+	 */
+	long startedNanos() {
+		return this.startedNanos;
 	}
 
 	private static int failureDomain(String name) {
@@ -155,6 +176,7 @@
 		// Overwrites native memory when it is freed, so that what uses it after fails.
 		command.environment().put("GLIBC_TUNABLES", "glibc.malloc.perturb=165");
 		this.signals.clear();
+		this.startedNanos = System.nanoTime();
 		try {
 			this.lifeBegin = Files.size(this.log);
 			this.process = command.redirectErrorStream(true)
@@ -236,4 +258,24 @@
 		}
 	}
 
+	/** What a host's settings say of its size; nothing limits the process. */
+	enum Size {
+
+		/** Of those that own the pool if they can. */
+		LARGE("1", 1000),
+
+		/** Of those that leave the pool to larger ones. */
+		SMALL("0.36", 7);
+
+		private final String processorShare;
+
+		private final int linkMbps;
+
+		Size(String processorShare, int linkMbps) {
+			this.processorShare = processorShare;
+			this.linkMbps = linkMbps;
+		}
+
+	}
+
 }
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TaskRuns.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TaskRuns.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -24,6 +25,8 @@
 
 	private final Map<String, List<Run>> runs = new HashMap<>();
 
+	private final Set<String> begunJobs = ConcurrentHashMap.newKeySet();
+
 	private final List<String> faults = new ArrayList<>();
 
 	private static String unit(String task) {
@@ -42,6 +45,16 @@
 			}
 		}
 		others.add(run);
+		this.begunJobs.add(task.substring(0, task.indexOf('.')));
+	}
+
+	/**
+	 * Whether a task of a job was ever begun.
+	 * @param job the job's id
+	 * @return {@code true} if so
+	 */
+	boolean hasBegun(String job) {
+		return this.begunJobs.contains(job);
 	}
 
 	synchronized void ended(String task, int attempt, String worker, String how) {
