Start a task elsewhere after an unanswered start

A long-running task, or one with a ticket, whose start stays unanswered is sent four times and then stopped, after 2 s. The next start went to the worker with the least capacity left again, the same one.

The worker of an unanswered start now comes last for that task, as one does on which it failed.

LongRunningTasksTests is red without it for delays of 3 and 60 s.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -261,9 +261,19 @@
 	}
 
 	/**
-	 * The worker on which a task failed most recently.
+	 * Records that a start request was not answered in time, so that a later start is
+	 * sent elsewhere: the worker may answer polls and no starts.
+	 * @param run the run
+	 */
+	void recordUnansweredStart(Run run) {
+		run.markStartUnanswered();
+		recordFailure(run.task().index(), run.workerId());
+	}
+
+	/**
+	 * The worker on which a task failed most recently, or did not start.
 	 * @param index the task
-	 * @return the worker's id, empty if the task has not failed
+	 * @return the worker's id, empty if there is none
 	 */
 	String lastFailedWorker(int index) {
 		return (this.lastFailedWorkers[index] != null) ? this.lastFailedWorkers[index] : "";
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/GangAwareBestFit.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/GangAwareBestFit.java
@@ -10,8 +10,8 @@
  * Best fit that avoids workers which waiting gangs could use: prefers the workers that
  * the fewest gangs could use, and among these the one with the least capacity left. This
  * keeps free capacity for gangs together when the load is near the capacity of the pool.
- * The worker on which the task failed most recently comes last; workers on the rack of
- * the task's data come before others. Stateless.
+ * The worker on which the task failed or did not start most recently comes last; workers
+ * on the rack of the task's data come before others. Stateless.
  */
 final class GangAwareBestFit implements WorkerSelector {
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -255,7 +255,7 @@
 
 	private void handleUnansweredStart(ActiveStep step, Run run, PoolWorker worker, RunStartRequest request,
 			int retries) {
-		run.markStartUnanswered();
+		step.recordUnansweredStart(run);
 		if (LateStartPolicy.isHarmless(step.spec(), request.ticket())) {
 			retryStart(step, run, worker, request, retries + 1);
 			return;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
@@ -94,6 +94,21 @@
 		assertThat(this.cell.workers.workerRunning(taskOf("a"))).isEqualTo("new");
 	}
 
+	// Guards against a worker that is selected anew each time a start there is given up.
+	@ParameterizedTest
+	@ValueSource(longs = { 3000, 60_000 })
+	void startElsewhereIfTheFirstWorkerStartsNothingInTime(long delayMillis) {
+		this.cell.withRunMillis(Integer.MAX_VALUE).withWorkers(3);
+		this.cell.workers.add("late", SimulatedCell.TASK).setStartDelayMillis(delayMillis);
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.submit("a", longRunning());
+		awaitRun("a");
+		assertThat(isRunning("a")).isTrue();
+		this.cell.time.runFor(delayMillis);
+		assertThat(this.cell.workers.violations()).isEmpty();
+	}
+
 	// Guards against members of a gang that wait for good for those lost with a worker.
 	@ParameterizedTest
 	@ValueSource(longs = { 10, 100, 3000, 60_000 })
