Keep the jobs of a former owner for the grace period

A host that lost the pool dropped its copy of the jobs and their progress at the next check, at most 0.5 s later, and read all of it anew when its successor selected it as a standby. The grace period of StandbyRole ran from its last selection, and an owner is not selected. Until the copy is complete again, a take-over by this host has to wait for the tables to be read.

StandbyRole takes an owner for a host that needs its replica. The new test of StandbyRoleTests was red without it ("Expecting actual: 0 to be greater than: 0" answers 8 s after the end of a term), all five are green with it.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -109,12 +109,16 @@
 		}
 	}
 
+	boolean hasOwner() {
+		return this.owner.isPresent();
+	}
+
 	/**
 	 * Stops and forgets the content of the tables, unless an owner is attached.
 	 * @return whether it has stopped
 	 */
 	boolean stopIfUnused() {
-		if (!this.started || this.owner.isPresent()) {
+		if (!this.started || hasOwner()) {
 			return false;
 		}
 		close();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyRole.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StandbyRole.java
@@ -7,7 +7,7 @@
 
 /**
  * Keeps the replica of the job tables while this host is a standby. Invariant: a host
- * that neither owns the pool nor was selected as a standby within {@link #GRACE_MILLIS}
+ * that neither owned the pool nor was selected as a standby within {@link #GRACE_MILLIS}
  * follows no job tables, which would fill the link of a small host. Not thread-safe:
  * confined to the control thread.
  */
@@ -16,7 +16,8 @@
 	/**
 	 * Time for which a host that is not selected any more keeps its replica,
 	 * milliseconds. The selection changes with each restart of a host, and the tables are
-	 * read in full after the replica was dropped.
+	 * read in full after the replica was dropped. A former owner is not selected before
+	 * its successor has written a selection of its own.
 	 */
 	static final long GRACE_MILLIS = 10_000;
 
@@ -26,7 +27,7 @@
 
 	private final DecisionLog log;
 
-	private long selectedNanos;
+	private long neededNanos;
 
 	private boolean active;
 
@@ -40,7 +41,7 @@
 		this.jobs = jobs;
 		this.clock = clock;
 		this.log = log;
-		this.selectedNanos = clock.nanos();
+		this.neededNanos = clock.nanos();
 	}
 
 	/**
@@ -50,11 +51,14 @@
 	public void update(boolean isSelected) {
 		long now = this.clock.nanos();
 		if (isSelected) {
-			this.selectedNanos = now;
+			this.neededNanos = now;
 			this.jobs.start();
 			setActive(true);
 		}
-		else if (TimeUnit.NANOSECONDS.toMillis(now - this.selectedNanos) > GRACE_MILLIS && this.jobs.stopIfUnused()) {
+		else if (this.jobs.hasOwner()) {
+			this.neededNanos = now;
+		}
+		else if (TimeUnit.NANOSECONDS.toMillis(now - this.neededNanos) > GRACE_MILLIS && this.jobs.stopIfUnused()) {
 			setActive(false);
 		}
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
@@ -84,6 +84,22 @@
 		assertThat(this.owner.submitted).contains("0000000000000003");
 	}
 
+	@Test
+	void ofAFormerOwnerKeepsItsReplicaForTheGracePeriod() {
+		update(true, 2000);
+		this.jobs.attach(this.owner);
+		update(false, StandbyRole.GRACE_MILLIS + 2000);
+		this.jobs.detach(this.owner);
+		update(false, StandbyRole.GRACE_MILLIS - 2000);
+		this.answers = 0;
+		update(false, 1500);
+		assertThat(this.answers).isPositive();
+		update(false, 2000);
+		this.answers = 0;
+		update(false, 5000);
+		assertThat(this.answers).isZero();
+	}
+
 	private static final class Jobs implements JobTableReplica.Listener {
 
 		private final List<String> submitted = new ArrayList<>();
