Let the tests of state rows fail without what they guard

The renewal of an unchanged count, on which its age rests, had no test that fails without it; the rows of many jobs that end together were not limited by the table of the tests, nor were their states looked at.

InMemoryTable refuses writes of more than 100 entries, as the platform does.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -20,7 +20,7 @@
 /**
  * An in-memory table on virtual time that injects faults: outages, responses that are
  * lost after the write, and writes that take effect late. Acknowledged writes are never
- * lost. Not thread-safe.
+ * lost, and those with too many entries are refused. Not thread-safe.
  */
 final class InMemoryTable {
 
@@ -30,6 +30,8 @@
 
 	private static final long POLL_MILLIS = 10;
 
+	private static final int MAX_ENTRIES = 100;
+
 	private final VirtualTime time;
 
 	private final Map<String, TableRow> rows = new TreeMap<>();
@@ -116,6 +118,9 @@
 	}
 
 	private PartitionCommit apply(PartitionWrite write) {
+		if (write.conditions().size() + write.puts().size() > MAX_ENTRIES) {
+			return new PartitionCommit.NotDone("more than " + MAX_ENTRIES + " entries");
+		}
 		List<TableRow> current = new ArrayList<>();
 		boolean holds = true;
 		for (PartitionWrite.Condition condition : write.conditions()) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobStateRowsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/JobStateRowsTests.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.TableChanges;
+import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.SubmissionState;
@@ -25,15 +26,18 @@
 
 	private final SimulatedCell cell = new SimulatedCell().withWorkers(1);
 
-	private List<SubmissionState> stateRows() {
-		CompletableFuture<TableChanges> read = this.cell.table.client().changes(JobTables.STATES, 0, Duration.ZERO);
+	private List<TableRow> rows(String key, long after) {
+		CompletableFuture<TableChanges> read = this.cell.table.client().changes(JobTables.STATES, after, Duration.ZERO);
 		this.cell.time.runFor(1);
-		return read.join()
-			.rows()
-			.stream()
-			.filter((row) -> row.key().equals(JOB))
-			.map((row) -> Json.read(row.value(), JobProgress.class).state())
-			.toList();
+		return read.join().rows().stream().filter((row) -> row.key().equals(key)).toList();
+	}
+
+	private List<SubmissionState> stateRows() {
+		return stateRows(JOB);
+	}
+
+	private List<SubmissionState> stateRows(String job) {
+		return rows(job, 0).stream().map((row) -> Json.read(row.value(), JobProgress.class).state()).toList();
 	}
 
 	@Test
@@ -66,6 +70,21 @@
 		}
 		this.cell.time.runFor(5000);
 		this.cell.assertCompleted(jobs);
+		for (String job : jobs) {
+			assertThat(stateRows(job)).as(job).endsWith(SubmissionState.COMPLETED);
+		}
+	}
+
+	// Guards against a count whose age the other hosts cannot tell.
+	@Test
+	void ofTheCountOfWaitingJobsAreWrittenWithEachRenewalAlthoughItDoesNotChange() {
+		this.cell.startOwnerAndStandby();
+		this.cell.time.runFor(1000);
+		for (int i = 0; i < 5; i++) {
+			long before = this.cell.table.version();
+			this.cell.time.runFor(OwnerLease.RENEWAL_INTERVAL_MILLIS * 2);
+			assertThat(rows(JobTables.SUMMARY_KEY, before)).isNotEmpty();
+		}
 	}
 
 }
