Refuse fewer counts while the owner's messages come, and read repaired rows

A review of the change: a host bounds the age of a count by the confirmation of its copy before it, so that a pause of 2 s between reads makes ages up to 2.7 s in normal operation and more on a slow table, near the 3.5 s at which counts are refused. The pause was that long as each read brought the progress of all jobs; now it is 1 s.

A job whose progress row was unreadable once stayed so for a host after the row was repaired, since hosts do not follow these rows any more: the row is read again for each question.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -48,8 +48,9 @@
 
 	/**
 	 * The same interval for a steady owner, whose messages arrive on open connections.
+	 * The known age of a count is up to twice this interval.
 	 */
-	private static final Duration STEADY_READ_INTERVAL = Duration.ofMillis(2000);
+	private static final Duration STEADY_READ_INTERVAL = Duration.ofMillis(1000);
 
 	/**
 	 * The same interval while the owner is unresponsive. A state returned to a caller is
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobStates.java
@@ -109,12 +109,9 @@
 		pending.ifPresent((count) -> updateCount(count, CountSource.MESSAGE));
 	}
 
-	// An owner sends a count only when it changes, so an older count that arrived late,
-	// by feed or from a former owner, would remain until the next change.
-	//
-	// The copy of the table, as last confirmed, has no count as new as this one, so it
-	// was
-	// counted after that. When a message arrives tells nothing: it may have been held up.
+	// An older count may arrive late, by feed or from a former owner. The copy of the
+	// table, as last confirmed, has no count as new as this one, so this one was made
+	// after that. When a message arrives tells nothing: it may have been held up.
 	private void updateCount(QueueCount queueCount, CountSource source) {
 		ReceivedCount received = new ReceivedCount(queueCount, source, this.nanoTime.getAsLong(),
 				this.freshness.confirmedNanos());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobTables.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobTables.java
@@ -36,7 +36,7 @@
 	 */
 	public static final String POOL_PARTITION = "pool";
 
-	/** Key of the owner's row in the tables {@link #OWNER} and {@link #PROGRESS}. */
+	/** Key of the owner's row in the table {@link #OWNER}. */
 	public static final String OWNER_KEY = "owner";
 
 	/** Key of the queue summary in the table {@link #STATES}. */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -138,7 +138,7 @@
 	 */
 	public CompletableFuture<Optional<SubmissionState>> state(String id) {
 		if (this.states.isUnreadable(id)) {
-			return unreadableProgress(id);
+			return readState(id);
 		}
 		Optional<SubmissionState> known = this.states.state(id);
 		if (known.isPresent()) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedGateway.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedGateway.java
@@ -25,7 +25,7 @@
 
 	private static final long STEADY_AFTER_MILLIS = 4000;
 
-	private static final Duration STEADY_READ_INTERVAL = Duration.ofMillis(2000);
+	private static final Duration STEADY_READ_INTERVAL = Duration.ofMillis(1000);
 
 	private static final Duration NOTIFIED_READ_INTERVAL = Duration.ofMillis(700);
 
