Write no count of jobs that the table has not confirmed recently

Callers saw a number of waiting jobs that was far too low: a host answered 1 while 26 more jobs had waited for over 5 s.

Cause: an owner whose reads of the job table go unanswered, and to which the announcements of the hosts are lost, goes on to renew its record, and with it writes a fresh count of the few jobs that it knows. Hosts know how old a count is, but not how old the owner's knowledge of the jobs was when it counted.

The owner now writes its count only while the table has confirmed all of its jobs within 1.5 s. Hosts trust a count up to an age of 3.5 s, so that a job is counted, or the answer refused, 5 s after it was accepted. While partitions are loaded several calls are in flight, of which only the first one counts: every answer contains what was accepted before it was sent. A poll that was sent during a load confirms no more than the load. When the count is left out, countAgeMillis of PoolLoad grows.

An owner whose polls are answered late, or shortly before the end of their wait, leaves out its count for a moment.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -64,11 +64,13 @@
 
 	private final UnreadableRows unreadable;
 
+	private final JobFeedFreshness freshness;
+
 	private boolean started;
 
 	private boolean progressLoaded;
 
-	private Optional<Listener> owner = Optional.empty();
+	private Optional<JobReplicaListener> owner = Optional.empty();
 
 	private boolean replayed;
 
@@ -79,11 +81,14 @@
 	 * @param table the table
 	 * @param control executor of the control thread
 	 * @param unreadable records rows that cannot be read
+	 * @param clock the clocks
 	 */
-	public JobTableReplica(PartitionedTable table, ScheduledExecutorService control, UnreadableRows unreadable) {
+	public JobTableReplica(PartitionedTable table, ScheduledExecutorService control, UnreadableRows unreadable,
+			PoolClock clock) {
 		this.table = table;
 		this.control = control;
 		this.unreadable = unreadable;
+		this.freshness = new JobFeedFreshness(clock.monotonic());
 	}
 
 	/** Starts to follow the tables. Has no effect if already started. */
@@ -120,6 +125,7 @@
 		close();
 		this.started = false;
 		this.progressLoaded = false;
+		this.freshness.forget();
 		List.of(this.unfinished, this.progress).forEach(Map::clear);
 		List.of(this.ended, this.cancelled, this.loadedPartitions, this.unreadableJobs, this.unreadableProgress)
 			.forEach(Set::clear);
@@ -130,7 +136,7 @@
 	 * Attaches an owner, to which jobs are delivered from now on.
 	 * @param listener the owner
 	 */
-	void attach(Listener listener) {
+	void attach(JobReplicaListener listener) {
 		this.owner = Optional.of(listener);
 		this.replayed = false;
 		this.allLoadedReported = false;
@@ -144,7 +150,7 @@
 
 	// The response contains all progress that a former owner wrote before the take-over.
 	private void catchUpProgress() {
-		Optional<Listener> requested = this.owner;
+		Optional<JobReplicaListener> requested = this.owner;
 		this.progressFeed.catchUp(() -> {
 			if (requested.isPresent() && requested.equals(this.owner) && !this.replayed) {
 				replay(requested.get());
@@ -152,7 +158,7 @@
 		});
 	}
 
-	private void replay(Listener listener) {
+	private void replay(JobReplicaListener listener) {
 		this.replayed = true;
 		this.ended.forEach(listener::alreadyEnded);
 		List.copyOf(this.unfinished.values()).forEach((stored) -> deliver(listener, stored));
@@ -164,7 +170,7 @@
 	 * Detaches an owner. Has no effect if another owner is attached.
 	 * @param listener the owner
 	 */
-	void detach(Listener listener) {
+	void detach(JobReplicaListener listener) {
 		if (this.owner.filter((present) -> present == listener).isPresent()) {
 			this.owner = Optional.empty();
 			this.replayed = false;
@@ -191,6 +197,14 @@
 		return this.replayed && isRead && this.loadedPartitions.contains(JobTables.partition(job));
 	}
 
+	/**
+	 * Whether the table has confirmed recently that all of its jobs are known.
+	 * @return {@code true} if the jobs may be counted
+	 */
+	boolean isRecent() {
+		return this.freshness.isRecent();
+	}
+
 	/**
 	 * Adds a job that a gateway has stored.
 	 * @param submission the job
@@ -198,7 +212,7 @@
 	 */
 	void jobAccepted(Submission submission, long version) {
 		addJob(new StoredJob(submission, version));
-		this.owner.ifPresent(Listener::changed);
+		this.owner.ifPresent(JobReplicaListener::changed);
 	}
 
 	/**
@@ -207,7 +221,7 @@
 	 */
 	void jobCancelled(String job) {
 		applyCancellation(job);
-		this.owner.ifPresent(Listener::changed);
+		this.owner.ifPresent(JobReplicaListener::changed);
 	}
 
 	private void addJob(StoredJob stored) {
@@ -221,7 +235,7 @@
 		}
 	}
 
-	private void deliver(Listener listener, StoredJob stored) {
+	private void deliver(JobReplicaListener listener, StoredJob stored) {
 		String id = stored.submission().id();
 		if (this.unreadableProgress.contains(id)) {
 			return;
@@ -249,13 +263,17 @@
 		}
 	}
 
-	private void notifyIfAllLoaded(Listener listener) {
-		if (this.replayed && !this.allLoadedReported && this.loadedPartitions.size() == JobTables.partitions().size()) {
+	private void notifyIfAllLoaded(JobReplicaListener listener) {
+		if (this.replayed && !this.allLoadedReported && hasLoadedAll()) {
 			this.allLoadedReported = true;
 			listener.allLoaded();
 		}
 	}
 
+	private boolean hasLoadedAll() {
+		return this.loadedPartitions.size() == JobTables.partitions().size();
+	}
+
 	private void deliverWithReadableProgress(String job) {
 		StoredJob stored = this.unfinished.get(job);
 		if (this.unreadableProgress.remove(job) && stored != null && this.replayed) {
@@ -278,18 +296,29 @@
 			rows.forEach(this::applyRow);
 			JobTableReplica.this.loadedPartitions.add(partition);
 			JobTableReplica.this.owner.ifPresent(JobTableReplica.this::notifyIfAllLoaded);
-			JobTableReplica.this.owner.ifPresent(Listener::changed);
+			JobTableReplica.this.owner.ifPresent(JobReplicaListener::changed);
 		}
 
 		@Override
 		public void changed(List<TableRow> rows) {
 			rows.forEach(this::applyRow);
-			JobTableReplica.this.owner.ifPresent(Listener::changed);
+			JobTableReplica.this.owner.ifPresent(JobReplicaListener::changed);
 		}
 
 		@Override
 		public void historyLost() {
 			JobTableReplica.this.loadedPartitions.clear();
+			JobTableReplica.this.freshness.historyLost();
+		}
+
+		@Override
+		public void onCallSent(Duration wait) {
+			JobTableReplica.this.freshness.callSent(wait);
+		}
+
+		@Override
+		public void onAnswerDelivered(boolean empty) {
+			JobTableReplica.this.freshness.answerDelivered(empty, hasLoadedAll());
 		}
 
 		private Optional<Submission> read(TableRow row) {
@@ -366,35 +395,4 @@
 
 	}
 
-	/** An owner that receives jobs, on the control thread. */
-	interface Listener {
-
-		/**
-		 * Called when a job was submitted.
-		 * @param submission the job
-		 * @param progress the progress that a former owner stored, if any
-		 * @param version version of the job's row
-		 */
-		void submitted(Submission submission, Optional<JobProgress> progress, long version);
-
-		/**
-		 * Called for a job that had ended before this owner took over.
-		 * @param job the job's id
-		 */
-		void alreadyEnded(String job);
-
-		/**
-		 * Called when a caller has cancelled a job.
-		 * @param job the job's id
-		 */
-		void cancelled(String job);
-
-		/** Called after jobs or cancellations have been delivered. */
-		void changed();
-
-		/** Called once when all jobs have been delivered. */
-		void allLoaded();
-
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -116,7 +116,7 @@
 		this.registry = new JobRegistry(this.epoch);
 		this.pool.recoverFrom(takeOver.previous());
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
-				this.pool, dependencies.clock(), new StateWriterListener());
+				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener());
 		this.stateWriter.start(takeOver);
 		this.jobTables = jobTables;
 		this.eligibility = new EligibilityTracker(dependencies.eligibility(), dependencies.control(),
@@ -292,7 +292,7 @@
 		this.onTermEnd.accept(reason);
 	}
 
-	private final class JobTableListener implements JobTableReplica.Listener {
+	private final class JobTableListener implements JobReplicaListener {
 
 		@Override
 		public void submitted(Submission submission, Optional<JobProgress> progress, long version) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import org.monsoonrelay.logic.platform.ExecutorCallback;
 import org.monsoonrelay.logic.platform.Json;
@@ -78,6 +79,8 @@
 
 	private final PoolClock clock;
 
+	private final BooleanSupplier areJobsRecent;
+
 	private final Listener listener;
 
 	private OwnerRecord record;
@@ -111,13 +114,14 @@
 	private long lastWriteMillis;
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
-			WorkerPool workers, PoolClock clock, Listener listener) {
+			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, Listener listener) {
 		this.table = table;
 		this.control = control;
 		this.lease = term;
 		this.jobs = jobs;
 		this.workers = workers;
 		this.clock = clock;
+		this.areJobsRecent = areJobsRecent;
 		this.listener = listener;
 	}
 
@@ -137,7 +141,8 @@
 
 	/**
 	 * Includes the number of waiting jobs in writes from now on. Before all jobs are
-	 * loaded, the count of the former owner remains in the table.
+	 * loaded, the count of the former owner remains in the table, and so does the last
+	 * one while the known jobs are not recent: hosts would trust too low a count.
 	 */
 	void startCounting() {
 		this.counting = true;
@@ -237,7 +242,8 @@
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
-		Optional<QueueSummary> summary = this.counting ? Optional.of(this.jobs.summary()) : Optional.empty();
+		Optional<QueueSummary> summary = (this.counting && this.areJobsRecent.getAsBoolean())
+				? Optional.of(this.jobs.summary()) : Optional.empty();
 		boolean isCountWritten = summary.isPresent() && (!summary.equals(this.writtenSummary) || isCountDue());
 		if (isCountWritten) {
 			puts.add(new PartitionWrite.Put(JobTables.STATES, JobTables.SUMMARY_KEY, Json.write(summary.get())));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulation.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulation.java
@@ -97,7 +97,7 @@
 	private void startOwner(PlacementRules rules) {
 		PoolDependencies ports = new PoolDependencies(this.table.client(), this.workers.client(), this::requestTickets,
 				this.time, this.time.clock(), this::recordDecision, new UnreadableRows(DecisionLog.NONE));
-		JobTableReplica intake = new JobTableReplica(ports.table(), this.time, ports.unreadable());
+		JobTableReplica intake = new JobTableReplica(ports.table(), this.time, ports.unreadable(), ports.clock());
 		new OwnerElection(ports, new HostRecord("host", "domain", "a:1", "holder", 1, false), (taken) -> {
 			PoolOwner owner = new PoolOwner(ports, intake, taken, new Peers(), rules, (reason) -> {
 			});
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ManualEligibilityPool.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ManualEligibilityPool.java
@@ -54,7 +54,7 @@
 		addWorkers(workerCount);
 		PoolDependencies ports = new PoolDependencies(this.table.client(), this.workers.client(), this::requestTickets,
 				this.time, this.time.clock(), DecisionLog.NONE, new UnreadableRows(DecisionLog.NONE));
-		JobTableReplica intake = new JobTableReplica(ports.table(), this.time, ports.unreadable());
+		JobTableReplica intake = new JobTableReplica(ports.table(), this.time, ports.unreadable(), ports.clock());
 		new OwnerElection(ports, new HostRecord("host", "domain", "a:1", "holder", 1, false), (taken) -> {
 			this.owner = new PoolOwner(ports, intake, taken, new NoPeers(), (reason) -> {
 			});
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -309,7 +309,8 @@
 			ScheduledExecutorService control = this.process.executor();
 			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, service, control,
 					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable);
-			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable);
+			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable,
+					SimulatedCell.this.time.clock());
 			control.schedule(this.jobs::start, STANDBY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			this.self = new HostRecord(name, "domain", "a:1", name + incarnation, processors, false);
 			this.election = new OwnerElection(this.dependencies, this.self, this.terms::begin);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
@@ -26,7 +26,8 @@
 	private int answers;
 
 	private final JobTableReplica jobs = new JobTableReplica(
-			new ObservedTable(this.cell.table.client(), () -> this.answers++), this.cell.time, this.cell.unreadable);
+			new ObservedTable(this.cell.table.client(), () -> this.answers++), this.cell.time, this.cell.unreadable,
+			this.cell.time.clock());
 
 	private final StandbyRole role = new StandbyRole(this.jobs, this.cell.time.clock(), DecisionLog.NONE);
 
@@ -84,7 +85,7 @@
 		assertThat(this.owner.submitted).contains("0000000000000003");
 	}
 
-	private static final class Jobs implements JobTableReplica.Listener {
+	private static final class Jobs implements JobReplicaListener {
 
 		private final List<String> submitted = new ArrayList<>();
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -123,7 +123,7 @@
 		this.peers = new ThrottledPeerNotifier(
 				new NetworkPeerNotifier(network, self.address(), this.registry::addresses), this.control,
 				PoolClock.SYSTEM);
-		this.jobs = new JobTableReplica(table, this.control, unreadable);
+		this.jobs = new JobTableReplica(table, this.control, unreadable, PoolClock.SYSTEM);
 		this.standby = new StandbyRole(this.jobs, PoolClock.SYSTEM, log);
 		this.election = new OwnerElection(this.dependencies, this.self, this.terms::begin);
 	}
