--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -182,19 +182,17 @@
 	}
 
 	/**
-	 * Whether the known jobs have been replayed to the owner, so that it can start to
-	 * work.
-	 * @return {@code true} if so
+	 * Whether the known jobs have been replayed to the owner.
+	 * @return {@code true} if it can start to work
 	 */
 	boolean hasReplayed() {
 		return this.replayed;
 	}
 
 	/**
-	 * Whether all jobs of a job's partition have been delivered to the owner, including
-	 * this one if it exists.
+	 * Whether all jobs of a job's partition have been delivered to the owner.
 	 * @param job the job's id
-	 * @return {@code true} if so
+	 * @return {@code true} if this includes the job, should it exist
 	 */
 	boolean isLoaded(String job) {
 		boolean isRead = !this.unreadableJobs.contains(job) && !this.unreadableProgress.contains(job);
@@ -364,6 +362,7 @@
 
 		@Override
 		public void changed(List<TableRow> rows) {
+			// Earlier releases wrote the summary of queues into this table.
 			rows.stream().filter((row) -> !row.key().equals(JobTables.SUMMARY_KEY)).forEach(this::applyRow);
 		}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -337,7 +337,7 @@
 
 	}
 
-	private final class StateWriterListener implements PoolStateWriter.Listener {
+	private final class StateWriterListener implements StateWriteListener {
 
 		@Override
 		public void writeDurable(Map<String, SubmissionState> states, Optional<QueueCount> pending) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -81,7 +81,7 @@
 
 	private final BooleanSupplier areJobsRecent;
 
-	private final Listener listener;
+	private final StateWriteListener listener;
 
 	private OwnerRecord record;
 
@@ -114,7 +114,7 @@
 	private long lastWriteMillis;
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
-			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, Listener listener) {
+			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener) {
 		this.table = table;
 		this.control = control;
 		this.lease = term;
@@ -382,41 +382,4 @@
 
 	}
 
-	/** Receives the outcome of writes on the control thread. */
-	interface Listener {
-
-		/**
-		 * Called when a write has taken effect.
-		 * @param states the states that it made durable, by job id
-		 * @param pending the number of waiting jobs, if the write contains it
-		 */
-		void writeDurable(Map<String, SubmissionState> states, Optional<QueueCount> pending);
-
-		/**
-		 * Called when the table does not accept writes of this host. It may accept those
-		 * of other hosts.
-		 */
-		void writesRejected();
-
-		/**
-		 * Called before the releasing write is sent. No request to a worker may be sent
-		 * from then on.
-		 */
-		void releaseStarting();
-
-		/**
-		 * Called when the pool was released.
-		 * @param record the released row
-		 * @param version version of that row
-		 */
-		void released(OwnerRecord record, long version);
-
-		/**
-		 * Called when another process owns the pool.
-		 * @param reason how this was detected
-		 */
-		void ownershipLost(String reason);
-
-	}
-
 }
