Tell how long a new owner waits for workers, and for which in vain

A wait for the leases of lost workers left one line, at its end. Three causes of a long one could not be told apart: that it is counted from the take-over, that any task is held back for a worker of which the former owner had recorded the tasks, and that tickets expire meanwhile. RecoveryStarted tells what the former owner had recorded and how long the wait is at most, InheritedWorkerLost each worker that did not report in time.

What is known of the workers of earlier owners is in a class of its own, with an end of the wait for each worker.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -23,6 +23,34 @@
 
 	}
 
+	/**
+	 * A new owner begins to find out what runs on the workers of the former one.
+	 *
+	 * @param epoch the owner's fencing token
+	 * @param workers number of workers on which any task may run
+	 * @param closedWorkers number of workers on which only tasks may run that the former
+	 * owner has recorded
+	 * @param closedTasks number of those tasks
+	 * @param maxWaitMillis time after which nothing can run any more on workers that have
+	 * not reported
+	 */
+	record RecoveryStarted(long epoch, int workers, int closedWorkers, int closedTasks,
+			long maxWaitMillis) implements PoolDecision {
+
+	}
+
+	/**
+	 * Nothing can run any more on a worker of a former owner that has not reported to
+	 * this one.
+	 *
+	 * @param worker the worker
+	 * @param anyTask whether any task may have run there
+	 * @param tasks the tasks that may have run there otherwise, separated by blanks
+	 */
+	record InheritedWorkerLost(String worker, boolean anyTask, String tasks) implements PoolDecision {
+
+	}
+
 	/**
 	 * Load of the pool, written once a second by its owner.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
@@ -20,11 +20,12 @@
 
 	private static final Set<String> OWNERSHIP = names(PoolDecision.OwnershipTaken.class,
 			PoolDecision.OwnershipSettled.class, PoolDecision.OwnershipUnconfirmed.class,
-			PoolDecision.OwnershipConfirmed.class, PoolDecision.OwnershipLost.class,
+			PoolDecision.OwnershipConfirmed.class, PoolDecision.OwnershipLost.class, PoolDecision.RecoveryStarted.class,
 			PoolDecision.WorkersAccounted.class);
 
 	private static final Set<String> WORKERS = names(PoolDecision.WorkerSilent.class, PoolDecision.WorkerLost.class,
-			PoolDecision.WorkerAvoided.class, PoolDecision.WorkerRestarted.class);
+			PoolDecision.WorkerAvoided.class, PoolDecision.WorkerRestarted.class,
+			PoolDecision.InheritedWorkerLost.class);
 
 	private EventCategories() {
 	}
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -0,0 +1,209 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import org.monsoonrelay.model.submission.TaskKey;
+
+/**
+ * The workers of earlier owners that have not reported to this owner, and the tasks that
+ * may run there. Invariant: a worker is contained until it has reported, or until all
+ * leases that earlier owners granted it have ended. Not thread-safe: confined to the
+ * control thread.
+ */
+final class InheritedWorkers {
+
+	// Workers on which an earlier owner may have started any task.
+	private final Set<String> unreconciled = new HashSet<>();
+
+	// Tasks on workers that were unreachable or draining under an earlier owner.
+	private final Map<String, Set<TaskKey>> unconfirmedTasks = new HashMap<>();
+
+	// The incarnations that an earlier owner polled last.
+	private final Map<String, Long> incarnations = new HashMap<>();
+
+	// Monotonic time at which the leases of a worker have ended.
+	private final Map<String, Long> leaseEndNanos = new HashMap<>();
+
+	/**
+	 * Adds the workers in the record of an earlier owner.
+	 * @param record the record
+	 * @param endNanos monotonic time at which all leases have ended that earlier owners
+	 * grant
+	 */
+	void restore(OwnerRecord record, long endNanos) {
+		this.unreconciled.addAll(record.workers());
+		this.incarnations.putAll(record.incarnations());
+		record.closed()
+			.forEach((worker, tasks) -> parseTasks(tasks).ifPresentOrElse(
+					(parsed) -> this.unconfirmedTasks.put(worker, parsed), () -> this.unreconciled.add(worker)));
+		workers().forEach((worker) -> this.leaseEndNanos.put(worker, endNanos));
+	}
+
+	// If the tasks cannot be parsed, any task may run on the worker.
+	private static Optional<Set<TaskKey>> parseTasks(List<String> tasks) {
+		try {
+			return Optional.of(Set.copyOf(tasks.stream().map(TaskKey::parse).toList()));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private Set<String> workers() {
+		Set<String> ids = new HashSet<>(this.unreconciled);
+		ids.addAll(this.unconfirmedTasks.keySet());
+		return ids;
+	}
+
+	/**
+	 * Records that all runs that an earlier owner may have started on a worker are known.
+	 * @param id the worker's id
+	 */
+	void markReconciled(String id) {
+		this.unreconciled.remove(id);
+		this.unconfirmedTasks.remove(id);
+		this.incarnations.remove(id);
+		this.leaseEndNanos.remove(id);
+	}
+
+	/**
+	 * Removes the workers whose leases have ended.
+	 * @param nowNanos the current monotonic time
+	 * @return the workers
+	 */
+	List<Expired> expire(long nowNanos) {
+		if (this.leaseEndNanos.isEmpty()) {
+			return List.of();
+		}
+		List<Expired> expired = new ArrayList<>();
+		for (String id : workers()) {
+			if (nowNanos - this.leaseEndNanos.get(id) > 0) {
+				expired.add(new Expired(id, this.unreconciled.contains(id), unconfirmedTasks(id)));
+			}
+		}
+		expired.forEach((worker) -> markReconciled(worker.id()));
+		return expired;
+	}
+
+	/**
+	 * Returns whether another incarnation of a worker reports than the one that an
+	 * earlier owner polled last.
+	 * @param id the worker's id
+	 * @param report the first report to this owner
+	 * @return {@code false} also if either start is not known
+	 */
+	boolean hasRestarted(String id, PollOutcome.Report report) {
+		Long recorded = this.incarnations.get(id);
+		return recorded != null && report.startedMillis().isPresent() && report.startedMillis().getAsLong() != recorded;
+	}
+
+	/**
+	 * Returns whether the incarnation that an earlier owner polled last is known to
+	 * report.
+	 * @param id the worker's id
+	 * @param report the first report to this owner
+	 * @return {@code false} also if either start is not known
+	 */
+	boolean isSameIncarnation(String id, PollOutcome.Report report) {
+		Long recorded = this.incarnations.get(id);
+		return recorded != null && report.startedMillis().equals(OptionalLong.of(recorded));
+	}
+
+	/**
+	 * Returns whether any task may run on a worker that has not reported yet.
+	 * @param id the worker's id
+	 * @return {@code true} if the runs on that worker are not known
+	 */
+	boolean isUnreconciled(String id) {
+		return this.unreconciled.contains(id);
+	}
+
+	/**
+	 * Returns whether there is no worker on which any task may run.
+	 * @return {@code true} if only the tasks in {@link #unconfirmedTasks} may run unseen
+	 */
+	boolean areReconciled() {
+		return this.unreconciled.isEmpty();
+	}
+
+	/**
+	 * Returns the workers on which any task may run.
+	 * @return their ids
+	 */
+	Collection<String> unreconciled() {
+		return this.unreconciled;
+	}
+
+	/**
+	 * Returns the time until nothing can run any more on the workers that have not
+	 * reported.
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, 0 if there are none
+	 */
+	long maxRemainingMillis(long nowNanos) {
+		return this.leaseEndNanos.values()
+			.stream()
+			.mapToLong((end) -> Math.max(0, TimeUnit.NANOSECONDS.toMillis(end - nowNanos)))
+			.max()
+			.orElse(0);
+	}
+
+	/**
+	 * Returns the tasks that may be active on a worker that was unreachable or draining
+	 * under an earlier owner and has not reported since.
+	 * @param id the worker's id
+	 * @return the tasks
+	 */
+	Set<TaskKey> unconfirmedTasks(String id) {
+		return this.unconfirmedTasks.getOrDefault(id, Set.of());
+	}
+
+	/**
+	 * Returns the tasks that may be active on workers that were unreachable or draining,
+	 * by worker.
+	 * @return the tasks
+	 */
+	Map<String, Set<TaskKey>> unconfirmedTasks() {
+		return this.unconfirmedTasks;
+	}
+
+	/**
+	 * Returns whether a task may be active on a worker that was unreachable or draining
+	 * under an earlier owner and has not reported since.
+	 * @param task the task
+	 * @return {@code true} if the task may be active on such a worker
+	 */
+	boolean mayRunUnconfirmed(TaskKey task) {
+		return this.unconfirmedTasks.values().stream().anyMatch((tasks) -> tasks.contains(task));
+	}
+
+	Map<String, Long> incarnations() {
+		return this.incarnations;
+	}
+
+	/**
+	 * A worker that did not report before its leases have ended. Immutable.
+	 *
+	 * @param id the worker's id
+	 * @param unreconciled whether any task may have run there
+	 * @param tasks the tasks that may have run there if not any may have
+	 */
+	record Expired(String id, boolean unreconciled, Set<TaskKey> tasks) {
+
+		String describeTasks() {
+			return this.tasks.stream().map(TaskKey::toString).sorted().collect(Collectors.joining(" "));
+		}
+
+	}
+
+}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -32,6 +32,10 @@
 	/** Minimum interval between take-over requests, milliseconds. */
 	private static final long TAKE_OVER_REQUEST_INTERVAL_MILLIS = 250;
 
+	/** Time from a take-over until all leases have ended that a former owner grants. */
+	private static final long INHERITED_LEASE_NANOS = TimeUnit.MILLISECONDS
+		.toNanos((long) (OwnerLease.MAX_REQUEST_VALIDITY_MILLIS / WorkerLease.MIN_CLOCK_RATE));
+
 	private final PoolDependencies dependencies;
 
 	private final TakeOver takeOver;
@@ -114,7 +118,7 @@
 		this.lease.renewed(takeOver.sentNanos(), takeOver.sentMillis());
 		this.inheritedJobs = new InheritedJobs(takeOver, this.takenOverNanos);
 		this.registry = new JobRegistry(this.epoch);
-		this.pool.recoverFrom(takeOver.previous());
+		this.pool.recoverFrom(takeOver.previous(), this.takenOverNanos + INHERITED_LEASE_NANOS);
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
 				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener());
 		this.stateWriter.start(takeOver);
@@ -139,6 +143,11 @@
 			this.dependencies.log()
 				.write(new PoolDecision.CrashRecordsMissing(this.epoch, this.takeOver.previous().host()));
 		}
+		OwnerRecord previous = this.takeOver.previous();
+		this.dependencies.log()
+			.write(new PoolDecision.RecoveryStarted(this.epoch, previous.workers().size(), previous.closed().size(),
+					previous.closed().values().stream().mapToInt(List::size).sum(),
+					this.pool.inherited().maxRemainingMillis(this.takenOverNanos)));
 		this.runs.losses().restoreUnresolvedStarts(this.takeOver.previous().unresolvedStarts());
 		this.loop.start();
 		this.jobTables.attach(this.jobTableListener);
@@ -261,10 +270,8 @@
 	}
 
 	private void checkRecovery() {
-		if (ageMillis() > OwnerLease.MAX_REQUEST_VALIDITY_MILLIS / WorkerLease.MIN_CLOCK_RATE) {
-			this.runs.losses().abandonRecovery();
-		}
-		if (!this.recoveryComplete && this.pool.isRecoveryComplete()) {
+		this.runs.losses().expireInheritedWorkers();
+		if (!this.recoveryComplete && this.pool.inherited().areReconciled()) {
 			this.recoveryComplete = true;
 			this.runs.losses().onRecovered();
 			this.placer.markRecovered();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -120,11 +120,11 @@
 		report.runningTasks().forEach((running) -> reported.add(new RunId(running.task(), running.attempt())));
 		report.terminatedTasks()
 			.forEach((terminated) -> reported.add(new RunId(terminated.task(), terminated.attempt())));
-		if (this.pool.hasRestartedSinceRecord(worker.id(), report)) {
+		if (this.pool.inherited().hasRestarted(worker.id(), report)) {
 			this.pool.markRestarted(worker);
 			handleInheritedLosses(worker, reportedTasks(reported));
 		}
-		else if (!this.pool.isIncarnationInRecord(worker.id(), report)) {
+		else if (!this.pool.inherited().isSameIncarnation(worker.id(), report)) {
 			holdBackInheritedTasks(worker, reportedTasks(reported));
 		}
 		if (worker.incarnation().unresolvedPredecessor().isPresent()) {
@@ -139,14 +139,18 @@
 
 	// A successor may have read ends that the worker has forgotten in a restart since.
 	private void holdBackInheritedTasks(PoolWorker worker, Set<TaskKey> reported) {
-		if (this.pool.isUnreconciled(worker.id())) {
+		if (this.pool.inherited().isUnreconciled(worker.id())) {
 			this.jobs.unconfirmedLosses().recordAnyInherited();
 		}
 		unreportedTasks(worker, reported).forEach(this.terminations::holdBack);
 	}
 
 	private List<TaskKey> unreportedTasks(PoolWorker worker, Set<TaskKey> reported) {
-		return this.pool.unconfirmedTasks(worker.id()).stream().filter((task) -> !reported.contains(task)).toList();
+		return this.pool.inherited()
+			.unconfirmedTasks(worker.id())
+			.stream()
+			.filter((task) -> !reported.contains(task))
+			.toList();
 	}
 
 	private void loseUnreportedRuns(PoolWorker worker, Set<RunId> reported) {
@@ -172,8 +176,8 @@
 	// Runs of earlier owners on a worker that has restarted, or was replaced, since.
 	private void handleInheritedLosses(PoolWorker worker, Set<TaskKey> reported) {
 		List<TaskKey> lost = unreportedTasks(worker, reported);
-		boolean isUnreconciled = this.pool.isUnreconciled(worker.id());
-		this.pool.markReconciled(worker.id());
+		boolean isUnreconciled = this.pool.inherited().isUnreconciled(worker.id());
+		this.pool.inherited().markReconciled(worker.id());
 		if (isUnreconciled) {
 			this.jobs.unconfirmedLosses().recordAnyInherited();
 		}
@@ -200,17 +204,19 @@
 	}
 
 	/**
-	 * Handles the end of the recovery: the leases of workers that no owner has reached
-	 * since the take-over have expired.
+	 * Gives up the runs on workers that have not reported since the take-over and whose
+	 * leases have ended.
 	 */
-	void abandonRecovery() {
-		Set<TaskKey> inherited = this.pool.unconfirmedTasks();
-		if (!this.pool.isRecoveryComplete()) {
-			this.jobs.unconfirmedLosses().recordAnyInherited();
-			this.inheritedStarts.recordUnknownLoss();
+	void expireInheritedWorkers() {
+		for (InheritedWorkers.Expired worker : this.pool.inherited().expire(this.clock.nanos())) {
+			if (worker.unreconciled()) {
+				this.jobs.unconfirmedLosses().recordAnyInherited();
+				this.inheritedStarts.recordUnknownLoss();
+			}
+			this.log.write(
+					new PoolDecision.InheritedWorkerLost(worker.id(), worker.unreconciled(), worker.describeTasks()));
+			worker.tasks().forEach(this.terminations::handleInheritedLoss);
 		}
-		this.pool.abandonRecovery();
-		inherited.forEach(this.terminations::handleInheritedLoss);
 	}
 
 	/**
@@ -261,7 +267,7 @@
 	// During the recovery the other members may still be reported.
 	private void stopIncompleteGangs() {
 		if (this.recovered) {
-			this.terminations.stopIncompleteGangs(this.pool::mayRunUnconfirmed);
+			this.terminations.stopIncompleteGangs(this.pool.inherited()::mayRunUnconfirmed);
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -246,7 +246,7 @@
 			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
 					report.runningTasks().size()));
 		}
-		this.pool.markReconciled(worker.id());
+		this.pool.inherited().markReconciled(worker.id());
 		this.listener.stateChanged();
 		scheduleNextPoll(worker, !report.terminatedTasks().isEmpty());
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.monsoonrelay.model.submission.TaskKey;
@@ -28,14 +27,7 @@
 	// Workers that the durable owner record lists as usable, whatever write is in flight.
 	private final Set<String> recordedWorkers = new HashSet<>();
 
-	// Workers on which an earlier owner may have started any task.
-	private final Set<String> unreconciledWorkers = new HashSet<>();
-
-	// Tasks on workers that were unreachable or draining under an earlier owner.
-	private final Map<String, Set<TaskKey>> unconfirmedTasks = new HashMap<>();
-
-	// The incarnations that an earlier owner polled last.
-	private final Map<String, Long> recordedIncarnations = new HashMap<>();
+	private final InheritedWorkers inherited = new InheritedWorkers();
 
 	// Entries of workers at whose address another worker answers. They are ignored until
 	// they change.
@@ -49,24 +41,16 @@
 	/**
 	 * Starts the recovery of the workers in the record of an earlier owner.
 	 * @param earlier the record of the earlier owner
+	 * @param leaseEndNanos monotonic time at which all leases have ended that earlier
+	 * owners grant
 	 */
-	void recoverFrom(OwnerRecord earlier) {
-		this.unreconciledWorkers.addAll(earlier.workers());
+	void recoverFrom(OwnerRecord earlier, long leaseEndNanos) {
+		this.inherited.restore(earlier, leaseEndNanos);
 		this.recordedWorkers.addAll(earlier.workers());
-		this.recordedIncarnations.putAll(earlier.incarnations());
-		earlier.closed()
-			.forEach((worker, tasks) -> parseTasks(tasks).ifPresentOrElse(
-					(parsed) -> this.unconfirmedTasks.put(worker, parsed), () -> this.unreconciledWorkers.add(worker)));
 	}
 
-	// If the tasks cannot be parsed, any task may run on the worker.
-	private static Optional<Set<TaskKey>> parseTasks(List<String> tasks) {
-		try {
-			return Optional.of(Set.copyOf(tasks.stream().map(TaskKey::parse).toList()));
-		}
-		catch (IllegalArgumentException ex) {
-			return Optional.empty();
-		}
+	InheritedWorkers inherited() {
+		return this.inherited;
 	}
 
 	/**
@@ -105,40 +89,6 @@
 		return new ListChanges(added, restarted);
 	}
 
-	/**
-	 * Records that all runs that an earlier owner may have started on a worker are known.
-	 * @param id the worker's id
-	 */
-	void markReconciled(String id) {
-		this.unreconciledWorkers.remove(id);
-		this.unconfirmedTasks.remove(id);
-		this.recordedIncarnations.remove(id);
-	}
-
-	/**
-	 * Returns whether another incarnation of a worker reports than the one that an
-	 * earlier owner polled last.
-	 * @param id the worker's id
-	 * @param report the first report to this owner
-	 * @return {@code false} also if either start is not known
-	 */
-	boolean hasRestartedSinceRecord(String id, PollOutcome.Report report) {
-		Long recorded = this.recordedIncarnations.get(id);
-		return recorded != null && report.startedMillis().isPresent() && report.startedMillis().getAsLong() != recorded;
-	}
-
-	/**
-	 * Returns whether the incarnation that an earlier owner polled last is known to
-	 * report.
-	 * @param id the worker's id
-	 * @param report the first report to this owner
-	 * @return {@code false} also if either start is not known
-	 */
-	boolean isIncarnationInRecord(String id, PollOutcome.Report report) {
-		Long recorded = this.recordedIncarnations.get(id);
-		return recorded != null && report.startedMillis().equals(OptionalLong.of(recorded));
-	}
-
 	/**
 	 * Records that the owner record names the former incarnation of a worker. The worker
 	 * accepts no work until a record names the current one.
@@ -149,65 +99,6 @@
 		this.recordedWorkers.remove(worker.id());
 	}
 
-	/**
-	 * Returns whether an earlier owner may have started any task on a worker that has not
-	 * reported since.
-	 * @param id the worker's id
-	 * @return {@code true} if the runs on that worker are not known
-	 */
-	boolean isUnreconciled(String id) {
-		return this.unreconciledWorkers.contains(id);
-	}
-
-	/**
-	 * Returns whether the runs on all workers that an earlier owner used are known.
-	 * @return {@code true} if the recovery is complete
-	 */
-	boolean isRecoveryComplete() {
-		return this.unreconciledWorkers.isEmpty();
-	}
-
-	/**
-	 * Returns the tasks that may be active on a worker that was unreachable or draining
-	 * under an earlier owner and has not reported since.
-	 * @param worker the worker's id
-	 * @return the tasks
-	 */
-	Set<TaskKey> unconfirmedTasks(String worker) {
-		return this.unconfirmedTasks.getOrDefault(worker, Set.of());
-	}
-
-	Set<TaskKey> unconfirmedTasks() {
-		return this.unconfirmedTasks.values().stream().flatMap(Set::stream).collect(Collectors.toSet());
-	}
-
-	/**
-	 * Ends the recovery because all leases granted by earlier owners have expired.
-	 */
-	void abandonRecovery() {
-		this.unreconciledWorkers.clear();
-		this.unconfirmedTasks.clear();
-		this.recordedIncarnations.clear();
-	}
-
-	/**
-	 * Returns whether no task may be active on a worker that has not reported yet.
-	 * @return {@code true} if {@link #mayRunUnconfirmed} is {@code false} for all tasks
-	 */
-	boolean hasNoUnconfirmedTasks() {
-		return this.unconfirmedTasks.isEmpty();
-	}
-
-	/**
-	 * Returns whether a task may be active on a worker that was unreachable or draining
-	 * under an earlier owner and has not reported since.
-	 * @param task the task
-	 * @return {@code true} if the task may be active on such a worker
-	 */
-	boolean mayRunUnconfirmed(TaskKey task) {
-		return this.unconfirmedTasks.values().stream().anyMatch((tasks) -> tasks.contains(task));
-	}
-
 	/**
 	 * Returns the workers to write to the next owner record. Of an unreachable or
 	 * draining worker only the tasks are recorded that run there, or whose ends the next
@@ -218,10 +109,10 @@
 	 * @return the workers to record
 	 */
 	RecordedWorkers workersToRecord(boolean hasUnwrittenProgress) {
-		Set<String> ids = new HashSet<>(this.unreconciledWorkers);
+		Set<String> ids = new HashSet<>(this.inherited.unreconciled());
 		Map<String, List<String>> closed = new HashMap<>();
-		Map<String, Long> incarnations = new HashMap<>(this.recordedIncarnations);
-		this.unconfirmedTasks
+		Map<String, Long> incarnations = new HashMap<>(this.inherited.incarnations());
+		this.inherited.unconfirmedTasks()
 			.forEach((worker, tasks) -> closed.put(worker, tasks.stream().map(TaskKey::toString).toList()));
 		for (PoolWorker worker : this.workers.values()) {
 			worker.incarnation().startedMillis().ifPresent((millis) -> incarnations.put(worker.id(), millis));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
@@ -184,11 +184,11 @@
 			WorkerPool pool = new WorkerPool();
 			pool.recoverFrom(new OwnerRecord("h", "s0", 1, 1, false, java.util.List.of("w0"),
 					java.util.Map.of("w1", java.util.List.of("not a task")), HostSize.UNKNOWN, java.util.List.of(),
-					true, true, java.util.Map.of(), java.util.Map.of()));
-			pool.markReconciled("w0");
-			assertThat(pool.isRecoveryComplete()).isFalse();
-			pool.markReconciled("w1");
-			assertThat(pool.isRecoveryComplete()).isTrue();
+					true, true, java.util.Map.of(), java.util.Map.of()), 0);
+			pool.inherited().markReconciled("w0");
+			assertThat(pool.inherited().areReconciled()).isFalse();
+			pool.inherited().markReconciled("w1");
+			assertThat(pool.inherited().areReconciled()).isTrue();
 		}
 
 	}
