Wait once for the leases of a silent worker, whichever owner takes over

Callers saw a long-running task that does not run beside free capacity after two owners were lost in a row behind lost workers. Each new owner waited 9,387 ms from its own take-over for the leases of workers that no owner had reached since an earlier one: the owner record told which workers may run something, not since when nobody can have extended their leases.

The record now names the workers that do not answer, each with the time from its composition until all leases have ended that any owner granted. From that composition on its owner grants such a worker no lease, and starts nothing there, until a record without it is durable, so that a successor that replaces this very record may count on the time. A start that was not answered is not sent again meanwhile, as it would carry a lease.

The wait is counted from when the new owner knew the version of the row that it replaces, by the row or by a heartbeat: the former owner composed its last renewal before that. The bound allows for a reading of the worker's clock that was two seconds old when the lease was requested: 9,429 ms.

A take-over whose first attempt was not answered is repeated as a new one. It used to count as made when it was sent again, later than its row was written, so that its leases could have outlived what a successor waits for.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -37,16 +37,19 @@
 	/**
 	 * Adds the workers in the record of an earlier owner.
 	 * @param record the record
-	 * @param endNanos monotonic time at which all leases have ended that earlier owners
-	 * grant
+	 * @param knownNanos monotonic time from which on this process knew the record
 	 */
-	void restore(OwnerRecord record, long endNanos) {
+	void restore(OwnerRecord record, long knownNanos) {
 		this.unreconciled.addAll(record.workers());
 		this.incarnations.putAll(record.incarnations());
 		record.closed()
 			.forEach((worker, tasks) -> parseTasks(tasks).ifPresentOrElse(
 					(parsed) -> this.unconfirmedTasks.put(worker, parsed), () -> this.unreconciled.add(worker)));
-		workers().forEach((worker) -> this.leaseEndNanos.put(worker, endNanos));
+		for (String worker : workers()) {
+			long remainingMillis = Math.min(OwnerLease.MAX_FORMER_LEASE_MILLIS,
+					record.silentWorkers().getOrDefault(worker, Long.MAX_VALUE));
+			this.leaseEndNanos.put(worker, knownNanos + TimeUnit.MILLISECONDS.toNanos(remainingMillis));
+		}
 	}
 
 	// If the tasks cannot be parsed, any task may run on the worker.
@@ -144,6 +147,18 @@
 		return this.unreconciled;
 	}
 
+	/**
+	 * Returns the time until all leases have ended that earlier owners granted a worker
+	 * which has not reported.
+	 * @param id the worker's id
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, 0 if the worker is not contained
+	 */
+	long remainingMillis(String id, long nowNanos) {
+		Long end = this.leaseEndNanos.get(id);
+		return (end != null) ? Math.max(0, TimeUnit.NANOSECONDS.toMillis(end - nowNanos) + 1) : 0;
+	}
+
 	/**
 	 * Returns the time until nothing can run any more on the workers that have not
 	 * reported.
@@ -151,11 +166,7 @@
 	 * @return milliseconds, 0 if there are none
 	 */
 	long maxRemainingMillis(long nowNanos) {
-		return this.leaseEndNanos.values()
-			.stream()
-			.mapToLong((end) -> Math.max(0, TimeUnit.NANOSECONDS.toMillis(end - nowNanos)))
-			.max()
-			.orElse(0);
+		return this.leaseEndNanos.keySet().stream().mapToLong((id) -> remainingMillis(id, nowNanos)).max().orElse(0);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -73,12 +73,17 @@
 
 	private long version;
 
+	// From when on this process knew that the row had its current version.
+	private long versionKnownNanos;
+
 	private long changedNanos;
 
 	private long heartbeatEpoch = OwnerRecord.NO_EPOCH;
 
 	private long heartbeatVersion;
 
+	private long heartbeatVersionNanos;
+
 	private long heartbeatNanos;
 
 	private long takeOverRequestVersion;
@@ -152,6 +157,8 @@
 	private void applyRow(OwnerRecord record, long recordVersion) {
 		this.current = Optional.of(record);
 		this.version = recordVersion;
+		this.versionKnownNanos = (recordVersion == this.heartbeatVersion) ? this.heartbeatVersionNanos
+				: this.clock.nanos();
 		if (recordVersion > this.heartbeatVersion) {
 			this.changedNanos = this.clock.nanos();
 		}
@@ -208,6 +215,9 @@
 	public void heartbeatReceived(long epoch, long rowVersion) {
 		if (epoch >= this.heartbeatEpoch) {
 			recordRenewal(epoch, rowVersion);
+			if (rowVersion != this.heartbeatVersion) {
+				this.heartbeatVersionNanos = this.clock.nanos();
+			}
 			this.heartbeatEpoch = epoch;
 			this.heartbeatVersion = rowVersion;
 			this.heartbeatNanos = this.clock.nanos();
@@ -256,7 +266,7 @@
 		if (!canTakeOver()) {
 			return;
 		}
-		long sinceChange = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.changedNanos);
+		long sinceChange = millisSince(this.changedNanos);
 		if (this.current.isEmpty()) {
 			takeOver("it was never owned", 0);
 		}
@@ -304,8 +314,7 @@
 
 	private boolean isHeartbeatOverdue() {
 		boolean hadHeartbeat = this.current.filter((record) -> record.epoch() == this.heartbeatEpoch).isPresent();
-		return hadHeartbeat
-				&& TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.heartbeatNanos) > HEARTBEAT_TIMEOUT_MILLIS;
+		return hadHeartbeat && millisSince(this.heartbeatNanos) > HEARTBEAT_TIMEOUT_MILLIS;
 	}
 
 	// The known row may be as old as the poll interval, so it is read again. If its
@@ -332,23 +341,19 @@
 
 	private void takeOver(String reason, long formerOwnerStartMillis) {
 		OwnerRecord previous = this.current.orElse(OwnerRecord.NEVER_OWNED);
-		OwnerRecord next = previous.takenOverBy(this.self);
+		long knownNanos = this.versionKnownNanos;
+		OwnerRecord next = previous.takenOverBy(this.self, millisSince(knownNanos));
 		long former = previous.confirming() ? 0 : formerOwnerStartMillis;
 		long sentNanos = this.clock.nanos();
 		long sentMillis = this.clock.millis();
 		write(next, this.version, (commit) -> {
 			if (commit instanceof PartitionCommit.Committed committed) {
-				becomeOwner(new TakeOver(next, committed.version(), sentNanos, sentMillis, previous, former),
+				becomeOwner(
+						new TakeOver(next, committed.version(), sentNanos, sentMillis, previous, knownNanos, former),
 						previous.host(), reason);
 			}
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
-				conflict.current()
-					.stream()
-					.filter((row) -> isOwnerRowWith(row, next))
-					.findAny()
-					.ifPresentOrElse((row) -> becomeOwner(
-							new TakeOver(next, row.version(), sentNanos, sentMillis, previous, former), previous.host(),
-							reason), () -> changed(conflict.current()));
+				changed(conflict.current());
 			}
 		});
 	}
@@ -356,7 +361,7 @@
 	// The row exists, so this write only returns a conflict. That shows that the table
 	// accepts writes, and carries the current row.
 	private void probeTableWrites() {
-		write(this.current.orElse(OwnerRecord.NEVER_OWNED).takenOverBy(this.self), 0, (commit) -> {
+		write(this.current.orElse(OwnerRecord.NEVER_OWNED).takenOverBy(this.self, 0), 0, (commit) -> {
 			if (commit instanceof PartitionCommit.Conflict conflict) {
 				this.takeOverPolicy.recordWritable();
 				changed(conflict.current());
@@ -381,8 +386,8 @@
 		}));
 	}
 
-	private static boolean isOwnerRowWith(TableRow row, OwnerRecord next) {
-		return row.key().equals(JobTables.OWNER_KEY) && row.value().equals(Json.write(next));
+	private long millisSince(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - nanos);
 	}
 
 	private void becomeOwner(TakeOver taken, String formerHost, String reason) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
@@ -35,6 +35,15 @@
 	 */
 	static final long MAX_REQUEST_VALIDITY_MILLIS = EXPIRY_MILLIS + MAX_WORKER_LEASE_MILLIS;
 
+	/**
+	 * Time after the last renewal of an owner that another process can know of, until no
+	 * lease can be in force that this owner granted, milliseconds. The worker's clock may
+	 * be slow, also from its last known reading to the request.
+	 */
+	static final long MAX_FORMER_LEASE_MILLIS = (long) ((MAX_REQUEST_VALIDITY_MILLIS
+			+ WorkerPoller.MAX_CLOCK_READING_AGE_MILLIS) / WorkerLease.MIN_CLOCK_RATE)
+			- WorkerPoller.MAX_CLOCK_READING_AGE_MILLIS + 1;
+
 	/** Minimum duration of a worker lease that is worth a request, milliseconds. */
 	static final long MIN_WORKER_LEASE_MILLIS = 400;
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -30,17 +31,22 @@
  * empty in rows of earlier releases
  * @param unresolvedStarts by task, the attempt whose start request was sent and is not
  * known to have been executed; empty in rows of earlier releases
+ * @param silentWorkers by id of a worker that does not answer, the time from the
+ * composition of this row until all leases that owners granted it have ended,
+ * milliseconds; an owner grants no lease to such a worker before it has written a row
+ * without it; empty in rows of earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
-		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts) {
+		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts,
+		Map<String, Long> silentWorkers) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of());
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of());
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -51,17 +57,21 @@
 		standbys = (standbys != null) ? List.copyOf(standbys) : List.of();
 		incarnations = (incarnations != null) ? Map.copyOf(incarnations) : Map.of();
 		unresolvedStarts = (unresolvedStarts != null) ? Map.copyOf(unresolvedStarts) : Map.of();
+		silentWorkers = (silentWorkers != null) ? Map.copyOf(silentWorkers) : Map.of();
 	}
 
 	/**
 	 * Returns the record with which a host takes the pool over.
 	 * @param next the host
+	 * @param ageMillis time for which it has known this record, milliseconds
 	 * @return the record, with the next epoch
 	 */
-	OwnerRecord takenOverBy(HostRecord next) {
+	OwnerRecord takenOverBy(HostRecord next, long ageMillis) {
+		Map<String, Long> stillSilent = new HashMap<>();
+		this.silentWorkers.forEach((worker, remaining) -> stillSilent.put(worker, Math.max(0, remaining - ageMillis)));
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
-				this.confirming, true, this.incarnations, this.unresolvedStarts);
+				this.confirming, true, this.incarnations, this.unresolvedStarts, stillSilent);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollSilence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollSilence.java
@@ -27,6 +27,10 @@
 		this.silent = false;
 	}
 
+	boolean isSilent() {
+		return this.silent;
+	}
+
 	/**
 	 * Returns when the worker stopped answering.
 	 * @param nowNanos the current monotonic time
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -32,10 +32,6 @@
 	/** Minimum interval between take-over requests, milliseconds. */
 	private static final long TAKE_OVER_REQUEST_INTERVAL_MILLIS = 250;
 
-	/** Time from a take-over until all leases have ended that a former owner grants. */
-	private static final long INHERITED_LEASE_NANOS = TimeUnit.MILLISECONDS
-		.toNanos((long) (OwnerLease.MAX_REQUEST_VALIDITY_MILLIS / WorkerLease.MIN_CLOCK_RATE));
-
 	private final PoolDependencies dependencies;
 
 	private final TakeOver takeOver;
@@ -118,7 +114,7 @@
 		this.lease.renewed(takeOver.sentNanos(), takeOver.sentMillis());
 		this.inheritedJobs = new InheritedJobs(takeOver, this.takenOverNanos);
 		this.registry = new JobRegistry(this.epoch);
-		this.pool.recoverFrom(takeOver.previous(), this.takenOverNanos + INHERITED_LEASE_NANOS);
+		this.pool.recoverFrom(takeOver);
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
 				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener());
 		this.stateWriter.start(takeOver);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -237,7 +237,7 @@
 		}
 		Map<SubmittedJob, WrittenJob> states = new HashMap<>();
 		List<PartitionWrite.Put> puts = takeProgress(states);
-		OwnerRecord next = nextRecord(this.workers.workersToRecord(this.jobs.hasDirty()));
+		OwnerRecord next = nextRecord(this.workers.workersToRecord(this.jobs.hasDirty(), this.composedNanos));
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
@@ -284,7 +284,7 @@
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
 				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
-				this.jobs.unresolvedStarts().toRecord(this.composedNanos));
+				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers());
 	}
 
 	private void send(Batch batch) {
@@ -353,7 +353,7 @@
 			job.markDurable(state.state(), state.crashRecords());
 			states.put(job.id(), state.state());
 		});
-		this.workers.markRecorded(batch.record().workers(), batch.record().incarnations());
+		this.workers.markRecorded(batch.record());
 		batch.terminations().forEach(TerminationSequence::markDurable);
 		this.jobs.unconfirmedLosses().confirm(batch.lastLoss());
 		if (batch.record().released()) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -284,10 +284,15 @@
 		}
 		WorkerIncarnation incarnation = worker.incarnation();
 		this.control.schedule(() -> {
-			if (isAwaitingStart(run, worker, incarnation)) {
-				run.markStartRepeated();
-				send(step, run, worker, request, retries);
+			if (!isAwaitingStart(run, worker, incarnation)) {
+				return;
+			}
+			if (!this.pool.mayGrantLease(worker)) {
+				stop(run, "its start stays unanswered");
+				return;
 			}
+			run.markStartRepeated();
+			send(step, run, worker, request, retries);
 		}, START_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
@@ -9,11 +9,13 @@
  * @param sentNanos when the row was sent, on the monotonic clock
  * @param sentMillis when the row was sent, epoch milliseconds
  * @param previous the row of the former owner
+ * @param previousKnownNanos monotonic time from which on this process knew that row: the
+ * former owner has not renewed its lease since
  * @param formerOwnerStartMillis time from the take-over on during which the former owner
  * may still start jobs that are stored and that it learns of, milliseconds; 0 if it
  * starts none
  */
 public record TakeOver(OwnerRecord record, long version, long sentNanos, long sentMillis, OwnerRecord previous,
-		long formerOwnerStartMillis) {
+		long previousKnownNanos, long formerOwnerStartMillis) {
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
@@ -100,15 +100,28 @@
 	 * extended the lease
 	 */
 	boolean isExpired(long nowNanos) {
+		return remainingMillis(nowNanos) <= 0;
+	}
+
+	/**
+	 * Returns the time until the lease has expired even if the worker's clock runs at the
+	 * minimum rate.
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, not positive if it has expired
+	 */
+	long remainingMillis(long nowNanos) {
 		if (!this.clockKnown) {
-			return !this.restarted || TimeUnit.NANOSECONDS
-				.toMillis(nowNanos - this.restartNoticedNanos) > OwnerLease.MAX_GRANTED_LEASE_MILLIS / MIN_CLOCK_RATE;
+			return this.restarted
+					? remainingMillis(OwnerLease.MAX_GRANTED_LEASE_MILLIS, this.restartNoticedNanos, nowNanos) : 0;
 		}
-		if (this.leaseEndMillis <= this.clockMillis) {
-			return true;
+		return remainingMillis(this.leaseEndMillis - this.clockMillis, this.clockReadNanos, nowNanos);
+	}
+
+	private static long remainingMillis(long workerMillis, long sinceNanos, long nowNanos) {
+		if (workerMillis <= 0) {
+			return 0;
 		}
-		double maxRemainingMillis = (this.leaseEndMillis - this.clockMillis) / MIN_CLOCK_RATE;
-		return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.clockReadNanos) > maxRemainingMillis + 1;
+		return (long) (workerMillis / MIN_CLOCK_RATE) + 2 - TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -31,6 +31,12 @@
 	 */
 	private static final long POLL_WAIT_MILLIS = 1000;
 
+	/**
+	 * Maximum age of the known reading of a worker's clock when a lease is granted,
+	 * milliseconds: a poll that waits, its timeout, and the delay before the next one.
+	 */
+	static final long MAX_CLOCK_READING_AGE_MILLIS = 2000;
+
 	/** Delay before an unreachable worker is polled again, milliseconds. */
 	private static final long UNREACHABLE_RETRY_MILLIS = 200;
 
@@ -113,7 +119,8 @@
 				.ifPresent((processedNanos) -> this.log.recordMetric(Metric.ACKNOWLEDGEMENT_LATENCY,
 						TimeUnit.NANOSECONDS.toMillis(sentNanos - processedNanos)));
 		}
-		boolean extendLease = worker.isReachable() && this.ownerLease.canGrantLeases();
+		boolean extendLease = worker.isReachable() && this.ownerLease.canGrantLeases()
+				&& this.pool.mayGrantLease(worker);
 		SentPoll poll = new SentPoll(worker, incarnation, worker.info(), acknowledged, sentNanos,
 				worker.lease().clockMillis());
 		OptionalLong leaseEndMillis = extendLease
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -27,8 +27,13 @@
 	// Workers that the durable owner record lists as usable, whatever write is in flight.
 	private final Set<String> recordedWorkers = new HashSet<>();
 
+	// Workers that a record names as silent which is durable or may become so.
+	private final Set<String> silentWorkers = new HashSet<>();
+
 	private final InheritedWorkers inherited = new InheritedWorkers();
 
+	private boolean listReceived;
+
 	// Entries of workers at whose address another worker answers. They are ignored until
 	// they change.
 	private final Map<String, WorkerInfo> replacedEntries = new HashMap<>();
@@ -40,13 +45,14 @@
 
 	/**
 	 * Starts the recovery of the workers in the record of an earlier owner.
-	 * @param earlier the record of the earlier owner
-	 * @param leaseEndNanos monotonic time at which all leases have ended that earlier
-	 * owners grant
+	 * @param takeOver how this process became the owner
 	 */
-	void recoverFrom(OwnerRecord earlier, long leaseEndNanos) {
-		this.inherited.restore(earlier, leaseEndNanos);
+	void recoverFrom(TakeOver takeOver) {
+		OwnerRecord earlier = takeOver.previous();
+		this.inherited.restore(earlier, takeOver.previousKnownNanos());
+		this.silentWorkers.addAll(takeOver.record().silentWorkers().keySet());
 		this.recordedWorkers.addAll(earlier.workers());
+		this.recordedWorkers.removeAll(this.silentWorkers);
 	}
 
 	InheritedWorkers inherited() {
@@ -86,9 +92,20 @@
 			.filter((worker) -> !present.contains(worker.id()))
 			.forEach(PoolWorker::markUnlisted);
 		this.replacedEntries.keySet().retainAll(present);
+		this.listReceived = true;
 		return new ListChanges(added, restarted);
 	}
 
+	/**
+	 * Returns whether a lease may be granted to a worker. The next owner counts on the
+	 * end of the leases that the record tells of a silent worker.
+	 * @param worker the worker
+	 * @return {@code false} while a record may be in force that names it as silent
+	 */
+	boolean mayGrantLease(PoolWorker worker) {
+		return !this.silentWorkers.contains(worker.id());
+	}
+
 	/**
 	 * Records that the owner record names the former incarnation of a worker. The worker
 	 * accepts no work until a record names the current one.
@@ -106,9 +123,10 @@
 	 * again. Otherwise a worker that has disappeared would delay all jobs of the next
 	 * owner by the duration of a lease.
 	 * @param hasUnwrittenProgress whether progress of jobs is not durable after the write
+	 * @param nowNanos the current monotonic time
 	 * @return the workers to record
 	 */
-	RecordedWorkers workersToRecord(boolean hasUnwrittenProgress) {
+	RecordedWorkers workersToRecord(boolean hasUnwrittenProgress, long nowNanos) {
 		Set<String> ids = new HashSet<>(this.inherited.unreconciled());
 		Map<String, List<String>> closed = new HashMap<>();
 		Map<String, Long> incarnations = new HashMap<>(this.inherited.incarnations());
@@ -131,7 +149,24 @@
 		// From now on the durable record may lack a worker that was removed from the
 		// pool.
 		this.recordedWorkers.retainAll(ids);
-		return new RecordedWorkers(ids.stream().sorted().toList(), closed, incarnations).bounded();
+		Map<String, Long> silent = silentWorkersToRecord(ids, closed.keySet(), nowNanos);
+		this.silentWorkers.addAll(silent.keySet());
+		return new RecordedWorkers(ids.stream().sorted().toList(), closed, incarnations, silent).bounded();
+	}
+
+	private Map<String, Long> silentWorkersToRecord(Set<String> ids, Set<String> closed, long nowNanos) {
+		Map<String, Long> silent = new HashMap<>();
+		Stream.concat(ids.stream(), closed.stream()).forEach((id) -> {
+			PoolWorker worker = this.workers.get(id);
+			long remainingMillis = this.inherited.remainingMillis(id, nowNanos);
+			if (worker == null && this.listReceived) {
+				silent.put(id, remainingMillis);
+			}
+			else if (worker != null && worker.silence().isSilent()) {
+				silent.put(id, Math.max(remainingMillis, worker.lease().remainingMillis(nowNanos)));
+			}
+		});
+		return silent;
 	}
 
 	private static Set<TaskKey> tasksToRecord(PoolWorker worker, boolean hasUnwrittenProgress) {
@@ -146,7 +181,8 @@
 
 	boolean hasUnrecordedWorkers() {
 		for (PoolWorker worker : this.workers.values()) {
-			if (worker.isUsable() && !this.recordedWorkers.contains(worker.id())) {
+			boolean isMissing = worker.isUsable() && !this.recordedWorkers.contains(worker.id());
+			if (isMissing || (worker.isReachable() && !mayGrantLease(worker))) {
 				return true;
 			}
 		}
@@ -165,12 +201,13 @@
 	/**
 	 * Records which workers the durable owner record contains. A worker that has
 	 * restarted since the record was composed does not count.
-	 * @param ids the ids of the workers
-	 * @param incarnations when the workers' incarnations in the record were started
+	 * @param record the record
 	 */
-	void markRecorded(Collection<String> ids, Map<String, Long> incarnations) {
+	void markRecorded(OwnerRecord record) {
+		Map<String, Long> incarnations = record.incarnations();
 		this.recordedWorkers.clear();
-		for (String id : ids) {
+		this.silentWorkers.retainAll(record.silentWorkers().keySet());
+		for (String id : record.workers()) {
 			PoolWorker worker = this.workers.get(id);
 			if (worker == null) {
 				this.recordedWorkers.add(id);
@@ -258,9 +295,11 @@
 	 * worker's id
 	 * @param incarnations by the worker's id, when its incarnation was started; without
 	 * workers that do not tell
+	 * @param silentWorkers by the id of a worker that does not answer, the time until all
+	 * leases that owners granted it have ended, milliseconds
 	 */
 	record RecordedWorkers(List<String> workers, Map<String, List<String>> closedWorkers,
-			Map<String, Long> incarnations) {
+			Map<String, Long> incarnations, Map<String, Long> silentWorkers) {
 
 		/** Maximum tasks in a record: a row takes 48 KB, a task 24 bytes. */
 		private static final int MAX_TASKS = 1000;
@@ -275,7 +314,7 @@
 				.distinct()
 				.sorted()
 				.toList();
-			return new RecordedWorkers(all, Map.of(), this.incarnations);
+			return new RecordedWorkers(all, Map.of(), this.incarnations, this.silentWorkers);
 		}
 
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -29,16 +29,24 @@
 		return worker;
 	}
 
+	private OwnerRecord writeRecord() {
+		WorkerPool.RecordedWorkers named = this.pool.workersToRecord(false, 0);
+		OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, named.workers(), named.closedWorkers(),
+				HostSize.UNKNOWN, List.of(), true, true, named.incarnations(), Map.of(), named.silentWorkers());
+		this.pool.markRecorded(record);
+		return record;
+	}
+
 	@Test
 	void aWorkerThatIsListedAgainAcceptsNoWorkWhileARecordWithoutItMayTakeEffect() {
 		PoolWorker worker = addReachableWorker();
-		this.pool.markRecorded(this.pool.workersToRecord(false).workers(), Map.of("w", 5L));
+		writeRecord();
 		assertThat(worker.isAcceptingWork(1)).isTrue();
 		this.pool.update(List.of());
 		this.pool.remove(worker);
-		assertThat(this.pool.workersToRecord(false).workers()).isEmpty();
+		assertThat(this.pool.workersToRecord(false, 0).workers()).isEmpty();
 		assertThat(addReachableWorker().isAcceptingWork(1)).isFalse();
-		this.pool.markRecorded(this.pool.workersToRecord(false).workers(), Map.of("w", 5L));
+		writeRecord();
 		assertThat(this.pool.worker("w").orElseThrow().isAcceptingWork(1)).isTrue();
 	}
 
@@ -50,11 +58,11 @@
 		worker.terminations().defer(List.of(new TerminatedTask(2, UNLOADED, 1, TerminationReason.DONE, "")));
 		this.pool.update(List.of(new WorkerInfo(INFO.id(), INFO.service(), INFO.address(), INFO.failureDomain(),
 				INFO.capacity(), INFO.labels(), INFO.rack(), true, 2000, INFO.startedMillis())));
-		assertThat(this.pool.workersToRecord(true).closedWorkers().get("w")).containsExactlyInAnyOrder(TASK.toString(),
-				UNLOADED.toString());
-		assertThat(this.pool.workersToRecord(false).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
+		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w"))
+			.containsExactlyInAnyOrder(TASK.toString(), UNLOADED.toString());
+		assertThat(this.pool.workersToRecord(false, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
 		worker.terminations().markDurable(1);
-		assertThat(this.pool.workersToRecord(true).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
+		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
 	}
 
 }
