Start nothing on a worker while the durable record names it as silent

A worker of a former owner that the new one has not reached yet stands in the record twice: as one on which any task may run, and as silent, with the time that its leases still last. A write that took effect marked it as recorded for the first reason, so that it accepted work in the moment in which it was reached, with a lease of 7 s, before a record without its silence was durable. If the owner could not write from then on, its successor, which did not reach the worker, took what ran there for ended after the former time, here after 248 ms, and started the task again beside it.

A worker that the durable record names as silent does not count as recorded now, whatever else the record says of it; once it is reached the next write follows at once and names it as usable.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -200,7 +200,8 @@
 
 	/**
 	 * Records which workers the durable owner record contains. A worker that has
-	 * restarted since the record was composed does not count.
+	 * restarted since the record was composed does not count, nor does a silent one: a
+	 * start would outlive the leases that the record tells of.
 	 * @param record the record
 	 */
 	void markRecorded(OwnerRecord record) {
@@ -209,6 +210,9 @@
 		this.silentWorkers.retainAll(record.silentWorkers().keySet());
 		for (String id : record.workers()) {
 			PoolWorker worker = this.workers.get(id);
+			if (this.silentWorkers.contains(id)) {
+				continue;
+			}
 			if (worker == null) {
 				this.recordedWorkers.add(id);
 			}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -50,6 +50,25 @@
 		assertThat(this.pool.worker("w").orElseThrow().isAcceptingWork(1)).isTrue();
 	}
 
+	// Guards against a start that outlives what the next owner counts on.
+	@Test
+	void aWorkerOfTheFormerOwnerAcceptsNoWorkWhileARecordNamesItAsSilent() {
+		OwnerRecord former = new OwnerRecord("g", "s1", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
+				List.of(), true, true, Map.of(), Map.of(), Map.of());
+		this.pool.recoverFrom(new TakeOver(former, 1, 0, 0, former, 0, 0));
+		this.pool.update(List.of(INFO));
+		this.pool.worker("w").orElseThrow().markUnreachable(0);
+		OwnerRecord record = writeRecord();
+		assertThat(record.workers()).contains("w");
+		assertThat(record.silentWorkers()).containsKey("w");
+		PoolWorker worker = addReachableWorker();
+		this.pool.inherited().markReconciled("w");
+		assertThat(this.pool.mayGrantLease(worker)).isFalse();
+		assertThat(worker.isAcceptingWork(1)).isFalse();
+		assertThat(writeRecord().silentWorkers()).isEmpty();
+		assertThat(worker.isAcceptingWork(1)).isTrue();
+	}
+
 	@Test
 	void aDrainingWorkerIsRecordedWithTasksWhoseEndsTheNextOwnerWouldNotKnow() {
 		PoolWorker worker = addReachableWorker();
