Grant a returning worker its lease with the write that allows it

A worker that the owner reaches again gets no lease before a record is durable that does not name it as silent. The poll that is sent at once is one without a lease, and waited for up to 1 s as any other, so that the lease came with the one after it.

The next poll of such a worker now waits for the write, as one does whose terminations are not durable, and for 250 ms at most. Behind a table that does not answer these workers are polled about four times a second.

Polls of simulated workers waited for 40 ms at most; a test may set that.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -40,7 +40,10 @@
 	/** Delay before an unreachable worker is polled again, milliseconds. */
 	private static final long UNREACHABLE_RETRY_MILLIS = 200;
 
-	/** Maximum delay of polls until terminations are durable, milliseconds. */
+	/**
+	 * Maximum delay of polls until terminations are durable, or until a record that no
+	 * longer names the worker as silent is, milliseconds.
+	 */
 	private static final long MAX_DURABILITY_WAIT_MILLIS = 250;
 
 	/**
@@ -132,9 +135,10 @@
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> handleOutcome(poll, outcome)));
 	}
 
-	// Tasks may wait for the end of a probation, which takes an answer.
-	private static Duration maxWait(PoolWorker worker, long nowNanos) {
-		return worker.isReachable()
+	// Tasks may wait for the end of a probation, which takes an answer, and the worker
+	// for a lease.
+	private Duration maxWait(PoolWorker worker, long nowNanos) {
+		return (worker.isReachable() && this.pool.mayGrantLease(worker))
 				? Duration.ofMillis(worker.suspectedRuns().millisUntilProbationEnds(nowNanos, POLL_WAIT_MILLIS))
 				: Duration.ZERO;
 	}
@@ -263,8 +267,10 @@
 		TerminationSequence reported = incarnation.terminations();
 		if (!reported.isDurable()) {
 			this.terminationsProcessedNanos.putIfAbsent(incarnation, this.clock.nanos());
-			this.awaitingDurability.put(incarnation, worker);
-			this.control.schedule(() -> resumePolling(incarnation), MAX_DURABILITY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+			awaitDurability(worker);
+		}
+		else if (!this.pool.mayGrantLease(worker)) {
+			awaitDurability(worker);
 		}
 		else if (!reported.deferred().isEmpty()
 				|| (hasUnacknowledged && worker.hasRecentUnansweredStart(this.clock.nanos()))) {
@@ -275,15 +281,21 @@
 		}
 	}
 
+	private void awaitDurability(PoolWorker worker) {
+		WorkerIncarnation incarnation = worker.incarnation();
+		this.awaitingDurability.put(incarnation, worker);
+		this.control.schedule(() -> resumePolling(incarnation), MAX_DURABILITY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	/**
-	 * Resumes the polls that were delayed until terminations are durable.
+	 * Resumes the polls that were delayed until a write is durable.
 	 */
 	void onTerminationsDurable() {
-		for (WorkerIncarnation incarnation : List.copyOf(this.awaitingDurability.keySet())) {
-			if (incarnation.terminations().isDurable()) {
+		Map.copyOf(this.awaitingDurability).forEach((incarnation, worker) -> {
+			if (incarnation.terminations().isDurable() && this.pool.mayGrantLease(worker)) {
 				resumePolling(incarnation);
 			}
-		}
+		});
 	}
 
 	private void resumePolling(WorkerIncarnation incarnation) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ReturningWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ReturningWorkersTests.java
@@ -1,6 +1,8 @@
 package org.monsoonrelay.logic.pool;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -44,4 +46,21 @@
 		assertThat(this.cell.workers.violations()).isEmpty();
 	}
 
+	// Guards against runs that lapse as a lease waits for the end of a long poll.
+	@ParameterizedTest
+	@ValueSource(longs = { 4300, 4500, 4700, 4900, 5100, 5300 })
+	void keepTheirRunsAfterACutThatEndsBeforeTheirLeases(long cutMillis) {
+		this.cell.workers.setLongPollMillis(1000);
+		this.cell.workers.add("w", SimulatedCell.CAPACITY);
+		SimulatedCell.Scheduler scheduler = this.cell.startOwnerAndStandby();
+		this.cell.submit(TASK.job(), SimulatedCell.step(1, false));
+		this.cell.time.runFor(3000);
+		scheduler.workerClient.disconnect("w");
+		this.cell.time.runFor(cutMillis);
+		scheduler.workerClient.reconnect("w");
+		this.cell.time.runFor(10_000);
+		assertThat(this.cell.workers.startCount(TASK)).isEqualTo(1);
+		assertThat(this.cell.workers.runningTasks()).contains(TASK);
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
@@ -18,8 +18,6 @@
 
 	private static final long REQUEST_TIMEOUT_MILLIS = 450;
 
-	private static final long LONG_POLL_MILLIS = 40;
-
 	private final SimulatedWorkers workers;
 
 	private final VirtualTime time;
@@ -107,8 +105,10 @@
 		PollOutcome immediate = worker.poll(request, sentMillis);
 		boolean isDelayed = immediate instanceof PollOutcome.Report report && report.terminatedTasks().isEmpty()
 				&& !request.maxWait().isZero();
-		after(isDelayed ? LONG_POLL_MILLIS : ONE_WAY_LATENCY_MILLIS, () -> response
-			.complete(isUnreachable(worker) ? new PollOutcome.NoAnswer("cut") : worker.poll(request, sentMillis)));
+		after(isDelayed ? Math.min(request.maxWait().toMillis(), this.workers.longPollMillis())
+				: ONE_WAY_LATENCY_MILLIS,
+				() -> response.complete(
+						isUnreachable(worker) ? new PollOutcome.NoAnswer("cut") : worker.poll(request, sentMillis)));
 	}
 
 	@Override
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -53,6 +53,8 @@
 
 	private boolean losingLateRequests;
 
+	private long longPollMillis = 40;
+
 	private long listDelayMillis;
 
 	private Resources restartedCapacity = Resources.NONE;
@@ -100,6 +102,18 @@
 		return isLost ? Optional.empty() : Optional.of(current);
 	}
 
+	/**
+	 * Sets how long a poll is answered late if it may wait and no run terminates.
+	 * @param millis the maximum, milliseconds
+	 */
+	void setLongPollMillis(long millis) {
+		this.longPollMillis = millis;
+	}
+
+	long longPollMillis() {
+		return this.longPollMillis;
+	}
+
 	/**
 	 * Sets how much later than its start the entry of a restarted worker is listed. Until
 	 * then its former entry is.
