Wait once for a start that may be executed late, whichever owner takes over

Callers saw a task of an accepted job wait for 12.5 s from each take-over, as its start was not answered under an earlier owner: the record named the start without its age, so that each successor took it for just sent.

The record now tells of each start that is not sent again, older than 1 s, for how long it may still be executed. A successor counts that from when it knew the row, which its predecessor had composed before; a take-over hands it on. Starts that may be sent again after an answer, and those in rows of earlier releases, are waited for from the take-over as before, so that no request is presumed lost earlier than 12.5 s after it was sent.

LateStartsTests was red before: "Expected size: 2 but was: 1"; the second successor, 7.1 s after the request, took it for 0 ms old. It now takes it for 6,999 ms old, and places the task 12.65 s after the request. Two tests of UnresolvedStarts say from when on it counts.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -35,18 +35,21 @@
  * composition of this row until all leases that owners granted it have ended,
  * milliseconds; an owner grants no lease to such a worker before it has written a row
  * without it; empty in rows of earlier releases
+ * @param startExpiries by task, for unresolved starts whose requests are not sent again,
+ * the time from the composition of this row until the request is taken to be lost,
+ * milliseconds; empty in rows of earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
 		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts,
-		Map<String, Long> silentWorkers) {
+		Map<String, Long> silentWorkers, Map<String, Long> startExpiries) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of());
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of());
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -58,6 +61,7 @@
 		incarnations = (incarnations != null) ? Map.copyOf(incarnations) : Map.of();
 		unresolvedStarts = (unresolvedStarts != null) ? Map.copyOf(unresolvedStarts) : Map.of();
 		silentWorkers = (silentWorkers != null) ? Map.copyOf(silentWorkers) : Map.of();
+		startExpiries = (startExpiries != null) ? Map.copyOf(startExpiries) : Map.of();
 	}
 
 	/**
@@ -67,11 +71,16 @@
 	 * @return the record, with the next epoch
 	 */
 	OwnerRecord takenOverBy(HostRecord next, long ageMillis) {
-		Map<String, Long> stillSilent = new HashMap<>();
-		this.silentWorkers.forEach((worker, remaining) -> stillSilent.put(worker, Math.max(0, remaining - ageMillis)));
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
-				this.confirming, true, this.incarnations, this.unresolvedStarts, stillSilent);
+				this.confirming, true, this.incarnations, this.unresolvedStarts,
+				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis));
+	}
+
+	private static Map<String, Long> shortened(Map<String, Long> remaining, long ageMillis) {
+		Map<String, Long> shorter = new HashMap<>();
+		remaining.forEach((name, millis) -> shorter.put(name, Math.max(0, millis - ageMillis)));
+		return shorter;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -144,7 +144,7 @@
 			.write(new PoolDecision.RecoveryStarted(this.epoch, previous.workers().size(), previous.closed().size(),
 					previous.closed().values().stream().mapToInt(List::size).sum(),
 					this.pool.inherited().maxRemainingMillis(this.takenOverNanos)));
-		this.runs.losses().restoreUnresolvedStarts(this.takeOver.previous().unresolvedStarts());
+		this.runs.losses().restoreUnresolvedStarts(this.takeOver);
 		this.loop.start();
 		this.jobTables.attach(this.jobTableListener);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -284,7 +284,8 @@
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
 				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
-				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers());
+				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers(),
+				this.jobs.unresolvedStarts().expiriesToRecord(this.composedNanos));
 	}
 
 	private void send(Batch batch) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnresolvedStarts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnresolvedStarts.java
@@ -29,12 +29,21 @@
 	/** Maximum starts in the owner record: a row takes 48 KB, a start 28 bytes. */
 	static final int MAX_RECORDED = 300;
 
+	/** Maximum expiries in the owner record, 30 bytes each. */
+	private static final int MAX_RECORDED_EXPIRIES = 100;
+
 	/**
 	 * Age from which on a start is worth a write of the owner record, milliseconds. Most
 	 * are answered within 2 ms.
 	 */
 	private static final long RECORDING_AGE_MILLIS = 10;
 
+	/**
+	 * Age from which on a request is not sent again, milliseconds. Only one with an
+	 * answer is, and none comes after 450 ms.
+	 */
+	private static final long FINAL_AGE_MILLIS = 1000;
+
 	private static final System.Logger LOGGER = System.getLogger(UnresolvedStarts.class.getName());
 
 	private final Map<TaskKey, Start> starts = new HashMap<>();
@@ -133,14 +142,30 @@
 	}
 
 	/**
-	 * Adds the starts of an earlier owner. When they were requested is not known.
-	 * @param recorded the attempts by task
+	 * Returns until when the starts may be executed that are not sent again, so that the
+	 * next owner need not wait for the whole time.
+	 * @param nowNanos the current monotonic time
+	 * @return by task, the time until the request is taken to be lost, milliseconds
+	 */
+	Map<String, Long> expiriesToRecord(long nowNanos) {
+		return this.starts.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().ageMillis(nowNanos) >= FINAL_AGE_MILLIS)
+			.limit(MAX_RECORDED_EXPIRIES)
+			.collect(Collectors.toMap((entry) -> entry.getKey().toString(),
+					(entry) -> Math.max(0, MAX_EXECUTION_DELAY_MILLIS - entry.getValue().ageMillis(nowNanos))));
+	}
+
+	/**
+	 * Adds the starts of an earlier owner.
+	 * @param record the record of that owner
+	 * @param knownNanos monotonic time from which on this process knew the record
 	 * @param nowNanos monotonic time after which the earlier owner sends no start
 	 * @return the starts that were added
 	 */
-	Map<TaskKey, Integer> restore(Map<String, Integer> recorded, long nowNanos) {
+	Map<TaskKey, Integer> restore(OwnerRecord record, long knownNanos, long nowNanos) {
 		Map<TaskKey, Integer> restored = new HashMap<>();
-		recorded.forEach((name, attempt) -> {
+		record.unresolvedStarts().forEach((name, attempt) -> {
 			try {
 				restored.put(TaskKey.parse(name), attempt);
 			}
@@ -148,7 +173,13 @@
 				LOGGER.log(System.Logger.Level.WARNING, "the owner record names no task in its starts: {0}", name);
 			}
 		});
-		restored.forEach((task, attempt) -> record(task, attempt, nowNanos));
+		restored.forEach((task, attempt) -> {
+			Long remainingMillis = record.startExpiries().get(task.toString());
+			long requestedNanos = (remainingMillis != null)
+					? knownNanos - TimeUnit.MILLISECONDS.toNanos(MAX_EXECUTION_DELAY_MILLIS - remainingMillis)
+					: nowNanos;
+			record(task, attempt, (requestedNanos - nowNanos < 0) ? requestedNanos : nowNanos);
+		});
 		return restored;
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -193,14 +193,16 @@
 
 	/**
 	 * Makes tasks wait whose starts an earlier owner may have sent without an answer.
-	 * @param attempts the attempts by task, as written in the owner record
+	 * @param takeOver how this process became the owner
 	 */
-	void restoreUnresolvedStarts(Map<String, Integer> attempts) {
+	void restoreUnresolvedStarts(TakeOver takeOver) {
 		long now = this.clock.nanos();
-		this.jobs.unresolvedStarts()
-			.restore(attempts, now)
-			.forEach((task, attempt) -> this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(),
-					attempt, "", 0, UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS)));
+		UnresolvedStarts starts = this.jobs.unresolvedStarts();
+		starts.restore(takeOver.previous(), takeOver.previousKnownNanos(), now)
+			.forEach((task,
+					attempt) -> this.log.write(new JobDecision.StartUnresolved(task.job(), task.toString(), attempt, "",
+							starts.ageMillis(task, attempt, now).orElse(0),
+							UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS)));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateStartsTests.java
@@ -240,6 +240,24 @@
 			test.assertCompletedWithoutASecondRun();
 		}
 
+		// Guards against a wait for lost requests that each take-over starts anew.
+		@Test
+		void delayTheTaskNoLongerThanTheRequestMayBeExecuted() {
+			LateStartsTests test = LateStartsTests.this;
+			SimulatedCell.Scheduler first = test.cell.startOwnerAndStandby();
+			test.cell.addScheduler();
+			test.sendLateStart();
+			test.cell.time.runFor(2500);
+			test.cell.workers.crash(test.worker);
+			first.kill();
+			test.cell.time.runFor(4000);
+			test.cell.owner().kill();
+			test.cell.time
+				.runFor(UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS - 6500 + OwnerLease.RENEWAL_INTERVAL_MILLIS);
+			assertThat(test.placements()).hasSize(2);
+			test.assertCompletedWithoutASecondRun();
+		}
+
 	}
 
 	@Nested
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnresolvedStartsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnresolvedStartsTests.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -62,14 +63,40 @@
 	@Test
 	void theStartsInARecordAreRestored() {
 		UnresolvedStarts next = new UnresolvedStarts();
-		assertThat(next.restore(this.starts.toRecord(EXPIRY_NANOS), EXPIRY_NANOS)).containsExactly(Map.entry(TASK, 3));
+		assertThat(next.restore(recordWith(this.starts.toRecord(SENT_NANOS), Map.of()), SENT_NANOS, EXPIRY_NANOS))
+			.containsExactly(Map.entry(TASK, 3));
 		next.expire(EXPIRY_NANOS);
 		assertThat(next.contains(TASK)).isTrue();
 	}
 
+	@Test
+	void aRestoredStartIsKeptNoLongerThanItMayBeExecuted() {
+		UnresolvedStarts next = new UnresolvedStarts();
+		long composedNanos = SENT_NANOS + TimeUnit.MILLISECONDS.toNanos(5000);
+		long knownNanos = composedNanos + TimeUnit.MILLISECONDS.toNanos(30);
+		next.restore(recordWith(this.starts.toRecord(composedNanos), this.starts.expiriesToRecord(composedNanos)),
+				knownNanos, EXPIRY_NANOS - 1);
+		next.expire(EXPIRY_NANOS);
+		assertThat(next.contains(TASK)).isTrue();
+		next.expire(EXPIRY_NANOS + knownNanos - composedNanos);
+		assertThat(next.contains(TASK)).isFalse();
+	}
+
+	@Test
+	void aRecordTellsNoExpiryOfARequestThatMayBeSentAgain() {
+		assertThat(this.starts.expiriesToRecord(SENT_NANOS + TimeUnit.MILLISECONDS.toNanos(990))).isEmpty();
+		assertThat(this.starts.expiriesToRecord(SENT_NANOS + TimeUnit.MILLISECONDS.toNanos(1500)))
+			.containsExactly(Map.entry("a.0.0.0", UnresolvedStarts.MAX_EXECUTION_DELAY_MILLIS - 1500));
+	}
+
+	private static OwnerRecord recordWith(Map<String, Integer> attempts, Map<String, Long> expiries) {
+		return new OwnerRecord("h", "s0", 100, 1, false, List.of(), Map.of(), HostSize.UNKNOWN, List.of(), true, true,
+				Map.of(), attempts, Map.of(), expiries);
+	}
+
 	@Test
 	void aNameInARecordThatIsNoTaskIsIgnored() {
-		assertThat(this.starts.restore(Map.of("no task", 1), 0)).isEmpty();
+		assertThat(this.starts.restore(recordWith(Map.of("no task", 1), Map.of()), 0, 0)).isEmpty();
 	}
 
 	@Test
