Let simulated calls for eligibility queue, and tickets expire

The simulated cell answered each call after a fixed time, however many were made, and its workers accepted a ticket for as long as they lived. A wait that is the sum of a queue at a host and of tickets that expired meanwhile could not be shown on virtual time.

withEligibility(share, times) has a service that handles one call at a time for each calling host, refuses those beyond 32, fails those of a host that is down and issues tickets that expire. The other forms answer as before.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -1,12 +1,12 @@
 package org.monsoonrelay.logic.pool;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -95,6 +95,8 @@
 
 	private long eligibilityMillis;
 
+	private Optional<SimulatedEligibility> eligibilityService = Optional.empty();
+
 	SimulatedCell withRunMillis(long millis) {
 		return withRunMillis((task) -> millis);
 	}
@@ -128,6 +130,25 @@
 		return withEligibility();
 	}
 
+	/**
+	 * Makes all jobs need eligibility, whose calls wait for those of the same host and
+	 * whose tickets expire.
+	 * @param share share of the workers that may run a step
+	 * @param times duration of the calls and validity of the tickets
+	 * @return this cell
+	 */
+	SimulatedCell withEligibility(double share, EligibilityTimes times) {
+		this.eligibleShare = share;
+		this.eligibilityService = Optional
+			.of(new SimulatedEligibility(this.time, this.workers, this::isHostUp, share, times));
+		return withEligibility();
+	}
+
+	private boolean isHostUp(String host) {
+		return this.schedulers.stream()
+			.anyMatch((scheduler) -> !scheduler.isKilled() && scheduler.self.host().equals(host));
+	}
+
 	/**
 	 * Returns whether a worker may run a step, which follows from their names.
 	 * @param step the step
@@ -135,10 +156,14 @@
 	 * @return {@code true} if it may
 	 */
 	boolean isEligible(StepKey step, String worker) {
-		return new Random((step + worker).hashCode() * 2_654_435_761L).nextDouble() < this.eligibleShare;
+		return SimulatedEligibility.isEligible(step, worker, this.eligibleShare);
 	}
 
-	private CompletableFuture<Map<String, String>> requestTickets(StepKey step, List<String> ids) {
+	private CompletableFuture<Map<String, String>> requestTickets(String host, StepKey step, List<String> ids,
+			Duration timeout) {
+		if (this.eligibilityService.isPresent()) {
+			return this.eligibilityService.get().requestTickets(host, step, ids, timeout.toMillis());
+		}
 		Map<String, String> tickets = ids.stream()
 			.filter((id) -> isEligible(step, id))
 			.collect(Collectors.toMap((id) -> id, this.workers::ticket));
@@ -165,6 +190,31 @@
 		return scheduler;
 	}
 
+	/**
+	 * Starts a process on the host of one that has ended.
+	 * @param former the process that has ended
+	 * @return the new process
+	 */
+	Scheduler restart(Scheduler former) {
+		Scheduler scheduler = new Scheduler(former.self.host(), "restart" + this.schedulers.size(),
+				former.self.processors());
+		this.schedulers.add(scheduler);
+		scheduler.election.start();
+		return scheduler;
+	}
+
+	/**
+	 * Returns the process that owns the pool according to the table.
+	 * @return the process, empty if it has ended
+	 */
+	Optional<Scheduler> recordedOwner() {
+		String value = this.table.value(JobTables.OWNER, JobTables.POOL_PARTITION, JobTables.OWNER_KEY);
+		String holder = value.isEmpty() ? "" : Json.read(value, OwnerRecord.class).holder();
+		return this.schedulers.stream()
+			.filter((scheduler) -> !scheduler.isKilled() && scheduler.self.incarnation().equals(holder))
+			.findFirst();
+	}
+
 	Scheduler owner() {
 		return this.schedulers.stream()
 			.filter((scheduler) -> scheduler.owner().isPresent())
@@ -173,7 +223,9 @@
 	}
 
 	QueuePolicy policy(int attempts) {
-		EligibilityTimes times = this.needsEligibility ? new EligibilityTimes(8, 0.1, 2000) : null;
+		EligibilityTimes times = this.needsEligibility
+				? this.eligibilityService.map(SimulatedEligibility::times).orElse(new EligibilityTimes(8, 0.1, 2000))
+				: null;
 		return new QueuePolicy("confirm", "salon", 0, attempts, 2.0, 1000, times);
 	}
 
@@ -305,7 +357,7 @@
 		private boolean killed;
 
 		Scheduler(String name, String incarnation, double processors) {
-			EligibilityClient service = (host, step, ids, timeout) -> requestTickets(step, ids);
+			EligibilityClient service = SimulatedCell.this::requestTickets;
 			ScheduledExecutorService control = this.process.executor();
 			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, service, control,
 					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkerClient.java
@@ -56,7 +56,7 @@
 	}
 
 	private boolean isDisconnectedFrom(SimulatedWorkers.SimulatedWorker worker) {
-		return this.disconnectedWorkers.contains(worker.id())
+		return worker.isDark() || this.disconnectedWorkers.contains(worker.id())
 				|| this.disconnectedDomains.contains(worker.failureDomain());
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -31,6 +31,8 @@
 	/** Time for which starts may exceed a capacity that has shrunk, milliseconds. */
 	private static final long RESIZE_GRACE_MILLIS = 3000;
 
+	private static final String EXPIRY_SEPARATOR = " until ";
+
 	private final VirtualTime time;
 
 	private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
@@ -280,6 +282,16 @@
 		return this.workers.get(id).ticket();
 	}
 
+	/**
+	 * Returns a ticket that the current incarnation of a worker accepts for some time.
+	 * @param id the worker's id
+	 * @param endMillis when it expires
+	 * @return the ticket, which later incarnations refuse
+	 */
+	String ticket(String id, long endMillis) {
+		return ticket(id) + EXPIRY_SEPARATOR + endMillis;
+	}
+
 	SimulatedWorker find(String id) {
 		return this.workers.get(id);
 	}
@@ -320,6 +332,8 @@
 
 		private boolean crashed;
 
+		private boolean dark;
+
 		private boolean replaced;
 
 		private Resources formerCapacity = Resources.NONE;
@@ -349,7 +363,12 @@
 		}
 
 		private boolean rejectsTicket(String ticket) {
-			return !ticket.isEmpty() && !ticket.equals(ticket());
+			int separator = ticket.indexOf(EXPIRY_SEPARATOR);
+			if (separator < 0) {
+				return !ticket.isEmpty() && !ticket.equals(ticket());
+			}
+			long endMillis = Long.parseLong(ticket.substring(separator + EXPIRY_SEPARATOR.length()));
+			return !ticket.startsWith(ticket() + EXPIRY_SEPARATOR) || SimulatedWorkers.this.time.millis() > endMillis;
 		}
 
 		private void updateEntry() {
@@ -360,6 +379,19 @@
 			this.listed = false;
 		}
 
+		/**
+		 * Cuts this worker off from all processes and from the host list, or ends that.
+		 * @param isDark whether it is cut off
+		 */
+		void setDark(boolean isDark) {
+			this.dark = isDark;
+			this.listed = !isDark && !this.replaced;
+		}
+
+		boolean isDark() {
+			return this.dark;
+		}
+
 		void crash() {
 			this.crashed = true;
 			this.runningAttempts.keySet().forEach((task) -> SimulatedWorkers.this.runningTasks.remove(task));
