--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CollectedLogs.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CollectedLogs.java
@@ -22,7 +22,10 @@
 
 	private final Map<String, List<String>> lines = new LinkedHashMap<>();
 
+	private final List<Entry> entries = new ArrayList<>();
+
 	void write(String process, long millis, Decision decision) {
+		this.entries.add(new Entry(millis, process, decision));
 		List<String> output = this.lines.computeIfAbsent(process, (name) -> new ArrayList<>());
 		long at = millis - LAG_MILLIS * List.copyOf(this.lines.keySet()).indexOf(process);
 		ObjectNode node = Json.MAPPER.createObjectNode().put("at", at);
@@ -30,6 +33,14 @@
 		output.add("2026-12-03T06:00:00Z " + process + " " + node);
 	}
 
+	/**
+	 * Returns the decisions of all processes in the order in which they were made.
+	 * @return the decisions
+	 */
+	List<Entry> entries() {
+		return this.entries;
+	}
+
 	/**
 	 * Returns what the logs contain about an id, beginning with the process that started
 	 * last.
@@ -45,4 +56,15 @@
 		return story;
 	}
 
+	/**
+	 * A decision of a process. Immutable.
+	 *
+	 * @param millis when it was made, on the virtual clock
+	 * @param process the process
+	 * @param decision the decision
+	 */
+	record Entry(long millis, String process, Decision decision) {
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -61,6 +61,9 @@
 	 */
 	static final long STANDBY_DELAY_MILLIS = 1500;
 
+	/** Time until owners know that a process has started on a host, milliseconds. */
+	private static final long REGISTRATION_MILLIS = 300;
+
 	final VirtualTime time = new VirtualTime();
 
 	final InMemoryTable table = new InMemoryTable(this.time);
@@ -200,6 +203,10 @@
 				former.self.processors());
 		this.schedulers.add(scheduler);
 		scheduler.election.start();
+		this.time.schedule(
+				() -> this.schedulers
+					.forEach((other) -> other.owner().ifPresent((owner) -> owner.hostRestarted(former.self.host()))),
+				REGISTRATION_MILLIS, TimeUnit.MILLISECONDS);
 		return scheduler;
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 import org.monsoonrelay.logic.pool.RunRequestOutcome.Kind;
@@ -51,6 +52,8 @@
 
 	private RestartedId restartedId = RestartedId.NEW;
 
+	private Predicate<TaskKey> endlessTasks = (task) -> false;
+
 	private boolean tellingStarts = true;
 
 	private boolean losingLateRequests;
@@ -75,6 +78,14 @@
 		this.restartedId = id;
 	}
 
+	/**
+	 * Sets the tasks whose runs never end as done, but as failed.
+	 * @param tasks matches these tasks
+	 */
+	void setEndlessTasks(Predicate<TaskKey> tasks) {
+		this.endlessTasks = tasks;
+	}
+
 	/**
 	 * Sets whether workers tell when they were started.
 	 * @param isTelling whether they do
@@ -506,7 +517,8 @@
 			if (!limit().covers(simulation.taskSize.times(this.runningAttempts.size()))) {
 				simulation.violations.add("runs exceed the capacity of " + this.info.id());
 			}
-			TerminationReason reason = this.failing ? TerminationReason.FAILED : TerminationReason.DONE;
+			boolean isFailing = this.failing || simulation.endlessTasks.test(task);
+			TerminationReason reason = isFailing ? TerminationReason.FAILED : TerminationReason.DONE;
 			simulation.time.schedule(() -> terminateAttempt(task, attempt, reason),
 					simulation.runMillis.applyAsLong(task), TimeUnit.MILLISECONDS);
 			simulation.startObserver.accept(this, task);
