--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 import org.monsoonrelay.logic.pool.RunRequestOutcome.Kind;
@@ -31,6 +32,8 @@
 	/** Time for which starts may exceed a capacity that has shrunk, milliseconds. */
 	private static final long RESIZE_GRACE_MILLIS = 3000;
 
+	private static final String EXPIRY_SEPARATOR = " until ";
+
 	private final VirtualTime time;
 
 	private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
@@ -49,6 +52,8 @@
 
 	private RestartedId restartedId = RestartedId.NEW;
 
+	private Predicate<TaskKey> endlessTasks = (task) -> false;
+
 	private boolean tellingStarts = true;
 
 	private boolean losingLateRequests;
@@ -75,6 +80,14 @@
 		this.restartedId = id;
 	}
 
+	/**
+	 * Sets the tasks whose runs never end as done, but as failed.
+	 * @param tasks matches these tasks
+	 */
+	void setEndlessTasks(Predicate<TaskKey> tasks) {
+		this.endlessTasks = tasks;
+	}
+
 	/**
 	 * Sets whether workers tell when they were started.
 	 * @param isTelling whether they do
@@ -294,6 +307,16 @@
 		return this.workers.get(id).ticket();
 	}
 
+	/**
+	 * Returns a ticket that the current incarnation of a worker accepts for some time.
+	 * @param id the worker's id
+	 * @param endMillis when it expires
+	 * @return the ticket, which later incarnations refuse
+	 */
+	String ticket(String id, long endMillis) {
+		return ticket(id) + EXPIRY_SEPARATOR + endMillis;
+	}
+
 	SimulatedWorker find(String id) {
 		return this.workers.get(id);
 	}
@@ -334,6 +357,8 @@
 
 		private boolean crashed;
 
+		private boolean dark;
+
 		private boolean replaced;
 
 		private Resources formerCapacity = Resources.NONE;
@@ -363,7 +388,12 @@
 		}
 
 		private boolean rejectsTicket(String ticket) {
-			return !ticket.isEmpty() && !ticket.equals(ticket());
+			int separator = ticket.indexOf(EXPIRY_SEPARATOR);
+			if (separator < 0) {
+				return !ticket.isEmpty() && !ticket.equals(ticket());
+			}
+			long endMillis = Long.parseLong(ticket.substring(separator + EXPIRY_SEPARATOR.length()));
+			return !ticket.startsWith(ticket() + EXPIRY_SEPARATOR) || SimulatedWorkers.this.time.millis() > endMillis;
 		}
 
 		private void updateEntry() {
@@ -374,6 +404,19 @@
 			this.listed = false;
 		}
 
+		/**
+		 * Cuts this worker off from all processes and from the host list, or ends that.
+		 * @param isDark whether it is cut off
+		 */
+		void setDark(boolean isDark) {
+			this.dark = isDark;
+			this.listed = !isDark && !this.replaced;
+		}
+
+		boolean isDark() {
+			return this.dark;
+		}
+
 		void crash() {
 			this.crashed = true;
 			this.runningAttempts.keySet().forEach((task) -> SimulatedWorkers.this.runningTasks.remove(task));
@@ -488,7 +531,8 @@
 			if (!limit().covers(simulation.taskSize.times(this.runningAttempts.size()))) {
 				simulation.violations.add("runs exceed the capacity of " + this.info.id());
 			}
-			TerminationReason reason = this.failing ? TerminationReason.FAILED : TerminationReason.DONE;
+			boolean isFailing = this.failing || simulation.endlessTasks.test(task);
+			TerminationReason reason = isFailing ? TerminationReason.FAILED : TerminationReason.DONE;
 			simulation.time.schedule(() -> terminateAttempt(task, attempt, reason),
 					simulation.runMillis.applyAsLong(task), TimeUnit.MILLISECONDS);
 			simulation.startObserver.accept(this, task);
