Count the leases of an earlier process of the same host from its end

Callers saw a long-running task that does not run beside free capacity after workers were lost less than a second before the owner's process, so that the record names them as usable.

A process that has ended does not go on: its last lease ends 7,184 ms after the start of the next process at the latest. That holds only if no owner before it may still grant leases, which the record tells from now on, as a former one that was superseded unnoticed could; otherwise, and for records of earlier releases, the wait is as before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -35,20 +35,24 @@
 	private final Map<String, Long> leaseEndNanos = new HashMap<>();
 
 	/**
-	 * Adds the workers in the record of an earlier owner.
-	 * @param record the record
-	 * @param knownNanos monotonic time from which on this process knew the record
+	 * Adds the workers in the record of the former owner.
+	 * @param takeOver how this process became the owner
 	 */
-	void restore(OwnerRecord record, long knownNanos) {
+	void restore(TakeOver takeOver) {
+		OwnerRecord record = takeOver.previous();
 		this.unreconciled.addAll(record.workers());
 		this.incarnations.putAll(record.incarnations());
 		record.closed()
 			.forEach((worker, tasks) -> parseTasks(tasks).ifPresentOrElse(
 					(parsed) -> this.unconfirmedTasks.put(worker, parsed), () -> this.unreconciled.add(worker)));
 		for (String worker : workers()) {
-			long remainingMillis = Math.min(OwnerLease.MAX_FORMER_LEASE_MILLIS,
-					record.silentWorkers().getOrDefault(worker, Long.MAX_VALUE));
-			this.leaseEndNanos.put(worker, knownNanos + TimeUnit.MILLISECONDS.toNanos(remainingMillis));
+			long endNanos = takeOver.formerLeaseEndNanos();
+			Long silentMillis = record.silentWorkers().get(worker);
+			if (silentMillis != null) {
+				endNanos = Math.min(endNanos,
+						takeOver.previousKnownNanos() + TimeUnit.MILLISECONDS.toNanos(silentMillis));
+			}
+			this.leaseEndNanos.put(worker, endNanos);
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -69,6 +69,9 @@
 
 	private final TakeOverPolicy takeOverPolicy;
 
+	// Earlier processes of this host have ended before this time.
+	private final long processStartNanos;
+
 	private Optional<OwnerRecord> current = Optional.empty();
 
 	private long version;
@@ -113,6 +116,7 @@
 		this.unreadable = dependencies.unreadable();
 		this.self = self;
 		this.onTakeOver = onTakeOver;
+		this.processStartNanos = dependencies.clock().nanos();
 		this.takeOverPolicy = new TakeOverPolicy(self, dependencies.clock());
 		this.follower = new TableFollower(dependencies.table(), JobTables.OWNER, List.of(JobTables.POOL_PARTITION),
 				() -> hasRecentHeartbeat() ? ROW_POLL_INTERVAL_WITH_HEARTBEATS : ROW_POLL_INTERVAL,
@@ -341,16 +345,16 @@
 
 	private void takeOver(String reason, long formerOwnerStartMillis) {
 		OwnerRecord previous = this.current.orElse(OwnerRecord.NEVER_OWNED);
-		long knownNanos = this.versionKnownNanos;
+		long knownNanos = this.current.isPresent() ? this.versionKnownNanos : this.clock.nanos();
+		long leaseEndNanos = formerLeaseEndNanos(previous, knownNanos);
 		OwnerRecord next = previous.takenOverBy(this.self, millisSince(knownNanos));
 		long former = previous.confirming() ? 0 : formerOwnerStartMillis;
 		long sentNanos = this.clock.nanos();
 		long sentMillis = this.clock.millis();
 		write(next, this.version, (commit) -> {
 			if (commit instanceof PartitionCommit.Committed committed) {
-				becomeOwner(
-						new TakeOver(next, committed.version(), sentNanos, sentMillis, previous, knownNanos, former),
-						previous.host(), reason);
+				becomeOwner(new TakeOver(next, committed.version(), sentNanos, sentMillis, previous, knownNanos,
+						leaseEndNanos, former), previous.host(), reason);
 			}
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
 				changed(conflict.current());
@@ -358,6 +362,16 @@
 		});
 	}
 
+	private long formerLeaseEndNanos(OwnerRecord previous, long knownNanos) {
+		long endNanos = knownNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_FORMER_LEASE_MILLIS);
+		boolean isProcessEnded = previous.host().equals(this.self.host()) && !isOwnProcess(previous);
+		if (!isProcessEnded || !previous.formerLeasesEnded()) {
+			return endNanos;
+		}
+		return Math.min(endNanos,
+				this.processStartNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_LEASE_OF_ENDED_PROCESS_MILLIS));
+	}
+
 	// The row exists, so this write only returns a conflict. That shows that the table
 	// accepts writes, and carries the current row.
 	private void probeTableWrites() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerLease.java
@@ -40,9 +40,13 @@
 	 * lease can be in force that this owner granted, milliseconds. The worker's clock may
 	 * be slow, also from its last known reading to the request.
 	 */
-	static final long MAX_FORMER_LEASE_MILLIS = (long) ((MAX_REQUEST_VALIDITY_MILLIS
-			+ WorkerPoller.MAX_CLOCK_READING_AGE_MILLIS) / WorkerLease.MIN_CLOCK_RATE)
-			- WorkerPoller.MAX_CLOCK_READING_AGE_MILLIS + 1;
+	static final long MAX_FORMER_LEASE_MILLIS = maxMillisOnSlowClock(MAX_REQUEST_VALIDITY_MILLIS);
+
+	/**
+	 * Time after the end of an owner's process until no lease can be in force that it
+	 * granted, milliseconds.
+	 */
+	static final long MAX_LEASE_OF_ENDED_PROCESS_MILLIS = maxMillisOnSlowClock(MAX_WORKER_LEASE_MILLIS);
 
 	/** Minimum duration of a worker lease that is worth a request, milliseconds. */
 	static final long MIN_WORKER_LEASE_MILLIS = 400;
@@ -70,6 +74,11 @@
 
 	private boolean contested;
 
+	private static long maxMillisOnSlowClock(long leaseMillis) {
+		long sinceReading = WorkerPoller.MAX_CLOCK_READING_AGE_MILLIS;
+		return (long) ((sinceReading + leaseMillis) / WorkerLease.MIN_CLOCK_RATE) - sinceReading + 1;
+	}
+
 	OwnerLease(long epoch, PoolClock clock) {
 		this.epoch = epoch;
 		this.clock = clock;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -35,18 +35,20 @@
  * composition of this row until all leases that owners granted it have ended,
  * milliseconds; an owner grants no lease to such a worker before it has written a row
  * without it; empty in rows of earlier releases
+ * @param formerLeasesEnded whether all leases had ended when this row was composed that
+ * owners before this one granted; {@code false} in rows of earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
 		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts,
-		Map<String, Long> silentWorkers) {
+		Map<String, Long> silentWorkers, boolean formerLeasesEnded) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of());
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), true);
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -71,7 +73,7 @@
 		this.silentWorkers.forEach((worker, remaining) -> stillSilent.put(worker, Math.max(0, remaining - ageMillis)));
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
-				this.confirming, true, this.incarnations, this.unresolvedStarts, stillSilent);
+				this.confirming, true, this.incarnations, this.unresolvedStarts, stillSilent, false);
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -85,6 +85,8 @@
 
 	private OwnerRecord record;
 
+	private long formerLeaseEndNanos;
+
 	private long version;
 
 	private Optional<QueueSummary> writtenSummary = Optional.empty();
@@ -131,6 +133,7 @@
 	 */
 	void start(TakeOver takeOver) {
 		this.record = takeOver.record();
+		this.formerLeaseEndNanos = takeOver.formerLeaseEndNanos();
 		this.version = takeOver.version();
 		this.standbys = this.record.standbys();
 		this.largest = this.record.largest();
@@ -284,7 +287,8 @@
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
 				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
-				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers());
+				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers(),
+				this.composedNanos - this.formerLeaseEndNanos > 0);
 	}
 
 	private void send(Batch batch) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
@@ -11,11 +11,13 @@
  * @param previous the row of the former owner
  * @param previousKnownNanos monotonic time from which on this process knew that row: the
  * former owner has not renewed its lease since
+ * @param formerLeaseEndNanos monotonic time at which all leases have ended that the
+ * former owner and those before it granted
  * @param formerOwnerStartMillis time from the take-over on during which the former owner
  * may still start jobs that are stored and that it learns of, milliseconds; 0 if it
  * starts none
  */
 public record TakeOver(OwnerRecord record, long version, long sentNanos, long sentMillis, OwnerRecord previous,
-		long previousKnownNanos, long formerOwnerStartMillis) {
+		long previousKnownNanos, long formerLeaseEndNanos, long formerOwnerStartMillis) {
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -49,7 +49,7 @@
 	 */
 	void recoverFrom(TakeOver takeOver) {
 		OwnerRecord earlier = takeOver.previous();
-		this.inherited.restore(earlier, takeOver.previousKnownNanos());
+		this.inherited.restore(takeOver);
 		this.silentWorkers.addAll(takeOver.record().silentWorkers().keySet());
 		this.recordedWorkers.addAll(earlier.workers());
 		this.recordedWorkers.removeAll(this.silentWorkers);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -32,7 +32,7 @@
 	private OwnerRecord writeRecord() {
 		WorkerPool.RecordedWorkers named = this.pool.workersToRecord(false, 0);
 		OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, named.workers(), named.closedWorkers(),
-				HostSize.UNKNOWN, List.of(), true, true, named.incarnations(), Map.of(), named.silentWorkers());
+				HostSize.UNKNOWN, List.of(), true, true, named.incarnations(), Map.of(), named.silentWorkers(), true);
 		this.pool.markRecorded(record);
 		return record;
 	}
@@ -54,8 +54,8 @@
 	@Test
 	void aWorkerOfTheFormerOwnerAcceptsNoWorkWhileARecordNamesItAsSilent() {
 		OwnerRecord former = new OwnerRecord("g", "s1", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
-				List.of(), true, true, Map.of(), Map.of(), Map.of());
-		this.pool.recoverFrom(new TakeOver(former, 1, 0, 0, former, 0, 0));
+				List.of(), true, true, Map.of(), Map.of(), Map.of(), true);
+		this.pool.recoverFrom(new TakeOver(former, 1, 0, 0, former, 0, 0, 0));
 		this.pool.update(List.of(INFO));
 		this.pool.worker("w").orElseThrow().markUnreachable(0);
 		OwnerRecord record = writeRecord();
