--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -38,18 +38,20 @@
  * @param startExpiries by task, for unresolved starts whose requests are not sent again,
  * the time from the composition of this row until the request is taken to be lost,
  * milliseconds; empty in rows of earlier releases
+ * @param formerLeasesEnded whether all leases had ended when this row was composed that
+ * owners before this one granted; {@code false} in rows of earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
 		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts,
-		Map<String, Long> silentWorkers, Map<String, Long> startExpiries) {
+		Map<String, Long> silentWorkers, Map<String, Long> startExpiries, boolean formerLeasesEnded) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of());
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), true);
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -74,7 +76,7 @@
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
 				this.confirming, true, this.incarnations, this.unresolvedStarts,
-				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis));
+				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis), false);
 	}
 
 	private static Map<String, Long> shortened(Map<String, Long> remaining, long ageMillis) {
