Tell how many workers with room have valid tickets for a waiting step

A step that waits for the recovery of a new owner asks for its tickets when the wait begins, and they expire while it lasts. That did not show: StepWaiting told eligible workers and free slots only. It now tells the number of eligible workers with room for a task, and how many of them have a valid ticket.

No decision changes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -326,10 +326,12 @@
 	 * @param eligibleWorkers workers known to be eligible
 	 * @param acceptingWorkers eligible workers that accept work
 	 * @param freeSlots tasks of the step for which these have free capacity
+	 * @param workersWithRoom number of these that have free capacity for a task
+	 * @param workersWithTicket number of those whose tickets are valid
 	 */
 	record StepWaiting(String job, String step, String reason, long reasonMillis, long waitedMillis, int tasks,
 			int suspectedTasks, int running, int matchingWorkers, int eligibleWorkers, int acceptingWorkers,
-			int freeSlots) implements JobDecision {
+			int freeSlots, int workersWithRoom, int workersWithTicket) implements JobDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitDiagnosis.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitDiagnosis.java
@@ -80,8 +80,10 @@
 			.toList();
 		Resources size = context.step().spec().committedSize();
 		int freeSlots = accepting.stream().mapToInt((worker) -> worker.free().timesCovering(size)).sum();
+		List<PoolWorker> withRoom = accepting.stream().filter((worker) -> context.hasCapacity(worker, 1)).toList();
+		int withTicket = (int) withRoom.stream().filter(context::hasTicket).count();
 		return new WaitingStep(context.step(), context.tasks().size(), suspectedTasks(context), matching.size(),
-				eligible.size(), accepting.size(), freeSlots);
+				eligible.size(), accepting.size(), freeSlots, withRoom.size(), withTicket);
 	}
 
 	private static int suspectedTasks(PlacementContext context) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReporter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReporter.java
@@ -87,7 +87,8 @@
 		this.log.write(new JobDecision.StepWaiting(step.job().id(), step.key().localName(),
 				wait.reason().map(WaitReason::name).orElse(""), wait.reasonMillis(nowNanos), wait.millis(nowNanos),
 				waiting.tasks(), waiting.suspectedTasks(), step.activeRuns().size(), waiting.matchingWorkers(),
-				waiting.eligibleWorkers(), waiting.acceptingWorkers(), waiting.freeSlots()));
+				waiting.eligibleWorkers(), waiting.acceptingWorkers(), waiting.freeSlots(), waiting.workersWithRoom(),
+				waiting.workersWithTicket()));
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitingStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitingStep.java
@@ -10,8 +10,10 @@
  * @param eligibleWorkers workers known to be eligible
  * @param acceptingWorkers eligible workers that accept work
  * @param freeSlots tasks of the step for which these have free capacity
+ * @param workersWithRoom accepting workers that have free capacity for a task
+ * @param workersWithTicket those of them that need no ticket or have a valid one
  */
 record WaitingStep(ActiveStep step, int tasks, int suspectedTasks, int matchingWorkers, int eligibleWorkers,
-		int acceptingWorkers, int freeSlots) {
+		int acceptingWorkers, int freeSlots, int workersWithRoom, int workersWithTicket) {
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StepWaitDiagnosisTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StepWaitDiagnosisTests.java
@@ -43,7 +43,7 @@
 	@EnumSource(WaitReason.class)
 	void eachReasonIsDescribedInWords(WaitReason reason) {
 		this.cell.logs.write("s0", 0,
-				new JobDecision.StepWaiting("a", "0.0", reason.name(), 900, 1500, 2, 0, 0, 3, 3, 1, 0));
+				new JobDecision.StepWaiting("a", "0.0", reason.name(), 900, 1500, 2, 0, 0, 3, 3, 1, 0, 0, 0));
 		assertThat(waits("a")).singleElement()
 			.asString()
 			.matches("step 0\\.0 waits for 1\\.5 s or longer without a start: [a-z].+ \\(" + reason
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
@@ -10,6 +10,7 @@
 import org.monsoonrelay.model.submission.TaskKey;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 /**
  * An owner logs why steps wait.
@@ -81,6 +82,21 @@
 		assertThat(linesOf("a")).extracting(JobDecision.StepWaiting::reason).contains("OWNER_RECOVERY");
 	}
 
+	@Test
+	void logsHowManyWorkersWithRoomHaveValidTickets() {
+		this.cell.withEligibility(1, 20).withWorkers(3).startOwnerAndStandby();
+		this.cell.schedulers.get(1).workerClient.disconnect("w1");
+		this.cell.time.runFor(1000);
+		this.cell.submit("a", SimulatedCell.step(12, false));
+		this.cell.time.runFor(100);
+		this.cell.owner().kill();
+		this.cell.time.runFor(8500);
+		assertThat(linesOf("a")).filteredOn((line) -> line.reason().equals("OWNER_RECOVERY"))
+			.extracting(JobDecision.StepWaiting::workersWithRoom, JobDecision.StepWaiting::workersWithTicket)
+			.startsWith(tuple(2, 2))
+			.endsWith(tuple(2, 0));
+	}
+
 	@Test
 	void logsThatTheCrashUnderATaskIsNotDurable() {
 		this.cell.withRunMillis(20_000).withWorkers(2);
