Renew tickets before a wait ends whose end is known

A step asked for its tickets when it began to wait, they expired after 2.4 s, and all steps asked again in the instant in which the wait ended: 64 and 68 calls in 1.5 s, long-running ones 340 to 450 ms in the queue and 700 ms at the host, and many of them twice, as workers that had joined meanwhile had never been asked about.

A step that cannot be started yet, and of which it is known when it can be at the latest, now asks ahead: for steps that wait for the recovery, for tasks that may run on a worker of an earlier owner, and for long-running tasks on workers that do not answer, until their leases expire. The request is queued once an answer that comes as soon as the cheapest call allows is still valid 400 ms after the end, which is a turn and the write that confirms the losses. So nothing is asked twice because an answer came early. Workers are selected when a host is free, among those that have room now; a step with enough tickets for that time asks nothing. The queue keeps its order, long-running tasks first, and spreads the calls over the 2 s. Gangs renew theirs as before.

TicketRenewalTests was red before: nine of nine tasks not started after the recovery ("Expecting all elements of: ["x0", ...] to match given predicate"), the task of a lost worker not either ("Expecting value to be true but was false").

Two steps that nobody had asked for yet come behind the renewals of more urgent ones (1.4 s before the end, then 1.4 to 2.1 s after it).

What selects workers for a request moves from the placer to a class of its own, and the tests' eligibility service to another.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityCandidates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityCandidates.java
@@ -149,7 +149,13 @@
 		return countSlots(context, workers, (worker) -> worker.info().capacity());
 	}
 
-	private static int freeSlots(PlacementContext context, Collection<PoolWorker> workers) {
+	/**
+	 * Counts the tasks of a step for which workers have free capacity.
+	 * @param context the step
+	 * @param workers the workers
+	 * @return the number of tasks
+	 */
+	static int freeSlots(PlacementContext context, Collection<PoolWorker> workers) {
 		return countSlots(context, workers,
 				(worker) -> worker.isAcceptingWork(context.nowNanos()) ? worker.free() : Resources.NONE);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -73,6 +73,15 @@
 		this.hostSelector = new EligibilityHostSelector(clock.nanos());
 	}
 
+	/**
+	 * Returns how long a ticket is used from its arrival on.
+	 * @param times the costs of the call
+	 * @return milliseconds
+	 */
+	static long usableMillis(EligibilityTimes times) {
+		return times.validMillis() - TICKET_MARGIN_MILLIS;
+	}
+
 	/**
 	 * Replaces the hosts that can make calls.
 	 * @param available the hosts
@@ -222,8 +231,8 @@
 					String.valueOf(failure.getMessage())));
 			return;
 		}
-		long validNanos = TimeUnit.MILLISECONDS.toNanos(request.times().validMillis() - TICKET_MARGIN_MILLIS);
-		known.recordReply(request.workers(), tickets, now + validNanos);
+		known.recordReply(request.workers(), tickets,
+				now + TimeUnit.MILLISECONDS.toNanos(usableMillis(request.times())));
 		this.log.write(new JobDecision.EligibilityAnswered(step.job(), step.localName(), sent.host(),
 				request.workers().size(), tickets.size(), request.newlyQueried(), sent.rank(),
 				TimeUnit.NANOSECONDS.toMillis(sent.sentNanos() - request.queuedNanos()),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -169,6 +169,31 @@
 		return this.leaseEndNanos.keySet().stream().mapToLong((id) -> remainingMillis(id, nowNanos)).max().orElse(0);
 	}
 
+	/**
+	 * Returns the time until no worker is left on which any task may run.
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, 0 if there are no such workers
+	 */
+	long unreconciledRemainingMillis(long nowNanos) {
+		return this.unreconciled.stream().mapToLong((id) -> remainingMillis(id, nowNanos)).max().orElse(0);
+	}
+
+	/**
+	 * Returns the time until a task cannot be active any more on a worker that was
+	 * unreachable or draining.
+	 * @param task the task
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, 0 if the task may not be active on such a worker
+	 */
+	long unconfirmedRemainingMillis(TaskKey task, long nowNanos) {
+		return this.unconfirmedTasks.entrySet()
+			.stream()
+			.filter((worker) -> worker.getValue().contains(task))
+			.mapToLong((worker) -> remainingMillis(worker.getKey(), nowNanos))
+			.max()
+			.orElse(0);
+	}
+
 	/**
 	 * Returns the tasks that may be active on a worker that was unreachable or draining
 	 * under an earlier owner and has not reported since.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -5,15 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 
-import org.monsoonrelay.model.submission.EligibilityTimes;
 import org.monsoonrelay.model.submission.QueueConfiguration;
-import org.monsoonrelay.model.submission.QueuePolicy;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepSpec;
 
@@ -54,6 +50,8 @@
 
 	private final EligibilityTracker eligibility;
 
+	private final EligibilityRequests requests;
+
 	private final StartGate gate;
 
 	private final PoolClock clock;
@@ -72,10 +70,6 @@
 
 	private final double maxReservedShare;
 
-	private Map<String, QueuePolicy> policies = Map.of();
-
-	private boolean busy;
-
 	TaskPlacer(JobRegistry jobs, WorkerPool pool, RunController runs, EligibilityTracker eligibility, OwnerLease lease,
 			PoolClock clock, PlacementRules rules) {
 		this.jobs = jobs;
@@ -87,6 +81,8 @@
 		this.order = rules.order();
 		this.selector = new CrashIsolation(rules.selector(), pool);
 		this.search = new WorkerSearch(pool);
+		this.requests = new EligibilityRequests(eligibility, this.search, new StartForecast(jobs, pool), clock,
+				rules.slackThresholdMillis());
 		this.gangs = new GangPlanner(this.selector);
 		this.diagnosis = new WaitDiagnosis(this.search, new GangPlanner(rules.selector()));
 		this.slackThresholdMillis = rules.slackThresholdMillis();
@@ -94,8 +90,7 @@
 	}
 
 	void configure(QueueConfiguration configuration) {
-		this.policies = configuration.policies();
-		this.eligibility.discardQueuedRequests();
+		this.requests.configure(configuration);
 		this.jobs.openSteps().forEach(ActiveStep::resetSearch);
 	}
 
@@ -114,24 +109,31 @@
 		long nowMillis = this.clock.millis();
 		this.runs.suspectUnresponsiveWorkers();
 		this.jobs.updateSteps(nowMillis);
-		this.busy = this.pool.utilization(this.clock.nanos()) > BUSY_POOL_SHARE;
+		this.requests.beginPass(this.pool.utilization(this.clock.nanos()) > BUSY_POOL_SHARE);
 		List<QueueEntry> entries = new ArrayList<>();
 		Map<QueueEntry, PlacementContext> contexts = new HashMap<>();
+		Map<QueueEntry, Optional<WaitReason>> renewals = new HashMap<>();
 		for (ActiveStep step : this.jobs.openSteps()) {
 			StartCheck check = this.gate.check(step);
 			check.reason().ifPresent((reason) -> step.waiting().record(reason, this.clock.nanos()));
+			if (!check.mayStart() && this.requests.isRenewalDue(step, check.reason())) {
+				renewals.put(step.queueEntry(), check.reason());
+			}
 			if (check.tasks().isEmpty()) {
 				if (check.reason().isEmpty()) {
 					step.waiting().end();
 				}
 				dependentsToPrefetch(step).stream().map(ActiveStep::queueEntry).forEach(entries::add);
+				if (renewals.containsKey(step.queueEntry())) {
+					entries.add(step.queueEntry());
+				}
 				continue;
 			}
 			// Eligibility is requested even while the step waits for earlier owners'
 			// runs.
 			entries.add(step.queueEntry());
 			if (check.mayStart()) {
-				contexts.put(step.queueEntry(), contextOf(step, check.tasks()));
+				contexts.put(step.queueEntry(), this.requests.contextOf(step, check.tasks()));
 			}
 		}
 		entries.sort(this.order.comparator(nowMillis));
@@ -141,8 +143,11 @@
 		for (int rank = 0; rank < entries.size(); rank++) {
 			QueueEntry entry = entries.get(rank);
 			PlacementContext context = contexts.get(entry);
-			if (context == null) {
-				requestInitial(contextOf(entry.step(), List.of()), rank);
+			if (renewals.containsKey(entry)) {
+				this.requests.requestRenewal(entry.step(), renewals.get(entry), rank);
+			}
+			else if (context == null) {
+				this.requests.requestInitial(this.requests.contextOf(entry.step(), List.of()), rank);
 			}
 			else {
 				placeStep(entry, context, rank, demand, reservations);
@@ -150,13 +155,6 @@
 		}
 	}
 
-	private PlacementContext contextOf(ActiveStep step, List<Integer> tasks) {
-		QueuePolicy submitted = step.job().submission().policy();
-		QueuePolicy policy = this.policies.getOrDefault(submitted.queue(), submitted);
-		return new PlacementContext(step, tasks, policy, this.eligibility.eligibilityOf(step.key()),
-				this.clock.nanos());
-	}
-
 	private GangDemand gangDemand(Collection<PlacementContext> contexts) {
 		GangDemand demand = new GangDemand();
 		for (PlacementContext context : contexts) {
@@ -171,7 +169,7 @@
 			GangReservations reservations) {
 		if (context.policy().needsEligibility() && !context.eligibility().hasReply()) {
 			context.recordWait(WaitReason.ELIGIBILITY_UNKNOWN);
-			requestInitial(context, rank);
+			this.requests.requestInitial(context, rank);
 			return;
 		}
 		if (context.step().spec().gang()) {
@@ -197,7 +195,7 @@
 				step.recordFailedSearch(changes, isFullSearch ? context.nowNanos() : step.fullSearchNanos());
 				if (isFullSearch || !fitting.isEmpty()) {
 					context.recordWait(this.diagnosis.reasonNoTaskFits(context, fitting, usable));
-					request(context, rank, () -> EligibilityRequestDraft.of(followUpCandidates(refresh(context))));
+					this.requests.requestFollowUp(context, rank);
 				}
 				return;
 			}
@@ -212,39 +210,6 @@
 		}
 	}
 
-	private List<PoolWorker> followUpCandidates(PlacementContext context) {
-		if (context.tasks().isEmpty()) {
-			return List.of();
-		}
-		List<PoolWorker> withCapacity = this.search.fitting(context, (worker) -> !context.hasTicket(worker));
-		return withCapacity.isEmpty() ? additionalCandidates(context)
-				: EligibilityCandidates.selectForRenewal(context, this.search.eligible(context), withCapacity);
-	}
-
-	private List<PoolWorker> additionalCandidates(PlacementContext context) {
-		if (context.tasks().isEmpty()) {
-			return List.of();
-		}
-		List<PoolWorker> unqueried = this.search.matching(context)
-			.stream()
-			.filter((worker) -> !context.eligibility().wasQueried(worker.id()))
-			.toList();
-		return EligibilityCandidates.selectAdditional(context, this.search.eligible(context), unqueried,
-				canWait(context));
-	}
-
-	private boolean canWait(PlacementContext context) {
-		StepSpec spec = context.step().spec();
-		boolean hasSlack = context.step().queueEntry().latestStartMillis()
-				- this.clock.millis() > this.slackThresholdMillis;
-		return hasSlack && !spec.gang() && !spec.longRunning() && this.busy;
-	}
-
-	// The context of the step at the time when its request is sent.
-	private PlacementContext refresh(PlacementContext context) {
-		return contextOf(context.step(), context.step().waitingTasks());
-	}
-
 	private void placeGang(QueueEntry entry, PlacementContext context, int rank, GangDemand demand,
 			GangReservations reservations) {
 		ActiveStep step = context.step();
@@ -272,7 +237,8 @@
 		if (planned.isPresent()) {
 			context.recordWait(WaitReason.TICKETS_EXPIRED);
 			planned.get().values().forEach(reservations::setAside);
-			request(context, rank, () -> renewalDraft(refresh(context), demand, reservations));
+			this.requests.request(context, rank,
+					() -> renewalDraft(this.requests.refresh(context), demand, reservations));
 			return;
 		}
 		context.recordWait(this.diagnosis.reasonNoGangFits(context, fitting));
@@ -281,13 +247,14 @@
 			List<PoolWorker> reserved = reserveWorkers(entry, context, reservations);
 			if (!reserved.stream().allMatch(context::hasTicket)) {
 				// Renews the tickets in time for when the workers become free.
-				request(context, rank, () -> EligibilityRequestDraft.of(reserved));
+				this.requests.request(context, rank, () -> EligibilityRequestDraft.of(reserved));
 				return;
 			}
 		}
 		if (context.nowNanos() - step.fullSearchNanos() > TimeUnit.MILLISECONDS.toNanos(FULL_SEARCH_MILLIS)) {
 			step.recordFailedSearch(this.pool.capacityVersion(), context.nowNanos());
-			request(context, rank, () -> EligibilityRequestDraft.of(additionalCandidates(refresh(context))));
+			this.requests.request(context, rank, () -> EligibilityRequestDraft
+				.of(this.requests.additionalCandidates(this.requests.refresh(context))));
 		}
 	}
 
@@ -345,28 +312,13 @@
 	 * @return the description
 	 */
 	WaitingStep describe(ActiveStep step) {
-		return this.diagnosis.describe(contextOf(step, step.waitingTasks()));
+		return this.diagnosis.describe(this.requests.contextOf(step, step.waitingTasks()));
 	}
 
 	private void start(PlacementContext context, int index, int attempt, PoolWorker worker) {
 		this.runs.start(context.step(), index, attempt, worker, context.ticket(worker));
 	}
 
-	private void requestInitial(PlacementContext context, int rank) {
-		boolean isNeeded = context.policy().needsEligibility() && !context.eligibility().hasReply();
-		if (isNeeded && this.eligibility.mayRequest(context.step().key(), rank)) {
-			request(context, rank, () -> EligibilityRequestDraft
-				.of(EligibilityCandidates.selectInitial(context, this.search.matching(context))));
-		}
-	}
-
-	private void request(PlacementContext context, int rank, Supplier<EligibilityRequestDraft> draft) {
-		if (context.policy().needsEligibility()) {
-			EligibilityTimes times = Objects.requireNonNull(context.policy().eligibility());
-			this.eligibility.request(context.step().key(), times, draft, rank);
-		}
-	}
-
 	// Dependents of a step that may end soon; their eligibility is requested in advance.
 	private List<ActiveStep> dependentsToPrefetch(ActiveStep step) {
 		if (!step.hasDependents() || step.isIdle()) {
@@ -377,7 +329,7 @@
 		List<Run> active = step.activeRuns();
 		boolean isEarly = active.stream()
 			.anyMatch((run) -> TimeUnit.NANOSECONDS.toMillis(now - run.requestedNanos()) < prefetchMillis);
-		if (isEarly || !contextOf(step, List.of()).policy().needsEligibility()) {
+		if (isEarly || !this.requests.contextOf(step, List.of()).policy().needsEligibility()) {
 			return List.of();
 		}
 		List<ActiveStep> dependents = new ArrayList<>();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,7 +13,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
-import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
@@ -91,9 +89,7 @@
 
 	private boolean needsEligibility;
 
-	private double eligibleShare = 1;
-
-	private long eligibilityMillis;
+	private final SimulatedEligibility eligibility = new SimulatedEligibility(this.time, this.workers::ticket);
 
 	SimulatedCell withRunMillis(long millis) {
 		return withRunMillis((task) -> millis);
@@ -123,8 +119,21 @@
 	 * @return this cell
 	 */
 	SimulatedCell withEligibility(double share, long millis) {
-		this.eligibleShare = share;
-		this.eligibilityMillis = millis;
+		this.eligibility.setEligibleShare(share);
+		this.eligibility.setFixedMillis(millis);
+		return withEligibility();
+	}
+
+	/**
+	 * Makes all jobs need eligibility. The service answers the calls of a host one after
+	 * the other.
+	 * @param share share of the workers that may run a step
+	 * @param times the costs of the calls
+	 * @return this cell
+	 */
+	SimulatedCell withEligibility(double share, EligibilityTimes times) {
+		this.eligibility.setEligibleShare(share);
+		this.eligibility.setTimes(times);
 		return withEligibility();
 	}
 
@@ -135,19 +144,7 @@
 	 * @return {@code true} if it may
 	 */
 	boolean isEligible(StepKey step, String worker) {
-		return new Random((step + worker).hashCode() * 2_654_435_761L).nextDouble() < this.eligibleShare;
-	}
-
-	private CompletableFuture<Map<String, String>> requestTickets(StepKey step, List<String> ids) {
-		Map<String, String> tickets = ids.stream()
-			.filter((id) -> isEligible(step, id))
-			.collect(Collectors.toMap((id) -> id, this.workers::ticket));
-		if (this.eligibilityMillis == 0) {
-			return CompletableFuture.completedFuture(tickets);
-		}
-		CompletableFuture<Map<String, String>> reply = new CompletableFuture<>();
-		this.time.schedule((Runnable) () -> reply.complete(tickets), this.eligibilityMillis, TimeUnit.MILLISECONDS);
-		return reply;
+		return this.eligibility.isEligible(step, worker);
 	}
 
 	Scheduler addScheduler() {
@@ -173,7 +170,7 @@
 	}
 
 	QueuePolicy policy(int attempts) {
-		EligibilityTimes times = this.needsEligibility ? new EligibilityTimes(8, 0.1, 2000) : null;
+		EligibilityTimes times = this.needsEligibility ? this.eligibility.times() : null;
 		return new QueuePolicy("confirm", "salon", 0, attempts, 2.0, 1000, times);
 	}
 
@@ -305,10 +302,10 @@
 		private boolean killed;
 
 		Scheduler(String name, String incarnation, double processors) {
-			EligibilityClient service = (host, step, ids, timeout) -> requestTickets(step, ids);
 			ScheduledExecutorService control = this.process.executor();
-			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, service, control,
-					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable);
+			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient,
+					SimulatedCell.this.eligibility, control, SimulatedCell.this.time.clock(),
+					new Log(name + incarnation), SimulatedCell.this.unreadable);
 			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable,
 					SimulatedCell.this.time.clock());
 			control.schedule(this.jobs::start, STANDBY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
