Count on the end of a former process by its address, not its host's name

A host that was replaced may carry the name of one that still runs behind a cut, so the name does not show that the former owner's process has ended.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -69,8 +69,8 @@
 
 	private final TakeOverPolicy takeOverPolicy;
 
-	// Earlier processes of this host have ended before this time.
-	private final long processStartNanos;
+	// Earlier processes that listened at the address of this one have ended before.
+	private long startedNanos;
 
 	private Optional<OwnerRecord> current = Optional.empty();
 
@@ -116,7 +116,6 @@
 		this.unreadable = dependencies.unreadable();
 		this.self = self;
 		this.onTakeOver = onTakeOver;
-		this.processStartNanos = dependencies.clock().nanos();
 		this.takeOverPolicy = new TakeOverPolicy(self, dependencies.clock());
 		this.follower = new TableFollower(dependencies.table(), JobTables.OWNER, List.of(JobTables.POOL_PARTITION),
 				() -> hasRecentHeartbeat() ? ROW_POLL_INTERVAL_WITH_HEARTBEATS : ROW_POLL_INTERVAL,
@@ -124,8 +123,9 @@
 			.latestOnly();
 	}
 
-	/** Starts to watch the owner record. */
+	/** Starts to watch the owner record. This process has to listen for peers already. */
 	public void start() {
+		this.startedNanos = this.clock.nanos();
 		this.follower.start();
 		this.control.scheduleWithFixedDelay(this::checkOwnership, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -364,12 +364,13 @@
 
 	private long formerLeaseEndNanos(OwnerRecord previous, long knownNanos) {
 		long endNanos = knownNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_FORMER_LEASE_MILLIS);
-		boolean isProcessEnded = previous.host().equals(this.self.host()) && !isOwnProcess(previous);
-		if (!isProcessEnded || !previous.formerLeasesEnded()) {
+		// Two processes cannot listen at the same address.
+		boolean hasProcessEnded = previous.address().equals(this.self.peerAddress()) && !isOwnProcess(previous);
+		if (!hasProcessEnded || !previous.formerLeasesEnded()) {
 			return endNanos;
 		}
 		return Math.min(endNanos,
-				this.processStartNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_LEASE_OF_ENDED_PROCESS_MILLIS));
+				this.startedNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_LEASE_OF_ENDED_PROCESS_MILLIS));
 	}
 
 	// The row exists, so this write only returns a conflict. That shows that the table
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -40,18 +40,20 @@
  * milliseconds; empty in rows of earlier releases
  * @param formerLeasesEnded whether all leases had ended when this row was composed that
  * owners before this one granted; {@code false} in rows of earlier releases
+ * @param address address at which the owner's process listens for peers; empty in rows of
+ * earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
 		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts,
-		Map<String, Long> silentWorkers, Map<String, Long> startExpiries, boolean formerLeasesEnded) {
+		Map<String, Long> silentWorkers, Map<String, Long> startExpiries, boolean formerLeasesEnded, String address) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), true);
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), true, "");
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -62,6 +64,7 @@
 		standbys = (standbys != null) ? List.copyOf(standbys) : List.of();
 		incarnations = (incarnations != null) ? Map.copyOf(incarnations) : Map.of();
 		unresolvedStarts = (unresolvedStarts != null) ? Map.copyOf(unresolvedStarts) : Map.of();
+		address = (address != null) ? address : "";
 		silentWorkers = (silentWorkers != null) ? Map.copyOf(silentWorkers) : Map.of();
 		startExpiries = (startExpiries != null) ? Map.copyOf(startExpiries) : Map.of();
 	}
@@ -76,7 +79,8 @@
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
 				this.confirming, true, this.incarnations, this.unresolvedStarts,
-				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis), false);
+				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis), false,
+				next.peerAddress());
 	}
 
 	private static Map<String, Long> shortened(Map<String, Long> remaining, long ageMillis) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -289,7 +289,7 @@
 				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
 				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers(),
 				this.jobs.unresolvedStarts().expiriesToRecord(this.composedNanos),
-				this.composedNanos - this.formerLeaseEndNanos > 0);
+				this.composedNanos - this.formerLeaseEndNanos > 0, this.record.address());
 	}
 
 	private void send(Batch batch) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/FormerLeaseEndTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/FormerLeaseEndTests.java
@@ -17,6 +17,8 @@
 /** From when on a host that takes the pool over counts on the end of former leases. */
 class FormerLeaseEndTests {
 
+	private static final String ADDRESS = "a:1";
+
 	private static final long READ_MILLIS = 500;
 
 	private final VirtualTime time = new VirtualTime();
@@ -27,9 +29,9 @@
 
 	private long startNanos;
 
-	private void writeRecordOf(String host, boolean formerLeasesEnded) {
+	private void writeRecordOf(String host, String address, boolean formerLeasesEnded) {
 		OwnerRecord record = new OwnerRecord("former", host, 100, 7, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
-				List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), formerLeasesEnded);
+				List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), formerLeasesEnded, address);
 		this.table.client()
 			.commit(PartitionWrite.to(JobTables.POOL_PARTITION)
 				.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(record)));
@@ -42,7 +44,8 @@
 		PoolDependencies dependencies = new PoolDependencies(this.table.client(),
 				new SimulatedWorkers(this.time, (task) -> 0).client(), null, this.time, this.time.clock(),
 				DecisionLog.NONE, unreadable);
-		new OwnerElection(dependencies, new HostRecord("s0", "porto", "a:1", "process", 1, false), this.takeOvers::add)
+		new OwnerElection(dependencies, new HostRecord("s0", "porto", ADDRESS, "process", 1, false),
+				this.takeOvers::add)
 			.start();
 		this.time.runFor(OwnerLease.EXPIRY_MILLIS + READ_MILLIS);
 		return TimeUnit.NANOSECONDS.toMillis(this.takeOvers.get(0).formerLeaseEndNanos() - this.startNanos);
@@ -50,20 +53,27 @@
 
 	@Test
 	void ofAnEarlierProcessOfTheSameHostIsCountedFromTheStartOfTheNext() {
-		writeRecordOf("s0", true);
+		writeRecordOf("s0", ADDRESS, true);
 		assertThat(millisFromStartUntilEnd()).isEqualTo(OwnerLease.MAX_LEASE_OF_ENDED_PROCESS_MILLIS);
 	}
 
 	@Test
 	void isLaterIfAnOwnerBeforeThatProcessMayStillGrantLeases() {
-		writeRecordOf("s0", false);
+		writeRecordOf("s0", ADDRESS, false);
 		assertThat(millisFromStartUntilEnd()).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
 				OwnerLease.MAX_FORMER_LEASE_MILLIS + READ_MILLIS);
 	}
 
 	@Test
 	void ofAnotherHostIsCountedFromItsLastKnownRenewalAndNotFromTheTakeOver() {
-		writeRecordOf("s1", true);
+		writeRecordOf("s1", "b:1", true);
+		assertThat(millisFromStartUntilEnd()).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
+				OwnerLease.MAX_FORMER_LEASE_MILLIS + READ_MILLIS);
+	}
+
+	@Test
+	void ofAHostThatWasReplacedUnderItsNameIsCountedFromItsLastKnownRenewal() {
+		writeRecordOf("s0", "b:1", true);
 		assertThat(millisFromStartUntilEnd()).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
 				OwnerLease.MAX_FORMER_LEASE_MILLIS + READ_MILLIS);
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TicketRenewalTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TicketRenewalTests.java
@@ -85,6 +85,8 @@
 		@BeforeEach
 		void loseTheOwnerBesideASilentWorker() {
 			this.cell.startOwnerAndStandby();
+			this.cell.addScheduler();
+			this.cell.addScheduler();
 			this.cell.time.runFor(1000);
 			OTHERS.forEach((job) -> this.cell.submit(job, SimulatedCell.step(1, false)));
 			LONG_RUNNING.forEach((job) -> this.cell.submit(job, longRunning()));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -33,7 +33,7 @@
 		WorkerPool.RecordedWorkers named = this.pool.workersToRecord(false, 0);
 		OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, named.workers(), named.closedWorkers(),
 				HostSize.UNKNOWN, List.of(), true, true, named.incarnations(), Map.of(), named.silentWorkers(),
-				Map.of(), true);
+				Map.of(), true, "");
 		this.pool.markRecorded(record);
 		return record;
 	}
@@ -55,7 +55,7 @@
 	@Test
 	void aWorkerOfTheFormerOwnerAcceptsNoWorkWhileARecordNamesItAsSilent() {
 		OwnerRecord former = new OwnerRecord("g", "s1", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
-				List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), true);
+				List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), true, "");
 		this.pool.recoverFrom(new TakeOver(former, 1, 0, 0, former, 0, 0, 0));
 		this.pool.update(List.of(INFO));
 		this.pool.worker("w").orElseThrow().markUnreachable(0);
