Show that a long-running task which ends as done is not started again

Users want a long-running task restarted however its run ends, until its job is cancelled. RunTerminationHandler marks the task as done if the worker says so, in the stored progress too, and no owner starts it again.

LongRunningTasksTests.startAgainAfterARunThatEndedAsDone is red: "Expecting value to be true but was false".

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LongRunningTasksTests.java
@@ -74,6 +74,20 @@
 		assertThat(isRunning("c")).isTrue();
 	}
 
+	// Guards against a task that counts as complete although its job runs until it is
+	// cancelled.
+	@Test
+	void startAgainAfterARunThatEndedAsDone() {
+		Set<String> begun = new HashSet<>();
+		this.cell.withRunMillis((task) -> begun.add(task.job()) ? 1000 : Integer.MAX_VALUE).withWorkers(2);
+		this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.submit("a", longRunning());
+		this.cell.time.runFor(2000);
+		awaitRun("a");
+		assertThat(isRunning("a")).isTrue();
+	}
+
 	// Guards against a worker that is never asked for as it has room for few tasks.
 	@Test
 	void startOnANewWorkerWithRoomForTwoWhileTheOthersAreFull() {
