Guard what successors count on when they wait for silent workers

Unit tests for the end of each inherited worker, the record that names silent workers, and what a take-over tells of the replaced row; a take-over of an expired record waits from the last renewal of the former owner.

Simulated workers have a clock rate for this; leases end by that clock.

--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
@@ -0,0 +1,95 @@
+package org.monsoonrelay.logic.pool;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.monsoonrelay.model.submission.TaskKey;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class InheritedWorkersTests {
+
+	private static final long KNOWN_MILLIS = 5000;
+
+	private static final long LONGEST_MILLIS = OwnerLease.MAX_FORMER_LEASE_MILLIS;
+
+	private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
+
+	private final InheritedWorkers inherited = new InheritedWorkers();
+
+	private static long nanosAfterKnown(long millis) {
+		return TimeUnit.MILLISECONDS.toNanos(KNOWN_MILLIS + millis);
+	}
+
+	private void restore(List<String> workers, Map<String, List<String>> closed, Map<String, Long> silent) {
+		this.inherited.restore(new OwnerRecord("h", "s0", 100, 1, false, workers, closed, HostSize.UNKNOWN, List.of(),
+				true, true, Map.of(), Map.of(), silent), nanosAfterKnown(0));
+	}
+
+	private List<String> expire(long millisAfterKnown) {
+		return this.inherited.expire(nanosAfterKnown(millisAfterKnown))
+			.stream()
+			.map(InheritedWorkers.Expired::id)
+			.toList();
+	}
+
+	@Test
+	void expireEachAtAnEndOfItsOwn() {
+		restore(List.of("answered", "silent"), Map.of(), Map.of("silent", 3000L));
+		assertThat(expire(3000)).isEmpty();
+		assertThat(expire(3001)).containsExactly("silent");
+		assertThat(this.inherited.areReconciled()).isFalse();
+		assertThat(this.inherited.isUnreconciled("silent")).isFalse();
+		assertThat(expire(LONGEST_MILLIS)).isEmpty();
+		assertThat(expire(LONGEST_MILLIS + 1)).containsExactly("answered");
+		assertThat(this.inherited.areReconciled()).isTrue();
+	}
+
+	@Test
+	void expireAtOnceIfTheLeasesHadEndedBefore() {
+		restore(List.of("w"), Map.of(), Map.of("w", 0L));
+		assertThat(expire(1)).containsExactly("w");
+	}
+
+	@Test
+	void expireAtTheLatestWhenNoFormerOwnerCanHaveGrantedALease() {
+		restore(List.of("w"), Map.of(), Map.of("w", 2 * LONGEST_MILLIS));
+		assertThat(expire(LONGEST_MILLIS + 1)).containsExactly("w");
+	}
+
+	@Test
+	void tellTheTasksOfAnExpiredWorker() {
+		restore(List.of("any"), Map.of("closed", List.of(TASK.toString())), Map.of("closed", 3000L));
+		assertThat(this.inherited.mayRunUnconfirmed(TASK)).isTrue();
+		assertThat(this.inherited.expire(nanosAfterKnown(3001)))
+			.containsExactly(new InheritedWorkers.Expired("closed", false, Set.of(TASK)));
+		assertThat(this.inherited.mayRunUnconfirmed(TASK)).isFalse();
+		assertThat(this.inherited.expire(nanosAfterKnown(LONGEST_MILLIS + 1)))
+			.containsExactly(new InheritedWorkers.Expired("any", true, Set.of()));
+	}
+
+	@Test
+	void doNotExpireOnceTheyHaveReported() {
+		restore(List.of("w"), Map.of(), Map.of());
+		this.inherited.markReconciled("w");
+		assertThat(expire(LONGEST_MILLIS + 1)).isEmpty();
+	}
+
+	@Test
+	void tellTheTimeThatRemainsForEachAndForAll() {
+		restore(List.of("answered", "silent"), Map.of(), Map.of("silent", 3000L));
+		long now = nanosAfterKnown(1000);
+		assertThat(this.inherited.remainingMillis("silent", now)).isBetween(2000L, 2001L);
+		assertThat(this.inherited.remainingMillis("answered", now)).isBetween(LONGEST_MILLIS - 1000,
+				LONGEST_MILLIS - 999);
+		assertThat(this.inherited.remainingMillis("other", now)).isZero();
+		assertThat(this.inherited.maxRemainingMillis(now)).isEqualTo(this.inherited.remainingMillis("answered", now));
+		this.inherited.markReconciled("answered");
+		assertThat(this.inherited.maxRemainingMillis(now)).isEqualTo(this.inherited.remainingMillis("silent", now));
+		assertThat(this.inherited.maxRemainingMillis(nanosAfterKnown(2 * LONGEST_MILLIS))).isZero();
+	}
+
+}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnerElectionTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/OwnerElectionTests.java
@@ -1,5 +1,9 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -8,6 +12,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.platform.Json;
+import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.UnreadableRows;
+import org.monsoonrelay.logic.submission.JobTables;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -171,4 +180,106 @@
 
 	}
 
+	@Nested
+	class ATakeOver {
+
+		private static final long FORMER_EPOCH = 500;
+
+		private static final long HEARTBEAT_MILLIS = 40;
+
+		private final VirtualTime time = new VirtualTime();
+
+		private final InMemoryTable table = new InMemoryTable(this.time);
+
+		private final InMemoryTable.Client client = this.table.client();
+
+		private final List<TakeOver> takeOvers = new ArrayList<>();
+
+		private final OwnerElection election = createElection();
+
+		private OwnerElection createElection() {
+			PoolDependencies dependencies = new PoolDependencies(this.client, null, null, this.time, this.time.clock(),
+					DecisionLog.NONE, new UnreadableRows(DecisionLog.NONE));
+			return new OwnerElection(dependencies, new HostRecord("s1", "domain", "a:1", "p1", LARGE, false),
+					this.takeOvers::add);
+		}
+
+		@BeforeEach
+		void start() {
+			writeFormerRecord(0);
+			this.election.start();
+			this.time.runFor(500);
+		}
+
+		private void writeFormerRecord(long expectedVersion) {
+			OwnerRecord record = new OwnerRecord("p0", "s0", FORMER_EPOCH, 1, false, List.of(), Map.of(),
+					HostSize.UNKNOWN, List.of("s1"), true, true, Map.of(), Map.of(), Map.of());
+			this.table.client()
+				.commit(PartitionWrite.to(JobTables.POOL_PARTITION)
+					.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, expectedVersion)
+					.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(record)));
+		}
+
+		private long nanos() {
+			return this.time.clock().nanos();
+		}
+
+		private TakeOver onlyTakeOver() {
+			this.time.runFor(2 * OwnerLease.EXPIRY_MILLIS);
+			assertThat(this.takeOvers).hasSize(1);
+			return this.takeOvers.get(0);
+		}
+
+		@Test
+		void tellsWhenTheReplacedRowWasRead() {
+			long writtenNanos = nanos();
+			writeFormerRecord(1);
+			this.time.runFor(100);
+			long readNanos = nanos();
+			TakeOver takeOver = onlyTakeOver();
+			assertThat(takeOver.previousKnownNanos()).isBetween(writtenNanos, readNanos);
+			assertThat(TimeUnit.NANOSECONDS.toMillis(takeOver.sentNanos() - takeOver.previousKnownNanos()))
+				.isGreaterThan(OwnerLease.EXPIRY_MILLIS);
+		}
+
+		@Test
+		void tellsWhenAHeartbeatShowedTheReplacedRow() {
+			this.client.setFeedDelay(400);
+			writeFormerRecord(1);
+			this.time.runFor(HEARTBEAT_MILLIS);
+			long heartbeatNanos = nanos();
+			this.election.heartbeatReceived(FORMER_EPOCH, this.table.version());
+			this.time.runFor(HEARTBEAT_MILLIS);
+			this.election.heartbeatReceived(FORMER_EPOCH, this.table.version());
+			assertThat(onlyTakeOver().previousKnownNanos()).isEqualTo(heartbeatNanos);
+		}
+
+		@Test
+		void tellsWhenTheReplacedRowWasReadIfHeartbeatsShowedAnEarlierOne() {
+			this.election.heartbeatReceived(FORMER_EPOCH, this.table.version());
+			this.time.runFor(HEARTBEAT_MILLIS);
+			long writtenNanos = nanos();
+			writeFormerRecord(1);
+			this.time.runFor(100);
+			this.election.heartbeatReceived(FORMER_EPOCH, this.table.version() - 1);
+			assertThat(onlyTakeOver().previousKnownNanos()).isGreaterThan(writtenNanos);
+		}
+
+		@Test
+		void thatIsNotAnsweredIsMadeAnewWithALaterEpoch() {
+			this.table.setDropsAnswers(true);
+			this.time.runFor(OwnerLease.EXPIRY_MILLIS + 300);
+			long answeredNanos = nanos();
+			assertThat(this.table.version()).isEqualTo(2);
+			this.table.setDropsAnswers(false);
+			TakeOver takeOver = onlyTakeOver();
+			assertThat(takeOver.previous().host()).isEqualTo("s1");
+			assertThat(takeOver.previous().epoch()).isEqualTo(FORMER_EPOCH + OwnerLease.TOKENS_PER_EPOCH);
+			assertThat(takeOver.record().epoch()).isEqualTo(FORMER_EPOCH + 2 * OwnerLease.TOKENS_PER_EPOCH);
+			assertThat(takeOver.sentNanos()).isGreaterThan(answeredNanos);
+			assertThat(takeOver.version()).isEqualTo(this.table.version());
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -196,12 +196,13 @@
 					info.failureDomain(), capacity, info.labels(), info.rack(), false, 0, OptionalLong.empty()),
 					this.time.millis());
 			restarted.entry = worker.entry;
+			restarted.setClockRate(worker.clockRate);
 			this.time.schedule(restarted::updateEntry, this.listDelayMillis, TimeUnit.MILLISECONDS);
 			return;
 		}
 		worker.replaced = true;
 		worker.removeFromList();
-		add(worker.info.id() + "'", worker.info.capacity(), worker.info.failureDomain());
+		add(worker.info.id() + "'", worker.info.capacity(), worker.info.failureDomain()).setClockRate(worker.clockRate);
 	}
 
 	/**
@@ -334,6 +335,8 @@
 
 		private long pollDelayMillis;
 
+		private double clockRate = 1;
+
 		SimulatedWorker(WorkerInfo info, long clockOriginMillis) {
 			this.info = info;
 			this.entry = info;
@@ -341,7 +344,16 @@
 		}
 
 		private long clockMillis() {
-			return SimulatedWorkers.this.time.millis() - this.clockOriginMillis;
+			return (long) ((SimulatedWorkers.this.time.millis() - this.clockOriginMillis) * this.clockRate);
+		}
+
+		/**
+		 * Sets the rate of the clock of this incarnation. To be called before the worker
+		 * is used.
+		 * @param rate the rate relative to the virtual time
+		 */
+		void setClockRate(double rate) {
+			this.clockRate = rate;
 		}
 
 		private String ticket() {
@@ -439,8 +451,8 @@
 		private void extendLease(long endMillis) {
 			long end = Math.min(endMillis, clockMillis() + MAX_LEASE_MILLIS);
 			this.leaseEndMillis = Math.max(this.leaseEndMillis, end);
-			SimulatedWorkers.this.time.schedule(this::terminateIfLeaseExpired, Math.max(0, end - clockMillis()) + 1,
-					TimeUnit.MILLISECONDS);
+			long remainingMillis = (long) Math.ceil(Math.max(0, end - clockMillis() + 1) / this.clockRate);
+			SimulatedWorkers.this.time.schedule(this::terminateIfLeaseExpired, remainingMillis, TimeUnit.MILLISECONDS);
 		}
 
 		private void terminateIfLeaseExpired() {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverWithUnreachableWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/TakeOverWithUnreachableWorkersTests.java
@@ -16,6 +16,9 @@
 
 	private static final long LEASE_EXPIRY_MILLIS = 10_000;
 
+	/** Time in which a task runs again that has ceased to wait, milliseconds. */
+	private static final long MAX_RESTART_MILLIS = 1000;
+
 	private static final long TIME_STEP_MILLIS = 10;
 
 	private final SimulatedCell cell = new SimulatedCell().withWorkers(3);
@@ -161,6 +164,25 @@
 		this.cell.assertCompleted("a");
 	}
 
+	// Guards against a wait that is counted from a take-over which came late.
+	@Test
+	void anOwnerThatTakesOverAnExpiredRecordWaitsFromItsLastRenewal() {
+		SimulatedCell.Scheduler first = this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		first.muteToPeers();
+		SimulatedCell.Scheduler second = this.cell.addScheduler();
+		this.cell.time.runFor(500);
+		this.cell.withRunMillis(Integer.MAX_VALUE).submit("a", SimulatedCell.step(1, false));
+		this.cell.time.runFor(1000);
+		TaskKey task = new TaskKey("a", 0, 0, 0);
+		this.cell.workers.crash(this.cell.workers.workerRunning(task));
+		first.kill();
+		runUntilOwnershipIsTaken(second, OwnerLease.EXPIRY_MILLIS - OwnerLease.RENEWAL_INTERVAL_MILLIS);
+		assertThat(second.owner()).isEmpty();
+		this.cell.time.runFor(OwnerLease.MAX_FORMER_LEASE_MILLIS - OwnerLease.EXPIRY_MILLIS + MAX_RESTART_MILLIS);
+		assertThat(this.cell.workers.runningTasks()).contains(task);
+	}
+
 	private void submitTwoGangs() {
 		this.cell.submit("a", SimulatedCell.step(8, true));
 		this.cell.submit("b", SimulatedCell.step(8, true));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -30,13 +32,17 @@
 	}
 
 	private OwnerRecord writeRecord() {
-		WorkerPool.RecordedWorkers named = this.pool.workersToRecord(false, 0);
-		OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, named.workers(), named.closedWorkers(),
-				HostSize.UNKNOWN, List.of(), true, true, named.incarnations(), Map.of(), named.silentWorkers());
+		OwnerRecord record = composeRecord();
 		this.pool.markRecorded(record);
 		return record;
 	}
 
+	private OwnerRecord composeRecord() {
+		WorkerPool.RecordedWorkers named = this.pool.workersToRecord(false, 0);
+		return new OwnerRecord("h", "s0", 100, 1, false, named.workers(), named.closedWorkers(), HostSize.UNKNOWN,
+				List.of(), true, true, named.incarnations(), Map.of(), named.silentWorkers());
+	}
+
 	@Test
 	void aWorkerThatIsListedAgainAcceptsNoWorkWhileARecordWithoutItMayTakeEffect() {
 		PoolWorker worker = addReachableWorker();
@@ -65,4 +71,121 @@
 		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
 	}
 
+	@Nested
+	class SilentWorkers {
+
+		private final WorkerPool pool = WorkerPoolTests.this.pool;
+
+		private Map<String, Long> namedAt(long millis) {
+			return this.pool.workersToRecord(false, TimeUnit.MILLISECONDS.toNanos(millis)).silentWorkers();
+		}
+
+		private void inherit(Map<String, Long> silentWorkers) {
+			OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
+					List.of(), true, true, Map.of("w", 5L), Map.of(), silentWorkers);
+			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, 0, 0));
+		}
+
+		private PoolWorker listWorker(OptionalLong startedMillis) {
+			this.pool.update(List.of(new WorkerInfo(INFO.id(), INFO.service(), INFO.address(), INFO.failureDomain(),
+					INFO.capacity(), INFO.labels(), INFO.rack(), false, 0, startedMillis)));
+			return this.pool.worker("w").orElseThrow();
+		}
+
+		private void runTask(PoolWorker worker) {
+			worker.add(Run.starting(TASK, 1, "w", new Resources(1000, 100, 0), 0));
+		}
+
+		@Test
+		void areNamedWithTheTimeThatInheritedLeasesLast() {
+			inherit(Map.of("w", 6000L));
+			listWorker(INFO.startedMillis()).markUnreachable(0);
+			assertThat(namedAt(1000).get("w")).isBetween(5000L, 5001L);
+			assertThat(namedAt(7000)).containsEntry("w", 0L);
+		}
+
+		@Test
+		void areNamedWithTheTimeThatOwnLeasesLast() {
+			PoolWorker worker = addReachableWorker();
+			runTask(worker);
+			worker.lease().updateClock(20_001, TimeUnit.SECONDS.toNanos(20));
+			worker.lease().extend(TimeUnit.SECONDS.toNanos(20), 7000);
+			worker.markUnreachable(TimeUnit.SECONDS.toNanos(21));
+			assertThat(namedAt(22_000).get("w")).isEqualTo(worker.lease().remainingMillis(TimeUnit.SECONDS.toNanos(22)))
+				.isGreaterThan(5000L);
+		}
+
+		@Test
+		void areNamedWithTheLargerOfBothTimes() {
+			inherit(Map.of());
+			PoolWorker worker = addReachableWorker();
+			runTask(worker);
+			worker.lease().updateClock(20_001, 0);
+			worker.lease().extend(0, 500);
+			worker.markUnreachable(0);
+			assertThat(namedAt(0).get("w")).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
+					OwnerLease.MAX_FORMER_LEASE_MILLIS + 1);
+			this.pool.inherited().markReconciled("w");
+			assertThat(namedAt(0).get("w")).isEqualTo(worker.lease().remainingMillis(0));
+		}
+
+		@Test
+		void doNotIncludeAWorkerThatIsNotPolledYet() {
+			inherit(Map.of());
+			listWorker(INFO.startedMillis());
+			assertThat(namedAt(0)).isEmpty();
+		}
+
+		@Test
+		void includeAWorkerThatIsNotListed() {
+			inherit(Map.of());
+			assertThat(namedAt(0)).isEmpty();
+			this.pool.update(List.of());
+			assertThat(namedAt(1000)).containsOnlyKeys("w");
+		}
+
+		@Test
+		void areGrantedNoLeaseFromTheCompositionOfTheRecordOn() {
+			PoolWorker worker = addReachableWorker();
+			runTask(worker);
+			assertThat(this.pool.mayGrantLease(worker)).isTrue();
+			worker.markUnreachable(0);
+			assertThat(this.pool.mayGrantLease(worker)).isTrue();
+			assertThat(namedAt(0)).containsKey("w");
+			assertThat(this.pool.mayGrantLease(worker)).isFalse();
+		}
+
+		@Test
+		void areGrantedNoLeaseBeforeARecordWithoutThemIsDurable() {
+			PoolWorker worker = addReachableWorker();
+			runTask(worker);
+			worker.markUnreachable(0);
+			OwnerRecord named = composeRecord();
+			worker.markReachable();
+			assertThat(this.pool.mayGrantLease(worker)).isFalse();
+			this.pool.markRecorded(named);
+			assertThat(this.pool.mayGrantLease(worker)).isFalse();
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			assertThat(this.pool.hasUnrecordedWorkers()).isTrue();
+			OwnerRecord next = composeRecord();
+			assertThat(this.pool.mayGrantLease(worker)).isFalse();
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			this.pool.markRecorded(next);
+			assertThat(this.pool.mayGrantLease(worker)).isTrue();
+			assertThat(worker.isAcceptingWork(1)).isTrue();
+		}
+
+		@Test
+		void ofTheTakenOverRecordAreGrantedNoLease() {
+			inherit(Map.of("w", 6000L));
+			PoolWorker worker = addReachableWorker();
+			assertThat(this.pool.mayGrantLease(worker)).isFalse();
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			writeRecord();
+			assertThat(this.pool.mayGrantLease(worker)).isTrue();
+			assertThat(worker.isAcceptingWork(1)).isTrue();
+		}
+
+	}
+
 }
