Place no work on a worker that the record names as silent

The record names an inherited worker that does not answer, or is not listed, both among those on which any task may run and as silent. From then on it gets no lease, but it did get work: a worker that was not listed when the record was composed counted as recorded once it was listed again, and so did one that does not tell when it was started. Its first start carries a lease of up to 7 s, which a successor that replaces this record does not wait for, so that a task could run in two places.

Three tests of WorkerPoolTests were red, "Expecting value to be false but was true": acceptNoWorkOnceTheyAreListedAgain, acceptNoWorkOnceTheyAreListedAgainAfterTheWrite, acceptNoWorkIfTheirStartIsNotKnown. A worker that is named as silent counts as recorded only once a record without it is durable.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -151,6 +151,8 @@
 		this.recordedWorkers.retainAll(ids);
 		Map<String, Long> silent = silentWorkersToRecord(ids, closed.keySet(), nowNanos);
 		this.silentWorkers.addAll(silent.keySet());
+		// A worker that is listed again gets a lease with its first start.
+		this.recordedWorkers.removeAll(silent.keySet());
 		return new RecordedWorkers(ids.stream().sorted().toList(), closed, incarnations, silent).bounded();
 	}
 
@@ -209,6 +211,9 @@
 		this.silentWorkers.retainAll(record.silentWorkers().keySet());
 		for (String id : record.workers()) {
 			PoolWorker worker = this.workers.get(id);
+			if (this.silentWorkers.contains(id)) {
+				continue;
+			}
 			if (worker == null) {
 				this.recordedWorkers.add(id);
 			}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -186,6 +186,45 @@
 			assertThat(worker.isAcceptingWork(1)).isTrue();
 		}
 
+		@Test
+		void acceptNoWorkOnceTheyAreListedAgain() {
+			inherit(Map.of());
+			this.pool.update(List.of());
+			OwnerRecord named = composeRecord();
+			PoolWorker worker = addReachableWorker();
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			this.pool.markRecorded(named);
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			writeRecord();
+			assertThat(worker.isAcceptingWork(1)).isTrue();
+		}
+
+		@Test
+		void acceptNoWorkOnceTheyAreListedAgainAfterTheWrite() {
+			inherit(Map.of());
+			this.pool.update(List.of());
+			writeRecord();
+			PoolWorker worker = addReachableWorker();
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			writeRecord();
+			assertThat(worker.isAcceptingWork(1)).isTrue();
+		}
+
+		@Test
+		void acceptNoWorkIfTheirStartIsNotKnown() {
+			OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
+					List.of(), true, true, Map.of(), Map.of(), Map.of());
+			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, 0, 0));
+			PoolWorker worker = listWorker(OptionalLong.empty());
+			worker.markUnreachable(0);
+			writeRecord();
+			worker.markReachable();
+			this.pool.inherited().markReconciled("w");
+			assertThat(worker.isAcceptingWork(1)).isFalse();
+			writeRecord();
+			assertThat(worker.isAcceptingWork(1)).isTrue();
+		}
+
 	}
 
 }
