Let starts stay unanswered and workers return under successors in the series

The series of FormerLeasesSeriesTests did not find a start that is sent again to a worker which the record names as silent, nor work for such a worker that returns to a successor. Now a start is left unanswered until about when the record names its worker, near workers leave the list and return, they return to successors about when these are lost, and jobs wait at the take-over.

A test of the named time moved the worker's clock by 20 s within no time; it now sets the time from which the former record is known instead, and checks the same two cases.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/FormerLeasesSeriesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/FormerLeasesSeriesTests.java
@@ -93,18 +93,24 @@
 				addSuccessor();
 			}
 			this.cell.time.runFor(1000);
-			submit();
+			submit(this.random.nextBoolean());
 			this.cell.time.runFor(this.random.nextInt(1500));
 			for (int i = this.random.nextInt(MAX_FLAPS + 1); i > 0; i--) {
 				flap(first);
 			}
+			if (this.random.nextInt(3) == 0) {
+				loseStart(first);
+			}
 			lose(first);
+			for (int i = this.random.nextInt(3); i > 0; i--) {
+				submit(this.random.nextBoolean());
+			}
+			if (this.random.nextInt(3) == 0) {
+				removeNearWorkersFromList();
+			}
 			for (int i = this.random.nextInt(SUCCESSORS); i > 0; i--) {
 				this.cell.time.runFor(this.random.nextInt(7000));
-				if (this.random.nextBoolean()) {
-					successor().ifPresent(this::reachNearWorkers);
-				}
-				successor().ifPresent(this::lose);
+				successor().ifPresent(this::loseAboutWhenNearWorkersReturn);
 			}
 			this.cell.time.runFor(SETTLING_MILLIS);
 			heal();
@@ -128,10 +134,16 @@
 			this.cell.time.runFor(100);
 		}
 
-		private void reachNearWorkers(SimulatedCell.Scheduler successor) {
-			tell("near workers reached");
-			successor.workerClient.setDisconnectedFrom(NEAR, false);
+		private void loseAboutWhenNearWorkersReturn(SimulatedCell.Scheduler successor) {
+			if (this.random.nextBoolean()) {
+				schedule("near workers return", this.random.nextInt(1500),
+						() -> successor.workerClient.setDisconnectedFrom(NEAR, false));
+			}
+			if (this.random.nextBoolean()) {
+				submit(this.random.nextBoolean());
+			}
 			this.cell.time.runFor(this.random.nextInt(1000));
+			lose(successor);
 		}
 
 		private Optional<SimulatedCell.Scheduler> successor() {
@@ -145,9 +157,8 @@
 			this.events.add(this.cell.time.millis() + " " + event);
 		}
 
-		private void submit() {
+		private void submit(boolean isLongRunning) {
 			String job = "job" + this.jobs++;
-			boolean isLongRunning = this.random.nextBoolean();
 			tell(job + (isLongRunning ? ", long-running" : ""));
 			this.cell.submit(job, new StepSpec(1 + this.random.nextInt(2), SimulatedCell.TASK, SimulatedCell.RUN_MILLIS,
 					List.of(), false, false, "", "", 0, false, false, isLongRunning, false));
@@ -166,12 +177,33 @@
 				}
 			}
 			if (this.random.nextBoolean()) {
-				schedule("start", this.random.nextInt(100), this::submit);
+				schedule("start", this.random.nextInt(100), () -> submit(this.random.nextBoolean()));
 				loseStartAnswers();
 			}
 			this.cell.time.runFor(Math.max(1, silentMillis - 700 + this.random.nextInt(1400)));
 		}
 
+		// Leaves a start unanswered until about when the record names its worker.
+		private void loseStart(SimulatedCell.Scheduler owner) {
+			tell("a start unanswered");
+			this.near.forEach((worker) -> worker.setLosesStartResponses(true));
+			submit(true);
+			this.cell.time.runFor(this.random.nextInt(60));
+			for (SimulatedWorker worker : this.near) {
+				owner.workerClient.disconnect(worker.id());
+				schedule("back " + worker.id(), 300 + this.random.nextInt(1000),
+						() -> owner.workerClient.reconnect(worker.id()));
+			}
+			this.cell.time.runFor(400 + this.random.nextInt(600));
+		}
+
+		private void removeNearWorkersFromList() {
+			tell("near workers not listed");
+			this.near.forEach(SimulatedWorker::removeFromList);
+			schedule("near workers listed", this.random.nextInt(9000),
+					() -> this.near.forEach(SimulatedWorker::addToList));
+		}
+
 		private void loseStartAnswers() {
 			if (this.random.nextBoolean()) {
 				tell("starts unanswered");
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -372,6 +372,10 @@
 			this.listed = false;
 		}
 
+		void addToList() {
+			this.listed = true;
+		}
+
 		void crash() {
 			this.crashed = true;
 			this.runningAttempts.keySet().forEach((task) -> SimulatedWorkers.this.runningTasks.remove(task));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -117,16 +117,17 @@
 
 		@Test
 		void areNamedWithTheLargerOfBothTimes() {
-			inherit(Map.of());
 			PoolWorker worker = addReachableWorker();
-			runTask(worker);
-			worker.lease().updateClock(20_001, 0);
-			worker.lease().extend(0, 500);
 			worker.markUnreachable(0);
-			assertThat(namedAt(0).get("w")).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
+			long nowNanos = TimeUnit.SECONDS.toNanos(8);
+			OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
+					List.of(), true, true, Map.of("w", 5L), Map.of(), Map.of());
+			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, nowNanos, 0));
+			assertThat(worker.lease().remainingMillis(nowNanos)).isBetween(1L, 3000L);
+			assertThat(namedAt(8000).get("w")).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
 					OwnerLease.MAX_FORMER_LEASE_MILLIS + 1);
-			this.pool.inherited().markReconciled("w");
-			assertThat(namedAt(0).get("w")).isEqualTo(worker.lease().remainingMillis(0));
+			worker.lease().extend(nowNanos, 2 * OwnerLease.MAX_FORMER_LEASE_MILLIS);
+			assertThat(namedAt(8000).get("w")).isEqualTo(worker.lease().remainingMillis(nowNanos));
 		}
 
 		@Test
