Count former leases on a worker that a new owner reached by their known end

Callers saw a long-running task that does not run beside free capacity when its worker was lost within some 3 s of a change of owner. The new owner had reached the worker once, took the first reading of its clock plus 10,000 ms as the end of all earlier leases, and so counted it as lost only 10.2 s later.

Former owners requested no lease that ends later than MAX_FORMER_LEASE_MILLIS after this owner knew the row that it replaced. Their end is now the earlier of this and the 10 s, beside the leases that this owner requested itself. They are kept apart from those, as a time of this process.

The 10 s stay wherever this incarnation may have executed a request that was meant for another one, whose end lies on another clock. The bound is taken only if the worker tells its start, the replaced record names the same start, lists the worker as one on which any task may run, and not as silent: that incarnation had answered an owner with a raised fencing token, and executes no earlier request since. So nothing changes for workers that do not tell when they were started, that restarted between owners or under this one, that were draining, silent or not usable when the record was composed, or that this owner removed and added again, as the former record is used for the first report only.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -31,6 +31,10 @@
 	// The incarnations that an earlier owner polled last.
 	private final Map<String, Long> incarnations = new HashMap<>();
 
+	// Workers that are known to have answered the owner of the record as the recorded
+	// incarnation.
+	private final Set<String> verified = new HashSet<>();
+
 	// Monotonic time at which the leases of a worker have ended.
 	private final Map<String, Long> leaseEndNanos = new HashMap<>();
 
@@ -42,6 +46,8 @@
 	void restore(OwnerRecord record, long knownNanos) {
 		this.unreconciled.addAll(record.workers());
 		this.incarnations.putAll(record.incarnations());
+		this.verified.addAll(record.workers());
+		this.verified.removeAll(record.silentWorkers().keySet());
 		record.closed()
 			.forEach((worker, tasks) -> parseTasks(tasks).ifPresentOrElse(
 					(parsed) -> this.unconfirmedTasks.put(worker, parsed), () -> this.unreconciled.add(worker)));
@@ -76,6 +82,7 @@
 		this.unreconciled.remove(id);
 		this.unconfirmedTasks.remove(id);
 		this.incarnations.remove(id);
+		this.verified.remove(id);
 		this.leaseEndNanos.remove(id);
 	}
 
@@ -122,6 +129,20 @@
 		return recorded != null && report.startedMillis().equals(OptionalLong.of(recorded));
 	}
 
+	/**
+	 * Returns when all leases have ended that earlier owners granted a worker which
+	 * reports. Only an incarnation that has answered an earlier owner as a usable worker
+	 * is sure to have executed no request to a former incarnation since, whose lease may
+	 * end later.
+	 * @param id the worker's id
+	 * @param report the first report to this owner
+	 * @return the monotonic time, empty if such a request may have been executed
+	 */
+	OptionalLong leaseEndNanos(String id, PollOutcome.Report report) {
+		return (this.verified.contains(id) && isSameIncarnation(id, report))
+				? OptionalLong.of(this.leaseEndNanos.get(id)) : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns whether any task may run on a worker that has not reported yet.
 	 * @param id the worker's id
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLease.java
@@ -25,6 +25,10 @@
 
 	private boolean clockKnown;
 
+	// Monotonic time at which all leases of earlier owners, and those that requests to a
+	// former incarnation caused, have ended.
+	private long formerEndNanos;
+
 	WorkerLease() {
 		this(false, 0);
 	}
@@ -53,7 +57,9 @@
 	void updateClock(long clock, long nowNanos) {
 		if (!this.clockKnown) {
 			// Earlier requests may have extended the lease until just now.
-			this.leaseEndMillis = clock + OwnerLease.MAX_GRANTED_LEASE_MILLIS;
+			this.formerEndNanos = nowNanos
+					+ TimeUnit.MILLISECONDS.toNanos(maxMillis(OwnerLease.MAX_GRANTED_LEASE_MILLIS));
+			this.leaseEndMillis = clock;
 		}
 		if (!this.clockKnown || clock >= this.clockMillis) {
 			this.clockMillis = clock;
@@ -62,6 +68,18 @@
 		}
 	}
 
+	/**
+	 * Limits the leases of earlier owners, once the clock is known. To be called only if
+	 * no request to a former incarnation can have been executed by this one.
+	 * @param endNanos monotonic time at which all leases have ended that earlier owners
+	 * granted
+	 */
+	void limitFormerLeases(long endNanos) {
+		if (endNanos - this.formerEndNanos < 0) {
+			this.formerEndNanos = endNanos;
+		}
+	}
+
 	boolean isClockKnown() {
 		return this.clockKnown;
 	}
@@ -114,14 +132,22 @@
 			return this.restarted
 					? remainingMillis(OwnerLease.MAX_GRANTED_LEASE_MILLIS, this.restartNoticedNanos, nowNanos) : 0;
 		}
-		return remainingMillis(this.leaseEndMillis - this.clockMillis, this.clockReadNanos, nowNanos);
+		long formerMillis = TimeUnit.NANOSECONDS.toMillis(this.formerEndNanos - nowNanos);
+		return Math.max(formerMillis,
+				remainingMillis(this.leaseEndMillis - this.clockMillis, this.clockReadNanos, nowNanos));
 	}
 
 	private static long remainingMillis(long workerMillis, long sinceNanos, long nowNanos) {
 		if (workerMillis <= 0) {
 			return 0;
 		}
-		return (long) (workerMillis / MIN_CLOCK_RATE) + 2 - TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos);
+		return maxMillis(workerMillis) - TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos);
+	}
+
+	// The longest duration, by the clock of this process, of a time on the worker's
+	// clock.
+	private static long maxMillis(long workerMillis) {
+		return (long) (workerMillis / MIN_CLOCK_RATE) + 2;
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -120,6 +120,7 @@
 		report.runningTasks().forEach((running) -> reported.add(new RunId(running.task(), running.attempt())));
 		report.terminatedTasks()
 			.forEach((terminated) -> reported.add(new RunId(terminated.task(), terminated.attempt())));
+		this.pool.inherited().leaseEndNanos(worker.id(), report).ifPresent(worker.lease()::limitFormerLeases);
 		if (this.pool.inherited().hasRestarted(worker.id(), report)) {
 			this.pool.markRestarted(worker);
 			handleInheritedLosses(worker, reportedTasks(reported));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -92,4 +94,59 @@
 		assertThat(this.inherited.maxRemainingMillis(nanosAfterKnown(2 * LONGEST_MILLIS))).isZero();
 	}
 
+	@Nested
+	class LeasesOfAReportingWorker {
+
+		private static final long STARTED = 17;
+
+		private final InheritedWorkers inherited = InheritedWorkersTests.this.inherited;
+
+		private OptionalLong end(OptionalLong startedMillis) {
+			return this.inherited.leaseEndNanos("w", new PollOutcome.Report(startedMillis, 1, List.of(), List.of()));
+		}
+
+		private void restore(List<String> workers, Map<String, List<String>> closed, Map<String, Long> incarnations,
+				Map<String, Long> silent) {
+			this.inherited.restore(new OwnerRecord("h", "s0", 100, 1, false, workers, closed, HostSize.UNKNOWN,
+					List.of(), true, true, incarnations, Map.of(), silent), nanosAfterKnown(0));
+		}
+
+		@Test
+		void endWithThoseOfTheFormerOwner() {
+			restore(List.of("w"), Map.of(), Map.of("w", STARTED), Map.of());
+			assertThat(end(OptionalLong.of(STARTED))).hasValue(nanosAfterKnown(LONGEST_MILLIS));
+			this.inherited.markReconciled("w");
+			assertThat(end(OptionalLong.of(STARTED))).isEmpty();
+		}
+
+		@Test
+		void mayEndLaterOnAnotherIncarnation() {
+			restore(List.of("w"), Map.of(), Map.of("w", STARTED), Map.of());
+			assertThat(end(OptionalLong.of(STARTED + 1))).isEmpty();
+		}
+
+		@Test
+		void mayEndLaterIfAStartIsNotKnown() {
+			restore(List.of("w"), Map.of(), Map.of("w", STARTED), Map.of());
+			assertThat(end(OptionalLong.empty())).isEmpty();
+			this.inherited.markReconciled("w");
+			restore(List.of("w"), Map.of(), Map.of(), Map.of());
+			assertThat(end(OptionalLong.empty())).isEmpty();
+			assertThat(end(OptionalLong.of(STARTED))).isEmpty();
+		}
+
+		@Test
+		void mayEndLaterIfTheIncarnationHadNotAnsweredTheFormerOwner() {
+			restore(List.of("w"), Map.of(), Map.of("w", STARTED), Map.of("w", 3000L));
+			assertThat(end(OptionalLong.of(STARTED))).isEmpty();
+		}
+
+		@Test
+		void mayEndLaterIfTheWorkerWasNotUsable() {
+			restore(List.of(), Map.of("w", List.of(TASK.toString())), Map.of("w", STARTED), Map.of());
+			assertThat(end(OptionalLong.of(STARTED))).isEmpty();
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LeasesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LeasesTests.java
@@ -59,6 +59,29 @@
 			assertThat(this.lease.isExpired(LeasesTests.this.nowNanos)).isTrue();
 		}
 
+		@Test
+		void ofEarlierOwnersEndAtTheKnownEnd() {
+			long startNanos = LeasesTests.this.nowNanos;
+			this.lease.updateClock(5000, startNanos);
+			this.lease.limitFormerLeases(startNanos + TimeUnit.MILLISECONDS.toNanos(9000));
+			this.lease.limitFormerLeases(startNanos + TimeUnit.MILLISECONDS.toNanos(12_000));
+			advance(8999);
+			assertThat(this.lease.isExpired(LeasesTests.this.nowNanos)).isFalse();
+			advance(1);
+			assertThat(this.lease.isExpired(LeasesTests.this.nowNanos)).isTrue();
+		}
+
+		@Test
+		void ofThisOwnerAreNotLimitedByThoseOfEarlierOwners() {
+			this.lease.updateClock(5000, LeasesTests.this.nowNanos);
+			this.lease.limitFormerLeases(LeasesTests.this.nowNanos);
+			this.lease.extend(LeasesTests.this.nowNanos, 7000);
+			advance(7140);
+			assertThat(this.lease.isExpired(LeasesTests.this.nowNanos)).isFalse();
+			advance(10);
+			assertThat(this.lease.isExpired(LeasesTests.this.nowNanos)).isTrue();
+		}
+
 		@Test
 		void thatTheFormerIncarnationCausedAreTakenIntoAccount() {
 			WorkerLease restarted = WorkerLease.ofRestartedWorker(LeasesTests.this.nowNanos);
