--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -371,7 +371,7 @@
 			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable,
 					SimulatedCell.this.time.clock());
 			control.schedule(this.jobs::start, STANDBY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-			this.self = new HostRecord(name, "domain", "a:1", name + incarnation, processors, false);
+			this.self = new HostRecord(name, "domain", name + ":1", name + incarnation, processors, false);
 			this.election = new OwnerElection(this.dependencies, this.self, this.terms::begin);
 		}
 
