Count on leases of earlier owners for as long as they last, not for good

The record told only whether leases of owners before the last one were still possible. They were, for a few hundred milliseconds more than the 7,184 ms after the restart, so that the next process of the same host waited 9,413 ms.

The record now tells how long they last, and the wait ends with the later of both.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -347,7 +347,8 @@
 		OwnerRecord previous = this.current.orElse(OwnerRecord.NEVER_OWNED);
 		long knownNanos = this.current.isPresent() ? this.versionKnownNanos : this.clock.nanos();
 		long leaseEndNanos = formerLeaseEndNanos(previous, knownNanos);
-		OwnerRecord next = previous.takenOverBy(this.self, millisSince(knownNanos));
+		OwnerRecord next = previous.takenOverBy(this.self, millisSince(knownNanos),
+				Math.max(0, 1 - millisSince(leaseEndNanos)));
 		long former = previous.confirming() ? 0 : formerOwnerStartMillis;
 		long sentNanos = this.clock.nanos();
 		long sentMillis = this.clock.millis();
@@ -366,17 +367,19 @@
 		long endNanos = knownNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_FORMER_LEASE_MILLIS);
 		// Two processes cannot listen at the same address.
 		boolean hasProcessEnded = previous.address().equals(this.self.peerAddress()) && !isOwnProcess(previous);
-		if (!hasProcessEnded || !previous.formerLeasesEnded()) {
+		if (!hasProcessEnded) {
 			return endNanos;
 		}
-		return Math.min(endNanos,
-				this.startedNanos + TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_LEASE_OF_ENDED_PROCESS_MILLIS));
+		long earlierEndNanos = knownNanos + TimeUnit.MILLISECONDS.toNanos(previous.formerLeaseMillis());
+		long processEndNanos = this.startedNanos
+				+ TimeUnit.MILLISECONDS.toNanos(OwnerLease.MAX_LEASE_OF_ENDED_PROCESS_MILLIS);
+		return Math.min(endNanos, Math.max(earlierEndNanos, processEndNanos));
 	}
 
 	// The row exists, so this write only returns a conflict. That shows that the table
 	// accepts writes, and carries the current row.
 	private void probeTableWrites() {
-		write(this.current.orElse(OwnerRecord.NEVER_OWNED).takenOverBy(this.self, 0), 0, (commit) -> {
+		write(this.current.orElse(OwnerRecord.NEVER_OWNED).takenOverBy(this.self, 0, 0), 0, (commit) -> {
 			if (commit instanceof PartitionCommit.Conflict conflict) {
 				this.takeOverPolicy.recordWritable();
 				changed(conflict.current());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -38,22 +38,23 @@
  * @param startExpiries by task, for unresolved starts whose requests are not sent again,
  * the time from the composition of this row until the request is taken to be lost,
  * milliseconds; empty in rows of earlier releases
- * @param formerLeasesEnded whether all leases had ended when this row was composed that
- * owners before this one granted; {@code false} in rows of earlier releases
+ * @param formerLeaseMillis time from the composition of this row until all leases have
+ * ended that owners before this one granted, milliseconds; the longest possible one in
+ * rows of earlier releases
  * @param address address at which the owner's process listens for peers; empty in rows of
  * earlier releases
  */
 public record OwnerRecord(String holder, String host, long epoch, long sequence, boolean released, List<String> workers,
 		Map<String, List<String>> closed, HostSize largest, List<String> standbys, boolean confirming,
 		boolean recordsCrashes, Map<String, Long> incarnations, Map<String, Integer> unresolvedStarts,
-		Map<String, Long> silentWorkers, Map<String, Long> startExpiries, boolean formerLeasesEnded, String address) {
+		Map<String, Long> silentWorkers, Map<String, Long> startExpiries, Long formerLeaseMillis, String address) {
 
 	/** Lower than every valid epoch. */
 	static final long NO_EPOCH = 0;
 
 	/** The record of a pool that was never owned. */
 	static final OwnerRecord NEVER_OWNED = new OwnerRecord("", "", NO_EPOCH, 0, true, List.of(), Map.of(),
-			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), true, "");
+			HostSize.UNKNOWN, List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), 0L, "");
 
 	public OwnerRecord {
 		Objects.requireNonNull(holder, "holder");
@@ -64,6 +65,7 @@
 		standbys = (standbys != null) ? List.copyOf(standbys) : List.of();
 		incarnations = (incarnations != null) ? Map.copyOf(incarnations) : Map.of();
 		unresolvedStarts = (unresolvedStarts != null) ? Map.copyOf(unresolvedStarts) : Map.of();
+		formerLeaseMillis = (formerLeaseMillis != null) ? formerLeaseMillis : OwnerLease.MAX_FORMER_LEASE_MILLIS;
 		address = (address != null) ? address : "";
 		silentWorkers = (silentWorkers != null) ? Map.copyOf(silentWorkers) : Map.of();
 		startExpiries = (startExpiries != null) ? Map.copyOf(startExpiries) : Map.of();
@@ -73,13 +75,15 @@
 	 * Returns the record with which a host takes the pool over.
 	 * @param next the host
 	 * @param ageMillis time for which it has known this record, milliseconds
+	 * @param leaseMillis time until all leases have ended that owners before it granted,
+	 * milliseconds
 	 * @return the record, with the next epoch
 	 */
-	OwnerRecord takenOverBy(HostRecord next, long ageMillis) {
+	OwnerRecord takenOverBy(HostRecord next, long ageMillis, long leaseMillis) {
 		return new OwnerRecord(next.incarnation(), next.host(), this.epoch + OwnerLease.TOKENS_PER_EPOCH, 1, false,
 				this.workers, this.closed, HostSize.largest(List.of(this.largest, next.size())), this.standbys,
 				this.confirming, true, this.incarnations, this.unresolvedStarts,
-				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis), false,
+				shortened(this.silentWorkers, ageMillis), shortened(this.startExpiries, ageMillis), leaseMillis,
 				next.peerAddress());
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -288,8 +288,12 @@
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
 				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
 				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers(),
-				this.jobs.unresolvedStarts().expiriesToRecord(this.composedNanos),
-				this.composedNanos - this.formerLeaseEndNanos > 0, this.record.address());
+				this.jobs.unresolvedStarts().expiriesToRecord(this.composedNanos), formerLeaseMillis(),
+				this.record.address());
+	}
+
+	private long formerLeaseMillis() {
+		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.formerLeaseEndNanos - this.composedNanos) + 1);
 	}
 
 	private void send(Batch batch) {
