--- /dev/null
+++ b/review/standin/review/Executor.java
@@ -0,0 +1,331 @@
+package review;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * One executor, as PROTOCOL describes it. The text of a job says how long its tasks run,
+ * in milliseconds. After a crash the executor has a new id at the same address, runs
+ * nothing and has seen no fence number. It doesn't guard its capacity. Thread-safe.
+ */
+final class Executor {
+
+	/** The list of ends in an answer holds this many at most. */
+	private static final int MAX_LISTED_ENDS = 500;
+
+	private static final long HOLD_MAX_MILLIS = 10_000;
+
+	private static final long MAX_WAIT_MILLIS = 2000;
+
+	private static final long HEARTBEAT_MILLIS = 1500;
+
+	private static final ScheduledExecutorService TIMER = Executors.newScheduledThreadPool(4, (task) -> {
+		Thread thread = new Thread(task, "executor-timer");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final Table table;
+
+	private final Runs runs;
+
+	private final Record record;
+
+	private final String address;
+
+	private final String zone;
+
+	private final String rack;
+
+	private final int cpu;
+
+	private final boolean recordsRuns;
+
+	private final HttpServer server;
+
+	private final Map<String, Active> running = new LinkedHashMap<>();
+
+	private final Map<String, Integer> attempts = new HashMap<>();
+
+	private final Deque<End> ends = new ArrayDeque<>();
+
+	private String id;
+
+	private int boot;
+
+	private boolean up = true;
+
+	private long bootNanos;
+
+	private long clockOffset;
+
+	private long fence;
+
+	private long leaseEndMillis;
+
+	private long lapses;
+
+	private long nextEnd;
+
+	private long sequence;
+
+	Executor(Table table, Runs runs, Record record, String ip, int port, String zone, String rack, int cpu,
+			boolean recordsRuns) throws IOException {
+		this.table = table;
+		this.runs = runs;
+		this.record = record;
+		this.address = ip + ":" + port;
+		this.zone = zone;
+		this.rack = rack;
+		this.cpu = cpu;
+		this.recordsRuns = recordsRuns;
+		begin();
+		this.server = Web.serve(ip, port, this::answer);
+		TIMER.scheduleWithFixedDelay(this::beat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+		TIMER.scheduleWithFixedDelay(this::expire, 20, 20, TimeUnit.MILLISECONDS);
+	}
+
+	private synchronized void begin() {
+		this.boot++;
+		this.id = "i-%08x".formatted(ThreadLocalRandom.current().nextInt());
+		this.bootNanos = System.nanoTime();
+		this.clockOffset = ThreadLocalRandom.current().nextLong(1000, 600_000);
+		this.fence = 0;
+		this.leaseEndMillis = 0;
+		this.nextEnd = 1;
+		this.sequence = 0;
+		this.running.clear();
+		this.attempts.clear();
+		this.ends.clear();
+		this.up = true;
+	}
+
+	synchronized String id() {
+		return this.id;
+	}
+
+	synchronized boolean isRunning(String taskPrefix) {
+		return this.running.keySet().stream().anyMatch((task) -> task.startsWith(taskPrefix));
+	}
+
+	private synchronized void beat() {
+		if (this.up) {
+			ObjectNode entry = Web.object()
+				.put("service", Cell.SERVICE)
+				.put("address", this.address)
+				.put("zone", this.zone)
+				.put("version", "v1")
+				.put("slots", 8)
+				.put("state", "ready")
+				.put("cold_remaining_ms", 0)
+				.put("clock_ms", clockMillis())
+				.put("sequence", ++this.sequence);
+			entry.putObject("capacity").put("cpu", this.cpu).put("mem_mb", 32_768).put("gpu", 0);
+			entry.putArray("labels").add("a").add(this.rack);
+			this.table.put("servers", this.id, entry.toString().getBytes(StandardCharsets.UTF_8));
+		}
+	}
+
+	/** Crashes; the entry in the list goes after three heartbeats. */
+	void crash(long downMillis) {
+		String former;
+		synchronized (this) {
+			former = this.id;
+			this.up = false;
+			this.running.values().forEach((active) -> this.runs.ended(active.run, "crashed", this.recordsRuns));
+			this.record.tell(former, "crashes with " + this.running.size() + " runs, down for " + downMillis + " ms");
+			this.running.clear();
+			notifyAll();
+		}
+		TIMER.schedule(() -> this.table.remove("servers", former), 3 * HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+		TIMER.schedule(() -> {
+			begin();
+			this.record.tell(id(), "is up at " + this.address);
+			beat();
+		}, downMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private long clockMillis() {
+		return this.clockOffset + (System.nanoTime() - this.bootNanos) / 1_000_000;
+	}
+
+	private synchronized void expire() {
+		if (this.up && !this.running.isEmpty() && clockMillis() >= this.leaseEndMillis) {
+			this.lapses++;
+			this.record.tell(this.id, "lease lapsed with " + this.running.size() + " runs");
+			List.copyOf(this.running.values()).forEach((active) -> end(active, "lapsed"));
+		}
+	}
+
+	private Answer answer(HttpExchange exchange, String path, Map<String, String> query, byte[] body)
+			throws IOException, InterruptedException {
+		synchronized (this) {
+			if (!this.up) {
+				return null;
+			}
+			if (path.equals("/healthz")) {
+				return new Answer(200, Web.object());
+			}
+			String expected = exchange.getRequestHeaders().getFirst("X-Monsoonrelay-Expect-Instance");
+			if (expected != null && !expected.equals(this.id)) {
+				return new Answer(421, Web.object());
+			}
+			JsonNode order = Web.JSON.readTree(body);
+			long token = order.path("fencing_token").asLong();
+			if (token < this.fence) {
+				return refusal("fence");
+			}
+			this.fence = token;
+			return switch (path) {
+				case "/api/run-start" -> start(order);
+				case "/api/run-stop" -> stop(order);
+				case "/api/pace" -> done();
+				case "/api/hold" -> hold(order);
+				default -> new Answer(404, Web.object());
+			};
+		}
+	}
+
+	private Answer done() {
+		return new Answer(200, Web.object().put("clock_ms", clockMillis()));
+	}
+
+	private Answer refusal(String reason) {
+		return new Answer(409, Web.object().put("clock_ms", clockMillis()).put("reason", reason));
+	}
+
+	private void extendLease(JsonNode order) {
+		if (order.has("deadline_ms")) {
+			long end = Math.min(order.path("deadline_ms").asLong(), clockMillis() + HOLD_MAX_MILLIS);
+			this.leaseEndMillis = Math.max(this.leaseEndMillis, end);
+		}
+	}
+
+	private Answer start(JsonNode order) {
+		String task = order.path("task").asText();
+		int attempt = order.path("attempt").asInt();
+		if (order.path("deadline_ms").asLong() <= clockMillis()) {
+			return refusal("late");
+		}
+		extendLease(order);
+		Active active = this.running.get(task);
+		if (active != null && active.run.attempt == attempt) {
+			return done();
+		}
+		if (attempt <= this.attempts.getOrDefault(task, 0)) {
+			return refusal("old");
+		}
+		this.attempts.put(task, attempt);
+		Active started = new Active(this.runs.started(task, attempt, this.id, this.recordsRuns));
+		this.running.put(task, started);
+		int ofBoot = this.boot;
+		TIMER.schedule(() -> complete(started, ofBoot), Long.parseLong(order.path("spec").asText()),
+				TimeUnit.MILLISECONDS);
+		return done();
+	}
+
+	private synchronized void complete(Active active, int ofBoot) {
+		if (this.boot == ofBoot && this.running.get(active.run.task) == active) {
+			end(active, "done");
+		}
+	}
+
+	private void end(Active active, String how) {
+		this.running.remove(active.run.task);
+		this.runs.ended(active.run, how, this.recordsRuns);
+		this.ends.add(new End(this.nextEnd++, active.run, this.lapses));
+		notifyAll();
+	}
+
+	private Answer stop(JsonNode order) {
+		String task = order.path("task").asText();
+		int attempt = order.path("attempt").asInt();
+		this.attempts.merge(task, attempt, Math::max);
+		Active active = this.running.get(task);
+		if (active != null && active.run.attempt <= attempt) {
+			end(active, "stopped");
+		}
+		return done();
+	}
+
+	private Answer hold(JsonNode order) throws InterruptedException {
+		extendLease(order);
+		long cursor = order.path("ack_cursor").asLong();
+		while (!this.ends.isEmpty() && this.ends.peekFirst().number <= cursor) {
+			End end = this.ends.removeFirst();
+			this.runs.acknowledged(end.run, end.lapses != this.lapses);
+		}
+		int ofBoot = this.boot;
+		long until = System.nanoTime()
+				+ TimeUnit.MILLISECONDS.toNanos(Math.min(MAX_WAIT_MILLIS, order.path("wait_ms").asLong()));
+		while (this.up && this.boot == ofBoot && this.ends.isEmpty() && System.nanoTime() - until < 0) {
+			wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
+		}
+		if (!this.up || this.boot != ofBoot) {
+			return null;
+		}
+		ObjectNode answer = Web.object().put("clock_ms", clockMillis());
+		ArrayNode active = answer.putArray("running");
+		this.running.values().forEach((one) -> active.addArray().add(one.run.task).add(one.run.attempt).add("").add(100)
+			.add(0));
+		ArrayNode finished = answer.putArray("finished");
+		for (End end : this.ends) {
+			if (finished.size() >= MAX_LISTED_ENDS) {
+				this.record.write(this.id, "lists " + MAX_LISTED_ENDS + " of " + this.ends.size() + " ends to fence "
+						+ this.fence);
+				break;
+			}
+			finished.addArray().add(end.number).add(end.run.task).add(end.run.attempt).add(end.run.how).add("");
+		}
+		return new Answer(200, answer);
+	}
+
+	void close() {
+		this.server.stop(0);
+	}
+
+	/** A run that is active here. */
+	private static final class Active {
+
+		final Runs.Run run;
+
+		Active(Runs.Run run) {
+			this.run = run;
+		}
+
+	}
+
+	/** An end that is kept until a cursor reaches it. */
+	private static final class End {
+
+		final long number;
+
+		final Runs.Run run;
+
+		final long lapses;
+
+		End(long number, Runs.Run run, long lapses) {
+			this.number = number;
+			this.run = run;
+			this.lapses = lapses;
+		}
+
+	}
+
+}
