--- a/review/standin/review/Executor.java
+++ b/review/standin/review/Executor.java
@@ -21,7 +21,7 @@
 
 /**
  * One executor, as PROTOCOL describes it. The text of a job says how long its tasks run,
- * in milliseconds. After a crash the executor has a new id at the same address, runs
+ * in milliseconds, and may say how they end then. After a crash the executor has a new id at the same address, runs
  * nothing and has seen no fence number. It doesn't guard its capacity. Thread-safe.
  */
 final class Executor {
@@ -235,14 +235,15 @@
 		Active started = new Active(this.runs.started(task, attempt, this.id, this.recordsRuns));
 		this.running.put(task, started);
 		int ofBoot = this.boot;
-		TIMER.schedule(() -> complete(started, ofBoot), Long.parseLong(order.path("spec").asText()),
-				TimeUnit.MILLISECONDS);
+		String[] spec = order.path("spec").asText().split(" ");
+		String how = (spec.length > 1) ? spec[1] : "done";
+		TIMER.schedule(() -> complete(started, ofBoot, how), Long.parseLong(spec[0]), TimeUnit.MILLISECONDS);
 		return done();
 	}
 
-	private synchronized void complete(Active active, int ofBoot) {
+	private synchronized void complete(Active active, int ofBoot, String how) {
 		if (this.boot == ofBoot && this.running.get(active.run.task) == active) {
-			end(active, "done");
+			end(active, how);
 		}
 	}
 
