--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac --release 17 -Xlint:all,-processing -cp target/monsoonrelay-host.jar -d target/review review/standin/review/*.java
+javac --release 17 -cp target/monsoonrelay-host.jar -d target/review review/standin/review/*.java
