--- a/review/standin/review/Cell.java
+++ b/review/standin/review/Cell.java
@@ -66,7 +66,8 @@
 
 	private final String net;
 
-	private Cell(Record record, int hostCount, int executorCount, int cpu, boolean recordsRuns) throws IOException {
+	private Cell(Record record, int hostCount, int executorCount, int cpu, boolean recordsRuns, boolean keepsId)
+			throws IOException {
 		this.record = record;
 		this.folder = Files.createTempDirectory("review");
 		this.net = freeNet();
@@ -83,7 +84,7 @@
 				: this.table.answer(path, query, body));
 		for (int i = 0; i < executorCount; i++) {
 			this.executors.add(new Executor(this.table, this.runs, record, this.net + (50 + i), EXECUTOR_PORT,
-					"zone-" + i % 3, "r" + i / 4, cpu, recordsRuns));
+					"zone-" + i % 3, "r" + i / 4, cpu, recordsRuns, keepsId));
 		}
 		for (int i = 0; i < hostCount; i++) {
 			this.hosts.add(new Host("frontend-" + (i + 1), this.net + (10 + i), "zone-" + i % 3,
@@ -126,10 +127,19 @@
 	 * @param arguments the folder of the case
 	 */
 	static void run(String[] arguments, int hosts, int executors, int cpu, boolean recordsRuns, Case played) {
+		run(arguments, hosts, executors, cpu, recordsRuns, false, played);
+	}
+
+	/**
+	 * Runs a case, whose executors may keep their ids when they start again, and ends this
+	 * process.
+	 */
+	static void run(String[] arguments, int hosts, int executors, int cpu, boolean recordsRuns, boolean keepsId,
+			Case played) {
 		int code = NOT_RUN;
 		try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
 			record.tell("case", "disturbance: " + (hasTrouble() ? "on" : "off"));
-			try (Cell cell = new Cell(record, hosts, executors, cpu, recordsRuns)) {
+			try (Cell cell = new Cell(record, hosts, executors, cpu, recordsRuns, keepsId)) {
 				Thread closing = new Thread(cell::close);
 				Runtime.getRuntime().addShutdownHook(closing);
 				TIMER.schedule(() -> {
