--- a/review/standin/review/CrashLoop.java
+++ b/review/standin/review/CrashLoop.java
@@ -1,5 +1,6 @@
 package review;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,11 +11,13 @@
  */
 final class CrashLoop {
 
+	private static final int LASTING_STEPS = 2;
+
 	private static final int LASTING_TASKS = 48;
 
 	private static final int USUAL_TASKS = 4;
 
-	private static final double TRAFFIC_SECONDS = 70;
+	private static final double TRAFFIC_SECONDS = 55;
 
 	private CrashLoop() {
 	}
@@ -61,9 +64,10 @@
 	}
 
 	private static String lastingJob() {
-		return """
-				{"spec":"60 failed","steps":[{"count":%d,"cpu":500,"mem_mb":64,"estimate_ms":1000,\
-				"long_running":true}]}""".formatted(LASTING_TASKS);
+		String step = """
+				{"count":%d,"cpu":500,"mem_mb":64,"estimate_ms":1000,"long_running":true}""".formatted(LASTING_TASKS);
+		return "{\"spec\":\"30 failed\",\"steps\":[" + String.join(",", Collections.nCopies(LASTING_STEPS, step))
+				+ "]}";
 	}
 
 }
