--- a/review/standin/review/Executor.java
+++ b/review/standin/review/Executor.java
@@ -92,6 +92,8 @@
 
 	private long leaseEndMillis;
 
+	private volatile long lookDelayMillis;
+
 	private boolean hasLapsed;
 
 	private long lapses;
@@ -235,8 +237,21 @@
 		List.copyOf(this.running.values()).forEach((active) -> end(active, "lapsed"));
 	}
 
+	/** Delays the answers to looks, which are composed before. */
+	void delayLooks(long millis) {
+		this.lookDelayMillis = millis;
+	}
+
 	private Answer answer(HttpExchange exchange, String path, Map<String, String> query, byte[] body)
 			throws IOException, InterruptedException {
+		Answer answer = answer(exchange, path, body);
+		if (path.equals("/api/hold")) {
+			Thread.sleep(this.lookDelayMillis);
+		}
+		return answer;
+	}
+
+	private Answer answer(HttpExchange exchange, String path, byte[] body) throws IOException, InterruptedException {
 		synchronized (this) {
 			if (!this.up) {
 				return null;
--- a/review/standin/review/ManyEnds.java
+++ b/review/standin/review/ManyEnds.java
@@ -5,7 +5,8 @@
 
 /**
  * Many short tasks end on executors while all machines of the system are down: more on
- * each executor than one answer lists.
+ * each executor than one answer lists. With the argument {@code store} the store is down
+ * instead, and executors answer a look after some milliseconds.
  */
 final class ManyEnds {
 
@@ -25,15 +26,21 @@
 	/** The machines are down for this long, in which all tasks end. */
 	private static final long DOWN_MILLIS = 2500;
 
+	private static final long STORE_DOWN_MILLIS = 4300;
+
+	private static final long LOOK_DELAY_MILLIS = 10;
+
 	private ManyEnds() {
 	}
 
 	public static void main(String[] arguments) {
 		System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-		Cell.run(arguments, 3, EXECUTORS, 16_000, true, ManyEnds::play);
+		boolean isStoreDown = List.of(arguments).contains("store");
+		Cell.run(arguments, 3, EXECUTORS, 16_000, true, (cell) -> play(cell, isStoreDown));
 	}
 
-	private static List<String> play(Cell cell) throws Exception {
+	private static List<String> play(Cell cell, boolean isStoreDown) throws Exception {
+		cell.executors.forEach((executor) -> executor.delayLooks(isStoreDown ? LOOK_DELAY_MILLIS : 0));
 		int first = cell.runs.startCount();
 		List<String> jobs = new ArrayList<>();
 		for (int i = 0; i < JOBS; i++) {
@@ -50,7 +57,13 @@
 		}
 		cell.record.tell("case", "started " + (cell.runs.startCount() - first) + " of " + TASKS + " tasks, "
 				+ cell.runs.runningCount() + " run now");
-		if (Cell.hasTrouble()) {
+		if (Cell.hasTrouble() && isStoreDown) {
+			cell.record.tell("store", "is down for " + STORE_DOWN_MILLIS + " ms");
+			cell.table.setDown(true);
+			Thread.sleep(STORE_DOWN_MILLIS);
+			cell.table.setDown(false);
+		}
+		else if (Cell.hasTrouble()) {
 			cell.hosts.forEach((host) -> host.kill(DOWN_MILLIS));
 		}
 		for (String job : jobs) {
