--- a/review/standin/review/Cell.java
+++ b/review/standin/review/Cell.java
@@ -66,9 +66,12 @@
 
 	private final String net;
 
+	private final int cpu;
+
 	private Cell(Record record, int hostCount, int executorCount, int cpu, boolean recordsRuns, boolean keepsId)
 			throws IOException {
 		this.record = record;
+		this.cpu = executorCount * cpu;
 		this.folder = Files.createTempDirectory("review");
 		this.net = freeNet();
 		this.table = new Table(record);
@@ -117,6 +120,11 @@
 		throw new IOException("no free loopback addresses");
 	}
 
+	/** The cores of all executors, in thousandths. */
+	int cpu() {
+		return this.cpu;
+	}
+
 	/** Whether the case is played with its disturbance. */
 	static boolean hasTrouble() {
 		return !"0".equals(System.getenv("TROUBLE"));
