--- a/review/standin/review/ManyEnds.java
+++ b/review/standin/review/ManyEnds.java
@@ -19,12 +19,15 @@
 
 	private static final int TASKS = JOBS * TASKS_PER_JOB;
 
-	private static final long JOB_INTERVAL_MILLIS = 50;
+	private static final long JOB_INTERVAL_MILLIS = 100;
 
-	private static final long TASK_MILLIS = 3000;
+	/** From the first job on; a later job has shorter tasks, so that all end at about the same time. */
+	private static final long END_MILLIS = 5500;
+
+	private static final long KILL_MILLIS = 3900;
 
 	/** The machines are down for this long, in which all tasks end. */
-	private static final long DOWN_MILLIS = 2500;
+	private static final long DOWN_MILLIS = 2000;
 
 	private static final long STORE_DOWN_MILLIS = 4300;
 
@@ -43,17 +46,18 @@
 		cell.executors.forEach((executor) -> executor.delayLooks(isStoreDown ? LOOK_DELAY_MILLIS : 0));
 		int first = cell.runs.startCount();
 		List<String> jobs = new ArrayList<>();
+		double start = cell.record.seconds();
 		for (int i = 0; i < JOBS; i++) {
+			long elapsedMillis = (long) ((cell.record.seconds() - start) * 1000);
 			String id = Client.newId();
 			jobs.add(id);
-			if (!cell.client.submit(id, Cell.job(TASKS_PER_JOB, 20, TASK_MILLIS), true)) {
+			if (!cell.client.submit(id, Cell.job(TASKS_PER_JOB, 20, END_MILLIS - elapsedMillis), true)) {
 				throw new IllegalStateException("a job was not accepted");
 			}
 			Thread.sleep(JOB_INTERVAL_MILLIS);
 		}
-		double end = cell.record.seconds() + 3;
-		while (cell.runs.startCount() - first < TASKS && cell.record.seconds() < end) {
-			Thread.sleep(20);
+		while (cell.record.seconds() - start < KILL_MILLIS / 1000.0) {
+			Thread.sleep(10);
 		}
 		cell.record.tell("case", "started " + (cell.runs.startCount() - first) + " of " + TASKS + " tasks, "
 				+ cell.runs.runningCount() + " run now");
