Tell which write made acknowledged ends durable, and what a first report lists

After an incident in which tasks ran again after acknowledged ends, the lines could not tell whether the acknowledgement or the next owner's reading was at fault. EndsAcknowledged names the numbers and the version of the rows that made them durable, to be compared with the version of a later take-over; WorkerReported names how many ends the first report of a worker lists. No decision changes.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -119,6 +119,39 @@
 
 	}
 
+	/**
+	 * A worker reports for the first time to this owner, or for the first time since it
+	 * restarted.
+	 *
+	 * @param worker the worker
+	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
+	 * clock, -1 if it does not tell
+	 * @param running number of tasks that run on it
+	 * @param ends number of ends that it lists
+	 * @param firstSequence the lowest of their numbers, 0 if it lists none
+	 * @param lastSequence the highest of their numbers, 0 if it lists none
+	 */
+	record WorkerReported(String worker, long startedMillis, int running, int ends, long firstSequence,
+			long lastSequence) implements PoolDecision {
+
+	}
+
+	/**
+	 * A poll acknowledges ends to a worker, which forgets them.
+	 *
+	 * @param worker the worker
+	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
+	 * clock, -1 if it does not tell
+	 * @param upTo the highest number that is acknowledged
+	 * @param formerUpTo the highest number that was acknowledged before
+	 * @param rowVersion version of the rows with which the last of these ends became
+	 * durable
+	 */
+	record EndsAcknowledged(String worker, long startedMillis, long upTo, long formerUpTo,
+			long rowVersion) implements PoolDecision {
+
+	}
+
 	/**
 	 * A worker is unresponsive and is given no work.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -364,7 +364,7 @@
 			states.put(job.id(), state.state());
 		});
 		this.workers.markRecorded(batch.record());
-		batch.terminations().forEach(TerminationSequence::markDurable);
+		batch.terminations().forEach((sequence, processed) -> sequence.markDurable(processed, this.version));
 		this.jobs.unconfirmedLosses().confirm(batch.lastLoss());
 		if (batch.record().released()) {
 			this.closed = true;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -25,6 +25,10 @@
 
 	private long durable;
 
+	private long durableVersion;
+
+	private long acknowledged;
+
 	// Sequence numbers that are processed although an earlier one may be deferred.
 	private final TreeSet<Long> processedAhead = new TreeSet<>();
 
@@ -103,9 +107,13 @@
 	 * Records that the effects of terminations are durable, so that the worker may
 	 * discard them.
 	 * @param sequence sequence number of the last one
+	 * @param rowVersion version of the rows that hold the effects
 	 */
-	void markDurable(long sequence) {
-		this.durable = Math.max(this.durable, sequence);
+	void markDurable(long sequence, long rowVersion) {
+		if (sequence > this.durable) {
+			this.durable = sequence;
+			this.durableVersion = rowVersion;
+		}
 		this.undurable.headMap(sequence, true).clear();
 	}
 
@@ -133,6 +141,25 @@
 		return this.durable;
 	}
 
+	/**
+	 * Returns the version of the rows with which the last termination became durable.
+	 * @return the version, 0 if none is durable
+	 */
+	long durableVersion() {
+		return this.durableVersion;
+	}
+
+	/**
+	 * Records that terminations are acknowledged to the worker.
+	 * @param sequence sequence number of the last one
+	 * @return the highest number that was acknowledged before
+	 */
+	long acknowledge(long sequence) {
+		long former = this.acknowledged;
+		this.acknowledged = Math.max(former, sequence);
+		return former;
+	}
+
 	boolean isDurable() {
 		return this.processed <= this.durable;
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -125,6 +125,7 @@
 				.ifPresent((processedNanos) -> this.log.recordMetric(Metric.ACKNOWLEDGEMENT_LATENCY,
 						TimeUnit.NANOSECONDS.toMillis(sentNanos - processedNanos)));
 		}
+		logAcknowledgement(worker, acknowledged);
 		boolean extendLease = worker.isReachable() && this.ownerLease.canGrantLeases()
 				&& this.pool.mayGrantLease(worker);
 		SentPoll poll = new SentPoll(worker, incarnation, worker.info(), acknowledged, sentNanos,
@@ -138,6 +139,15 @@
 			.whenComplete(ExecutorCallback.on(this.control, (outcome, failure) -> handleOutcome(poll, outcome)));
 	}
 
+	private void logAcknowledgement(PoolWorker worker, long upTo) {
+		TerminationSequence sequence = worker.terminations();
+		long former = sequence.acknowledge(upTo);
+		if (upTo > former) {
+			this.log.write(new PoolDecision.EndsAcknowledged(worker.id(),
+					worker.incarnation().startedMillis().orElse(-1), upTo, former, sequence.durableVersion()));
+		}
+	}
+
 	// Tasks may wait for the end of a probation, which takes an answer, and the worker
 	// for a lease.
 	private Duration maxWait(PoolWorker worker, long nowNanos) {
@@ -252,6 +262,7 @@
 		worker.responseReceived(this.clock.nanos());
 		this.crashes.workerAnswered(worker);
 		if (!worker.incarnation().isVerified()) {
+			logFirstReport(worker, report);
 			this.losses.handleFirstReport(worker, report);
 		}
 		this.terminations.process(worker, report.terminatedTasks());
@@ -267,6 +278,13 @@
 		scheduleNextPoll(worker, !report.terminatedTasks().isEmpty());
 	}
 
+	private void logFirstReport(PoolWorker worker, PollOutcome.Report report) {
+		List<TerminatedTask> ends = report.terminatedTasks();
+		this.log.write(new PoolDecision.WorkerReported(worker.id(), report.startedMillis().orElse(-1),
+				report.runningTasks().size(), ends.size(), ends.isEmpty() ? 0 : ends.get(0).sequence(),
+				ends.isEmpty() ? 0 : ends.get(ends.size() - 1).sequence()));
+	}
+
 	private void scheduleNextPoll(PoolWorker worker, boolean hasUnacknowledged) {
 		WorkerIncarnation incarnation = worker.incarnation();
 		TerminationSequence reported = incarnation.terminations();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -92,7 +92,7 @@
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
 		this.worker.run(TASK).orElseThrow().confirm(0);
 		this.worker.markReachable();
-		this.worker.terminations().markDurable(7);
+		this.worker.terminations().markDurable(7, 1);
 		assertThat(this.worker.acknowledgeableSequence(0)).isEqualTo(7);
 		this.worker.restart(OptionalLong.of(200), 0);
 		this.worker.markReachable();
@@ -104,7 +104,7 @@
 	@Test
 	void acknowledgesNothingWhileAStartIsUnanswered() {
 		this.worker.markReachable();
-		this.worker.terminations().markDurable(7);
+		this.worker.terminations().markDurable(7, 1);
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
 		assertThat(this.worker.acknowledgeableSequence(0)).isZero();
 		assertThat(this.worker.acknowledgeableSequence(TimeUnit.MILLISECONDS.toNanos(1990))).isZero();
@@ -113,7 +113,7 @@
 	@Test
 	void acknowledgesAgainWhileAStartStaysUnanswered() {
 		this.worker.markReachable();
-		this.worker.terminations().markDurable(7);
+		this.worker.terminations().markDurable(7, 1);
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
 		assertThat(this.worker.acknowledgeableSequence(TimeUnit.MILLISECONDS.toNanos(2000))).isEqualTo(7);
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -90,7 +90,7 @@
 		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w"))
 			.containsExactlyInAnyOrder(TASK.toString(), UNLOADED.toString());
 		assertThat(this.pool.workersToRecord(false, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
-		worker.terminations().markDurable(1);
+		worker.terminations().markDurable(1, 1);
 		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
 	}
 
