Tell what a new owner has read of progress, and what arrives after it

After an incident in which tasks ran again after acknowledged ends, the lines could not tell whether the successor had read all progress. ProgressLoaded names the replaced version, that of the take-over and that up to which progress was read, in how many rows and answers; ProgressDeliveredLate names a row of a former owner that arrives after the replay and what it tells that was not known; InheritedTaskStarted names what the owner knew of a task when it started it for the first time. With EndsAcknowledged these decide a case from the logs alone.

No decision changes.

Existing tests: StandbyRoleTests passes the version of the take-over and has the two new callbacks; the take-overs that tests build name the replaced version (0); the callback of a catch-up takes what it read.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -178,6 +178,41 @@
 
 	}
 
+	/**
+	 * A new owner starts a task of an inherited job for the first time.
+	 *
+	 * @param job the job
+	 * @param task the task
+	 * @param attempt the attempt
+	 * @param progressVersion version of the progress with which the job was restored, -1
+	 * if there was none
+	 * @param failures number of failed attempts of the task that are known
+	 * @param highestAttempt highest number of an attempt of the step that is known to
+	 * have ended
+	 * @param doneTasks number of tasks of the step that are known to be done
+	 */
+	record InheritedTaskStarted(String job, String task, int attempt, long progressVersion, int failures,
+			int highestAttempt, int doneTasks) implements JobDecision {
+
+	}
+
+	/**
+	 * Progress that a former owner wrote arrives after the new owner has replayed the
+	 * jobs.
+	 *
+	 * @param job the job
+	 * @param rowVersion version of the row
+	 * @param takeOverVersion version of the row that made this process the owner
+	 * @param ageMillis time since the replay
+	 * @param state state of the job in the row
+	 * @param doneTasks number of tasks that were not known to be done
+	 * @param failures number of failed attempts that were not known
+	 */
+	record ProgressDeliveredLate(String job, long rowVersion, long takeOverVersion, long ageMillis, String state,
+			int doneTasks, int failures) implements JobDecision {
+
+	}
+
 	/**
 	 * A start request was not carried out, or was not answered.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -40,6 +40,26 @@
 
 	}
 
+	/**
+	 * A new owner has read the progress that former owners wrote and replays all jobs
+	 * with it.
+	 *
+	 * @param epoch the owner's fencing token
+	 * @param replacedVersion version of the replaced row of the owner, 0 if there was
+	 * none
+	 * @param takeOverVersion version of the row that replaced it
+	 * @param progressVersion version up to which the progress was read
+	 * @param rows number of changed rows that were read after the take-over
+	 * @param answers number of answers that held them
+	 * @param unfinishedJobs number of known jobs that have not ended
+	 * @param endedJobs number of known jobs that have ended
+	 * @param tookMillis time since the owner acquired the pool
+	 */
+	record ProgressLoaded(long epoch, long replacedVersion, long takeOverVersion, long progressVersion, int rows,
+			int answers, int unfinishedJobs, int endedJobs, long tookMillis) implements PoolDecision {
+
+	}
+
 	/**
 	 * Nothing can run any more on a worker of a former owner that has not reported to
 	 * this one.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -149,7 +150,11 @@
 	 * two calls.
 	 * @param done called once all changes up to this call have been delivered
 	 */
-	public void catchUp(Runnable done) {
+	public void catchUp(Consumer<CatchUp> done) {
+		catchUp(done, CatchUp.NONE);
+	}
+
+	private void catchUp(Consumer<CatchUp> done, CatchUp before) {
 		if (this.closed || !this.following) {
 			return;
 		}
@@ -159,16 +164,17 @@
 				return;
 			}
 			if (failure != null || changes.historyLost()) {
-				this.executor.schedule(() -> catchUp(done), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+				this.executor.schedule(() -> catchUp(done, before), RETRY_MILLIS, TimeUnit.MILLISECONDS);
 				return;
 			}
 			this.version = Math.max(this.version, changes.version());
 			this.listener.changed(changes.rows());
+			CatchUp read = before.plus(changes);
 			if (changes.more()) {
-				catchUp(done);
+				catchUp(done, read);
 				return;
 			}
-			done.run();
+			done.accept(read);
 			if (this.pause != null && this.pause.cancel(false)) {
 				follow();
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedStarts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedStarts.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Set;
 
+import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.model.submission.StepProgress;
 import org.monsoonrelay.model.submission.SubmittedJob;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -19,12 +21,17 @@
 
 	private final JobRegistry jobs;
 
+	private final DecisionLog log;
+
+	private final Set<TaskKey> started = new HashSet<>();
+
 	private final Set<TaskKey> knownLosses = new HashSet<>();
 
 	private boolean unknownRunsLost;
 
-	InheritedStarts(JobRegistry jobs) {
+	InheritedStarts(JobRegistry jobs, DecisionLog log) {
 		this.jobs = jobs;
+		this.log = log;
 	}
 
 	/**
@@ -60,6 +67,23 @@
 		return false;
 	}
 
+	/**
+	 * Records the start of a task. Of inherited jobs, the first start of each task is
+	 * logged with what is known of earlier ones.
+	 * @param step the step
+	 * @param task the task
+	 * @param attempt the attempt number
+	 */
+	void recordStart(ActiveStep step, TaskKey task, int attempt) {
+		if (!this.jobs.isInherited(task.job()) || !this.started.add(task)) {
+			return;
+		}
+		StepProgress progress = step.progress();
+		this.log.write(new JobDecision.InheritedTaskStarted(task.job(), task.toString(), attempt,
+				this.jobs.restoredVersion(task.job()), progress.failures(task.index()), progress.highestAttempt(),
+				progress.doneCount()));
+	}
+
 	/**
 	 * Records the loss of a run that the owner record names.
 	 * @param task the task
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
@@ -5,8 +5,11 @@
 
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.platform.CatchUp;
+import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.Submission;
+import org.monsoonrelay.model.submission.SubmittedJob;
 
 /**
  * Takes the jobs of the tables into one term of an owner. Invariant: a job is known to
@@ -29,13 +32,17 @@
 
 	private final PoolDependencies dependencies;
 
+	private final TakeOver takeOver;
+
 	private final long takenOverNanos;
 
+	private long replayedNanos;
+
 	private final Runnable requestTurn;
 
 	JobIntake(JobRegistry registry, InheritedJobs inheritedJobs, CustomerAccounts accounts, RunController runs,
-			OwnerLease lease, PoolStateWriter stateWriter, PoolDependencies dependencies, long takenOverNanos,
-			Runnable requestTurn) {
+			OwnerLease lease, PoolStateWriter stateWriter, PoolDependencies dependencies, TakeOver takeOver,
+			long takenOverNanos, Runnable requestTurn) {
 		this.registry = registry;
 		this.inheritedJobs = inheritedJobs;
 		this.accounts = accounts;
@@ -43,12 +50,13 @@
 		this.lease = lease;
 		this.stateWriter = stateWriter;
 		this.dependencies = dependencies;
+		this.takeOver = takeOver;
 		this.takenOverNanos = takenOverNanos;
 		this.requestTurn = requestTurn;
 	}
 
 	@Override
-	public void submitted(Submission submission, Optional<JobProgress> progress, long version) {
+	public void submitted(Submission submission, Optional<StoredProgress> progress, long version) {
 		if (!this.registry.add(submission, progress, this.inheritedJobs.isInherited(version))) {
 			return;
 		}
@@ -79,10 +87,36 @@
 		this.requestTurn.run();
 	}
 
+	@Override
+	public void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs) {
+		this.replayedNanos = this.dependencies.clock().nanos();
+		this.dependencies.log()
+			.write(new PoolDecision.ProgressLoaded(this.lease.epoch(), this.takeOver.previousVersion(),
+					this.takeOver.version(), read.version(), read.rows(), read.answers(), unfinishedJobs, endedJobs,
+					millisSince(this.takenOverNanos)));
+	}
+
+	@Override
+	public void progressReceivedLate(String job, StoredProgress late) {
+		SubmittedJob known = this.registry.job(job).orElse(null);
+		if (known == null) {
+			return;
+		}
+		JobProgress.Difference unknown = late.progress().differenceTo(known.toProgress());
+		this.dependencies.log()
+			.write(new JobDecision.ProgressDeliveredLate(job, late.version(), this.takeOver.version(),
+					millisSince(this.replayedNanos), late.progress().state().name(), unknown.doneTasks(),
+					unknown.failures()));
+	}
+
+	private long millisSince(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(this.dependencies.clock().nanos() - nanos);
+	}
+
 	@Override
 	public void allLoaded() {
 		this.stateWriter.startCounting();
-		long ageMillis = TimeUnit.NANOSECONDS.toMillis(this.dependencies.clock().nanos() - this.takenOverNanos);
+		long ageMillis = millisSince(this.takenOverNanos);
 		this.dependencies.log()
 			.write(new PoolDecision.OwnershipSettled(this.lease.epoch(), this.registry.unfinishedCount(), ageMillis));
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -12,7 +12,7 @@
 import java.util.function.LongPredicate;
 
 import org.monsoonrelay.logic.submission.QueueSummary;
-import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.Submission;
@@ -34,6 +34,9 @@
 	 */
 	private static final int ATTEMPTS_PER_EPOCH = 16;
 
+	/** Instead of a version if no progress was restored. */
+	static final long NO_PROGRESS = -1;
+
 	private final long epoch;
 
 	private final Map<String, SubmittedJob> jobs = new HashMap<>();
@@ -48,7 +51,8 @@
 
 	private final Set<String> cancelledBeforeAdded = new HashSet<>();
 
-	private final Set<String> inherited = new HashSet<>();
+	// The version of the progress with which each inherited job was restored.
+	private final Map<String, Long> inherited = new HashMap<>();
 
 	private final Map<String, Long> deferred = new HashMap<>();
 
@@ -73,18 +77,18 @@
 	 * @param isInherited whether an earlier owner may have started tasks of it
 	 * @return {@code true} if it was not known
 	 */
-	boolean add(Submission submission, Optional<JobProgress> progress, boolean isInherited) {
+	boolean add(Submission submission, Optional<StoredProgress> progress, boolean isInherited) {
 		if (this.jobs.containsKey(submission.id())) {
 			return false;
 		}
 		SubmittedJob job = new SubmittedJob(submission);
-		progress.ifPresent(job::restore);
+		progress.map(StoredProgress::progress).ifPresent(job::restore);
 		this.jobs.put(job.id(), job);
 		if (job.isEnded()) {
 			return true;
 		}
 		if (isInherited) {
-			this.inherited.add(job.id());
+			this.inherited.put(job.id(), progress.map(StoredProgress::version).orElse(NO_PROGRESS));
 		}
 		this.unfinished.add(job.id());
 		this.changed.add(job.id());
@@ -232,7 +236,7 @@
 	}
 
 	private int attemptFloor(SubmittedJob job) {
-		return this.inherited.contains(job.id()) ? (int) (ATTEMPTS_PER_EPOCH * (this.epoch - 1)) : 0;
+		return this.inherited.containsKey(job.id()) ? (int) (ATTEMPTS_PER_EPOCH * (this.epoch - 1)) : 0;
 	}
 
 	/**
@@ -313,11 +317,20 @@
 	}
 
 	List<SubmittedJob> inheritedJobs() {
-		return this.inherited.stream().map(this.jobs::get).toList();
+		return this.inherited.keySet().stream().map(this.jobs::get).toList();
 	}
 
 	boolean isInherited(String job) {
-		return this.inherited.contains(job);
+		return this.inherited.containsKey(job);
+	}
+
+	/**
+	 * Version of the progress with which an inherited job was restored.
+	 * @param job the job's id
+	 * @return the version, {@link #NO_PROGRESS} if there was no progress
+	 */
+	long restoredVersion(String job) {
+		return this.inherited.getOrDefault(job, NO_PROGRESS);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobReplicaListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobReplicaListener.java
@@ -2,7 +2,8 @@
 
 import java.util.Optional;
 
-import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.logic.platform.CatchUp;
+import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.Submission;
 
 /**
@@ -16,7 +17,7 @@
 	 * @param progress the progress that a former owner stored, if any
 	 * @param version version of the job's row
 	 */
-	void submitted(Submission submission, Optional<JobProgress> progress, long version);
+	void submitted(Submission submission, Optional<StoredProgress> progress, long version);
 
 	/**
 	 * Called for a job that had ended before this owner took over.
@@ -30,6 +31,21 @@
 	 */
 	void cancelled(String job);
 
+	/**
+	 * Called before the jobs are replayed, once the progress of former owners is read.
+	 * @param read what the last reading took
+	 * @param unfinishedJobs number of jobs that have not ended
+	 * @param endedJobs number of jobs that have ended
+	 */
+	void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs);
+
+	/**
+	 * Called for progress of a former owner that is read after the replay.
+	 * @param job the job's id
+	 * @param progress the progress
+	 */
+	void progressReceivedLate(String job, StoredProgress progress);
+
 	/** Called after jobs or cancellations have been delivered. */
 	void changed();
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 
+import org.monsoonrelay.logic.platform.CatchUp;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableFollower;
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.submission.JobTables;
-import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.logic.submission.ProgressReplica;
+import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.Submission;
 
 /**
@@ -50,9 +52,7 @@
 
 	private final Map<String, StoredJob> unfinished = new HashMap<>();
 
-	private final Map<String, StoredProgress> progress = new HashMap<>();
-
-	private final Set<String> ended = new HashSet<>();
+	private final ProgressReplica progress;
 
 	private final Set<String> cancelled = new HashSet<>();
 
@@ -60,8 +60,6 @@
 
 	private final Set<String> unreadableJobs = new HashSet<>();
 
-	private final Set<String> unreadableProgress = new HashSet<>();
-
 	private final UnreadableRows unreadable;
 
 	private final JobFeedFreshness freshness;
@@ -76,6 +74,8 @@
 
 	private boolean allLoadedReported;
 
+	private long takeOverVersion;
+
 	/**
 	 * Creates a replica that does not follow the tables yet.
 	 * @param table the table
@@ -88,6 +88,7 @@
 		this.table = table;
 		this.control = control;
 		this.unreadable = unreadable;
+		this.progress = new ProgressReplica(unreadable);
 		this.freshness = new JobFeedFreshness(clock.monotonic());
 	}
 
@@ -130,22 +131,24 @@
 		this.started = false;
 		this.progressLoaded = false;
 		this.freshness.forget();
-		List.of(this.unfinished, this.progress).forEach(Map::clear);
-		List.of(this.ended, this.cancelled, this.loadedPartitions, this.unreadableJobs, this.unreadableProgress)
-			.forEach(Set::clear);
+		this.unfinished.clear();
+		this.progress.clear();
+		List.of(this.cancelled, this.loadedPartitions, this.unreadableJobs).forEach(Set::clear);
 		return true;
 	}
 
 	/**
 	 * Attaches an owner, to which jobs are delivered from now on.
 	 * @param listener the owner
+	 * @param version version of the row that made it the owner
 	 */
-	void attach(JobReplicaListener listener) {
+	void attach(JobReplicaListener listener, long version) {
 		this.owner = Optional.of(listener);
+		this.takeOverVersion = version;
 		this.replayed = false;
 		this.allLoadedReported = false;
 		start();
-		this.submissionFeed.catchUp(() -> {
+		this.submissionFeed.catchUp((read) -> {
 		});
 		if (this.progressLoaded) {
 			catchUpProgress();
@@ -155,16 +158,17 @@
 	// The response contains all progress that a former owner wrote before the take-over.
 	private void catchUpProgress() {
 		Optional<JobReplicaListener> requested = this.owner;
-		this.progressFeed.catchUp(() -> {
+		this.progressFeed.catchUp((read) -> {
 			if (requested.isPresent() && requested.equals(this.owner) && !this.replayed) {
-				replay(requested.get());
+				replay(requested.get(), read);
 			}
 		});
 	}
 
-	private void replay(JobReplicaListener listener) {
+	private void replay(JobReplicaListener listener, CatchUp read) {
 		this.replayed = true;
-		this.ended.forEach(listener::alreadyEnded);
+		listener.progressLoaded(read, this.unfinished.size(), this.progress.ended().size());
+		this.progress.ended().forEach(listener::alreadyEnded);
 		List.copyOf(this.unfinished.values()).forEach((stored) -> deliver(listener, stored));
 		notifyIfAllLoaded(listener);
 		listener.changed();
@@ -195,7 +199,7 @@
 	 * @return {@code true} if this includes the job, should it exist
 	 */
 	boolean isLoaded(String job) {
-		boolean isRead = !this.unreadableJobs.contains(job) && !this.unreadableProgress.contains(job);
+		boolean isRead = !this.unreadableJobs.contains(job) && !this.progress.isUnreadable(job);
 		return this.replayed && isRead && this.loadedPartitions.contains(JobTables.partition(job));
 	}
 
@@ -229,7 +233,7 @@
 	private void addJob(StoredJob stored) {
 		String id = stored.submission().id();
 		this.unreadableJobs.remove(id);
-		if (this.ended.contains(id) || this.unfinished.putIfAbsent(id, stored) != null) {
+		if (this.progress.isEnded(id) || this.unfinished.putIfAbsent(id, stored) != null) {
 			return;
 		}
 		if (this.replayed) {
@@ -239,14 +243,12 @@
 
 	private void deliver(JobReplicaListener listener, StoredJob stored) {
 		String id = stored.submission().id();
-		if (this.unreadableProgress.contains(id)) {
+		if (this.progress.isUnreadable(id)) {
 			return;
 		}
-		Optional<JobProgress> saved = Optional.ofNullable(this.progress.get(id)).map(StoredProgress::progress);
-		if (saved.filter((progress) -> !progress.matches(stored.submission())).isPresent()) {
-			this.unreadableProgress.add(id);
-			this.unreadable.report(new TableRow(JobTables.PROGRESS, JobTables.POOL_PARTITION, id, "", 0, false),
-					"is not the progress of this job");
+		Optional<StoredProgress> saved = this.progress.progress(id);
+		if (saved.filter((known) -> !known.progress().matches(stored.submission())).isPresent()) {
+			this.progress.reportMismatch(id);
 			return;
 		}
 		listener.submitted(stored.submission(), saved, stored.version());
@@ -256,7 +258,7 @@
 	}
 
 	private void applyCancellation(String job) {
-		if (this.ended.contains(job)) {
+		if (this.progress.isEnded(job)) {
 			return;
 		}
 		this.cancelled.add(job);
@@ -276,21 +278,10 @@
 		return this.loadedPartitions.size() == JobTables.partitions().size();
 	}
 
-	private void deliverWithReadableProgress(String job) {
-		StoredJob stored = this.unfinished.get(job);
-		if (this.unreadableProgress.remove(job) && stored != null && this.replayed) {
-			this.owner.ifPresent((listener) -> deliver(listener, stored));
-		}
-	}
-
 	private record StoredJob(Submission submission, long version) {
 
 	}
 
-	private record StoredProgress(JobProgress progress, long version) {
-
-	}
-
 	private final class SubmissionListener implements TableFollower.Listener {
 
 		@Override
@@ -340,7 +331,7 @@
 				applyCancellation(JobTables.job(row.key()));
 				return;
 			}
-			if (!JobTableReplica.this.ended.contains(row.key())
+			if (!JobTableReplica.this.progress.isEnded(row.key())
 					&& !JobTableReplica.this.unfinished.containsKey(row.key())) {
 				read(row).ifPresentOrElse((submission) -> addJob(new StoredJob(submission, row.version())),
 						() -> JobTableReplica.this.unreadableJobs.add(row.key()));
@@ -362,8 +353,7 @@
 
 		@Override
 		public void changed(List<TableRow> rows) {
-			// Earlier releases wrote the summary of queues into this table.
-			rows.stream().filter((row) -> !row.key().equals(JobTables.SUMMARY_KEY)).forEach(this::applyRow);
+			rows.forEach(this::applyRow);
 		}
 
 		@Override
@@ -372,28 +362,24 @@
 		}
 
 		private void applyRow(TableRow row) {
-			JobTableReplica intake = JobTableReplica.this;
-			StoredProgress known = intake.progress.get(row.key());
-			boolean isOld = intake.ended.contains(row.key()) || (known != null && known.version() >= row.version());
-			if (row.deleted() || isOld) {
-				return;
-			}
-			intake.unreadable.read(row, JobProgress.class)
-				.ifPresentOrElse((saved) -> applyRow(row, saved), () -> intake.unreadableProgress.add(row.key()));
-		}
-
-		private void applyRow(TableRow row, JobProgress saved) {
-			JobTableReplica intake = JobTableReplica.this;
-			if (!saved.state().isFinal()) {
-				intake.progress.put(row.key(), new StoredProgress(saved, row.version()));
-				intake.deliverWithReadableProgress(row.key());
-				return;
-			}
-			intake.ended.add(row.key());
-			intake.unfinished.remove(row.key());
-			intake.progress.remove(row.key());
-			intake.cancelled.remove(row.key());
-			intake.unreadableProgress.remove(row.key());
+			JobTableReplica replica = JobTableReplica.this;
+			boolean wasUnreadable = replica.progress.isUnreadable(row.key());
+			replica.progress.apply(row).ifPresent((stored) -> {
+				if (stored.progress().state().isFinal()) {
+					replica.unfinished.remove(row.key());
+					replica.cancelled.remove(row.key());
+				}
+				StoredJob job = replica.unfinished.get(row.key());
+				if (!replica.replayed) {
+					return;
+				}
+				if (wasUnreadable && job != null) {
+					replica.owner.ifPresent((listener) -> replica.deliver(listener, job));
+				}
+				else if (row.version() <= replica.takeOverVersion) {
+					replica.owner.ifPresent((listener) -> listener.progressReceivedLate(row.key(), stored));
+				}
+			});
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerElection.java
@@ -195,7 +195,7 @@
 	public void takeOverRequested(long rowVersion) {
 		this.takeOverRequestVersion = rowVersion;
 		if (this.version < rowVersion) {
-			this.follower.catchUp(this::checkOwnership);
+			this.follower.catchUp((read) -> checkOwnership());
 		}
 		checkOwnership();
 	}
@@ -237,7 +237,7 @@
 		boolean isNewOwner = epoch > this.heartbeatEpoch
 				&& this.current.filter((record) -> record.epoch() >= epoch).isEmpty();
 		if (isNewOwner) {
-			this.follower.catchUp(() -> {
+			this.follower.catchUp((read) -> {
 			});
 		}
 	}
@@ -326,7 +326,7 @@
 	private void rereadRowThenTakeOver(long sinceChange) {
 		if (!this.rereadingRow) {
 			this.rereadingRow = true;
-			this.follower.catchUp(() -> {
+			this.follower.catchUp((read) -> {
 				if (this.rereadingRow && isHeartbeatOverdue() && this.version <= this.heartbeatVersion) {
 					takeOverFromUnresponsiveOwner();
 				}
@@ -352,10 +352,11 @@
 		long former = previous.confirming() ? 0 : formerOwnerStartMillis;
 		long sentNanos = this.clock.nanos();
 		long sentMillis = this.clock.millis();
-		write(next, this.version, (commit) -> {
+		long previousVersion = this.version;
+		write(next, previousVersion, (commit) -> {
 			if (commit instanceof PartitionCommit.Committed committed) {
 				becomeOwner(new TakeOver(next, committed.version(), sentNanos, sentMillis, previous, knownNanos,
-						leaseEndNanos, former), previous.host(), reason);
+						leaseEndNanos, former, previousVersion), previous.host(), reason);
 			}
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
 				changed(conflict.current());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -149,7 +149,7 @@
 		this.renewalMonitor = new RenewalMonitor(this.lease, this.pool, this.registry, dependencies.log());
 		this.heartbeat = new Heartbeat(this.epoch, peers, dependencies.clock());
 		this.intake = new JobIntake(this.registry, this.inheritedJobs, this.accounts, this.runs, this.lease,
-				this.stateWriter, dependencies, this.takenOverNanos, this.loop::requestTurn);
+				this.stateWriter, dependencies, takeOver, this.takenOverNanos, this.loop::requestTurn);
 	}
 
 	/** Starts the scheduling loop and receives the jobs. */
@@ -165,7 +165,7 @@
 					this.pool.inherited().maxRemainingMillis(this.takenOverNanos)));
 		this.runs.losses().restoreUnresolvedStarts(this.takeOver);
 		this.loop.start();
-		this.jobTables.attach(this.intake);
+		this.jobTables.attach(this.intake, this.takeOver.version());
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -85,7 +85,7 @@
 		this.observers = new RunObservers(jobs, clock);
 		UnknownJobs unknownJobs = new UnknownJobs(jobs, isLoaded, clock);
 		this.crashes = new CrashTracker(jobs, pool, log, clock);
-		this.inheritedStarts = new InheritedStarts(jobs);
+		this.inheritedStarts = new InheritedStarts(jobs, log);
 		this.terminations = new RunTerminationHandler(ownerLease, jobs, unknownJobs, this.crashes, this.inheritedStarts,
 				this.observers, log, clock, this::stop);
 		this.losses = new WorkerLossHandler(pool, jobs, this.terminations, this.crashes, this.inheritedStarts, clock,
@@ -157,6 +157,7 @@
 		}
 		worker.add(run);
 		step.addRun(run);
+		this.inheritedStarts.recordStart(step, task, attempt);
 		this.log.write(new JobDecision.TaskPlaced(task.job(), task.toString(), attempt, worker.id(),
 				worker.incarnation().startedMillis().orElse(-1), this.ownerLease.epoch(),
 				worker.lease().clockAgeMillis(now), this.ownerLease.renewalAgeMillis(),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TakeOver.java
@@ -16,8 +16,9 @@
  * @param formerOwnerStartMillis time from the take-over on during which the former owner
  * may still start jobs that are stored and that it learns of, milliseconds; 0 if it
  * starts none
+ * @param previousVersion version of the row of the former owner, 0 if there was none
  */
 public record TakeOver(OwnerRecord record, long version, long sentNanos, long sentMillis, OwnerRecord previous,
-		long previousKnownNanos, long formerLeaseEndNanos, long formerOwnerStartMillis) {
+		long previousKnownNanos, long formerLeaseEndNanos, long formerOwnerStartMillis, long previousVersion) {
 
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
@@ -112,7 +112,7 @@
 		awaitExecutor();
 		this.table.answer("p", new TablePage(List.of(), false, 7));
 		awaitExecutor();
-		this.executor.execute(() -> this.follower.catchUp(() -> done.add("done")));
+		this.executor.execute(() -> this.follower.catchUp((read) -> done.add("done")));
 		awaitExecutor();
 		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, true, false));
 		awaitExecutor();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedJobsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedJobsTests.java
@@ -12,7 +12,7 @@
 
 	private static InheritedJobs after(long formerOwnerStartMillis) {
 		return new InheritedJobs(new TakeOver(OwnerRecord.NEVER_OWNED, TAKE_OVER_VERSION, 0, 0, OwnerRecord.NEVER_OWNED,
-				0, 0, formerOwnerStartMillis), 0);
+				0, 0, formerOwnerStartMillis, 0), 0);
 	}
 
 	private static long nanos(long millis) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
@@ -27,7 +27,7 @@
 	}
 
 	private static TakeOver takeOver(OwnerRecord former) {
-		return new TakeOver(former, 2, 0, 0, former, nanosAfterKnown(0), nanosAfterKnown(LONGEST_MILLIS), 0);
+		return new TakeOver(former, 2, 0, 0, former, nanosAfterKnown(0), nanosAfterKnown(LONGEST_MILLIS), 0, 0);
 	}
 
 	private void restore(List<String> workers, Map<String, List<String>> closed, Map<String, Long> silent) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
@@ -7,8 +7,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.DecisionLog;
+import org.monsoonrelay.logic.platform.CatchUp;
 import org.monsoonrelay.logic.platform.ObservedTable;
-import org.monsoonrelay.model.submission.JobProgress;
+import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.Submission;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -68,7 +69,7 @@
 		update(true, 2000);
 		update(false, StandbyRole.GRACE_MILLIS + 2000);
 		this.cell.submit("0000000000000003", SimulatedCell.step(1, false));
-		this.jobs.attach(this.owner);
+		this.jobs.attach(this.owner, 0);
 		update(false, 2000);
 		assertThat(this.owner.submitted).containsExactlyInAnyOrder("0000000000000001", "0000000000000002",
 				"0000000000000003");
@@ -78,7 +79,7 @@
 	@Test
 	void ofTheOwnerKeepsItsReplica() {
 		update(true, 2000);
-		this.jobs.attach(this.owner);
+		this.jobs.attach(this.owner, 0);
 		update(false, StandbyRole.GRACE_MILLIS + 2000);
 		this.cell.submit("0000000000000003", SimulatedCell.step(1, false));
 		update(false, 2000);
@@ -88,7 +89,7 @@
 	@Test
 	void ofAFormerOwnerKeepsItsReplicaForTheGracePeriod() {
 		update(true, 2000);
-		this.jobs.attach(this.owner);
+		this.jobs.attach(this.owner, 0);
 		update(false, StandbyRole.GRACE_MILLIS + 2000);
 		this.jobs.detach(this.owner);
 		update(false, StandbyRole.GRACE_MILLIS - 2000);
@@ -108,7 +109,7 @@
 		private boolean allLoaded;
 
 		@Override
-		public void submitted(Submission submission, Optional<JobProgress> progress, long version) {
+		public void submitted(Submission submission, Optional<StoredProgress> progress, long version) {
 			this.submitted.add(submission.id());
 		}
 
@@ -124,6 +125,14 @@
 		public void changed() {
 		}
 
+		@Override
+		public void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs) {
+		}
+
+		@Override
+		public void progressReceivedLate(String job, StoredProgress progress) {
+		}
+
 		@Override
 		public void allLoaded() {
 			this.allLoaded = true;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnreadableJobsTests.java
@@ -185,7 +185,7 @@
 			OwnerRecord record = new OwnerRecord("h", "s0", 1, 1, false, java.util.List.of("w0"),
 					java.util.Map.of("w1", java.util.List.of("not a task")), HostSize.UNKNOWN, java.util.List.of(),
 					true, true, java.util.Map.of(), java.util.Map.of(), java.util.Map.of(), java.util.Map.of(), 0L, "");
-			pool.recoverFrom(new TakeOver(record, 1, 0, 0, record, 0, 0, 0));
+			pool.recoverFrom(new TakeOver(record, 1, 0, 0, record, 0, 0, 0, 0));
 			pool.inherited().markReconciled("w0");
 			assertThat(pool.inherited().areReconciled()).isFalse();
 			pool.inherited().markReconciled("w1");
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -65,7 +65,7 @@
 	void aWorkerOfTheFormerOwnerAcceptsNoWorkWhileARecordNamesItAsSilent() {
 		OwnerRecord former = new OwnerRecord("g", "s1", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
 				List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), 0L, "");
-		this.pool.recoverFrom(new TakeOver(former, 1, 0, 0, former, 0, 0, 0));
+		this.pool.recoverFrom(new TakeOver(former, 1, 0, 0, former, 0, 0, 0, 0));
 		this.pool.update(List.of(INFO));
 		this.pool.worker("w").orElseThrow().markUnreachable(0);
 		OwnerRecord record = writeRecord();
@@ -106,7 +106,7 @@
 		private void inherit(Map<String, Long> silentWorkers) {
 			OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
 					List.of(), true, true, Map.of("w", 5L), Map.of(), silentWorkers, Map.of(), 0L, "");
-			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, 0, formerEnd(0), 0));
+			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, 0, formerEnd(0), 0, 0));
 		}
 
 		private PoolWorker listWorker(OptionalLong startedMillis) {
@@ -145,7 +145,7 @@
 			long nowNanos = TimeUnit.SECONDS.toNanos(8);
 			OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
 					List.of(), true, true, Map.of("w", 5L), Map.of(), Map.of(), Map.of(), 0L, "");
-			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, nowNanos, formerEnd(nowNanos), 0));
+			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, nowNanos, formerEnd(nowNanos), 0, 0));
 			assertThat(worker.lease().remainingMillis(nowNanos)).isBetween(1L, 3000L);
 			assertThat(namedAt(8000).get("w")).isBetween(OwnerLease.MAX_FORMER_LEASE_MILLIS,
 					OwnerLease.MAX_FORMER_LEASE_MILLIS + 1);
@@ -238,7 +238,7 @@
 		void acceptNoWorkIfTheirStartIsNotKnown() {
 			OwnerRecord record = new OwnerRecord("h", "s0", 100, 1, false, List.of("w"), Map.of(), HostSize.UNKNOWN,
 					List.of(), true, true, Map.of(), Map.of(), Map.of(), Map.of(), 0L, "");
-			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, 0, formerEnd(0), 0));
+			this.pool.recoverFrom(new TakeOver(record, 2, 0, 0, record, 0, formerEnd(0), 0, 0));
 			PoolWorker worker = listWorker(OptionalLong.empty());
 			worker.markUnreachable(0);
 			writeRecord();
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.model.submission;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.regex.Matcher;
@@ -31,6 +32,26 @@
 		return this.steps.entrySet().stream().allMatch((entry) -> matches(job, entry.getKey(), entry.getValue()));
 	}
 
+	/**
+	 * What this progress tells beyond another one of the same job.
+	 * @param known the other progress
+	 * @return the difference; of a job that has ended no tasks are known
+	 */
+	public Difference differenceTo(JobProgress known) {
+		int done = 0;
+		int failures = 0;
+		for (Map.Entry<String, StepRecord> entry : this.steps.entrySet()) {
+			StepRecord saved = entry.getValue();
+			StepRecord other = known.steps().getOrDefault(entry.getKey(), StepRecord.NONE);
+			done += (int) saved.done().stream().filter((index) -> !other.done().contains(index)).count();
+			for (Map.Entry<Integer, List<Integer>> failed : saved.failedAttempts().entrySet()) {
+				List<Integer> counted = other.failedAttempts().getOrDefault(failed.getKey(), List.of());
+				failures += (int) failed.getValue().stream().filter((attempt) -> !counted.contains(attempt)).count();
+			}
+		}
+		return new Difference(done, failures);
+	}
+
 	private static boolean matches(Submission job, String key, StepRecord saved) {
 		Matcher local = LOCAL_KEY.matcher(key);
 		if (!local.matches() || Integer.parseInt(local.group(1)) >= job.timetable().occurrences()) {
@@ -41,4 +62,14 @@
 				&& saved.done().stream().allMatch((index) -> index < job.steps().get(step).count());
 	}
 
+	/**
+	 * What one progress tells beyond another one. Immutable.
+	 *
+	 * @param doneTasks number of tasks that only the first one has as completed
+	 * @param failures number of failed attempts that only the first one counts
+	 */
+	public record Difference(int doneTasks, int failures) {
+
+	}
+
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.model.submission;
 
 import java.util.BitSet;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -202,6 +203,23 @@
 		return this.failedAttempts.values().stream().mapToInt(Set::size).max().orElse(0);
 	}
 
+	/**
+	 * Number of failed attempts of a task.
+	 * @param index number of the task
+	 * @return the count
+	 */
+	public int failures(int index) {
+		return this.failedAttempts.getOrDefault(trackedIndex(index), Collections.emptySortedSet()).size();
+	}
+
+	/**
+	 * Number of completed tasks, 1 for a complete gang.
+	 * @return the count
+	 */
+	public int doneCount() {
+		return this.done.cardinality();
+	}
+
 	public int highestAttempt() {
 		return this.highestAttempt;
 	}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
@@ -15,6 +15,9 @@
 public record StepRecord(List<Integer> done, Map<Integer, List<Integer>> failedAttempts,
 		Map<Integer, String> checkpoints, int highestAttempt, Map<Integer, TaskCrashes> crashes) {
 
+	/** Nothing has ended. */
+	static final StepRecord NONE = new StepRecord(List.of(), Map.of(), Map.of(), 0, Map.of());
+
 	public StepRecord {
 		if (done.stream().anyMatch((index) -> index < 0)) {
 			throw new IllegalArgumentException("not tasks: " + done);
