Show that a take-over that reads a cut answer starts ended tasks again

A standby whose answers for changes are cut after 5 rows, or within a write after 1, takes over while jobs run: it starts tasks again whose ends were acknowledged to their workers ("start after the acknowledged termination of job8.0.0.0" and many others, in all three forms), and replays with progress that was read up to a version below that of its take-over.

The table of the tests cuts its answers at any number of rows without telling so, also within a write, and then continues before that write.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -161,6 +161,10 @@
 
 		private int feedRows = Integer.MAX_VALUE;
 
+		private boolean splitsWrites;
+
+		private int readCalls;
+
 		private long linkBytesPerMillis = Long.MAX_VALUE;
 
 		private long historyBegin;
@@ -218,6 +222,26 @@
 		 */
 		void setFeedRows(int rows) {
 			this.feedRows = rows;
+			this.splitsWrites = false;
+		}
+
+		/**
+		 * Cuts each answer of the change feed after some rows, without telling so, also
+		 * within the rows of one write. It is then continued from the version before that
+		 * write.
+		 * @param rows the limit
+		 */
+		void cutAnswersAfter(int rows) {
+			this.feedRows = rows;
+			this.splitsWrites = true;
+		}
+
+		/**
+		 * The number of calls for changes and of reads that this process has sent.
+		 * @return the count
+		 */
+		int readCalls() {
+			return this.readCalls;
 		}
 
 		/**
@@ -279,6 +303,7 @@
 		@Override
 		public CompletableFuture<TablePage> read(String table, String partition, String from, int limit) {
 			CompletableFuture<TablePage> answer = new CompletableFuture<>();
+			this.readCalls++;
 			boolean isBlocked = !partition.isEmpty() && partition.equals(InMemoryTable.this.blockedPartition);
 			if (isUnreadable() || isBlocked) {
 				after(TIMEOUT_MILLIS, () -> fail(answer));
@@ -302,6 +327,7 @@
 		@Override
 		public CompletableFuture<TableChanges> changes(String table, long after, Duration wait) {
 			CompletableFuture<TableChanges> answer = new CompletableFuture<>();
+			this.readCalls++;
 			if (isUnreadable()) {
 				after(TIMEOUT_MILLIS, () -> fail(answer));
 				return answer;
@@ -326,18 +352,23 @@
 			}
 			List<TableRow> changed = changedSince(since).filter((row) -> row.table().equals(table)).toList();
 			if (!changed.isEmpty() || remainingMillis <= 0) {
-				TableChanges changes = limited(changed);
+				TableChanges changes = limited(changed, since);
 				deliver(changes.rows(), this.feedDelayMillis, () -> answer.complete(changes));
 				return;
 			}
 			after(POLL_MILLIS, () -> poll(answer, table, since, remainingMillis - POLL_MILLIS));
 		}
 
-		private TableChanges limited(List<TableRow> changed) {
+		private TableChanges limited(List<TableRow> changed, long since) {
 			if (changed.size() <= this.feedRows) {
 				return new TableChanges(changed, InMemoryTable.this.version, false, false);
 			}
 			long last = changed.get(this.feedRows - 1).version();
+			if (this.splitsWrites) {
+				boolean isSplit = changed.get(this.feedRows).version() == last;
+				return new TableChanges(changed.subList(0, this.feedRows), isSplit ? Math.max(since, last - 1) : last,
+						false, false);
+			}
 			return new TableChanges(changed.stream().takeWhile((row) -> row.version() <= last).toList(), last, true,
 					false);
 		}
