Read on after each answer with changes until nothing follows

Callers saw tasks run again after ends that had been acknowledged, all just after a change of owner. An answer to a call for changes holds rows "as soon as there is at least one", so that it may be any part of them; the client took each one of less than 500 rows and 900,000 bytes for the whole. A new owner whose answer was cut elsewhere replayed without the newest progress, and what arrived afterwards was stored in its replica and given to nobody.

TableChanges has no flag any more: an answer with rows shows nothing about what follows it. FeedCompleteness decides when a follower reads on: 0.9 s after the last proof it asks without a pause until an answer is empty, so that a prefix followed by a pause cannot let the lag grow. Where changes come too often for that, it reads the newest version of the table once and reads up to it. "Everything is delivered", on which the ages of counts, states, configurations and customers' keys rest, is told only then. Confirmed changes and the owner's row (read as a whole) were right and stay as they are. A catch that ends within the rows of one write is continued from the answered version, as the protocol says, which is then before that write; where it would return the same rows for ever, all partitions are read again. Partition reads of several pages hold: they tell that they are cut, and their version is that of the oldest page, from which the feed goes on.

Existing tests: TableFollowerTests.continuesAtOnceAfterATruncatedAnswer and hasCaughtUpOnlyAfterACompleteAnswer expected an answer without the flag to be the last one; they are replaced by tests that ask for an empty answer, or for the version that is to be reached. AcknowledgedEnds also reports starts after the last allowed failure.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionedTable.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionedTable.java
@@ -29,7 +29,7 @@
 	CompletableFuture<TablePage> read(String table, String partition, String from, int limit);
 
 	/**
-	 * Wait for changes of a table in any partition.
+	 * Wait for changes of a table in any partition. An answer may hold a part of them.
 	 * @param table the table
 	 * @param after the version after which to return changes
 	 * @param wait how long to wait for the first change
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableChanges.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableChanges.java
@@ -5,20 +5,30 @@
 /**
  * Changes of a table after a version. Immutable.
  *
- * @param rows the changed rows in the order of their versions
- * @param version the version to continue from
- * @param more whether later changes may exist already, since the number of rows in an
- * answer is limited
+ * @param rows the changed rows in the order of their versions; any number of others may
+ * follow them, and only an answer without rows shows that none does
+ * @param version the version to continue from: all changes up to it are contained here or
+ * in earlier answers
  * @param historyLost whether the changes are no longer retained, so that the table has to
  * be read again
  */
-public record TableChanges(List<TableRow> rows, long version, boolean more, boolean historyLost) {
+public record TableChanges(List<TableRow> rows, long version, boolean historyLost) {
 
 	/** The requested changes are no longer retained. */
-	public static final TableChanges HISTORY_LOST = new TableChanges(List.of(), 0, false, true);
+	public static final TableChanges HISTORY_LOST = new TableChanges(List.of(), 0, true);
 
 	public TableChanges {
 		rows = List.copyOf(rows);
 	}
 
+	/**
+	 * Whether the feed cannot be continued, as this answer ends within the rows of the
+	 * first write after a version.
+	 * @param after the version after which changes were asked for
+	 * @return {@code true} if the next answer would be the same
+	 */
+	boolean isStuckAt(long after) {
+		return !this.rows.isEmpty() && this.version <= after;
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.platform;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,29 +15,28 @@
  * change history is lost. A partition read at an older version than that is read again. A
  * partition that does not answer delays neither the other partitions nor the changes.
  * After a failed poll the next one does not wait, so that a connection without an answer
- * is noticed sooner. The listener receives every change in order, or a snapshot of its
- * partition that contains it; a change may arrive before the snapshot of its partition.
- * Confined to the given executor, on which the listener is called.
+ * is noticed sooner. An answer with changes never shows that no others follow: the
+ * follower asks until that is shown about once a second, see {@link FeedCompleteness}.
+ * The listener receives every change in order, or a snapshot of its partition that
+ * contains it; a change may arrive before the snapshot of its partition. Confined to the
+ * given executor, on which the listener is called.
  */
 public final class TableFollower {
 
-	/**
-	 * How long one call waits for a change, milliseconds. A silent connection is noticed
-	 * only after this time, which is part of the 2 s in which a change has to take
-	 * effect.
-	 */
-	private static final long WAIT_MILLIS = 900;
-
 	/**
 	 * Delay after a failed call, milliseconds; limits the rate of calls to a service that
 	 * is down.
 	 */
 	private static final long RETRY_MILLIS = 150;
 
-	private static final int PAGE_ROWS = 500;
+	private static final long NOT_A_POLL = -1;
 
 	private final PartitionedTable table;
 
+	private final PartitionReader reader;
+
+	private final FeedCompleteness completeness;
+
 	private final String name;
 
 	private final List<String> partitions;
@@ -68,12 +66,11 @@
 	private boolean confirmsChanges;
 
 	/**
-	 * Create a follower.
+	 * Create a follower with a fixed spacing, see the other constructor.
 	 * @param table the service
 	 * @param name the table to follow
 	 * @param partitions its partitions
-	 * @param minimumInterval the minimum time between two calls that returned changes, so
-	 * that small changes are batched
+	 * @param minimumInterval the minimum time between two calls that returned changes
 	 * @param executor a single thread
 	 * @param listener receives the rows
 	 */
@@ -88,13 +85,15 @@
 	 * @param name the table to follow
 	 * @param partitions its partitions
 	 * @param minimumInterval supplies the minimum time between two calls that returned
-	 * changes
+	 * changes, so that small changes are batched
 	 * @param executor a single thread
 	 * @param listener receives the rows
 	 */
 	public TableFollower(PartitionedTable table, String name, List<String> partitions,
 			Supplier<Duration> minimumInterval, ScheduledExecutorService executor, Listener listener) {
 		this.table = table;
+		this.reader = new PartitionReader(table, name);
+		this.completeness = new FeedCompleteness(executor, () -> this.reader.readVersion(partitions.get(0)));
 		this.name = name;
 		this.partitions = List.copyOf(partitions);
 		this.minimumInterval = minimumInterval;
@@ -128,9 +127,7 @@
 		return this;
 	}
 
-	/**
-	 * Start following.
-	 */
+	/** Start following. */
 	public void start() {
 		this.executor.execute(this::loadPartitions);
 	}
@@ -141,6 +138,7 @@
 	 */
 	public void close() {
 		this.closed = true;
+		this.completeness.reset();
 	}
 
 	/**
@@ -151,32 +149,43 @@
 	 * @param done called once all changes up to this call have been delivered
 	 */
 	public void catchUp(Consumer<CatchUp> done) {
-		catchUp(done, CatchUp.NONE);
+		catchUp(Long.MAX_VALUE, done);
 	}
 
-	private void catchUp(Consumer<CatchUp> done, CatchUp before) {
+	/**
+	 * Like {@link #catchUp(Consumer)}, for the changes up to a version.
+	 * @param until the version
+	 * @param done called once all changes up to the version have been delivered
+	 */
+	public void catchUp(long until, Consumer<CatchUp> done) {
+		catchUp(until, done, CatchUp.NONE);
+	}
+
+	private void catchUp(long until, Consumer<CatchUp> done, CatchUp before) {
 		if (this.closed || !this.following) {
 			return;
 		}
 		int ofGeneration = this.loadGeneration;
+		long after = this.version;
 		changesSoFar().whenComplete(ExecutorCallback.on(this.executor, (changes, failure) -> {
 			if (this.closed || ofGeneration != this.loadGeneration) {
 				return;
 			}
-			if (failure != null || changes.historyLost()) {
-				this.executor.schedule(() -> catchUp(done, before), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			// The poll that finds the same reads all partitions again.
+			if (failure != null || changes.historyLost() || changes.isStuckAt(after)) {
+				this.executor.schedule(() -> catchUp(until, done, before), RETRY_MILLIS, TimeUnit.MILLISECONDS);
 				return;
 			}
 			this.version = Math.max(this.version, changes.version());
 			this.listener.changed(changes.rows());
 			CatchUp read = before.plus(changes);
-			if (changes.more()) {
-				catchUp(done, read);
+			if (!changes.rows().isEmpty() && !this.latestOnly && this.version < until) {
+				catchUp(until, done, read);
 				return;
 			}
 			done.accept(read);
 			if (this.pause != null && this.pause.cancel(false)) {
-				follow();
+				pollChanges(this.completeness.maxWait());
 			}
 		}));
 	}
@@ -195,72 +204,64 @@
 			return;
 		}
 		this.listener.onCallSent(Duration.ZERO);
-		read(partition, "", new PartitionRows(new ArrayList<>(), Long.MAX_VALUE))
-			.whenComplete(ExecutorCallback.on(this.executor, (loaded, failure) -> {
-				if (this.closed || ofGeneration != this.loadGeneration) {
-					return;
-				}
-				if (failure != null) {
-					handleFailure(failure, () -> loadPartition(partition, ofGeneration));
-					return;
-				}
-				handleResponse();
-				boolean isFirst = !this.following;
-				if (isFirst) {
-					this.following = true;
-					this.version = loaded.version();
-					this.followedFromVersion = loaded.version();
-				}
-				// Such a read was executed before the first answered one and may
-				// miss changes made between the two.
-				if (loaded.version() < this.followedFromVersion) {
-					loadPartition(partition, ofGeneration);
-					return;
-				}
-				this.listener.snapshot(partition, loaded.rows());
-				this.listener.onAnswerDelivered(false);
-				if (isFirst) {
-					follow();
-				}
-			}));
-	}
-
-	private CompletableFuture<PartitionRows> read(String partition, String from, PartitionRows loaded) {
-		return this.table.read(this.name, partition, from, PAGE_ROWS).thenCompose((page) -> {
-			loaded.rows().addAll(page.rows());
-			PartitionRows more = new PartitionRows(loaded.rows(), Math.min(loaded.version(), page.version()));
-			if (!page.truncated() || page.rows().isEmpty()) {
-				return CompletableFuture.completedFuture(more);
+		this.reader.readAll(partition).whenComplete(ExecutorCallback.on(this.executor, (loaded, failure) -> {
+			if (this.closed || ofGeneration != this.loadGeneration) {
+				return;
+			}
+			if (failure != null) {
+				handleFailure(failure, () -> loadPartition(partition, ofGeneration));
+				return;
 			}
-			return read(partition, page.rows().get(page.rows().size() - 1).key() + "!", more);
-		});
+			handleResponse();
+			boolean isFirst = !this.following;
+			if (isFirst) {
+				this.following = true;
+				this.version = loaded.version();
+				this.followedFromVersion = loaded.version();
+			}
+			// Such a read was executed before the first answered one and may
+			// miss changes made between the two.
+			if (loaded.version() < this.followedFromVersion) {
+				loadPartition(partition, ofGeneration);
+				return;
+			}
+			this.listener.snapshot(partition, loaded.rows());
+			this.listener.onAnswerDelivered(false);
+			if (isFirst) {
+				this.completeness.proved();
+				follow();
+			}
+		}));
 	}
 
 	private void follow() {
-		pollChanges(Duration.ofMillis(WAIT_MILLIS));
+		pollChanges(FeedCompleteness.MAX_WAIT);
 	}
 
 	private void pollChanges(Duration wait) {
-		poll(wait, () -> this.table.changes(this.name, this.version, wait));
+		long after = this.version;
+		poll(wait, after, () -> this.table.changes(this.name, after, wait));
 	}
 
 	private void followAfterPause() {
 		if (this.latestOnly) {
-			poll(Duration.ZERO, this::latest);
+			poll(Duration.ZERO, NOT_A_POLL, this::latest);
 		}
 		else if (this.confirmsChanges) {
 			pollChanges(Duration.ZERO);
 		}
 		else {
-			follow();
+			pollChanges(this.completeness.maxWait());
 		}
 	}
 
-	private void poll(Duration wait, Supplier<CompletableFuture<TableChanges>> call) {
+	private void poll(Duration wait, long after, Supplier<CompletableFuture<TableChanges>> call) {
 		if (this.closed) {
 			return;
 		}
-		this.listener.onCallSent(wait);
+		if (!this.completeness.isProbing()) {
+			this.listener.onCallSent(wait);
+		}
 		call.get().whenComplete(ExecutorCallback.on(this.executor, (changes, failure) -> {
 			if (this.closed) {
 				return;
@@ -270,7 +271,7 @@
 				return;
 			}
 			handleResponse();
-			applyChanges(changes);
+			applyChanges(changes, after);
 		}));
 	}
 
@@ -279,37 +280,48 @@
 	}
 
 	private CompletableFuture<TableChanges> latest() {
-		long known = this.version;
-		return read(this.partitions.get(0), "", new PartitionRows(new ArrayList<>(), Long.MAX_VALUE))
-			.thenApply((latest) -> {
-				List<TableRow> newer = latest.rows().stream().filter((row) -> row.version() > known).toList();
-				// Without a change the feed is polled next, which reports deleted rows.
-				return new TableChanges(newer, newer.isEmpty() ? known : latest.version(), false, false);
-			});
+		return this.reader.readNewer(this.partitions.get(0), this.version);
 	}
 
-	private void applyChanges(TableChanges changes) {
-		if (changes.historyLost()) {
+	private void applyChanges(TableChanges changes, long after) {
+		if (changes.historyLost() || changes.isStuckAt(after)) {
 			this.listener.historyLost();
-			loadPartitions();
+			this.completeness.reset();
+			long delay = changes.historyLost() ? 0 : RETRY_MILLIS;
+			this.executor.schedule(this::loadPartitions, delay, TimeUnit.MILLISECONDS);
 			return;
 		}
 		this.version = Math.max(this.version, changes.version());
 		if (changes.rows().isEmpty()) {
+			boolean pauses = this.completeness.isContinuing();
+			this.completeness.proved();
 			this.listener.onAnswerDelivered(true);
-			follow();
+			if (pauses) {
+				pause(this.minimumInterval.get());
+			}
+			else {
+				follow();
+			}
 			return;
 		}
 		this.listener.changed(changes.rows());
-		if (changes.more()) {
-			// Pausing after a truncated answer would increase the lag without
-			// bound.
-			follow();
+		Duration interval = this.minimumInterval.get();
+		boolean isProbing = this.completeness.isProbing();
+		if (!this.latestOnly && this.completeness.mustContinue(this.version, interval)) {
+			if (this.completeness.startProbe()) {
+				this.listener.onCallSent(Duration.ZERO);
+			}
+			pollChanges(Duration.ZERO);
 			return;
 		}
-		this.listener.onAnswerDelivered(false);
-		this.pause = this.executor.schedule(this::followAfterPause, this.minimumInterval.get().toMillis(),
-				TimeUnit.MILLISECONDS);
+		if (isProbing && !this.completeness.isProbing()) {
+			this.listener.onAnswerDelivered(false);
+		}
+		pause(interval);
+	}
+
+	private void pause(Duration interval) {
+		this.pause = this.executor.schedule(this::followAfterPause, interval.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private void handleResponse() {
@@ -327,10 +339,6 @@
 		this.executor.schedule(retry, RETRY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	private record PartitionRows(List<TableRow> rows, long version) {
-
-	}
-
 	/**
 	 * Receives the content and changes of a followed table, on the executor of the
 	 * follower.
@@ -351,16 +359,17 @@
 		void changed(List<TableRow> rows);
 
 		/**
-		 * A call is sent whose answer contains all changes up to its composition.
-		 * Followers of several partitions have several such calls in flight.
+		 * A call is sent that may show that all changes up to then are known. Followers
+		 * of several partitions have several such calls in flight.
 		 * @param wait the longest time for which the table holds the answer back
 		 */
 		default void onCallSent(Duration wait) {
 		}
 
 		/**
-		 * Everything up to the composition of an answer has been delivered.
-		 * @param empty whether there was no change
+		 * Everything that the table had accepted when the last call was sent has been
+		 * delivered. Not called after an answer that others may follow.
+		 * @param empty whether the answer held no change
 		 */
 		default void onAnswerDelivered(boolean empty) {
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -148,7 +148,7 @@
 		this.replayed = false;
 		this.allLoadedReported = false;
 		start();
-		this.submissionFeed.catchUp((read) -> {
+		this.submissionFeed.catchUp(version, (read) -> {
 		});
 		if (this.progressLoaded) {
 			catchUpProgress();
@@ -158,7 +158,7 @@
 	// The response contains all progress that a former owner wrote before the take-over.
 	private void catchUpProgress() {
 		Optional<JobReplicaListener> requested = this.owner;
-		this.progressFeed.catchUp((read) -> {
+		this.progressFeed.catchUp(this.takeOverVersion, (read) -> {
 			if (requested.isPresent() && requested.equals(this.owner) && !this.replayed) {
 				replay(requested.get(), read);
 			}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/FreshnessSeriesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/FreshnessSeriesTests.java
@@ -165,7 +165,7 @@
 				this.time.schedule(() -> awaitChange(answer, after, endMillis, timeout), 1, TimeUnit.MILLISECONDS);
 				return;
 			}
-			exchange(answer, timeout, () -> new TableChanges(rowsAfter(after), version(), false, false));
+			exchange(answer, timeout, () -> new TableChanges(rowsAfter(after), version(), false));
 		}
 
 		private List<TableRow> rowsAfter(long version) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/platform/TableFollowerTests.java
@@ -77,36 +77,38 @@
 
 	/**
 	 * Guards against a growing lag of the feed, which reached 15.6 s after 35 s. An
-	 * answer contains at most 500 rows, and the follower paused after a truncated answer
-	 * as after a complete one: an answer covered 205 versions while the table advanced by
-	 * 656. The follower was 250 versions behind the owner's messages after 1 s, 2,647
-	 * after 20 s and 4,474 after 36 s.
+	 * answer contains a limited number of rows, and the follower paused after each one:
+	 * an answer covered 205 versions while the table advanced by 656. The follower was
+	 * 250 versions behind the owner's messages after 1 s, 2,647 after 20 s and 4,474
+	 * after 36 s.
 	 */
 	@Test
-	void continuesAtOnceAfterATruncatedAnswer() throws Exception {
+	void continuesAtOnceUntilNothingFollowsIfThePauseIsLong() throws Exception {
 		TableFollower pausing = new TableFollower(this.table, TABLE, List.of("p"), Duration.ofDays(1), this.executor,
 				new RecordingListener());
 		pausing.start();
 		awaitExecutor();
 		this.table.answer("p", new TablePage(List.of(), false, 7));
 		awaitExecutor();
-		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, true, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false));
 		awaitExecutor();
 		assertThat(this.table.followedFrom).isEqualTo(8);
-		this.table.answerPoll(new TableChanges(List.of(row("p", "second", 9)), 10, false, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "second", 9)), 10, false));
 		awaitExecutor();
 		assertThat(this.receivedKeys).containsExactly("first", "second");
-		assertThat(this.table.followedFrom).as("pauses after a complete answer").isEqualTo(8);
+		assertThat(this.table.followedFrom).isEqualTo(10);
+		this.table.answerPoll(new TableChanges(List.of(), 12, false));
+		awaitExecutor();
+		assertThat(this.table.followedFrom).as("pauses once nothing follows").isEqualTo(10);
 		pausing.close();
 	}
 
 	/**
 	 * A new owner reads everything that the former owner wrote before it starts. Guards
-	 * against treating a truncated answer as complete and starting without the remaining
-	 * changes.
+	 * against treating an answer as complete and starting without the remaining changes.
 	 */
 	@Test
-	void hasCaughtUpOnlyAfterACompleteAnswer() throws Exception {
+	void hasCaughtUpOnlyAfterAnAnswerThatShowsThatNothingFollows() throws Exception {
 		List<String> done = new ArrayList<>();
 		this.follower.start();
 		awaitExecutor();
@@ -114,15 +116,53 @@
 		awaitExecutor();
 		this.executor.execute(() -> this.follower.catchUp((read) -> done.add("done")));
 		awaitExecutor();
-		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, true, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false));
 		awaitExecutor();
 		assertThat(done).isEmpty();
-		this.table.answerPoll(new TableChanges(List.of(row("p", "second", 9)), 10, false, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "second", 9)), 10, false));
 		awaitExecutor();
 		assertThat(this.receivedKeys).containsExactly("first", "second");
+		assertThat(done).isEmpty();
+		this.table.answerPoll(new TableChanges(List.of(), 11, false));
+		awaitExecutor();
 		assertThat(done).hasSize(1);
 	}
 
+	@Test
+	void hasCaughtUpWithAVersionOnceTheFeedHasReachedIt() throws Exception {
+		List<CatchUp> done = new ArrayList<>();
+		this.follower.start();
+		awaitExecutor();
+		this.table.answer("p", new TablePage(List.of(), false, 7));
+		awaitExecutor();
+		this.executor.execute(() -> this.follower.catchUp(10, done::add));
+		awaitExecutor();
+		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 9, false));
+		awaitExecutor();
+		assertThat(done).isEmpty();
+		this.table.answerPoll(new TableChanges(List.of(row("p", "second", 10)), 10, false));
+		awaitExecutor();
+		assertThat(done).containsExactly(new CatchUp(10, 2, 2));
+	}
+
+	@Test
+	void readsThePartitionsAgainIfAnAnswerEndsWithinTheFirstWriteAfterItsVersion() throws Exception {
+		this.follower.start();
+		awaitExecutor();
+		this.table.answer("q", new TablePage(List.of(), false, 7));
+		this.table.answer("p", new TablePage(List.of(), false, 7));
+		this.table.awaitRead();
+		this.table.awaitRead();
+		awaitExecutor();
+		this.table.answerPoll(new TableChanges(List.of(row("p", "a", 8)), 7, false));
+		this.table.awaitRead();
+		this.table.awaitRead();
+		this.table.answer("p", new TablePage(List.of(row("p", "a", 8), row("p", "b", 8)), false, 8));
+		awaitExecutor();
+		assertThat(this.receivedKeys).containsExactly("a", "b");
+		assertThat(this.table.followedFrom).isEqualTo(8);
+	}
+
 	/**
 	 * Guards against transferring needless history: the owner writes its row up to 50
 	 * times per second, and each host received every version of it after a pause. This
@@ -137,7 +177,7 @@
 		this.table.awaitRead();
 		this.table.answer("p", new TablePage(List.of(), false, 7));
 		awaitExecutor();
-		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false));
 		this.table.awaitRead();
 		this.table.answer("p", new TablePage(List.of(row("p", "ninth", 17)), false, 20));
 		this.table.awaitRead();
@@ -157,9 +197,9 @@
 		this.table.awaitRead();
 		this.table.answer("p", new TablePage(List.of(), false, 7));
 		this.table.awaitPoll();
-		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "first", 8)), 8, false));
 		this.table.awaitPoll();
-		this.table.answerPoll(new TableChanges(List.of(), 8, false, false));
+		this.table.answerPoll(new TableChanges(List.of(), 8, false));
 		this.table.awaitPoll();
 		assertThat(this.table.waits).hasSize(3)
 			.satisfies((waits) -> assertThat(waits.get(1)).isEqualTo(Duration.ZERO))
@@ -176,7 +216,7 @@
 		this.table.awaitPoll();
 		this.table.failPoll();
 		this.table.awaitPoll();
-		this.table.answerPoll(new TableChanges(List.of(), 7, false, false));
+		this.table.answerPoll(new TableChanges(List.of(), 7, false));
 		this.table.awaitPoll();
 		assertThat(this.table.waits).hasSize(3)
 			.satisfies((waits) -> assertThat(waits.get(1)).isEqualTo(Duration.ZERO))
@@ -190,7 +230,7 @@
 		this.table.answer("p", new TablePage(List.of(), false, 7));
 		awaitExecutor();
 		this.executor.submit(this.follower::close).get(10, TimeUnit.SECONDS);
-		this.table.answerPoll(new TableChanges(List.of(row("p", "late", 8)), 8, false, false));
+		this.table.answerPoll(new TableChanges(List.of(row("p", "late", 8)), 8, false));
 		awaitExecutor();
 		assertThat(this.receivedKeys).isEmpty();
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/AcknowledgedEnds.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/AcknowledgedEnds.java
@@ -12,11 +12,12 @@
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * The successful ends of tasks and their acknowledgements. Reports a start after an end
- * that is acknowledged then or later. If the lease of the worker lapsed between the end
- * and its acknowledgement, the end does not count as acknowledged; reported are only
- * starts ordered after the acknowledgement was, by the owner that sent it or a later one,
- * not earlier orders that a worker executes late. Not thread-safe.
+ * The ends of tasks and their acknowledgements. Reports a start after an end as done that
+ * is acknowledged then or later, and a start after the last allowed failure that is
+ * acknowledged then. If the lease of the worker lapsed between the end and its
+ * acknowledgement, the end does not count as acknowledged; reported are only starts
+ * ordered after the acknowledgement was, by the owner that sent it or a later one, not
+ * earlier orders that a worker executes late. Not thread-safe.
  */
 final class AcknowledgedEnds {
 
@@ -31,12 +32,27 @@
 	// By worker and sequence number.
 	private final Map<Object, Map<Long, End>> unacknowledged = new HashMap<>();
 
+	// By worker and sequence number.
+	private final Map<Object, Map<Long, TaskKey>> unacknowledgedFailures = new HashMap<>();
+
+	private final Map<TaskKey, Integer> acknowledgedFailures = new HashMap<>();
+
+	private int maximumFailures = Integer.MAX_VALUE;
+
 	private long eventCount;
 
 	AcknowledgedEnds(Consumer<String> violations) {
 		this.violations = violations;
 	}
 
+	/**
+	 * Sets how often each task may fail.
+	 * @param maximum the number of failures after which it must not be started
+	 */
+	void limitFailures(int maximum) {
+		this.maximumFailures = maximum;
+	}
+
 	/**
 	 * Records that a worker executes a start.
 	 * @param task the task
@@ -50,6 +66,9 @@
 		if (isKnownToOwner || this.acknowledgedTasks.contains(task)) {
 			this.violations.accept("start after the acknowledged termination of " + task);
 		}
+		if (this.acknowledgedFailures.getOrDefault(task, 0) >= this.maximumFailures) {
+			this.violations.accept("start after the last allowed failure of " + task);
+		}
 		this.lastStarts.put(task, ++this.eventCount);
 	}
 
@@ -58,10 +77,15 @@
 			this.unacknowledged.computeIfAbsent(worker, (key) -> new HashMap<>())
 				.put(termination.sequence(), new End(termination.task(), ++this.eventCount));
 		}
+		if (termination.reason() == TerminationReason.FAILED) {
+			this.unacknowledgedFailures.computeIfAbsent(worker, (key) -> new HashMap<>())
+				.put(termination.sequence(), termination.task());
+		}
 	}
 
 	void leaseLapsed(Object worker) {
 		this.unacknowledged.getOrDefault(worker, Map.of()).values().forEach((end) -> end.lapsed = true);
+		this.unacknowledgedFailures.remove(worker);
 	}
 
 	/**
@@ -72,6 +96,10 @@
 	 * @param orderedMillis when the order was sent
 	 */
 	void acknowledged(Object worker, TerminatedTask termination, long fencingToken, long orderedMillis) {
+		Optional
+			.ofNullable(this.unacknowledgedFailures.computeIfAbsent(worker, (key) -> new HashMap<>())
+				.remove(termination.sequence()))
+			.ifPresent((task) -> this.acknowledgedFailures.merge(task, 1, Integer::sum));
 		Optional
 			.ofNullable(this.unacknowledged.computeIfAbsent(worker, (key) -> new HashMap<>())
 				.remove(termination.sequence()))
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/AcknowledgedEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/AcknowledgedEndsTests.java
@@ -81,6 +81,19 @@
 		assertThat(this.violations).hasSize(1);
 	}
 
+	@Test
+	void aStartAfterTheLastAllowedFailureIsReported() {
+		this.ends.limitFailures(2);
+		for (int attempt = 1; attempt <= 3; attempt++) {
+			assertThat(this.violations).isEmpty();
+			TerminatedTask failure = new TerminatedTask(attempt, TASK, attempt, TerminationReason.FAILED, "");
+			this.ends.started(TASK, TOKEN, 0);
+			this.ends.ended(WORKER, failure);
+			this.ends.acknowledged(WORKER, failure, TOKEN, ACKNOWLEDGED_MILLIS);
+		}
+		assertThat(this.violations).containsExactly("start after the last allowed failure of " + TASK);
+	}
+
 	@Test
 	void aLapseOfAnotherWorkerExemptsNoStart() {
 		runToItsEnd();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -361,16 +361,15 @@
 
 		private TableChanges limited(List<TableRow> changed, long since) {
 			if (changed.size() <= this.feedRows) {
-				return new TableChanges(changed, InMemoryTable.this.version, false, false);
+				return new TableChanges(changed, InMemoryTable.this.version, false);
 			}
 			long last = changed.get(this.feedRows - 1).version();
 			if (this.splitsWrites) {
 				boolean isSplit = changed.get(this.feedRows).version() == last;
 				return new TableChanges(changed.subList(0, this.feedRows), isSplit ? Math.max(since, last - 1) : last,
-						false, false);
+						false);
 			}
-			return new TableChanges(changed.stream().takeWhile((row) -> row.version() <= last).toList(), last, true,
-					false);
+			return new TableChanges(changed.stream().takeWhile((row) -> row.version() <= last).toList(), last, false);
 		}
 
 		private void deliver(List<TableRow> rows, long delayMillis, Runnable answer) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -102,6 +102,14 @@
 		this.endlessTasks = tasks;
 	}
 
+	/**
+	 * Sets how often each task may fail; a later start is a violation.
+	 * @param maximum the number of failures
+	 */
+	void limitFailures(int maximum) {
+		this.ends.limitFailures(maximum);
+	}
+
 	/**
 	 * Sets what workers report of the load of a run.
 	 * @param load tail latency or processors in use by worker and task
--- a/monsoonrelay-scheduler/src/test/java/org/monsoonrelay/scheduler/pool/HostRegistryTests.java
+++ b/monsoonrelay-scheduler/src/test/java/org/monsoonrelay/scheduler/pool/HostRegistryTests.java
@@ -152,7 +152,7 @@
 			followAndLoad(row("a", Json.write(restarted("a"))));
 			HostRegistryTests.this.restarted.clear();
 
-			run(() -> late.complete(new TableChanges(List.of(row("a")), 7, false, false)));
+			run(() -> late.complete(new TableChanges(List.of(row("a")), 7, false)));
 
 			assertThat(HostRegistryTests.this.restarted).isEmpty();
 		}
