Show that a list of ends which holds only a part is taken for all of them

A worker lists a limited number of ends in one answer, and the others once these are acknowledged. The simulated workers listed all of them, so no test saw it.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -66,6 +66,8 @@
 
 	private long listDelayMillis;
 
+	private int maxListedEnds = Integer.MAX_VALUE;
+
 	private Resources restartedCapacity = Resources.NONE;
 
 	private BiConsumer<SimulatedWorker, TaskKey> startObserver = (worker, task) -> {
@@ -149,6 +151,14 @@
 		return this.longPollMillis;
 	}
 
+	/**
+	 * Sets how many terminations a report lists at most.
+	 * @param count the number; if it is 0, each report tells that others follow
+	 */
+	void setMaxListedEnds(int count) {
+		this.maxListedEnds = count;
+	}
+
 	/**
 	 * Sets how much later than its start the entry of a restarted worker is listed. Until
 	 * then its former entry is.
@@ -666,7 +676,11 @@
 			List<RunningTask> running = new ArrayList<>();
 			this.runningAttempts.forEach((task, attempt) -> running.add(new RunningTask(task, attempt, "",
 					speedPercent(task), SimulatedWorkers.this.usage.applyAsLong(this, task))));
-			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, this.terminatedTasks);
+			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, listedTerminations());
+		}
+
+		private List<TerminatedTask> listedTerminations() {
+			return this.terminatedTasks.stream().limit(SimulatedWorkers.this.maxListedEnds).toList();
 		}
 
 	}
