Draw conclusions from a list of ends only when it holds all of them

Callers saw tasks run again that had ended as done: a worker on which more tasks have ended than one answer lists (500) reported a part of the ends, and the owner took the other runs for not started (after a change of owner), lost (while the table was down) or lost with the former incarnation (after a restart under the same id). Their ends were read and acknowledged afterwards.

From an incomplete report runs and ends are taken over as before, but nothing follows from a run that it does not list: the incarnation is not verified, the worker is neither reconciled nor used for new work, and no run counts as lost. Its ends are made durable and acknowledged, which needs the worker to be reachable, and the next poll does not wait, so that it lists the rest at once. What the reports up to the first complete one name is collected, as the last of them no longer lists what was acknowledged before. A worker whose list never ends keeps a new owner waiting for the leases of the former one only. The owner record names the former incarnation until then.

WorkerPoolTests, PoolWorkerTests and InheritedWorkersTests pass the new field "complete" (true) to the reports that they build; their checks are unchanged.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -120,8 +120,8 @@
 	}
 
 	/**
-	 * A worker reports for the first time to this owner, or for the first time since it
-	 * restarted.
+	 * A worker reports to this owner for the first time, or for the first time since it
+	 * restarted, or once more after a report whose list of ends was not complete.
 	 *
 	 * @param worker the worker
 	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
@@ -130,9 +130,10 @@
 	 * @param ends number of ends that it lists
 	 * @param firstSequence the lowest of their numbers, 0 if it lists none
 	 * @param lastSequence the highest of their numbers, 0 if it lists none
+	 * @param complete whether it lists all ends that are not acknowledged
 	 */
 	record WorkerReported(String worker, long startedMillis, int running, int ends, long firstSequence,
-			long lastSequence) implements PoolDecision {
+			long lastSequence, boolean complete) implements PoolDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PollOutcome.java
@@ -17,9 +17,11 @@
 	 * @param runningTasks runs that are still active
 	 * @param terminatedTasks terminations that are not yet acknowledged, by ascending
 	 * sequence number
+	 * @param complete whether all of these terminations are listed; otherwise a run in
+	 * neither list may have terminated
 	 */
 	record Report(OptionalLong startedMillis, long clockMillis, List<RunningTask> runningTasks,
-			List<TerminatedTask> terminatedTasks) implements PollOutcome {
+			List<TerminatedTask> terminatedTasks, boolean complete) implements PollOutcome {
 
 		public Report {
 			runningTasks = List.copyOf(runningTasks);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolWorker.java
@@ -146,12 +146,13 @@
 
 	/**
 	 * Returns whether the worker can accept new work, now or after a pause: it is
-	 * reachable, not draining, and listed with the capacity of its current incarnation.
+	 * reachable, has reported all its runs, is not draining, and is listed with the
+	 * capacity of its current incarnation.
 	 * @return {@code true} if the worker is usable
 	 */
 	boolean isUsable() {
-		return this.reachable && this.listed && !this.lost && !this.info.draining()
-				&& !this.incarnation.follows(this.info);
+		return this.reachable && !this.incarnation.isPartlyReported() && this.listed && !this.lost
+				&& !this.info.draining() && !this.incarnation.follows(this.info);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -14,10 +13,10 @@
 
 /**
  * Reconciles the runs that a worker reports with the runs known to the owner, and adopts
- * those that an earlier owner started. Invariants: a run that is reported neither as
- * active nor as terminated is lost; a run whose job is not loaded yet occupies the whole
- * capacity of the worker and is neither stopped nor dropped until the job is loaded or is
- * presumed not to exist. Not thread-safe: confined to the control thread.
+ * those that an earlier owner started. Invariants: a run that a complete report lists
+ * neither as active nor as terminated is lost; a run whose job is not loaded yet occupies
+ * the whole capacity of the worker and is neither stopped nor dropped until the job is
+ * loaded or is presumed not to exist. Not thread-safe: confined to the control thread.
  */
 final class RunAdoption {
 
@@ -54,13 +53,13 @@
 	/**
 	 * Reconciles the known runs of a worker with the active runs that it reports.
 	 * @param worker the worker
-	 * @param running the reported active runs
+	 * @param report the report
 	 * @param sentNanos monotonic time at which the poll was sent
 	 */
-	void reconcile(PoolWorker worker, List<RunningTask> running, long sentNanos) {
+	void reconcile(PoolWorker worker, PollOutcome.Report report, long sentNanos) {
 		Set<TaskKey> reportedTasks = new HashSet<>();
 		reportedTasks.addAll(worker.terminations().unprocessedTasks());
-		for (RunningTask reported : running) {
+		for (RunningTask reported : report.runningTasks()) {
 			reportedTasks.add(reported.task());
 			this.jobs.unresolvedStarts().resolve(reported.task(), reported.attempt());
 			Optional<Run> known = worker.run(reported.task());
@@ -73,6 +72,12 @@
 				this.observers.reported(known.get(), reported);
 			}
 		}
+		if (report.complete()) {
+			loseUnreportedRuns(worker, reportedTasks, sentNanos);
+		}
+	}
+
+	private void loseUnreportedRuns(PoolWorker worker, Set<TaskKey> reportedTasks, long sentNanos) {
 		for (Run run : worker.runs()) {
 			if (!reportedTasks.contains(run.task()) && run.mustAppearInPoll(sentNanos)) {
 				this.terminations.handleLostRun(worker, run, RunLoss.NOT_REPORTED, worker.runCount() - 1);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -1,14 +1,19 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+
+import org.monsoonrelay.model.submission.TaskKey;
 
 /**
  * What this owner knows of one incarnation of a worker: the lease on its clock and the
  * terminations that it reported. A worker that restarts gets a new object, so that
  * nothing learned of an incarnation is applied to the next one. Invariant: an incarnation
- * that follows another one is verified only by a report that was requested after the
- * restart was noticed. Not thread-safe: confined to the control thread.
+ * is verified only by a complete report, and one that follows another incarnation only if
+ * that was requested after the restart was noticed. Not thread-safe: confined to the
+ * control thread.
  */
 final class WorkerIncarnation {
 
@@ -24,6 +29,13 @@
 
 	private int tokenGeneration;
 
+	// Runs in the reports so far, until this incarnation is verified.
+	private final Set<RunId> reportedRuns = new HashSet<>();
+
+	private boolean reported;
+
+	private boolean reportDue;
+
 	private boolean verified;
 
 	private boolean lossLogged;
@@ -94,7 +106,7 @@
 	}
 
 	/**
-	 * Returns whether the incarnation has reported its runs to this owner.
+	 * Returns whether the incarnation has reported all its runs to this owner.
 	 * @return {@code false} if runs of a former incarnation may still be listed here
 	 */
 	boolean isVerified() {
@@ -151,14 +163,55 @@
 	 * @param nowNanos monotonic time at which it arrived
 	 */
 	void recordReport(PollOutcome.Report report, long nowNanos) {
+		this.reported = true;
+		this.reportDue = !report.complete();
+		if (!this.verified) {
+			report.runningTasks().forEach((run) -> this.reportedRuns.add(new RunId(run.task(), run.attempt())));
+			report.terminatedTasks().forEach((run) -> this.reportedRuns.add(new RunId(run.task(), run.attempt())));
+		}
 		if (report.startedMillis().isPresent()) {
 			this.startedMillis = report.startedMillis();
 		}
 		this.lease.updateClock(report.clockMillis(), nowNanos);
 	}
 
+	/**
+	 * Returns the runs that this incarnation has reported so far, as active or as
+	 * terminated.
+	 * @return the runs, none once it is verified
+	 */
+	Set<RunId> reportedRuns() {
+		return this.reportedRuns;
+	}
+
+	/**
+	 * Returns whether the incarnation has reported to this owner.
+	 * @return {@code true} also if the report was not complete
+	 */
+	boolean hasReported() {
+		return this.reported;
+	}
+
+	/**
+	 * Returns whether the incarnation has reported a part of its runs only.
+	 * @return {@code true} until the first complete report
+	 */
+	boolean isPartlyReported() {
+		return !this.verified && this.reportDue;
+	}
+
+	/**
+	 * Returns whether the worker is known to have more to report, so that a poll need not
+	 * wait for a termination.
+	 * @return {@code true} if the last report was not complete
+	 */
+	boolean isReportDue() {
+		return this.reportDue;
+	}
+
 	void markVerified() {
 		this.verified = true;
+		this.reportedRuns.clear();
 	}
 
 	/**
@@ -180,6 +233,16 @@
 		return this.failures;
 	}
 
+	/**
+	 * A run of a task. Immutable.
+	 *
+	 * @param task the task
+	 * @param attempt the attempt number
+	 */
+	record RunId(TaskKey task, int attempt) {
+
+	}
+
 	/**
 	 * The former incarnation of a worker. Immutable.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -1,7 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -10,6 +9,7 @@
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
+import org.monsoonrelay.logic.pool.WorkerIncarnation.RunId;
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
@@ -109,19 +109,26 @@
 	}
 
 	/**
-	 * Handles the first report of an incarnation of a worker: runs that were started on
-	 * former incarnations and are not reported are lost.
+	 * Handles the first report of an incarnation of a worker.
 	 * @param worker the worker
 	 * @param report the report
 	 */
 	void handleFirstReport(PoolWorker worker, PollOutcome.Report report) {
-		Set<RunId> reported = new HashSet<>();
-		report.runningTasks().forEach((running) -> reported.add(new RunId(running.task(), running.attempt())));
-		report.terminatedTasks()
-			.forEach((terminated) -> reported.add(new RunId(terminated.task(), terminated.attempt())));
 		this.pool.inherited().leaseEndNanos(worker.id(), report).ifPresent(worker.lease()::limitFormerLeases);
 		if (this.pool.inherited().hasRestarted(worker.id(), report)) {
 			this.pool.markRestarted(worker);
+		}
+	}
+
+	/**
+	 * Handles the first complete report of an incarnation of a worker: runs that were
+	 * started on former incarnations and were reported neither here nor before are lost.
+	 * @param worker the worker
+	 * @param report the report
+	 */
+	void handleFirstCompleteReport(PoolWorker worker, PollOutcome.Report report) {
+		Set<RunId> reported = worker.incarnation().reportedRuns();
+		if (this.pool.inherited().hasRestarted(worker.id(), report)) {
 			handleInheritedLosses(worker, reportedTasks(reported));
 		}
 		else if (!this.pool.inherited().isSameIncarnation(worker.id(), report)) {
@@ -291,8 +298,4 @@
 				lostRuns));
 	}
 
-	private record RunId(TaskKey task, int attempt) {
-
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -152,8 +152,10 @@
 	// for a lease.
 	private Duration maxWait(PoolWorker worker, long nowNanos) {
 		long longest = Math.min(POLL_WAIT_MILLIS, this.observers.reportWithinMillis(worker));
-		return (worker.isReachable() && this.pool.mayGrantLease(worker))
-				? Duration.ofMillis(worker.suspectedRuns().millisUntilProbationEnds(nowNanos, longest)) : Duration.ZERO;
+		boolean mayWait = worker.isReachable() && this.pool.mayGrantLease(worker)
+				&& !worker.incarnation().isReportDue();
+		return mayWait ? Duration.ofMillis(worker.suspectedRuns().millisUntilProbationEnds(nowNanos, longest))
+				: Duration.ZERO;
 	}
 
 	// A worker that was removed may have been added again as another object.
@@ -258,34 +260,43 @@
 			handleRestart(worker, report.startedMillis(), report.clockMillis());
 			return;
 		}
+		boolean isFirst = !worker.incarnation().hasReported();
 		worker.incarnation().recordReport(report, this.clock.nanos());
 		worker.responseReceived(this.clock.nanos());
 		this.crashes.workerAnswered(worker);
-		if (!worker.incarnation().isVerified()) {
-			logFirstReport(worker, report);
+		if (isFirst) {
 			this.losses.handleFirstReport(worker, report);
 		}
+		if (!worker.incarnation().isVerified()) {
+			logUnverifiedReport(worker, report);
+			if (report.complete()) {
+				this.losses.handleFirstCompleteReport(worker, report);
+			}
+		}
 		this.terminations.process(worker, report.terminatedTasks());
-		this.adoption.reconcile(worker, report.runningTasks(), poll.sentNanos());
+		this.adoption.reconcile(worker, report, poll.sentNanos());
 		worker.suspectedRuns().workerAnswered(poll.sentNanos());
 		if (!worker.isReachable()) {
 			worker.markReachable();
 			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
 					report.runningTasks().size()));
 		}
-		this.pool.inherited().markReconciled(worker.id());
+		if (report.complete()) {
+			this.pool.inherited().markReconciled(worker.id());
+		}
 		this.listener.stateChanged();
-		scheduleNextPoll(worker, !report.terminatedTasks().isEmpty());
+		scheduleNextPoll(poll, report);
 	}
 
-	private void logFirstReport(PoolWorker worker, PollOutcome.Report report) {
+	private void logUnverifiedReport(PoolWorker worker, PollOutcome.Report report) {
 		List<TerminatedTask> ends = report.terminatedTasks();
 		this.log.write(new PoolDecision.WorkerReported(worker.id(), report.startedMillis().orElse(-1),
 				report.runningTasks().size(), ends.size(), ends.isEmpty() ? 0 : ends.get(0).sequence(),
-				ends.isEmpty() ? 0 : ends.get(ends.size() - 1).sequence()));
+				ends.isEmpty() ? 0 : ends.get(ends.size() - 1).sequence(), report.complete()));
 	}
 
-	private void scheduleNextPoll(PoolWorker worker, boolean hasUnacknowledged) {
+	private void scheduleNextPoll(SentPoll poll, PollOutcome.Report report) {
+		PoolWorker worker = poll.worker();
 		WorkerIncarnation incarnation = worker.incarnation();
 		TerminationSequence reported = incarnation.terminations();
 		if (!reported.isDurable()) {
@@ -295,8 +306,7 @@
 		else if (!this.pool.mayGrantLease(worker)) {
 			awaitDurability(worker);
 		}
-		else if (!reported.deferred().isEmpty()
-				|| (hasUnacknowledged && worker.hasRecentUnansweredStart(this.clock.nanos()))) {
+		else if (!reported.deferred().isEmpty() || wouldRepeat(poll, report)) {
 			pollAfter(worker, incarnation, UNACKNOWLEDGED_POLL_DELAY_MILLIS);
 		}
 		else {
@@ -304,6 +314,12 @@
 		}
 	}
 
+	// A worker answers at once while it has terminations that are not acknowledged.
+	private boolean wouldRepeat(SentPoll poll, PollOutcome.Report report) {
+		boolean hasUnacknowledged = !report.complete() || !report.terminatedTasks().isEmpty();
+		return hasUnacknowledged && poll.worker().acknowledgeableSequence(this.clock.nanos()) <= poll.acknowledged();
+	}
+
 	private void awaitDurability(PoolWorker worker) {
 		WorkerIncarnation incarnation = worker.incarnation();
 		this.awaitingDurability.put(incarnation, worker);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -144,7 +144,9 @@
 		this.inherited.unconfirmedTasks()
 			.forEach((worker, tasks) -> closed.put(worker, tasks.stream().map(TaskKey::toString).toList()));
 		for (PoolWorker worker : this.workers.values()) {
-			worker.incarnation().startedMillis().ifPresent((millis) -> incarnations.put(worker.id(), millis));
+			if (worker.incarnation().isVerified() || !incarnations.containsKey(worker.id())) {
+				worker.incarnation().startedMillis().ifPresent((millis) -> incarnations.put(worker.id(), millis));
+			}
 			if (worker.isUsable()) {
 				ids.add(worker.id());
 				continue;
@@ -152,6 +154,7 @@
 			worker.clearRecorded();
 			this.recordedWorkers.remove(worker.id());
 			Set<TaskKey> tasks = tasksToRecord(worker, hasUnwrittenProgress);
+			tasks.addAll(this.inherited.unconfirmedTasks(worker.id()));
 			if (!tasks.isEmpty()) {
 				closed.put(worker.id(), tasks.stream().map(TaskKey::toString).toList());
 			}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutListsOfEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutListsOfEndsTests.java
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.monsoonrelay.logic.events.JobDecision;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -68,6 +69,30 @@
 
 	}
 
+	@Nested
+	class ThatNeverEnd {
+
+		@Test
+		void keepNewOwnersWaitingForTheFormerLeasesOnlyAndLeasesGoOn() {
+			CutListsOfEndsTests.this.cell.withRunMillis(20_000);
+			startTasks();
+			CutListsOfEndsTests.this.cell.workers.setMaxListedEnds(0);
+			CutListsOfEndsTests.this.owner.kill();
+			CutListsOfEndsTests.this.cell.restart(CutListsOfEndsTests.this.owner);
+			CutListsOfEndsTests.this.cell.time.runFor(15_000);
+			assertThat(CutListsOfEndsTests.this.cell.decisions)
+				.filteredOn(PoolDecision.WorkersAccounted.class::isInstance)
+				.hasSize(2)
+				.last()
+				.satisfies((decision) -> assertThat(((PoolDecision.WorkersAccounted) decision).tookMillis())
+					.isLessThanOrEqualTo(9400));
+			CutListsOfEndsTests.this.cell.workers.setMaxListedEnds(MAX_LISTED_ENDS);
+			CutListsOfEndsTests.this.cell.time.runFor(10_000);
+			assertEachTaskWasStartedOnce();
+		}
+
+	}
+
 	@Nested
 	class WhileTheTableIsDown {
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
@@ -106,7 +106,8 @@
 		private final InheritedWorkers inherited = InheritedWorkersTests.this.inherited;
 
 		private OptionalLong end(OptionalLong startedMillis) {
-			return this.inherited.leaseEndNanos("w", new PollOutcome.Report(startedMillis, 1, List.of(), List.of()));
+			return this.inherited.leaseEndNanos("w",
+					new PollOutcome.Report(startedMillis, 1, List.of(), List.of(), true));
 		}
 
 		private void restore(List<String> workers, Map<String, List<String>> closed, Map<String, Long> incarnations,
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -119,7 +119,7 @@
 	}
 
 	private static PollOutcome.Report reportOfIncarnation(long startedMillis) {
-		return new PollOutcome.Report(OptionalLong.of(startedMillis), 5, List.of(), List.of());
+		return new PollOutcome.Report(OptionalLong.of(startedMillis), 5, List.of(), List.of(), true);
 	}
 
 	private static Run runWithEstimate(int index, long requestedMillis, long estimateMillis) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -676,7 +676,8 @@
 			List<RunningTask> running = new ArrayList<>();
 			this.runningAttempts.forEach((task, attempt) -> running.add(new RunningTask(task, attempt, "",
 					speedPercent(task), SimulatedWorkers.this.usage.applyAsLong(this, task))));
-			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, listedTerminations());
+			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, listedTerminations(),
+					this.terminatedTasks.size() < SimulatedWorkers.this.maxListedEnds);
 		}
 
 		private List<TerminatedTask> listedTerminations() {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -26,7 +26,7 @@
 	private PoolWorker addReachableWorker() {
 		this.pool.update(List.of(INFO));
 		PoolWorker worker = this.pool.worker("w").orElseThrow();
-		worker.incarnation().recordReport(new PollOutcome.Report(OptionalLong.of(5), 1, List.of(), List.of()), 0);
+		worker.incarnation().recordReport(new PollOutcome.Report(OptionalLong.of(5), 1, List.of(), List.of(), true), 0);
 		worker.markReachable();
 		return worker;
 	}
