Show that ends are acknowledged unread whose numbers are listed late

A worker that lists the end with number 4 some milliseconds after those with the numbers 5 to 10 is told that all up to 10 may be forgotten. The end of 4 is gone unread, its run is found missing, and its task is started again. The same happens with the first list that a new owner reads. The simulated workers can now list ends late, with their runs among the active ones until then.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -68,6 +68,10 @@
 
 	private int maxListedEnds = Integer.MAX_VALUE;
 
+	private ToLongFunction<TaskKey> endDelayMillis = (task) -> 0;
+
+	private boolean listedUntilEnd = true;
+
 	private Resources restartedCapacity = Resources.NONE;
 
 	private BiConsumer<SimulatedWorker, TaskKey> startObserver = (worker, task) -> {
@@ -159,6 +163,18 @@
 		this.maxListedEnds = count;
 	}
 
+	/**
+	 * Makes ends late: they are missing in the first report after them, and in further
+	 * ones for a while.
+	 * @param millis returns by task how long, milliseconds; 0 for an end that is listed
+	 * at once
+	 * @param isListedUntilEnd whether the run is listed as active meanwhile
+	 */
+	void setLateEnds(ToLongFunction<TaskKey> millis, boolean isListedUntilEnd) {
+		this.endDelayMillis = millis;
+		this.listedUntilEnd = isListedUntilEnd;
+	}
+
 	/**
 	 * Sets how much later than its start the entry of a restarted worker is listed. Until
 	 * then its former entry is.
@@ -390,6 +406,8 @@
 
 		private final List<TerminatedTask> terminatedTasks = new ArrayList<>();
 
+		private final Map<TerminatedTask, Long> lateUntilMillis = new HashMap<>();
+
 		private final long clockOriginMillis;
 
 		private WorkerInfo info;
@@ -676,12 +694,26 @@
 			List<RunningTask> running = new ArrayList<>();
 			this.runningAttempts.forEach((task, attempt) -> running.add(new RunningTask(task, attempt, "",
 					speedPercent(task), SimulatedWorkers.this.usage.applyAsLong(this, task))));
+			if (SimulatedWorkers.this.listedUntilEnd) {
+				this.terminatedTasks.stream()
+					.filter(this::isLate)
+					.forEach((late) -> running.add(new RunningTask(late.task(), late.attempt(), "", 100, 0)));
+			}
 			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, listedTerminations(),
 					this.terminatedTasks.size() < SimulatedWorkers.this.maxListedEnds);
 		}
 
 		private List<TerminatedTask> listedTerminations() {
-			return this.terminatedTasks.stream().limit(SimulatedWorkers.this.maxListedEnds).toList();
+			return this.terminatedTasks.stream()
+				.filter((end) -> !isLate(end))
+				.limit(SimulatedWorkers.this.maxListedEnds)
+				.toList();
+		}
+
+		private boolean isLate(TerminatedTask end) {
+			long delayMillis = SimulatedWorkers.this.endDelayMillis.applyAsLong(end.task());
+			long now = SimulatedWorkers.this.time.millis();
+			return delayMillis > 0 && now < this.lateUntilMillis.computeIfAbsent(end, (late) -> now + delayMillis);
 		}
 
 	}
