Acknowledge no end above a number that the worker may still list

Callers could see a task run again after it had ended as done: of ends that a worker lists out of order, the late one was acknowledged with the higher ones before it was read, so that the worker forgot it, and its run counted as lost.

The acknowledged number was the highest processed one, whatever was missing below. It now stays below a missing number until a report that was requested 100 ms after a higher number was processed still lacks it; the new line EndsNotListed then tells which numbers are presumed not to be used. Numbers need not be dense, so the wait is bounded. The same holds for the first list that a new owner reads, which does not know what earlier owners acknowledged: its first acknowledgement comes 100 ms later, and what it has read is processed at once as before. A worker is polled every 25 ms meanwhile, as it answers at once. An end of a passed number is still processed if it is listed before the acknowledgement has arrived.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -137,6 +137,21 @@
 
 	}
 
+	/**
+	 * Ends are presumed not to exist whose numbers a worker has not listed although it
+	 * listed higher ones. Of the first ends that an owner reads, an earlier owner may
+	 * have acknowledged those before.
+	 *
+	 * @param worker the worker
+	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
+	 * clock, -1 if it does not tell
+	 * @param first the lowest of these numbers
+	 * @param last the highest of these numbers
+	 */
+	record EndsNotListed(String worker, long startedMillis, long first, long last) implements PoolDecision {
+
+	}
+
 	/**
 	 * A poll acknowledges ends to a worker, which forgets them.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -76,7 +76,7 @@
 				continue;
 			}
 			process(worker, termination);
-			worker.terminations().markProcessed(termination);
+			worker.terminations().markProcessed(termination, this.clock.nanos());
 		}
 		worker.terminations().defer(deferred);
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -1,12 +1,13 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -15,12 +16,20 @@
 
 /**
  * Which terminations of one incarnation of a worker are processed, durable or deferred. A
- * worker numbers its terminations from 1 in each incarnation. Those that former
- * incarnations reported are kept, without their numbers, until they can be processed. Not
+ * worker numbers its terminations from 1 in each incarnation, in ascending order and
+ * possibly with gaps. Those that former incarnations reported are kept, without their
+ * numbers, until they can be processed. Invariant: no termination counts as processed
+ * while one with a lower number is deferred, or may be missing in the report. Not
  * thread-safe: confined to the control thread.
  */
 final class TerminationSequence {
 
+	/**
+	 * Age at which a number is presumed to be unused that reports lack although they list
+	 * higher ones, nanoseconds.
+	 */
+	private static final long MAX_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	private long processed;
 
 	private long durable;
@@ -29,8 +38,13 @@
 
 	private long acknowledged;
 
-	// Sequence numbers that are processed although an earlier one may be deferred.
-	private final TreeSet<Long> processedAhead = new TreeSet<>();
+	// Sequence numbers that are processed although an earlier one is deferred or missing,
+	// with the monotonic times at which they were processed.
+	private final NavigableMap<Long, Long> processedAhead = new TreeMap<>();
+
+	// Numbers that were passed although no report listed them, until they are
+	// acknowledged.
+	private final List<Gap> gaps = new ArrayList<>();
 
 	// Tasks whose terminations are processed, by their numbers, until they are durable.
 	private final NavigableMap<Long, TaskKey> undurable = new TreeMap<>();
@@ -56,27 +70,70 @@
 	}
 
 	boolean hasProcessed(TerminatedTask termination) {
-		return termination.sequence() <= this.processed || this.processedAhead.contains(termination.sequence());
+		boolean isPassed = termination.sequence() <= this.processed
+				&& this.gaps.stream().noneMatch((gap) -> gap.contains(termination.sequence()));
+		return isPassed || this.processedAhead.containsKey(termination.sequence());
 	}
 
-	void markProcessed(TerminatedTask termination) {
-		this.processedAhead.add(termination.sequence());
+	/**
+	 * Records that a reported termination is processed.
+	 * @param termination the termination
+	 * @param nowNanos the current monotonic time
+	 */
+	void markProcessed(TerminatedTask termination, long nowNanos) {
+		if (termination.sequence() > this.processed) {
+			this.processedAhead.put(termination.sequence(), nowNanos);
+		}
 		this.undurable.put(termination.sequence(), termination.task());
 	}
 
 	/**
-	 * Defers terminations that were reported but cannot be processed yet. Only
-	 * terminations before the first deferred one count as processed without gaps.
+	 * Defers terminations that were reported but cannot be processed yet.
 	 * @param terminations the deferred terminations by ascending sequence number
 	 */
 	void defer(List<TerminatedTask> terminations) {
 		this.deferred = List.copyOf(terminations);
-		long firstDeferred = terminations.isEmpty() ? Long.MAX_VALUE : terminations.get(0).sequence();
-		while (!this.processedAhead.isEmpty() && this.processedAhead.first() < firstDeferred) {
-			this.processed = this.processedAhead.pollFirst();
+		passProcessed();
+	}
+
+	private void passProcessed() {
+		while (this.processedAhead.containsKey(this.processed + 1)) {
+			this.processed = this.processedAhead.pollFirstEntry().getKey();
 		}
 	}
 
+	/**
+	 * Returns whether the lowest number that is not processed is missing in reports that
+	 * list higher ones.
+	 * @return {@code false} also if that number is deferred
+	 */
+	boolean hasGap() {
+		return !this.processedAhead.isEmpty() && this.processedAhead.firstKey() < firstDeferred();
+	}
+
+	private long firstDeferred() {
+		return this.deferred.isEmpty() ? Long.MAX_VALUE : this.deferred.get(0).sequence();
+	}
+
+	/**
+	 * Passes missing numbers if they are still missing in a report that was requested
+	 * long enough after a higher one was processed. To be called when the report is
+	 * processed.
+	 * @param requestedNanos monotonic time at which the report was requested
+	 * @return the numbers that were passed
+	 */
+	List<Gap> passGaps(long requestedNanos) {
+		List<Gap> passed = new ArrayList<>();
+		while (hasGap() && requestedNanos - this.processedAhead.firstEntry().getValue() >= MAX_GAP_NANOS) {
+			long next = this.processedAhead.firstKey();
+			passed.add(new Gap(this.processed + 1, next - 1));
+			this.processed = next - 1;
+			passProcessed();
+		}
+		this.gaps.addAll(passed);
+		return passed;
+	}
+
 	List<TerminatedTask> deferred() {
 		return this.deferred;
 	}
@@ -157,6 +214,7 @@
 	long acknowledge(long sequence) {
 		long former = this.acknowledged;
 		this.acknowledged = Math.max(former, sequence);
+		this.gaps.removeIf((gap) -> gap.last() <= this.acknowledged);
 		return former;
 	}
 
@@ -164,4 +222,18 @@
 		return this.processed <= this.durable;
 	}
 
+	/**
+	 * Numbers that no report listed. Immutable.
+	 *
+	 * @param first the first number
+	 * @param last the last number
+	 */
+	record Gap(long first, long last) {
+
+		boolean contains(long number) {
+			return this.first <= number && number <= this.last;
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -52,6 +52,9 @@
 	 */
 	private static final long UNACKNOWLEDGED_POLL_DELAY_MILLIS = 100;
 
+	/** Poll delay while a number is missing in the list of terminations, milliseconds. */
+	private static final long GAP_POLL_DELAY_MILLIS = 25;
+
 	private final WorkerClient workerClient;
 
 	private final OwnerLease ownerLease;
@@ -274,6 +277,7 @@
 			}
 		}
 		this.terminations.process(worker, report.terminatedTasks());
+		passGaps(worker, poll.sentNanos());
 		this.adoption.reconcile(worker, report, poll.sentNanos());
 		worker.suspectedRuns().workerAnswered(poll.sentNanos());
 		if (!worker.isReachable()) {
@@ -288,6 +292,13 @@
 		scheduleNextPoll(poll, report);
 	}
 
+	private void passGaps(PoolWorker worker, long requestedNanos) {
+		worker.terminations()
+			.passGaps(requestedNanos)
+			.forEach((gap) -> this.log.write(new PoolDecision.EndsNotListed(worker.id(),
+					worker.incarnation().startedMillis().orElse(-1), gap.first(), gap.last())));
+	}
+
 	private void logUnverifiedReport(PoolWorker worker, PollOutcome.Report report) {
 		List<TerminatedTask> ends = report.terminatedTasks();
 		this.log.write(new PoolDecision.WorkerReported(worker.id(), report.startedMillis().orElse(-1),
@@ -306,6 +317,9 @@
 		else if (!this.pool.mayGrantLease(worker)) {
 			awaitDurability(worker);
 		}
+		else if (reported.hasGap()) {
+			pollAfter(worker, incarnation, GAP_POLL_DELAY_MILLIS);
+		}
 		else if (!reported.deferred().isEmpty() || wouldRepeat(poll, report)) {
 			pollAfter(worker, incarnation, UNACKNOWLEDGED_POLL_DELAY_MILLIS);
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -54,7 +55,7 @@
 		}
 	}
 
-	private static long delayOfOneMillis(TaskKey task) {
+	private static long delayOfOneTask(TaskKey task) {
 		return (task.index() == LATE_TASK) ? LATE_MILLIS : 0;
 	}
 
@@ -63,7 +64,7 @@
 
 		@BeforeEach
 		void listOneEndLate() {
-			LateListedEndsTests.this.cell.workers.setLateEnds(LateListedEndsTests::delayOfOneMillis, true);
+			LateListedEndsTests.this.cell.workers.setLateEnds(LateListedEndsTests::delayOfOneTask, true);
 			startTasks();
 		}
 
@@ -82,4 +83,25 @@
 
 	}
 
+	@Nested
+	class WithNumbersThatAreNotUsed {
+
+		@BeforeEach
+		void skipEverySecondNumber() {
+			LateListedEndsTests.this.cell.workers.setSequenceStep(2);
+			startTasks();
+		}
+
+		@Test
+		void areAcknowledgedNoMoreThanOneWriteLater() {
+			LateListedEndsTests.this.cell.time.runFor(RUN_MILLIS);
+			LateListedEndsTests.this.cell.time.runFor(OwnerLease.RENEWAL_INTERVAL_MILLIS);
+			assertThat(LateListedEndsTests.this.cell.workers.find("w").unacknowledgedCount()).isZero();
+			assertEachTaskWasStartedOnce();
+			assertThat(LateListedEndsTests.this.cell.decisions).filteredOn(PoolDecision.EndsNotListed.class::isInstance)
+				.hasSize(TASKS);
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -72,6 +72,8 @@
 
 	private boolean listedUntilEnd = true;
 
+	private int sequenceStep = 1;
+
 	private Resources restartedCapacity = Resources.NONE;
 
 	private BiConsumer<SimulatedWorker, TaskKey> startObserver = (worker, task) -> {
@@ -175,6 +177,14 @@
 		this.listedUntilEnd = isListedUntilEnd;
 	}
 
+	/**
+	 * Sets the difference between the numbers of successive ends of a worker.
+	 * @param step the difference
+	 */
+	void setSequenceStep(int step) {
+		this.sequenceStep = step;
+	}
+
 	/**
 	 * Sets how much later than its start the entry of a restarted worker is listed. Until
 	 * then its former entry is.
@@ -529,6 +539,10 @@
 			return this.pollDelayMillis;
 		}
 
+		int unacknowledgedCount() {
+			return this.terminatedTasks.size();
+		}
+
 		int runningCount() {
 			return this.runningAttempts.size();
 		}
@@ -596,7 +610,7 @@
 			}
 			SimulatedWorkers.this.runningTasks.remove(task);
 			this.highestTerminatedAttempts.merge(task, attempt, Math::max);
-			this.lastSequence++;
+			this.lastSequence += SimulatedWorkers.this.sequenceStep;
 			TerminatedTask termination = new TerminatedTask(this.lastSequence, task, attempt, reason, "");
 			this.terminatedTasks.add(termination);
 			SimulatedWorkers.this.ends.ended(this, termination);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -83,7 +83,7 @@
 	void aDrainingWorkerIsRecordedWithTasksWhoseEndsTheNextOwnerWouldNotKnow() {
 		PoolWorker worker = addReachableWorker();
 		TerminatedTask processed = new TerminatedTask(1, TASK, 1, TerminationReason.DONE, "");
-		worker.terminations().markProcessed(processed);
+		worker.terminations().markProcessed(processed, 0);
 		worker.terminations().defer(List.of(new TerminatedTask(2, UNLOADED, 1, TerminationReason.DONE, "")));
 		this.pool.update(List.of(new WorkerInfo(INFO.id(), INFO.service(), INFO.address(), INFO.failureDomain(),
 				INFO.capacity(), INFO.labels(), INFO.rack(), true, 2000, INFO.startedMillis())));
