--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -140,8 +140,8 @@
 	}
 
 	/**
-	 * A worker reports for the first time to this owner, or for the first time since it
-	 * restarted.
+	 * A worker reports to this owner for the first time, or for the first time since it
+	 * restarted, or once more after a report whose list of ends was not complete.
 	 *
 	 * @param worker the worker
 	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
@@ -150,9 +150,25 @@
 	 * @param ends number of ends that it lists
 	 * @param firstSequence the lowest of their numbers, 0 if it lists none
 	 * @param lastSequence the highest of their numbers, 0 if it lists none
+	 * @param complete whether it lists all ends that are not acknowledged
 	 */
 	record WorkerReported(String worker, long startedMillis, int running, int ends, long firstSequence,
-			long lastSequence) implements PoolDecision {
+			long lastSequence, boolean complete) implements PoolDecision {
+
+	}
+
+	/**
+	 * Ends are presumed not to exist whose numbers a worker has not listed although it
+	 * listed higher ones. Of the first ends that an owner reads, an earlier owner may
+	 * have acknowledged those before.
+	 *
+	 * @param worker the worker
+	 * @param startedMillis when its incarnation was started, epoch milliseconds on its
+	 * clock, -1 if it does not tell
+	 * @param first the lowest of these numbers
+	 * @param last the highest of these numbers
+	 */
+	record EndsNotListed(String worker, long startedMillis, long first, long last) implements PoolDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -66,6 +66,14 @@
 
 	private long listDelayMillis;
 
+	private int maxListedEnds = Integer.MAX_VALUE;
+
+	private ToLongFunction<TaskKey> endDelayMillis = (task) -> 0;
+
+	private boolean listedUntilEnd = true;
+
+	private int sequenceStep = 1;
+
 	private Resources restartedCapacity = Resources.NONE;
 
 	private BiConsumer<SimulatedWorker, TaskKey> startObserver = (worker, task) -> {
@@ -157,6 +165,34 @@
 		return this.longPollMillis;
 	}
 
+	/**
+	 * Sets how many terminations a report lists at most.
+	 * @param count the number; if it is 0, each report tells that others follow
+	 */
+	void setMaxListedEnds(int count) {
+		this.maxListedEnds = count;
+	}
+
+	/**
+	 * Makes ends late: they are missing in the first report after them, and in further
+	 * ones for a while.
+	 * @param millis returns by task how long, milliseconds; 0 for an end that is listed
+	 * at once
+	 * @param isListedUntilEnd whether the run is listed as active meanwhile
+	 */
+	void setLateEnds(ToLongFunction<TaskKey> millis, boolean isListedUntilEnd) {
+		this.endDelayMillis = millis;
+		this.listedUntilEnd = isListedUntilEnd;
+	}
+
+	/**
+	 * Sets the difference between the numbers of successive ends of a worker.
+	 * @param step the difference
+	 */
+	void setSequenceStep(int step) {
+		this.sequenceStep = step;
+	}
+
 	/**
 	 * Sets how much later than its start the entry of a restarted worker is listed. Until
 	 * then its former entry is.
@@ -388,6 +424,8 @@
 
 		private final List<TerminatedTask> terminatedTasks = new ArrayList<>();
 
+		private final Map<TerminatedTask, Long> lateUntilMillis = new HashMap<>();
+
 		private final long clockOriginMillis;
 
 		private WorkerInfo info;
@@ -509,6 +547,10 @@
 			return this.pollDelayMillis;
 		}
 
+		int unacknowledgedCount() {
+			return this.terminatedTasks.size();
+		}
+
 		int runningCount() {
 			return this.runningAttempts.size();
 		}
@@ -576,7 +618,7 @@
 			}
 			SimulatedWorkers.this.runningTasks.remove(task);
 			this.highestTerminatedAttempts.merge(task, attempt, Math::max);
-			this.lastSequence++;
+			this.lastSequence += SimulatedWorkers.this.sequenceStep;
 			TerminatedTask termination = new TerminatedTask(this.lastSequence, task, attempt, reason, "");
 			this.terminatedTasks.add(termination);
 			SimulatedWorkers.this.ends.ended(this, termination);
@@ -674,7 +716,26 @@
 			List<RunningTask> running = new ArrayList<>();
 			this.runningAttempts.forEach((task, attempt) -> running.add(new RunningTask(task, attempt, "",
 					speedPercent(task), SimulatedWorkers.this.usage.applyAsLong(this, task))));
-			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, this.terminatedTasks);
+			if (SimulatedWorkers.this.listedUntilEnd) {
+				this.terminatedTasks.stream()
+					.filter(this::isLate)
+					.forEach((late) -> running.add(new RunningTask(late.task(), late.attempt(), "", 100, 0)));
+			}
+			return new PollOutcome.Report(this.info.startedMillis(), clockMillis(), running, listedTerminations(),
+					this.terminatedTasks.size() < SimulatedWorkers.this.maxListedEnds);
+		}
+
+		private List<TerminatedTask> listedTerminations() {
+			return this.terminatedTasks.stream()
+				.filter((end) -> !isLate(end))
+				.limit(SimulatedWorkers.this.maxListedEnds)
+				.toList();
+		}
+
+		private boolean isLate(TerminatedTask end) {
+			long delayMillis = SimulatedWorkers.this.endDelayMillis.applyAsLong(end.task());
+			long now = SimulatedWorkers.this.time.millis();
+			return delayMillis > 0 && now < this.lateUntilMillis.computeIfAbsent(end, (late) -> now + delayMillis);
 		}
 
 	}
