Show that ends of jobs that a new owner has not read are acknowledged unrecorded

A standby takes over while its calls for changes of the table of jobs are not answered (a store that is unavailable in part); its feed of progress works. It takes the job for non-existent 6 s after the partition counts as loaded, which was before the job was stored, and acknowledges ends that no row holds.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -149,6 +149,8 @@
 
 		private boolean readsDisconnected;
 
+		private String unansweredFeed = "";
+
 		private boolean rejectsRequests;
 
 		private long ownWriteDelayMillis;
@@ -181,6 +183,14 @@
 			this.readsDisconnected = isDisconnected;
 		}
 
+		/**
+		 * Leaves calls for the changes of one table unanswered.
+		 * @param table the table, empty for none
+		 */
+		void leaveFeedUnanswered(String table) {
+			this.unansweredFeed = table;
+		}
+
 		/**
 		 * Sets whether the table rejects the writes of this process without applying
 		 * them.
@@ -328,7 +338,7 @@
 		public CompletableFuture<TableChanges> changes(String table, long after, Duration wait) {
 			CompletableFuture<TableChanges> answer = new CompletableFuture<>();
 			this.readCalls++;
-			if (isUnreadable()) {
+			if (isUnreadable() || table.equals(this.unansweredFeed)) {
 				after(TIMEOUT_MILLIS, () -> fail(answer));
 				return answer;
 			}
