Await the rows of reported jobs while their feed gives no answer

Callers could see tasks run again after acknowledged ends as done: a standby takes over while its calls for changes of the table of jobs stay unanswered (a table that is unavailable in part). The partition counts as loaded, since before the job was stored; 6 s after the first report of a worker the job was presumed not to exist, its ends were acknowledged without a row that holds them, and the tasks started again once the job was read. The cause is of the class of this incident: the absence of a row in a copy of unknown age was taken for proof.

A partition now counts as loaded only as of a recent time, which is known since the counts of waiting jobs have an age; the 6 s begin anew while the jobs are not confirmed. Nothing can be started for a job whose row was never stored, so that waiting longer costs nothing but the capacity of a run without a job.

Found by review.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -194,13 +194,15 @@
 	}
 
 	/**
-	 * Whether all jobs of a job's partition have been delivered to the owner.
+	 * Whether all jobs of a job's partition, as of a recent time, have been delivered to
+	 * the owner. A partition that was loaded long ago lacks the jobs that were stored
+	 * since, if the changes cannot be read.
 	 * @param job the job's id
 	 * @return {@code true} if this includes the job, should it exist
 	 */
 	boolean isLoaded(String job) {
 		boolean isRead = !this.unreadableJobs.contains(job) && !this.progress.isUnreadable(job);
-		return this.replayed && isRead && this.loadedPartitions.contains(JobTables.partition(job));
+		return this.replayed && isRead && isRecent() && this.loadedPartitions.contains(JobTables.partition(job));
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnknownJobs.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/UnknownJobs.java
@@ -8,9 +8,10 @@
 /**
  * Tracks jobs that workers report before this owner has read their rows. Their task
  * results must be kept: the row may be read later, and a task whose end was dropped would
- * run a second time. Invariant: a job is awaited while its partition is not loaded and
- * for {@link #ROW_WAIT_MILLIS} after that, so that a task without a job cannot occupy the
- * capacity of a worker indefinitely. Not thread-safe: confined to the control thread.
+ * run a second time. Invariant: a job is awaited while its partition is not loaded as of
+ * a recent time and for {@link #ROW_WAIT_MILLIS} after that, so that a task without a job
+ * cannot occupy the capacity of a worker indefinitely. Not thread-safe: confined to the
+ * control thread.
  */
 final class UnknownJobs {
 
