Show that one report without a run is taken for the loss of it

The lists of active and of ended runs in one report may not be of the same moment, so that a run which ends between them is in neither. The owner starts its task again at once, and the next report lists its end. A new owner does the same with the first report that it reads.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
@@ -55,6 +55,10 @@
 		}
 	}
 
+	private static long delayOfTwoTasks(TaskKey task) {
+		return (task.index() == LATE_TASK || task.index() == TASKS - 1) ? 2 : 0;
+	}
+
 	private static long delayOfOneTask(TaskKey task) {
 		return (task.index() == LATE_TASK) ? LATE_MILLIS : 0;
 	}
@@ -83,6 +87,30 @@
 
 	}
 
+	@Nested
+	class OfRunsThatOneReportListsNowhere {
+
+		@BeforeEach
+		void listTwoEndsInTheNextReportOnly() {
+			LateListedEndsTests.this.cell.workers.setLateEnds(LateListedEndsTests::delayOfTwoTasks, false);
+			startTasks();
+		}
+
+		@Test
+		void areNotTakenForLostRuns() {
+			LateListedEndsTests.this.cell.time.runFor(10_000);
+			assertEachTaskWasStartedOnce();
+		}
+
+		@Test
+		void areNotTakenForTasksToStartByANewOwner() {
+			replaceOwnerWhileTasksEnd();
+			LateListedEndsTests.this.cell.time.runFor(10_000);
+			assertEachTaskWasStartedOnce();
+		}
+
+	}
+
 	@Nested
 	class WithNumbersThatAreNotUsed {
 
