Take a run for lost only when two reports in a row lack it

Callers could see a task run again whose run had just ended as done: a run that ends between the two lists of one report is in neither of them, and one such report was proof of its loss. The next report listed the end.

A run counts as not reported once a second complete report, requested after the first one was processed, lacks it as well, and not while a number is missing in the list of ends, which may be that of its end. A worker on which runs may be active that the owner does not know, as it belonged to a former owner or has restarted under its id, is reconciled with its second complete report. The second poll neither waits for an end nor for a write, so that this costs one round trip.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -149,6 +149,15 @@
 				? OptionalLong.of(this.leaseEndNanos.get(id)) : OptionalLong.empty();
 	}
 
+	/**
+	 * Returns whether runs of an earlier owner may be active on a worker.
+	 * @param id the worker's id
+	 * @return {@code true} if the worker is contained
+	 */
+	boolean contains(String id) {
+		return this.leaseEndNanos.containsKey(id);
+	}
+
 	/**
 	 * Returns whether any task may run on a worker that has not reported yet.
 	 * @param id the worker's id
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -38,6 +38,8 @@
 
 	private boolean confirmed;
 
+	private boolean missed;
+
 	private boolean startConfirmed;
 
 	private long probationEndNanos;
@@ -128,6 +130,7 @@
 			this.probationEndNanos = nowNanos + PROBATION_NANOS;
 		}
 		this.confirmed = true;
+		this.missed = false;
 		this.confirmedNanos = nowNanos;
 		if (this.state == State.STARTING) {
 			this.state = State.RUNNING;
@@ -151,6 +154,18 @@
 		return this.confirmed && this.confirmedNanos - pollSentNanos < 0;
 	}
 
+	/**
+	 * Records that a complete report lists neither this run nor its termination. The two
+	 * lists of a report may not be of the same moment, so that a run can terminate
+	 * between them.
+	 * @return {@code true} if the complete report before it lacked the run as well
+	 */
+	boolean markMissed() {
+		boolean isMissedAgain = this.missed;
+		this.missed = true;
+		return isMissedAgain;
+	}
+
 	/**
 	 * Returns whether the worker has confirmed that the run was started.
 	 * @return {@code false} if the start request may never have arrived
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -13,10 +13,11 @@
 
 /**
  * Reconciles the runs that a worker reports with the runs known to the owner, and adopts
- * those that an earlier owner started. Invariants: a run that a complete report lists
- * neither as active nor as terminated is lost; a run whose job is not loaded yet occupies
- * the whole capacity of the worker and is neither stopped nor dropped until the job is
- * loaded or is presumed not to exist. Not thread-safe: confined to the control thread.
+ * those that an earlier owner started. Invariants: a run that two complete reports in a
+ * row list neither as active nor as terminated is lost; a run whose job is not loaded yet
+ * occupies the whole capacity of the worker and is neither stopped nor dropped until the
+ * job is loaded or is presumed not to exist. Not thread-safe: confined to the control
+ * thread.
  */
 final class RunAdoption {
 
@@ -72,7 +73,7 @@
 				this.observers.reported(known.get(), reported);
 			}
 		}
-		if (report.complete()) {
+		if (report.complete() && !worker.terminations().hasGap()) {
 			loseUnreportedRuns(worker, reportedTasks, sentNanos);
 		}
 	}
@@ -80,7 +81,12 @@
 	private void loseUnreportedRuns(PoolWorker worker, Set<TaskKey> reportedTasks, long sentNanos) {
 		for (Run run : worker.runs()) {
 			if (!reportedTasks.contains(run.task()) && run.mustAppearInPoll(sentNanos)) {
-				this.terminations.handleLostRun(worker, run, RunLoss.NOT_REPORTED, worker.runCount() - 1);
+				if (run.markMissed()) {
+					this.terminations.handleLostRun(worker, run, RunLoss.NOT_REPORTED, worker.runCount() - 1);
+				}
+				else {
+					worker.incarnation().expectReport();
+				}
 			}
 		}
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunLoss.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunLoss.java
@@ -14,7 +14,9 @@
 	/** The worker was unreachable until its lease expired. */
 	LEASE_EXPIRED("its lease has lapsed"),
 
-	/** The worker answered and listed the run neither as active nor as terminated. */
+	/**
+	 * The worker answered twice and listed the run neither as active nor as terminated.
+	 */
 	NOT_REPORTED("neither running nor ended on its worker");
 
 	private final String description;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -11,9 +11,10 @@
  * What this owner knows of one incarnation of a worker: the lease on its clock and the
  * terminations that it reported. A worker that restarts gets a new object, so that
  * nothing learned of an incarnation is applied to the next one. Invariant: an incarnation
- * is verified only by a complete report, and one that follows another incarnation only if
- * that was requested after the restart was noticed. Not thread-safe: confined to the
- * control thread.
+ * is verified only by a complete report, and one on which runs may be active that this
+ * owner does not know only by a second one; a report of one that follows another
+ * incarnation counts only if it was requested after the restart was noticed. Not
+ * thread-safe: confined to the control thread.
  */
 final class WorkerIncarnation {
 
@@ -34,6 +35,8 @@
 
 	private boolean reported;
 
+	private boolean completelyReported;
+
 	private boolean reportDue;
 
 	private boolean verified;
@@ -193,17 +196,34 @@
 	}
 
 	/**
-	 * Returns whether the incarnation has reported a part of its runs only.
-	 * @return {@code true} until the first complete report
+	 * Returns whether the incarnation may have reported a part of its runs only.
+	 * @return {@code true} until it is verified
 	 */
 	boolean isPartlyReported() {
 		return !this.verified && this.reportDue;
 	}
 
+	/**
+	 * Records that a complete report is processed.
+	 * @return {@code true} if an earlier one was complete as well
+	 */
+	boolean markCompletelyReported() {
+		boolean isSecond = this.completelyReported;
+		this.completelyReported = true;
+		return isSecond;
+	}
+
+	/**
+	 * Records that another report is needed although the last one was complete.
+	 */
+	void expectReport() {
+		this.reportDue = true;
+	}
+
 	/**
 	 * Returns whether the worker is known to have more to report, so that a poll need not
 	 * wait for a termination.
-	 * @return {@code true} if the last report was not complete
+	 * @return {@code true} if the last report was not complete, or lacked a run
 	 */
 	boolean isReportDue() {
 		return this.reportDue;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -121,12 +121,23 @@
 	}
 
 	/**
-	 * Handles the first complete report of an incarnation of a worker: runs that were
-	 * started on former incarnations and were reported neither here nor before are lost.
+	 * Returns whether runs may be active on a worker, or have terminated there, that this
+	 * owner knows of only if the worker reports them.
+	 * @param worker the worker
+	 * @return {@code false} if nothing follows from a run that it does not report
+	 */
+	boolean mayHaveUnknownRuns(PoolWorker worker) {
+		return worker.incarnation().unresolvedPredecessor().isPresent() || this.pool.inherited().contains(worker.id());
+	}
+
+	/**
+	 * Handles the complete report that verifies an incarnation of a worker: runs that
+	 * were started on former incarnations and were reported neither here nor before are
+	 * lost.
 	 * @param worker the worker
 	 * @param report the report
 	 */
-	void handleFirstCompleteReport(PoolWorker worker, PollOutcome.Report report) {
+	void handleVerification(PoolWorker worker, PollOutcome.Report report) {
 		Set<RunId> reported = worker.incarnation().reportedRuns();
 		if (this.pool.inherited().hasRestarted(worker.id(), report)) {
 			handleInheritedLosses(worker, reportedTasks(reported));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -272,26 +272,38 @@
 		}
 		if (!worker.incarnation().isVerified()) {
 			logUnverifiedReport(worker, report);
-			if (report.complete()) {
-				this.losses.handleFirstCompleteReport(worker, report);
-			}
+			verify(worker, report);
 		}
 		this.terminations.process(worker, report.terminatedTasks());
 		passGaps(worker, poll.sentNanos());
 		this.adoption.reconcile(worker, report, poll.sentNanos());
 		worker.suspectedRuns().workerAnswered(poll.sentNanos());
-		if (!worker.isReachable()) {
+		// Until the second complete report, the worker counts as silent since its loss.
+		if (!worker.isReachable() && (worker.incarnation().isVerified() || !report.complete())) {
 			worker.markReachable();
 			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
 					report.runningTasks().size()));
 		}
-		if (report.complete()) {
+		if (worker.incarnation().isVerified()) {
 			this.pool.inherited().markReconciled(worker.id());
 		}
 		this.listener.stateChanged();
 		scheduleNextPoll(poll, report);
 	}
 
+	// A run that terminates between the two lists of a report is in neither of them.
+	private void verify(PoolWorker worker, PollOutcome.Report report) {
+		if (!report.complete()) {
+			return;
+		}
+		if (worker.incarnation().markCompletelyReported() || !this.losses.mayHaveUnknownRuns(worker)) {
+			this.losses.handleVerification(worker, report);
+		}
+		else {
+			worker.incarnation().expectReport();
+		}
+	}
+
 	private void passGaps(PoolWorker worker, long requestedNanos) {
 		worker.terminations()
 			.passGaps(requestedNanos)
@@ -310,7 +322,10 @@
 		PoolWorker worker = poll.worker();
 		WorkerIncarnation incarnation = worker.incarnation();
 		TerminationSequence reported = incarnation.terminations();
-		if (!reported.isDurable()) {
+		if (report.complete() && incarnation.isReportDue()) {
+			poll(worker);
+		}
+		else if (!reported.isDurable()) {
 			this.terminationsProcessedNanos.putIfAbsent(incarnation, this.clock.nanos());
 			awaitDurability(worker);
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.TaskKey;
@@ -111,6 +112,28 @@
 
 	}
 
+	@Nested
+	class ThatNeverCome {
+
+		/** A poll in each direction, twice. */
+		private static final long ROUND_TRIPS_MILLIS = 10;
+
+		@Test
+		void loseTheirRunsOneRoundTripAfterTheReportThatLacksThem() {
+			startTasks();
+			TaskKey task = new TaskKey("job", 0, 0, LATE_TASK);
+			LateListedEndsTests.this.cell.workers.find("w").loseRun(task);
+			LateListedEndsTests.this.cell.time
+				.runFor(LateListedEndsTests.this.cell.workers.longPollMillis() + ROUND_TRIPS_MILLIS);
+			assertThat(LateListedEndsTests.this.cell.decisions).filteredOn(JobDecision.TaskLost.class::isInstance)
+				.hasSize(1);
+			LateListedEndsTests.this.cell.time.runFor(10_000);
+			LateListedEndsTests.this.cell.assertCompleted("job");
+			assertThat(LateListedEndsTests.this.cell.workers.startCount(task)).isEqualTo(2);
+		}
+
+	}
+
 	@Nested
 	class WithNumbersThatAreNotUsed {
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -539,6 +539,15 @@
 			return this.pollDelayMillis;
 		}
 
+		/**
+		 * Ends a run without a termination.
+		 * @param task the task
+		 */
+		void loseRun(TaskKey task) {
+			this.runningAttempts.remove(task);
+			SimulatedWorkers.this.runningTasks.remove(task);
+		}
+
 		int unacknowledgedCount() {
 			return this.terminatedTasks.size();
 		}
