Play hosts at 38.5 jobs a second beside lost owners and a troubled table

Callers saw tasks run again after ends that had been acknowledged, and a fourth run after three acknowledged failures, on a deployment with many ends a second. No soak brought that about: theirs hand in some four jobs a second, and their table always answers with all changes.

AcknowledgedEndsSoakTests hands 38.5 jobs a second to six hosts with 33 workers; a fifth of the jobs fails always. Seeded disturbances in series and together: owners, all hosts and standbys are stopped, killed and paused, also just after an acknowledgement; the table is away or slow, drops its history and its connections, executes writes late or leaves them unanswered; settings and configuration change. The series goes on when so many tasks were started, not after so many milliseconds, so that an owner has work on a slow machine as well. It checks that no task is started after an acknowledged end as done (acknowledged before or later) or after three acknowledged failures, that no two runs of it are active, that all ends are acknowledged, jobs ended and processes alive.

The stand-ins take a form (PlatformForm): answers to calls for changes of any length, as a prefix that may end within a transaction; lists of ends of 500 or fewer; reports under way for some milliseconds. Ends that are listed late, or in neither list, are forms of their own that are off. TableFake finds changes by version, and one server of the stand-ins keeps more than 200 connections: it closed the others, at this rate, which hosts took for losses of the table. Answers are no longer held until their heads are acknowledged.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/CrashingTasksSoakTests.java
@@ -58,7 +58,7 @@
 		String net = "127.%d.%d.".formatted(1 + pid % 250, pid / 250 % 250);
 		ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
 		List<SoakHost> hosts = new ArrayList<>();
-		try (PlatformFake platform = new PlatformFake(net + 1, PLATFORM_PORT, WORKERS, id)) {
+		try (PlatformFake platform = new PlatformFake(net + 1, PLATFORM_PORT, WORKERS, id, PlatformForm.calm())) {
 			for (int i = 0; i < Integer.getInteger("soak.hosts", 4); i++) {
 				hosts.add(new SoakHost("host-" + i, net + (10 + i), net + 1 + ":" + PLATFORM_PORT, folder, timer,
 						faults::add));
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostViews.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/HostViews.java
@@ -52,11 +52,11 @@
 	/**
 	 * Show an answer.
 	 * @param asked the port that was asked
-	 * @param answer the answer
+	 * @param answer the answer, {@code null} for none
 	 * @return it as seen there
 	 */
 	Answer seenAt(int asked, Answer answer) {
-		if (asked == this.port || !(answer.body() instanceof TableFake.Rows rows)) {
+		if (answer == null || asked == this.port || !(answer.body() instanceof TableFake.Rows rows)) {
 			return answer;
 		}
 		return new Answer(answer.code(), rows.withValues(
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -34,6 +35,9 @@
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
+	/** Connections that wait while all hosts start together. */
+	private static final int BACKLOG = 1024;
+
 	private static final int OTHER_INSTANCE = 421;
 
 	private static final int TOO_MANY_REQUESTS = 429;
@@ -42,16 +46,6 @@
 
 	private static final int REMAINING_MILLIS = 600_000;
 
-	private static final String CONFIGURATION = """
-			{"version": %d, "services": [{"name": "soak", "enforces_capacity": false}],
-			 "routes": [{"name": "soak", "host": "soak", "path_prefix": "/soak/", "timeout_ms": 3000,
-			  "target_latency_ms": 1000, "priority": 0, "service": "soak", "max_attempts": 3, "slack_factor": 2,
-			  "advice": {"decide_ms": 1, "period_ms": 0.1, "valid_ms": 2000}}%s]}""";
-
-	private static final String ADDED_ROUTE = """
-			, {"name": "added-%1$d", "host": "soak", "path_prefix": "/added-%1$d/", "timeout_ms": 3000,
-			  "target_latency_ms": 1000, "priority": 0, "service": "soak", "max_attempts": 3, "slack_factor": 2}""";
-
 	private final TableFake table = new TableFake();
 
 	private final Map<String, WorkerFake> workers = new ConcurrentHashMap<>();
@@ -60,6 +54,8 @@
 
 	private final RestartedId restartedId;
 
+	private final PlatformForm form;
+
 	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
 
 	private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -83,15 +79,17 @@
 	private final int port;
 
 	PlatformFake(String ip, int port, int workerCount) {
-		this(ip, port, workerCount, RestartedId.NEW);
+		this(ip, port, workerCount, RestartedId.NEW, PlatformForm.calm());
 	}
 
-	PlatformFake(String ip, int port, int workerCount, RestartedId restartedId) {
+	PlatformFake(String ip, int port, int workerCount, RestartedId restartedId, PlatformForm form) {
 		this.restartedId = restartedId;
+		this.form = form;
+		form.table().executeLateWith(this.timer);
 		this.ip = ip;
 		this.port = port;
 		this.views = new HostViews(ip, port);
-		put("op", "config", CONFIGURATION.formatted(1, ""));
+		put("op", "config", SoakConfiguration.plain(1, form));
 		GangFake gangs = new GangFake(this.timer);
 		this.crashes = new WorkerCrashes(this.workers, this.timer);
 		for (int i = 0; i < workerCount; i++) {
@@ -105,7 +103,7 @@
 
 	private void listen(int port) {
 		try {
-			HttpServer server = HttpServer.create(new InetSocketAddress(this.ip, port), 0);
+			HttpServer server = HttpServer.create(new InetSocketAddress(this.ip, port), BACKLOG);
 			server.setExecutor(this.threads);
 			server.createContext("/", this::handle);
 			server.start();
@@ -157,7 +155,7 @@
 	}
 
 	private void addWorker(String id, GangFake gangs, String entry) {
-		WorkerFake worker = new WorkerFake(id, this.timer, gangs, this.runs);
+		WorkerFake worker = new WorkerFake(id, this.timer, gangs, this.runs, this.form.reports());
 		this.workers.put(id, worker);
 		this.entries.put(id, entry.formatted(worker.startedMillis()));
 		put(HostViews.WORKERS, id, this.entries.get(id));
@@ -237,7 +235,7 @@
 	 * @param version the new version, at least 2
 	 */
 	void configure(int version) {
-		put("op", "config", CONFIGURATION.formatted(version, ADDED_ROUTE.formatted(version)));
+		put("op", "config", SoakConfiguration.added(version, this.form));
 	}
 
 	/**
@@ -246,10 +244,7 @@
 	 * @param keys the customer's keys
 	 */
 	void configureKeys(int version, List<String> keys) {
-		String plain = CONFIGURATION.formatted(version, "").trim();
-		String customers = ", \"tenants\": [{\"name\": \"soak\", \"weight\": 1, \"api_keys\": [\""
-				+ String.join("\", \"", keys) + "\"]}]}";
-		put("op", "config", plain.substring(0, plain.length() - 1) + customers);
+		put("op", "config", SoakConfiguration.keyed(version, this.form, keys));
 	}
 
 	/**
@@ -292,7 +287,7 @@
 				return;
 			}
 			if (answer == null) {
-				// A crashed worker: the connection is closed without a response.
+				// A crashed worker or a lost answer: the connection is closed.
 				return;
 			}
 			byte[] body = JSON.writeValueAsBytes(answer.body());
@@ -332,15 +327,13 @@
 			return new Answer(TOO_MANY_REQUESTS, Map.of());
 		}
 		return switch (exchange.getRequestURI().getPath()) {
-			case "/api/rows-tx" -> forHost(exchange, this.table.commit(body));
-			case "/api/rows-get" -> forHost(exchange, this.table.read(query.get("table"), query.get("part"),
-					query.getOrDefault("from", ""), Integer.parseInt(query.get("limit"))));
-			case "/api/rows-feed" -> forHost(exchange, this.table.changes(query.get("table"),
-					Long.parseLong(query.get("depends_on")), Long.parseLong(query.get("wait_ms"))));
+			case "/api/rows-tx" -> forHost(exchange, this.form.table().commit(this.table, body));
+			case "/api/rows-get" -> forHost(exchange, this.form.table().read(this.table, query));
+			case "/api/rows-feed" -> forHost(exchange, this.form.table().changes(this.table, query));
 			case "/api/advise" -> allowed(body);
 			case "/api/run-start" -> worker.start(body);
 			case "/api/run-stop" -> worker.stop(body);
-			case "/api/hold" -> worker.look(body);
+			case "/api/hold" -> underWay(worker.look(body));
 			default -> new Answer(404, Map.of());
 		};
 	}
@@ -349,6 +342,11 @@
 		return this.views.seenAt(exchange.getLocalAddress().getPort(), answer);
 	}
 
+	private Answer underWay(Answer report) throws InterruptedException {
+		TimeUnit.MILLISECONDS.sleep(this.form.reportMillis());
+		return report;
+	}
+
 	private static Map<String, String> query(String raw) {
 		Map<String, String> values = new HashMap<>();
 		for (String pair : (raw != null) ? raw.split("&") : new String[0]) {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/SoakHost.java
@@ -47,6 +47,9 @@
 	static final Path JAR = Path
 		.of(System.getProperty("soak.jar", "../monsoonrelay-host/target/monsoonrelay-host-0.1.0-SNAPSHOT-all.jar"));
 
+	/** The classes that it loads, if it was built with them. */
+	private static final Path ARCHIVE = Path.of(JAR.toString().replaceFirst("[.]jar$", ".jsa"));
+
 	/** Its main class. */
 	static final String MAIN = "org.monsoonrelay.host.HostMain";
 
@@ -154,12 +157,19 @@
 	 * @return the epoch, -1 if it has never owned it
 	 */
 	long lastEpoch() {
+		return epochs().stream().mapToLong(Long::longValue).max().orElse(-1);
+	}
+
+	/**
+	 * The epochs as which this host has owned the pool, by its log.
+	 * @return the epochs in order
+	 */
+	List<Long> epochs() {
 		try {
 			return TAKE_OVER.matcher(Files.readString(this.log))
 				.results()
-				.mapToLong((found) -> Long.parseLong(found.group(1)))
-				.max()
-				.orElse(-1);
+				.map((found) -> Long.parseLong(found.group(1)))
+				.toList();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -170,8 +180,12 @@
 		if (this.closed) {
 			return;
 		}
-		ProcessBuilder command = new ProcessBuilder(List.of("java", "-Xmx128m", "-Xss512k", "-XX:+UseSerialGC",
-				"-XX:TieredStopAtLevel=1", "-XX:+ErrorFileToStdout", "-cp", JAR.toString(), MAIN));
+		ProcessBuilder command = new ProcessBuilder(new ArrayList<>(List.of("java", "-Xmx128m", "-Xss512k",
+				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:+ErrorFileToStdout")));
+		if (Files.exists(ARCHIVE)) {
+			command.command().add("-XX:SharedArchiveFile=" + ARCHIVE);
+		}
+		command.command().addAll(List.of("-cp", JAR.toString(), MAIN));
 		command.environment().put("MONSOONRELAY_NODE_FILE", this.settings.toString());
 		// Overwrites native memory when it is freed, so that what uses it after fails.
 		command.environment().put("GLIBC_TUNABLES", "glibc.malloc.perturb=165");
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
@@ -2,10 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -18,8 +22,14 @@
 
 	private static final int HISTORY_LOST = 410;
 
+	/** After this time a call that waits looks whether it was given up. */
+	private static final long LONGEST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	private final Map<Name, Row> rows = new TreeMap<>();
 
+	/** The newest change of each row, by table and version. */
+	private final Map<String, TreeMap<Long, Set<Row>>> history = new HashMap<>();
+
 	private long version;
 
 	private long oldestHistory;
@@ -39,7 +49,14 @@
 	}
 
 	private void store(Name name, String value) {
-		this.rows.put(name, new Row(name.table(), name.part(), name.key(), value, this.version, value == null));
+		Row row = new Row(name.table(), name.part(), name.key(), value, this.version, value == null);
+		Row former = this.rows.put(name, row);
+		TreeMap<Long, Set<Row>> changes = this.history.computeIfAbsent(name.table(), (table) -> new TreeMap<>());
+		if (former != null) {
+			changes.computeIfPresent(former.ver(),
+					(ver, changed) -> (changed.remove(former) && changed.isEmpty()) ? null : changed);
+		}
+		changes.computeIfAbsent(this.version, (ver) -> new LinkedHashSet<>()).add(row);
 	}
 
 	/**
@@ -78,24 +95,57 @@
 		return new Answer(200, new Rows(isCut ? found.subList(0, limit) : found, isCut, this.version));
 	}
 
-	synchronized Answer changes(String table, long after, long waitMillis) throws InterruptedException {
+	/**
+	 * Wait for changes.
+	 * @param table the table
+	 * @param after the version from which to go on
+	 * @param waitMillis how long to wait
+	 * @param mostRows bound of the answer, within which at least one transaction is whole
+	 * @param givenUp whether to wait no longer
+	 * @return the changes; if they were cut, with the version of the last whole
+	 * transaction
+	 */
+	synchronized Answer changes(String table, long after, long waitMillis, int mostRows, BooleanSupplier givenUp)
+			throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
-		List<Row> newer = newer(table, after);
-		while (newer.isEmpty() && after >= this.oldestHistory && System.nanoTime() - end < 0) {
-			TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, end - System.nanoTime()));
-			newer = newer(table, after);
+		while (!hasNewer(table, after) && after >= this.oldestHistory && System.nanoTime() - end < 0
+				&& !givenUp.getAsBoolean()) {
+			long left = Math.min(end - System.nanoTime(), LONGEST_WAIT_NANOS);
+			TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, left));
 		}
 		if (after < this.oldestHistory) {
 			return new Answer(HISTORY_LOST, Map.of());
 		}
-		return new Answer(200, new Rows(newer, false, this.version));
+		List<Row> newer = newer(table, after);
+		if (newer.size() <= mostRows) {
+			return new Answer(200, new Rows(newer, false, this.version));
+		}
+		return new Answer(200, prefix(newer, mostRows));
+	}
+
+	private static Rows prefix(List<Row> newer, int mostRows) {
+		long first = newer.get(0).ver();
+		int kept = mostRows;
+		while (kept < newer.size() && newer.get(kept).ver() == first) {
+			kept++;
+		}
+		boolean isCutWithin = kept < newer.size() && newer.get(kept).ver() == newer.get(kept - 1).ver();
+		long last = newer.get(kept - 1).ver();
+		long whole = !isCutWithin ? last
+				: newer.stream().mapToLong(Row::ver).filter((ver) -> ver < last).max().orElseThrow();
+		return new Rows(List.copyOf(newer.subList(0, kept)), false, whole);
+	}
+
+	private boolean hasNewer(String table, long after) {
+		return !this.history.getOrDefault(table, new TreeMap<>()).tailMap(after, false).isEmpty();
 	}
 
 	private List<Row> newer(String table, long after) {
-		return this.rows.values()
+		return this.history.getOrDefault(table, new TreeMap<>())
+			.tailMap(after, false)
+			.values()
 			.stream()
-			.filter((row) -> row.table().equals(table) && row.ver() > after)
-			.sorted((one, other) -> Long.compare(one.ver(), other.ver()))
+			.flatMap(Set::stream)
 			.toList();
 	}
 
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TaskRuns.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TaskRuns.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +30,8 @@
 
 	private final List<String> faults = new ArrayList<>();
 
+	private final Set<String> startedAgain = new HashSet<>();
+
 	private static String unit(String task) {
 		return task.contains(WorkerFake.GANG_STEP) ? task.substring(0, task.lastIndexOf('.')) : task;
 	}
@@ -39,6 +42,7 @@
 		for (Run other : others) {
 			if (other.isFirm() && other.notedMillis > 0) {
 				this.faults.add("start after the acknowledged end: " + run + ", after " + other);
+				this.startedAgain.add(task);
 			}
 			if (other.task.equals(task) && other.how == null && other.holds.getAsBoolean()) {
 				this.faults.add("two runs at the same time: " + run + ", beside " + other);
@@ -66,6 +70,16 @@
 
 	synchronized void acknowledged(String task, int attempt, String worker) {
 		of(task, attempt, worker).forEach((run) -> run.notedMillis = System.currentTimeMillis());
+		notifyAll();
+	}
+
+	/**
+	 * Wait until the next end is acknowledged.
+	 * @param limitMillis how long to wait at most
+	 * @throws InterruptedException if interrupted
+	 */
+	synchronized void awaitAcknowledgement(long limitMillis) throws InterruptedException {
+		wait(limitMillis);
 	}
 
 	private Stream<Run> of(String task, int attempt, String worker) {
@@ -94,6 +108,51 @@
 		return List.copyOf(this.faults);
 	}
 
+	/**
+	 * What only shows at the end, where no task is of a gang: starts after a firm end
+	 * that was acknowledged later, and starts after as many acknowledged failures as a
+	 * task may have.
+	 * @param mostFailures how many that are
+	 * @return a line for each
+	 */
+	synchronized List<String> lateFaults(int mostFailures) {
+		List<String> late = new ArrayList<>();
+		this.runs.forEach((task, all) -> {
+			for (Run run : all) {
+				List<Run> before = all.stream()
+					.filter((other) -> other != run && other.how != null && other.notedMillis > 0 && !other.isLapsed
+							&& other.endedMillis <= run.startedMillis)
+					.toList();
+				before.stream()
+					.filter((other) -> other.isDone() && !this.startedAgain.contains(task))
+					.findFirst()
+					.ifPresent((other) -> late
+						.add("start after an end that was acknowledged later: " + run + ", after " + other));
+				if (before.stream().filter((other) -> "failed".equals(other.how)).count() >= mostFailures) {
+					late.add("start after too many acknowledged failures: " + run + ", of " + all);
+				}
+			}
+		});
+		return late;
+	}
+
+	/**
+	 * Runs that go on, or whose ends nobody has acknowledged.
+	 * @return a line for each
+	 */
+	synchronized List<String> unacknowledged() {
+		return this.runs.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((run) -> run.notedMillis == 0)
+			.map(Run::toString)
+			.toList();
+	}
+
+	synchronized int startCount() {
+		return this.runs.values().stream().mapToInt(List::size).sum();
+	}
+
 	/**
 	 * Whether the tasks of a completed job were done as often as they have to be: each at
 	 * least once, and with one firm attempt at most.
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/WorkerFake.java
@@ -22,12 +22,6 @@
 
 	private static final int OK = 200;
 
-	private static final int TASK = 1;
-
-	private static final int ATTEMPT = 2;
-
-	private static final int TERMINATION_REASON = 3;
-
 	private static final int REFUSED = 409;
 
 	/** The step of a soak's job that is a gang. */
@@ -41,13 +35,15 @@
 
 	private final TaskRuns runs;
 
+	private final ReportForm reports;
+
 	private final LeaseFake lease = new LeaseFake();
 
 	private final Map<String, Integer> running = new HashMap<>();
 
 	private final Map<String, Integer> attempts = new HashMap<>();
 
-	private final List<List<Object>> ended = new ArrayList<>();
+	private final List<WorkerEnd> ended = new ArrayList<>();
 
 	private final List<String> done = new ArrayList<>();
 
@@ -65,11 +61,12 @@
 
 	private boolean crashed;
 
-	WorkerFake(String name, ScheduledExecutorService timer, GangFake gangs, TaskRuns runs) {
+	WorkerFake(String name, ScheduledExecutorService timer, GangFake gangs, TaskRuns runs, ReportForm reports) {
 		this.name = name + '@' + System.identityHashCode(this);
 		this.timer = timer;
 		this.gangs = gangs;
 		this.runs = runs;
+		this.reports = reports;
 	}
 
 	synchronized Answer start(JsonNode order) {
@@ -97,7 +94,7 @@
 			this.gangs.join(task, attempt, SoakClient.GANG_TASKS, workTime.ofGang(), (how) -> end(task, attempt, how));
 		}
 		else {
-			this.timer.schedule(() -> end(task, attempt, "done"), workTime.ofTask(task), TimeUnit.MILLISECONDS);
+			this.timer.schedule(() -> end(task, attempt, workTime.how()), workTime.ofTask(task), TimeUnit.MILLISECONDS);
 		}
 		return taken();
 	}
@@ -127,7 +124,7 @@
 		if (how.equals("done")) {
 			this.done.add(task);
 		}
-		this.ended.add(List.of(this.forgotten + this.ended.size() + 1, task, attempt, how, ""));
+		this.ended.add(new WorkerEnd(this.forgotten + this.ended.size() + 1, task, attempt, how, System.nanoTime()));
 		notifyAll();
 	}
 
@@ -176,18 +173,19 @@
 		extendLease(order);
 		long acknowledged = order.path("ack_cursor").asLong();
 		while (this.forgotten < acknowledged && !this.ended.isEmpty()) {
-			List<Object> end = this.ended.remove(0);
-			this.runs.acknowledged((String) end.get(TASK), (Integer) end.get(ATTEMPT), this.name);
+			WorkerEnd end = this.ended.remove(0);
+			this.runs.acknowledged(end.task(), end.attempt(), this.name);
 			this.forgotten++;
 		}
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(order.path("wait_ms").asLong());
 		while (this.ended.isEmpty() && System.nanoTime() - end < 0) {
 			TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, end - System.nanoTime()));
 		}
+		ReportForm.Lists lists = this.reports.lists(this.running, this.ended);
 		List<List<Object>> lives = new ArrayList<>();
-		this.running.forEach((task, attempt) -> lives.add(List.of(task, attempt, "", 100)));
+		lists.running().forEach((task, attempt) -> lives.add(List.of(task, attempt, "", 100)));
 		return new Answer(OK, Map.of("born", this.startedMillis, "clock_ms", this.lease.clockMillis(), "running", lives,
-				"finished", List.copyOf(this.ended)));
+				"finished", lists.ended().stream().map(WorkerEnd::toList).toList()));
 	}
 
 	long startedMillis() {
@@ -206,11 +204,10 @@
 			this.runs.ended(task, attempt, this.name, "crashed");
 			breakGang(task, attempt);
 		});
-		for (List<Object> end : this.ended) {
-			String task = (String) end.get(TASK);
-			if (end.get(TERMINATION_REASON).equals("done")) {
-				this.done.remove(task);
-				this.uncertain.add(task);
+		for (WorkerEnd end : this.ended) {
+			if (end.how().equals("done")) {
+				this.done.remove(end.task());
+				this.uncertain.add(end.task());
 			}
 		}
 		this.ended.clear();
