Keep an end durable only with its own write if its number was passed before

An end that a worker lists after its number was passed as unused, and before the acknowledgement has arrived, counted as durable at once: the next poll could acknowledge it before any write held it, and if the owner was lost then, its successor started the task again. Found by review of the wait for missing numbers, by a unit test (LateEndsInPassedGapsTests: "durable up to 3").

Such numbers are remembered until a write is durable that was composed after they were processed; until then nothing from the lowest of them on is acknowledged. The test now begins a write as the writer of the pool does; its check is unchanged and green.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -254,7 +254,7 @@
 		}
 		puts.addAll(write.puts());
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.processedSequences();
+		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.beginWrite();
 		return new Batch(whole, next, states, summary, isCountWritten, ends, this.jobs.unconfirmedLosses().lastLoss());
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -46,6 +48,12 @@
 	// acknowledged.
 	private final List<Gap> gaps = new ArrayList<>();
 
+	// Numbers in gaps that were processed after they had been passed, until they are
+	// durable.
+	private final NavigableSet<Long> lateNumbers = new TreeSet<>();
+
+	private Set<Long> lateNumbersInWrite = Set.of();
+
 	// Tasks whose terminations are processed, by their numbers, until they are durable.
 	private final NavigableMap<Long, TaskKey> undurable = new TreeMap<>();
 
@@ -84,6 +92,9 @@
 		if (termination.sequence() > this.processed) {
 			this.processedAhead.put(termination.sequence(), nowNanos);
 		}
+		else {
+			this.lateNumbers.add(termination.sequence());
+		}
 		this.undurable.put(termination.sequence(), termination.task());
 	}
 
@@ -171,7 +182,8 @@
 			this.durable = sequence;
 			this.durableVersion = rowVersion;
 		}
-		this.undurable.headMap(sequence, true).clear();
+		this.lateNumbers.removeAll(this.lateNumbersInWrite);
+		this.undurable.headMap(sequence, true).keySet().removeIf((number) -> !this.lateNumbers.contains(number));
 	}
 
 	/**
@@ -190,12 +202,23 @@
 		return this.processed;
 	}
 
+	/**
+	 * Records that a write is composed that holds all that is processed now. At most one
+	 * write is in flight.
+	 * @return the sequence number up to which all terminations are processed, to be
+	 * passed to {@link #markDurable} once the write is durable
+	 */
+	long beginWrite() {
+		this.lateNumbersInWrite = Set.copyOf(this.lateNumbers);
+		return this.processed;
+	}
+
 	/**
 	 * Returns the sequence number up to which all terminations are durable.
 	 * @return the sequence number, 0 for none
 	 */
 	long durable() {
-		return this.durable;
+		return this.lateNumbers.isEmpty() ? this.durable : Math.min(this.durable, this.lateNumbers.first() - 1);
 	}
 
 	/**
@@ -219,7 +242,7 @@
 	}
 
 	boolean isDurable() {
-		return this.processed <= this.durable;
+		return this.processed <= durable();
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -245,14 +245,14 @@
 	}
 
 	/**
-	 * Returns up to which sequence number the terminations of each incarnation are
-	 * processed.
-	 * @return the sequence numbers
+	 * Records that a write is composed that holds all processed terminations.
+	 * @return the sequence numbers up to which the terminations of each incarnation are
+	 * processed
 	 */
-	Map<TerminationSequence, Long> processedSequences() {
+	Map<TerminationSequence, Long> beginWrite() {
 		Map<TerminationSequence, Long> sequences = new HashMap<>();
 		this.workers.values()
-			.forEach((worker) -> sequences.put(worker.terminations(), worker.terminations().processed()));
+			.forEach((worker) -> sequences.put(worker.terminations(), worker.terminations().beginWrite()));
 		return sequences;
 	}
 
