Read on after an empty answer that is older than the take-over

A new owner took any empty answer to its catch-up for the end of the changes, also one whose version is below that of its take-over, which was composed before the former owner's last writes. It would have started tasks again whose ends these writes hold.

The catch-up now ends only once the answered version has reached the one of the take-over; an empty answer below it is followed by another call 150 ms later.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -29,6 +29,8 @@
 	 */
 	private static final long RETRY_MILLIS = 150;
 
+	private static final long ALL_CHANGES = Long.MAX_VALUE;
+
 	private static final long NOT_A_POLL = -1;
 
 	private final PartitionedTable table;
@@ -149,7 +151,7 @@
 	 * @param done called once all changes up to this call have been delivered
 	 */
 	public void catchUp(Consumer<CatchUp> done) {
-		catchUp(Long.MAX_VALUE, done);
+		catchUp(ALL_CHANGES, done);
 	}
 
 	/**
@@ -179,8 +181,10 @@
 			this.version = Math.max(this.version, changes.version());
 			this.listener.changed(changes.rows());
 			CatchUp read = before.plus(changes);
-			if (!changes.rows().isEmpty() && !this.latestOnly && this.version < until) {
-				catchUp(until, done, read);
+			if (!this.latestOnly && !isReached(until, changes)) {
+				// An empty answer below the version was composed before it.
+				long delayMillis = changes.rows().isEmpty() ? RETRY_MILLIS : 0;
+				this.executor.schedule(() -> catchUp(until, done, read), delayMillis, TimeUnit.MILLISECONDS);
 				return;
 			}
 			done.accept(read);
@@ -190,6 +194,10 @@
 		}));
 	}
 
+	private boolean isReached(long until, TableChanges changes) {
+		return (until == ALL_CHANGES) ? changes.rows().isEmpty() : this.version >= until;
+	}
+
 	private void loadPartitions() {
 		if (this.closed) {
 			return;
