Let the test of a complete catch-up fail without one

It now cuts after 5 rows as the other tests of the class, with answers 100 ms late, so that the standby is behind by more than one answer; its assertions are unchanged.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutAnswersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutAnswersTests.java
@@ -73,8 +73,8 @@
 
 		@Test
 		void areReadUpToTheTakeOverBeforeJobsAreReplayed() {
-			CutAnswersTests.this.standby.tableClient.setFeedRows(1);
-			CutAnswersTests.this.standby.tableClient.setFeedDelay(20);
+			CutAnswersTests.this.standby.tableClient.cutAnswersAfter(5);
+			CutAnswersTests.this.standby.tableClient.setFeedDelay(100);
 			takeOverUnderLoad(CutAnswersTests.this.owner::stop);
 			PoolDecision.ProgressLoaded loaded = lastProgressLoaded();
 			assertThat(loaded.progressVersion()).isGreaterThanOrEqualTo(loaded.takeOverVersion());
