--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/TableFollower.java
@@ -15,7 +15,7 @@
  * change history is lost. A partition read at an older version than that is read again. A
  * partition that does not answer delays neither the other partitions nor the changes.
  * After a failed poll the next one does not wait, so that a connection without an answer
- * is noticed sooner. An answer with changes never shows that no others follow: the
+ * is noticed sooner. An answer with changes seldom shows that no others follow: the
  * follower asks until that is shown about once a second, see {@link FeedCompleteness}.
  * The listener receives every change in order, or a snapshot of its partition that
  * contains it; a change may arrive before the snapshot of its partition. Confined to the
