Join progress that is read after its job was replayed

A new owner that read a row of a former owner after the replay of the jobs logged it and went on without it: tasks that were done started again, failures were not counted, and a job that had ended went on.

Cause: progress was applied to the replica only, and to jobs only when they were delivered. A row that this owner had written over in the meantime was dropped altogether.

SubmittedJob.join adds what the row tells and loses nothing that is known: done tasks and failed attempts are united, attempts are numbered above both, crash records keep the higher count, and a job that the row tells as ended ends. Runs that this owner started of done tasks are stopped. The result is written, as the table may no longer hold it.

Evidence: LateProgressTests on the code before, three of three red: "expected: 8L but was: 0L" stopped runs, "expected: 4 but was: 5" starts of a task that had failed three times, "expected: 4L but was: 0L" runs stopped of a job that had completed.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -250,6 +250,11 @@
 		this.attempts[index] = Math.max(this.attempts[index], attempt);
 	}
 
+	/** Numbers later attempts above those of progress that was added. */
+	void progressJoined() {
+		Arrays.setAll(this.attempts, (index) -> Math.max(this.attempts[index], progress().highestAttempt()));
+	}
+
 	/**
 	 * Removes a run that has ended.
 	 * @param run the run
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
@@ -12,8 +12,9 @@
 import org.monsoonrelay.model.submission.SubmittedJob;
 
 /**
- * Takes the jobs of the tables into one term of an owner. Invariant: a job is known to
- * the registry before its runs are charged to its customer or processed. Not thread-safe:
+ * Takes the jobs of the tables into one term of an owner. Invariants: a job is known to
+ * the registry before its runs are charged to its customer or processed; progress of a
+ * former owner that arrives after its job is added to what is known. Not thread-safe:
  * confined to the control thread.
  */
 final class JobIntake implements JobReplicaListener {
@@ -100,6 +101,12 @@
 	public void progressReceivedLate(String job, StoredProgress late) {
 		SubmittedJob known = this.registry.job(job).orElse(null);
 		if (known == null) {
+			if (late.progress().state().isFinal()) {
+				alreadyEnded(job);
+			}
+			return;
+		}
+		if (late.version() <= this.registry.restoredVersion(job)) {
 			return;
 		}
 		JobProgress.Difference unknown = late.progress().differenceTo(known.toProgress());
@@ -107,6 +114,10 @@
 			.write(new JobDecision.ProgressDeliveredLate(job, late.version(), this.takeOver.version(),
 					millisSince(this.replayedNanos), late.progress().state().name(), unknown.doneTasks(),
 					unknown.failures()));
+		boolean wasEnded = known.isEnded();
+		this.registry.join(known, late);
+		this.runs.onProgressJoined(known, wasEnded);
+		this.requestTurn.run();
 	}
 
 	private long millisSince(long nanos) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -101,6 +101,18 @@
 		return true;
 	}
 
+	/**
+	 * Adds progress of an earlier owner that was read after its job.
+	 * @param job the job
+	 * @param late the progress
+	 */
+	void join(SubmittedJob job, StoredProgress late) {
+		job.join(late.progress());
+		this.inherited.computeIfPresent(job.id(), (id, restored) -> Math.max(restored, late.version()));
+		openStepsOf(job.id()).forEach(ActiveStep::progressJoined);
+		markDirty(job);
+	}
+
 	/**
 	 * Adds the id of a job that had ended before this owner took over. Only the id is
 	 * kept.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobReplicaListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobReplicaListener.java
@@ -40,7 +40,8 @@
 	void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs);
 
 	/**
-	 * Called for progress of a former owner that is read after the replay.
+	 * Called for progress of a former owner that is read after the replay, also if this
+	 * owner has written the job's progress since.
 	 * @param job the job's id
 	 * @param progress the progress
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -24,9 +24,10 @@
  * that after a take-over only the changes of the last half second have to be read. Once
  * the progress of former owners is read up to the take-over, all known jobs are replayed
  * to the new owner; later jobs are delivered as they arrive. Invariants: a job is
- * delivered with the last progress that a former owner made durable; a partition that
- * does not answer delays its own jobs only; a job with an unreadable row is not delivered
- * and its runs are left as they are. Not thread-safe: confined to the control thread.
+ * delivered with the last progress that a former owner made durable, and progress that
+ * arrives after the job is delivered as well; a partition that does not answer delays its
+ * own jobs only; a job with an unreadable row is not delivered and its runs are left as
+ * they are. Not thread-safe: confined to the control thread.
  */
 public final class JobTableReplica {
 
@@ -259,6 +260,15 @@
 		}
 	}
 
+	private void deliverLate(String id, StoredProgress late) {
+		StoredJob job = this.unfinished.get(id);
+		if (job != null && !late.progress().matches(job.submission())) {
+			this.progress.reportMismatch(id);
+			return;
+		}
+		this.owner.ifPresent((listener) -> listener.progressReceivedLate(id, late));
+	}
+
 	private void applyCancellation(String job) {
 		if (this.progress.isEnded(job)) {
 			return;
@@ -366,22 +376,21 @@
 		private void applyRow(TableRow row) {
 			JobTableReplica replica = JobTableReplica.this;
 			boolean wasUnreadable = replica.progress.isUnreadable(row.key());
-			replica.progress.apply(row).ifPresent((stored) -> {
-				if (stored.progress().state().isFinal()) {
-					replica.unfinished.remove(row.key());
-					replica.cancelled.remove(row.key());
-				}
-				StoredJob job = replica.unfinished.get(row.key());
-				if (!replica.replayed) {
-					return;
-				}
-				if (wasUnreadable && job != null) {
-					replica.owner.ifPresent((listener) -> replica.deliver(listener, job));
-				}
-				else if (row.version() <= replica.takeOverVersion) {
-					replica.owner.ifPresent((listener) -> listener.progressReceivedLate(row.key(), stored));
-				}
+			boolean isLate = replica.replayed && row.version() <= replica.takeOverVersion;
+			Optional<StoredProgress> newer = replica.progress.apply(row);
+			newer.filter((stored) -> stored.progress().state().isFinal()).ifPresent((stored) -> {
+				replica.unfinished.remove(row.key());
+				replica.cancelled.remove(row.key());
 			});
+			StoredJob job = replica.unfinished.get(row.key());
+			if (replica.replayed && newer.isPresent() && wasUnreadable && job != null) {
+				replica.owner.ifPresent((listener) -> replica.deliver(listener, job));
+			}
+			if (isLate) {
+				// This owner may have written the progress again without these rows.
+				newer.or(() -> replica.progress.readReplaced(row))
+					.ifPresent((late) -> replica.deliverLate(row.key(), late));
+			}
 		}
 
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunController.java
@@ -138,6 +138,19 @@
 		this.losses.onJobLoaded(job);
 	}
 
+	/**
+	 * Processes progress of an earlier owner that was read after its job.
+	 * @param job the job, to which the progress was added
+	 * @param wasEnded whether it had ended before
+	 */
+	void onProgressJoined(SubmittedJob job, boolean wasEnded) {
+		this.terminations.stopDoneTasks(job);
+		if (job.isEnded() && !wasEnded) {
+			onJobEnded(job);
+		}
+		this.losses.onJobLoaded(job.id());
+	}
+
 	/**
 	 * Starts a task on a worker with enough free capacity.
 	 * @param step the step
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunTerminationHandler.java
@@ -300,6 +300,21 @@
 			.forEach((run) -> this.stopRun.accept(run, "another member of its gang is missing"));
 	}
 
+	/**
+	 * Stops the runs that this owner started of tasks that an earlier one knew as done.
+	 * Members of a gang that the earlier one started end by themselves.
+	 * @param job the job
+	 */
+	void stopDoneTasks(SubmittedJob job) {
+		for (ActiveStep step : this.jobs.openStepsOf(job.id())) {
+			step.activeRuns()
+				.stream()
+				.filter((run) -> step.progress().isDone(run.task().index()))
+				.filter((run) -> !step.spec().gang() || !run.isAdopted())
+				.forEach((run) -> this.stopRun.accept(run, "the task was done under an earlier owner"));
+		}
+	}
+
 	/**
 	 * Stops all runs of a job that has ended.
 	 * @param job the job
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/ProgressReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/ProgressReplica.java
@@ -63,6 +63,17 @@
 		return Optional.of(stored);
 	}
 
+	/**
+	 * Reads a row that a newer one has replaced.
+	 * @param row the row
+	 * @return its progress, empty if the job has ended or if it is the newest row
+	 */
+	public Optional<StoredProgress> readReplaced(TableRow row) {
+		return progress(row.key()).filter((known) -> known.version() > row.version() && !row.deleted())
+			.flatMap((known) -> this.unreadable.read(row, JobProgress.class))
+			.map((saved) -> new StoredProgress(saved, row.version()));
+	}
+
 	/**
 	 * The progress of a job that has not ended.
 	 * @param job the job's id
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -171,6 +171,10 @@
 
 		private long historyBegin;
 
+		private String withheldTable = "";
+
+		private final List<TableRow> withheld = new ArrayList<>();
+
 		void setDisconnected(boolean isDisconnected) {
 			this.disconnected = isDisconnected;
 		}
@@ -246,6 +250,15 @@
 			this.splitsWrites = true;
 		}
 
+		/**
+		 * Leaves the changed rows of one table out of answers, which tell the newest
+		 * version all the same. Once that ends, they come with the next answer.
+		 * @param table the table, empty for none
+		 */
+		void withholdRows(String table) {
+			this.withheldTable = table;
+		}
+
 		/**
 		 * The number of calls for changes and of reads that this process has sent.
 		 * @return the count
@@ -360,7 +373,8 @@
 				answer.complete(TableChanges.HISTORY_LOST);
 				return;
 			}
-			List<TableRow> changed = changedSince(since).filter((row) -> row.table().equals(table)).toList();
+			List<TableRow> changed = withholding(table,
+					changedSince(since).filter((row) -> row.table().equals(table)).toList());
 			if (!changed.isEmpty() || remainingMillis <= 0) {
 				TableChanges changes = limited(changed, since);
 				deliver(changes.rows(), this.feedDelayMillis, () -> answer.complete(changes));
@@ -369,6 +383,16 @@
 			after(POLL_MILLIS, () -> poll(answer, table, since, remainingMillis - POLL_MILLIS));
 		}
 
+		private List<TableRow> withholding(String table, List<TableRow> changed) {
+			if (table.equals(this.withheldTable)) {
+				changed.stream().filter((row) -> !this.withheld.contains(row)).forEach(this.withheld::add);
+				return List.of();
+			}
+			List<TableRow> late = this.withheld.stream().filter((row) -> row.table().equals(table)).toList();
+			this.withheld.removeAll(late);
+			return Stream.concat(late.stream().filter((row) -> !changed.contains(row)), changed.stream()).toList();
+		}
+
 		private TableChanges limited(List<TableRow> changed, long since) {
 			if (changed.size() <= this.feedRows) {
 				return new TableChanges(changed, InMemoryTable.this.version, false);
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -51,6 +51,24 @@
 		return progress;
 	}
 
+	/**
+	 * Add what another record of the same step tells. Nothing that either of them knows
+	 * is lost, so records may be joined in any order; of two checkpoints of a task, the
+	 * one that was known stays.
+	 * @param told the other record
+	 */
+	public void join(StepRecord told) {
+		told.done().forEach(this.done::set);
+		told.failedAttempts()
+			.forEach((index, attempts) -> this.failedAttempts.computeIfAbsent(index, (task) -> new TreeSet<>())
+				.addAll(attempts));
+		told.checkpoints().forEach(this.checkpoints::putIfAbsent);
+		told.crashes().forEach((index, crashes) -> this.crashes.merge(index, crashes, TaskCrashes::join));
+		this.checkpoints.keySet().removeIf(this::isDone);
+		this.crashes.keySet().removeIf(this::isDone);
+		recordAttempt(told.highestAttempt());
+	}
+
 	/**
 	 * Record that a task has completed. A gang is complete when its first member is.
 	 * @param index number of the task
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -40,6 +40,28 @@
 		this.durableState = progress.state();
 	}
 
+	/**
+	 * Add durable progress of an earlier owner that was read after the job was restored.
+	 * Nothing that is known is lost. The job ends if the earlier owner ended it, or if
+	 * both together have done all of its tasks or failed too often. Tasks with recorded
+	 * starts or crashes wait until the result is durable, as this owner may have written
+	 * over the row that told of them.
+	 * @param told the progress
+	 */
+	public void join(JobProgress told) {
+		told.steps().forEach((local, saved) -> {
+			this.steps.computeIfAbsent(local, this::newProgress).join(saved);
+			if (!saved.crashes().isEmpty()) {
+				this.crashRecords++;
+			}
+		});
+		boolean isEndTold = told.state().isFinal() && !this.durableState.isFinal();
+		if (isEndTold || (this.state == SubmissionState.QUEUED && told.state() != SubmissionState.QUEUED)) {
+			this.state = told.state();
+		}
+		told.steps().keySet().forEach((local) -> updateState(StepKey.ofLocalName(id(), local)));
+	}
+
 	private StepSpec spec(String local) {
 		return this.submission.steps().get(Integer.parseInt(local.substring(local.indexOf('.') + 1)));
 	}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskCrashes.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/TaskCrashes.java
@@ -43,6 +43,11 @@
 		};
 	}
 
+	TaskCrashes join(TaskCrashes other) {
+		return new TaskCrashes(Math.max(this.confirmed, other.confirmed), Math.max(this.possible, other.possible),
+				this.startRecorded || other.startRecorded);
+	}
+
 	TaskCrashes withoutPossible() {
 		return new TaskCrashes(this.confirmed, Math.max(0, this.possible - 1), this.startRecorded);
 	}
