Let the soak's table tell versions beyond changes that it shows later

A table that writes partitions in parallel may tell a version while a change with a lower one is not visible to its change feed yet. Whoever continues from that version never reads the change. Answers are whole, and reads of partitions see all writes.

--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/AcknowledgedEndsSoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/AcknowledgedEndsSoakTests.java
@@ -94,6 +94,7 @@
 			PlatformForm platformForm = this.form.platform(this.seed);
 			try (PlatformFake platform = new PlatformFake(this.net + 1, PLATFORM_PORT, WORKERS,
 					PlatformFake.RestartedId.NEW, platformForm)) {
+				platform.showChangesLate(EndsSoakForm.longestUnseenMillis());
 				for (int i = 0; i < Integer.getInteger("soak.hosts", HOSTS); i++) {
 					this.hosts.add(new SoakHost("host-" + i, this.net + (10 + i), this.net + 1 + ":" + PLATFORM_PORT,
 							this.folder, this.timer, this.faults::add));
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/EndsSoakForm.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/EndsSoakForm.java
@@ -42,6 +42,14 @@
 		return (int) Math.exp(random.nextDouble() * Math.log(MOST_ROWS));
 	}
 
+	/**
+	 * For how long the table may show a change late, after one with a higher version.
+	 * @return milliseconds, 0 if it shows all changes in order
+	 */
+	static int longestUnseenMillis() {
+		return Integer.getInteger("soak.unseen", 0);
+	}
+
 	PlatformForm platform(long seed) {
 		Random random = new Random(seed);
 		PlatformForm.AnswerCut cut = switch (this.answers) {
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/PlatformFake.java
@@ -255,6 +255,14 @@
 		this.refusingReads = refusing;
 	}
 
+	/**
+	 * Show writes to the table late to calls for changes, in any order.
+	 * @param longestMillis the longest delay, 0 for none
+	 */
+	void showChangesLate(long longestMillis) {
+		this.table.showChangesLate(longestMillis);
+	}
+
 	/**
 	 * Lose the table's history of changes up to now.
 	 */
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -25,11 +26,20 @@
 	/** After this time a call that waits looks whether it was given up. */
 	private static final long LONGEST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+	private static final long SHORTEST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
 	private final Map<Name, Row> rows = new TreeMap<>();
 
 	/** The newest change of each row, by table and version. */
 	private final Map<String, TreeMap<Long, Set<Row>>> history = new HashMap<>();
 
+	/** When each version can be seen by calls for changes, in nanoseconds. */
+	private final TreeMap<Long, Long> seenFromNanos = new TreeMap<>();
+
+	private final Random random = new Random(0);
+
+	private long longestUnseenMillis;
+
 	private long version;
 
 	private long oldestHistory;
@@ -42,8 +52,39 @@
 		notifyAll();
 	}
 
-	synchronized void put(String table, String key, String value) {
+	/**
+	 * Show writes to calls for changes late, in any order, as one that writes partitions
+	 * in parallel might. Answers to such calls tell the newest version that can be seen,
+	 * although writes with lower versions may not be.
+	 * @param longestMillis the longest delay
+	 */
+	synchronized void showChangesLate(long longestMillis) {
+		this.longestUnseenMillis = longestMillis;
+	}
+
+	private void nextVersion() {
 		this.version++;
+		if (this.longestUnseenMillis > 0) {
+			long nanos = TimeUnit.MILLISECONDS.toNanos(this.longestUnseenMillis);
+			this.seenFromNanos.put(this.version, System.nanoTime() + this.random.nextLong(nanos));
+		}
+	}
+
+	private boolean isSeen(long ver) {
+		Long fromNanos = this.seenFromNanos.get(ver);
+		return fromNanos == null || System.nanoTime() - fromNanos >= 0;
+	}
+
+	private long newestSeen() {
+		long newest = this.version;
+		while (!isSeen(newest)) {
+			newest--;
+		}
+		return newest;
+	}
+
+	synchronized void put(String table, String key, String value) {
+		nextVersion();
 		store(new Name(table, "", key), value);
 		notifyAll();
 	}
@@ -78,7 +119,7 @@
 		if (!holds) {
 			return new Answer(412, new Rows(current, false, this.version));
 		}
-		this.version++;
+		nextVersion();
 		write.path("puts").forEach((put) -> store(Name.of(put), put.path("value").asText()));
 		write.path("remove").forEach((name) -> store(Name.of(name), null));
 		notifyAll();
@@ -110,7 +151,8 @@
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
 		while (!hasNewer(table, after) && after >= this.oldestHistory && System.nanoTime() - end < 0
 				&& !givenUp.getAsBoolean()) {
-			long left = Math.min(end - System.nanoTime(), LONGEST_WAIT_NANOS);
+			long left = Math.min(end - System.nanoTime(),
+					isSeen(this.version) ? LONGEST_WAIT_NANOS : SHORTEST_WAIT_NANOS);
 			TimeUnit.NANOSECONDS.timedWait(this, Math.max(1_000_000, left));
 		}
 		if (after < this.oldestHistory) {
@@ -118,7 +160,7 @@
 		}
 		List<Row> newer = newer(table, after);
 		if (newer.size() <= mostRows) {
-			return new Answer(200, new Rows(newer, false, this.version));
+			return new Answer(200, new Rows(newer, false, newestSeen()));
 		}
 		return new Answer(200, prefix(newer, mostRows));
 	}
@@ -137,7 +179,7 @@
 	}
 
 	private boolean hasNewer(String table, long after) {
-		return !this.history.getOrDefault(table, new TreeMap<>()).tailMap(after, false).isEmpty();
+		return !newer(table, after).isEmpty();
 	}
 
 	private List<Row> newer(String table, long after) {
@@ -146,6 +188,7 @@
 			.values()
 			.stream()
 			.flatMap(Set::stream)
+			.filter((row) -> isSeen(row.ver()))
 			.toList();
 	}
 
