Read the progress of jobs from the table after a take-over

Cause, found for one form of it: a standby learns progress from the change feed alone. If the feed tells a version while a change with a lower one is not visible yet, the standby continues from that version and never reads the change. Its catch-up after a take-over reaches the version of the take-over, and its lines look right (ProgressLoaded). A cut answer was another way to the same end; what a feed has told proves nothing about the rows that it has not shown.

A new owner now reads the partition after its take-over, in pages, or the rows of unfinished jobs if these take fewer calls, and replays the jobs with that. No former owner can write any more, so that the rows are final whatever the feed does. A job that is learnt later but was stored before is read alone if the partition was not read in full.

Tests, red before: "start after the acknowledged termination of job21.0.0.2" and 27 others (owner stopped), the same with the owner killed, and starts after three failures (CutAnswersTests.OfAFeedThatTellsVersionsBeyondItsRows).

LateProgressTests withholds rows from the feed to show what late progress does; as the partition shows them now, the table leaves reads unanswered there as well. Its checks are the same.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -56,7 +56,7 @@
 	 * @param tookMillis time since the owner acquired the pool
 	 */
 	record ProgressLoaded(long epoch, long replacedVersion, long takeOverVersion, long progressVersion, int rows,
-			int answers, int unfinishedJobs, int endedJobs, long tookMillis) implements PoolDecision {
+			int answers, int missedRows, int unfinishedJobs, int endedJobs, long tookMillis) implements PoolDecision {
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionReader.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionReader.java
@@ -1,15 +1,17 @@
 package org.monsoonrelay.logic.platform;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Reads partitions of a table in full, page by page. Thread-safe.
+ * Reads partitions of a table in full, page by page, or single rows of them. Thread-safe.
  */
-final class PartitionReader {
+public final class PartitionReader {
 
-	private static final int PAGE_ROWS = 500;
+	/** Maximum number of rows that one call returns. */
+	public static final int PAGE_ROWS = 500;
 
 	private final PartitionedTable table;
 
@@ -20,7 +22,7 @@
 	 * @param table the service
 	 * @param name the table to read
 	 */
-	PartitionReader(PartitionedTable table, String name) {
+	public PartitionReader(PartitionedTable table, String name) {
 		this.table = table;
 		this.name = name;
 	}
@@ -31,7 +33,7 @@
 	 * @param partition the partition
 	 * @return the rows with the version of the oldest page
 	 */
-	CompletableFuture<TablePage> readAll(String partition) {
+	public CompletableFuture<TablePage> readAll(String partition) {
 		return read(partition, "", new ArrayList<>(), Long.MAX_VALUE);
 	}
 
@@ -46,6 +48,23 @@
 		});
 	}
 
+	/**
+	 * Read single rows of a partition, one call for each.
+	 * @param partition the partition
+	 * @param keys the keys of the rows
+	 * @return the rows that exist
+	 */
+	public CompletableFuture<List<TableRow>> readRows(String partition, Collection<String> keys) {
+		List<CompletableFuture<List<TableRow>>> reads = keys.stream().map((key) -> readRow(partition, key)).toList();
+		return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+			.thenApply((done) -> reads.stream().flatMap((read) -> read.join().stream()).toList());
+	}
+
+	private CompletableFuture<List<TableRow>> readRow(String partition, String key) {
+		return this.table.read(this.name, partition, key, 1)
+			.thenApply((page) -> page.rows().stream().filter((row) -> row.key().equals(key)).toList());
+	}
+
 	/**
 	 * Read the rows of a partition that are newer than a version. If there are any, they
 	 * are all that changed up to the version of the result, but for deleted rows.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
@@ -89,12 +89,12 @@
 	}
 
 	@Override
-	public void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs) {
+	public void progressLoaded(CatchUp read, int missedRows, int unfinishedJobs, int endedJobs) {
 		this.replayedNanos = this.dependencies.clock().nanos();
 		this.dependencies.log()
 			.write(new PoolDecision.ProgressLoaded(this.lease.epoch(), this.takeOver.previousVersion(),
-					this.takeOver.version(), read.version(), read.rows(), read.answers(), unfinishedJobs, endedJobs,
-					millisSince(this.takenOverNanos)));
+					this.takeOver.version(), read.version(), read.rows(), read.answers(), missedRows, unfinishedJobs,
+					endedJobs, millisSince(this.takenOverNanos)));
 	}
 
 	@Override
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobReplicaListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobReplicaListener.java
@@ -33,11 +33,13 @@
 
 	/**
 	 * Called before the jobs are replayed, once the progress of former owners is read.
-	 * @param read what the last reading took
+	 * @param read what reading the change feed up to the take-over took
+	 * @param missedRows number of rows that the table held and the feed had not shown, -1
+	 * if the table was not read in time
 	 * @param unfinishedJobs number of jobs that have not ended
 	 * @param endedJobs number of jobs that have ended
 	 */
-	void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs);
+	void progressLoaded(CatchUp read, int missedRows, int unfinishedJobs, int endedJobs);
 
 	/**
 	 * Called for progress of a former owner that is read after the replay, also if this
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -21,13 +21,13 @@
 
 /**
  * A local replica of the job tables. Every standby keeps one with a low poll rate, so
- * that after a take-over only the changes of the last half second have to be read. Once
- * the progress of former owners is read up to the take-over, all known jobs are replayed
- * to the new owner; later jobs are delivered as they arrive. Invariants: a job is
- * delivered with the last progress that a former owner made durable, and progress that
- * arrives after the job is delivered as well; a partition that does not answer delays its
- * own jobs only; a job with an unreadable row is not delivered and its runs are left as
- * they are. Not thread-safe: confined to the control thread.
+ * that jobs need not be read after a take-over. Once the progress of former owners is
+ * read from the table after the take-over, all known jobs are replayed to the new owner;
+ * later jobs are delivered as they arrive. Invariants: a job that was stored before the
+ * take-over is delivered with the progress that a call sent after it has read, and
+ * progress that arrives after the job is delivered as well; a partition that does not
+ * answer delays its own jobs only; a job with an unreadable row is not delivered and its
+ * runs are left as they are. Not thread-safe: confined to the control thread.
  */
 public final class JobTableReplica {
 
@@ -43,6 +43,9 @@
 	 */
 	private static final Duration STANDBY_POLL_INTERVAL = Duration.ofMillis(500);
 
+	/** Instead of a number of rows if the table did not answer in time. */
+	private static final int NOT_READ = -1;
+
 	private final PartitionedTable table;
 
 	private final ScheduledExecutorService control;
@@ -55,6 +58,14 @@
 
 	private final ProgressReplica progress;
 
+	private final TakeOverProgressReader progressReader;
+
+	// Whether the progress of all jobs was read after the take-over.
+	private boolean progressRead;
+
+	// Jobs that are delivered once their progress has been read after the take-over.
+	private final Set<String> awaitingProgress = new HashSet<>();
+
 	private final Set<String> cancelled = new HashSet<>();
 
 	private final Set<String> loadedPartitions = new HashSet<>();
@@ -90,6 +101,7 @@
 		this.control = control;
 		this.unreadable = unreadable;
 		this.progress = new ProgressReplica(unreadable);
+		this.progressReader = new TakeOverProgressReader(table, control);
 		this.freshness = new JobFeedFreshness(clock.monotonic());
 	}
 
@@ -148,6 +160,8 @@
 		this.takeOverVersion = version;
 		this.replayed = false;
 		this.allLoadedReported = false;
+		this.awaitingProgress.clear();
+		this.progressRead = false;
 		start();
 		this.submissionFeed.catchUp(version, (read) -> {
 		});
@@ -156,19 +170,34 @@
 		}
 	}
 
-	// The response contains all progress that a former owner wrote before the take-over.
+	// The changes up to the take-over leave less to correct, but do not prove that none
+	// is missing.
 	private void catchUpProgress() {
 		Optional<JobReplicaListener> requested = this.owner;
-		this.progressFeed.catchUp(this.takeOverVersion, (read) -> {
-			if (requested.isPresent() && requested.equals(this.owner) && !this.replayed) {
-				replay(requested.get(), read);
-			}
+		this.progressFeed.catchUp(this.takeOverVersion, (caughtUp) -> this.progressReader.read(this.unfinished.keySet(),
+				this.progress.size(), new Replay(requested, caughtUp)));
+	}
+
+	private boolean isAttached(Optional<JobReplicaListener> requested) {
+		return requested.isPresent() && requested.equals(this.owner);
+	}
+
+	private int applyMissedProgress(List<TableRow> rows) {
+		return (int) rows.stream().filter((row) -> applyProgress(row).isPresent()).count();
+	}
+
+	private Optional<StoredProgress> applyProgress(TableRow row) {
+		Optional<StoredProgress> newer = this.progress.apply(row);
+		newer.filter((stored) -> stored.progress().state().isFinal()).ifPresent((stored) -> {
+			this.unfinished.remove(row.key());
+			this.cancelled.remove(row.key());
 		});
+		return newer;
 	}
 
-	private void replay(JobReplicaListener listener, CatchUp read) {
+	private void replay(JobReplicaListener listener, CatchUp read, int missedRows) {
 		this.replayed = true;
-		listener.progressLoaded(read, this.unfinished.size(), this.progress.ended().size());
+		listener.progressLoaded(read, missedRows, this.unfinished.size(), this.progress.ended().size());
 		this.progress.ended().forEach(listener::alreadyEnded);
 		List.copyOf(this.unfinished.values()).forEach((stored) -> deliver(listener, stored));
 		notifyIfAllLoaded(listener);
@@ -203,7 +232,8 @@
 	 */
 	boolean isLoaded(String job) {
 		boolean isRead = !this.unreadableJobs.contains(job) && !this.progress.isUnreadable(job);
-		return this.replayed && isRead && isRecent() && this.loadedPartitions.contains(JobTables.partition(job));
+		return this.replayed && isRead && !this.awaitingProgress.contains(job) && isRecent()
+				&& this.loadedPartitions.contains(JobTables.partition(job));
 	}
 
 	/**
@@ -240,8 +270,17 @@
 			return;
 		}
 		if (this.replayed) {
+			deliverLater(stored);
+		}
+	}
+
+	private void deliverLater(StoredJob stored) {
+		if (this.progressRead || stored.version() > this.takeOverVersion) {
 			this.owner.ifPresent((listener) -> deliver(listener, stored));
+			return;
 		}
+		this.awaitingProgress.add(stored.submission().id());
+		this.progressReader.readJobs(List.of(stored.submission().id()), new Delivery(this.owner, stored));
 	}
 
 	private void deliver(JobReplicaListener listener, StoredJob stored) {
@@ -279,6 +318,20 @@
 		}
 	}
 
+	private void applyRowOfProgress(TableRow row) {
+		boolean wasUnreadable = this.progress.isUnreadable(row.key());
+		boolean isLate = this.replayed && row.version() <= this.takeOverVersion;
+		Optional<StoredProgress> newer = this.applyProgress(row);
+		StoredJob job = this.unfinished.get(row.key());
+		if (this.replayed && newer.isPresent() && wasUnreadable && job != null) {
+			this.owner.ifPresent((listener) -> this.deliver(listener, job));
+		}
+		if (isLate) {
+			// This owner may have written the progress again without these rows.
+			newer.or(() -> this.progress.readReplaced(row)).ifPresent((late) -> this.deliverLate(row.key(), late));
+		}
+	}
+
 	private void notifyIfAllLoaded(JobReplicaListener listener) {
 		if (this.replayed && !this.allLoadedReported && hasLoadedAll()) {
 			this.allLoadedReported = true;
@@ -290,6 +343,96 @@
 		return this.loadedPartitions.size() == JobTables.partitions().size();
 	}
 
+	/**
+	 * Replays all jobs once their progress is read, or after a while without it. What is
+	 * read after that is delivered as late progress.
+	 */
+	private final class Replay implements TakeOverProgressReader.Receiver {
+
+		private final Optional<JobReplicaListener> requested;
+
+		private final CatchUp caughtUp;
+
+		Replay(Optional<JobReplicaListener> requested, CatchUp caughtUp) {
+			this.requested = requested;
+			this.caughtUp = caughtUp;
+		}
+
+		@Override
+		public boolean isInterested() {
+			return isAttached(this.requested);
+		}
+
+		@Override
+		public void read(TakeOverProgressReader.Progress read) {
+			JobTableReplica.this.progressRead |= read.whole();
+			if (JobTableReplica.this.replayed) {
+				read.rows().forEach(JobTableReplica.this::applyRowOfProgress);
+				return;
+			}
+			replay(this.requested.get(), this.caughtUp, applyMissedProgress(read.rows()));
+		}
+
+		@Override
+		public void overdue() {
+			if (isInterested() && !JobTableReplica.this.replayed) {
+				replay(this.requested.get(), this.caughtUp, NOT_READ);
+			}
+		}
+
+	}
+
+	/** Delivers a job that is learnt after the replay once its progress is read. */
+	private final class Delivery implements TakeOverProgressReader.Receiver {
+
+		private final Optional<JobReplicaListener> requested;
+
+		private final StoredJob stored;
+
+		Delivery(Optional<JobReplicaListener> requested, StoredJob stored) {
+			this.requested = requested;
+			this.stored = stored;
+		}
+
+		@Override
+		public boolean isInterested() {
+			return isAttached(this.requested);
+		}
+
+		@Override
+		public void read(TakeOverProgressReader.Progress read) {
+			if (isAwaited()) {
+				applyMissedProgress(read.rows());
+				overdue();
+				return;
+			}
+			read.rows().forEach(JobTableReplica.this::applyRowOfProgress);
+		}
+
+		@Override
+		public void overdue() {
+			if (!isInterested() || !JobTableReplica.this.awaitingProgress.remove(id())) {
+				return;
+			}
+			if (JobTableReplica.this.progress.isEnded(id())) {
+				this.requested.get().alreadyEnded(id());
+			}
+			else {
+				deliver(this.requested.get(), this.stored);
+			}
+			this.requested.get().changed();
+		}
+
+		private boolean isAwaited() {
+			return JobTableReplica.this.awaitingProgress.contains(id());
+		}
+
+		private String id() {
+			return this.stored.submission().id();
+		}
+
+	}
+
 	private record StoredJob(Submission submission, long version) {
 
 	}
@@ -365,7 +508,7 @@
 
 		@Override
 		public void changed(List<TableRow> rows) {
-			rows.forEach(this::applyRow);
+			rows.forEach(JobTableReplica.this::applyRowOfProgress);
 		}
 
 		@Override
@@ -373,26 +516,6 @@
 			JobTableReplica.this.progressLoaded = false;
 		}
 
-		private void applyRow(TableRow row) {
-			JobTableReplica replica = JobTableReplica.this;
-			boolean wasUnreadable = replica.progress.isUnreadable(row.key());
-			boolean isLate = replica.replayed && row.version() <= replica.takeOverVersion;
-			Optional<StoredProgress> newer = replica.progress.apply(row);
-			newer.filter((stored) -> stored.progress().state().isFinal()).ifPresent((stored) -> {
-				replica.unfinished.remove(row.key());
-				replica.cancelled.remove(row.key());
-			});
-			StoredJob job = replica.unfinished.get(row.key());
-			if (replica.replayed && newer.isPresent() && wasUnreadable && job != null) {
-				replica.owner.ifPresent((listener) -> replica.deliver(listener, job));
-			}
-			if (isLate) {
-				// This owner may have written the progress again without these rows.
-				newer.or(() -> replica.progress.readReplaced(row))
-					.ifPresent((late) -> replica.deliverLate(row.key(), late));
-			}
-		}
-
 	}
 
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/ProgressReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/ProgressReplica.java
@@ -119,6 +119,14 @@
 				"is not the progress of this job");
 	}
 
+	/**
+	 * The number of jobs with progress.
+	 * @return the number of rows that are known
+	 */
+	public int size() {
+		return this.unfinished.size() + this.ended.size();
+	}
+
 	/** Forgets all rows. */
 	public void clear() {
 		this.unfinished.clear();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutAnswersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutAnswersTests.java
@@ -19,6 +19,8 @@
 
 	private static final int JOBS = 30;
 
+	private static final int HIDDEN_MILLIS = 300;
+
 	private final SimulatedCell cell = new SimulatedCell().withWorkers(10)
 		.withRunMillis((task) -> 100 + Math.floorMod(task.hashCode(), 500));
 
@@ -94,4 +96,39 @@
 
 	}
 
+	@Nested
+	class OfAFeedThatTellsVersionsBeyondItsRows {
+
+		@Test
+		void hideNoEndsFromTheSuccessorOfAStoppedOwner() {
+			takeOverUnderLoad(() -> hideWritesBefore(CutAnswersTests.this.owner::stop));
+			assertNothingIsRepeated();
+		}
+
+		@Test
+		void hideNoEndsFromTheSuccessorOfAKilledOwner() {
+			takeOverUnderLoad(() -> hideWritesBefore(CutAnswersTests.this.owner::kill));
+			assertNothingIsRepeated();
+		}
+
+		@Test
+		void hideNoFailuresFromASuccessor() {
+			CutAnswersTests.this.cell.workers.setEndlessTasks((task) -> Math.floorMod(task.hashCode(), 3) == 0);
+			CutAnswersTests.this.cell.workers.limitFailures(3);
+			takeOverUnderLoad(() -> hideWritesBefore(CutAnswersTests.this.owner::stop));
+			assertThat(CutAnswersTests.this.cell.workers.violations()).isEmpty();
+		}
+
+		private void hideWritesBefore(Runnable loss) {
+			InMemoryTable.Client client = CutAnswersTests.this.standby.tableClient;
+			long from = CutAnswersTests.this.cell.table.version();
+			client.hideChanges((version) -> version > from);
+			CutAnswersTests.this.cell.time.runFor(HIDDEN_MILLIS);
+			long to = CutAnswersTests.this.cell.table.version();
+			client.hideChanges((version) -> version > from && version <= to);
+			loss.run();
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.stream.Stream;
 
 import org.monsoonrelay.logic.platform.PartitionCommit;
@@ -165,6 +166,8 @@
 
 		private boolean splitsWrites;
 
+		private LongPredicate hiddenVersions = (version) -> false;
+
 		private int readCalls;
 
 		private long linkBytesPerMillis = Long.MAX_VALUE;
@@ -259,6 +262,15 @@
 			this.withheldTable = table;
 		}
 
+		/**
+		 * Leaves writes out of answers of the change feed that tell higher versions.
+		 * Reads see them.
+		 * @param hidden matches the versions that are left out
+		 */
+		void hideChanges(LongPredicate hidden) {
+			this.hiddenVersions = hidden;
+		}
+
 		/**
 		 * The number of calls for changes and of reads that this process has sent.
 		 * @return the count
@@ -374,7 +386,9 @@
 				return;
 			}
 			List<TableRow> changed = withholding(table,
-					changedSince(since).filter((row) -> row.table().equals(table)).toList());
+					changedSince(since)
+						.filter((row) -> row.table().equals(table) && !this.hiddenVersions.test(row.version()))
+						.toList());
 			if (!changed.isEmpty() || remainingMillis <= 0) {
 				TableChanges changes = limited(changed, since);
 				deliver(changes.rows(), this.feedDelayMillis, () -> answer.complete(changes));
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateProgressTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateProgressTests.java
@@ -20,6 +20,9 @@
  */
 class LateProgressTests {
 
+	/** Reads of the partition would show the progress that the feed withholds. */
+	private static final long UNANSWERED_MILLIS = 60_000;
+
 	private static final String JOB = "job";
 
 	private final SimulatedCell cell = new SimulatedCell();
@@ -40,6 +43,7 @@
 	}
 
 	private void withholdProgress() {
+		this.cell.table.setReadLatency(UNANSWERED_MILLIS);
 		this.standby.tableClient.withholdRows(JobTables.PROGRESS);
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/StandbyRoleTests.java
@@ -126,7 +126,7 @@
 		}
 
 		@Override
-		public void progressLoaded(CatchUp read, int unfinishedJobs, int endedJobs) {
+		public void progressLoaded(CatchUp read, int missedRows, int unfinishedJobs, int endedJobs) {
 		}
 
 		@Override
