Wait for late ends before the runs of a worker count as known

What callers saw: a task ran a second time after a change of owner. Its end was listed 8 ms after its run had ceased to be listed as active.

Cause: the second report that shows all runs of a worker, and the one that takes a known run for lost, followed the first after one round trip. A worker that lists an end later than that was taken to have neither. The report also counted while a number was missing among the ends that it listed.

The second report is now requested MAX_LISTING_DELAY_NANOS (100 ms, as for missing numbers) after the first was processed, and none verifies a worker while a number is missing. A request that is sent so long after the report that lacked a run finds its end listed. Terminations are processed before a worker is verified, so that a number which the same report shows to be unused does not cost another request.

A run that vanishes on a worker counts as lost 100 ms later. A run that a missing number may hide is missed from the first report on, so that the two waits do not add up.

LateListedEndsTests.ThatNeverCome asked for the loss within a round trip of the first report that lacks the run, which is the fault.

RestartsUnderTheSameIdTests.FencingTokens.followTheEpochOfAnOwnerOfAnEarlierRelease restarts a worker 500 ms after the start of the owner and submits a job at once. With polls 100 ms later its starts were sent to that worker before the restart was noticed, and waited as START_UNRESOLVED, which the test is not about. It restarts the worker at 600 ms now, at the same moment of the polls as before; its assertions are unchanged.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/Run.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.monsoonrelay.model.capacity.Resources;
@@ -38,7 +39,7 @@
 
 	private boolean confirmed;
 
-	private boolean missed;
+	private OptionalLong missedNanos = OptionalLong.empty();
 
 	private boolean startConfirmed;
 
@@ -130,7 +131,7 @@
 			this.probationEndNanos = nowNanos + PROBATION_NANOS;
 		}
 		this.confirmed = true;
-		this.missed = false;
+		this.missedNanos = OptionalLong.empty();
 		this.confirmedNanos = nowNanos;
 		if (this.state == State.STARTING) {
 			this.state = State.RUNNING;
@@ -155,15 +156,27 @@
 	}
 
 	/**
-	 * Records that a complete report lists neither this run nor its termination. The two
-	 * lists of a report may not be of the same moment, so that a run can terminate
-	 * between them.
-	 * @return {@code true} if the complete report before it lacked the run as well
+	 * Records that a complete report lists neither this run nor its termination. A worker
+	 * may list the termination a little later.
+	 * @param pollSentNanos monotonic time at which the report was requested
+	 * @param nowNanos the current monotonic time
+	 * @return {@code true} if the report was requested long enough after an earlier one
+	 * that lacked the run as well
+	 */
+	boolean markMissed(long pollSentNanos, long nowNanos) {
+		if (this.missedNanos.isEmpty()) {
+			this.missedNanos = OptionalLong.of(nowNanos);
+		}
+		return pollSentNanos - lostFromNanos() >= 0;
+	}
+
+	/**
+	 * Returns from when on a report has to be requested that shows whether this run is
+	 * lost.
+	 * @return the monotonic time, meaningless for a run that no report has lacked
 	 */
-	boolean markMissed() {
-		boolean isMissedAgain = this.missed;
-		this.missed = true;
-		return isMissedAgain;
+	long lostFromNanos() {
+		return this.missedNanos.orElse(0) + TerminationSequence.MAX_LISTING_DELAY_NANOS;
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/RunAdoption.java
@@ -13,11 +13,11 @@
 
 /**
  * Reconciles the runs that a worker reports with the runs known to the owner, and adopts
- * those that an earlier owner started. Invariants: a run that two complete reports in a
- * row list neither as active nor as terminated is lost; a run whose job is not loaded yet
- * occupies the whole capacity of the worker and is neither stopped nor dropped until the
- * job is loaded or is presumed not to exist. Not thread-safe: confined to the control
- * thread.
+ * those that an earlier owner started. Invariants: a run that complete reports list
+ * neither as active nor as terminated for as long as a worker may take to list an end is
+ * lost; a run whose job is not loaded yet occupies the whole capacity of the worker and
+ * is neither stopped nor dropped until the job is loaded or is presumed not to exist. Not
+ * thread-safe: confined to the control thread.
  */
 final class RunAdoption {
 
@@ -73,19 +73,20 @@
 				this.observers.reported(known.get(), reported);
 			}
 		}
-		if (report.complete() && !worker.terminations().hasGap()) {
+		if (report.complete()) {
 			loseUnreportedRuns(worker, reportedTasks, sentNanos);
 		}
 	}
 
 	private void loseUnreportedRuns(PoolWorker worker, Set<TaskKey> reportedTasks, long sentNanos) {
+		long now = this.clock.nanos();
 		for (Run run : worker.runs()) {
 			if (!reportedTasks.contains(run.task()) && run.mustAppearInPoll(sentNanos)) {
-				if (run.markMissed()) {
+				if (run.markMissed(sentNanos, now) && !worker.terminations().hasGap()) {
 					this.terminations.handleLostRun(worker, run, RunLoss.NOT_REPORTED, worker.runCount() - 1);
 				}
 				else {
-					worker.incarnation().expectReport();
+					worker.incarnation().expectReport(run.lostFromNanos());
 				}
 			}
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -27,10 +27,11 @@
 final class TerminationSequence {
 
 	/**
-	 * Age at which a number is presumed to be unused that reports lack although they list
-	 * higher ones, nanoseconds.
+	 * Time within which a worker lists the end of a run that it no longer lists as
+	 * active, nanoseconds. A report proves that there is no such end only if it was
+	 * requested so long after another one lacked it.
 	 */
-	private static final long MAX_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+	static final long MAX_LISTING_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
 	private long processed;
 
@@ -135,7 +136,7 @@
 	 */
 	List<Gap> passGaps(long requestedNanos) {
 		List<Gap> passed = new ArrayList<>();
-		while (hasGap() && requestedNanos - this.processedAhead.firstEntry().getValue() >= MAX_GAP_NANOS) {
+		while (hasGap() && requestedNanos - this.processedAhead.firstEntry().getValue() >= MAX_LISTING_DELAY_NANOS) {
 			long next = this.processedAhead.firstKey();
 			passed.add(new Gap(this.processed + 1, next - 1));
 			this.processed = next - 1;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerIncarnation.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -12,9 +13,10 @@
  * terminations that it reported. A worker that restarts gets a new object, so that
  * nothing learned of an incarnation is applied to the next one. Invariant: an incarnation
  * is verified only by a complete report, and one on which runs may be active that this
- * owner does not know only by a second one; a report of one that follows another
- * incarnation counts only if it was requested after the restart was noticed. Not
- * thread-safe: confined to the control thread.
+ * owner does not know only by a second one without a missing number, requested when the
+ * worker has listed the ends of all runs that the first one lacked; a report of one that
+ * follows another incarnation counts only if it was requested after the restart was
+ * noticed. Not thread-safe: confined to the control thread.
  */
 final class WorkerIncarnation {
 
@@ -35,10 +37,14 @@
 
 	private boolean reported;
 
-	private boolean completelyReported;
+	// Monotonic time at which the first complete report was processed.
+	private OptionalLong completelyReportedNanos = OptionalLong.empty();
 
 	private boolean reportDue;
 
+	// Monotonic time at which the report that is due is to be requested.
+	private OptionalLong nextReportNanos = OptionalLong.empty();
+
 	private boolean verified;
 
 	private boolean lossLogged;
@@ -168,6 +174,7 @@
 	void recordReport(PollOutcome.Report report, long nowNanos) {
 		this.reported = true;
 		this.reportDue = !report.complete();
+		this.nextReportNanos = OptionalLong.empty();
 		if (!this.verified) {
 			report.runningTasks().forEach((run) -> this.reportedRuns.add(new RunId(run.task(), run.attempt())));
 			report.terminatedTasks().forEach((run) -> this.reportedRuns.add(new RunId(run.task(), run.attempt())));
@@ -204,22 +211,46 @@
 	}
 
 	/**
-	 * Records that a complete report is processed.
-	 * @return {@code true} if an earlier one was complete as well
+	 * Records that a complete report is processed, with its terminations.
+	 * @param pollSentNanos monotonic time at which it was requested
+	 * @param nowNanos the current monotonic time
+	 * @return {@code true} if all runs are known, {@code false} if another report is
+	 * needed, which is due then
 	 */
-	boolean markCompletelyReported() {
-		boolean isSecond = this.completelyReported;
-		this.completelyReported = true;
-		return isSecond;
+	boolean markCompletelyReported(long pollSentNanos, long nowNanos) {
+		if (this.completelyReportedNanos.isEmpty()) {
+			this.completelyReportedNanos = OptionalLong.of(nowNanos);
+		}
+		long fromNanos = this.completelyReportedNanos.getAsLong() + TerminationSequence.MAX_LISTING_DELAY_NANOS;
+		if (pollSentNanos - fromNanos >= 0 && !this.terminations.hasGap()) {
+			return true;
+		}
+		expectReport(fromNanos);
+		return false;
 	}
 
 	/**
 	 * Records that another report is needed although the last one was complete.
+	 * @param fromNanos monotonic time from which on it is to be requested
 	 */
-	void expectReport() {
+	void expectReport(long fromNanos) {
+		boolean isEarliest = this.nextReportNanos.isEmpty() || fromNanos - this.nextReportNanos.getAsLong() < 0;
+		if (isEarliest) {
+			this.nextReportNanos = OptionalLong.of(fromNanos);
+		}
 		this.reportDue = true;
 	}
 
+	/**
+	 * Returns the time until the report is to be requested that is due.
+	 * @param nowNanos the current monotonic time
+	 * @return milliseconds, rounded up, 0 if the time has come
+	 */
+	long millisUntilNextReport(long nowNanos) {
+		long nanos = this.nextReportNanos.orElse(nowNanos) - nowNanos;
+		return (nanos > 0) ? TimeUnit.NANOSECONDS.toMillis(nanos - 1) + 1 : 0;
+	}
+
 	/**
 	 * Returns whether the worker is known to have more to report, so that a poll need not
 	 * wait for a termination.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -272,13 +272,16 @@
 		}
 		if (!worker.incarnation().isVerified()) {
 			logUnverifiedReport(worker, report);
-			verify(worker, report);
 		}
 		this.terminations.process(worker, report.terminatedTasks());
 		passGaps(worker, poll.sentNanos());
+		if (!worker.incarnation().isVerified() && report.complete()) {
+			verify(poll, report);
+		}
 		this.adoption.reconcile(worker, report, poll.sentNanos());
 		worker.suspectedRuns().workerAnswered(poll.sentNanos());
-		// Until the second complete report, the worker counts as silent since its loss.
+		// Until the complete report that verifies it, the worker counts as silent since
+		// its loss.
 		if (!worker.isReachable() && (worker.incarnation().isVerified() || !report.complete())) {
 			worker.markReachable();
 			this.log.write(new PoolDecision.WorkerReached(worker.id(), report.startedMillis().orElse(-1),
@@ -291,17 +294,13 @@
 		scheduleNextPoll(poll, report);
 	}
 
-	// A run that terminates between the two lists of a report is in neither of them.
-	private void verify(PoolWorker worker, PollOutcome.Report report) {
-		if (!report.complete()) {
-			return;
-		}
-		if (worker.incarnation().markCompletelyReported() || !this.losses.mayHaveUnknownRuns(worker)) {
+	// A run that has just terminated may be in neither list of a report.
+	private void verify(SentPoll poll, PollOutcome.Report report) {
+		PoolWorker worker = poll.worker();
+		if (!this.losses.mayHaveUnknownRuns(worker)
+				|| worker.incarnation().markCompletelyReported(poll.sentNanos(), this.clock.nanos())) {
 			this.losses.handleVerification(worker, report);
 		}
-		else {
-			worker.incarnation().expectReport();
-		}
 	}
 
 	private void passGaps(PoolWorker worker, long requestedNanos) {
@@ -323,7 +322,8 @@
 		WorkerIncarnation incarnation = worker.incarnation();
 		TerminationSequence reported = incarnation.terminations();
 		if (report.complete() && incarnation.isReportDue()) {
-			poll(worker);
+			long dueMillis = incarnation.millisUntilNextReport(this.clock.nanos());
+			pollAfter(worker, incarnation, reported.hasGap() ? Math.max(dueMillis, GAP_POLL_DELAY_MILLIS) : dueMillis);
 		}
 		else if (!reported.isDurable()) {
 			this.terminationsProcessedNanos.putIfAbsent(incarnation, this.clock.nanos());
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateListedEndsTests.java
@@ -118,13 +118,17 @@
 		/** A poll in each direction, twice. */
 		private static final long ROUND_TRIPS_MILLIS = 10;
 
+		private static final long MAX_LISTING_DELAY_MILLIS = 100;
+
 		@Test
-		void loseTheirRunsOneRoundTripAfterTheReportThatLacksThem() {
+		void loseTheirRunsOnceNoEndCanBeListedAnyMore() {
 			startTasks();
 			TaskKey task = new TaskKey("job", 0, 0, LATE_TASK);
 			LateListedEndsTests.this.cell.workers.find("w").loseRun(task);
 			LateListedEndsTests.this.cell.time
 				.runFor(LateListedEndsTests.this.cell.workers.longPollMillis() + ROUND_TRIPS_MILLIS);
+			assertThat(LateListedEndsTests.this.cell.decisions).noneMatch(JobDecision.TaskLost.class::isInstance);
+			LateListedEndsTests.this.cell.time.runFor(MAX_LISTING_DELAY_MILLIS);
 			assertThat(LateListedEndsTests.this.cell.decisions).filteredOn(JobDecision.TaskLost.class::isInstance)
 				.hasSize(1);
 			LateListedEndsTests.this.cell.time.runFor(10_000);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RestartsUnderTheSameIdTests.java
@@ -362,7 +362,7 @@
 				cell.workers.find("w" + i).stop(new TaskKey("other", 0, 0, 0), 1, 7);
 			}
 			cell.addScheduler();
-			cell.time.runFor(500);
+			cell.time.runFor(600);
 			restart(0, 100);
 			cell.submit("a", SimulatedCell.step(3, false));
 			cell.time.runFor(5000);
