Hold back tasks whose ends a worker that answers has not listed yet

What callers saw: after a change of owner, tasks that had ended started again once the leases of the former owner were over, although their worker answered all the time.

Cause: a worker lists its first 500 ends, and the next ones once these are acknowledged. Ends of a job whose row cannot be read, or all ends during an outage of the table, cannot be. A new owner took such a worker for lost when the leases of the former owner had ended (InheritedWorkers.expire), and its own lease, which kept runs there active, did not count.

Evidence (with that rule back in place): EndsBehindUnreadableJobsTests.areReadOnceTheRowCanBeReadAgainWhileLaterJobsGoOn Expecting empty but was: ["start before the acknowledgement of the termination of other.0.0.5", "start before the acknowledgement of the termination of known.0.0.0", ...] CutListsOfEndsTests.WhileTheTableIsDownForLongerThanTheFormerLeases is red as well, for want of the new line; whether its tasks would start again was not shown by itself.

A worker that answers, or that this owner's lease may keep active, does not expire. When the leases of the former owner have ended it is overdue: the recovery ends, jobs that no former owner knew go on, and the tasks of inherited jobs without a known run wait (RUN_UNCONFIRMED) until the list of the worker has ended or its lease has. Gangs with such tasks are not stopped as incomplete, customers' limits count them, and the next owner is told that any task may run there. InheritedRunsUnread tells it once per worker, pool.workers.unread counts, pool.steps.waiting.RUN_UNCONFIRMED has the steps.

What it costs: the record does not tell which tasks ran where, so that all inherited tasks without a run wait, and do so as long as the row cannot be read. EndsBehindUnreadableJobsTests.areReadAlthough... gets further, to its last assertion: "known" is started once, but does not complete.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/logging/DecisionMetrics.java
@@ -141,6 +141,9 @@
 		else if (decision instanceof PoolDecision.WorkerLost) {
 			count("pool.workers.lost");
 		}
+		else if (decision instanceof PoolDecision.InheritedRunsUnread) {
+			count("pool.workers.unread");
+		}
 		else if (decision instanceof JobDecision.TaskLost lost) {
 			count("pool.runs.lost");
 			count("pool.runs.lost." + lost.cause());
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -13,8 +13,9 @@
 
 	/**
 	 * The recovery of a new owner is complete: for every worker that an earlier owner may
-	 * have used, it knows what runs there, or that nothing can run there any more. From
-	 * now on it may start tasks that the earlier owner may have started.
+	 * have used, it knows what runs there, or that nothing can run there any more, or
+	 * holds back the tasks of which the worker may not have listed the ends yet. From now
+	 * on it may start the other tasks that the earlier owner may have started.
 	 *
 	 * @param epoch the owner's fencing token
 	 * @param workers number of workers that the earlier owner may have used
@@ -72,6 +73,19 @@
 
 	}
 
+	/**
+	 * A worker of a former owner answers, but has not listed the ends of all its runs
+	 * when the leases of that owner have ended. The tasks that may have run there are not
+	 * started before it has.
+	 *
+	 * @param worker the worker
+	 * @param anyTask whether any task of the former owner may have run there
+	 * @param tasks number of tasks that may have run there otherwise
+	 */
+	record InheritedRunsUnread(String worker, boolean anyTask, int tasks) implements PoolDecision {
+
+	}
+
 	/**
 	 * Load of the pool, written once a second by its owner.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/EventCategories.java
@@ -25,7 +25,7 @@
 
 	private static final Set<String> WORKERS = names(PoolDecision.WorkerSilent.class, PoolDecision.WorkerLost.class,
 			PoolDecision.WorkerAvoided.class, PoolDecision.WorkerSpeedChanged.class, PoolDecision.WorkerRestarted.class,
-			PoolDecision.InheritedWorkerLost.class);
+			PoolDecision.InheritedWorkerLost.class, PoolDecision.InheritedRunsUnread.class);
 
 	private EventCategories() {
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CustomerAccounts.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/CustomerAccounts.java
@@ -109,7 +109,7 @@
 		this.pool.inherited().unconfirmedTasks().values().forEach(named::addAll);
 		Map<String, ResourceTotal> possible = new HashMap<>();
 		named.stream().filter((task) -> !hasRun(task)).forEach((task) -> addTo(possible, task));
-		if (!this.pool.inherited().areReconciled()) {
+		if (!this.pool.inherited().unreconciled().isEmpty()) {
 			addInherited(possible, named);
 		}
 		return possible;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/InheritedWorkers.java
@@ -10,15 +10,16 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.monsoonrelay.model.submission.TaskKey;
 
 /**
- * The workers of earlier owners that have not reported to this owner, and the tasks that
- * may run there. Invariant: a worker is contained until it has reported, or until all
- * leases that earlier owners granted it have ended. Not thread-safe: confined to the
- * control thread.
+ * The workers of earlier owners that have not reported all their runs to this owner, and
+ * the tasks that may run there, or have ended there unread. Invariant: a worker is
+ * contained until it has reported all its runs, or until it is silent and all leases that
+ * owners granted it have ended. Not thread-safe: confined to the control thread.
  */
 final class InheritedWorkers {
 
@@ -38,6 +39,10 @@
 	// Monotonic time at which the leases of a worker have ended.
 	private final Map<String, Long> leaseEndNanos = new HashMap<>();
 
+	// Workers that answer, but have not reported all their runs within the leases of
+	// earlier owners.
+	private final Set<String> overdue = new HashSet<>();
+
 	/**
 	 * Adds the workers in the record of the former owner.
 	 * @param takeOver how this process became the owner
@@ -88,20 +93,23 @@
 		this.incarnations.remove(id);
 		this.verified.remove(id);
 		this.leaseEndNanos.remove(id);
+		this.overdue.remove(id);
 	}
 
 	/**
 	 * Removes the workers whose leases have ended.
 	 * @param nowNanos the current monotonic time
+	 * @param mayReport matches the ids of workers that may still report runs, as they
+	 * answer this owner or have a lease of it
 	 * @return the workers
 	 */
-	List<Expired> expire(long nowNanos) {
+	List<Expired> expire(long nowNanos, Predicate<String> mayReport) {
 		if (this.leaseEndNanos.isEmpty()) {
 			return List.of();
 		}
 		List<Expired> expired = new ArrayList<>();
 		for (String id : workers()) {
-			if (nowNanos - this.leaseEndNanos.get(id) > 0) {
+			if (hasFormerLeaseEnded(id, nowNanos) && !mayReport.test(id)) {
 				expired.add(new Expired(id, this.unreconciled.contains(id), unconfirmedTasks(id)));
 			}
 		}
@@ -109,6 +117,24 @@
 		return expired;
 	}
 
+	private boolean hasFormerLeaseEnded(String id, long nowNanos) {
+		return nowNanos - this.leaseEndNanos.get(id) > 0;
+	}
+
+	/**
+	 * Marks the workers as overdue whose leases of earlier owners have ended and that did
+	 * not {@linkplain #expire expire}.
+	 * @param nowNanos the current monotonic time
+	 * @return the ids of those that were not overdue before
+	 */
+	List<String> markOverdue(long nowNanos) {
+		return workers().stream()
+			.filter((id) -> hasFormerLeaseEnded(id, nowNanos))
+			.filter(this.overdue::add)
+			.sorted()
+			.toList();
+	}
+
 	/**
 	 * Returns whether another incarnation of a worker reports than the one that an
 	 * earlier owner polled last.
@@ -168,11 +194,12 @@
 	}
 
 	/**
-	 * Returns whether there is no worker on which any task may run.
-	 * @return {@code true} if only the tasks in {@link #unconfirmedTasks} may run unseen
+	 * Returns whether no worker on which any task may run is awaited any more.
+	 * @return {@code true} if only the tasks that {@link #mayRunUnconfirmed} matches may
+	 * run unseen
 	 */
 	boolean areReconciled() {
-		return this.unreconciled.isEmpty();
+		return this.overdue.containsAll(this.unreconciled);
 	}
 
 	/**
@@ -250,13 +277,24 @@
 	}
 
 	/**
-	 * Returns whether a task may be active on a worker that was unreachable or draining
-	 * under an earlier owner and has not reported since.
+	 * Returns whether a task may be active, or have ended unread, on a worker that was
+	 * unreachable or draining under an earlier owner and has not reported since, or on
+	 * one that is overdue.
 	 * @param task the task
-	 * @return {@code true} if the task may be active on such a worker
+	 * @param isInherited whether an earlier owner may have started tasks of a job
+	 * @return {@code true} if the task must not be started
+	 */
+	boolean mayRunUnconfirmed(TaskKey task, Predicate<String> isInherited) {
+		return this.unconfirmedTasks.values().stream().anyMatch((tasks) -> tasks.contains(task))
+				|| (isInherited.test(task.job()) && this.overdue.stream().anyMatch(this.unreconciled::contains));
+	}
+
+	/**
+	 * Returns whether {@link #mayRunUnconfirmed} may match a task.
+	 * @return {@code false} if it matches none
 	 */
-	boolean mayRunUnconfirmed(TaskKey task) {
-		return this.unconfirmedTasks.values().stream().anyMatch((tasks) -> tasks.contains(task));
+	boolean mayRunUnconfirmed() {
+		return !this.unconfirmedTasks.isEmpty() || !this.overdue.isEmpty();
 	}
 
 	Map<String, Long> incarnations() {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -60,8 +60,8 @@
 
 	// A gang waits until none of its tasks may run elsewhere.
 	private List<Integer> withoutTasksElsewhere(ActiveStep step, List<Integer> waiting) {
-		boolean areAllStartable = this.pool.inherited().unconfirmedTasks().isEmpty()
-				&& this.jobs.unconfirmedLosses().isEmpty() && this.jobs.unresolvedStarts().isEmpty();
+		boolean areAllStartable = !this.pool.inherited().mayRunUnconfirmed() && this.jobs.unconfirmedLosses().isEmpty()
+				&& this.jobs.unresolvedStarts().isEmpty();
 		if (areAllStartable) {
 			return waiting;
 		}
@@ -80,7 +80,7 @@
 	}
 
 	private Optional<WaitReason> reasonMayRunElsewhere(TaskKey task) {
-		if (this.pool.inherited().mayRunUnconfirmed(task)) {
+		if (this.pool.inherited().mayRunUnconfirmed(task, this.jobs::isInherited)) {
 			return Optional.of(WaitReason.RUN_UNCONFIRMED);
 		}
 		if (this.jobs.unconfirmedLosses().contains(task)) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
@@ -15,7 +15,10 @@
 	/** It is not confirmed that this process was the owner after the job was stored. */
 	JOB_UNCONFIRMED,
 
-	/** An earlier run may be active on a worker that has not reported since. */
+	/**
+	 * An earlier run may be active on a worker that has not reported since, or its end
+	 * may not be listed yet.
+	 */
 	RUN_UNCONFIRMED,
 
 	/** The loss of an earlier run is not confirmed by a renewal. */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerLossHandler.java
@@ -225,10 +225,12 @@
 
 	/**
 	 * Gives up the runs on workers that have not reported since the take-over and whose
-	 * leases have ended.
+	 * leases have ended. Of those that answer, the ends that are not listed yet are
+	 * awaited.
 	 */
 	void expireInheritedWorkers() {
-		for (InheritedWorkers.Expired worker : this.pool.inherited().expire(this.clock.nanos())) {
+		long now = this.clock.nanos();
+		for (InheritedWorkers.Expired worker : this.pool.inherited().expire(now, (id) -> mayReport(id, now))) {
 			if (worker.unreconciled()) {
 				this.jobs.unconfirmedLosses().recordAnyInherited();
 				this.inheritedStarts.recordUnknownLoss();
@@ -237,6 +239,20 @@
 					new PoolDecision.InheritedWorkerLost(worker.id(), worker.unreconciled(), worker.describeTasks()));
 			worker.tasks().forEach(this.terminations::handleInheritedLoss);
 		}
+		this.pool.inherited().markOverdue(now).forEach(this::logOverdue);
+	}
+
+	private boolean mayReport(String id, long nowNanos) {
+		return this.pool.worker(id)
+			.filter((worker) -> worker.incarnation().hasReported() && !worker.isLost())
+			.filter((worker) -> worker.isReachable() || !worker.lease().isExpired(nowNanos))
+			.isPresent();
+	}
+
+	private void logOverdue(String id) {
+		boolean isAnyTask = this.pool.inherited().isUnreconciled(id);
+		int tasks = this.pool.inherited().unconfirmedTasks(id).size();
+		this.log.write(new PoolDecision.InheritedRunsUnread(id, isAnyTask, tasks));
 	}
 
 	/**
@@ -287,7 +303,8 @@
 	// During the recovery the other members may still be reported.
 	private void stopIncompleteGangs() {
 		if (this.recovered) {
-			this.terminations.stopIncompleteGangs(this.pool.inherited()::mayRunUnconfirmed);
+			this.terminations
+				.stopIncompleteGangs((task) -> this.pool.inherited().mayRunUnconfirmed(task, this.jobs::isInherited));
 		}
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutListsOfEndsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/CutListsOfEndsTests.java
@@ -108,6 +108,39 @@
 
 	}
 
+	@Nested
+	class WhileTheTableIsDownForLongerThanTheFormerLeases {
+
+		@Test
+		void startNoTaskAgainWhoseEndIsListedLater() {
+			startTasks();
+			CutListsOfEndsTests.this.owner.kill();
+			CutListsOfEndsTests.this.cell.time.runFor(RUN_MILLIS);
+			CutListsOfEndsTests.this.cell.restart(CutListsOfEndsTests.this.owner);
+			while (!areFirstEndsAndJobsRead()) {
+				CutListsOfEndsTests.this.cell.time.runFor(1);
+			}
+			CutListsOfEndsTests.this.cell.table.setDown(true);
+			CutListsOfEndsTests.this.cell.time.runFor(12_000);
+			assertThat(CutListsOfEndsTests.this.cell.decisions)
+				.filteredOn(PoolDecision.InheritedRunsUnread.class::isInstance)
+				.containsExactly(new PoolDecision.InheritedRunsUnread("w", true, 0));
+			CutListsOfEndsTests.this.cell.table.setDown(false);
+			CutListsOfEndsTests.this.cell.time.runFor(5000);
+			assertEachTaskWasStartedOnce();
+		}
+
+		private boolean areFirstEndsAndJobsRead() {
+			long loads = CutListsOfEndsTests.this.cell.decisions.stream()
+				.filter(PoolDecision.ProgressLoaded.class::isInstance)
+				.count();
+			return loads == 2 && CutListsOfEndsTests.this.cell.decisions.stream()
+				.anyMatch(
+						(decision) -> decision instanceof PoolDecision.WorkerReported reported && reported.ends() > 0);
+		}
+
+	}
+
 	@Nested
 	class OfAWorkerThatRestartsUnderItsId {
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InheritedWorkersTests.java
@@ -36,7 +36,7 @@
 	}
 
 	private List<String> expire(long millisAfterKnown) {
-		return this.inherited.expire(nanosAfterKnown(millisAfterKnown))
+		return this.inherited.expire(nanosAfterKnown(millisAfterKnown), (id) -> false)
 			.stream()
 			.map(InheritedWorkers.Expired::id)
 			.toList();
@@ -69,11 +69,11 @@
 	@Test
 	void tellTheTasksOfAnExpiredWorker() {
 		restore(List.of("any"), Map.of("closed", List.of(TASK.toString())), Map.of("closed", 3000L));
-		assertThat(this.inherited.mayRunUnconfirmed(TASK)).isTrue();
-		assertThat(this.inherited.expire(nanosAfterKnown(3001)))
+		assertThat(this.inherited.mayRunUnconfirmed(TASK, (job) -> true)).isTrue();
+		assertThat(this.inherited.expire(nanosAfterKnown(3001), (id) -> false))
 			.containsExactly(new InheritedWorkers.Expired("closed", false, Set.of(TASK)));
-		assertThat(this.inherited.mayRunUnconfirmed(TASK)).isFalse();
-		assertThat(this.inherited.expire(nanosAfterKnown(LONGEST_MILLIS + 1)))
+		assertThat(this.inherited.mayRunUnconfirmed(TASK, (job) -> true)).isFalse();
+		assertThat(this.inherited.expire(nanosAfterKnown(LONGEST_MILLIS + 1), (id) -> false))
 			.containsExactly(new InheritedWorkers.Expired("any", true, Set.of()));
 	}
 
