Keep passed numbers of ends until the worker has received their acknowledgement

Cause: a number that no report lists is passed after 100 ms, and an end that is listed under it after all is processed as long as the number is remembered. It was forgotten when the acknowledgement beyond it was sent. If that request is lost the worker still lists the end, which then counted as processed, and its run was lost as NOT_REPORTED.

It is now forgotten with the first report that answers a request with that acknowledgement.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -45,8 +45,8 @@
 	// with the monotonic times at which they were processed.
 	private final NavigableMap<Long, Long> processedAhead = new TreeMap<>();
 
-	// Numbers that were passed although no report listed them, until they are
-	// acknowledged.
+	// Numbers that were passed although no report listed them, until the worker has
+	// received their acknowledgement.
 	private final List<Gap> gaps = new ArrayList<>();
 
 	// Numbers in gaps that were processed after they had been passed, until they are
@@ -238,10 +238,18 @@
 	long acknowledge(long sequence) {
 		long former = this.acknowledged;
 		this.acknowledged = Math.max(former, sequence);
-		this.gaps.removeIf((gap) -> gap.last() <= this.acknowledged);
 		return former;
 	}
 
+	/**
+	 * Records that the worker has received an acknowledgement, so that it has discarded
+	 * these terminations.
+	 * @param sequence sequence number of the last one
+	 */
+	void acknowledgementReceived(long sequence) {
+		this.gaps.removeIf((gap) -> gap.last() <= sequence);
+	}
+
 	boolean isDurable() {
 		return this.processed <= durable();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPoller.java
@@ -266,6 +266,7 @@
 		boolean isFirst = !worker.incarnation().hasReported();
 		worker.incarnation().recordReport(report, this.clock.nanos());
 		worker.responseReceived(this.clock.nanos());
+		worker.terminations().acknowledgementReceived(poll.acknowledged());
 		this.crashes.workerAnswered(worker);
 		if (isFirst) {
 			this.losses.handleFirstReport(worker, report);
