Acknowledge no end that is deferred under a passed number

What callers could see: an end that is in no row is acknowledged, and its task starts again (found by review, in no record).

Cause: an end may be listed late, under a number that was passed, while its job is not loaded yet. It is deferred, but the bound of what may be acknowledged looked at processed ends only. The next poll acknowledged it, and the report after that lacked it.

The bound is now below the first deferred end as well. Tests, red before ("3L to be less than 2L"): DeferredEndsInPassedGapsTests.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -219,7 +219,8 @@
 	 * @return the sequence number, 0 for none
 	 */
 	long durable() {
-		return this.lateNumbers.isEmpty() ? this.durable : Math.min(this.durable, this.lateNumbers.first() - 1);
+		long firstLate = this.lateNumbers.isEmpty() ? Long.MAX_VALUE : this.lateNumbers.first();
+		return Math.min(this.durable, Math.min(firstLate, firstDeferred()) - 1);
 	}
 
 	/**
