Start tasks of inherited jobs only once their cancellations are read

A new owner started tasks of a job whose cancellation was stored before the take-over while its feed of the jobs gave no answer: it asked the feed to catch up and did not wait.

Tasks of an inherited job now wait (CANCELLATIONS_UNREAD) until the job's partition is loaded and the changes are read up to the version of the take-over (JobPartitions). A partition that is silent holds its own jobs only, and 3 s at most, so that a silent feed does not stop work for good.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/StepWaitReport.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/StepWaitReport.java
@@ -22,6 +22,7 @@
 	private static final Map<String, String> DESCRIPTIONS = Map.ofEntries(
 			Map.entry("OWNER_RECOVERY", "not known yet what runs on the workers of the former owner"),
 			Map.entry("LEASE_EXPIRED", "the owner's lease expired for too long to start tasks"),
+			Map.entry("CANCELLATIONS_UNREAD", "not read yet whether the job was cancelled before the change of owner"),
 			Map.entry("JOB_UNCONFIRMED", "not confirmed that the owner still owned the pool after the job was stored"),
 			Map.entry("RUN_UNCONFIRMED", "an earlier run may be active on a worker that has not reported since"),
 			Map.entry("LOSS_UNCONFIRMED", "the loss of an earlier run not confirmed by a renewal"),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobTableReplica.java
@@ -57,7 +57,7 @@
 
 	private final Set<String> cancelled = new HashSet<>();
 
-	private final Set<String> loadedPartitions = new HashSet<>();
+	private final JobPartitions partitions = new JobPartitions();
 
 	private final Set<String> unreadableJobs = new HashSet<>();
 
@@ -134,7 +134,8 @@
 		this.freshness.forget();
 		this.unfinished.clear();
 		this.progress.clear();
-		List.of(this.cancelled, this.loadedPartitions, this.unreadableJobs).forEach(Set::clear);
+		this.partitions.forget();
+		List.of(this.cancelled, this.unreadableJobs).forEach(Set::clear);
 		return true;
 	}
 
@@ -149,13 +150,23 @@
 		this.replayed = false;
 		this.allLoadedReported = false;
 		start();
-		this.submissionFeed.catchUp(version, (read) -> {
-		});
+		this.partitions.takenOver();
+		catchUpSubmissions();
 		if (this.progressLoaded) {
 			catchUpProgress();
 		}
 	}
 
+	private void catchUpSubmissions() {
+		Optional<JobReplicaListener> requested = this.owner;
+		this.submissionFeed.catchUp(this.takeOverVersion, (read) -> {
+			if (requested.isPresent() && requested.equals(this.owner)) {
+				this.partitions.caughtUp();
+				requested.get().changed();
+			}
+		});
+	}
+
 	// The response contains all progress that a former owner wrote before the take-over.
 	private void catchUpProgress() {
 		Optional<JobReplicaListener> requested = this.owner;
@@ -203,7 +214,16 @@
 	 */
 	boolean isLoaded(String job) {
 		boolean isRead = !this.unreadableJobs.contains(job) && !this.progress.isUnreadable(job);
-		return this.replayed && isRead && isRecent() && this.loadedPartitions.contains(JobTables.partition(job));
+		return this.replayed && isRead && isRecent() && this.partitions.isLoaded(job);
+	}
+
+	/**
+	 * Whether it is known of a job if it was cancelled before the take-over.
+	 * @param job the job's id
+	 * @return {@code true} if its partition was read up to the take-over
+	 */
+	boolean isReadUpToTakeOver(String job) {
+		return this.partitions.isReadUpToTakeOver(job);
 	}
 
 	/**
@@ -280,16 +300,12 @@
 	}
 
 	private void notifyIfAllLoaded(JobReplicaListener listener) {
-		if (this.replayed && !this.allLoadedReported && hasLoadedAll()) {
+		if (this.replayed && !this.allLoadedReported && this.partitions.areAllLoaded()) {
 			this.allLoadedReported = true;
 			listener.allLoaded();
 		}
 	}
 
-	private boolean hasLoadedAll() {
-		return this.loadedPartitions.size() == JobTables.partitions().size();
-	}
-
 	private record StoredJob(Submission submission, long version) {
 
 	}
@@ -299,7 +315,9 @@
 		@Override
 		public void snapshot(String partition, List<TableRow> rows) {
 			rows.forEach(this::applyRow);
-			JobTableReplica.this.loadedPartitions.add(partition);
+			if (JobTableReplica.this.partitions.loaded(partition) && hasOwner()) {
+				catchUpSubmissions();
+			}
 			JobTableReplica.this.owner.ifPresent(JobTableReplica.this::notifyIfAllLoaded);
 			JobTableReplica.this.owner.ifPresent(JobReplicaListener::changed);
 		}
@@ -312,7 +330,7 @@
 
 		@Override
 		public void historyLost() {
-			JobTableReplica.this.loadedPartitions.clear();
+			JobTableReplica.this.partitions.historyLost();
 			JobTableReplica.this.freshness.historyLost();
 		}
 
@@ -323,7 +341,7 @@
 
 		@Override
 		public void onAnswerDelivered(boolean empty) {
-			JobTableReplica.this.freshness.answerDelivered(empty, hasLoadedAll());
+			JobTableReplica.this.freshness.answerDelivered(empty, JobTableReplica.this.partitions.areAllLoaded());
 		}
 
 		private Optional<Submission> read(TableRow row) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -141,8 +141,10 @@
 		this.runs.observe(interference);
 		PlacementRules applied = rules.apply(List.of(interference));
 		applied.observers().forEach(this.runs::observe);
+		InheritedCancellations cancellations = new InheritedCancellations(jobTables::isReadUpToTakeOver,
+				dependencies.clock(), this.takenOverNanos);
 		this.placer = new TaskPlacer(this.registry, this.pool, this.runs, this.eligibility, this.lease, this.accounts,
-				dependencies.clock(), applied);
+				cancellations, dependencies.clock(), applied);
 		this.loadReporter = new PoolLoadReporter(this.epoch, this.pool, this.registry, this.eligibility,
 				this.stateWriter, this.accounts, dependencies.log(), this.takenOverNanos);
 		this.waitReporter = new WaitReporter(this.epoch, this.placer, dependencies.log(), this.takenOverNanos);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -8,10 +8,10 @@
 /**
  * Decides which waiting tasks may be started in this term of ownership. Invariants: a
  * task that an earlier owner may have started is not started before it is known what runs
- * on that owner's workers; a task whose run was lost is not started before the loss is
- * confirmed; a task is not started while a start request of an earlier run may still be
- * executed; nothing is started while no lease can be granted. Not thread-safe: confined
- * to the control thread.
+ * on that owner's workers, and whether callers had cancelled its job; a task whose run
+ * was lost is not started before the loss is confirmed; a task is not started while a
+ * start request of an earlier run may still be executed; nothing is started while no
+ * lease can be granted. Not thread-safe: confined to the control thread.
  */
 final class StartGate {
 
@@ -23,13 +23,17 @@
 
 	private final InheritedStarts inheritedStarts;
 
+	private final InheritedCancellations cancellations;
+
 	private boolean recovered;
 
-	StartGate(JobRegistry jobs, WorkerPool pool, OwnerLease lease, InheritedStarts inheritedStarts) {
+	StartGate(JobRegistry jobs, WorkerPool pool, OwnerLease lease, InheritedStarts inheritedStarts,
+			InheritedCancellations cancellations) {
 		this.jobs = jobs;
 		this.pool = pool;
 		this.lease = lease;
 		this.inheritedStarts = inheritedStarts;
+		this.cancellations = cancellations;
 	}
 
 	/**
@@ -95,6 +99,9 @@
 		if (!this.recovered && this.jobs.isInherited(job)) {
 			return Optional.of(WaitReason.OWNER_RECOVERY);
 		}
+		if (this.jobs.isInherited(job) && this.cancellations.mayBeUnread(job)) {
+			return Optional.of(WaitReason.CANCELLATIONS_UNREAD);
+		}
 		if (!this.lease.canGrantLeases()) {
 			return Optional.of(WaitReason.LEASE_EXPIRED);
 		}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -73,12 +73,12 @@
 	private final double maxReservedShare;
 
 	TaskPlacer(JobRegistry jobs, WorkerPool pool, RunController runs, EligibilityTracker eligibility, OwnerLease lease,
-			CustomerAccounts accounts, PoolClock clock, PlacementRules rules) {
+			CustomerAccounts accounts, InheritedCancellations cancellations, PoolClock clock, PlacementRules rules) {
 		this.jobs = jobs;
 		this.pool = pool;
 		this.runs = runs;
 		this.eligibility = eligibility;
-		this.gate = new StartGate(jobs, pool, lease, runs.inheritedStarts());
+		this.gate = new StartGate(jobs, pool, lease, runs.inheritedStarts(), cancellations);
 		this.accounts = accounts;
 		this.clock = clock;
 		this.order = rules.order();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
@@ -9,6 +9,9 @@
 	/** It is not known yet what runs on the workers of an earlier owner. */
 	OWNER_RECOVERY,
 
+	/** It is not read yet whether the job was cancelled before the take-over. */
+	CANCELLATIONS_UNREAD,
+
 	/** The owner's lease has expired for too long to grant leases to workers. */
 	LEASE_EXPIRED,
 
