Put back what a write took if it cannot be composed

An exception while the progress of a job was composed left the job out of the dirty jobs, and the next write acknowledged its ends. No input is known that brings it about.

A job whose rows cannot be composed is put back, other jobs are written, and no end is acknowledged meanwhile; it is tried again with the next write and causes none by itself. If the write as a whole fails, all that it took is put back. One line each (WriteNotComposed).

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -24,6 +24,18 @@
 
 	}
 
+	/**
+	 * Rows that have to be written cannot be composed. No end is acknowledged until they
+	 * are written.
+	 *
+	 * @param epoch the owner's fencing token
+	 * @param job the job whose rows they are, empty for those of the owner
+	 * @param failure what failed
+	 */
+	record WriteNotComposed(long epoch, String job, String failure) implements PoolDecision {
+
+	}
+
 	/**
 	 * A new owner begins to find out what runs on the workers of the former one.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -282,6 +282,10 @@
 		return taken.stream().map(this.jobs::get).toList();
 	}
 
+	int dirtyCount() {
+		return this.dirty.size();
+	}
+
 	boolean hasDirty() {
 		return !this.dirty.isEmpty();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -343,6 +343,13 @@
 			}
 		}
 
+		@Override
+		public void writeNotComposed(String job, RuntimeException failure) {
+			PoolOwner owner = PoolOwner.this;
+			owner.dependencies.log()
+				.write(new PoolDecision.WriteNotComposed(owner.epoch, job, String.valueOf(failure)));
+		}
+
 		@Override
 		public void releaseStarting() {
 			PoolOwner.this.releasing = true;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 import org.monsoonrelay.logic.platform.ExecutorCallback;
 import org.monsoonrelay.logic.platform.Json;
@@ -29,8 +32,9 @@
  * record in the same transaction. Invariants: every write is conditional on the version
  * of the owner record that this owner wrote last, so that nothing is written after
  * another owner has taken over; at most one write is in flight; a write whose outcome is
- * unknown is retried unchanged until the outcome is known. Not thread-safe: confined to
- * the control thread.
+ * unknown is retried unchanged until the outcome is known; no end is acknowledged while
+ * the progress of a job that was to be written is in no write. Not thread-safe: confined
+ * to the control thread.
  */
 final class PoolStateWriter {
 
@@ -84,6 +88,13 @@
 
 	private final StateWriteListener listener;
 
+	private final Function<SubmittedJob, JobProgress> toProgress;
+
+	// Jobs to be written whose rows could not be composed with the last write.
+	private final Set<SubmittedJob> uncomposed = new HashSet<>();
+
+	private boolean composeFailing;
+
 	private OwnerRecord record;
 
 	private long formerLeaseEndNanos;
@@ -118,6 +129,12 @@
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener) {
+		this(table, control, term, jobs, workers, clock, areJobsRecent, listener, SubmittedJob::toProgress);
+	}
+
+	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
+			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
+			Function<SubmittedJob, JobProgress> toProgress) {
 		this.table = table;
 		this.control = control;
 		this.lease = term;
@@ -126,6 +143,7 @@
 		this.clock = clock;
 		this.areJobsRecent = areJobsRecent;
 		this.listener = listener;
+		this.toProgress = toProgress;
 	}
 
 	/**
@@ -174,13 +192,13 @@
 			return;
 		}
 		long sinceLast = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.lastSentNanos);
-		boolean hasChanges = this.jobs.hasDirty() || this.jobs.hasDeferred() || !this.jobs.unconfirmedLosses().isEmpty()
-				|| this.workers.hasUnrecordedWorkers()
+		boolean hasChanges = this.jobs.dirtyCount() > this.uncomposed.size() || this.jobs.hasDeferred()
+				|| !this.jobs.unconfirmedLosses().isEmpty() || this.workers.hasUnrecordedWorkers()
 				|| this.jobs.unresolvedStarts().needsRecording(this.clock.nanos());
 		boolean isDue = sinceLast >= OwnerLease.RENEWAL_INTERVAL_MILLIS
 				|| (hasChanges && sinceLast >= MIN_WRITE_INTERVAL_MILLIS);
 		if (isDue) {
-			send(compose());
+			composeAndSend();
 		}
 	}
 
@@ -190,7 +208,7 @@
 	void release() {
 		this.releasing = true;
 		if (!this.inFlight && !this.closed) {
-			send(compose());
+			composeAndSend();
 		}
 	}
 
@@ -234,12 +252,30 @@
 				: TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.countedNanos.getAsLong());
 	}
 
-	private Batch compose() {
+	// What was taken is written next time if the write as a whole cannot be composed.
+	private void composeAndSend() {
+		Map<SubmittedJob, WrittenJob> taken = new HashMap<>();
+		Batch batch;
+		try {
+			batch = compose(taken);
+		}
+		catch (RuntimeException ex) {
+			taken.keySet().forEach(this.jobs::markDirty);
+			if (!this.composeFailing) {
+				this.composeFailing = true;
+				this.listener.writeNotComposed("", ex);
+			}
+			return;
+		}
+		this.composeFailing = false;
+		send(batch);
+	}
+
+	private Batch compose(Map<SubmittedJob, WrittenJob> states) {
 		this.composedNanos = this.clock.nanos();
 		if (this.releasing) {
 			this.listener.releaseStarting();
 		}
-		Map<SubmittedJob, WrittenJob> states = new HashMap<>();
 		List<PartitionWrite.Put> puts = takeProgress(states);
 		OwnerRecord next = nextRecord(this.workers.workersToRecord(this.jobs.hasDirty(), this.composedNanos));
 		this.confirming = this.record.confirming() || next.confirming();
@@ -268,22 +304,40 @@
 	private List<PartitionWrite.Put> takeProgress(Map<SubmittedJob, WrittenJob> states) {
 		int bytes = 0;
 		List<PartitionWrite.Put> puts = new ArrayList<>();
+		Set<SubmittedJob> failed = new HashSet<>();
 		while (puts.size() < MAX_JOB_ROWS_PER_WRITE - 1 && bytes < MAX_PROGRESS_BYTES_PER_WRITE
 				&& this.jobs.hasDirty()) {
 			SubmittedJob job = this.jobs.takeDirty(1).get(0);
-			JobProgress progress = job.toProgress();
-			String value = Json.write(progress);
-			bytes += value.length();
-			states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
-			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
-			if (progress.state() != job.durableState()) {
-				String state = Json.write(new JobStateRow(progress.state(), Map.of(), job.submission().customer()));
-				puts.add(new PartitionWrite.Put(JobTables.STATES, job.id(), state));
+			try {
+				List<PartitionWrite.Put> rows = rows(job, states);
+				bytes += rows.get(0).value().length();
+				puts.addAll(rows);
+			}
+			catch (RuntimeException ex) {
+				failed.add(job);
+				if (!this.uncomposed.contains(job)) {
+					this.listener.writeNotComposed(job.id(), ex);
+				}
 			}
 		}
+		failed.forEach(this.jobs::markDirty);
+		this.uncomposed.clear();
+		this.uncomposed.addAll(failed);
 		return puts;
 	}
 
+	private List<PartitionWrite.Put> rows(SubmittedJob job, Map<SubmittedJob, WrittenJob> states) {
+		List<PartitionWrite.Put> rows = new ArrayList<>();
+		JobProgress progress = this.toProgress.apply(job);
+		rows.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), Json.write(progress)));
+		if (progress.state() != job.durableState()) {
+			String state = Json.write(new JobStateRow(progress.state(), Map.of(), job.submission().customer()));
+			rows.add(new PartitionWrite.Put(JobTables.STATES, job.id(), state));
+		}
+		states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
+		return rows;
+	}
+
 	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
@@ -373,7 +427,7 @@
 		}
 		this.listener.writeDurable(states, batch.writtenCount(this.version));
 		if (this.releasing && !this.inFlight && !this.closed) {
-			send(compose());
+			composeAndSend();
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StateWriteListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StateWriteListener.java
@@ -24,6 +24,13 @@
 	 */
 	void writesRejected();
 
+	/**
+	 * Called once when rows cannot be composed, until they can.
+	 * @param job the job whose rows they are, empty for those of the owner
+	 * @param failure what failed
+	 */
+	void writeNotComposed(String job, RuntimeException failure);
+
 	/**
 	 * Called before the releasing write is sent. No request to a worker may be sent from
 	 * then on.
