Consider only the steps that can start in a turn of the owner

Callers saw tasks wait beside free places while thousands of other steps waited, and a pool that changed hands. Each placement pass visited, sorted and searched workers for every open step, requested eligibility for all of them and sorted all queued requests.

PlacementWindow selects the steps of a pass. Up to 512 open steps it selects all of them, so that nothing changes for short queues. Beyond, these are the steps that run, the first waiting steps of each group (queue, customer, required label, inherited or not), steps whose eligibility was just answered, and 64 others in turn. Each group keeps its steps in queue order; a position only grows as time passes, so that outdated positions come up at the front and are corrected there, and the front is exact. Groups share 512 steps, or as many as run if these are more; small groups leave the rest to large ones, so that the load of one customer hides no other one. Steps behind are placed, and their eligibility is requested, only if a worker has room for them; queued requests of steps that are no longer considered are discarded. Jobs that wait are counted when their state changes instead of for each write.

The mixed play does not repeat exactly from process to process.

The baseline order of LoadSimulationTests is written in the new form of QueueOrder; it decides between equals by the step's key instead of by the order in which steps were opened.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/ActiveStep.java
@@ -155,6 +155,14 @@
 		return waiting;
 	}
 
+	/**
+	 * Returns whether there is a task that is not done and of which no run is known.
+	 * @return {@code false} if {@link #tasksWithoutRun()} is empty
+	 */
+	boolean hasTasksWithoutRun() {
+		return !tasksWithoutRun().isEmpty();
+	}
+
 	/**
 	 * Returns whether tasks wait because a crash or start of theirs is not durable yet.
 	 * @return {@code true} if so
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityTracker.java
@@ -247,6 +247,15 @@
 		this.queuedRequests.clear();
 	}
 
+	/**
+	 * Discards the requests of steps that have not been sent, because others are placed
+	 * before these steps.
+	 * @param steps the steps
+	 */
+	void discardQueuedRequests(Set<StepKey> steps) {
+		steps.forEach(this.queuedRequests::remove);
+	}
+
 	/**
 	 * Removes steps whose eligibility is not needed any more.
 	 * @param isOver matches those steps
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -16,7 +16,6 @@
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.StepSpec;
 import org.monsoonrelay.model.submission.Submission;
-import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.SubmittedJob;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -62,14 +61,26 @@
 
 	private final Set<String> timetabled = new LinkedHashSet<>();
 
+	private final QueuedJobs queuedJobs = new QueuedJobs();
+
 	private final UnconfirmedLosses unconfirmedLosses = new UnconfirmedLosses(this::isInherited);
 
 	private final UnresolvedStarts unresolvedStarts = new UnresolvedStarts();
 
+	private OpenStepListener openStepListener = OpenStepListener.NONE;
+
 	JobRegistry(long epoch) {
 		this.epoch = epoch;
 	}
 
+	/**
+	 * Sets what is notified of the steps that are opened and closed from now on.
+	 * @param listener the listener
+	 */
+	void observeOpenSteps(OpenStepListener listener) {
+		this.openStepListener = listener;
+	}
+
 	/**
 	 * Adds a job if it is not known yet.
 	 * @param submission the job
@@ -92,6 +103,7 @@
 		}
 		this.unfinished.add(job.id());
 		this.changed.add(job.id());
+		this.queuedJobs.update(job);
 		if (submission.timetable().firstDueMillis() > 0 || submission.timetable().occurrences() > 1) {
 			this.timetabled.add(job.id());
 		}
@@ -162,6 +174,7 @@
 		for (ActiveStep step : openStepsOf(job)) {
 			if (step.isIdle() && (step.job().isEnded() || step.progress().isComplete())) {
 				this.openSteps.remove(step.key());
+				this.openStepListener.closed(step);
 				this.openStepKeysByJob.get(job).remove(step.key());
 			}
 		}
@@ -204,6 +217,7 @@
 	private ActiveStep openStep(StepKey key, SubmittedJob job) {
 		ActiveStep step = new ActiveStep(key, job, attemptFloor(job));
 		this.openSteps.put(key, step);
+		this.openStepListener.opened(step);
 		this.openStepKeysByJob.computeIfAbsent(job.id(), (id) -> new LinkedHashSet<>()).add(key);
 		return step;
 	}
@@ -246,6 +260,7 @@
 	void markDirty(SubmittedJob job) {
 		this.dirty.add(job.id());
 		this.changed.add(job.id());
+		this.queuedJobs.update(job);
 	}
 
 	/**
@@ -254,7 +269,9 @@
 	 * @param job the job
 	 */
 	void markStarted(SubmittedJob job) {
-		if (job.markStarted() && job.submission().steps().stream().anyMatch(StepSpec::longRunning)) {
+		boolean isFirst = job.markStarted();
+		this.queuedJobs.update(job);
+		if (isFirst && job.submission().steps().stream().anyMatch(StepSpec::longRunning)) {
 			markDirty(job);
 		}
 	}
@@ -275,18 +292,11 @@
 	}
 
 	QueueSummary summary() {
-		Map<String, Integer> pending = new HashMap<>();
-		for (String id : this.unfinished) {
-			SubmittedJob job = this.jobs.get(id);
-			if (job.state() == SubmissionState.QUEUED) {
-				pending.merge(job.submission().policy().queue(), 1, Integer::sum);
-			}
-		}
-		return new QueueSummary(pending);
+		return this.queuedJobs.summary();
 	}
 
 	int waitingCount() {
-		return summary().pending().values().stream().mapToInt(Integer::intValue).sum();
+		return this.queuedJobs.count();
 	}
 
 	Optional<SubmittedJob> job(String id) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/LeastSlackOrder.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/LeastSlackOrder.java
@@ -1,7 +1,5 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.Comparator;
-
 /**
  * Orders steps by class, then by latest start. Long-running steps come first: they have
  * no deadline and count for every second in which their tasks run. Steps that can still
@@ -21,12 +19,13 @@
 	/** A job that takes longer than this many times its allowed time is worth nothing. */
 	private static final int MAX_LATENESS_FACTOR = 3;
 
+	private static final int LATENESS_CLASSES = 3;
+
 	@Override
-	public Comparator<QueueEntry> comparator(long nowMillis) {
-		return Comparator.<QueueEntry, Boolean>comparing((step) -> !step.step().spec().longRunning())
-			.thenComparingInt((step) -> latenessClass(step, nowMillis))
-			.thenComparingLong(QueueEntry::latestStartMillis)
-			.thenComparing((step) -> step.step().key().toString());
+	public QueuePosition positionOf(QueueEntry entry, long nowMillis) {
+		int lateness = latenessClass(entry, nowMillis);
+		int precedence = entry.step().spec().longRunning() ? lateness : LATENESS_CLASSES + lateness;
+		return new QueuePosition(precedence, entry.latestStartMillis(), entry.step().key());
 	}
 
 	private static int latenessClass(QueueEntry step, long nowMillis) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -254,7 +254,7 @@
 	}
 
 	private void eligibilityAnswered(StepKey step) {
-		this.registry.step(step).ifPresent(ActiveStep::resetSearch);
+		this.placer.eligibilityAnswered(step);
 		this.loop.requestTurn();
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TaskPlacer.java
@@ -60,6 +60,8 @@
 
 	private final QueueOrder order;
 
+	private final PlacementWindow window;
+
 	private final WorkerSelector selector;
 
 	private final WorkerSearch search;
@@ -82,6 +84,8 @@
 		this.accounts = accounts;
 		this.clock = clock;
 		this.order = rules.order();
+		this.window = new PlacementWindow(jobs, this.order);
+		jobs.observeOpenSteps(this.window);
 		this.selector = new CrashIsolation(rules.selector(), pool);
 		this.search = new WorkerSearch(pool);
 		this.requests = new EligibilityRequests(eligibility, this.search, new StartForecast(jobs, pool), clock,
@@ -107,7 +111,17 @@
 	}
 
 	/**
-	 * Runs one placement pass over all waiting steps.
+	 * Offers a step capacity on all its eligible workers in the next pass, because more
+	 * of them may have become eligible or tickets were renewed.
+	 * @param key the step
+	 */
+	void eligibilityAnswered(StepKey key) {
+		this.jobs.step(key).ifPresent(ActiveStep::resetSearch);
+		this.window.eligibilityAnswered(key);
+	}
+
+	/**
+	 * Runs one placement pass over the waiting steps that can start.
 	 */
 	void placeAll() {
 		long nowMillis = this.clock.millis();
@@ -118,10 +132,13 @@
 		List<QueueEntry> entries = new ArrayList<>();
 		Map<QueueEntry, PlacementContext> contexts = new HashMap<>();
 		Map<QueueEntry, Optional<WaitReason>> renewals = new HashMap<>();
-		for (ActiveStep step : this.jobs.openSteps()) {
+		PlacementWindow.Selection selected = this.window.select(nowMillis);
+		this.eligibility.discardQueuedRequests(selected.passedOver());
+		for (ActiveStep step : selected.steps()) {
 			StartCheck check = this.gate.check(step);
 			check.reason().ifPresent((reason) -> step.waiting().record(reason, this.clock.nanos()));
-			if (!check.mayStart() && this.requests.isRenewalDue(step, check.reason())) {
+			boolean isBehind = selected.behind().contains(step);
+			if (!isBehind && !check.mayStart() && this.requests.isRenewalDue(step, check.reason())) {
 				renewals.put(step.queueEntry(), check.reason());
 			}
 			if (check.tasks().isEmpty()) {
@@ -134,11 +151,18 @@
 				}
 				continue;
 			}
+			PlacementContext context = this.requests.contextOf(step, check.tasks());
+			if (isBehind && !(check.mayStart() && this.search.hasRoom(context))) {
+				if (check.mayStart()) {
+					context.recordWait(WaitReason.NO_CAPACITY);
+				}
+				continue;
+			}
 			// Eligibility is requested even while the step waits for earlier owners'
 			// runs.
 			entries.add(step.queueEntry());
 			if (check.mayStart()) {
-				contexts.put(step.queueEntry(), this.requests.contextOf(step, check.tasks()));
+				contexts.put(step.queueEntry(), context);
 			}
 		}
 		entries.sort(this.order.comparator(nowMillis));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerSearch.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerSearch.java
@@ -66,4 +66,19 @@
 			.toList();
 	}
 
+	/**
+	 * Returns whether a worker has free capacity for a task of the step if it is
+	 * eligible.
+	 * @param context the step
+	 * @return {@code true} if there is one
+	 */
+	boolean hasRoom(PlacementContext context) {
+		for (PoolWorker worker : this.pool.workers()) {
+			if (context.matches(worker) && context.fits(worker, 1) && context.isEligibleOrUnqueried(worker)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulationTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LoadSimulationTests.java
@@ -1,6 +1,5 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
@@ -40,9 +39,8 @@
 			new Spread(5600, 0.6, 17_000), 0, 0.5, 0.45, 49, 0.71);
 
 	private static final PlacementRules FIRST_COME_FIRST_SERVED = new PlacementRules(
-			(now) -> Comparator.comparingInt(QueueEntry::priority).thenComparingLong(QueueEntry::readyMillis),
-			(step, index, candidates, demand) -> candidates.isEmpty() ? Optional.empty()
-					: Optional.of(candidates.get(0)),
+			(entry, now) -> new QueuePosition(entry.priority(), entry.readyMillis(), entry.step().key()), (step, index,
+					candidates, demand) -> candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(0)),
 			Long.MAX_VALUE, 0);
 
 	private static final PlacementRules WITHOUT_CAPACITY_SET_ASIDE = new PlacementRules(new LeastSlackOrder(),
