Take all racks for known only once each listed one is

A queue began to place tasks 2 s after a change of owner, although the owner of a listed rack was not known: the number of known racks was compared with that of listed ones, so that racks which are no longer listed stood for unknown ones, and with no host list read any rack was all of them. A queue now waits for the 10 s that it waits for unknown racks.

Cause: a part was taken for the whole. The decision moves from SchedulerNode to RackDirectory, which knows both sets, and compares the sets.

Evidence: RackDirectoryTests.AllRacks with the comparison of before (trial), two of three red: "Expecting value to be false but was true".

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/queue/RackDirectory.java
@@ -43,6 +43,8 @@
 
 	private final Set<Resources> listedWorkerSizes = new HashSet<>();
 
+	private final Set<String> listedRacks = new HashSet<>();
+
 	private final UniformRandomProvider random;
 
 	private RackPolicy policy = new WeightedRackPolicy(PolicyWeights.EQUAL);
@@ -95,10 +97,12 @@
 	 */
 	public void updateHosts(Collection<Host> hosts) {
 		this.listedWorkerSizes.clear();
+		this.listedRacks.clear();
 		this.listedCapacity = Resources.NONE;
 		for (Host host : hosts) {
 			if (host.kind() == HostKind.WORKER) {
 				this.listedWorkerSizes.add(host.capacity());
+				this.listedRacks.add(host.rack());
 				this.listedCapacity = this.listedCapacity.plus(host.capacity());
 			}
 		}
@@ -332,6 +336,16 @@
 		return !this.entries.isEmpty() && this.entries.values().stream().allMatch((entry) -> entry.summary().settled());
 	}
 
+	/**
+	 * Return whether the owner of each listed rack is known and all workers have reported
+	 * to it. Other racks do not stand for a listed one that is unknown.
+	 * @return {@code false} also while no host list has been read
+	 */
+	public boolean areAllRacksKnown() {
+		return !this.listedRacks.isEmpty() && this.entries.keySet().containsAll(this.listedRacks)
+				&& haveAllWorkersReported();
+	}
+
 	/**
 	 * Return the ownership epochs of the racks according to their summaries.
 	 * @return the epoch of each known rack by its name
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RackDirectoryTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/queue/RackDirectoryTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,6 +12,10 @@
 import org.monsoonrelay.logic.placement.RackSummary;
 import org.monsoonrelay.logic.placement.WeightedRackPolicy;
 import org.monsoonrelay.model.capacity.Resources;
+import org.monsoonrelay.model.host.Host;
+import org.monsoonrelay.model.host.HostAddress;
+import org.monsoonrelay.model.host.HostKind;
+import org.monsoonrelay.model.host.HostState;
 import org.monsoonrelay.model.workload.PolicyWeights;
 import org.monsoonrelay.model.workload.WorkloadKind;
 
@@ -68,6 +73,42 @@
 
 	}
 
+	@Nested
+	class AllRacks {
+
+		private void list(String... racks) {
+			RackDirectoryTests.this.directory.updateHosts(Stream.of(racks)
+				.map((rack) -> new Host("worker-of-" + rack, HostAddress.parse("10.0.0.1:1"), HostKind.WORKER, "",
+						"north", rack, "", HostState.LIVE, CAPACITY))
+				.toList());
+		}
+
+		private boolean areKnownWith(String... racks) {
+			RackDirectoryTests.this.directory.update("session",
+					Stream.of(racks).map((rack) -> rack(rack, CAPACITY, 80)).toList());
+			return RackDirectoryTests.this.directory.areAllRacksKnown();
+		}
+
+		@Test
+		void areKnownOnceEachListedOneIs() {
+			list("a", "b");
+			assertThat(areKnownWith("a")).isFalse();
+			assertThat(areKnownWith("a", "b")).isTrue();
+		}
+
+		@Test
+		void areNotKnownByTheNumberOfThem() {
+			list("a", "b");
+			assertThat(areKnownWith("a", "no-longer-listed")).isFalse();
+		}
+
+		@Test
+		void areNotKnownBeforeTheHostListIsRead() {
+			assertThat(areKnownWith("a")).isFalse();
+		}
+
+	}
+
 	@Nested
 	class ARackThatRefused {
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/SchedulerNode.java
@@ -204,7 +204,7 @@
 		this.queueManager.setDependenciesSatisfiedElsewhere(this.peers.satisfiedDependencies());
 		this.rackManager.sendHeartbeats();
 		announce();
-		this.activation.runRound(areAllRacksKnown());
+		this.activation.runRound(this.racks.areAllRacksKnown());
 	}
 
 	private void tick() {
@@ -284,16 +284,6 @@
 		}
 	}
 
-	private boolean areAllRacksKnown() {
-		long listedRacks = this.hostList.hosts()
-			.stream()
-			.filter((host) -> host.kind() == HostKind.WORKER)
-			.map((host) -> host.rack())
-			.distinct()
-			.count();
-		return this.racks.haveAllWorkersReported() && this.racks.rackCount() >= listedRacks;
-	}
-
 	private void claimQueue(String team) {
 		this.rackManager.republishRunning(team);
 		Envelope.Builder request = Envelope.newBuilder().setQueueClaim(QueueClaim.newBuilder().setTeam(team));
