Write the first line of a waiting step before its tickets expire in its test

WaitReporterTests.logsHowManyWorkersWithRoomHaveValidTickets was red: [(2, 0), (2, 0)] instead of a first line with (2, 2). Traced by its lines: waits are reported each second from the take-over on, for steps that have waited for a second. The jobs are replayed 5 ms later since the progress is read from the table, so that the step had waited 995 ms at the first report and was told at the next one, when its tickets of 2 s had expired. The table answers reads at once in this test now; what it checks is the same.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WaitReporterTests.java
@@ -89,6 +89,8 @@
 		this.cell.time.runFor(1000);
 		this.cell.submit("a", SimulatedCell.step(12, false));
 		this.cell.time.runFor(100);
+		// The first line is then written before the tickets expire.
+		this.cell.table.setReadLatency(0);
 		this.cell.owner().kill();
 		this.cell.time.runFor(8500);
 		assertThat(linesOf("a")).filteredOn((line) -> line.reason().equals("OWNER_RECOVERY"))
