Count failures of long-running tasks instead of listing their attempts

Callers saw jobs that were accepted and never started: beside a long-running job whose tasks fail soon after each start, the job's row of progress passed the size that the table accepts (64 KB after some 17,000 failed runs), and from then on every write of every owner was refused.

StepProgress kept the number of each failed attempt. Attempts of long-running tasks are not limited, so that the set grew for ever. Nothing depends on which of them failed: there is a count now and the highest attempt that failed, which is enough not to count a repeated report again. Tasks with limited attempts keep the exact set, as their limit depends on it, but not once they are done: a late report of an earlier failure can neither start them again nor fail their job.

Rows of earlier releases are read (their lists become counts); earlier releases read the rows of this one, without the failures of long-running tasks, which limit nothing.

--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
@@ -1,6 +1,5 @@
 package org.monsoonrelay.model.submission;
 
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.regex.Matcher;
@@ -44,10 +43,7 @@
 			StepRecord saved = entry.getValue();
 			StepRecord other = known.steps().getOrDefault(entry.getKey(), StepRecord.NONE);
 			done += (int) saved.done().stream().filter((index) -> !other.done().contains(index)).count();
-			for (Map.Entry<Integer, List<Integer>> failed : saved.failedAttempts().entrySet()) {
-				List<Integer> counted = other.failedAttempts().getOrDefault(failed.getKey(), List.of());
-				failures += (int) failed.getValue().stream().filter((attempt) -> !counted.contains(attempt)).count();
-			}
+			failures += saved.failuresBeyond(other);
 		}
 		return new Difference(done, failures);
 	}
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -11,9 +11,12 @@
 
 /**
  * Progress of a step: its completed tasks, failed attempts, crashes and checkpoints.
- * Invariants: a completed task stays completed; a failed attempt is counted once, even if
- * its end is reported several times; crashes are counted for each member of a gang. Not
- * thread-safe: confined to the control thread of the pool's owner.
+ * Invariants: a completed task stays completed, and its failures are forgotten; a failed
+ * attempt is counted once, even if its end is reported several times; crashes are counted
+ * for each member of a gang. The size does not grow with the number of attempts: a task
+ * with limited attempts fails less often than the limit before its job ends, and the
+ * failures of other tasks are only counted. Not thread-safe: confined to the control
+ * thread of the pool's owner.
  */
 public final class StepProgress {
 
@@ -23,6 +26,9 @@
 
 	private final Map<Integer, SortedSet<Integer>> failedAttempts = new HashMap<>();
 
+	// Of long-running tasks, instead of their failed attempts.
+	private final Map<Integer, FailureCount> failureCounts = new HashMap<>();
+
 	private final Map<Integer, String> checkpoints = new HashMap<>();
 
 	// Also contains tasks without crashes whose starts the next owner has to know of.
@@ -43,8 +49,11 @@
 	public static StepProgress restore(StepSpec spec, StepRecord saved) {
 		StepProgress progress = new StepProgress(spec);
 		saved.done().forEach(progress.done::set);
+		progress.failureCounts.putAll(saved.failures());
+		// Earlier releases list the failed attempts of long-running and completed tasks.
 		saved.failedAttempts()
-			.forEach((index, attempts) -> progress.failedAttempts.put(index, new TreeSet<>(attempts)));
+			.forEach((index,
+					attempts) -> attempts.stream().sorted().forEach((attempt) -> progress.markFailed(index, attempt)));
 		progress.checkpoints.putAll(saved.checkpoints());
 		progress.crashes.putAll(saved.crashes());
 		progress.highestAttempt = saved.highestAttempt();
@@ -62,6 +71,7 @@
 		this.done.set(counted);
 		this.crashes.remove(index);
 		this.checkpoints.remove(counted);
+		this.failedAttempts.remove(counted);
 		return isNew;
 	}
 
@@ -73,6 +83,14 @@
 	 * @return {@code true} if the failure was not recorded yet
 	 */
 	public boolean markFailed(int index, int attempt) {
+		if (this.spec.longRunning()) {
+			FailureCount known = failureCount(index);
+			this.failureCounts.put(trackedIndex(index), known.plus(attempt));
+			return !known.includes(attempt);
+		}
+		if (isDone(index)) {
+			return false;
+		}
 		return this.failedAttempts.computeIfAbsent(trackedIndex(index), (task) -> new TreeSet<>()).add(attempt);
 	}
 
@@ -196,7 +214,7 @@
 	}
 
 	/**
-	 * Number of failed attempts of the task that failed most often.
+	 * Number of failed attempts of the task with limited attempts that failed most often.
 	 * @return the count
 	 */
 	public int maximumFailures() {
@@ -209,7 +227,12 @@
 	 * @return the count
 	 */
 	public int failures(int index) {
-		return this.failedAttempts.getOrDefault(trackedIndex(index), Collections.emptySortedSet()).size();
+		return failureCount(index).count()
+				+ this.failedAttempts.getOrDefault(trackedIndex(index), Collections.emptySortedSet()).size();
+	}
+
+	private FailureCount failureCount(int index) {
+		return this.failureCounts.getOrDefault(trackedIndex(index), FailureCount.NONE);
 	}
 
 	/**
@@ -232,7 +255,7 @@
 		Map<Integer, List<Integer>> failed = new HashMap<>();
 		this.failedAttempts.forEach((index, attempts) -> failed.put(index, List.copyOf(attempts)));
 		return new StepRecord(this.done.stream().boxed().toList(), failed, this.checkpoints, this.highestAttempt,
-				this.crashes);
+				this.crashes, this.failureCounts);
 	}
 
 	private int trackedIndex(int index) {
