Keep one record for the complete occurrences of a timetable

JobProgress kept a record for each step of each occurrence, also when all were done. SubmittedJob keeps the numbers of complete occurrences now, and the row names each range of them once ("0-74"); steps of which nothing is known have no record. Nothing starts again in a complete occurrence, and a late end there changes nothing.

Rows of earlier releases are read and folded. An earlier release would start complete occurrences again if it took a row that does not name their steps for whole; the name of a range is none of a step, so that it takes the row for that of another job, reports it and starts nothing of the job until a host of this release owns the pool. Until the first occurrence is complete it reads the rows as before, and those of all jobs without a timetable.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobIntake.java
@@ -102,7 +102,7 @@
 		if (known == null) {
 			return;
 		}
-		JobProgress.Difference unknown = late.progress().differenceTo(known.toProgress());
+		JobProgress.Difference unknown = late.progress().differenceTo(known.toProgress(), known.submission());
 		this.dependencies.log()
 			.write(new JobDecision.ProgressDeliveredLate(job, late.version(), this.takeOver.version(),
 					millisSince(this.replayedNanos), late.progress().state().name(), unknown.doneTasks(),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -173,6 +173,9 @@
 			if (submission.timetable().dueMillis(occurrence) > nowMillis) {
 				return;
 			}
+			if (job.isComplete(occurrence)) {
+				continue;
+			}
 			for (int step = 0; step < submission.steps().size(); step++) {
 				StepKey key = new StepKey(job.id(), occurrence, step);
 				if (!this.openSteps.containsKey(key) && !job.progress(key).isComplete() && job.isReady(key)) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/ProgressRowsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/ProgressRowsTests.java
@@ -1,7 +1,13 @@
 package org.monsoonrelay.logic.submission;
 
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import org.junit.jupiter.api.Nested;
@@ -88,8 +94,9 @@
 			SubmittedJob next = restored(this.job, former);
 			assertThat(next.progress(STEP).failures(3)).isEqualTo(3);
 			assertThat(next.progress(STEP).markFailed(3, 4)).isFalse();
-			assertThat(next.toProgress().differenceTo(Json.readRow(former, JobProgress.class)).failures()).isZero();
-			assertThat(Json.readRow(former, JobProgress.class).differenceTo(next.toProgress()).failures()).isZero();
+			JobProgress read = Json.readRow(former, JobProgress.class);
+			assertThat(next.toProgress().differenceTo(read, next.submission()).failures()).isZero();
+			assertThat(read.differenceTo(next.toProgress(), next.submission()).failures()).isZero();
 		}
 
 		@Test
@@ -142,6 +149,92 @@
 
 	}
 
+	@Nested
+	class Timetables {
+
+		private static final int OCCURRENCES = 96;
+
+		private static final int STEPS = 10;
+
+		private final SubmittedJob job = timetable();
+
+		private static SubmittedJob timetable() {
+			StepSpec step = job(1, false).submission().steps().get(0);
+			return new SubmittedJob(new Submission(ID, POLICY, "", Collections.nCopies(STEPS, step),
+					new Timetable(1000, 250, OCCURRENCES), 1000));
+		}
+
+		private void complete(SubmittedJob job, int occurrence, int steps) {
+			for (int step = 0; step < steps; step++) {
+				StepKey key = new StepKey(ID, occurrence, step);
+				job.progress(key).recordAttempt(occurrence + 1);
+				job.progress(key).markDone(0);
+				job.updateState(key);
+			}
+		}
+
+		private void complete(int... occurrences) {
+			this.job.markStarted();
+			Arrays.stream(occurrences).forEach((occurrence) -> complete(this.job, occurrence, STEPS));
+		}
+
+		@Test
+		void haveOneRecordForAllOccurrencesThatAreComplete() {
+			complete(IntStream.range(0, OCCURRENCES - 1).toArray());
+			assertThat(row(this.job).length()).isLessThan(200);
+			assertThat(this.job.isEnded()).isFalse();
+			complete(OCCURRENCES - 1);
+			assertThat(this.job.state()).isEqualTo(SubmissionState.COMPLETED);
+		}
+
+		@Test
+		void continueUnderTheNextOwnerWithWhatIsNotComplete() throws JsonProcessingException {
+			complete(0, 1, 2, 5);
+			complete(this.job, 4, 3);
+			SubmittedJob next = restored(this.job, row(this.job));
+			assertThat(next.toProgress()).isEqualTo(this.job.toProgress());
+			assertThat(IntStream.range(0, OCCURRENCES).filter(next::isComplete)).containsExactly(0, 1, 2, 5);
+			assertThat(next.progress(new StepKey(ID, 5, 9)).isComplete()).isTrue();
+			assertThat(next.progress(new StepKey(ID, 4, 2)).isDone(0)).isTrue();
+			assertThat(next.progress(new StepKey(ID, 4, 2)).highestAttempt()).isEqualTo(5);
+			assertThat(next.progress(new StepKey(ID, 4, 3)).isDone(0)).isFalse();
+			assertThat(next.toProgress().matches(this.job.submission())).isTrue();
+		}
+
+		@Test
+		void areFoldedWhenARowOfAnEarlierReleaseIsRead() throws JsonProcessingException {
+			String step = "\"%d.%d\":{\"done\":[0],\"failedAttempts\":{},\"checkpoints\":{},\"highestAttempt\":1,\"crashes\":{}}";
+			String former = IntStream.range(0, 75 * STEPS)
+				.mapToObj((i) -> step.formatted(i / STEPS, i % STEPS))
+				.collect(Collectors.joining(",", "{\"state\":\"RUNNING\",\"steps\":{", "}}"));
+			SubmittedJob next = restored(this.job, former);
+			assertThat(IntStream.range(0, OCCURRENCES).filter(next::isComplete)).hasSize(75);
+			assertThat(row(next).length()).isLessThan(200);
+			JobProgress read = Json.readRow(former, JobProgress.class);
+			assertThat(read.differenceTo(next.toProgress(), next.submission()).doneTasks()).isZero();
+			assertThat(next.toProgress().differenceTo(read, next.submission()).doneTasks()).isZero();
+			assertThat(read.differenceTo(this.job.toProgress(), next.submission()).doneTasks()).isEqualTo(75 * STEPS);
+		}
+
+		// An earlier release would start complete occurrences again if it took the row
+		// for one that does not mention them.
+		@Test
+		void areNotReadByEarlierReleasesOnceAnOccurrenceIsComplete() throws JsonProcessingException {
+			complete(this.job, 0, STEPS - 1);
+			assertThat(readByEarlierRelease(row(this.job)).matches(this.job.submission())).isTrue();
+			complete(0);
+			assertThat(readByEarlierRelease(row(this.job)).matches(this.job.submission())).isFalse();
+		}
+
+		@Test
+		void areRefusedWithOccurrencesThatTheJobDoesNotHave() throws JsonProcessingException {
+			String row = "{\"state\":\"RUNNING\",\"steps\":{\"0-%d\":{\"done\":[],\"failedAttempts\":{},\"checkpoints\":{}}}}";
+			assertThat(Json.readRow(row.formatted(95), JobProgress.class).matches(this.job.submission())).isTrue();
+			assertThat(Json.readRow(row.formatted(96), JobProgress.class).matches(this.job.submission())).isFalse();
+		}
+
+	}
+
 	/**
 	 * A row as earlier releases read it. Immutable.
 	 *
@@ -154,6 +247,14 @@
 			steps = Map.copyOf(steps);
 		}
 
+		boolean matches(Submission job) {
+			return this.steps.keySet().stream().allMatch((key) -> {
+				Matcher local = Pattern.compile("(\\d{1,9})\\.(\\d{1,9})").matcher(key);
+				return local.matches() && Integer.parseInt(local.group(1)) < job.timetable().occurrences()
+						&& Integer.parseInt(local.group(2)) < job.steps().size();
+			});
+		}
+
 	}
 
 	/**
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -40,6 +40,17 @@
 		this.spec = spec;
 	}
 
+	/**
+	 * Create the progress of a step of which all tasks are complete.
+	 * @param spec the step
+	 * @return the progress
+	 */
+	static StepProgress completed(StepSpec spec) {
+		StepProgress progress = new StepProgress(spec);
+		progress.done.set(0, spec.completionCount());
+		return progress;
+	}
+
 	/**
 	 * Restore progress from its durable form.
 	 * @param spec the step
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.model.submission;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,15 +10,18 @@
  * A submitted job with its progress. Invariants: a final state never changes; a job is
  * completed only when every task of every occurrence is complete; it has failed only when
  * a task that is not long-running has failed as often as the queue allows, or when a task
- * is given up because it crashes its workers. Not thread-safe: confined to the control
- * thread of the pool's owner.
+ * is given up because it crashes its workers; of a complete occurrence only its number is
+ * kept. Not thread-safe: confined to the control thread of the pool's owner.
  */
 public final class SubmittedJob {
 
 	private final Submission submission;
 
+	// Without the steps of complete occurrences.
 	private final Map<String, StepProgress> steps = new HashMap<>();
 
+	private final BitSet completedOccurrences = new BitSet();
+
 	private SubmissionState state = SubmissionState.QUEUED;
 
 	private SubmissionState durableState = SubmissionState.QUEUED;
@@ -35,7 +39,15 @@
 	 * @param progress the durable progress
 	 */
 	public void restore(JobProgress progress) {
-		progress.steps().forEach((local, saved) -> this.steps.put(local, StepProgress.restore(spec(local), saved)));
+		this.completedOccurrences.or(progress.completedOccurrences(this.submission));
+		progress.steps().forEach((local, saved) -> {
+			if (OccurrenceRange.parse(local).isEmpty()) {
+				this.steps.put(local, StepProgress.restore(spec(local), saved));
+			}
+		});
+		for (int i = 0; i < this.submission.timetable().occurrences(); i++) {
+			foldIfComplete(i);
+		}
 		this.state = progress.state();
 		this.durableState = progress.state();
 	}
@@ -50,6 +62,9 @@
 	 * @return progress of the step, created if absent
 	 */
 	public StepProgress progress(StepKey key) {
+		if (isComplete(key.occurrence())) {
+			return StepProgress.completed(this.submission.steps().get(key.step()));
+		}
 		return this.steps.computeIfAbsent(key.localName(), this::newProgress);
 	}
 
@@ -57,6 +72,36 @@
 		return new StepProgress(spec(local));
 	}
 
+	/**
+	 * Whether all steps of an occurrence are complete.
+	 * @param occurrence number of the occurrence
+	 * @return {@code true} if so
+	 */
+	public boolean isComplete(int occurrence) {
+		return this.completedOccurrences.get(occurrence);
+	}
+
+	private boolean foldIfComplete(int occurrence) {
+		if (isComplete(occurrence)) {
+			return true;
+		}
+		for (int step = 0; step < this.submission.steps().size(); step++) {
+			StepProgress progress = this.steps.get(localName(occurrence, step));
+			if (progress == null || !progress.isComplete()) {
+				return false;
+			}
+		}
+		for (int step = 0; step < this.submission.steps().size(); step++) {
+			this.steps.remove(localName(occurrence, step));
+		}
+		this.completedOccurrences.set(occurrence);
+		return true;
+	}
+
+	private String localName(int occurrence, int step) {
+		return new StepKey(id(), occurrence, step).localName();
+	}
+
 	/**
 	 * Whether all steps that a step depends on are complete.
 	 * @param key the step
@@ -150,21 +195,13 @@
 		if (hasFailedTooOften || progress.hasCrashingTask()) {
 			this.state = SubmissionState.FAILED;
 		}
-		else if (isEveryStepComplete()) {
+		else if (foldIfComplete(key.occurrence()) && isEveryOccurrenceComplete()) {
 			this.state = SubmissionState.COMPLETED;
 		}
 	}
 
-	private boolean isEveryStepComplete() {
-		for (int occurrence = 0; occurrence < this.submission.timetable().occurrences(); occurrence++) {
-			for (int step = 0; step < this.submission.steps().size(); step++) {
-				StepProgress progress = this.steps.get(occurrence + "." + step);
-				if (progress == null || !progress.isComplete()) {
-					return false;
-				}
-			}
-		}
-		return true;
+	private boolean isEveryOccurrenceComplete() {
+		return this.completedOccurrences.cardinality() == this.submission.timetable().occurrences();
 	}
 
 	/**
@@ -197,7 +234,8 @@
 		}
 		Map<String, StepRecord> saved = new HashMap<>();
 		this.steps.forEach((local, progress) -> saved.put(local, progress.toRecord()));
-		return new JobProgress(this.state, saved);
+		saved.values().removeIf(StepRecord.NONE::equals);
+		return JobProgress.of(this.state, saved, this.completedOccurrences);
 	}
 
 	public Submission submission() {
