Bound the size of a job's rows by the job

Callers of a job that is larger than a row of the table were told 503 and came again, for ever; and a job that fitted when it was handed in could outgrow its row of progress later (many tasks that fail, long checkpoints, occurrences that overlap), from when on no write of any owner took effect. Submission.MAX_TASKS, which was to prevent that, counted six bytes a task.

RowLimits, in a package of its own, computes from the submission what its progress may take at most, whatever happens: done, failed and crashed tasks, attempts up to the limit of the queue. A job for which that exceeds a row is refused for good (400), naming the field and the limit. Two things give way instead of counting: of a timetable no more occurrences are open at once than the row has room for, and checkpoints, of unknown length, are left out of a row that would be too large with them, which costs work and nothing else. The size comes from the settings (rowBytes, 65,536 if empty); the table may count Base64, so that three quarters of it are used.

What is left: the owner still sends a refused write again unchanged, so that a row that is refused for another cause stops all jobs, and the size of the owner record is not bounded.

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -128,7 +128,8 @@
 		CallerAuthentication authentication = new CallerAuthentication(settings.revocationBoundMillis(), log);
 		metrics.gauge("customers.keys.untrusted",
 				() -> () -> authentication.isTrusted(configuration.knownConfiguration()) ? 0 : 1);
-		JobRoutes routes = new JobRoutes(configuration, authentication, this.service, PoolClock.SYSTEM, log, metrics);
+		JobRoutes routes = new JobRoutes(configuration, authentication, this.service, settings.rowLimits(),
+				PoolClock.SYSTEM, log, metrics);
 		this.callers = new HttpServer(required(settings.callerAddress(), "callers"), MAXIMUM_BODY_BYTES,
 				(application) -> {
 					this.drain.addTo(application);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.LongPredicate;
 
+import org.monsoonrelay.logic.rows.RowLimits;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.StepKey;
@@ -23,8 +24,8 @@
 /**
  * The jobs that the owner knows, their open steps, and the jobs whose progress is not
  * durable yet. Invariant: a step is opened only if its job has not ended, its due time
- * has passed, and the steps that it depends on are complete. Not thread-safe: confined to
- * the control thread.
+ * has passed, the steps that it depends on are complete, and the row of its job has room
+ * for its occurrence. Not thread-safe: confined to the control thread.
  */
 final class JobRegistry {
 
@@ -39,6 +40,8 @@
 
 	private final long epoch;
 
+	private final RowLimits rowLimits;
+
 	private final Map<String, SubmittedJob> jobs = new HashMap<>();
 
 	private final Map<StepKey, ActiveStep> openSteps = new LinkedHashMap<>();
@@ -66,8 +69,9 @@
 
 	private final UnresolvedStarts unresolvedStarts = new UnresolvedStarts();
 
-	JobRegistry(long epoch) {
+	JobRegistry(long epoch, RowLimits rowLimits) {
 		this.epoch = epoch;
+		this.rowLimits = rowLimits;
 	}
 
 	/**
@@ -169,13 +173,16 @@
 
 	private void openDueSteps(SubmittedJob job, long nowMillis) {
 		Submission submission = job.submission();
+		int open = 0;
+		int limit = this.rowLimits.openOccurrences(submission);
 		for (int occurrence = 0; occurrence < submission.timetable().occurrences(); occurrence++) {
-			if (submission.timetable().dueMillis(occurrence) > nowMillis) {
+			if (submission.timetable().dueMillis(occurrence) > nowMillis || open >= limit) {
 				return;
 			}
 			if (job.isComplete(occurrence)) {
 				continue;
 			}
+			open++;
 			for (int step = 0; step < submission.steps().size(); step++) {
 				StepKey key = new StepKey(job.id(), occurrence, step);
 				if (!this.openSteps.containsKey(key) && !job.progress(key).isComplete() && job.isReady(key)) {
@@ -352,6 +359,14 @@
 		return this.unresolvedStarts;
 	}
 
+	/**
+	 * What the largest row of the table means for the jobs.
+	 * @return the limits
+	 */
+	RowLimits rowLimits() {
+		return this.rowLimits;
+	}
+
 	int unfinishedCount() {
 		return this.unfinished.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -122,7 +122,7 @@
 		this.lease = new OwnerLease(this.epoch, dependencies.clock());
 		this.lease.renewed(takeOver.sentNanos(), takeOver.sentMillis());
 		this.inheritedJobs = new InheritedJobs(takeOver, this.takenOverNanos);
-		this.registry = new JobRegistry(this.epoch);
+		this.registry = new JobRegistry(this.epoch, dependencies.rowLimits());
 		this.accounts = new CustomerAccounts(this.registry, this.pool);
 		this.pool.account(this.accounts);
 		this.pool.recoverFrom(takeOver);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -272,7 +272,7 @@
 				&& this.jobs.hasDirty()) {
 			SubmittedJob job = this.jobs.takeDirty(1).get(0);
 			JobProgress progress = job.toProgress();
-			String value = Json.write(progress);
+			String value = this.jobs.rowLimits().encode(progress);
 			bytes += value.length();
 			states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
 			puts.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
@@ -39,6 +39,17 @@
 		return new JobProgress(state, records);
 	}
 
+	/**
+	 * Leaves out the checkpoints, so that the tasks start from the beginning.
+	 * @return the progress without them
+	 */
+	public JobProgress withoutCheckpoints() {
+		Map<String, StepRecord> records = new HashMap<>(this.steps);
+		records.replaceAll((key, step) -> new StepRecord(step.done(), step.failedAttempts(), Map.of(),
+				step.highestAttempt(), step.crashes(), step.failures()));
+		return new JobProgress(this.state, records);
+	}
+
 	/**
 	 * Occurrences that are complete and have no records of their steps.
 	 * @param job the job
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/Submission.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/Submission.java
@@ -20,8 +20,8 @@
 		long acceptedMillis, String customer) {
 
 	/**
-	 * Maximum number of tasks of a job over all occurrences. The progress of a job is
-	 * stored in one row of 48 KB, in which each completed task takes six bytes.
+	 * Maximum number of tasks of a job over all occurrences, for the memory that they
+	 * take. How many tasks an occurrence may have depends on the size of a row as well.
 	 */
 	public static final int MAX_TASKS = 8000;
 
