--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -329,7 +329,7 @@
 	private List<PartitionWrite.Put> rows(SubmittedJob job, Map<SubmittedJob, WrittenJob> states) {
 		List<PartitionWrite.Put> rows = new ArrayList<>();
 		JobProgress progress = this.toProgress.apply(job);
-		rows.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), Json.write(progress)));
+		rows.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), this.jobs.rowLimits().encode(progress)));
 		if (progress.state() != job.durableState()) {
 			String state = Json.write(new JobStateRow(progress.state(), Map.of(), job.submission().customer()));
 			rows.add(new PartitionWrite.Put(JobTables.STATES, job.id(), state));
