Isolate rows that the table rejects instead of repeating the write

Cause: a rejection for good was taken for one that passes. HttpTable made each answer but 200 and 412 a NotDone, and PoolStateWriter sent the same write again every 60 ms for ever, one at a time. One row that the table does not accept (in both cases a row of progress above 65,536 bytes) thus kept back the progress of all jobs. The take-over that the owner asked for did not help, as its successor composed the same row.

The owner then writes the rows in smaller groups, first none of them, so that jobs are not blamed while everything is rejected. A job whose rows are rejected alone is held back: none of its tasks is started, and none of its ends is acknowledged, nor any that a worker listed after it. After three rejections, a second apart, it ends as failed, which callers are told and which takes a row of some bytes. WriteRefused and ProgressRejected name the answer, the row and its size; before, a write refused for its size, by a limit of calls or by a table that is away looked alike.

The in-memory table of the tests rejects too large rows and writes now, as the platform's does.

What is left: rows of the owner itself that are rejected are still repeated, with a line and a request for a take-over.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/MeteredPartitionedTable.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/platform/MeteredPartitionedTable.java
@@ -27,6 +27,8 @@
 
 	private final Counter conflicts;
 
+	private final Counter rejected;
+
 	private final Counter notDone;
 
 	private final Counter unknown;
@@ -51,6 +53,7 @@
 		this.table = table;
 		this.committed = metrics.counter("table.commits.Committed");
 		this.conflicts = metrics.counter("table.commits.Conflict");
+		this.rejected = metrics.counter("table.commits.Rejected");
 		this.notDone = metrics.counter("table.commits.NotDone");
 		this.unknown = metrics.counter("table.commits.Unknown");
 		this.commits = SlidingWindowHistograms.getOrCreate(metrics, "table.commit.millis");
@@ -76,6 +79,9 @@
 		if (commit instanceof PartitionCommit.Conflict) {
 			return this.conflicts;
 		}
+		if (commit instanceof PartitionCommit.Rejected) {
+			return this.rejected;
+		}
 		return (commit instanceof PartitionCommit.NotDone) ? this.notDone : this.unknown;
 	}
 
--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/OwnerLink.java
@@ -170,6 +170,7 @@
 		return switch (reply.getOutcome()) {
 			case COMMITTED -> new PartitionCommit.Committed(reply.getVersion());
 			case CONFLICT -> new PartitionCommit.Conflict(List.of());
+			case REJECTED -> new PartitionCommit.Rejected(reply.getReason());
 			case NOT_DONE -> new PartitionCommit.NotDone(reply.getReason());
 			default -> new PartitionCommit.Unknown(reply.getReason());
 		};
@@ -194,6 +195,9 @@
 		if (commit instanceof PartitionCommit.Conflict) {
 			return reply.setOutcome(CommitReply.Outcome.CONFLICT);
 		}
+		if (commit instanceof PartitionCommit.Rejected rejected) {
+			return reply.setOutcome(CommitReply.Outcome.REJECTED).setReason(rejected.reason());
+		}
 		if (commit instanceof PartitionCommit.NotDone notDone) {
 			return reply.setOutcome(CommitReply.Outcome.NOT_DONE).setReason(notDone.reason());
 		}
--- a/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
+++ b/monsoonrelay-gateway/src/test/java/org/monsoonrelay/gateway/jobs/OwnerLinkTests.java
@@ -181,6 +181,8 @@
 		assertThat(this.written).containsExactly(write);
 		this.outcome = new PartitionCommit.NotDone("busy");
 		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(this.outcome);
+		this.outcome = new PartitionCommit.Rejected("a row is too large");
+		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(this.outcome);
 		this.outcome = new PartitionCommit.Conflict(List.of());
 		assertThat(this.link.relay(write).orElseThrow().join()).isEqualTo(this.outcome);
 		this.outcome = new PartitionCommit.Unknown("no answer");
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/JobDecision.java
@@ -111,6 +111,22 @@
 
 	}
 
+	/**
+	 * The table does not accept the progress of a job, alone in a write.
+	 *
+	 * @param job the job
+	 * @param reason the answer of the table
+	 * @param row table and key of its largest row
+	 * @param bytes size of that row, bytes
+	 * @param rejections how often it was rejected
+	 * @param outcome {@code HELD_BACK}: no task is started until it is accepted;
+	 * {@code GIVEN_UP}: the job ends as failed
+	 */
+	record ProgressRejected(String job, String reason, String row, long bytes, int rejections,
+			String outcome) implements JobDecision {
+
+	}
+
 	/**
 	 * A job has ended.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -37,6 +37,24 @@
 
 	}
 
+	/**
+	 * The table refused a write of the owner.
+	 *
+	 * @param epoch the owner's fencing token
+	 * @param outcome {@code REFUSED} if the same write is repeated, {@code REJECTED} if
+	 * its content is not accepted and its rows are written in smaller groups
+	 * @param reason the answer of the table
+	 * @param jobs number of jobs whose rows it contained
+	 * @param rows number of rows
+	 * @param bytes size of all rows, bytes
+	 * @param largestRow table and key of the largest row
+	 * @param largestBytes size of that row, bytes
+	 */
+	record WriteRefused(long epoch, String outcome, String reason, int jobs, int rows, long bytes, String largestRow,
+			long largestBytes) implements PoolDecision {
+
+	}
+
 	/**
 	 * A new owner begins to find out what runs on the workers of the former one.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/StepWaitReport.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/explain/StepWaitReport.java
@@ -23,6 +23,7 @@
 			Map.entry("OWNER_RECOVERY", "not known yet what runs on the workers of the former owner"),
 			Map.entry("LEASE_EXPIRED", "the owner's lease expired for too long to start tasks"),
 			Map.entry("CANCELLATIONS_UNREAD", "not read yet whether the job was cancelled before the change of owner"),
+			Map.entry("PROGRESS_REJECTED", "the table rejects the progress of the job"),
 			Map.entry("JOB_UNCONFIRMED", "not confirmed that the owner still owned the pool after the job was stored"),
 			Map.entry("RUN_UNCONFIRMED",
 					"an earlier run may be active on a worker that has not reported all its runs since"),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/ObservedTable.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/ObservedTable.java
@@ -26,7 +26,8 @@
 	@Override
 	public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
 		return this.table.commit(write).whenComplete((commit, failure) -> {
-			if (commit instanceof PartitionCommit.Committed || commit instanceof PartitionCommit.Conflict) {
+			if (commit instanceof PartitionCommit.Committed || commit instanceof PartitionCommit.Conflict
+					|| commit instanceof PartitionCommit.Rejected) {
 				this.onResponse.run();
 			}
 		});
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionCommit.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionCommit.java
@@ -30,7 +30,18 @@
 	}
 
 	/**
-	 * The service rejected the write, which neither took effect nor will.
+	 * The service does not accept the content of the write, as when a row is too large.
+	 * It never takes effect, also if it is repeated or sent by another process.
+	 *
+	 * @param reason the reason given by the service
+	 */
+	record Rejected(String reason) implements PartitionCommit {
+
+	}
+
+	/**
+	 * The service refused the write for now. It neither took effect nor will, but may be
+	 * accepted if it is repeated.
 	 *
 	 * @param reason the reason given by the service
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -10,7 +10,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 
+import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.StepKey;
@@ -67,6 +69,8 @@
 
 	private final UnresolvedStarts unresolvedStarts = new UnresolvedStarts();
 
+	private final RejectedRows rejectedRows = new RejectedRows();
+
 	private OpenStepListener openStepListener = OpenStepListener.NONE;
 
 	JobRegistry(long epoch) {
@@ -159,6 +163,21 @@
 		return Optional.of(job);
 	}
 
+	/**
+	 * Ends a job that cannot be continued as failed. Has no effect if it has ended.
+	 * @param id the job's id
+	 * @return the job, if this ended it
+	 */
+	Optional<SubmittedJob> giveUp(String id) {
+		SubmittedJob job = this.jobs.get(id);
+		if (job == null || job.isEnded()) {
+			return Optional.empty();
+		}
+		job.giveUp();
+		markDirty(job);
+		return Optional.of(job);
+	}
+
 	/**
 	 * Opens the steps that are due and closes those that are complete. Only jobs with a
 	 * change or a timetable are considered, since the cost of visiting all jobs in each
@@ -289,14 +308,14 @@
 	}
 
 	/**
-	 * Removes jobs whose progress is to be written next from the dirty jobs.
-	 * @param maximum the maximum number of jobs
-	 * @return the jobs
+	 * Removes a job whose progress is to be written next from the dirty jobs.
+	 * @param isSelected matches the ids of jobs that may be written
+	 * @return the job, empty if there is none
 	 */
-	List<SubmittedJob> takeDirty(int maximum) {
-		List<String> taken = this.dirty.stream().limit(maximum).toList();
-		taken.forEach(this.dirty::remove);
-		return taken.stream().map(this.jobs::get).toList();
+	Optional<SubmittedJob> takeDirty(Predicate<String> isSelected) {
+		Optional<String> taken = this.dirty.stream().filter(isSelected).findFirst();
+		taken.ifPresent(this.dirty::remove);
+		return taken.map(this.jobs::get);
 	}
 
 	int dirtyCount() {
@@ -307,6 +326,15 @@
 		return !this.dirty.isEmpty();
 	}
 
+	/**
+	 * Returns whether there is progress to be written of other jobs than those that are
+	 * held back.
+	 * @return {@code true} if so
+	 */
+	boolean hasWritableDirty() {
+		return this.dirty.stream().anyMatch((id) -> !this.rejectedRows.heldBack().contains(id));
+	}
+
 	QueueSummary summary() {
 		return this.queuedJobs.summary();
 	}
@@ -375,6 +403,14 @@
 		return this.unresolvedStarts;
 	}
 
+	/**
+	 * Jobs whose rows the table rejects.
+	 * @return the jobs
+	 */
+	RejectedRows rejectedRows() {
+		return this.rejectedRows;
+	}
+
 	int unfinishedCount() {
 		return this.unfinished.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -8,8 +8,10 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.interference.Interference;
+import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.StepKey;
@@ -343,6 +345,35 @@
 			}
 		}
 
+		@Override
+		public void writeRefused(FailedWrite write) {
+			logRefusal("REFUSED", write);
+		}
+
+		@Override
+		public void writeRejected(FailedWrite write) {
+			logRefusal("REJECTED", write);
+		}
+
+		private void logRefusal(String outcome, FailedWrite write) {
+			PoolOwner owner = PoolOwner.this;
+			owner.dependencies.log()
+				.write(new PoolDecision.WriteRefused(owner.epoch, outcome, write.reason(), write.jobs(), write.rows(),
+						write.bytes(), write.largestRow(), write.largestBytes()));
+		}
+
+		@Override
+		public void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write) {
+			PoolOwner owner = PoolOwner.this;
+			owner.dependencies.log()
+				.write(new JobDecision.ProgressRejected(rejected.job(), write.reason(), write.largestRow(),
+						write.largestBytes(), rejected.rejections(), rejected.verdict().name()));
+			if (rejected.verdict() == RejectedRows.Verdict.GIVEN_UP) {
+				owner.registry.giveUp(rejected.job()).ifPresent(owner.runs::onJobEnded);
+			}
+			owner.loop.requestTurn();
+		}
+
 		@Override
 		public void writeNotComposed(String job, RuntimeException failure) {
 			PoolOwner owner = PoolOwner.this;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -1,8 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.platform.ExecutorCallback;
 import org.monsoonrelay.logic.platform.Json;
@@ -19,7 +19,7 @@
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.PartitionedTable;
 import org.monsoonrelay.logic.platform.TableRow;
-import org.monsoonrelay.logic.submission.JobStateRow;
+import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
@@ -32,23 +32,13 @@
  * record in the same transaction. Invariants: every write is conditional on the version
  * of the owner record that this owner wrote last, so that nothing is written after
  * another owner has taken over; at most one write is in flight; a write whose outcome is
- * unknown is retried unchanged until the outcome is known; no end is acknowledged while
- * the progress of a job that was to be written is in no write. Not thread-safe: confined
- * to the control thread.
+ * unknown is retried unchanged until the outcome is known; a write whose content the
+ * table rejects is not repeated, its rows are written in smaller groups; no end is
+ * acknowledged while the progress of its job that was to be written is in no write. Not
+ * thread-safe: confined to the control thread.
  */
 final class PoolStateWriter {
 
-	/**
-	 * Maximum number of rows of jobs per write, two a job if its state changes; a
-	 * transaction accepts 100 entries.
-	 */
-	private static final int MAX_JOB_ROWS_PER_WRITE = 90;
-
-	/**
-	 * Maximum size of the progress per write, bytes; a transaction accepts one megabyte.
-	 */
-	private static final int MAX_PROGRESS_BYTES_PER_WRITE = 500_000;
-
 	/**
 	 * Minimum interval between the start of two writes, milliseconds. Lets tasks that end
 	 * at about the same time share a write.
@@ -88,13 +78,12 @@
 
 	private final StateWriteListener listener;
 
-	private final Function<SubmittedJob, JobProgress> toProgress;
-
-	// Jobs to be written whose rows could not be composed with the last write.
-	private final Set<SubmittedJob> uncomposed = new HashSet<>();
+	private final JobRowComposer jobRows;
 
 	private boolean composeFailing;
 
+	private String reportedRefusal = "";
+
 	private OwnerRecord record;
 
 	private long formerLeaseEndNanos;
@@ -143,7 +132,7 @@
 		this.clock = clock;
 		this.areJobsRecent = areJobsRecent;
 		this.listener = listener;
-		this.toProgress = toProgress;
+		this.jobRows = new JobRowComposer(jobs, listener, toProgress);
 	}
 
 	/**
@@ -192,7 +181,7 @@
 			return;
 		}
 		long sinceLast = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.lastSentNanos);
-		boolean hasChanges = this.jobs.dirtyCount() > this.uncomposed.size() || this.jobs.hasDeferred()
+		boolean hasChanges = this.jobRows.hasChanges(this.clock.nanos()) || this.jobs.hasDeferred()
 				|| !this.jobs.unconfirmedLosses().isEmpty() || this.workers.hasUnrecordedWorkers()
 				|| this.jobs.unresolvedStarts().needsRecording(this.clock.nanos());
 		boolean isDue = sinceLast >= OwnerLease.RENEWAL_INTERVAL_MILLIS
@@ -254,7 +243,7 @@
 
 	// What was taken is written next time if the write as a whole cannot be composed.
 	private void composeAndSend() {
-		Map<SubmittedJob, WrittenJob> taken = new HashMap<>();
+		Map<SubmittedJob, JobRowComposer.WrittenJob> taken = new HashMap<>();
 		Batch batch;
 		try {
 			batch = compose(taken);
@@ -271,12 +260,12 @@
 		send(batch);
 	}
 
-	private Batch compose(Map<SubmittedJob, WrittenJob> states) {
+	private Batch compose(Map<SubmittedJob, JobRowComposer.WrittenJob> states) {
 		this.composedNanos = this.clock.nanos();
 		if (this.releasing) {
 			this.listener.releaseStarting();
 		}
-		List<PartitionWrite.Put> puts = takeProgress(states);
+		List<PartitionWrite.Put> puts = this.jobRows.compose(states, this.composedNanos);
 		OwnerRecord next = nextRecord(this.workers.workersToRecord(this.jobs.hasDirty(), this.composedNanos));
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
@@ -290,7 +279,8 @@
 		}
 		puts.addAll(write.puts());
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<TerminationSequence, Long> ends = this.jobs.hasDirty() ? Map.of() : this.workers.beginWrite();
+		Map<TerminationSequence, Long> ends = this.jobs.hasWritableDirty() ? Map.of()
+				: this.workers.beginWrite(Set.copyOf(this.jobs.rejectedRows().heldBack()));
 		return new Batch(whole, next, states, summary, isCountWritten, ends, this.jobs.unconfirmedLosses().lastLoss());
 	}
 
@@ -301,43 +291,6 @@
 			.toMillis(this.composedNanos - this.summaryWrittenNanos.getAsLong()) >= OwnerLease.RENEWAL_INTERVAL_MILLIS;
 	}
 
-	private List<PartitionWrite.Put> takeProgress(Map<SubmittedJob, WrittenJob> states) {
-		int bytes = 0;
-		List<PartitionWrite.Put> puts = new ArrayList<>();
-		Set<SubmittedJob> failed = new HashSet<>();
-		while (puts.size() < MAX_JOB_ROWS_PER_WRITE - 1 && bytes < MAX_PROGRESS_BYTES_PER_WRITE
-				&& this.jobs.hasDirty()) {
-			SubmittedJob job = this.jobs.takeDirty(1).get(0);
-			try {
-				List<PartitionWrite.Put> rows = rows(job, states);
-				bytes += rows.get(0).value().length();
-				puts.addAll(rows);
-			}
-			catch (RuntimeException ex) {
-				failed.add(job);
-				if (!this.uncomposed.contains(job)) {
-					this.listener.writeNotComposed(job.id(), ex);
-				}
-			}
-		}
-		failed.forEach(this.jobs::markDirty);
-		this.uncomposed.clear();
-		this.uncomposed.addAll(failed);
-		return puts;
-	}
-
-	private List<PartitionWrite.Put> rows(SubmittedJob job, Map<SubmittedJob, WrittenJob> states) {
-		List<PartitionWrite.Put> rows = new ArrayList<>();
-		JobProgress progress = this.toProgress.apply(job);
-		rows.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), Json.write(progress)));
-		if (progress.state() != job.durableState()) {
-			String state = Json.write(new JobStateRow(progress.state(), Map.of(), job.submission().customer()));
-			rows.add(new PartitionWrite.Put(JobTables.STATES, job.id(), state));
-		}
-		states.put(job, new WrittenJob(progress.state(), job.crashRecords()));
-		return rows;
-	}
-
 	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
@@ -363,8 +316,12 @@
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
 				resolveConflict(batch, conflict.current());
 			}
+			else if (commit instanceof PartitionCommit.Rejected rejected) {
+				handleRejection(batch, rejected.reason());
+			}
 			else {
-				if (commit instanceof PartitionCommit.NotDone) {
+				if (commit instanceof PartitionCommit.NotDone refused) {
+					reportRefusal(batch, refused.reason());
 					this.listener.writesRejected();
 				}
 				this.control.schedule(() -> retry(batch), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
@@ -372,6 +329,44 @@
 		}));
 	}
 
+	private void reportRefusal(Batch batch, String reason) {
+		if (!reason.equals(this.reportedRefusal)) {
+			this.reportedRefusal = reason;
+			this.listener.writeRefused(batch.failed(reason));
+		}
+	}
+
+	// Nothing of the write has taken effect, so that the next one may differ from it.
+	private void handleRejection(Batch batch, String reason) {
+		if (this.closed) {
+			return;
+		}
+		this.inFlight = false;
+		batch.states().keySet().forEach(this.jobs::markDirty);
+		RejectedRows.Cause cause = this.jobs.rejectedRows().rejected(batch.jobIds(), this.clock.nanos());
+		if (cause instanceof RejectedRows.Cause.OtherRows) {
+			reportRefusal(batch, reason);
+			this.listener.writesRejected();
+			this.control.schedule(this::composeAgain, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (cause instanceof RejectedRows.Cause.RowsOfJob rows) {
+			if (rows.verdict() != RejectedRows.Verdict.KNOWN) {
+				this.listener.jobRejected(rows, FailedWrite.ofJob(batch.write(), rows.job(), reason));
+			}
+		}
+		else {
+			this.listener.writeRejected(batch.failed(reason));
+		}
+		composeAgain();
+	}
+
+	private void composeAgain() {
+		if (!this.closed && !this.inFlight) {
+			composeAndSend();
+		}
+	}
+
 	private void retry(Batch batch) {
 		if (!this.closed) {
 			send(batch);
@@ -417,6 +412,8 @@
 			job.markDurable(state.state(), state.crashRecords());
 			states.put(job.id(), state.state());
 		});
+		this.reportedRefusal = "";
+		this.jobs.rejectedRows().accepted(batch.jobIds());
 		this.workers.markRecorded(batch.record());
 		batch.terminations().forEach((sequence, processed) -> sequence.markDurable(processed, this.version));
 		this.jobs.unconfirmedLosses().confirm(batch.lastLoss());
@@ -426,19 +423,26 @@
 			return;
 		}
 		this.listener.writeDurable(states, batch.writtenCount(this.version));
-		if (this.releasing && !this.inFlight && !this.closed) {
-			composeAndSend();
+		if (this.releasing) {
+			composeAgain();
 		}
 	}
 
-	private record WrittenJob(SubmissionState state, int crashRecords) {
-
-	}
-
-	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, WrittenJob> states,
+	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, JobRowComposer.WrittenJob> states,
 			Optional<QueueSummary> summary, boolean isCountWritten, Map<TerminationSequence, Long> terminations,
 			long lastLoss) {
 
+		Set<String> jobIds() {
+			return this.states.keySet()
+				.stream()
+				.map(SubmittedJob::id)
+				.collect(Collectors.toCollection(LinkedHashSet::new));
+		}
+
+		FailedWrite failed(String reason) {
+			return FailedWrite.of(this.write, this.states.size(), reason);
+		}
+
 		Optional<QueueCount> writtenCount(long version) {
 			return this.summary.filter((counted) -> this.isCountWritten)
 				.map((counted) -> new QueueCount(counted, version));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -204,14 +204,30 @@
 	}
 
 	/**
-	 * Records that a write is composed that holds all that is processed now. At most one
-	 * write is in flight.
-	 * @return the sequence number up to which all terminations are processed, to be
-	 * passed to {@link #markDurable} once the write is durable
+	 * Records that a write is composed that holds all that is processed now, but for some
+	 * jobs. At most one write is in flight.
+	 * @param unwritten ids of jobs that the write leaves out although they have changed
+	 * @return the sequence number up to which all terminations are processed and in the
+	 * write, to be passed to {@link #markDurable} once the write is durable
 	 */
-	long beginWrite() {
-		this.lateNumbersInWrite = Set.copyOf(this.lateNumbers);
-		return this.processed;
+	long beginWrite(Set<String> unwritten) {
+		if (unwritten.isEmpty()) {
+			this.lateNumbersInWrite = Set.copyOf(this.lateNumbers);
+			return this.processed;
+		}
+		this.lateNumbersInWrite = this.lateNumbers.stream()
+			.filter((number) -> !isOf(unwritten, this.undurable.get(number)))
+			.collect(Collectors.toSet());
+		return this.undurable.entrySet()
+			.stream()
+			.filter((entry) -> isOf(unwritten, entry.getValue()))
+			.findFirst()
+			.map((entry) -> Math.min(this.processed, entry.getKey() - 1))
+			.orElse(this.processed);
+	}
+
+	private static boolean isOf(Set<String> jobs, TaskKey task) {
+		return task != null && jobs.contains(task.job());
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WaitReason.java
@@ -18,6 +18,9 @@
 	/** It is not confirmed that this process was the owner after the job was stored. */
 	JOB_UNCONFIRMED,
 
+	/** The table rejects the progress of the job. */
+	PROGRESS_REJECTED,
+
 	/**
 	 * An earlier run may be active on a worker that has not reported since, or its end
 	 * may not be listed yet.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -246,13 +246,14 @@
 
 	/**
 	 * Records that a write is composed that holds all processed terminations.
+	 * @param unwritten ids of jobs that the write leaves out although they have changed
 	 * @return the sequence numbers up to which the terminations of each incarnation are
-	 * processed
+	 * processed and in the write
 	 */
-	Map<TerminationSequence, Long> beginWrite() {
+	Map<TerminationSequence, Long> beginWrite(Set<String> unwritten) {
 		Map<TerminationSequence, Long> sequences = new HashMap<>();
 		this.workers.values()
-			.forEach((worker) -> sequences.put(worker.terminations(), worker.terminations().beginWrite()));
+			.forEach((worker) -> sequences.put(worker.terminations(), worker.terminations().beginWrite(unwritten)));
 		return sequences;
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/AcceptOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/AcceptOutcome.java
@@ -11,6 +11,12 @@
 	/** The request is not stored and never will be; the caller may retry it. */
 	NOT_ACCEPTED,
 
+	/**
+	 * The table does not accept the content of the request, as when a job is too large.
+	 * It is not stored, and neither will it be if it is repeated.
+	 */
+	INVALID,
+
 	/** The job does not exist. */
 	NO_SUCH_JOB,
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
@@ -18,7 +18,8 @@
  * once, and no attempt starts afterwards; the outcome is {@code NOT_ACCEPTED} only if
  * every attempt is known to have had no effect, and is then reported at once if no path
  * to the table is available, without waiting for the caller's deadline. An unknown
- * outcome is also reported at once in that case. No attempt is sent once the permit of
+ * outcome is also reported at once in that case. A write that the table rejects is not
+ * retried, as each attempt has the same content. No attempt is sent once the permit of
  * the request has ended. Thread-safe.
  */
 final class CallerWrite {
@@ -140,6 +141,9 @@
 			else if (commit instanceof PartitionCommit.Conflict) {
 				completeByExistingRow();
 			}
+			else if (commit instanceof PartitionCommit.Rejected) {
+				complete(AcceptOutcome.INVALID);
+			}
 			else if (recordCompletion(isUnknown)) {
 				scheduleRetry();
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -262,7 +262,7 @@
 		public CompletableFuture<PartitionCommit> writeDirectly(PartitionWrite write) {
 			SubmissionService service = SubmissionService.this;
 			return service.table.commit(write).whenComplete((commit, failure) -> {
-				if (isStored(commit)) {
+				if (isAnswered(commit)) {
 					service.tableFailures.set(0);
 				}
 				else {
@@ -279,7 +279,7 @@
 			}
 			service.relayBreaker.recordAttempt();
 			return service.relay.relay(write).map((answer) -> answer.whenComplete((commit, failure) -> {
-				if (isStored(commit)) {
+				if (isAnswered(commit)) {
 					service.relayBreaker.recordSuccess();
 				}
 				else {
@@ -288,8 +288,9 @@
 			}));
 		}
 
-		private boolean isStored(PartitionCommit commit) {
-			return commit instanceof PartitionCommit.Committed || commit instanceof PartitionCommit.Conflict;
+		private boolean isAnswered(PartitionCommit commit) {
+			return commit instanceof PartitionCommit.Committed || commit instanceof PartitionCommit.Conflict
+					|| commit instanceof PartitionCommit.Rejected;
 		}
 
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/DeferredEndsInPassedGapsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/DeferredEndsInPassedGapsTests.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -31,7 +32,7 @@
 
 	@Test
 	void areNotAcknowledgeable() {
-		this.sequence.markDurable(this.sequence.beginWrite(), 10);
+		this.sequence.markDurable(this.sequence.beginWrite(Set.of()), 10);
 		this.sequence.defer(List.of(end(2)));
 		assertThat(this.sequence.durable()).isLessThan(2);
 	}
@@ -39,7 +40,7 @@
 	@Test
 	void areNotMadeDurableByAWriteWithoutThem() {
 		this.sequence.defer(List.of(end(2)));
-		this.sequence.markDurable(this.sequence.beginWrite(), 10);
+		this.sequence.markDurable(this.sequence.beginWrite(Set.of()), 10);
 		assertThat(this.sequence.durable()).isLessThan(2);
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 import org.monsoonrelay.logic.platform.PartitionCommit;
@@ -21,7 +23,7 @@
 /**
  * An in-memory table on virtual time that injects faults: outages, responses that are
  * lost after the write, and writes that take effect late. Acknowledged writes are never
- * lost, and those with too many entries are refused. Not thread-safe.
+ * lost, and those with too many entries or too large rows are rejected. Not thread-safe.
  */
 final class InMemoryTable {
 
@@ -33,6 +35,10 @@
 
 	private static final int MAX_ENTRIES = 100;
 
+	private static final int MAX_ROW_BYTES = 65_536;
+
+	private static final int MAX_WRITE_BYTES = 1_000_000;
+
 	private final VirtualTime time;
 
 	private final Map<String, TableRow> rows = new TreeMap<>();
@@ -53,6 +59,8 @@
 
 	private String blockedPartition = "";
 
+	private Predicate<PartitionWrite> rejectedWrites = (write) -> false;
+
 	InMemoryTable(VirtualTime time) {
 		this.time = time;
 	}
@@ -85,6 +93,14 @@
 		this.blockedPartition = partition;
 	}
 
+	/**
+	 * Rejects writes because of their content.
+	 * @param rejected matches these writes
+	 */
+	void rejectWrites(Predicate<PartitionWrite> rejected) {
+		this.rejectedWrites = rejected;
+	}
+
 	void loseChangeHistory() {
 		this.historyLost = true;
 	}
@@ -110,6 +126,10 @@
 		return table + '\n' + partition + '\n' + key;
 	}
 
+	private static int bytes(PartitionWrite.Put put) {
+		return put.value().getBytes(StandardCharsets.UTF_8).length;
+	}
+
 	private Stream<TableRow> changedSince(long since) {
 		int first = this.history.size();
 		while (first > 0 && this.history.get(first - 1).version() > since) {
@@ -120,7 +140,15 @@
 
 	private PartitionCommit apply(PartitionWrite write) {
 		if (write.conditions().size() + write.puts().size() > MAX_ENTRIES) {
-			return new PartitionCommit.NotDone("more than " + MAX_ENTRIES + " entries");
+			return new PartitionCommit.Rejected("more than " + MAX_ENTRIES + " entries");
+		}
+		if (write.puts().stream().anyMatch((put) -> bytes(put) > MAX_ROW_BYTES)) {
+			return new PartitionCommit.Rejected("a row has more than " + MAX_ROW_BYTES + " bytes");
+		}
+		// In Base64, three bytes take four.
+		if (write.puts().stream().mapToLong(InMemoryTable::bytes).sum() * 4 / 3 > MAX_WRITE_BYTES
+				|| this.rejectedWrites.test(write)) {
+			return new PartitionCommit.Rejected("not accepted");
 		}
 		List<TableRow> current = new ArrayList<>();
 		boolean holds = true;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.JobProgress;
@@ -144,6 +145,21 @@
 		public void writesRejected() {
 		}
 
+		@Override
+		public void writeRefused(FailedWrite write) {
+			throw new AssertionError(write);
+		}
+
+		@Override
+		public void writeRejected(FailedWrite write) {
+			throw new AssertionError(write);
+		}
+
+		@Override
+		public void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write) {
+			throw new AssertionError(write);
+		}
+
 		@Override
 		public void writeNotComposed(String job, RuntimeException failure) {
 			UncomposedWritesTests.this.reported.add(job);
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
@@ -0,0 +1,115 @@
+package org.monsoonrelay.logic.rows;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RejectedRowsTests {
+
+	private final RejectedRows rejected = new RejectedRows();
+
+	private final Set<String> unwritten = IntStream.range(0, 45)
+		.mapToObj((i) -> "job" + i)
+		.collect(Collectors.toCollection(LinkedHashSet::new));
+
+	private final Set<String> unacceptable = new HashSet<>();
+
+	private long nowNanos;
+
+	private RejectedRows.Cause lastCause = new RejectedRows.Cause.Unknown();
+
+	private int writes;
+
+	/** Writes once, as much as is allowed. */
+	private void write() {
+		Set<String> written = new LinkedHashSet<>(this.unwritten);
+		this.rejected.nextGroup(this.nowNanos)
+			.ifPresentOrElse(written::retainAll, () -> written.removeAll(this.rejected.heldBack()));
+		this.writes++;
+		if (written.stream().anyMatch(this.unacceptable::contains)) {
+			this.lastCause = this.rejected.rejected(written, this.nowNanos);
+		}
+		else {
+			this.unwritten.removeAll(written);
+			this.rejected.accepted(written);
+		}
+	}
+
+	private void writeAll() {
+		do {
+			write();
+		}
+		while (this.rejected.nextGroup(this.nowNanos).isPresent());
+	}
+
+	@Test
+	void severalJobsAreHeldBackWhileAllOthersAreWritten() {
+		this.unacceptable.addAll(List.of("job0", "job1", "job44"));
+		writeAll();
+		assertThat(this.unwritten).containsExactly("job0", "job1", "job44");
+		assertThat(this.rejected.heldBack()).containsExactlyInAnyOrder("job0", "job1", "job44");
+	}
+
+	// Guards against blaming jobs while the table rejects everything.
+	@Test
+	void noJobIsHeldBackWhileWritesWithoutJobsAreRejectedAsWell() {
+		for (int i = 0; i < 10; i++) {
+			Set<String> written = new LinkedHashSet<>(this.unwritten);
+			this.rejected.nextGroup(this.nowNanos).ifPresent(written::retainAll);
+			this.lastCause = this.rejected.rejected(written, this.nowNanos);
+			this.nowNanos += TimeUnit.SECONDS.toNanos(1);
+		}
+		assertThat(this.lastCause).isEqualTo(new RejectedRows.Cause.OtherRows());
+		assertThat(this.rejected.heldBack()).isEmpty();
+		writeAll();
+		assertThat(this.unwritten).isEmpty();
+	}
+
+	@Nested
+	class OneOfManyJobs {
+
+		@Test
+		void isHeldBackWhileAllOthersAreWritten() {
+			RejectedRowsTests.this.unacceptable.add("job17");
+			writeAll();
+			assertThat(RejectedRowsTests.this.unwritten).containsExactly("job17");
+			assertThat(RejectedRowsTests.this.rejected.heldBack()).containsExactly("job17");
+			assertThat(RejectedRowsTests.this.writes).isLessThan(20);
+		}
+
+		@Test
+		void isGivenUpAfterThreeRejections() {
+			RejectedRowsTests.this.unacceptable.add("job17");
+			for (int i = 0; i < 3; i++) {
+				writeAll();
+				RejectedRowsTests.this.nowNanos += TimeUnit.SECONDS.toNanos(1);
+			}
+			assertThat(RejectedRowsTests.this.lastCause)
+				.isEqualTo(new RejectedRows.Cause.RowsOfJob("job17", 3, RejectedRows.Verdict.GIVEN_UP));
+		}
+
+		@Test
+		void isNoLongerHeldBackOnceItsRowsAreAccepted() {
+			RejectedRowsTests.this.unacceptable.add("job17");
+			writeAll();
+			RejectedRowsTests.this.unacceptable.clear();
+			write();
+			assertThat(RejectedRowsTests.this.unwritten).containsExactly("job17");
+			RejectedRowsTests.this.nowNanos += TimeUnit.SECONDS.toNanos(1);
+			writeAll();
+			assertThat(RejectedRowsTests.this.unwritten).isEmpty();
+			assertThat(RejectedRowsTests.this.rejected.heldBack()).isEmpty();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the rows of jobs.
+ */
+package org.monsoonrelay.logic.rows;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
@@ -101,6 +101,16 @@
 		assertThat(outcome).isCompletedWithValue(AcceptOutcome.NOT_ACCEPTED);
 	}
 
+	// Guards against callers who are asked to come back with a job that cannot be stored.
+	@Test
+	void isNotRetriedIfTheTableRejectsItsContent() {
+		this.directAnswer = () -> answer(new PartitionCommit.Rejected("a row is too large"));
+		assertThat(write(3000)).isCompletedWithValue(AcceptOutcome.INVALID);
+		this.time.runFor(3000);
+		assertThat(this.directAttempts).isEqualTo(1);
+		assertThat(this.peerAttempts).isZero();
+	}
+
 	@Test
 	void isNotHedgedOnceThePermitHasEnded() {
 		this.directAnswer = CompletableFuture::new;
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/SubmittedJob.java
@@ -8,9 +8,9 @@
 /**
  * A submitted job with its progress. Invariants: a final state never changes; a job is
  * completed only when every task of every occurrence is complete; it has failed only when
- * a task that is not long-running has failed as often as the queue allows, or when a task
- * is given up because it crashes its workers. Not thread-safe: confined to the control
- * thread of the pool's owner.
+ * a task that is not long-running has failed as often as the queue allows, when a task is
+ * given up because it crashes its workers, or when its progress cannot be stored. Not
+ * thread-safe: confined to the control thread of the pool's owner.
  */
 public final class SubmittedJob {
 
@@ -113,6 +113,16 @@
 		}
 	}
 
+	/**
+	 * Record that the job cannot be continued, as its progress cannot be stored. Has no
+	 * effect if the job has ended.
+	 */
+	public void giveUp() {
+		if (!this.state.isFinal()) {
+			this.state = SubmissionState.FAILED;
+		}
+	}
+
 	/**
 	 * Record that a worker may have crashed while a task was active on it.
 	 * @param task the task
