Keep no failures of long-running tasks in the row of their job

Cause: StepProgress kept the number of each failed attempt for ever, and wrote all of them into the one row of the job. Attempts of long-running tasks are not limited, so that nothing depends on which or how many of them failed: not the state of the job, and not the number of the next attempt, which follows from the highest one and the owner's epoch.

Change: of a long-running task only the last failed attempt is remembered, in memory, so that an end that is reported again does not count twice against its worker. The row has none of it. There is no count to add up when records of two owners are joined, and none that could be counted twice. Rows of earlier releases are read; earlier releases read the rows of this one, as the list is empty there.

Evidence: FailingLongRunningTasksTests on the code before: "Expecting actual: 5227357 to be less than" 655, after 20,000 failures of each of 48 tasks; the row has fewer bytes than that now.

--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepProgress.java
@@ -12,8 +12,10 @@
 /**
  * Progress of a step: its completed tasks, failed attempts, crashes and checkpoints.
  * Invariants: a completed task stays completed; a failed attempt is counted once, even if
- * its end is reported several times; crashes are counted for each member of a gang. Not
- * thread-safe: confined to the control thread of the pool's owner.
+ * its end is reported several times; crashes are counted for each member of a gang; the
+ * size does not grow with the number of attempts, as a task with limited attempts fails
+ * less often than its limit before the job ends, and failures of long-running tasks are
+ * not kept. Not thread-safe: confined to the control thread of the pool's owner.
  */
 public final class StepProgress {
 
@@ -23,6 +25,10 @@
 
 	private final Map<Integer, SortedSet<Integer>> failedAttempts = new HashMap<>();
 
+	// The last failed attempt of each long-running task. Not durable, as failures limit
+	// nothing there.
+	private final Map<Integer, Integer> lastFailures = new HashMap<>();
+
 	private final Map<Integer, String> checkpoints = new HashMap<>();
 
 	// Also contains tasks without crashes whose starts the next owner has to know of.
@@ -43,8 +49,7 @@
 	public static StepProgress restore(StepSpec spec, StepRecord saved) {
 		StepProgress progress = new StepProgress(spec);
 		saved.done().forEach(progress.done::set);
-		saved.failedAttempts()
-			.forEach((index, attempts) -> progress.failedAttempts.put(index, new TreeSet<>(attempts)));
+		progress.addFailures(saved);
 		progress.checkpoints.putAll(saved.checkpoints());
 		progress.crashes.putAll(saved.crashes());
 		progress.highestAttempt = saved.highestAttempt();
@@ -59,9 +64,7 @@
 	 */
 	public void join(StepRecord told) {
 		told.done().forEach(this.done::set);
-		told.failedAttempts()
-			.forEach((index, attempts) -> this.failedAttempts.computeIfAbsent(index, (task) -> new TreeSet<>())
-				.addAll(attempts));
+		addFailures(told);
 		told.checkpoints().forEach(this.checkpoints::putIfAbsent);
 		told.crashes().forEach((index, crashes) -> this.crashes.merge(index, crashes, TaskCrashes::join));
 		this.checkpoints.keySet().removeIf(this::isDone);
@@ -69,6 +72,11 @@
 		recordAttempt(told.highestAttempt());
 	}
 
+	// Earlier releases also list the failed attempts of long-running tasks.
+	private void addFailures(StepRecord saved) {
+		saved.failedAttempts().forEach((index, attempts) -> attempts.forEach((attempt) -> markFailed(index, attempt)));
+	}
+
 	/**
 	 * Record that a task has completed. A gang is complete when its first member is.
 	 * @param index number of the task
@@ -85,12 +93,18 @@
 
 	/**
 	 * Record a failed attempt. Workers may report the terminations of a task's attempts
-	 * in any order, so each attempt is recorded by its number.
+	 * in any order, so each attempt is recorded by its number. Of a long-running task
+	 * only the last one is remembered, by this process.
 	 * @param index number of the task
 	 * @param attempt number of the attempt
 	 * @return {@code true} if the failure was not recorded yet
 	 */
 	public boolean markFailed(int index, int attempt) {
+		if (this.spec.longRunning()) {
+			int known = this.lastFailures.getOrDefault(trackedIndex(index), 0);
+			this.lastFailures.put(trackedIndex(index), Math.max(known, attempt));
+			return attempt > known;
+		}
 		return this.failedAttempts.computeIfAbsent(trackedIndex(index), (task) -> new TreeSet<>()).add(attempt);
 	}
 
@@ -215,7 +229,7 @@
 
 	/**
 	 * Number of failed attempts of the task that failed most often.
-	 * @return the count
+	 * @return the count, 0 for long-running tasks
 	 */
 	public int maximumFailures() {
 		return this.failedAttempts.values().stream().mapToInt(Set::size).max().orElse(0);
@@ -224,7 +238,7 @@
 	/**
 	 * Number of failed attempts of a task.
 	 * @param index number of the task
-	 * @return the count
+	 * @return the count, 0 for long-running tasks
 	 */
 	public int failures(int index) {
 		return this.failedAttempts.getOrDefault(trackedIndex(index), Collections.emptySortedSet()).size();
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
@@ -7,7 +7,8 @@
  * Durable form of a step's progress. Immutable.
  *
  * @param done numbers of the completed tasks
- * @param failedAttempts failed attempts by task
+ * @param failedAttempts failed attempts by task; of long-running tasks only in records of
+ * earlier releases
  * @param checkpoints checkpoints by task
  * @param highestAttempt highest number of an attempt that ended
  * @param crashes crashed workers by task; absent from records of earlier releases
