Write large progress as sets of tasks, so that it fits into a row

Cause: the row had a record of some 87 bytes for each step of each occurrence, also when all its tasks were done, and up to 60 bytes for each failed attempt and crash record. Submission.MAX_TASKS, which was to keep the row small, counted six bytes a task.

Change: progress that would take more than a quarter of a row is written as sets of tasks over the whole job: completed ones, those of each failed attempt, those of each different crash record, as runs or as a bit set. Nothing is estimated, and rows are joined as before; the highest attempt is the largest of all steps, and checkpoints are left out where they have no room. No job is refused that was accepted before: one of 8,000 tasks fits. Small progress keeps its form, as a host of an earlier release cannot read the other one and starts nothing of such a job (decision 0020 tells why that is safe, and what it means for an upgrade). The size of a row comes from the settings. Of a record all tasks are checked when it is read, not only the completed ones.

The stand-in of the table in the tests across processes rejects too large values now.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRowComposer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRowComposer.java
@@ -12,6 +12,7 @@
 
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.rows.ProgressRow;
 import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobStateRow;
 import org.monsoonrelay.logic.submission.JobTables;
@@ -48,7 +49,11 @@
 	// Jobs to be written whose rows could not be composed with the last write.
 	private final Set<SubmittedJob> uncomposed = new HashSet<>();
 
-	JobRowComposer(JobRegistry jobs, StateWriteListener listener, Function<SubmittedJob, JobProgress> toProgress) {
+	private final int maxRowBytes;
+
+	JobRowComposer(JobRegistry jobs, StateWriteListener listener, Function<SubmittedJob, JobProgress> toProgress,
+			int maxRowBytes) {
+		this.maxRowBytes = maxRowBytes;
 		this.jobs = jobs;
 		this.listener = listener;
 		this.toProgress = toProgress;
@@ -112,7 +117,8 @@
 	private List<PartitionWrite.Put> rows(SubmittedJob job, Map<SubmittedJob, WrittenJob> taken) {
 		List<PartitionWrite.Put> rows = new ArrayList<>();
 		JobProgress progress = this.toProgress.apply(job);
-		rows.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), Json.write(progress)));
+		String value = ProgressRow.write(progress, job.submission(), this.maxRowBytes);
+		rows.add(new PartitionWrite.Put(JobTables.PROGRESS, job.id(), value));
 		if (progress.state() != job.durableState()) {
 			String state = Json.write(new JobStateRow(progress.state(), Map.of(), job.submission().customer()));
 			rows.add(new PartitionWrite.Put(JobTables.STATES, job.id(), state));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -129,7 +129,8 @@
 		this.pool.account(this.accounts);
 		this.pool.recoverFrom(takeOver);
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
-				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener());
+				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener(),
+				dependencies.maxRowBytes());
 		this.stateWriter.start(takeOver);
 		this.jobTables = jobTables;
 		this.eligibility = new EligibilityTracker(dependencies.eligibility(), dependencies.control(),
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -117,13 +117,15 @@
 	private long lastWriteMillis;
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
-			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener) {
-		this(table, control, term, jobs, workers, clock, areJobsRecent, listener, SubmittedJob::toProgress);
+			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
+			int maxRowBytes) {
+		this(table, control, term, jobs, workers, clock, areJobsRecent, listener, SubmittedJob::toProgress,
+				maxRowBytes);
 	}
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
-			Function<SubmittedJob, JobProgress> toProgress) {
+			Function<SubmittedJob, JobProgress> toProgress, int maxRowBytes) {
 		this.table = table;
 		this.control = control;
 		this.lease = term;
@@ -132,7 +134,7 @@
 		this.clock = clock;
 		this.areJobsRecent = areJobsRecent;
 		this.listener = listener;
-		this.jobRows = new JobRowComposer(jobs, listener, toProgress);
+		this.jobRows = new JobRowComposer(jobs, listener, toProgress, maxRowBytes);
 	}
 
 	/**
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/ProgressReplica.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/ProgressReplica.java
@@ -9,6 +9,7 @@
 
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.platform.UnreadableRows;
+import org.monsoonrelay.logic.rows.ProgressRow;
 import org.monsoonrelay.model.submission.JobProgress;
 
 /**
@@ -46,7 +47,7 @@
 		if (row.deleted() || isOld || row.key().equals(JobTables.SUMMARY_KEY)) {
 			return Optional.empty();
 		}
-		Optional<JobProgress> saved = this.unreadable.read(row, JobProgress.class);
+		Optional<JobProgress> saved = read(row);
 		if (saved.isEmpty()) {
 			this.unreadableJobs.add(row.key());
 			return Optional.empty();
@@ -63,6 +64,10 @@
 		return Optional.of(stored);
 	}
 
+	private Optional<JobProgress> read(TableRow row) {
+		return this.unreadable.read(row, ProgressRow.class).map(ProgressRow::progress);
+	}
+
 	/**
 	 * Reads a row that a newer one has replaced.
 	 * @param row the row
@@ -70,7 +75,7 @@
 	 */
 	public Optional<StoredProgress> readReplaced(TableRow row) {
 		return progress(row.key()).filter((known) -> known.version() > row.version() && !row.deleted())
-			.flatMap((known) -> this.unreadable.read(row, JobProgress.class))
+			.flatMap((known) -> read(row))
 			.map((saved) -> new StoredProgress(saved, row.version()));
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -22,6 +22,7 @@
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.UnreadableRows;
+import org.monsoonrelay.logic.rows.ProgressRow;
 import org.monsoonrelay.logic.submission.JobStates;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueCount;
@@ -29,7 +30,6 @@
 import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.customer.Customer;
 import org.monsoonrelay.model.submission.EligibilityTimes;
-import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.QueuePolicy;
 import org.monsoonrelay.model.submission.QueueRoute;
@@ -322,7 +322,7 @@
 
 	SubmissionState durableState(String id) {
 		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, id);
-		return value.isEmpty() ? SubmissionState.QUEUED : Json.read(value, JobProgress.class).state();
+		return value.isEmpty() ? SubmissionState.QUEUED : Json.read(value, ProgressRow.class).progress().state();
 	}
 
 	/**
@@ -333,7 +333,8 @@
 	 */
 	int completedSteps(String id) {
 		String value = this.table.value(JobTables.PROGRESS, JobTables.POOL_PARTITION, id);
-		Map<String, StepRecord> saved = value.isEmpty() ? Map.of() : Json.read(value, JobProgress.class).steps();
+		Map<String, StepRecord> saved = value.isEmpty() ? Map.of()
+				: Json.read(value, ProgressRow.class).progress().steps();
 		List<StepSpec> steps = Json
 			.read(this.table.value(JobTables.JOBS, JobTables.partition(id), id), Submission.class)
 			.steps();
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.rows.ProgressRow;
 import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueCount;
@@ -44,7 +45,7 @@
 
 	private final PoolStateWriter writer = new PoolStateWriter(this.table.client(), this.time,
 			new OwnerLease(1, this.time.clock()), this.jobs, this.pool, this.time.clock(), () -> !isFailing("count"),
-			new Listener(), this::toProgress);
+			new Listener(), this::toProgress, ProgressRow.DEFAULT_MAX_BYTES);
 
 	private PoolWorker worker;
 
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/JobProgress.java
@@ -58,8 +58,7 @@
 			return false;
 		}
 		int step = Integer.parseInt(local.group(2));
-		return step < job.steps().size()
-				&& saved.done().stream().allMatch((index) -> index < job.steps().get(step).count());
+		return step < job.steps().size() && saved.namesOnlyTasksBelow(job.steps().get(step).count());
 	}
 
 	/**
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepKey.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepKey.java
@@ -17,7 +17,7 @@
 	 * @param localName the form {@code occurrence.step}
 	 * @return the key
 	 */
-	static StepKey ofLocalName(String job, String localName) {
+	public static StepKey ofLocalName(String job, String localName) {
 		int dot = localName.indexOf('.');
 		return new StepKey(job, Integer.parseInt(localName.substring(0, dot)),
 				Integer.parseInt(localName.substring(dot + 1)));
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/StepRecord.java
@@ -1,7 +1,9 @@
 package org.monsoonrelay.model.submission;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Durable form of a step's progress. Immutable.
@@ -30,4 +32,15 @@
 		crashes = (crashes != null) ? Map.copyOf(crashes) : Map.of();
 	}
 
+	/**
+	 * Whether all tasks that this record names exist.
+	 * @param count number of tasks of the step
+	 * @return {@code true} if so
+	 */
+	boolean namesOnlyTasksBelow(int count) {
+		return Stream.of(this.done, this.failedAttempts.keySet(), this.checkpoints.keySet(), this.crashes.keySet())
+			.flatMap(Collection::stream)
+			.allMatch((index) -> index >= 0 && index < count);
+	}
+
 }
--- a/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/Submission.java
+++ b/monsoonrelay-model/src/main/java/org/monsoonrelay/model/submission/Submission.java
@@ -21,7 +21,7 @@
 
 	/**
 	 * Maximum number of tasks of a job over all occurrences. The progress of a job is
-	 * stored in one row of 48 KB, in which each completed task takes six bytes.
+	 * stored in one row, and a new owner of the pool reads the rows of all jobs.
 	 */
 	public static final int MAX_TASKS = 8000;
 
--- a/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
+++ b/monsoonrelay-scheduler/src/main/java/org/monsoonrelay/scheduler/pool/PoolScheduler.java
@@ -119,7 +119,7 @@
 			.orElseThrow(() -> new SettingsException("the setting eligibility is missing")));
 		this.eligibility = new PeerEligibilityClient(settings.host(), service, network, this.registry::address);
 		this.dependencies = new PoolDependencies(table, new HttpWorkerClient(), this.eligibility, this.control,
-				PoolClock.SYSTEM, log, unreadable, settings.interference());
+				PoolClock.SYSTEM, log, unreadable, settings.interference(), settings.maxRowBytes());
 		this.peers = new ThrottledPeerNotifier(
 				new NetworkPeerNotifier(network, self.address(), this.registry::addresses), this.control,
 				PoolClock.SYSTEM);
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/TableFake.java
@@ -21,6 +21,9 @@
  */
 final class TableFake {
 
+	/** In Base64, the stricter way to count the size of a value. */
+	private static final int MAX_VALUE_CHARACTERS = 65_536;
+
 	private static final int HISTORY_LOST = 410;
 
 	/** After this time a call that waits looks whether it was given up. */
@@ -103,9 +106,15 @@
 	/**
 	 * Carry a write out.
 	 * @param write conditions, rows to write and rows to remove
-	 * @return the answer, with the present rows if a condition does not hold
+	 * @return the answer, with the present rows if a condition does not hold; 400 if a
+	 * value is too large
 	 */
 	synchronized Answer commit(JsonNode write) {
+		for (JsonNode put : write.path("puts")) {
+			if (put.path("value").asText().length() > MAX_VALUE_CHARACTERS) {
+				return new Answer(400, Map.of());
+			}
+		}
 		List<Row> current = new ArrayList<>();
 		boolean holds = true;
 		for (JsonNode condition : write.path("expected_revision")) {
