Split the writer of the owner's state by what it decides

The jobs to be written (UnwrittenJobs), the number of waiting jobs (WaitingJobsCount), one write with what becomes durable by it (StateWrite) and what follows from a refusal (WriteRefusalHandler) have classes of their own. No behaviour changes; the tests of the writer, of rejected rows and of the counts pass as before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRegistry.java
@@ -10,9 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongPredicate;
-import java.util.function.Predicate;
 
-import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.QueueSummary;
 import org.monsoonrelay.logic.submission.StoredProgress;
 import org.monsoonrelay.model.submission.StepKey;
@@ -57,7 +55,7 @@
 
 	private final Map<String, Long> deferred = new HashMap<>();
 
-	private final Set<String> dirty = new LinkedHashSet<>();
+	private final UnwrittenJobs unwritten = new UnwrittenJobs(this.jobs::get);
 
 	private final Set<String> changed = new LinkedHashSet<>();
 
@@ -69,8 +67,6 @@
 
 	private final UnresolvedStarts unresolvedStarts = new UnresolvedStarts();
 
-	private final RejectedRows rejectedRows = new RejectedRows();
-
 	private OpenStepListener openStepListener = OpenStepListener.NONE;
 
 	JobRegistry(long epoch) {
@@ -289,7 +285,7 @@
 	 * @param job the job
 	 */
 	void markDirty(SubmittedJob job) {
-		this.dirty.add(job.id());
+		this.unwritten.add(job.id());
 		this.changed.add(job.id());
 		this.queuedJobs.update(job);
 	}
@@ -308,31 +304,11 @@
 	}
 
 	/**
-	 * Removes a job whose progress is to be written next from the dirty jobs.
-	 * @param isSelected matches the ids of jobs that may be written
-	 * @return the job, empty if there is none
-	 */
-	Optional<SubmittedJob> takeDirty(Predicate<String> isSelected) {
-		Optional<String> taken = this.dirty.stream().filter(isSelected).findFirst();
-		taken.ifPresent(this.dirty::remove);
-		return taken.map(this.jobs::get);
-	}
-
-	int dirtyCount() {
-		return this.dirty.size();
-	}
-
-	boolean hasDirty() {
-		return !this.dirty.isEmpty();
-	}
-
-	/**
-	 * Returns whether there is progress to be written of other jobs than those that are
-	 * held back.
-	 * @return {@code true} if so
+	 * Jobs whose progress is to be written.
+	 * @return the jobs
 	 */
-	boolean hasWritableDirty() {
-		return this.dirty.stream().anyMatch((id) -> !this.rejectedRows.heldBack().contains(id));
+	UnwrittenJobs unwritten() {
+		return this.unwritten;
 	}
 
 	QueueSummary summary() {
@@ -403,14 +379,6 @@
 		return this.unresolvedStarts;
 	}
 
-	/**
-	 * Jobs whose rows the table rejects.
-	 * @return the jobs
-	 */
-	RejectedRows rejectedRows() {
-		return this.rejectedRows;
-	}
-
 	int unfinishedCount() {
 		return this.unfinished.size();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRowComposer.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/JobRowComposer.java
@@ -65,9 +65,9 @@
 	 * @return {@code true} if it is worth a write
 	 */
 	boolean hasChanges(long nowNanos) {
-		RejectedRows rejected = this.jobs.rejectedRows();
+		RejectedRows rejected = this.jobs.unwritten().rejected();
 		return rejected.nextGroup(nowNanos).isPresent()
-				|| this.jobs.dirtyCount() > this.uncomposed.size() + rejected.heldBack().size();
+				|| this.jobs.unwritten().count() > this.uncomposed.size() + rejected.heldBack().size();
 	}
 
 	/**
@@ -82,7 +82,7 @@
 		Set<SubmittedJob> failed = new HashSet<>();
 		Predicate<String> isSelected = selection(nowNanos);
 		while (puts.size() < MAX_JOB_ROWS_PER_WRITE - 1 && bytes < MAX_PROGRESS_BYTES_PER_WRITE) {
-			SubmittedJob job = this.jobs.takeDirty(isSelected).orElse(null);
+			SubmittedJob job = this.jobs.unwritten().take(isSelected).orElse(null);
 			if (job == null) {
 				break;
 			}
@@ -105,13 +105,12 @@
 	}
 
 	private Predicate<String> selection(long nowNanos) {
-		RejectedRows rejected = this.jobs.rejectedRows();
+		RejectedRows rejected = this.jobs.unwritten().rejected();
 		Optional<Set<String>> group = rejected.nextGroup(nowNanos);
 		if (group.isPresent()) {
 			return group.get()::contains;
 		}
-		Set<String> heldBack = rejected.heldBack();
-		return (id) -> !heldBack.contains(id);
+		return (id) -> !this.jobs.unwritten().isHeldBack(id);
 	}
 
 	private List<PartitionWrite.Put> rows(SubmittedJob job, Map<SubmittedJob, WrittenJob> taken) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -8,15 +8,14 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
-import org.monsoonrelay.logic.events.JobDecision;
 import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.interference.Interference;
-import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.QueueConfiguration;
 import org.monsoonrelay.model.submission.StepKey;
 import org.monsoonrelay.model.submission.Submission;
 import org.monsoonrelay.model.submission.SubmissionState;
+import org.monsoonrelay.model.submission.SubmittedJob;
 
 /**
  * One term of owning the pool. Loads the jobs and queries the workers for their runs at
@@ -130,6 +129,7 @@
 		this.pool.recoverFrom(takeOver);
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
 				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener(),
+				new WriteRefusalHandler(this.epoch, this.registry, this::jobGivenUp, dependencies.log()),
 				dependencies.maxRowBytes());
 		this.stateWriter.start(takeOver);
 		this.jobTables = jobTables;
@@ -157,6 +157,11 @@
 				this.stateWriter, dependencies, takeOver, this.takenOverNanos, this.loop::requestTurn);
 	}
 
+	private void jobGivenUp(SubmittedJob job) {
+		this.runs.onJobEnded(job);
+		this.loop.requestTurn();
+	}
+
 	/** Starts the scheduling loop and receives the jobs. */
 	public void start() {
 		if (!this.takeOver.previous().recordsCrashes()) {
@@ -346,35 +351,6 @@
 			}
 		}
 
-		@Override
-		public void writeRefused(FailedWrite write) {
-			logRefusal("REFUSED", write);
-		}
-
-		@Override
-		public void writeRejected(FailedWrite write) {
-			logRefusal("REJECTED", write);
-		}
-
-		private void logRefusal(String outcome, FailedWrite write) {
-			PoolOwner owner = PoolOwner.this;
-			owner.dependencies.log()
-				.write(new PoolDecision.WriteRefused(owner.epoch, outcome, write.reason(), write.jobs(), write.rows(),
-						write.bytes(), write.largestRow(), write.largestBytes()));
-		}
-
-		@Override
-		public void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write) {
-			PoolOwner owner = PoolOwner.this;
-			owner.dependencies.log()
-				.write(new JobDecision.ProgressRejected(rejected.job(), write.reason(), write.largestRow(),
-						write.largestBytes(), rejected.rejections(), rejected.verdict().name()));
-			if (rejected.verdict() == RejectedRows.Verdict.GIVEN_UP) {
-				owner.registry.giveUp(rejected.job()).ifPresent(owner.runs::onJobEnded);
-			}
-			owner.loop.requestTurn();
-		}
-
 		@Override
 		public void writeNotComposed(String job, RuntimeException failure) {
 			PoolOwner owner = PoolOwner.this;
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -1,17 +1,13 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 
 import org.monsoonrelay.logic.platform.ExecutorCallback;
 import org.monsoonrelay.logic.platform.Json;
@@ -21,9 +17,7 @@
 import org.monsoonrelay.logic.platform.TableRow;
 import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobTables;
-import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
-import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.SubmittedJob;
 
@@ -74,10 +68,12 @@
 
 	private final PoolClock clock;
 
-	private final BooleanSupplier areJobsRecent;
+	private final WaitingJobsCount count;
 
 	private final StateWriteListener listener;
 
+	private final WriteRefusalListener refusals;
+
 	private final JobRowComposer jobRows;
 
 	private boolean composeFailing;
@@ -90,22 +86,14 @@
 
 	private long version;
 
-	private Optional<QueueSummary> writtenSummary = Optional.empty();
-
-	private OptionalLong summaryWrittenNanos = OptionalLong.empty();
-
 	private boolean inFlight;
 
 	private boolean closed;
 
-	private boolean counting;
-
 	private long lastSentNanos;
 
 	private long composedNanos;
 
-	private OptionalLong countedNanos = OptionalLong.empty();
-
 	private boolean releasing;
 
 	private List<String> standbys;
@@ -118,23 +106,24 @@
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
-			int maxRowBytes) {
-		this(table, control, term, jobs, workers, clock, areJobsRecent, listener, SubmittedJob::toProgress,
-				maxRowBytes);
+			WriteRefusalListener refusals, int maxRowBytes) {
+		this(table, control, term, jobs, workers, clock, areJobsRecent, listener, refusals,
+				new JobRowComposer(jobs, listener, SubmittedJob::toProgress, maxRowBytes));
 	}
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
-			Function<SubmittedJob, JobProgress> toProgress, int maxRowBytes) {
+			WriteRefusalListener refusals, JobRowComposer jobRows) {
 		this.table = table;
 		this.control = control;
 		this.lease = term;
 		this.jobs = jobs;
 		this.workers = workers;
 		this.clock = clock;
-		this.areJobsRecent = areJobsRecent;
+		this.count = new WaitingJobsCount(jobs, areJobsRecent);
 		this.listener = listener;
-		this.jobRows = new JobRowComposer(jobs, listener, toProgress, maxRowBytes);
+		this.refusals = refusals;
+		this.jobRows = jobRows;
 	}
 
 	/**
@@ -152,13 +141,9 @@
 		this.lastWriteMillis = TimeUnit.NANOSECONDS.toMillis(this.lastSentNanos - takeOver.sentNanos());
 	}
 
-	/**
-	 * Includes the number of waiting jobs in writes from now on. Before all jobs are
-	 * loaded, the count of the former owner remains in the table, and so does the last
-	 * one while the known jobs are not recent: hosts would trust too low a count.
-	 */
+	/** Includes the number of waiting jobs in writes from now on. */
 	void startCounting() {
-		this.counting = true;
+		this.count.start();
 	}
 
 	/**
@@ -239,16 +224,15 @@
 	 * @return the age, milliseconds, -1 if there was no such write
 	 */
 	long countAgeMillis() {
-		return this.countedNanos.isEmpty() ? -1
-				: TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.countedNanos.getAsLong());
+		return this.count.ageMillis(this.clock.nanos());
 	}
 
 	// What was taken is written next time if the write as a whole cannot be composed.
 	private void composeAndSend() {
 		Map<SubmittedJob, JobRowComposer.WrittenJob> taken = new HashMap<>();
-		Batch batch;
+		StateWrite write;
 		try {
-			batch = compose(taken);
+			write = compose(taken);
 		}
 		catch (RuntimeException ex) {
 			taken.keySet().forEach(this.jobs::markDirty);
@@ -259,38 +243,32 @@
 			return;
 		}
 		this.composeFailing = false;
-		send(batch);
+		send(write);
 	}
 
-	private Batch compose(Map<SubmittedJob, JobRowComposer.WrittenJob> states) {
+	private StateWrite compose(Map<SubmittedJob, JobRowComposer.WrittenJob> states) {
 		this.composedNanos = this.clock.nanos();
 		if (this.releasing) {
 			this.listener.releaseStarting();
 		}
 		List<PartitionWrite.Put> puts = this.jobRows.compose(states, this.composedNanos);
-		OwnerRecord next = nextRecord(this.workers.workersToRecord(this.jobs.hasDirty(), this.composedNanos));
+		OwnerRecord next = nextRecord(
+				this.workers.workersToRecord(!this.jobs.unwritten().isEmpty(), this.composedNanos));
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
-		Optional<QueueSummary> summary = (this.counting && this.areJobsRecent.getAsBoolean())
-				? Optional.of(this.jobs.summary()) : Optional.empty();
-		boolean isCountWritten = summary.isPresent() && (!summary.equals(this.writtenSummary) || isCountDue());
+		Optional<QueueSummary> summary = this.count.summary();
+		boolean isCountWritten = this.count.isDue(summary, this.composedNanos);
 		if (isCountWritten) {
 			puts.add(new PartitionWrite.Put(JobTables.STATES, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		puts.addAll(write.puts());
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<TerminationSequence, Long> ends = this.jobs.hasWritableDirty() ? Map.of()
-				: this.workers.beginWrite(Set.copyOf(this.jobs.rejectedRows().heldBack()));
-		return new Batch(whole, next, states, summary, isCountWritten, ends, this.jobs.unconfirmedLosses().lastLoss());
-	}
-
-	// Written again although it has not changed, so that the other hosts know how old it
-	// is.
-	private boolean isCountDue() {
-		return this.summaryWrittenNanos.isEmpty() || TimeUnit.NANOSECONDS
-			.toMillis(this.composedNanos - this.summaryWrittenNanos.getAsLong()) >= OwnerLease.RENEWAL_INTERVAL_MILLIS;
+		Map<TerminationSequence, Long> ends = this.jobs.unwritten().hasWritable() ? Map.of()
+				: this.workers.beginWrite(Set.copyOf(this.jobs.unwritten().rejected().heldBack()));
+		return new StateWrite(whole, next, states, summary, isCountWritten, ends,
+				this.jobs.unconfirmedLosses().lastLoss());
 	}
 
 	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
@@ -306,59 +284,59 @@
 		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.formerLeaseEndNanos - this.composedNanos) + 1);
 	}
 
-	private void send(Batch batch) {
+	private void send(StateWrite write) {
 		this.inFlight = true;
 		long sentNanos = this.clock.nanos();
 		long sentWallMillis = this.clock.millis();
 		this.lastSentNanos = sentNanos;
-		this.table.commit(batch.write()).whenComplete(ExecutorCallback.on(this.control, (commit, failure) -> {
+		this.table.commit(write.rows()).whenComplete(ExecutorCallback.on(this.control, (commit, failure) -> {
 			if (commit instanceof PartitionCommit.Committed committed) {
-				writeCommitted(batch, committed.version(), sentNanos, sentWallMillis);
+				writeCommitted(write, committed.version(), sentNanos, sentWallMillis);
 			}
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
-				resolveConflict(batch, conflict.current());
+				resolveConflict(write, conflict.current());
 			}
 			else if (commit instanceof PartitionCommit.Rejected rejected) {
-				handleRejection(batch, rejected.reason());
+				handleRejection(write, rejected.reason());
 			}
 			else {
 				if (commit instanceof PartitionCommit.NotDone refused) {
-					reportRefusal(batch, refused.reason());
+					reportRefusal(write, refused.reason());
 					this.listener.writesRejected();
 				}
-				this.control.schedule(() -> retry(batch), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+				this.control.schedule(() -> retry(write), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			}
 		}));
 	}
 
-	private void reportRefusal(Batch batch, String reason) {
+	private void reportRefusal(StateWrite write, String reason) {
 		if (!reason.equals(this.reportedRefusal)) {
 			this.reportedRefusal = reason;
-			this.listener.writeRefused(batch.failed(reason));
+			this.refusals.writeRefused(write.failed(reason));
 		}
 	}
 
 	// Nothing of the write has taken effect, so that the next one may differ from it.
-	private void handleRejection(Batch batch, String reason) {
+	private void handleRejection(StateWrite write, String reason) {
 		if (this.closed) {
 			return;
 		}
 		this.inFlight = false;
-		batch.states().keySet().forEach(this.jobs::markDirty);
-		RejectedRows.Cause cause = this.jobs.rejectedRows().rejected(batch.jobIds(), this.clock.nanos());
+		write.jobs().keySet().forEach(this.jobs::markDirty);
+		RejectedRows.Cause cause = this.jobs.unwritten().rejected().rejected(write.jobIds(), this.clock.nanos());
 		if (cause instanceof RejectedRows.Cause.OtherRows) {
-			reportRefusal(batch, reason);
+			reportRefusal(write, reason);
 			this.listener.writesRejected();
 			this.control.schedule(this::composeAgain, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		if (cause instanceof RejectedRows.Cause.RowsOfJob rows) {
 			if (rows.verdict() != RejectedRows.Verdict.KNOWN) {
-				this.listener.jobRejected(rows, FailedWrite.ofJob(batch.write(), rows.job(), reason));
+				this.refusals.jobRejected(rows, FailedWrite.ofJob(write.rows(), rows.job(), reason));
 			}
 		}
 		else {
-			this.listener.writeRejected(batch.failed(reason));
+			this.refusals.writeRejected(write.failed(reason));
 		}
 		composeAgain();
 	}
@@ -369,20 +347,20 @@
 		}
 	}
 
-	private void retry(Batch batch) {
+	private void retry(StateWrite write) {
 		if (!this.closed) {
-			send(batch);
+			send(write);
 		}
 	}
 
-	private void resolveConflict(Batch batch, List<TableRow> current) {
+	private void resolveConflict(StateWrite write, List<TableRow> current) {
 		for (TableRow row : current) {
 			boolean isOwnRow = row.table().equals(JobTables.OWNER) && row.key().equals(JobTables.OWNER_KEY);
-			if (isOwnRow && row.value().equals(Json.write(batch.record()))) {
+			if (isOwnRow && row.value().equals(Json.write(write.record()))) {
 				// An earlier attempt took effect. The time is not known, so the lease is
 				// not renewed.
 				this.version = row.version();
-				apply(batch);
+				apply(write);
 				return;
 			}
 		}
@@ -391,65 +369,37 @@
 		this.listener.ownershipLost("the owner's row was written by another process");
 	}
 
-	private void writeCommitted(Batch batch, long committed, long sentNanos, long sentWallMillis) {
+	private void writeCommitted(StateWrite write, long committed, long sentNanos, long sentWallMillis) {
 		this.version = committed;
 		this.lastWriteMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - sentNanos);
 		this.lease.renewed(sentNanos, sentWallMillis);
-		apply(batch);
+		apply(write);
 	}
 
-	private void apply(Batch batch) {
+	private void apply(StateWrite write) {
 		this.inFlight = false;
-		this.record = batch.record();
+		this.record = write.record();
 		this.confirming = this.record.confirming();
-		this.writtenSummary = batch.summary();
-		if (batch.summary().isPresent()) {
-			this.countedNanos = OptionalLong.of(this.composedNanos);
-		}
-		if (batch.isCountWritten()) {
-			this.summaryWrittenNanos = this.countedNanos;
-		}
+		this.count.written(write, this.composedNanos);
 		Map<String, SubmissionState> states = new HashMap<>();
-		batch.states().forEach((job, state) -> {
+		write.jobs().forEach((job, state) -> {
 			job.markDurable(state.state(), state.crashRecords());
 			states.put(job.id(), state.state());
 		});
 		this.reportedRefusal = "";
-		this.jobs.rejectedRows().accepted(batch.jobIds());
-		this.workers.markRecorded(batch.record());
-		batch.terminations().forEach((sequence, processed) -> sequence.markDurable(processed, this.version));
-		this.jobs.unconfirmedLosses().confirm(batch.lastLoss());
-		if (batch.record().released()) {
+		this.jobs.unwritten().rejected().accepted(write.jobIds());
+		this.workers.markRecorded(write.record());
+		write.terminations().forEach((sequence, processed) -> sequence.markDurable(processed, this.version));
+		this.jobs.unconfirmedLosses().confirm(write.lastLoss());
+		if (write.record().released()) {
 			this.closed = true;
 			this.listener.released(this.record, this.version);
 			return;
 		}
-		this.listener.writeDurable(states, batch.writtenCount(this.version));
+		this.listener.writeDurable(states, write.writtenCount(this.version));
 		if (this.releasing) {
 			composeAgain();
 		}
 	}
 
-	private record Batch(PartitionWrite write, OwnerRecord record, Map<SubmittedJob, JobRowComposer.WrittenJob> states,
-			Optional<QueueSummary> summary, boolean isCountWritten, Map<TerminationSequence, Long> terminations,
-			long lastLoss) {
-
-		Set<String> jobIds() {
-			return this.states.keySet()
-				.stream()
-				.map(SubmittedJob::id)
-				.collect(Collectors.toCollection(LinkedHashSet::new));
-		}
-
-		FailedWrite failed(String reason) {
-			return FailedWrite.of(this.write, this.states.size(), reason);
-		}
-
-		Optional<QueueCount> writtenCount(long version) {
-			return this.summary.filter((counted) -> this.isCountWritten)
-				.map((counted) -> new QueueCount(counted, version));
-		}
-
-	}
-
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StartGate.java
@@ -105,7 +105,7 @@
 		if (!this.lease.canGrantLeases()) {
 			return Optional.of(WaitReason.LEASE_EXPIRED);
 		}
-		if (this.jobs.rejectedRows().heldBack().contains(job)) {
+		if (this.jobs.unwritten().isHeldBack(job)) {
 			return Optional.of(WaitReason.PROGRESS_REJECTED);
 		}
 		return this.jobs.isDeferred(job) ? Optional.of(WaitReason.JOB_UNCONFIRMED) : Optional.empty();
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StateWriteListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StateWriteListener.java
@@ -3,7 +3,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.model.submission.SubmissionState;
 
@@ -25,27 +24,6 @@
 	 */
 	void writesRejected();
 
-	/**
-	 * Called when the table refuses a write for now, once for each reason until a write
-	 * takes effect.
-	 * @param write what was refused
-	 */
-	void writeRefused(FailedWrite write);
-
-	/**
-	 * Called when the table does not accept the content of a write. Its rows are written
-	 * in smaller groups next.
-	 * @param write what was rejected
-	 */
-	void writeRejected(FailedWrite write);
-
-	/**
-	 * Called when the table does not accept the rows of a job, until the job is given up.
-	 * @param rejected the job, and what becomes of it
-	 * @param write what was rejected
-	 */
-	void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write);
-
 	/**
 	 * Called once when rows cannot be composed, until they can.
 	 * @param job the job whose rows they are, empty for those of the owner
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
@@ -43,9 +43,12 @@
 
 	private final List<String> reported = new ArrayList<>();
 
+	private final Listener listener = new Listener();
+
 	private final PoolStateWriter writer = new PoolStateWriter(this.table.client(), this.time,
 			new OwnerLease(1, this.time.clock()), this.jobs, this.pool, this.time.clock(), () -> !isFailing("count"),
-			new Listener(), this::toProgress, ProgressRow.DEFAULT_MAX_BYTES);
+			this.listener, new UnexpectedRefusals(),
+			new JobRowComposer(this.jobs, this.listener, this::toProgress, ProgressRow.DEFAULT_MAX_BYTES));
 
 	private PoolWorker worker;
 
@@ -147,36 +150,40 @@
 		}
 
 		@Override
-		public void writeRefused(FailedWrite write) {
-			throw new AssertionError(write);
+		public void writeNotComposed(String job, RuntimeException failure) {
+			UncomposedWritesTests.this.reported.add(job);
 		}
 
 		@Override
-		public void writeRejected(FailedWrite write) {
-			throw new AssertionError(write);
+		public void releaseStarting() {
 		}
 
 		@Override
-		public void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write) {
-			throw new AssertionError(write);
+		public void released(OwnerRecord record, long version) {
 		}
 
 		@Override
-		public void writeNotComposed(String job, RuntimeException failure) {
-			UncomposedWritesTests.this.reported.add(job);
+		public void ownershipLost(String reason) {
+			throw new AssertionError(reason);
 		}
 
+	}
+
+	private static final class UnexpectedRefusals implements WriteRefusalListener {
+
 		@Override
-		public void releaseStarting() {
+		public void writeRefused(FailedWrite write) {
+			throw new AssertionError(write);
 		}
 
 		@Override
-		public void released(OwnerRecord record, long version) {
+		public void writeRejected(FailedWrite write) {
+			throw new AssertionError(write);
 		}
 
 		@Override
-		public void ownershipLost(String reason) {
-			throw new AssertionError(reason);
+		public void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write) {
+			throw new AssertionError(write);
 		}
 
 	}
