Name no tasks in an owner record that would be too large with them

Related path of rows that outgrow the table: the owner record names the tasks on workers that take no new work, up to 1,000, counted as 24 bytes each. With the real length of their names, and with unresolved starts, silent workers and the starts of all incarnations beside them, it can exceed a row, and a rejected record stops all writes: it is part of each.

The record is written without the tasks if it would be larger than a row, as it already was beyond 1,000 tasks: the workers are then listed as workers on which any task may run, which makes the next owner wait for more of them.

ClosedWorkersTests, with rows of 2,200 bytes and 120 tasks on 30 workers that drain: without the change a WriteRefused line is among the decisions. What has no smaller form is left: the names of all workers, some 1,200 of them by arithmetic.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -76,6 +76,8 @@
 
 	private final JobRowComposer jobRows;
 
+	private final int maxRowBytes;
+
 	private boolean composeFailing;
 
 	private String reportedRefusal = "";
@@ -108,12 +110,12 @@
 			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
 			WriteRefusalListener refusals, int maxRowBytes) {
 		this(table, control, term, jobs, workers, clock, areJobsRecent, listener, refusals,
-				new JobRowComposer(jobs, listener, SubmittedJob::toProgress, maxRowBytes));
+				new JobRowComposer(jobs, listener, SubmittedJob::toProgress, maxRowBytes), maxRowBytes);
 	}
 
 	PoolStateWriter(PartitionedTable table, ScheduledExecutorService control, OwnerLease term, JobRegistry jobs,
 			WorkerPool workers, PoolClock clock, BooleanSupplier areJobsRecent, StateWriteListener listener,
-			WriteRefusalListener refusals, JobRowComposer jobRows) {
+			WriteRefusalListener refusals, JobRowComposer jobRows, int maxRowBytes) {
 		this.table = table;
 		this.control = control;
 		this.lease = term;
@@ -124,6 +126,7 @@
 		this.listener = listener;
 		this.refusals = refusals;
 		this.jobRows = jobRows;
+		this.maxRowBytes = maxRowBytes;
 	}
 
 	/**
@@ -252,7 +255,7 @@
 			this.listener.releaseStarting();
 		}
 		List<PartitionWrite.Put> puts = this.jobRows.compose(states, this.composedNanos);
-		OwnerRecord next = nextRecord(
+		OwnerRecord next = nextRecordWithin(
 				this.workers.workersToRecord(!this.jobs.unwritten().isEmpty(), this.composedNanos));
 		this.confirming = this.record.confirming() || next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
@@ -271,6 +274,11 @@
 				this.jobs.unconfirmedLosses().lastLoss());
 	}
 
+	private OwnerRecord nextRecordWithin(WorkerPool.RecordedWorkers named) {
+		OwnerRecord next = nextRecord(named);
+		return (Json.write(next).length() <= this.maxRowBytes) ? next : nextRecord(named.withoutTasks());
+	}
+
 	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
 		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
 				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -323,15 +323,20 @@
 	record RecordedWorkers(List<String> workers, Map<String, List<String>> closedWorkers,
 			Map<String, Long> incarnations, Map<String, Long> silentWorkers) {
 
-		/** Maximum tasks in a record: a row takes 48 KB, a task 24 bytes. */
+		/** Maximum tasks in a record, which the next owner compares with its runs. */
 		private static final int MAX_TASKS = 1000;
 
-		// If the record would become too large, it lists the closed workers as workers on
-		// which any task may run.
 		private RecordedWorkers bounded() {
-			if (this.closedWorkers.values().stream().mapToInt(List::size).sum() <= MAX_TASKS) {
-				return this;
-			}
+			boolean isBounded = this.closedWorkers.values().stream().mapToInt(List::size).sum() <= MAX_TASKS;
+			return isBounded ? this : withoutTasks();
+		}
+
+		/**
+		 * Returns the smaller form of a record that would be too large: the closed
+		 * workers are listed as workers on which any task may run.
+		 * @return the workers
+		 */
+		RecordedWorkers withoutTasks() {
 			List<String> all = Stream.concat(this.workers.stream(), this.closedWorkers.keySet().stream())
 				.distinct()
 				.sorted()
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ClosedWorkersTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/ClosedWorkersTests.java
@@ -1,8 +1,11 @@
 package org.monsoonrelay.logic.pool;
 
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.submission.JobTables;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 /**
  * The owner record names a draining worker with the tasks that may have run there. The
  * next owner starts none of them before it has reached that worker.
@@ -11,6 +14,9 @@
 
 	private static final long SILENT_MILLIS = 4500;
 
+	/** Size of a row with 30 workers, and without the tasks that run there, bytes. */
+	private static final int SMALL_ROW_BYTES = 2200;
+
 	private final SimulatedCell cell = new SimulatedCell();
 
 	// Guards against a record that omits ends whose jobs are not loaded.
@@ -38,4 +44,23 @@
 		this.cell.assertCompleted("a");
 	}
 
+	// Guards against a record that the table rejects, as many workers drain at once.
+	@Test
+	void theRecordNamesNoTasksIfItWouldBeTooLargeWithThem() {
+		SimulatedCell small = new SimulatedCell().withWorkers(30).withRunMillis(3000).withMaxRowBytes(SMALL_ROW_BYTES);
+		small.addScheduler();
+		small.time.runFor(1000);
+		small.submit("a", SimulatedCell.step(120, false));
+		small.time.runFor(1000);
+		for (int worker = 0; worker < 30; worker++) {
+			small.workers.drain("w" + worker);
+		}
+		small.time.runFor(1000);
+		small.workers.add("usable", SimulatedCell.CAPACITY);
+		small.submit("b", SimulatedCell.step(1, false));
+		small.time.runFor(10_000);
+		small.assertCompleted("a", "b");
+		assertThat(small.decisions).noneMatch(PoolDecision.WriteRefused.class::isInstance);
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -19,6 +19,7 @@
 import org.monsoonrelay.logic.events.Decision;
 import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.events.Metric;
+import org.monsoonrelay.logic.interference.InterferenceSettings;
 import org.monsoonrelay.logic.platform.Json;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.platform.UnreadableRows;
@@ -97,6 +98,8 @@
 
 	private long configurationVersion = 1;
 
+	private int maxRowBytes = ProgressRow.DEFAULT_MAX_BYTES;
+
 	private boolean needsEligibility;
 
 	private double eligibleShare = 1;
@@ -121,6 +124,17 @@
 		return this;
 	}
 
+	/**
+	 * Sets the maximum size of a row, also of those that the table accepts.
+	 * @param bytes the size, bytes
+	 * @return this cell
+	 */
+	SimulatedCell withMaxRowBytes(int bytes) {
+		this.maxRowBytes = bytes;
+		this.table.rejectWrites((write) -> write.puts().stream().anyMatch((put) -> put.value().length() > bytes));
+		return this;
+	}
+
 	SimulatedCell withEligibility() {
 		this.needsEligibility = true;
 		return this;
@@ -397,7 +411,8 @@
 			EligibilityClient service = SimulatedCell.this::requestTickets;
 			ScheduledExecutorService control = this.process.executor();
 			this.dependencies = new PoolDependencies(this.tableClient, this.workerClient, service, control,
-					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable);
+					SimulatedCell.this.time.clock(), new Log(name + incarnation), SimulatedCell.this.unreadable,
+					InterferenceSettings.DEFAULT, SimulatedCell.this.maxRowBytes);
 			this.jobs = new JobTableReplica(this.tableClient, control, SimulatedCell.this.unreadable,
 					SimulatedCell.this.time.clock());
 			control.schedule(this.jobs::start, STANDBY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
@@ -48,7 +48,8 @@
 	private final PoolStateWriter writer = new PoolStateWriter(this.table.client(), this.time,
 			new OwnerLease(1, this.time.clock()), this.jobs, this.pool, this.time.clock(), () -> !isFailing("count"),
 			this.listener, new UnexpectedRefusals(),
-			new JobRowComposer(this.jobs, this.listener, this::toProgress, ProgressRow.DEFAULT_MAX_BYTES));
+			new JobRowComposer(this.jobs, this.listener, this::toProgress, ProgressRow.DEFAULT_MAX_BYTES),
+			ProgressRow.DEFAULT_MAX_BYTES);
 
 	private PoolWorker worker;
 
