--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -276,7 +276,8 @@
 
 	private OwnerRecord nextRecordWithin(WorkerPool.RecordedWorkers named) {
 		OwnerRecord next = nextRecord(named);
-		return (Json.write(next).length() <= this.maxRowBytes) ? next : nextRecord(named.withoutTasks());
+		boolean fits = named.closedWorkers().isEmpty() || Json.write(next).length() <= this.maxRowBytes;
+		return fits ? next : nextRecord(named.withoutTasks());
 	}
 
 	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
