Write other jobs between the attempts for jobs that are held back

With many jobs whose rows the table rejects, attempts to write them one at a time followed one another without a pause, two writes each, so that enough of them would have kept all others from being written. Now there is a write of other jobs between two attempts, and the job that has waited longest is next.

RejectedRowsTests.otherJobsAreWrittenBetweenTheAttemptsForManyThatAreHeldBack without the rule, with 45 held back jobs: 'Expecting actual: 91 to be less than or equal to: 3', the writes until another job is written.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
@@ -3,8 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.Deque;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +18,9 @@
  * all others. The jobs of a rejected write are written in groups, first a group without
  * jobs, then each half, and so on. Invariants: a job is held back only if a write with
  * the rows of this job alone was rejected just after one without rows of jobs was
- * accepted; a job that is held back stays so until its rows are accepted. Not
- * thread-safe: confined to the control thread of the pool's owner.
+ * accepted; a job that is held back stays so until its rows are accepted; between two
+ * attempts to write held back jobs there is a write of other jobs. Not thread-safe:
+ * confined to the control thread of the pool's owner.
  */
 public final class RejectedRows {
 
@@ -33,7 +35,11 @@
 
 	private final Deque<Set<String>> groups = new ArrayDeque<>();
 
-	private final Map<String, HeldBackJob> heldBack = new LinkedHashMap<>();
+	private final Map<String, HeldBackJob> heldBack = new HashMap<>();
+
+	// Whether other jobs could be written since the last attempt for one that is held
+	// back.
+	private boolean othersWritten = true;
 
 	/**
 	 * Returns the jobs to which the next write is restricted.
@@ -42,25 +48,29 @@
 	 * jobs that are not held back
 	 */
 	public Optional<Set<String>> nextGroup(long nowNanos) {
-		if (this.groups.isEmpty()) {
-			this.heldBack.values()
-				.stream()
-				.filter((job) -> job.retryNanos() - nowNanos <= 0)
-				.findFirst()
-				.ifPresent((job) -> {
-					this.groups.add(Set.of());
-					this.groups.add(Set.of(job.id()));
-				});
+		if (this.groups.isEmpty() && this.othersWritten) {
+			nextRetry(nowNanos).ifPresent((job) -> {
+				this.othersWritten = false;
+				this.groups.add(Set.of());
+				this.groups.add(Set.of(job.id()));
+			});
 		}
 		return Optional.ofNullable(this.groups.peek());
 	}
 
+	private Optional<HeldBackJob> nextRetry(long nowNanos) {
+		return this.heldBack.values()
+			.stream()
+			.min(Comparator.comparingLong((job) -> job.retryNanos() - nowNanos))
+			.filter((job) -> job.retryNanos() - nowNanos <= 0);
+	}
+
 	/**
 	 * Records that a write was accepted.
 	 * @param written ids of the jobs whose rows it contained
 	 */
 	public void accepted(Set<String> written) {
-		this.groups.poll();
+		this.othersWritten |= this.groups.poll() == null;
 		this.heldBack.keySet().removeAll(written);
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -44,6 +45,13 @@
 		}
 	}
 
+	private void writeUntil(BooleanSupplier isDone) {
+		for (int i = 0; i < 1000 && !isDone.getAsBoolean(); i++) {
+			write();
+		}
+		assertThat(isDone.getAsBoolean()).isTrue();
+	}
+
 	private void writeAll() {
 		do {
 			write();
@@ -59,6 +67,21 @@
 		assertThat(this.rejected.heldBack()).containsExactlyInAnyOrder("job0", "job1", "job44");
 	}
 
+	// Guards against attempts for rejected jobs that leave no writes to the others.
+	@Test
+	void otherJobsAreWrittenBetweenTheAttemptsForManyThatAreHeldBack() {
+		this.unacceptable.addAll(this.unwritten);
+		writeUntil(() -> this.rejected.heldBack().size() == this.unacceptable.size());
+		this.nowNanos += TimeUnit.SECONDS.toNanos(1);
+		for (int i = 0; i < 10; i++) {
+			this.unwritten.add("other" + i);
+			int writesBefore = this.writes;
+			String other = "other" + i;
+			writeUntil(() -> !this.unwritten.contains(other));
+			assertThat(this.writes - writesBefore).isLessThanOrEqualTo(3);
+		}
+	}
+
 	// Guards against blaming jobs while the table rejects everything.
 	@Test
 	void noJobIsHeldBackWhileWritesWithoutJobsAreRejectedAsWell() {
