Blame a job for a rejected write only just after an accepted one

A job is blamed now only if the write just before the rejected one was accepted; otherwise a write without rows comes first once more.

RejectedRowsTests.noJobIsHeldBackIfTheTableRejectsEverythingFromTheSecondWriteOn without the rule: 'Expecting empty but was: ["job0", "job2", "job1", ...]'.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
@@ -17,10 +17,10 @@
  * Finds the jobs whose rows the table rejects, so that these do not stop the writes of
  * all others. The jobs of a rejected write are written in groups, first a group without
  * jobs, then each half, and so on. Invariants: a job is held back only if a write with
- * the rows of this job alone was rejected just after one without rows of jobs was
- * accepted; a job that is held back stays so until its rows are accepted; between two
- * attempts to write held back jobs there is a write of other jobs. Not thread-safe:
- * confined to the control thread of the pool's owner.
+ * the rows of this job alone was rejected and the write just before it was accepted; a
+ * job that is held back stays so until its rows are accepted; between two attempts to
+ * write held back jobs there is a write of other jobs. Not thread-safe: confined to the
+ * control thread of the pool's owner.
  */
 public final class RejectedRows {
 
@@ -41,6 +41,8 @@
 	// back.
 	private boolean othersWritten = true;
 
+	private boolean lastAccepted;
+
 	/**
 	 * Returns the jobs to which the next write is restricted.
 	 * @param nowNanos current monotonic time, nanoseconds
@@ -70,6 +72,7 @@
 	 * @param written ids of the jobs whose rows it contained
 	 */
 	public void accepted(Set<String> written) {
+		this.lastAccepted = true;
 		this.othersWritten |= this.groups.poll() == null;
 		this.heldBack.keySet().removeAll(written);
 	}
@@ -81,6 +84,8 @@
 	 * @return what is known of the cause
 	 */
 	public Cause rejected(Set<String> written, long nowNanos) {
+		boolean isAfterAccepted = this.lastAccepted;
+		this.lastAccepted = false;
 		if (written.isEmpty()) {
 			return new Cause.OtherRows();
 		}
@@ -97,6 +102,11 @@
 			this.groups.addFirst(new LinkedHashSet<>(ids.subList(0, half)));
 			return new Cause.Unknown();
 		}
+		if (!isAfterAccepted) {
+			this.groups.addFirst(written);
+			this.groups.addFirst(Set.of());
+			return new Cause.Unknown();
+		}
 		String id = written.iterator().next();
 		long retryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(RETRY_INTERVAL_MILLIS);
 		int rejections = this.heldBack.containsKey(id) ? this.heldBack.get(id).rejections() + 1 : 1;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
@@ -67,6 +67,25 @@
 		assertThat(this.rejected.heldBack()).containsExactlyInAnyOrder("job0", "job1", "job44");
 	}
 
+	// Guards against blaming jobs for a table that begins to reject everything while
+	// their
+	// rows are divided.
+	@Test
+	void noJobIsHeldBackIfTheTableRejectsEverythingFromTheSecondWriteOn() {
+		this.unacceptable.add("job17");
+		write();
+		write();
+		for (int i = 0; i < 20; i++) {
+			Set<String> written = new LinkedHashSet<>(this.unwritten);
+			this.rejected.nextGroup(this.nowNanos).ifPresent(written::retainAll);
+			this.rejected.rejected(written, this.nowNanos);
+		}
+		assertThat(this.rejected.heldBack()).isEmpty();
+		writeAll();
+		assertThat(this.rejected.heldBack()).containsExactly("job17");
+		assertThat(this.unwritten).containsExactly("job17");
+	}
+
 	// Guards against attempts for rejected jobs that leave no writes to the others.
 	@Test
 	void otherJobsAreWrittenBetweenTheAttemptsForManyThatAreHeldBack() {
