--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -1,6 +1,7 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -232,7 +233,7 @@
 
 	// What was taken is written next time if the write as a whole cannot be composed.
 	private void composeAndSend() {
-		Map<SubmittedJob, JobRowComposer.WrittenJob> taken = new HashMap<>();
+		Map<SubmittedJob, JobRowComposer.WrittenJob> taken = new LinkedHashMap<>();
 		StateWrite write;
 		try {
 			write = compose(taken);
