--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/CompactSteps.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/CompactSteps.java
@@ -81,9 +81,10 @@
 	}
 
 	/**
-	 * Converts the records back.
+	 * Converts the records back. Tasks of steps that have no record are left out.
 	 * @return the records by local name of the step
-	 * @throws IllegalArgumentException if a task belongs to no step that has a record
+	 * @throws IllegalArgumentException if the steps are not those of a job, or a set is
+	 * malformed
 	 */
 	Map<String, StepRecord> toRecords() {
 		TaskNumbers numbers = new TaskNumbers(this.occurrences, this.counts);
