--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
@@ -56,7 +56,7 @@
 		}
 		assertThat(code).isZero();
 		assertThat(output.toString(StandardCharsets.UTF_8)).contains("\"event\":\"OwnershipTaken\"",
-				"\"event\":\"TaskPlaced\"", "\"event\":\"JobEnded\"");
+				"\"release\":\"", "\"event\":\"TaskPlaced\"", "\"event\":\"JobEnded\"");
 	}
 
 	@Test
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -318,8 +318,13 @@
 	 * @param epoch the fencing token
 	 * @param previousHolder the previous owner
 	 * @param reason why the pool had no owner
+	 * @param release the release of this process
 	 */
-	record OwnershipTaken(long epoch, String previousHolder, String reason) implements PoolDecision {
+	record OwnershipTaken(long epoch, String previousHolder, String reason, String release) implements PoolDecision {
+
+		public OwnershipTaken(long epoch, String previousHolder, String reason) {
+			this(epoch, previousHolder, reason, Release.current());
+		}
 
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/ProcessDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/ProcessDecision.java
@@ -13,9 +13,14 @@
 	 * @param host its host
 	 * @param failureDomain failure domain of the host
 	 * @param sinceLaunchMillis time since the process was launched
+	 * @param release the release of the process
 	 */
-	record ProcessStarted(String role, String host, String failureDomain,
-			long sinceLaunchMillis) implements ProcessDecision {
+	record ProcessStarted(String role, String host, String failureDomain, long sinceLaunchMillis,
+			String release) implements ProcessDecision {
+
+		public ProcessStarted(String role, String host, String failureDomain, long sinceLaunchMillis) {
+			this(role, host, failureDomain, sinceLaunchMillis, Release.current());
+		}
 
 	}
 
