Read the rows of an answer one by one, so that an odd one hides no other

Cause: an answer of the table was decoded as a whole, and one row of another form failed it, so that the follower asked for the same changes for ever. All tables are read so.

--- a/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
+++ b/monsoonrelay-host/src/main/java/org/monsoonrelay/host/Host.java
@@ -65,11 +65,11 @@
 				settings.peerAddress());
 		this.network = new PeerNetwork(self, HostSettings.PEER_SECRET, (from, message) -> handle(message));
 		MetricRegistry metrics = new MetricRegistry();
-		PartitionedTable table = new ObservedTable(
-				new MeteredPartitionedTable(new HttpTable(settings.tableAddress()), metrics, System::nanoTime),
-				this::tableAnswered);
 		DecisionLog meteredLog = new DecisionMetrics(this.log, metrics);
 		UnreadableRows unreadable = new UnreadableRows(meteredLog);
+		HttpTable client = new HttpTable(settings.tableAddress(), unreadable);
+		PartitionedTable table = new ObservedTable(new MeteredPartitionedTable(client, metrics, System::nanoTime),
+				this::tableAnswered);
 		metrics.gauge("rows.unreadable", () -> unreadable::count);
 		this.scheduler = new PoolScheduler(settings, self, table, this.network, meteredLog, unreadable);
 		this.gateway = new JobGateway(settings, table, this.scheduler.configuration(), this.network, metrics,
--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/HostTests.java
@@ -55,8 +55,8 @@
 			System.setOut(console);
 		}
 		assertThat(code).isZero();
-		assertThat(output.toString(StandardCharsets.UTF_8)).contains("\"event\":\"OwnershipTaken\"",
-				"\"release\":\"", "\"event\":\"TaskPlaced\"", "\"event\":\"JobEnded\"");
+		assertThat(output.toString(StandardCharsets.UTF_8)).contains("\"event\":\"OwnershipTaken\"", "\"release\":\"",
+				"\"event\":\"TaskPlaced\"", "\"event\":\"JobEnded\"");
 	}
 
 	@Test
--- a/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/ConfigurationDelaySoakTests.java
+++ b/monsoonrelay-systemtests/src/test/java/org/monsoonrelay/systemtests/host/ConfigurationDelaySoakTests.java
@@ -15,6 +15,7 @@
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
+import org.monsoonrelay.logic.events.DecisionLog;
 import org.monsoonrelay.logic.platform.UnreadableRows;
 import org.monsoonrelay.logic.pool.PoolClock;
 import org.monsoonrelay.model.host.HostAddress;
@@ -110,10 +111,10 @@
 			ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 			try (PlatformFake platform = new PlatformFake(this.net + number, PLATFORM_PORT, 0);
 					LossyRelay relay = relay(platform, this.net + (number + 1))) {
-				HttpTable table = new HttpTable(relay.address());
-				ConfigurationFollower follower = new ConfigurationFollower(table, executor, (decision) -> {
-				}, (configuration) -> this.inForceNanos = System.nanoTime(), new UnreadableRows((decision) -> {
-				}), PoolClock.SYSTEM);
+				UnreadableRows unreadable = new UnreadableRows(DecisionLog.NONE);
+				HttpTable table = new HttpTable(relay.address(), unreadable);
+				ConfigurationFollower follower = new ConfigurationFollower(table, executor, DecisionLog.NONE,
+						(configuration) -> this.inForceNanos = System.nanoTime(), unreadable, PoolClock.SYSTEM);
 				follower.start();
 				Await.until("the first version is in force", () -> follower.activeConfiguration().version() == 1);
 				openConnections(table);
