--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityCandidates.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/EligibilityCandidates.java
@@ -165,10 +165,11 @@
 		Resources size = context.step().spec().committedSize();
 		int limit = context.step().spec().maximumPerWorker();
 		int maximum = (limit > 0) ? limit : Integer.MAX_VALUE;
-		return workers.stream()
+		long slots = workers.stream()
 			.filter(context::matches)
-			.mapToInt((worker) -> Math.min(maximum, capacity.apply(worker).timesCovering(size)))
+			.mapToLong((worker) -> Math.min(maximum, capacity.apply(worker).timesCovering(size)))
 			.sum();
+		return (int) Math.min(Integer.MAX_VALUE, slots);
 	}
 
 	private static double weightedSlots(ActiveStep step, PoolWorker worker) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityCandidatesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/EligibilityCandidatesTests.java
@@ -153,4 +153,14 @@
 			.isNotEqualTo(EligibilityCandidates.selectInitial(context("b", 2), pool));
 	}
 
+	// Guards against workers that seem to have no room at all, as a sum of theirs
+	// overflows.
+	@Test
+	void countRoomBeyondTheRangeOfASum() {
+		PlacementContext context = context("a",
+				new StepSpec(4, Resources.NONE, 500, List.of(), true, false, "", "", 0, false, false, false, false));
+		assertThat(EligibilityCandidates.freeSlots(context, openWorkers(3))).isEqualTo(Integer.MAX_VALUE);
+		assertThat(EligibilityCandidates.canHoldAllTasks(context, openWorkers(3))).isTrue();
+	}
+
 }
