Isolate rows that the table refuses with an answer that other writes get as well

Cause: an answer does not tell whether it is meant for the content of a write or for any write. Each one but 400, 413 and 422 was taken for the latter, and the same write was repeated for ever under each owner.

A write with jobs that is refused for now is followed by one without jobs at once: refused as well, the table refuses this host, and a take-over is requested as before; accepted, the jobs are tried again and divided after three refusals, each just after an accepted write. A job refused alone is held back, tried each second and given up after 20 refusals in a row.

RejectedProgressSeriesTests refuses some jobs for a while, drawn apart so that its seeds play the other disturbances as before.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -27,8 +27,9 @@
  * record in the same transaction. Invariants: every write is conditional on the version
  * of the owner record that this owner wrote last, so that nothing is written after
  * another owner has taken over; at most one write is in flight; a write whose outcome is
- * unknown is retried unchanged until the outcome is known; a write whose content the
- * table rejects is not repeated, its rows are written in smaller groups; no end is
+ * unknown is retried unchanged until the outcome is known; one that the table does not
+ * accept is followed by one without jobs, which tells a table that refuses everything
+ * from rows that it refuses, and these are written in smaller groups; no end is
  * acknowledged while the progress of its job that was to be written is in no write. Not
  * thread-safe: confined to the control thread.
  */
@@ -307,13 +308,12 @@
 				resolveConflict(write, conflict.current());
 			}
 			else if (commit instanceof PartitionCommit.Rejected rejected) {
-				handleRejection(write, rejected.reason());
+				handleRejection(write, RejectedRows.Refusal.FOR_GOOD, rejected.reason());
+			}
+			else if (commit instanceof PartitionCommit.NotDone refused) {
+				handleRejection(write, RejectedRows.Refusal.FOR_NOW, refused.reason());
 			}
 			else {
-				if (commit instanceof PartitionCommit.NotDone refused) {
-					reportRefusal(write, refused.reason());
-					this.listener.writesRejected();
-				}
 				this.control.schedule(() -> retry(write), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			}
 		}));
@@ -327,17 +327,18 @@
 	}
 
 	// Nothing of the write has taken effect, so that the next one may differ from it.
-	private void handleRejection(StateWrite write, String reason) {
+	private void handleRejection(StateWrite write, RejectedRows.Refusal refusal, String reason) {
 		if (this.closed) {
 			return;
 		}
-		this.inFlight = false;
 		write.jobs().keySet().forEach(this.jobs::markDirty);
-		RejectedRows.Cause cause = this.jobs.unwritten().rejected().rejected(write.jobIds(), this.clock.nanos());
+		RejectedRows.Cause cause = this.jobs.unwritten()
+			.rejected()
+			.rejected(write.jobIds(), refusal, this.clock.nanos());
 		if (cause instanceof RejectedRows.Cause.OtherRows) {
 			reportRefusal(write, reason);
 			this.listener.writesRejected();
-			this.control.schedule(this::composeAgain, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			this.control.schedule(this::composeAfterRefusal, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		if (cause instanceof RejectedRows.Cause.RowsOfJob rows) {
@@ -345,9 +346,17 @@
 				this.refusals.jobRejected(rows, FailedWrite.ofJob(write.rows(), rows.job(), reason));
 			}
 		}
-		else {
+		else if (refusal == RejectedRows.Refusal.FOR_GOOD) {
 			this.refusals.writeRejected(write.failed(reason));
 		}
+		else {
+			reportRefusal(write, reason);
+		}
+		composeAfterRefusal();
+	}
+
+	private void composeAfterRefusal() {
+		this.inFlight = false;
 		composeAgain();
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
@@ -14,21 +14,22 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Finds the jobs whose rows the table rejects, so that these do not stop the writes of
- * all others. The jobs of a rejected write are written in groups, first a group without
- * jobs, then each half, and so on. Invariants: a job is held back only if a write with
- * the rows of this job alone was rejected and the write just before it was accepted; a
- * job that is held back stays so until its rows are accepted; between two attempts to
- * write held back jobs there is a write of other jobs. Not thread-safe: confined to the
- * control thread of the pool's owner.
+ * Finds the jobs whose rows the table does not accept, for good or for now, so that these
+ * do not stop the writes of all others. The jobs of such a write are written in groups,
+ * first a group without jobs, then each half, and so on. A group that is refused for now
+ * is divided only if it is refused several times, each time just after an accepted write.
+ * Invariants: a job is held back only if a write with the rows of this job alone was not
+ * accepted and the write just before it was; a job that is held back stays so until its
+ * rows are accepted; between two attempts to write held back jobs there is a write of
+ * other jobs. Not thread-safe: confined to the control thread of the pool's owner.
  */
 public final class RejectedRows {
 
 	/**
-	 * Number of rejections after which a job cannot be continued. The rows may have
-	 * changed in between, as its runs end.
+	 * Number of refusals in a row after which a group is divided if the table refuses it
+	 * for now, as it may do with any write.
 	 */
-	private static final int MAX_REJECTIONS = 3;
+	private static final int REFUSALS_PER_GROUP = 3;
 
 	/** Interval at which the rows of a job that is held back are tried, milliseconds. */
 	private static final long RETRY_INTERVAL_MILLIS = 1000;
@@ -43,6 +44,9 @@
 
 	private boolean lastAccepted;
 
+	// Consecutive refusals of the group that is written next.
+	private int refusals;
+
 	/**
 	 * Returns the jobs to which the next write is restricted.
 	 * @param nowNanos current monotonic time, nanoseconds
@@ -73,17 +77,21 @@
 	 */
 	public void accepted(Set<String> written) {
 		this.lastAccepted = true;
+		if (!written.isEmpty()) {
+			this.refusals = 0;
+		}
 		this.othersWritten |= this.groups.poll() == null;
 		this.heldBack.keySet().removeAll(written);
 	}
 
 	/**
-	 * Records that a write was rejected.
+	 * Records that a write was not accepted.
 	 * @param written ids of the jobs whose rows it contained
+	 * @param refusal whether it may be accepted if it is repeated
 	 * @param nowNanos current monotonic time, nanoseconds
 	 * @return what is known of the cause
 	 */
-	public Cause rejected(Set<String> written, long nowNanos) {
+	public Cause rejected(Set<String> written, Refusal refusal, long nowNanos) {
 		boolean isAfterAccepted = this.lastAccepted;
 		this.lastAccepted = false;
 		if (written.isEmpty()) {
@@ -95,6 +103,11 @@
 			this.groups.add(new LinkedHashSet<>(written));
 			return new Cause.Unknown();
 		}
+		if (refusal == Refusal.FOR_NOW && !isRefusedOften(written, isAfterAccepted)) {
+			this.groups.addFirst(written);
+			this.groups.addFirst(Set.of());
+			return new Cause.Unknown();
+		}
 		if (written.size() > 1) {
 			List<String> ids = new ArrayList<>(written);
 			int half = ids.size() / 2;
@@ -109,16 +122,24 @@
 		}
 		String id = written.iterator().next();
 		long retryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(RETRY_INTERVAL_MILLIS);
-		int rejections = this.heldBack.containsKey(id) ? this.heldBack.get(id).rejections() + 1 : 1;
-		this.heldBack.put(id, new HeldBackJob(id, rejections, retryNanos));
-		return new Cause.RowsOfJob(id, rejections, verdict(rejections));
+		HeldBackJob former = this.heldBack.getOrDefault(id, new HeldBackJob(id, 0, false, 0));
+		int rejections = former.rejections() + 1;
+		Verdict verdict = former.givenUp() ? Verdict.KNOWN : refusal.verdict(rejections);
+		boolean givenUp = former.givenUp() || verdict == Verdict.GIVEN_UP;
+		this.heldBack.put(id, new HeldBackJob(id, rejections, givenUp, retryNanos));
+		return new Cause.RowsOfJob(id, rejections, verdict);
 	}
 
-	private static Verdict verdict(int rejections) {
-		if (rejections == MAX_REJECTIONS) {
-			return Verdict.GIVEN_UP;
+	private boolean isRefusedOften(Set<String> written, boolean isAfterAccepted) {
+		if (!isAfterAccepted) {
+			return false;
+		}
+		this.refusals++;
+		if (this.refusals < REFUSALS_PER_GROUP && !this.heldBack.keySet().containsAll(written)) {
+			return false;
 		}
-		return (rejections < MAX_REJECTIONS) ? Verdict.HELD_BACK : Verdict.KNOWN;
+		this.refusals = 0;
+		return true;
 	}
 
 	/**
@@ -130,6 +151,38 @@
 		return Collections.unmodifiableSet(this.heldBack.keySet());
 	}
 
+	/** Whether a write that was not accepted may be accepted if it is repeated. */
+	public enum Refusal {
+
+		/** The content is never accepted. */
+		FOR_GOOD(3, 2),
+
+		/** The answer does not tell: any write may be refused so. */
+		FOR_NOW(20, 1);
+
+		/**
+		 * Number of refusals of the rows of one job, a second apart, after which the job
+		 * cannot be continued. The rows may change in between, as its runs end.
+		 */
+		private final int maxRejections;
+
+		/** Number of refusals of one job that are worth telling. */
+		private final int toldRejections;
+
+		Refusal(int maxRejections, int toldRejections) {
+			this.maxRejections = maxRejections;
+			this.toldRejections = toldRejections;
+		}
+
+		private Verdict verdict(int rejections) {
+			if (rejections >= this.maxRejections) {
+				return Verdict.GIVEN_UP;
+			}
+			return (rejections <= this.toldRejections) ? Verdict.HELD_BACK : Verdict.KNOWN;
+		}
+
+	}
+
 	/** Why a write was rejected. */
 	public sealed interface Cause {
 
@@ -165,12 +218,12 @@
 		/** It cannot be continued and has to end, so that its rows become small. */
 		GIVEN_UP,
 
-		/** It has been given up before. */
+		/** It is held back or given up as before. */
 		KNOWN
 
 	}
 
-	private record HeldBackJob(String id, int rejections, long retryNanos) {
+	private record HeldBackJob(String id, int rejections, boolean givenUp, long retryNanos) {
 
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -61,6 +61,8 @@
 
 	private Predicate<PartitionWrite> rejectedWrites = (write) -> false;
 
+	private Predicate<PartitionWrite> refusedWrites = (write) -> false;
+
 	InMemoryTable(VirtualTime time) {
 		this.time = time;
 	}
@@ -101,6 +103,14 @@
 		this.rejectedWrites = rejected;
 	}
 
+	/**
+	 * Refuses writes for now, whatever their content may have to do with it.
+	 * @param refused matches these writes
+	 */
+	void refuseWrites(Predicate<PartitionWrite> refused) {
+		this.refusedWrites = refused;
+	}
+
 	void loseChangeHistory() {
 		this.historyLost = true;
 	}
@@ -340,7 +350,7 @@
 		@Override
 		public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
 			CompletableFuture<PartitionCommit> answer = new CompletableFuture<>();
-			if (this.rejectsRequests) {
+			if (this.rejectsRequests || InMemoryTable.this.refusedWrites.test(write)) {
 				after(1, () -> answer.complete(new PartitionCommit.NotDone("busy")));
 			}
 			else if (isUnreachable()) {
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RejectedProgressSeriesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RejectedProgressSeriesTests.java
@@ -20,8 +20,8 @@
 /**
  * Guards against rejected rows that stop other jobs, or that make tasks start after an
  * acknowledged end, while owners are killed, stopped and suspended. The rows of some jobs
- * are rejected for a while, as long as they run or for ever; at times all writes of
- * owners are rejected. By hand with more seeds:
+ * are rejected for a while, as long as they run or for ever, others refused for a while;
+ * at times all writes of owners are rejected. By hand with more seeds:
  * {@code -Drejected.first=1 -Drejected.seeds=500}.
  */
 class RejectedProgressSeriesTests {
@@ -38,6 +38,9 @@
 	/** Too short for the three rejections after which a job is given up. */
 	private static final int MAX_REJECTION_MILLIS = 1000;
 
+	/** Too short for the refusals after which a job is given up. */
+	private static final int MAX_REFUSAL_MILLIS = 10_000;
+
 	@TestFactory
 	List<DynamicTest> otherJobsCompleteAndNoTaskStartsAgain() {
 		long first = Long.getLong("rejected.first", 1);
@@ -61,13 +64,23 @@
 
 		private final Set<String> rejectedForAWhile = new HashSet<>();
 
+		// Apart from the other disturbances, so that a seed draws those as without it.
+		private final Random refusals;
+
+		private final Set<String> refusedForAWhile = new HashSet<>();
+
 		private boolean isEverythingRejected;
 
 		Play(long seed) {
 			this.random = new Random(seed);
+			this.refusals = new Random(~seed);
 			this.cell.withRunMillis((task) -> 50 + Math.floorMod(task.hashCode(), 900));
 			this.cell.table.rejectWrites((write) -> (this.isEverythingRejected && isOfOwner(write))
 					|| write.puts().stream().anyMatch((put) -> isTooLarge(put) || isRejected(put)));
+			this.cell.table.refuseWrites((write) -> write.puts()
+				.stream()
+				.anyMatch(
+						(put) -> put.table().equals(JobTables.PROGRESS) && this.refusedForAWhile.contains(put.key())));
 		}
 
 		private static boolean isOfOwner(PartitionWrite write) {
@@ -125,6 +138,11 @@
 			Timetable timetable = isTimetabled ? new Timetable(this.cell.time.millis() + 100, 150, 20)
 					: Timetable.AT_ONCE;
 			this.cell.submit(job, 3, timetable, first, second);
+			if (rejection(job) == Rejection.NEVER && this.refusals.nextInt(10) == 0) {
+				this.refusedForAWhile.add(job);
+				this.cell.time.schedule((Runnable) () -> this.refusedForAWhile.remove(job),
+						this.refusals.nextInt(MAX_REFUSAL_MILLIS), TimeUnit.MILLISECONDS);
+			}
 			if (rejection(job) == Rejection.FOR_A_WHILE) {
 				this.rejectedForAWhile.add(job);
 				this.cell.time.schedule((Runnable) () -> this.rejectedForAWhile.remove(job),
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RejectedProgressTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RejectedProgressTests.java
@@ -1,7 +1,10 @@
 package org.monsoonrelay.logic.pool;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.Random;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -91,6 +94,79 @@
 
 	}
 
+	@Nested
+	class AJobWhoseProgressIsRefusedForNow {
+
+		private final SimulatedCell cell = RejectedProgressTests.this.cell;
+
+		private void refuseWhileUnfinished() {
+			this.cell.table.refuseWrites((write) -> writesJob(write, (put) -> put.table().equals(JobTables.PROGRESS)
+					&& put.value().contains(SubmissionState.RUNNING.name())));
+		}
+
+		// Guards against a row that stops all jobs, as the table answers its writes with
+		// a status that passes for others.
+		@Test
+		void doesNotStopTheOthersNorChangeTheOwner() {
+			this.cell.startOwnerAndStandby();
+			refuseWhileUnfinished();
+			submit("a", "rejected", "b");
+			this.cell.time.runFor(4000);
+			this.cell.assertCompleted("a", "b");
+			submit("c");
+			this.cell.time.runFor(4000);
+			this.cell.assertCompleted("c");
+			assertThat(decisions(PoolDecision.OwnershipTaken.class)).hasSize(1);
+			assertThat(this.cell.gateway.state("rejected")).isNotEqualTo(Optional.of(SubmissionState.FAILED));
+		}
+
+		@Test
+		void completesIfItsProgressIsAcceptedLater() {
+			this.cell.startOwnerAndStandby();
+			refuseWhileUnfinished();
+			submit("a", "rejected");
+			this.cell.time.runFor(10_000);
+			this.cell.table.refuseWrites((write) -> false);
+			this.cell.time.runFor(5000);
+			this.cell.assertCompleted("a", "rejected");
+		}
+
+		@Test
+		void endsAsFailedIfItStaysSoWhileOthersAreAccepted() {
+			this.cell.startOwnerAndStandby();
+			refuseWhileUnfinished();
+			submit("a", "rejected");
+			this.cell.time.runFor(30_000);
+			assertThat(this.cell.durableState("rejected")).isEqualTo(SubmissionState.FAILED);
+			assertThat(decisions(JobDecision.ProgressRejected.class)).extracting(JobDecision.ProgressRejected::outcome)
+				.containsExactly("HELD_BACK", "GIVEN_UP");
+		}
+
+	}
+
+	@Nested
+	class ATableThatRefusesAnyWriteAtTimes {
+
+		// Guards against blaming jobs for a table that is busy.
+		@Test
+		void failsNoJob() {
+			SimulatedCell cell = RejectedProgressTests.this.cell;
+			Random random = new Random(7);
+			cell.startOwnerAndStandby();
+			cell.table
+				.refuseWrites((write) -> write.partition().equals(JobTables.POOL_PARTITION) && random.nextBoolean());
+			String[] ids = IntStream.range(0, 20).mapToObj((i) -> "job" + i).toArray(String[]::new);
+			for (String id : ids) {
+				submit(id);
+				cell.time.runFor(1000);
+			}
+			cell.table.refuseWrites((write) -> false);
+			cell.time.runFor(10_000);
+			cell.assertCompleted(ids);
+		}
+
+	}
+
 	@Nested
 	class AJobOfWhichNoRowIsAccepted {
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/rows/RejectedRowsTests.java
@@ -26,6 +26,8 @@
 
 	private long nowNanos;
 
+	private RejectedRows.Refusal refusal = RejectedRows.Refusal.FOR_GOOD;
+
 	private RejectedRows.Cause lastCause = new RejectedRows.Cause.Unknown();
 
 	private int writes;
@@ -37,7 +39,7 @@
 			.ifPresentOrElse(written::retainAll, () -> written.removeAll(this.rejected.heldBack()));
 		this.writes++;
 		if (written.stream().anyMatch(this.unacceptable::contains)) {
-			this.lastCause = this.rejected.rejected(written, this.nowNanos);
+			this.lastCause = this.rejected.rejected(written, this.refusal, this.nowNanos);
 		}
 		else {
 			this.unwritten.removeAll(written);
@@ -78,7 +80,7 @@
 		for (int i = 0; i < 20; i++) {
 			Set<String> written = new LinkedHashSet<>(this.unwritten);
 			this.rejected.nextGroup(this.nowNanos).ifPresent(written::retainAll);
-			this.rejected.rejected(written, this.nowNanos);
+			this.rejected.rejected(written, this.refusal, this.nowNanos);
 		}
 		assertThat(this.rejected.heldBack()).isEmpty();
 		writeAll();
@@ -107,7 +109,7 @@
 		for (int i = 0; i < 10; i++) {
 			Set<String> written = new LinkedHashSet<>(this.unwritten);
 			this.rejected.nextGroup(this.nowNanos).ifPresent(written::retainAll);
-			this.lastCause = this.rejected.rejected(written, this.nowNanos);
+			this.lastCause = this.rejected.rejected(written, this.refusal, this.nowNanos);
 			this.nowNanos += TimeUnit.SECONDS.toNanos(1);
 		}
 		assertThat(this.lastCause).isEqualTo(new RejectedRows.Cause.OtherRows());
@@ -116,6 +118,20 @@
 		assertThat(this.unwritten).isEmpty();
 	}
 
+	@Test
+	void noJobIsHeldBackAfterASingleRefusalOfEachGroup() {
+		this.refusal = RejectedRows.Refusal.FOR_NOW;
+		for (int i = 0; i < 10; i++) {
+			this.unacceptable.add("job17");
+			write();
+			this.unacceptable.clear();
+			write();
+			write();
+			assertThat(this.rejected.heldBack()).isEmpty();
+			this.unwritten.add("job17");
+		}
+	}
+
 	@Nested
 	class OneOfManyJobs {
 
@@ -139,6 +155,22 @@
 				.isEqualTo(new RejectedRows.Cause.RowsOfJob("job17", 3, RejectedRows.Verdict.GIVEN_UP));
 		}
 
+		@Test
+		void isGivenUpLaterIfItIsRefusedForNow() {
+			RejectedRowsTests.this.refusal = RejectedRows.Refusal.FOR_NOW;
+			RejectedRowsTests.this.unacceptable.add("job17");
+			writeAll();
+			assertThat(RejectedRowsTests.this.rejected.heldBack()).containsExactly("job17");
+			assertThat(RejectedRowsTests.this.lastCause)
+				.isEqualTo(new RejectedRows.Cause.RowsOfJob("job17", 1, RejectedRows.Verdict.HELD_BACK));
+			for (int i = 0; i < 19; i++) {
+				RejectedRowsTests.this.nowNanos += TimeUnit.SECONDS.toNanos(1);
+				writeAll();
+			}
+			assertThat(RejectedRowsTests.this.lastCause)
+				.isEqualTo(new RejectedRows.Cause.RowsOfJob("job17", 20, RejectedRows.Verdict.GIVEN_UP));
+		}
+
 		@Test
 		void isNoLongerHeldBackOnceItsRowsAreAccepted() {
 			RejectedRowsTests.this.unacceptable.add("job17");
