Show that ends of a job of which no row is accepted keep others from being listed

The test shows the same on virtual time; it is red and listed, as the end of such a job needs a durable place of its own.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RejectedProgressTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/RejectedProgressTests.java
@@ -13,6 +13,7 @@
 import org.monsoonrelay.logic.events.PoolDecision;
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.submission.JobTables;
+import org.monsoonrelay.model.capacity.Resources;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.TaskKey;
 
@@ -190,6 +191,30 @@
 
 	}
 
+	@Nested
+	class EndsOfAJobOfWhichNoRowIsAccepted {
+
+		// Guards against workers that list no further ends, as those of such a job are
+		// never acknowledged.
+		@Test
+		void doNotKeepThoseOfOtherJobsFromBeingListed() {
+			SimulatedCell cell = new SimulatedCell();
+			cell.workers.setMaxListedEnds(20);
+			cell.workers.add("w", new Resources(200_000, 100_000, 0));
+			cell.startOwnerAndStandby();
+			cell.table.rejectWrites((write) -> writesJob(write, (put) -> put.table().equals(JobTables.PROGRESS)));
+			cell.submit("rejected", SimulatedCell.step(2, false));
+			String[] ids = IntStream.range(0, 40).mapToObj((i) -> "job" + i).toArray(String[]::new);
+			for (String id : ids) {
+				cell.submit(id, SimulatedCell.step(2, false));
+				cell.time.runFor(200);
+			}
+			cell.time.runFor(10_000);
+			cell.assertCompleted(ids);
+		}
+
+	}
+
 	@Nested
 	class AWriteThatIsRejectedAsAWhole {
 
