--- a/monsoonrelay-host/src/test/java/org/monsoonrelay/host/BuildTests.java
+++ b/monsoonrelay-host/src/test/java/org/monsoonrelay/host/BuildTests.java
@@ -51,7 +51,7 @@
 	}
 
 	private void writeTree() throws IOException {
-		for (String script : List.of("build.sh", "replace.sh", "sources-digest.sh")) {
+		for (String script : List.of("build.sh", "install.sh", "replace.sh", "sources-digest.sh")) {
 			write("deploy/" + script, Files.readString(ROOT.resolve("deploy").resolve(script)));
 		}
 		for (String file : List.of("pom.xml", "platform/pom.xml", "platform/src/main/java/Other.java",
