--- a/review/standin-2/second/Client.java
+++ b/review/standin-2/second/Client.java
@@ -35,6 +35,14 @@
 		return code;
 	}
 
+	/** Returns the status, or -1 without an answer. */
+	int cancel(Host host, String id) {
+		HttpResponse<String> answer = call(host, "DELETE", id, "");
+		int code = (answer != null) ? answer.statusCode() : -1;
+		this.record.line("client", "DELETE " + id + " at " + host.name() + " -> " + code);
+		return code;
+	}
+
 	/** Returns the state, or the status, or nothing. */
 	String state(Host host, String id) {
 		HttpResponse<String> answer = call(host, "GET", id, "");
--- a/review/standin-2/second/Doubled.java
+++ b/review/standin-2/second/Doubled.java
@@ -47,7 +47,7 @@
 				}
 				Thread.sleep(900);
 			}
-			cell.store.trouble((machine, part) -> Store.Fate.SERVED);
+			cell.store.trouble((machine, part, keys) -> Store.Fate.SERVED);
 			Thread.sleep(5000);
 			String leader = cell.store.lastConditionalWriter();
 			for (String id : accepted) {
@@ -71,7 +71,7 @@
 	private static void turnAway(Cell cell, String leader) {
 		AtomicInteger writes = new AtomicInteger();
 		cell.record.line("store", "turns " + leader + " away for two writes");
-		cell.store.trouble((machine, part) -> {
+		cell.store.trouble((machine, part, keys) -> {
 			if (!machine.equals(leader)) {
 				return Store.Fate.SERVED;
 			}
--- a/review/standin-2/second/Executor.java
+++ b/review/standin-2/second/Executor.java
@@ -203,7 +203,7 @@
 			long cursor = body.path("ack_cursor").asLong();
 			this.ends.stream()
 				.filter((end) -> end.number() <= cursor)
-				.forEach((end) -> this.runs.noted(end.task(), end.how(), this.id));
+				.forEach((end) -> this.runs.noted(end.task(), end.attempt(), end.how(), this.id));
 			this.ends.removeIf((end) -> end.number() <= cursor);
 			long endNanos = System.nanoTime() + Math.min(2000, body.path("wait_ms").asLong()) * 1_000_000;
 			while (this.ends.isEmpty() && System.nanoTime() - endNanos < 0) {
--- a/review/standin-2/second/Orphaned.java
+++ b/review/standin-2/second/Orphaned.java
@@ -47,7 +47,7 @@
 				String last = cell.store.lastConditionalWriter();
 				AtomicInteger writes = new AtomicInteger();
 				cell.record.line("store", "turns " + last + " away for two writes");
-				cell.store.trouble((machine, part) -> !part.equals("pool") ? Store.Fate.SERVED
+				cell.store.trouble((machine, part, keys) -> !part.equals("pool") ? Store.Fate.SERVED
 						: switch (writes.getAndIncrement()) {
 							case 0 -> Store.Fate.DONE_WITHOUT_ANSWER;
 							case 1 -> Store.Fate.REFUSED;
--- a/review/standin-2/second/Runs.java
+++ b/review/standin-2/second/Runs.java
@@ -19,11 +19,13 @@
 
 	private final Map<String, Set<String>> active = new HashMap<>();
 
-	private final Set<String> noted = new HashSet<>();
+	// By task, the runs that ended as done, and those among them whose ends are noted.
+	private final Map<String, Set<String>> done = new HashMap<>();
 
-	private final Map<String, List<String>> startsAfterDone = new TreeMap<>();
+	private final Map<String, Set<String>> noted = new HashMap<>();
 
-	private final Set<String> done = new HashSet<>();
+	// By run that ended as done, the executors on which its task was started later.
+	private final Map<String, List<String>> startsAfter = new TreeMap<>();
 
 	private final List<String> breaks = new ArrayList<>();
 
@@ -41,31 +43,32 @@
 			broken("two runs of " + task + " at the same time: " + others + " and " + executor);
 		}
 		others.add(executor + "/" + attempt);
-		if (this.noted.contains(task)) {
+		if (!this.noted.getOrDefault(task, Set.of()).isEmpty()) {
 			broken(task + " is started on " + executor + " after its end as done was taken note of");
 		}
-		else if (this.done.contains(task)) {
-			this.startsAfterDone.computeIfAbsent(task, (name) -> new ArrayList<>()).add(executor);
+		for (String run : this.done.getOrDefault(task, Set.of())) {
+			this.startsAfter.computeIfAbsent(task + " " + run, (name) -> new ArrayList<>()).add(executor);
 		}
 	}
 
 	synchronized void ended(String task, int attempt, String executor, String how) {
 		this.record.line(executor, "ends " + task + " attempt " + attempt + " " + how);
-		this.active.getOrDefault(task, new HashSet<>()).remove(executor + "/" + attempt);
+		String run = executor + "/" + attempt;
+		this.active.getOrDefault(task, new HashSet<>()).remove(run);
 		if (how.equals("done")) {
-			this.done.add(task);
+			this.done.computeIfAbsent(task, (name) -> new HashSet<>()).add(run);
 		}
 	}
 
-	synchronized void noted(String task, String how, String executor) {
-		if (!how.equals("done")) {
+	synchronized void noted(String task, int attempt, String how, String executor) {
+		String run = executor + "/" + attempt;
+		if (!how.equals("done") || !this.noted.computeIfAbsent(task, (name) -> new HashSet<>()).add(run)) {
 			return;
 		}
-		this.record.line(executor, "the end of " + task + " as done is taken note of");
-		this.noted.add(task);
-		if (this.startsAfterDone.containsKey(task)) {
-			broken(task + " was started again on " + this.startsAfterDone.get(task)
-					+ " after an end as done that is taken note of");
+		this.record.line(executor, "the end of " + task + " attempt " + attempt + " as done is taken note of");
+		if (this.startsAfter.containsKey(task + " " + run)) {
+			broken(task + " was started again on " + this.startsAfter.get(task + " " + run) + " after its run " + run
+					+ " had ended as done, which is taken note of");
 		}
 	}
 
@@ -86,8 +89,15 @@
 		return this.active.values().stream().mapToInt(Set::size).sum();
 	}
 
+	/** Whether a task of a job runs. */
+	synchronized boolean isActive(String job) {
+		return this.active.entrySet()
+			.stream()
+			.anyMatch((entry) -> entry.getKey().startsWith(job + ".") && !entry.getValue().isEmpty());
+	}
+
 	synchronized boolean isDone(String task) {
-		return this.done.contains(task);
+		return this.done.containsKey(task);
 	}
 
 }
--- a/review/standin-2/second/Store.java
+++ b/review/standin-2/second/Store.java
@@ -33,19 +33,22 @@
 
 	private static final long TRANSACTION_MILLIS = 5;
 
+	/** The store carries a write out at most so long after it has lost the answer. */
+	private static final long LATE_MILLIS = 6000;
+
 	private static final long SILENCE_MILLIS = 15_000;
 
 	/** What becomes of a write. */
 	enum Fate {
 
-		SERVED, DONE_WITHOUT_ANSWER, REFUSED
+		SERVED, DONE_WITHOUT_ANSWER, DONE_LATE, REFUSED
 
 	}
 
 	/** Decides what becomes of the writes of a machine. */
 	interface Trouble {
 
-		Fate fate(String machine, String part);
+		Fate fate(String machine, String part, String keys);
 
 	}
 
@@ -97,7 +100,7 @@
 
 	private final Record record;
 
-	private volatile Trouble trouble = (machine, part) -> Fate.SERVED;
+	private volatile Trouble trouble = (machine, part, keys) -> Fate.SERVED;
 
 	private volatile String lastConditionalWriter = "";
 
@@ -177,12 +180,21 @@
 
 	private void write(String machine, HttpExchange exchange, JsonNode body) throws IOException, InterruptedException {
 		String part = partOf(body);
-		Fate fate = this.trouble.fate(machine, part);
+		Fate fate = this.trouble.fate(machine, part, names(body));
 		if (fate == Fate.REFUSED) {
 			this.record.line("store", "503 to a write of " + machine + " to part '" + part + "', nothing done");
 			answer(exchange, 503, Map.of());
 			return;
 		}
+		if (fate == Fate.DONE_LATE) {
+			this.record.line("store", "no answer to a write of " + machine + ", to be done in " + LATE_MILLIS
+					+ " ms if its condition still holds, rows " + names(body));
+			Thread.sleep(LATE_MILLIS);
+			boolean isLateDone = !commit(body).containsKey("conflict");
+			this.record.line("store", "the late write of " + machine + (isLateDone ? " is done, rows " : " finds its "
+					+ "condition broken, rows ") + names(body));
+			return;
+		}
 		Object lock;
 		synchronized (this) {
 			lock = this.partLocks.computeIfAbsent(part, (key) -> new Object());
