--- /dev/null
+++ b/review/standin-2/second/Channels.java
@@ -0,0 +1,95 @@
+package second;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Wide jobs come, then the machine that leads loses power for good: it neither answers
+ * nor closes its channels. Nothing else happens. What is accepted has to run.
+ */
+final class Channels {
+
+	private static final String WIDE = "{\"spec\":\"1000\",\"steps\":[{\"count\":64,\"cpu\":500,\"mem_mb\":64,\"estimate_ms\":1000}]}";
+
+	private static final int TASK_PROCESSORS = 500;
+
+	private static final int EXECUTORS = 4;
+
+	private static final int PROCESSORS = 32_000;
+
+	private static final long FINISH_MILLIS = 14_000;
+
+	private static final long IDLE_MILLIS = 3000;
+
+	private Channels() {
+	}
+
+	public static void main(String[] arguments) throws Exception {
+		System.exit(run(Path.of(arguments[0]), !"0".equals(System.getenv("TROUBLE"))));
+	}
+
+	private static int run(Path recordFile, boolean isTroubled) throws Exception {
+		try (Cell cell = new Cell(recordFile, 3, EXECUTORS, PROCESSORS)) {
+			if (!cell.start()) {
+				cell.record.line("result", "the cell did not start");
+				return 2;
+			}
+			Thread.sleep(4000);
+			List<String> accepted = new ArrayList<>();
+			String leader = cell.store.lastConditionalWriter();
+			Host gateway = cell.other(leader);
+			submitFor(cell, gateway, 16_000, accepted);
+			channels(cell);
+			leader = cell.store.lastConditionalWriter();
+			if (isTroubled) {
+				cell.record.line("cell", leader + " loses power: SIGSTOP, for good");
+				cell.host(leader).signal("STOP");
+				if (gateway.name().equals(leader)) {
+					gateway = cell.other(leader);
+				}
+			}
+			submitFor(cell, gateway, 12_000, accepted);
+			cell.record.line("cell", "the end of the traffic");
+			Thread.sleep(FINISH_MILLIS);
+			channels(cell);
+			int running = 0;
+			Set<String> active = new HashSet<>();
+			for (int i = 0; i < IDLE_MILLIS / 50; i++) {
+				running = Math.max(running, cell.runs.activeCount());
+				accepted.stream().filter(cell.runs::isActive).forEach(active::add);
+				Thread.sleep(50);
+			}
+			int waiting = 0;
+			for (String id : accepted) {
+				String state = cell.client.state(gateway, id);
+				cell.record.line("client", id + " is " + state);
+				waiting += (state.equals("completed") || active.contains(id)) ? 0 : 1;
+			}
+			boolean isMostFree = 2 * running * TASK_PROCESSORS < EXECUTORS * PROCESSORS;
+			cell.record.line("result",
+					accepted.size() + " jobs accepted, " + waiting + " not completed with nothing running for 3 s, "
+							+ "at most " + running + " tasks at once, room for " + EXECUTORS * PROCESSORS / TASK_PROCESSORS);
+			return (waiting > 0 && isMostFree) ? 1 : 0;
+		}
+	}
+
+	private static void channels(Cell cell) {
+		cell.executors.forEach((executor) -> cell.record.line(executor.id(), executor.channels()));
+	}
+
+	private static void submitFor(Cell cell, Host gateway, long millis, List<String> accepted)
+			throws InterruptedException {
+		long endNanos = System.nanoTime() + millis * 1_000_000;
+		while (System.nanoTime() - endNanos < 0) {
+			String id = String.format("%016x", 0x5c0e_0000_0000_0000L + accepted.size());
+			if (cell.client.submit(gateway, id, WIDE) == 200) {
+				accepted.add(id);
+			}
+			Thread.sleep(450);
+		}
+	}
+
+}
--- a/review/standin-2/second/Executor.java
+++ b/review/standin-2/second/Executor.java
@@ -1,22 +1,16 @@
 package second;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 
 /**
  * One life of an executor: fences, leases, attempts and ends as PROTOCOL.md tells them. A
@@ -30,6 +24,9 @@
 
 	private static final int MOST_ENDS = 500;
 
+	/** "8 slots and 64 channels each". */
+	private static final int MOST_CHANNELS = 64;
+
 	private record End(long number, String task, int attempt, String how) {
 
 	}
@@ -40,9 +37,7 @@
 
 	private final ScheduledExecutorService timer;
 
-	private final ExecutorService threads = Executors.newCachedThreadPool();
-
-	private final HttpServer server;
+	private final CappedServer server;
 
 	private final long bornNanos = System.nanoTime();
 
@@ -62,15 +57,7 @@
 		this.id = id;
 		this.runs = runs;
 		this.timer = timer;
-		try {
-			this.server = HttpServer.create(new InetSocketAddress(ip, 0), 256);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		this.server.setExecutor(this.threads);
-		this.server.createContext("/", this::handle);
-		this.server.start();
+		this.server = new CappedServer(ip, MOST_CHANNELS, this::handle);
 		timer.scheduleWithFixedDelay(this::expire, 20, 20, TimeUnit.MILLISECONDS);
 	}
 
@@ -80,38 +67,32 @@
 
 	String entry(String service, String zone, int processors, long sequence) {
 		return """
-				{"service":"%s","address":"%s:%d","zone":"%s","version":"1","slots":8,"state":"ready",\
+				{"service":"%s","address":"%s","zone":"%s","version":"1","slots":8,"state":"ready",\
 				"cold_remaining_ms":0,"sequence":%d,"capacity":{"cpu":%d,"mem_mb":32768,"gpu":0},"labels":["a","r1"]}"""
-			.formatted(service, this.server.getAddress().getHostString(), this.server.getAddress().getPort(), zone,
-					sequence, processors);
+			.formatted(service, this.server.address(), zone, sequence, processors);
 	}
 
 	private long clockMillis() {
 		return (System.nanoTime() - this.bornNanos) / 1_000_000 + 1;
 	}
 
-	private void handle(HttpExchange exchange) throws IOException {
-		try {
-			JsonNode body = JSON.readTree(exchange.getRequestBody().readAllBytes());
-			String expected = exchange.getRequestHeaders().getFirst("X-Monsoonrelay-Expect-Instance");
-			if (expected != null && !expected.equals(this.id)) {
-				answer(exchange, 421, Map.of());
-				return;
-			}
-			switch (exchange.getRequestURI().getPath()) {
-				case "/api/run-start" -> start(exchange, body);
-				case "/api/run-stop" -> stop(exchange, body);
-				case "/api/hold" -> hold(exchange, body);
-				case "/api/pace" -> answer(exchange, 200, Map.of("clock_ms", clockMillis()));
-				default -> answer(exchange, 404, Map.of());
-			}
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-		finally {
-			exchange.close();
+	String channels() {
+		return this.server.channels() + " channels, " + this.server.resets() + " were reset";
+	}
+
+	private CappedServer.Answer handle(String path, Map<String, String> headers, byte[] text) throws Exception {
+		JsonNode body = JSON.readTree(text);
+		String expected = headers.get("x-monsoonrelay-expect-instance");
+		if (expected != null && !expected.equals(this.id)) {
+			return answer(421, Map.of());
 		}
+		return switch (path) {
+			case "/api/run-start" -> start(body);
+			case "/api/run-stop" -> stop(body);
+			case "/api/hold" -> hold(body);
+			case "/api/pace" -> answer(200, Map.of("clock_ms", clockMillis()));
+			default -> answer(404, Map.of());
+		};
 	}
 
 	private synchronized boolean isFenced(JsonNode body) {
@@ -131,7 +112,7 @@
 		}
 	}
 
-	private void start(HttpExchange exchange, JsonNode body) throws IOException {
+	private CappedServer.Answer start(JsonNode body) throws IOException {
 		String reason = "";
 		synchronized (this) {
 			String task = body.path("task").asText();
@@ -157,11 +138,11 @@
 				this.timer.schedule(() -> end(task, attempt, "done"), work, TimeUnit.MILLISECONDS);
 			}
 		}
-		answer(exchange, reason.isEmpty() ? 200 : 409, reason.isEmpty() ? Map.of("clock_ms", clockMillis())
+		return answer(reason.isEmpty() ? 200 : 409, reason.isEmpty() ? Map.of("clock_ms", clockMillis())
 				: Map.of("clock_ms", clockMillis(), "reason", reason));
 	}
 
-	private void stop(HttpExchange exchange, JsonNode body) throws IOException {
+	private CappedServer.Answer stop(JsonNode body) throws IOException {
 		boolean fenced;
 		synchronized (this) {
 			fenced = isFenced(body);
@@ -172,7 +153,7 @@
 				end(task, attempt, "stopped");
 			}
 		}
-		answer(exchange, fenced ? 409 : 200, fenced ? Map.of("clock_ms", clockMillis(), "reason", "fence")
+		return answer(fenced ? 409 : 200, fenced ? Map.of("clock_ms", clockMillis(), "reason", "fence")
 				: Map.of("clock_ms", clockMillis()));
 	}
 
@@ -192,12 +173,11 @@
 		}
 	}
 
-	private void hold(HttpExchange exchange, JsonNode body) throws IOException, InterruptedException {
+	private CappedServer.Answer hold(JsonNode body) throws IOException, InterruptedException {
 		Map<String, Object> lists = new LinkedHashMap<>();
 		synchronized (this) {
 			if (isFenced(body)) {
-				answer(exchange, 409, Map.of("clock_ms", clockMillis(), "reason", "fence"));
-				return;
+				return answer(409, Map.of("clock_ms", clockMillis(), "reason", "fence"));
 			}
 			extend(body);
 			long cursor = body.path("ack_cursor").asLong();
@@ -219,20 +199,16 @@
 						.map((end) -> List.of(end.number(), end.task(), end.attempt(), end.how(), ""))
 						.toList());
 		}
-		answer(exchange, 200, lists);
+		return answer(200, lists);
 	}
 
-	private static void answer(HttpExchange exchange, int code, Object body) throws IOException {
-		byte[] bytes = JSON.writeValueAsBytes(body);
-		exchange.getResponseHeaders().set("Content-Type", "application/json");
-		exchange.sendResponseHeaders(code, bytes.length);
-		exchange.getResponseBody().write(bytes);
+	private static CappedServer.Answer answer(int code, Object body) throws IOException {
+		return new CappedServer.Answer(code, JSON.writeValueAsBytes(body));
 	}
 
 	@Override
 	public void close() {
-		this.server.stop(0);
-		this.threads.shutdownNow();
+		this.server.close();
 	}
 
 }
