--- a/review/standin-2/second/Cell.java
+++ b/review/standin-2/second/Cell.java
@@ -122,10 +122,10 @@
 
 	@Override
 	public void close() {
+		this.timer.shutdownNow();
 		this.hosts.forEach(Host::kill);
 		this.executors.forEach(Executor::close);
 		this.store.close();
-		this.timer.shutdownNow();
 		try {
 			String keep = System.getenv("KEEP_LOGS");
 			if (keep != null && !keep.isEmpty()) {
