Excuse ends before a lapsed lease in the check of case 6

TWICE takes no end for noted if the executor's lease lapsed between the end and its acknowledgement; the check did not look at that.

--- a/review/standin-2/second/Executor.java
+++ b/review/standin-2/second/Executor.java
@@ -27,7 +27,7 @@
 	/** "8 slots and 64 channels each". */
 	private static final int MOST_CHANNELS = 64;
 
-	private record End(long number, String task, int attempt, String how) {
+	private record End(long number, String task, int attempt, String how, long nanos) {
 
 	}
 
@@ -53,6 +53,9 @@
 
 	private long leaseEndMillis;
 
+	// When this executor was last seen without a lease.
+	private long lapsedNanos = System.nanoTime();
+
 	Executor(String id, String ip, Runs runs, ScheduledExecutorService timer) {
 		this.id = id;
 		this.runs = runs;
@@ -162,13 +165,14 @@
 			return;
 		}
 		this.highest.merge(task, attempt, Math::max);
-		this.ends.add(new End(++this.lastNumber, task, attempt, how));
+		this.ends.add(new End(++this.lastNumber, task, attempt, how, System.nanoTime()));
 		this.runs.ended(task, attempt, this.id, how);
 		notifyAll();
 	}
 
 	private synchronized void expire() {
 		if (clockMillis() > this.leaseEndMillis) {
+			this.lapsedNanos = System.nanoTime();
 			Map.copyOf(this.running).forEach((task, attempt) -> end(task, attempt, "lapsed"));
 		}
 	}
@@ -183,6 +187,8 @@
 			long cursor = body.path("ack_cursor").asLong();
 			this.ends.stream()
 				.filter((end) -> end.number() <= cursor)
+				// "unless the executor's lease lapsed between the two"
+				.filter((end) -> end.nanos() - this.lapsedNanos > 0)
 				.forEach((end) -> this.runs.noted(end.task(), end.attempt(), end.how(), this.id));
 			this.ends.removeIf((end) -> end.number() <= cursor);
 			long endNanos = System.nanoTime() + Math.min(2000, body.path("wait_ms").asLong()) * 1_000_000;
