Tell by its number which write of the owner took effect

Callers saw tasks run a second time: a write of the owner got no answer although the table had done it, its repetition was refused (503), and the ends of the tasks that ended in between were acknowledged although no row told of them. The next owner started these tasks again.

Cause: the writer took a refused repetition for proof that the write had not taken effect, and composed another one with the same sequence in the owner's row. The conflict of that one was settled by comparing texts, so that the rows of the second write counted as durable.

Each composed write has a number of its own now, which no other write of its term has. A write of which an attempt was not answered stays pending (PendingWrites, at most four) until a write takes effect: the row's number tells which, and the rows, ends, workers, losses, count and release of this one alone become durable. What belongs to a write (ends processed late, time of composition) is kept with it. A write with jobs that gets no answer is followed by one without jobs, so that one row that is never answered does not stop all jobs; one without jobs is repeated.

The line WriteSettled tells a write's attempts and how it was settled. FailedWrite and the composition of owner records moved to files of their own.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/PoolDecision.java
@@ -55,6 +55,30 @@
 
 	}
 
+	/**
+	 * It is known what became of a write of the owner, of which not every attempt was
+	 * answered or which another write replaced.
+	 *
+	 * @param epoch the owner's fencing token
+	 * @param write number of the write in this term, as in the owner's row
+	 * @param outcome {@code COMMITTED} by an attempt that was answered, {@code FOUND} in
+	 * the table by its number, {@code UNDONE} as another write took effect, or
+	 * {@code UNKNOWN} as another process took the pool over
+	 * @param attemptCount number of attempts before, which were refused or not answered
+	 * @param attempts what became of the first of them
+	 * @param jobs number of jobs whose rows it contained
+	 * @param ageMillis time since it was composed
+	 * @param rowVersion version of the owner's row that shows it
+	 */
+	record WriteSettled(long epoch, long write, String outcome, int attemptCount, List<String> attempts, int jobs,
+			long ageMillis, long rowVersion) implements PoolDecision {
+
+		public WriteSettled {
+			attempts = List.copyOf(attempts);
+		}
+
+	}
+
 	/**
 	 * A new owner begins to find out what runs on the workers of the former one.
 	 *
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/OwnerRecord.java
@@ -4,6 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.monsoonrelay.logic.platform.Json;
 
 /**
  * The owner record: which process owns the pool, and what its successor has to know.
@@ -13,7 +17,8 @@
  * @param host the owner's host
  * @param epoch increased with each change of owner; the highest fencing token of its
  * requests
- * @param sequence incremented with each write of the owner
+ * @param sequence number of the owner's write, which none of its other writes has,
+ * whether it takes effect or not
  * @param released whether the owner has released the pool
  * @param workers ids of the workers on which an owner may have started tasks; an owner
  * starts nothing on a worker before this row names the worker here
@@ -87,6 +92,22 @@
 				next.peerAddress());
 	}
 
+	/**
+	 * Returns the number of the write that a row holds, if it is of this owner.
+	 * @param value value of the row
+	 * @return the number, empty if another owner wrote the row or it cannot be read
+	 */
+	Optional<Long> ownNumber(String value) {
+		try {
+			OwnerRecord found = Json.readRow(value, OwnerRecord.class);
+			boolean isOwn = found.holder().equals(this.holder) && found.epoch() == this.epoch;
+			return isOwn ? Optional.of(found.sequence()) : Optional.empty();
+		}
+		catch (JsonProcessingException ex) {
+			return Optional.empty();
+		}
+	}
+
 	private static Map<String, Long> shortened(Map<String, Long> remaining, long ageMillis) {
 		Map<String, Long> shorter = new HashMap<>();
 		remaining.forEach((name, millis) -> shorter.put(name, Math.max(0, millis - ageMillis)));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolOwner.java
@@ -129,7 +129,8 @@
 		this.pool.recoverFrom(takeOver);
 		this.stateWriter = new PoolStateWriter(dependencies.table(), dependencies.control(), this.lease, this.registry,
 				this.pool, dependencies.clock(), jobTables::isRecent, new StateWriterListener(),
-				new WriteRefusalHandler(this.epoch, this.registry, this::jobGivenUp, dependencies.log()),
+				new WriteRefusalHandler(this.epoch, this.registry, this::jobGivenUp, dependencies.clock(),
+						dependencies.log()),
 				dependencies.maxRowBytes());
 		this.stateWriter.start(takeOver);
 		this.jobTables = jobTables;
@@ -231,8 +232,8 @@
 	 * @param self this host
 	 */
 	public void updateRegisteredHosts(Collection<StandbySelector.Candidate> registered, HostRecord self) {
-		this.stateWriter.setStandbys(StandbySelector.select(registered, self),
-				StandbySelector.largest(registered, self));
+		this.stateWriter.records()
+			.setStandbys(StandbySelector.select(registered, self), StandbySelector.largest(registered, self));
 	}
 
 	/**
@@ -329,7 +330,7 @@
 		@Override
 		public void writeDurable(Map<String, SubmissionState> states, Optional<QueueCount> pending) {
 			PoolOwner owner = PoolOwner.this;
-			owner.inheritedJobs.recordWrite(owner.stateWriter.composedNanos(), owner.stateWriter.version());
+			owner.inheritedJobs.recordWrite(owner.stateWriter.durableComposedNanos(), owner.stateWriter.version());
 			if (owner.lease.canStartNewJobs()) {
 				owner.registry.releaseDeferred(owner.stateWriter::isConfirmed);
 			}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/PoolStateWriter.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.pool;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,6 +20,10 @@
 import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.writes.FailedWrite;
+import org.monsoonrelay.logic.writes.PendingWrite;
+import org.monsoonrelay.logic.writes.PendingWrites;
+import org.monsoonrelay.logic.writes.WriteOutcome;
 import org.monsoonrelay.model.submission.SubmissionState;
 import org.monsoonrelay.model.submission.SubmittedJob;
 
@@ -26,12 +31,15 @@
  * Writes the progress of jobs, and their states if they change, and renews the owner
  * record in the same transaction. Invariants: every write is conditional on the version
  * of the owner record that this owner wrote last, so that nothing is written after
- * another owner has taken over; at most one write is in flight; a write whose outcome is
- * unknown is retried unchanged until the outcome is known; one that the table does not
- * accept is followed by one without jobs, which tells a table that refuses everything
- * from rows that it refuses, and these are written in smaller groups; no end is
- * acknowledged while the progress of its job that was to be written is in no write. Not
- * thread-safe: confined to the control thread.
+ * another owner has taken over; at most one write is in flight; what a write contains
+ * becomes durable only if this write is known to have taken effect, by its answer or by
+ * its number in the owner record; one that was not answered counts as undone only once
+ * another one has taken effect, whatever its repetition is answered. A write with jobs
+ * that is not answered or not accepted is followed by one without jobs, which settles it
+ * and tells a table that refuses everything from rows that it refuses; these are written
+ * in smaller groups. One without jobs that is not answered is repeated unchanged. No end
+ * is acknowledged while the progress of its job that was to be written is in no write.
+ * Not thread-safe: confined to the control thread.
  */
 final class PoolStateWriter {
 
@@ -80,13 +88,15 @@
 
 	private final int maxRowBytes;
 
+	private final PendingWrites<StateWrite> pending = new PendingWrites<>();
+
 	private boolean composeFailing;
 
 	private String reportedRefusal = "";
 
 	private OwnerRecord record;
 
-	private long formerLeaseEndNanos;
+	private OwnerRecordComposer records;
 
 	private long version;
 
@@ -96,14 +106,11 @@
 
 	private long lastSentNanos;
 
-	private long composedNanos;
+	// When the last durable write was composed.
+	private long durableComposedNanos;
 
 	private boolean releasing;
 
-	private List<String> standbys;
-
-	private HostSize largest;
-
 	private boolean confirming;
 
 	private long lastWriteMillis;
@@ -137,10 +144,9 @@
 	 */
 	void start(TakeOver takeOver) {
 		this.record = takeOver.record();
-		this.formerLeaseEndNanos = takeOver.formerLeaseEndNanos();
 		this.version = takeOver.version();
-		this.standbys = this.record.standbys();
-		this.largest = this.record.largest();
+		this.pending.start(this.record.sequence());
+		this.records = new OwnerRecordComposer(takeOver, this.jobs.unresolvedStarts(), this.maxRowBytes);
 		this.confirming = this.record.confirming();
 		this.lastSentNanos = this.clock.nanos();
 		this.lastWriteMillis = TimeUnit.NANOSECONDS.toMillis(this.lastSentNanos - takeOver.sentNanos());
@@ -152,13 +158,11 @@
 	}
 
 	/**
-	 * Sets the standbys for the next write of the owner record.
-	 * @param hosts names of the standby hosts
-	 * @param largestHost size of the largest host
+	 * Returns what composes the owner records.
+	 * @return the composer, for the next write
 	 */
-	void setStandbys(List<String> hosts, HostSize largestHost) {
-		this.standbys = List.copyOf(hosts);
-		this.largest = largestHost;
+	OwnerRecordComposer records() {
+		return this.records;
 	}
 
 	/** Writes if there are changes to store or the row has to be renewed. */
@@ -167,7 +171,7 @@
 			return;
 		}
 		if (this.inFlight) {
-			if (TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - this.composedNanos) > WRITE_STALL_MILLIS) {
+			if (isStalled()) {
 				this.listener.writesRejected();
 			}
 			return;
@@ -183,6 +187,13 @@
 		}
 	}
 
+	private boolean isStalled() {
+		return this.pending.first()
+			.filter((write) -> TimeUnit.NANOSECONDS
+				.toMillis(this.clock.nanos() - write.composedNanos()) > WRITE_STALL_MILLIS)
+			.isPresent();
+	}
+
 	/**
 	 * Releases the pool with the next write; the owner continues until that is sent.
 	 */
@@ -216,11 +227,11 @@
 	}
 
 	/**
-	 * Returns when the last write was composed.
+	 * Returns when the last durable write was composed.
 	 * @return monotonic time, nanoseconds
 	 */
-	long composedNanos() {
-		return this.composedNanos;
+	long durableComposedNanos() {
+		return this.durableComposedNanos;
 	}
 
 	/**
@@ -235,9 +246,10 @@
 	// What was taken is written next time if the write as a whole cannot be composed.
 	private void composeAndSend() {
 		Map<SubmittedJob, JobRowComposer.WrittenJob> taken = new LinkedHashMap<>();
-		StateWrite write;
+		PendingWrite<StateWrite> write;
 		try {
-			write = compose(taken);
+			long now = this.clock.nanos();
+			write = new PendingWrite<>(this.pending.nextNumber(), compose(taken, now), now);
 		}
 		catch (RuntimeException ex) {
 			taken.keySet().forEach(this.jobs::markDirty);
@@ -248,73 +260,61 @@
 			return;
 		}
 		this.composeFailing = false;
+		this.pending.add(write);
 		send(write);
 	}
 
-	private StateWrite compose(Map<SubmittedJob, JobRowComposer.WrittenJob> states) {
-		this.composedNanos = this.clock.nanos();
-		if (this.releasing) {
+	// Nothing depends on the content of a write that only settles earlier ones.
+	private StateWrite compose(Map<SubmittedJob, JobRowComposer.WrittenJob> states, long now) {
+		boolean isSettling = !this.pending.isEmpty();
+		boolean isRelease = this.releasing && !isSettling;
+		if (isRelease) {
 			this.listener.releaseStarting();
 		}
-		List<PartitionWrite.Put> puts = this.jobRows.compose(states, this.composedNanos);
-		OwnerRecord next = nextRecordWithin(
-				this.workers.workersToRecord(!this.jobs.unwritten().isEmpty(), this.composedNanos));
-		this.confirming = this.record.confirming() || next.confirming();
+		List<PartitionWrite.Put> puts = isSettling ? new ArrayList<>() : this.jobRows.compose(states, now);
+		OwnerRecord next = this.records.compose(this.record,
+				new OwnerRecordComposer.Next(this.pending.lastNumber(), isRelease,
+						this.lastWriteMillis < SLOW_WRITE_MILLIS),
+				this.workers.workersToRecord(!this.jobs.unwritten().isEmpty(), now), now);
+		this.confirming |= next.confirming();
 		PartitionWrite write = PartitionWrite.to(JobTables.POOL_PARTITION)
 			.onVersion(JobTables.OWNER, JobTables.OWNER_KEY, this.version)
 			.put(JobTables.OWNER, JobTables.OWNER_KEY, Json.write(next));
 		Optional<QueueSummary> summary = this.count.summary();
-		boolean isCountWritten = this.count.isDue(summary, this.composedNanos);
+		boolean isCountWritten = this.count.isDue(summary, now);
 		if (isCountWritten) {
 			puts.add(new PartitionWrite.Put(JobTables.STATES, JobTables.SUMMARY_KEY, Json.write(summary.get())));
 		}
 		puts.addAll(write.puts());
 		PartitionWrite whole = new PartitionWrite(write.partition(), write.conditions(), puts, List.of());
-		Map<TerminationSequence, Long> ends = this.jobs.unwritten().hasWritable() ? Map.of()
-				: this.workers.beginWrite(Set.copyOf(this.jobs.unwritten().rejected().heldBack()));
+		Map<TerminationSequence, TerminationSequence.Written> ends = this.jobs.unwritten().hasWritable() ? Map.of()
+				: this.workers.writtenTerminations(Set.copyOf(this.jobs.unwritten().rejected().heldBack()));
 		return new StateWrite(whole, next, states, summary, isCountWritten, ends,
 				this.jobs.unconfirmedLosses().lastLoss());
 	}
 
-	private OwnerRecord nextRecordWithin(WorkerPool.RecordedWorkers named) {
-		OwnerRecord next = nextRecord(named);
-		boolean fits = named.closedWorkers().isEmpty() || Json.write(next).length() <= this.maxRowBytes;
-		return fits ? next : nextRecord(named.withoutTasks());
-	}
-
-	private OwnerRecord nextRecord(WorkerPool.RecordedWorkers named) {
-		return new OwnerRecord(this.record.holder(), this.record.host(), this.record.epoch(),
-				this.record.sequence() + 1, this.releasing, named.workers(), named.closedWorkers(), this.largest,
-				this.standbys, this.lastWriteMillis < SLOW_WRITE_MILLIS, true, named.incarnations(),
-				this.jobs.unresolvedStarts().toRecord(this.composedNanos), named.silentWorkers(),
-				this.jobs.unresolvedStarts().expiriesToRecord(this.composedNanos), formerLeaseMillis(),
-				this.record.address());
-	}
-
-	private long formerLeaseMillis() {
-		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.formerLeaseEndNanos - this.composedNanos) + 1);
-	}
-
-	private void send(StateWrite write) {
+	private void send(PendingWrite<StateWrite> write) {
 		this.inFlight = true;
 		long sentNanos = this.clock.nanos();
 		long sentWallMillis = this.clock.millis();
 		this.lastSentNanos = sentNanos;
-		this.table.commit(write.rows()).whenComplete(ExecutorCallback.on(this.control, (commit, failure) -> {
+		this.table.commit(write.write().rows()).whenComplete(ExecutorCallback.on(this.control, (commit, failure) -> {
 			if (commit instanceof PartitionCommit.Committed committed) {
-				writeCommitted(write, committed.version(), sentNanos, sentWallMillis);
+				this.lastWriteMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - sentNanos);
+				this.lease.renewed(sentNanos, sentWallMillis);
+				settle(write, committed.version(), WriteOutcome.COMMITTED);
 			}
 			else if (commit instanceof PartitionCommit.Conflict conflict) {
-				resolveConflict(write, conflict.current());
+				resolveConflict(conflict.current());
 			}
 			else if (commit instanceof PartitionCommit.Rejected rejected) {
-				handleRejection(write, RejectedRows.Refusal.FOR_GOOD, rejected.reason());
+				handleRefusal(write, RejectedRows.Refusal.FOR_GOOD, rejected.reason());
 			}
 			else if (commit instanceof PartitionCommit.NotDone refused) {
-				handleRejection(write, RejectedRows.Refusal.FOR_NOW, refused.reason());
+				handleRefusal(write, RejectedRows.Refusal.FOR_NOW, refused.reason());
 			}
 			else {
-				this.control.schedule(() -> retry(write), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+				handleMissingAnswer(write);
 			}
 		}));
 	}
@@ -326,35 +326,70 @@
 		}
 	}
 
-	// Nothing of the write has taken effect, so that the next one may differ from it.
-	private void handleRejection(StateWrite write, RejectedRows.Refusal refusal, String reason) {
+	// The rows of jobs may be the reason why there is no answer. A write without them
+	// settles this one, and shows whether the table answers at all.
+	private void handleMissingAnswer(PendingWrite<StateWrite> write) {
+		write.attemptUnanswered();
 		if (this.closed) {
 			return;
 		}
-		write.jobs().keySet().forEach(this.jobs::markDirty);
+		if (write.write().jobs().isEmpty()) {
+			this.control.schedule(() -> repeat(write), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		write.write().jobs().keySet().forEach(this.jobs::markDirty);
+		composeAfterRefusal();
+	}
+
+	private void handleRefusal(PendingWrite<StateWrite> write, RejectedRows.Refusal refusal, String reason) {
+		write.attemptRefused(reason);
+		if (this.closed) {
+			return;
+		}
+		if (write.mayTakeEffect()) {
+			// Only this attempt had no effect.
+			boolean isReplaced = refusal == RejectedRows.Refusal.FOR_GOOD && !this.pending.isFull();
+			retryAfterRefusal(write, reason, isReplaced ? this::composeAfterRefusal : () -> repeat(write));
+			return;
+		}
+		this.pending.remove(write);
+		write.write().jobs().keySet().forEach(this.jobs::markDirty);
+		if (!this.pending.isEmpty()) {
+			retryAfterRefusal(write, reason, this::composeAfterRefusal);
+			return;
+		}
 		RejectedRows.Cause cause = this.jobs.unwritten()
 			.rejected()
-			.rejected(write.jobIds(), refusal, this.clock.nanos());
+			.rejected(write.write().jobIds(), refusal, this.clock.nanos());
 		if (cause instanceof RejectedRows.Cause.OtherRows) {
-			reportRefusal(write, reason);
-			this.listener.writesRejected();
-			this.control.schedule(this::composeAfterRefusal, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			retryAfterRefusal(write, reason, this::composeAfterRefusal);
 			return;
 		}
 		if (cause instanceof RejectedRows.Cause.RowsOfJob rows) {
-			if (rows.verdict() != RejectedRows.Verdict.KNOWN) {
-				this.refusals.jobRejected(rows, FailedWrite.ofJob(write.rows(), rows.job(), reason));
-			}
+			reportJob(write, rows, reason);
 		}
 		else if (refusal == RejectedRows.Refusal.FOR_GOOD) {
-			this.refusals.writeRejected(write.failed(reason));
+			this.refusals.writeRejected(write.write().failed(reason));
 		}
 		else {
-			reportRefusal(write, reason);
+			reportRefusal(write.write(), reason);
 		}
 		composeAfterRefusal();
 	}
 
+	private void reportJob(PendingWrite<StateWrite> write, RejectedRows.Cause.RowsOfJob rows, String reason) {
+		if (rows.verdict() != RejectedRows.Verdict.KNOWN) {
+			this.refusals.jobRejected(rows, FailedWrite.ofJob(write.write().rows(), rows.job(), reason));
+		}
+	}
+
+	// The table may refuse the writes of this host only.
+	private void retryAfterRefusal(PendingWrite<StateWrite> write, String reason, Runnable retry) {
+		reportRefusal(write.write(), reason);
+		this.listener.writesRejected();
+		this.control.schedule(retry, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private void composeAfterRefusal() {
 		this.inFlight = false;
 		composeAgain();
@@ -366,49 +401,65 @@
 		}
 	}
 
-	private void retry(StateWrite write) {
+	private void repeat(PendingWrite<StateWrite> write) {
 		if (!this.closed) {
 			send(write);
 		}
 	}
 
-	private void resolveConflict(StateWrite write, List<TableRow> current) {
-		for (TableRow row : current) {
-			boolean isOwnRow = row.table().equals(JobTables.OWNER) && row.key().equals(JobTables.OWNER_KEY);
-			if (isOwnRow && row.value().equals(Json.write(write.record()))) {
-				// An earlier attempt took effect. The time is not known, so the lease is
-				// not renewed.
-				this.version = row.version();
-				apply(write);
-				return;
-			}
+	// The time at which an earlier attempt took effect is not known, so the lease is not
+	// renewed.
+	private void resolveConflict(List<TableRow> current) {
+		Optional<TableRow> row = current.stream()
+			.filter((any) -> any.table().equals(JobTables.OWNER) && any.key().equals(JobTables.OWNER_KEY))
+			.findFirst();
+		Optional<PendingWrite<StateWrite>> done = row.flatMap((owner) -> this.record.ownNumber(owner.value()))
+			.flatMap(this.pending::find);
+		if (done.isPresent()) {
+			settle(done.get(), row.get().version(), WriteOutcome.FOUND);
+			return;
 		}
 		this.inFlight = false;
 		this.closed = true;
+		this.pending.all().forEach((write) -> report(write, WriteOutcome.UNKNOWN));
 		this.listener.ownershipLost("the owner's row was written by another process");
 	}
 
-	private void writeCommitted(StateWrite write, long committed, long sentNanos, long sentWallMillis) {
-		this.version = committed;
-		this.lastWriteMillis = TimeUnit.NANOSECONDS.toMillis(this.clock.nanos() - sentNanos);
-		this.lease.renewed(sentNanos, sentWallMillis);
-		apply(write);
+	private void report(PendingWrite<StateWrite> write, WriteOutcome outcome) {
+		if (write.mayTakeEffect() || (write.attemptCount() > 0 && outcome == WriteOutcome.UNDONE)) {
+			this.refusals.writeSettled(write, outcome, this.version);
+		}
 	}
 
-	private void apply(StateWrite write) {
+	private void settle(PendingWrite<StateWrite> done, long committed, WriteOutcome outcome) {
 		this.inFlight = false;
+		this.version = committed;
+		PendingWrite<StateWrite> first = this.pending.first().orElse(done);
+		List<PendingWrite<StateWrite>> undone = this.pending.settle(done);
+		report(done, outcome);
+		undone.forEach((write) -> report(write, WriteOutcome.UNDONE));
+		apply(done, first);
+		boolean isLaterUndone = undone.stream().anyMatch((write) -> write.number() > done.number());
+		if (this.releasing || isLaterUndone) {
+			composeAgain();
+		}
+	}
+
+	private void apply(PendingWrite<StateWrite> done, PendingWrite<StateWrite> first) {
+		StateWrite write = done.write();
 		this.record = write.record();
 		this.confirming = this.record.confirming();
-		this.count.written(write, this.composedNanos);
+		this.durableComposedNanos = done.composedNanos();
+		this.count.written(write, done.composedNanos());
 		Map<String, SubmissionState> states = new HashMap<>();
 		write.jobs().forEach((job, state) -> {
 			job.markDurable(state.state(), state.crashRecords());
 			states.put(job.id(), state.state());
 		});
 		this.reportedRefusal = "";
-		this.jobs.unwritten().rejected().accepted(write.jobIds());
+		recordAccepted(done, first);
 		this.workers.markRecorded(write.record());
-		write.terminations().forEach((sequence, processed) -> sequence.markDurable(processed, this.version));
+		write.terminations().forEach((sequence, ends) -> sequence.markDurable(ends, this.version));
 		this.jobs.unconfirmedLosses().confirm(write.lastLoss());
 		if (write.record().released()) {
 			this.closed = true;
@@ -416,8 +467,21 @@
 			return;
 		}
 		this.listener.writeDurable(states, write.writtenCount(this.version));
-		if (this.releasing) {
-			composeAgain();
+	}
+
+	// A write that was settled as undone counts as refused, just before the one without
+	// jobs that was accepted.
+	private void recordAccepted(PendingWrite<StateWrite> done, PendingWrite<StateWrite> first) {
+		RejectedRows rejected = this.jobs.unwritten().rejected();
+		if (done == first || first.write().jobs().isEmpty()) {
+			rejected.accepted(done.write().jobIds());
+			return;
+		}
+		RejectedRows.Cause cause = rejected.rejected(first.write().jobIds(), RejectedRows.Refusal.FOR_NOW,
+				this.clock.nanos());
+		rejected.acceptedWithoutJobs();
+		if (cause instanceof RejectedRows.Cause.RowsOfJob rows) {
+			reportJob(first, rows, "no answer");
 		}
 	}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StateWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/StateWrite.java
@@ -9,6 +9,7 @@
 import org.monsoonrelay.logic.platform.PartitionWrite;
 import org.monsoonrelay.logic.submission.QueueCount;
 import org.monsoonrelay.logic.submission.QueueSummary;
+import org.monsoonrelay.logic.writes.FailedWrite;
 import org.monsoonrelay.model.submission.SubmittedJob;
 
 /**
@@ -19,12 +20,12 @@
  * @param jobs the jobs whose progress it contains
  * @param summary the number of waiting jobs when it was composed, if it is known
  * @param isCountWritten whether the write contains that number
- * @param terminations up to which number it contains the terminations of each worker
+ * @param terminations which terminations of each worker it contains
  * @param lastLoss the last loss that it confirms
  */
 record StateWrite(PartitionWrite rows, OwnerRecord record, Map<SubmittedJob, JobRowComposer.WrittenJob> jobs,
-		Optional<QueueSummary> summary, boolean isCountWritten, Map<TerminationSequence, Long> terminations,
-		long lastLoss) {
+		Optional<QueueSummary> summary, boolean isCountWritten,
+		Map<TerminationSequence, TerminationSequence.Written> terminations, long lastLoss) {
 
 	Set<String> jobIds() {
 		return this.jobs.keySet().stream().map(SubmittedJob::id).collect(Collectors.toCollection(LinkedHashSet::new));
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/TerminationSequence.java
@@ -53,8 +53,6 @@
 	// durable.
 	private final NavigableSet<Long> lateNumbers = new TreeSet<>();
 
-	private Set<Long> lateNumbersInWrite = Set.of();
-
 	// Tasks whose terminations are processed, by their numbers, until they are durable.
 	private final NavigableMap<Long, TaskKey> undurable = new TreeMap<>();
 
@@ -175,16 +173,16 @@
 	/**
 	 * Records that the effects of terminations are durable, so that the worker may
 	 * discard them.
-	 * @param sequence sequence number of the last one
+	 * @param written the terminations in the write
 	 * @param rowVersion version of the rows that hold the effects
 	 */
-	void markDurable(long sequence, long rowVersion) {
-		if (sequence > this.durable) {
-			this.durable = sequence;
+	void markDurable(Written written, long rowVersion) {
+		if (written.last() > this.durable) {
+			this.durable = written.last();
 			this.durableVersion = rowVersion;
 		}
-		this.lateNumbers.removeAll(this.lateNumbersInWrite);
-		this.undurable.headMap(sequence, true).keySet().removeIf((number) -> !this.lateNumbers.contains(number));
+		this.lateNumbers.removeAll(written.lateNumbers());
+		this.undurable.headMap(written.last(), true).keySet().removeIf((number) -> !this.lateNumbers.contains(number));
 	}
 
 	/**
@@ -204,26 +202,26 @@
 	}
 
 	/**
-	 * Records that a write is composed that holds all that is processed now, but for some
-	 * jobs. At most one write is in flight.
+	 * Returns the terminations in a write that is composed now, which holds all that is
+	 * processed, but for some jobs.
 	 * @param unwritten ids of jobs that the write leaves out although they have changed
-	 * @return the sequence number up to which all terminations are processed and in the
-	 * write, to be passed to {@link #markDurable} once the write is durable
+	 * @return the terminations, to be passed to {@link #markDurable} once this write is
+	 * durable
 	 */
-	long beginWrite(Set<String> unwritten) {
+	Written written(Set<String> unwritten) {
 		if (unwritten.isEmpty()) {
-			this.lateNumbersInWrite = Set.copyOf(this.lateNumbers);
-			return this.processed;
+			return new Written(this.processed, this.lateNumbers);
 		}
-		this.lateNumbersInWrite = this.lateNumbers.stream()
+		Set<Long> late = this.lateNumbers.stream()
 			.filter((number) -> !isOf(unwritten, this.undurable.get(number)))
 			.collect(Collectors.toSet());
-		return this.undurable.entrySet()
+		long last = this.undurable.entrySet()
 			.stream()
 			.filter((entry) -> isOf(unwritten, entry.getValue()))
 			.findFirst()
 			.map((entry) -> Math.min(this.processed, entry.getKey() - 1))
 			.orElse(this.processed);
+		return new Written(last, late);
 	}
 
 	private static boolean isOf(Set<String> jobs, TaskKey task) {
@@ -285,4 +283,18 @@
 
 	}
 
+	/**
+	 * The terminations in one write. Immutable.
+	 *
+	 * @param last sequence number up to which all of them are processed and in the write
+	 * @param lateNumbers lower numbers that were processed after they had been passed
+	 */
+	record Written(long last, Set<Long> lateNumbers) {
+
+		Written {
+			lateNumbers = Set.copyOf(lateNumbers);
+		}
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WorkerPool.java
@@ -245,16 +245,16 @@
 	}
 
 	/**
-	 * Records that a write is composed that holds all processed terminations.
+	 * Returns the terminations in a write that is composed now, which holds all that are
+	 * processed.
 	 * @param unwritten ids of jobs that the write leaves out although they have changed
-	 * @return the sequence numbers up to which the terminations of each incarnation are
-	 * processed and in the write
+	 * @return the terminations of each incarnation
 	 */
-	Map<TerminationSequence, Long> beginWrite(Set<String> unwritten) {
-		Map<TerminationSequence, Long> sequences = new HashMap<>();
+	Map<TerminationSequence, TerminationSequence.Written> writtenTerminations(Set<String> unwritten) {
+		Map<TerminationSequence, TerminationSequence.Written> written = new HashMap<>();
 		this.workers.values()
-			.forEach((worker) -> sequences.put(worker.terminations(), worker.terminations().beginWrite(unwritten)));
-		return sequences;
+			.forEach((worker) -> written.put(worker.terminations(), worker.terminations().written(unwritten)));
+		return written;
 	}
 
 	Optional<PoolWorker> worker(String id) {
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WriteRefusalListener.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/WriteRefusalListener.java
@@ -1,6 +1,9 @@
 package org.monsoonrelay.logic.pool;
 
 import org.monsoonrelay.logic.rows.RejectedRows;
+import org.monsoonrelay.logic.writes.FailedWrite;
+import org.monsoonrelay.logic.writes.PendingWrite;
+import org.monsoonrelay.logic.writes.WriteOutcome;
 
 /**
  * Receives the writes of a {@link PoolStateWriter} that the table does not accept, on the
@@ -29,4 +32,13 @@
 	 */
 	void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write);
 
+	/**
+	 * Called when it is known what became of a write of which an attempt was not
+	 * answered, or which was replaced by another one.
+	 * @param write the write
+	 * @param outcome what became of it
+	 * @param version version of the owner record that shows it
+	 */
+	void writeSettled(PendingWrite<StateWrite> write, WriteOutcome outcome, long version);
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/rows/RejectedRows.java
@@ -84,6 +84,16 @@
 		this.heldBack.keySet().removeAll(written);
 	}
 
+	/**
+	 * Records that a write without jobs was accepted, also if a group with jobs is next.
+	 */
+	public void acceptedWithoutJobs() {
+		this.lastAccepted = true;
+		if (!this.groups.isEmpty() && this.groups.peek().isEmpty()) {
+			this.groups.poll();
+		}
+	}
+
 	/**
 	 * Records that a write was not accepted.
 	 * @param written ids of the jobs whose rows it contained
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/pool/FailedWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/writes/FailedWrite.java
@@ -1,4 +1,4 @@
-package org.monsoonrelay.logic.pool;
+package org.monsoonrelay.logic.writes;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -15,13 +15,27 @@
  * @param largestRow table and key of the largest row, separated by a slash
  * @param largestBytes size of the value of that row, bytes
  */
-record FailedWrite(String reason, int jobs, int rows, long bytes, String largestRow, long largestBytes) {
+public record FailedWrite(String reason, int jobs, int rows, long bytes, String largestRow, long largestBytes) {
 
-	static FailedWrite of(PartitionWrite write, int jobs, String reason) {
+	/**
+	 * Returns a write that was not accepted as a whole.
+	 * @param write the write
+	 * @param jobs number of jobs whose rows it contained
+	 * @param reason the answer of the table
+	 * @return the write
+	 */
+	public static FailedWrite of(PartitionWrite write, int jobs, String reason) {
 		return of(write.puts(), jobs, reason);
 	}
 
-	static FailedWrite ofJob(PartitionWrite write, String job, String reason) {
+	/**
+	 * Returns the part of a write that contains the rows of one job.
+	 * @param write the write
+	 * @param job the job's id
+	 * @param reason the answer of the table
+	 * @return the part of the write
+	 */
+	public static FailedWrite ofJob(PartitionWrite write, String job, String reason) {
 		return of(write.puts().stream().filter((put) -> put.key().equals(job)).toList(), 1, reason);
 	}
 
--- /dev/null
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/writes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Conditional writes whose outcome is not known yet.
+ */
+package org.monsoonrelay.logic.writes;
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/AcknowledgedEnds.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/AcknowledgedEnds.java
@@ -39,6 +39,9 @@
 
 	private int maximumFailures = Integer.MAX_VALUE;
 
+	private Consumer<TerminatedTask> observer = (termination) -> {
+	};
+
 	private long eventCount;
 
 	AcknowledgedEnds(Consumer<String> violations) {
@@ -53,6 +56,14 @@
 		this.maximumFailures = maximum;
 	}
 
+	/**
+	 * Sets what is called with each end that a worker is told to forget.
+	 * @param acknowledged called when the worker is told so
+	 */
+	void observe(Consumer<TerminatedTask> acknowledged) {
+		this.observer = acknowledged;
+	}
+
 	/**
 	 * Records that a worker executes a start.
 	 * @param task the task
@@ -96,6 +107,7 @@
 	 * @param orderedMillis when the order was sent
 	 */
 	void acknowledged(Object worker, TerminatedTask termination, long fencingToken, long orderedMillis) {
+		this.observer.accept(termination);
 		Optional
 			.ofNullable(this.unacknowledgedFailures.computeIfAbsent(worker, (key) -> new HashMap<>())
 				.remove(termination.sequence()))
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/DeferredEndsInPassedGapsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/DeferredEndsInPassedGapsTests.java
@@ -32,7 +32,7 @@
 
 	@Test
 	void areNotAcknowledgeable() {
-		this.sequence.markDurable(this.sequence.beginWrite(Set.of()), 10);
+		this.sequence.markDurable(this.sequence.written(Set.of()), 10);
 		this.sequence.defer(List.of(end(2)));
 		assertThat(this.sequence.durable()).isLessThan(2);
 	}
@@ -40,7 +40,7 @@
 	@Test
 	void areNotMadeDurableByAWriteWithoutThem() {
 		this.sequence.defer(List.of(end(2)));
-		this.sequence.markDurable(this.sequence.beginWrite(Set.of()), 10);
+		this.sequence.markDurable(this.sequence.written(Set.of()), 10);
 		assertThat(this.sequence.durable()).isLessThan(2);
 	}
 
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -216,6 +218,16 @@
 
 		private final List<TableRow> withheld = new ArrayList<>();
 
+		private Optional<Function<PartitionWrite, WriteAnswer>> answers = Optional.empty();
+
+		/**
+		 * Sets what the table does with each write of this process.
+		 * @param next returns it for a write that arrives
+		 */
+		void answerWrites(Function<PartitionWrite, WriteAnswer> next) {
+			this.answers = Optional.of(next);
+		}
+
 		void setDisconnected(boolean isDisconnected) {
 			this.disconnected = isDisconnected;
 		}
@@ -350,6 +362,14 @@
 		@Override
 		public CompletableFuture<PartitionCommit> commit(PartitionWrite write) {
 			CompletableFuture<PartitionCommit> answer = new CompletableFuture<>();
+			WriteAnswer treatment = this.answers.map((next) -> next.apply(write)).orElse(WriteAnswer.USUAL);
+			if (!treatment.equals(WriteAnswer.USUAL)) {
+				if (treatment.effectMillis() != WriteAnswer.NEVER) {
+					after(treatment.effectMillis(), () -> apply(write));
+				}
+				after(treatment.answerMillis(), () -> answer.complete(treatment.answer().orElseThrow()));
+				return answer;
+			}
 			if (this.rejectsRequests || InMemoryTable.this.refusedWrites.test(write)) {
 				after(1, () -> answer.complete(new PartitionCommit.NotDone("busy")));
 			}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateEndsInPassedGapsTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/LateEndsInPassedGapsTests.java
@@ -27,7 +27,7 @@
 		this.sequence.markProcessed(end(3), 0);
 		this.sequence.defer(List.of());
 		assertThat(this.sequence.passGaps(TimeUnit.MILLISECONDS.toNanos(200))).hasSize(1);
-		this.sequence.markDurable(this.sequence.beginWrite(Set.of()), 10);
+		this.sequence.markDurable(this.sequence.written(Set.of()), 10);
 		assertThat(this.sequence.hasProcessed(end(2))).isFalse();
 		this.sequence.markProcessed(end(2), TimeUnit.MILLISECONDS.toNanos(210));
 		this.sequence.defer(List.of());
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/PoolWorkerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -92,7 +93,7 @@
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
 		this.worker.run(TASK).orElseThrow().confirm(0);
 		this.worker.markReachable();
-		this.worker.terminations().markDurable(7, 1);
+		this.worker.terminations().markDurable(new TerminationSequence.Written(7, Set.of()), 1);
 		assertThat(this.worker.acknowledgeableSequence(0)).isEqualTo(7);
 		this.worker.restart(OptionalLong.of(200), 0);
 		this.worker.markReachable();
@@ -104,7 +105,7 @@
 	@Test
 	void acknowledgesNothingWhileAStartIsUnanswered() {
 		this.worker.markReachable();
-		this.worker.terminations().markDurable(7, 1);
+		this.worker.terminations().markDurable(new TerminationSequence.Written(7, Set.of()), 1);
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
 		assertThat(this.worker.acknowledgeableSequence(0)).isZero();
 		assertThat(this.worker.acknowledgeableSequence(TimeUnit.MILLISECONDS.toNanos(1990))).isZero();
@@ -113,7 +114,7 @@
 	@Test
 	void acknowledgesAgainWhileAStartStaysUnanswered() {
 		this.worker.markReachable();
-		this.worker.terminations().markDurable(7, 1);
+		this.worker.terminations().markDurable(new TerminationSequence.Written(7, Set.of()), 1);
 		this.worker.add(Run.starting(TASK, 1, "w", SIZE, 0));
 		assertThat(this.worker.acknowledgeableSequence(TimeUnit.MILLISECONDS.toNanos(2000))).isEqualTo(7);
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedCell.java
@@ -92,6 +92,9 @@
 
 	private final InMemoryTable.Client callerTable = this.table.client();
 
+	private Consumer<Map<String, SubmissionState>> toldStates = (states) -> {
+	};
+
 	private ToLongFunction<TaskKey> runMillis = (task) -> RUN_MILLIS;
 
 	private List<Customer> customers = List.of();
@@ -135,6 +138,14 @@
 		return this;
 	}
 
+	/**
+	 * Sets what is called with the states that owners tell other hosts.
+	 * @param told called with the states by job
+	 */
+	void observeToldStates(Consumer<Map<String, SubmissionState>> told) {
+		this.toldStates = told;
+	}
+
 	SimulatedCell withEligibility() {
 		this.needsEligibility = true;
 		return this;
@@ -444,6 +455,7 @@
 
 		@Override
 		public void publishStates(long epoch, Map<String, SubmissionState> states, Optional<QueueCount> pending) {
+			SimulatedCell.this.toldStates.accept(states);
 			SimulatedCell.this.gateway.applyOwnerUpdate(states, pending);
 			SimulatedCell.this.gateways.forEach((gateway) -> gateway.statesReceived(states, pending));
 		}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/SimulatedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleBiFunction;
 import java.util.function.ToLongBiFunction;
@@ -118,6 +119,14 @@
 		this.ends.limitFailures(maximum);
 	}
 
+	/**
+	 * Sets what is called with each end that a worker is told to forget.
+	 * @param acknowledged called when the worker is told so
+	 */
+	void observeAcknowledgedEnds(Consumer<TerminatedTask> acknowledged) {
+		this.ends.observe(acknowledged);
+	}
+
 	/**
 	 * Sets what workers report of the load of a run.
 	 * @param load tail latency or processors in use by worker and task
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UncomposedWritesTests.java
@@ -15,6 +15,9 @@
 import org.monsoonrelay.logic.rows.RejectedRows;
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.QueueCount;
+import org.monsoonrelay.logic.writes.FailedWrite;
+import org.monsoonrelay.logic.writes.PendingWrite;
+import org.monsoonrelay.logic.writes.WriteOutcome;
 import org.monsoonrelay.model.submission.JobProgress;
 import org.monsoonrelay.model.submission.QueuePolicy;
 import org.monsoonrelay.model.submission.StepKey;
@@ -182,6 +185,11 @@
 			throw new AssertionError(write);
 		}
 
+		@Override
+		public void writeSettled(PendingWrite<StateWrite> write, WriteOutcome outcome, long version) {
+			throw new AssertionError(outcome);
+		}
+
 		@Override
 		public void jobRejected(RejectedRows.Cause.RowsOfJob rejected, FailedWrite write) {
 			throw new AssertionError(write);
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/WorkerPoolTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Nested;
@@ -90,7 +91,7 @@
 		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w"))
 			.containsExactlyInAnyOrder(TASK.toString(), UNLOADED.toString());
 		assertThat(this.pool.workersToRecord(false, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
-		worker.terminations().markDurable(1, 1);
+		worker.terminations().markDurable(new TerminationSequence.Written(1, Set.of()), 1);
 		assertThat(this.pool.workersToRecord(true, 0).closedWorkers().get("w")).containsExactly(UNLOADED.toString());
 	}
 
