Store a withdrawal before a cancellation is answered with no such job

Callers saw jobs run that they had cancelled and that did not exist, by the answer (410): the write of the job got no answer, the caller was told 504, cancelled at another host, and the write took effect seconds later.

Cause: 410 followed from a read of the job's row, which decides nothing about attempts that can still take effect: one without an answer, one in flight through a peer, a repetition by the caller.

A cancellation of a job that is not stored is a conditional write of its own now, on the absence of the job's row, and the write of a job is conditional on the absence of its withdrawal, so that the two exclude each other whichever comes first. Owners, feeds and take-overs need not know of it. A withdrawal names the customers whose callers made it and concerns their jobs alone. A DELETE whose write is not answered or refused is answered 504 or 503. A POST that comes after the withdrawal is answered 410 (CALLERS, decision 0022).

--- a/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
+++ b/monsoonrelay-gateway/src/main/java/org/monsoonrelay/gateway/jobs/JobGateway.java
@@ -26,6 +26,7 @@
 import org.monsoonrelay.logic.submission.JobTables;
 import org.monsoonrelay.logic.submission.StorageAvailabilityMonitor;
 import org.monsoonrelay.logic.submission.SubmissionService;
+import org.monsoonrelay.logic.submission.WithdrawalCleaner;
 import org.monsoonrelay.model.host.HostAddress;
 import org.monsoonrelay.platform.ConfigurationFollower;
 import org.monsoonrelay.platform.HostSettings;
@@ -93,6 +94,8 @@
 
 	private final SubmissionService service;
 
+	private final WithdrawalCleaner withdrawals;
+
 	private final CallerDrain drain;
 
 	private final HttpServer callers;
@@ -123,6 +126,7 @@
 				this::stateReadInterval, this.timer, jobStates);
 		this.service = new SubmissionService(this.table, jobStates, this.ownerLink, this.ownerLink, this.storage,
 				this.timer, System::nanoTime);
+		this.withdrawals = new WithdrawalCleaner(this.table, this.timer, log);
 		metrics.gauge("configuration.age.millis", () -> () -> configuration.knownConfiguration().ageMillis());
 		metrics.gauge("states.copy.age.millis", () -> jobStates::copyAgeMillis);
 		CallerAuthentication authentication = new CallerAuthentication(settings.revocationBoundMillis(), log);
@@ -191,6 +195,7 @@
 		this.statesFollower.start();
 		this.timer.scheduleWithFixedDelay(this.storage::probeIfDue, STORAGE_CHECK_MILLIS, STORAGE_CHECK_MILLIS,
 				TimeUnit.MILLISECONDS);
+		this.withdrawals.start();
 		this.readiness.start();
 		this.callers.start();
 	}
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/ProcessDecision.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/events/ProcessDecision.java
@@ -113,4 +113,14 @@
 
 	}
 
+	/**
+	 * Withdrawals that no submission can meet any more are removed from the table.
+	 *
+	 * @param partition the partition of their jobs
+	 * @param rows number of withdrawals
+	 */
+	record WithdrawalsRemoved(String partition, int rows) implements ProcessDecision {
+
+	}
+
 }
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/platform/PartitionWrite.java
@@ -52,6 +52,17 @@
 				this.removals);
 	}
 
+	/**
+	 * Add a row to remove.
+	 * @param table the table
+	 * @param key the row's key
+	 * @return a copy with the removal
+	 */
+	public PartitionWrite remove(String table, String key) {
+		return new PartitionWrite(this.partition, this.conditions, this.puts,
+				with(this.removals, new Removal(table, key)));
+	}
+
 	private static <T> List<T> with(List<T> existing, T added) {
 		List<T> all = new ArrayList<>(existing);
 		all.add(added);
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/AcceptOutcome.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/AcceptOutcome.java
@@ -17,9 +17,15 @@
 	 */
 	INVALID,
 
-	/** The job does not exist. */
+	/** The job does not exist, and no submission of it before now will store it. */
 	NO_SUCH_JOB,
 
+	/**
+	 * The job was cancelled before it was stored; the submission is not stored and never
+	 * will be.
+	 */
+	WITHDRAWN,
+
 	/**
 	 * Another customer's job has this id; the submission is not stored and never will be.
 	 */
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
@@ -1,5 +1,6 @@
 package org.monsoonrelay.logic.submission;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -10,6 +11,7 @@
 
 import org.monsoonrelay.logic.platform.PartitionCommit;
 import org.monsoonrelay.logic.platform.PartitionWrite;
+import org.monsoonrelay.logic.platform.TableRow;
 
 /**
  * One write on behalf of a caller, from the first attempt until the caller is answered.
@@ -136,10 +138,10 @@
 			boolean isUnknown = !(commit instanceof PartitionCommit.NotDone);
 			if (commit instanceof PartitionCommit.Committed committed) {
 				this.listener.stored(committed.version());
-				complete(AcceptOutcome.ACCEPTED);
+				complete(this.listener.storedOutcome());
 			}
-			else if (commit instanceof PartitionCommit.Conflict) {
-				completeByExistingRow();
+			else if (commit instanceof PartitionCommit.Conflict conflict) {
+				completeByExistingRow(conflict.current());
 			}
 			else if (commit instanceof PartitionCommit.Rejected) {
 				complete(AcceptOutcome.INVALID);
@@ -163,8 +165,8 @@
 
 	// Still counts as in flight, so that the caller's deadline makes it an unknown
 	// outcome.
-	private void completeByExistingRow() {
-		this.listener.found().whenComplete((result, failure) -> {
+	private void completeByExistingRow(List<TableRow> current) {
+		this.listener.found(current).whenComplete((result, failure) -> {
 			if (failure == null) {
 				complete(result);
 			}
@@ -206,10 +208,21 @@
 		void stored(long version);
 
 		/**
-		 * The row existed already, by an earlier attempt or another request.
+		 * The outcome for the caller if the row was stored.
+		 * @return the outcome
+		 */
+		default AcceptOutcome storedOutcome() {
+			return AcceptOutcome.ACCEPTED;
+		}
+
+		/**
+		 * A condition of the write does not hold, mostly as the row exists already, by an
+		 * earlier attempt or another request.
+		 * @param current the existing rows among those named in the conditions, empty if
+		 * they are not known
 		 * @return the outcome for the caller, failing if it cannot be determined now
 		 */
-		default CompletableFuture<AcceptOutcome> found() {
+		default CompletableFuture<AcceptOutcome> found(List<TableRow> current) {
 			return CompletableFuture.completedFuture(AcceptOutcome.ACCEPTED);
 		}
 
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobTables.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/JobTables.java
@@ -12,6 +12,12 @@
 	/** Submissions and cancellations, spread over partitions by job. */
 	public static final String JOBS = "jobs";
 
+	/**
+	 * Cancellations of jobs that were not stored, by id, in the partition of the job. No
+	 * job is stored while such a row exists, and no such row while the job is.
+	 */
+	public static final String WITHDRAWALS = "withdrawals";
+
 	/**
 	 * Progress of jobs, for the next owner of the pool. Written by the owner alone, with
 	 * each end of a task.
--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/SubmissionService.java
@@ -21,8 +21,10 @@
 /**
  * Accepts jobs and cancellations from callers. Invariants: a job is reported as accepted
  * only once its row exists; it is reported as not accepted only if no write of its row
- * can take effect any more. Every write is conditional on the absence of the row, so that
- * repeated writes and submissions create one job, whichever hosts they go through. A
+ * can take effect any more; a caller that cancels a job is told that there is none only
+ * once no submission of it so far can store it. Every write is conditional on the absence
+ * of the row, so that repeated writes and submissions create one job, whichever hosts
+ * they go through, and that of a job on the absence of its {@link Withdrawal} as well. A
  * write that the table does not accept from this host is sent through another host, so
  * that callers are served while the table rejects this host. A job is neither shown to
  * nor changed by another customer's caller, and nothing is written once the permit of a
@@ -63,6 +65,8 @@
 
 	private final CircuitBreaker relayBreaker;
 
+	private final WithdrawalLimit withdrawalLimit;
+
 	private final CallerWrite.WritePaths paths = new HostWritePaths();
 
 	/**
@@ -85,6 +89,7 @@
 		this.timer = timer;
 		this.nanoTime = nanoTime;
 		this.relayBreaker = new CircuitBreaker(MAX_RELAY_FAILURES, nanoTime);
+		this.withdrawalLimit = new WithdrawalLimit(nanoTime);
 	}
 
 	/**
@@ -99,10 +104,22 @@
 		if (this.states.state(id).isPresent()) {
 			return repeated(id, permit);
 		}
-		PartitionWrite write = PartitionWrite.to(JobTables.partition(id))
-			.onVersion(JobTables.JOBS, id, 0)
-			.put(JobTables.JOBS, id, Json.write(submission));
-		return store(write, permit, new CallerWrite.StoredListener() {
+		return store(new SubmissionWrite(submission, permit, deadlineNanos), 0).thenApply((outcome) -> {
+			if (outcome == AcceptOutcome.ACCEPTED) {
+				if (permit.caller().isRestricted()) {
+					this.states.recordCustomer(id, submission.customer());
+				}
+				this.states.update(id, SubmissionState.QUEUED);
+			}
+			return outcome;
+		});
+	}
+
+	private CompletableFuture<AcceptOutcome> store(SubmissionWrite write, long withdrawalVersion) {
+		Submission submission = write.submission();
+		String id = submission.id();
+		PartitionWrite rows = withdrawals(id, withdrawalVersion).put(JobTables.JOBS, id, Json.write(submission));
+		return store(rows, write.permit(), new CallerWrite.StoredListener() {
 
 			@Override
 			public void stored(long version) {
@@ -110,19 +127,31 @@
 			}
 
 			@Override
-			public CompletableFuture<AcceptOutcome> found() {
-				return repeated(id, permit);
+			public CompletableFuture<AcceptOutcome> found(List<TableRow> current) {
+				return ExistingRows.of(SubmissionService.this.table, id, current)
+					.thenCompose((existing) -> storeBeside(existing, write, withdrawalVersion));
 			}
 
-		}, deadlineNanos).thenApply((outcome) -> {
-			if (outcome == AcceptOutcome.ACCEPTED) {
-				if (permit.caller().isRestricted()) {
-					this.states.recordCustomer(id, submission.customer());
-				}
-				this.states.update(id, SubmissionState.QUEUED);
-			}
-			return outcome;
-		});
+		}, write.deadlineNanos());
+	}
+
+	private CompletableFuture<AcceptOutcome> storeBeside(ExistingRows existing, SubmissionWrite write,
+			long triedVersion) {
+		if (existing.job().isPresent()) {
+			return repeated(write.submission().id(), write.permit());
+		}
+		boolean isWithdrawn = existing.withdrawal()
+			.filter((row) -> Withdrawal.of(row).concerns(write.submission().customer()))
+			.isPresent();
+		return isWithdrawn ? CompletableFuture.completedFuture(AcceptOutcome.WITHDRAWN)
+				: store(write, existing.withdrawalVersionOtherThan(triedVersion));
+	}
+
+	// A job and its withdrawal exclude each other, but for one by other customers.
+	private static PartitionWrite withdrawals(String id, long withdrawalVersion) {
+		return PartitionWrite.to(JobTables.partition(id))
+			.onVersion(JobTables.JOBS, id, 0)
+			.onVersion(JobTables.WITHDRAWALS, id, withdrawalVersion);
 	}
 
 	private CompletableFuture<AcceptOutcome> repeated(String id, CallerPermit permit) {
@@ -156,7 +185,7 @@
 	public CompletableFuture<AcceptOutcome> cancel(String id, CallerPermit permit, long deadlineNanos) {
 		return state(id, permit).thenCompose((known) -> {
 			if (known.isEmpty()) {
-				return CompletableFuture.completedFuture(AcceptOutcome.NO_SUCH_JOB);
+				return withdraw(id, permit, deadlineNanos);
 			}
 			if (known.get().isFinal()) {
 				return CompletableFuture.completedFuture(AcceptOutcome.ACCEPTED);
@@ -169,6 +198,51 @@
 		});
 	}
 
+	// That there is no row yet does not mean that none comes: a submission may be on its
+	// way, or take effect late.
+	private CompletableFuture<AcceptOutcome> withdraw(String id, CallerPermit permit, long deadlineNanos) {
+		return this.withdrawalLimit.tryAcquire()
+				? withdraw(id, permit, deadlineNanos, 0, Withdrawal.by(permit.caller()))
+				: CompletableFuture.completedFuture(AcceptOutcome.NOT_ACCEPTED);
+	}
+
+	private CompletableFuture<AcceptOutcome> withdraw(String id, CallerPermit permit, long deadlineNanos,
+			long withdrawalVersion, Withdrawal withdrawal) {
+		PartitionWrite write = withdrawals(id, withdrawalVersion).put(JobTables.WITHDRAWALS, id,
+				Json.write(withdrawal));
+		return store(write, permit, new CallerWrite.StoredListener() {
+
+			@Override
+			public void stored(long version) {
+			}
+
+			@Override
+			public AcceptOutcome storedOutcome() {
+				return AcceptOutcome.NO_SUCH_JOB;
+			}
+
+			@Override
+			public CompletableFuture<AcceptOutcome> found(List<TableRow> current) {
+				return ExistingRows.of(SubmissionService.this.table, id, current)
+					.thenCompose((existing) -> withdrawBeside(existing, id, permit, deadlineNanos, withdrawalVersion));
+			}
+
+		}, deadlineNanos);
+	}
+
+	private CompletableFuture<AcceptOutcome> withdrawBeside(ExistingRows existing, String id, CallerPermit permit,
+			long deadlineNanos, long triedVersion) {
+		if (existing.job().isPresent()) {
+			return permit.caller().mayUse(StoredCustomer.of(existing.job().get())) ? cancel(id, permit, deadlineNanos)
+					: CompletableFuture.completedFuture(AcceptOutcome.NO_SUCH_JOB);
+		}
+		Withdrawal own = Withdrawal.by(permit.caller());
+		Optional<Withdrawal> known = existing.withdrawal().map(Withdrawal::of);
+		Withdrawal all = known.map((earlier) -> earlier.and(own)).orElse(own);
+		return known.equals(Optional.of(all)) ? CompletableFuture.completedFuture(AcceptOutcome.NO_SUCH_JOB)
+				: withdraw(id, permit, deadlineNanos, existing.withdrawalVersionOtherThan(triedVersion), all);
+	}
+
 	/**
 	 * The state of a job, from the known states or else from its rows.
 	 * @param id the job's id
@@ -295,4 +369,15 @@
 
 	}
 
+	/**
+	 * A submission on behalf of a caller.
+	 *
+	 * @param submission the job
+	 * @param permit permission of the request
+	 * @param deadlineNanos the deadline of the caller on the monotonic clock, nanoseconds
+	 */
+	private record SubmissionWrite(Submission submission, CallerPermit permit, long deadlineNanos) {
+
+	}
+
 }
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/InMemoryTable.java
@@ -151,7 +151,7 @@
 	}
 
 	private PartitionCommit apply(PartitionWrite write) {
-		if (write.conditions().size() + write.puts().size() > MAX_ENTRIES) {
+		if (write.conditions().size() + write.puts().size() + write.removals().size() > MAX_ENTRIES) {
 			return new PartitionCommit.Rejected("more than " + MAX_ENTRIES + " entries");
 		}
 		if (write.puts().stream().anyMatch((put) -> bytes(put) > MAX_ROW_BYTES)) {
@@ -180,6 +180,12 @@
 			this.rows.put(rowKey(put.table(), write.partition(), put.key()), row);
 			this.history.add(row);
 		}
+		for (PartitionWrite.Removal removal : write.removals()) {
+			if (this.rows.remove(rowKey(removal.table(), write.partition(), removal.key())) != null) {
+				this.history
+					.add(new TableRow(removal.table(), write.partition(), removal.key(), "", this.version, true));
+			}
+		}
 		return new PartitionCommit.Committed(this.version);
 	}
 
