Answer a submission as unknown if it is rejected after an unanswered attempt

Callers could be told 400, "the same request is never accepted", for a job that runs: the table did not answer the first attempt, which took effect, and answered the second one with an error of the client, as a proxy on the way or another host's table may.

Cause: CallerWrite kept "this attempt had no effect" apart from "the write had none" for refusals, but not for rejections. Found while looking for the cause of the doubled ends (the owner's writes) on related paths; not seen outside of tests.

A rejected attempt makes the write INVALID only if no other attempt may have taken effect, and UNKNOWN (504) otherwise; it is not retried either way.

Evidence: CallerWriteTests.isUnknownIfTheTableRejectsItAfterAnUnansweredAttempt and isUnknownIfOneOfTwoHostsHasItRejectedWhileTheOtherAttemptIsInFlight, before: "expected: UNKNOWN but was: INVALID" in both.

--- a/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
+++ b/monsoonrelay-logic/src/main/java/org/monsoonrelay/logic/submission/CallerWrite.java
@@ -21,8 +21,9 @@
  * every attempt is known to have had no effect, and is then reported at once if no path
  * to the table is available, without waiting for the caller's deadline. An unknown
  * outcome is also reported at once in that case. A write that the table rejects is not
- * retried, as each attempt has the same content. No attempt is sent once the permit of
- * the request has ended. Thread-safe.
+ * retried, as each attempt has the same content; it is {@code INVALID} only if no other
+ * attempt may have taken effect. No attempt is sent once the permit of the request has
+ * ended. Thread-safe.
  */
 final class CallerWrite {
 
@@ -144,7 +145,8 @@
 				completeByExistingRow(conflict.current());
 			}
 			else if (commit instanceof PartitionCommit.Rejected) {
-				complete(AcceptOutcome.INVALID);
+				recordCompletion(false);
+				completeAsRejected();
 			}
 			else if (recordCompletion(isUnknown)) {
 				scheduleRetry();
@@ -153,6 +155,21 @@
 		return true;
 	}
 
+	// The answer is about this attempt: an earlier one, or one in flight, may have taken
+	// effect all the same.
+	private void completeAsRejected() {
+		if (mayBeStored()) {
+			completeUnsuccessfully();
+		}
+		else {
+			complete(AcceptOutcome.INVALID);
+		}
+	}
+
+	private synchronized boolean mayBeStored() {
+		return this.anyOutcomeUnknown || this.inFlight > 0;
+	}
+
 	private synchronized boolean recordCompletion(boolean isUnknown) {
 		this.anyOutcomeUnknown |= isUnknown;
 		this.inFlight--;
@@ -193,7 +210,7 @@
 				return;
 			}
 			this.completed = true;
-			mayBeStored = this.anyOutcomeUnknown || this.inFlight > 0;
+			mayBeStored = mayBeStored();
 		}
 		this.outcome.complete(mayBeStored ? AcceptOutcome.UNKNOWN : AcceptOutcome.NOT_ACCEPTED);
 	}
--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/submission/CallerWriteTests.java
@@ -111,6 +111,27 @@
 		assertThat(this.peerAttempts).isZero();
 	}
 
+	// Guards against a job that runs although its caller was told that it is never
+	// stored.
+	@Test
+	void isUnknownIfTheTableRejectsItAfterAnUnansweredAttempt() {
+		this.directAnswer = () -> answer(UNKNOWN);
+		CompletableFuture<AcceptOutcome> outcome = write(3000);
+		this.directAnswer = () -> answer(new PartitionCommit.Rejected("forbidden"));
+		this.time.runFor(100);
+		assertThat(outcome).isCompletedWithValue(AcceptOutcome.UNKNOWN);
+		assertThat(this.directAttempts).isEqualTo(2);
+	}
+
+	@Test
+	void isUnknownIfOneOfTwoHostsHasItRejectedWhileTheOtherAttemptIsInFlight() {
+		this.directAnswer = CompletableFuture::new;
+		this.peerAnswer = () -> Optional.of(answer(new PartitionCommit.Rejected("forbidden")));
+		CompletableFuture<AcceptOutcome> outcome = write(3000);
+		this.time.runFor(800);
+		assertThat(outcome).isCompletedWithValue(AcceptOutcome.UNKNOWN);
+	}
+
 	@Test
 	void isNotHedgedOnceThePermitHasEnded() {
 		this.directAnswer = CompletableFuture::new;
