--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
@@ -44,6 +44,9 @@
 	private Runnable onReceived = () -> {
 	};
 
+	private Runnable onTimeout = () -> {
+	};
+
 	private boolean needsNewConnection;
 
 	private boolean running;
@@ -119,17 +122,25 @@
 	}
 
 	/**
-	 * Starts the timeout of the exchange.
-	 * @param loop the event loop of the connection
-	 * @param onTimeout called after the exchange has failed because of the timeout
+	 * Starts the timeout of the exchange, which includes the time until a connection is
+	 * free.
+	 * @param loop the event loop of the connections
 	 */
-	void startTimeout(EventLoop loop, Runnable onTimeout) {
+	void startTimeout(EventLoop loop) {
 		this.timer = loop.schedule(() -> {
 			fail("no answer in " + this.timeout.toMillis() + " ms", null);
-			onTimeout.run();
+			this.onTimeout.run();
 		}, this.timeout.toNanos(), TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Sets what is to be done if the timeout passes.
+	 * @param action called after the exchange has failed because of the timeout
+	 */
+	void onTimeout(Runnable action) {
+		this.onTimeout = action;
+	}
+
 	/**
 	 * Creates the request message and marks the request as sent.
 	 * @return the request message
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Queue;
 import java.util.concurrent.Semaphore;
 
 import io.netty.bootstrap.Bootstrap;
@@ -23,9 +24,11 @@
  * The connections to one address, all on one event loop. The connection that became idle
  * last is reused first. Connections may go silent together without being closed: if an
  * exchange on a reused connection times out, no connection that has been idle since
- * before its request is used again. The cost of a lookup does not depend on the number of
- * connections to other addresses. Thread-safe: calls are passed to the event loop, to
- * which all other state is confined.
+ * before its request is used again. No more connections are open than exchanges may run
+ * at the same time: a server that limits its connections may hold those of a client that
+ * has lost power for long, beside those of the next one. The cost of a lookup does not
+ * depend on the number of connections to other addresses. Thread-safe: calls are passed
+ * to the event loop, to which all other state is confined.
  */
 final class HttpConnectionPool {
 
@@ -45,6 +48,12 @@
 
 	private final Semaphore idlePermits;
 
+	private final int maximumCalls;
+
+	private final Queue<HttpCall> waitingCalls = new ArrayDeque<>();
+
+	private int activeCalls;
+
 	/**
 	 * Creates a pool.
 	 * @param address the address of the server
@@ -52,11 +61,15 @@
 	 * @param connectTimeout the maximum time to establish a connection
 	 * @param idlePermits one permit per connection that may become idle, shared by all
 	 * pools of the client
+	 * @param maximumCalls the maximum number of concurrent exchanges, and so of open
+	 * connections; further exchanges wait until their timeout
 	 */
-	HttpConnectionPool(HostAddress address, EventLoop loop, Duration connectTimeout, Semaphore idlePermits) {
+	HttpConnectionPool(HostAddress address, EventLoop loop, Duration connectTimeout, Semaphore idlePermits,
+			int maximumCalls) {
 		this.address = address;
 		this.loop = loop;
 		this.idlePermits = idlePermits;
+		this.maximumCalls = maximumCalls;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -78,6 +91,33 @@
 	}
 
 	private void start(HttpCall call) {
+		call.startTimeout(this.loop);
+		if (this.activeCalls < this.maximumCalls) {
+			activate(call);
+		}
+		else {
+			this.waitingCalls.add(call);
+		}
+	}
+
+	private void activate(HttpCall call) {
+		this.activeCalls++;
+		call.response().whenComplete((response, failure) -> this.loop.execute(this::activateNext));
+		connect(call);
+	}
+
+	private void activateNext() {
+		this.activeCalls--;
+		HttpCall next = this.waitingCalls.poll();
+		while (next != null && next.isDone()) {
+			next = this.waitingCalls.poll();
+		}
+		if (next != null) {
+			activate(next);
+		}
+	}
+
+	private void connect(HttpCall call) {
 		HttpConnection connection = call.needsNewConnection() ? null : takeIdle();
 		while (connection != null && !connection.isOpen()) {
 			connection = takeIdle();
@@ -85,7 +125,7 @@
 		if (connection != null) {
 			HttpConnection reused = connection;
 			long sentNanos = System.nanoTime();
-			call.startTimeout(this.loop, () -> {
+			call.onTimeout(() -> {
 				reused.close();
 				closeIdleSinceBefore(sentNanos);
 			});
@@ -93,7 +133,7 @@
 			return;
 		}
 		ChannelFuture connectFuture = this.bootstrap.connect(this.address.host(), this.address.port());
-		call.startTimeout(this.loop, () -> connectFuture.channel().close());
+		call.onTimeout(() -> connectFuture.channel().close());
 		connectFuture.addListener((done) -> onConnected(connectFuture, call));
 	}
 
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -64,6 +64,8 @@
 
 	private final int maximumCalls;
 
+	private final int maximumCallsPerAddress;
+
 	private int runningCount;
 
 	/**
@@ -85,6 +87,12 @@
 	 * sent
 	 */
 	public JsonHttpClient(Duration connectTimeout, Duration callTimeout, int maximumCalls, int maximumHedges) {
+		this(connectTimeout, callTimeout, maximumCalls, maximumHedges, maximumCalls);
+	}
+
+	private JsonHttpClient(Duration connectTimeout, Duration callTimeout, int maximumCalls, int maximumHedges,
+			int maximumCallsPerAddress) {
+		this.maximumCallsPerAddress = maximumCallsPerAddress;
 		this.connectTimeout = connectTimeout;
 		this.callTimeout = callTimeout;
 		this.maximumCalls = maximumCalls;
@@ -92,6 +100,20 @@
 		this.hedgePermits = new Semaphore(maximumHedges);
 	}
 
+	/**
+	 * Creates a client that opens a limited number of connections to each address.
+	 * @param connectTimeout the maximum time to establish a connection
+	 * @param callTimeout the maximum time of an exchange without a timeout of its own
+	 * @param maximumCalls the maximum number of concurrent exchanges; further ones wait
+	 * @param perAddress the maximum number of concurrent exchanges with one address;
+	 * further ones wait until their timeout and have no effect if it passes
+	 * @return the client
+	 */
+	public static JsonHttpClient limitedPerAddress(Duration connectTimeout, Duration callTimeout, int maximumCalls,
+			int perAddress) {
+		return new JsonHttpClient(connectTimeout, callTimeout, maximumCalls, maximumCalls, perAddress);
+	}
+
 	/**
 	 * Sends a GET request with the default timeout.
 	 * @param url the URL
@@ -251,7 +273,8 @@
 	private void start(HttpCall call) {
 		this.pools
 			.computeIfAbsent(call.address(),
-					(address) -> new HttpConnectionPool(address, GROUP.next(), this.connectTimeout, this.idlePermits))
+					(address) -> new HttpConnectionPool(address, GROUP.next(), this.connectTimeout, this.idlePermits,
+							this.maximumCallsPerAddress))
 			.send(call);
 	}
 
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -53,6 +53,90 @@
 		}
 	}
 
+	/**
+	 * Guards against a client that takes all connections that a server has for its
+	 * clients.
+	 */
+	@Nested
+	class ALimitPerAddress {
+
+		private static final int CONNECTIONS = 3;
+
+		private final JsonHttpClient limited = JsonHttpClient.limitedPerAddress(LONG_TIMEOUT, LONG_TIMEOUT,
+				CONCURRENT_EXCHANGES, CONNECTIONS);
+
+		private CompletableFuture<JsonHttpClient.Response> post(RawServer server, Duration timeout) {
+			return this.limited.post(server.address().url() + "/api/start", new byte[0], Map.of(), timeout);
+		}
+
+		@Test
+		void keepsExchangesWaitingUntilAConnectionIsFree() throws IOException {
+			try (RawServer server = new RawServer((connection) -> {
+				while (true) {
+					connection.read();
+					connection.write(RawServer.answer(""));
+				}
+			})) {
+				List<CompletableFuture<JsonHttpClient.Response>> responses = new ArrayList<>();
+				for (int i = 0; i < CONCURRENT_EXCHANGES; i++) {
+					responses.add(post(server, LONG_TIMEOUT));
+				}
+				assertThat(responses).allSatisfy((response) -> assertThat(response.join().isSuccess()).isTrue());
+				assertThat(server.connections()).isLessThanOrEqualTo(CONNECTIONS);
+			}
+		}
+
+		@Test
+		void letsExchangesWithOtherAddressesGoOn() throws IOException {
+			CountDownLatch answered = new CountDownLatch(1);
+			try (RawServer silent = new RawServer((connection) -> await(answered));
+					RawServer other = new RawServer((connection) -> {
+						connection.read();
+						connection.write(RawServer.answer(""));
+					})) {
+				for (int i = 0; i < 2 * CONNECTIONS; i++) {
+					post(silent, LONG_TIMEOUT);
+				}
+				assertThat(post(other, LONG_TIMEOUT).join().isSuccess()).isTrue();
+				answered.countDown();
+			}
+		}
+
+		@Test
+		void failsAnExchangeWithoutEffectIfItWaitedTooLong() throws IOException {
+			CountDownLatch end = new CountDownLatch(1);
+			try (RawServer silent = new RawServer((connection) -> {
+				connection.read();
+				await(end);
+			})) {
+				for (int i = 0; i < CONNECTIONS; i++) {
+					post(silent, LONG_TIMEOUT);
+				}
+				assertThat(failure(post(silent, SHORT_TIMEOUT)).mayHaveTakenEffect()).isFalse();
+				end.countDown();
+			}
+		}
+
+		@Test
+		void isNotUsedUpByExchangesThatTimedOut() throws IOException {
+			CountDownLatch end = new CountDownLatch(1);
+			try (RawServer server = new RawServer((connection) -> {
+				if (connection.read().contains("/silent")) {
+					await(end);
+				}
+				connection.write(RawServer.answer(""));
+			})) {
+				String silent = server.address().url() + "/silent";
+				for (int i = 0; i < CONNECTIONS; i++) {
+					failure(this.limited.get(silent, SHORT_TIMEOUT));
+				}
+				assertThat(post(server, LONG_TIMEOUT).join().isSuccess()).isTrue();
+				end.countDown();
+			}
+		}
+
+	}
+
 	@Nested
 	class AnExchange {
 
