Restart and cut off workers beside writes without an answer

The series of answers to the owner's writes had neither losses nor new incarnations of workers, whose records belong to single writes as well. Workers restart under new ids or are cut off from all owners for up to 4 s now, drawn apart from the other disturbances, so that each seed keeps those.

--- a/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnansweredWritesSeriesTests.java
+++ b/monsoonrelay-logic/src/test/java/org/monsoonrelay/logic/pool/UnansweredWritesSeriesTests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.DynamicTest;
@@ -25,8 +26,9 @@
  * Guards against owners that acknowledge ends, or tell states, that the table does not
  * hold, and against pools that are left without an owner, after any sequence of writes
  * that are not answered, take effect late or never, are refused or rejected, on one to
- * three hosts whose owners are killed, stopped and suspended in between. By hand with
- * more seeds: {@code -Dunanswered.first=1 -Dunanswered.seeds=500}.
+ * three hosts whose owners are killed, stopped and suspended in between, beside workers
+ * that restart or are cut off. By hand with more seeds:
+ * {@code -Dunanswered.first=1 -Dunanswered.seeds=500}.
  */
 class UnansweredWritesSeriesTests {
 
@@ -58,6 +60,9 @@
 
 		private final Random random;
 
+		// Apart from the other disturbances, so that a seed draws those as without it.
+		private final Random crashes;
+
 		private final SimulatedCell cell = new SimulatedCell().withWorkers(WORKERS);
 
 		private final List<String> violations = new ArrayList<>();
@@ -71,6 +76,7 @@
 
 		Play(long seed) {
 			this.random = new Random(seed);
+			this.crashes = new Random(~seed);
 			this.cell.withRunMillis((task) -> 50 + Math.floorMod(task.hashCode(), 900));
 			this.cell.workers.observeAcknowledgedEnds(this::checkDurable);
 			this.cell.observeToldStates((states) -> states.forEach(this::checkTold));
@@ -158,11 +164,28 @@
 				if (this.random.nextInt(20) == 0) {
 					loseOwner();
 				}
+				if (this.crashes.nextInt(15) == 0) {
+					crashWorker();
+				}
 			}
 			this.cell.time.runFor(CALM_MILLIS);
 			check();
 		}
 
+		private void crashWorker() {
+			List<WorkerInfo> listed = this.cell.workers.listedWorkers();
+			String id = listed.get(this.crashes.nextInt(listed.size())).id();
+			int millis = this.crashes.nextInt(4000);
+			if (this.crashes.nextBoolean()) {
+				this.cell.workers.crashAndRestart(this.cell.workers.find(id), millis);
+				return;
+			}
+			this.cell.schedulers.forEach((scheduler) -> scheduler.workerClient.disconnect(id));
+			this.cell.time.schedule(
+					() -> this.cell.schedulers.forEach((scheduler) -> scheduler.workerClient.reconnect(id)), millis,
+					TimeUnit.MILLISECONDS);
+		}
+
 		private void loseOwner() {
 			Optional<SimulatedCell.Scheduler> owner = this.cell.schedulers.stream()
 				.filter((scheduler) -> scheduler.owner().isPresent())
