Limit connections for each worker, not for each address

A call names its recipient, and the pool of an address counts the exchanges of each; a recipient without calls is forgotten.

--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpCall.java
@@ -47,6 +47,8 @@
 	private Runnable onTimeout = () -> {
 	};
 
+	private String recipient = "";
+
 	private boolean needsNewConnection;
 
 	private boolean running;
@@ -78,6 +80,20 @@
 		return this;
 	}
 
+	/**
+	 * Sets for whom the request is at its address, where several recipients may listen.
+	 * @param name the recipient
+	 * @return this call, which must not have been submitted
+	 */
+	HttpCall to(String name) {
+		this.recipient = name;
+		return this;
+	}
+
+	String recipient() {
+		return this.recipient;
+	}
+
 	/**
 	 * Tells when bytes of the response arrive.
 	 * @param listener called on the event loop of the connection, must not block
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/HttpConnectionPool.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.Semaphore;
 
@@ -25,10 +27,11 @@
  * last is reused first. Connections may go silent together without being closed: if an
  * exchange on a reused connection times out, no connection that has been idle since
  * before its request is used again. No more connections are open than exchanges may run
- * at the same time: a server that limits its connections may hold those of a client that
- * has lost power for long, beside those of the next one. The cost of a lookup does not
- * depend on the number of connections to other addresses. Thread-safe: calls are passed
- * to the event loop, to which all other state is confined.
+ * with the recipients at the address at the same time: a server that limits its
+ * connections may hold those of a client that has lost power for long, beside those of
+ * the next one. The cost of a lookup does not depend on the number of connections to
+ * other addresses. Thread-safe: calls are passed to the event loop, to which all other
+ * state is confined.
  */
 final class HttpConnectionPool {
 
@@ -50,9 +53,8 @@
 
 	private final int maximumCalls;
 
-	private final Queue<HttpCall> waitingCalls = new ArrayDeque<>();
-
-	private int activeCalls;
+	// Those with calls that are active or wait.
+	private final Map<String, Recipient> recipients = new HashMap<>();
 
 	/**
 	 * Creates a pool.
@@ -61,8 +63,9 @@
 	 * @param connectTimeout the maximum time to establish a connection
 	 * @param idlePermits one permit per connection that may become idle, shared by all
 	 * pools of the client
-	 * @param maximumCalls the maximum number of concurrent exchanges, and so of open
-	 * connections; further exchanges wait until their timeout
+	 * @param maximumCalls the maximum number of concurrent exchanges with one recipient,
+	 * and so of open connections if only one listens at the address; further exchanges
+	 * wait until their timeout
 	 */
 	HttpConnectionPool(HostAddress address, EventLoop loop, Duration connectTimeout, Semaphore idlePermits,
 			int maximumCalls) {
@@ -92,28 +95,32 @@
 
 	private void start(HttpCall call) {
 		call.startTimeout(this.loop);
-		if (this.activeCalls < this.maximumCalls) {
-			activate(call);
+		Recipient recipient = this.recipients.computeIfAbsent(call.recipient(), Recipient::new);
+		if (recipient.activeCalls < this.maximumCalls) {
+			activate(recipient, call);
 		}
 		else {
-			this.waitingCalls.add(call);
+			recipient.waitingCalls.add(call);
 		}
 	}
 
-	private void activate(HttpCall call) {
-		this.activeCalls++;
-		call.response().whenComplete((response, failure) -> this.loop.execute(this::activateNext));
+	private void activate(Recipient recipient, HttpCall call) {
+		recipient.activeCalls++;
+		call.response().whenComplete((response, failure) -> this.loop.execute(() -> activateNext(recipient)));
 		connect(call);
 	}
 
-	private void activateNext() {
-		this.activeCalls--;
-		HttpCall next = this.waitingCalls.poll();
+	private void activateNext(Recipient recipient) {
+		recipient.activeCalls--;
+		HttpCall next = recipient.waitingCalls.poll();
 		while (next != null && next.isDone()) {
-			next = this.waitingCalls.poll();
+			next = recipient.waitingCalls.poll();
 		}
 		if (next != null) {
-			activate(next);
+			activate(recipient, next);
+		}
+		else if (recipient.activeCalls == 0) {
+			this.recipients.remove(recipient.name);
 		}
 	}
 
@@ -188,6 +195,21 @@
 		}
 	}
 
+	/** One of those who listen at the address. Confined to the event loop. */
+	private static final class Recipient {
+
+		private final String name;
+
+		private final Queue<HttpCall> waitingCalls = new ArrayDeque<>();
+
+		private int activeCalls;
+
+		Recipient(String name) {
+			this.name = name;
+		}
+
+	}
+
 	private final class Pipeline extends ChannelInitializer<SocketChannel> {
 
 		@Override
--- a/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
+++ b/monsoonrelay-adapters/src/main/java/org/monsoonrelay/adapters/http/JsonHttpClient.java
@@ -64,7 +64,7 @@
 
 	private final int maximumCalls;
 
-	private final int maximumCallsPerAddress;
+	private final int maximumCallsPerRecipient;
 
 	private int runningCount;
 
@@ -91,8 +91,8 @@
 	}
 
 	private JsonHttpClient(Duration connectTimeout, Duration callTimeout, int maximumCalls, int maximumHedges,
-			int maximumCallsPerAddress) {
-		this.maximumCallsPerAddress = maximumCallsPerAddress;
+			int maximumCallsPerRecipient) {
+		this.maximumCallsPerRecipient = maximumCallsPerRecipient;
 		this.connectTimeout = connectTimeout;
 		this.callTimeout = callTimeout;
 		this.maximumCalls = maximumCalls;
@@ -101,17 +101,17 @@
 	}
 
 	/**
-	 * Creates a client that opens a limited number of connections to each address.
+	 * Creates a client that opens a limited number of connections for each recipient.
 	 * @param connectTimeout the maximum time to establish a connection
 	 * @param callTimeout the maximum time of an exchange without a timeout of its own
 	 * @param maximumCalls the maximum number of concurrent exchanges; further ones wait
-	 * @param perAddress the maximum number of concurrent exchanges with one address;
+	 * @param perRecipient the maximum number of concurrent exchanges with one recipient;
 	 * further ones wait until their timeout and have no effect if it passes
 	 * @return the client
 	 */
-	public static JsonHttpClient limitedPerAddress(Duration connectTimeout, Duration callTimeout, int maximumCalls,
-			int perAddress) {
-		return new JsonHttpClient(connectTimeout, callTimeout, maximumCalls, maximumCalls, perAddress);
+	public static JsonHttpClient limitedPerRecipient(Duration connectTimeout, Duration callTimeout, int maximumCalls,
+			int perRecipient) {
+		return new JsonHttpClient(connectTimeout, callTimeout, maximumCalls, maximumCalls, perRecipient);
 	}
 
 	/**
@@ -211,7 +211,7 @@
 	}
 
 	/**
-	 * Sends a POST request.
+	 * Sends a POST request to an address where one recipient listens.
 	 * @param url the URL
 	 * @param body the JSON body
 	 * @param headers additional headers
@@ -220,9 +220,24 @@
 	 * arrives
 	 */
 	public CompletableFuture<Response> post(String url, byte[] body, Map<String, String> headers, Duration timeout) {
+		return post("", url, body, headers, timeout);
+	}
+
+	/**
+	 * Sends a POST request.
+	 * @param recipient for whom it is, of those who listen at the address
+	 * @param url the URL
+	 * @param body the JSON body
+	 * @param headers additional headers
+	 * @param timeout the maximum time of the exchange, zero for the default timeout
+	 * @return the response; fails with {@link PlatformException} if no complete response
+	 * arrives
+	 */
+	public CompletableFuture<Response> post(String recipient, String url, byte[] body, Map<String, String> headers,
+			Duration timeout) {
 		Map<String, String> allHeaders = new HashMap<>(headers);
 		allHeaders.put(CONTENT_TYPE, JSON);
-		return submit(new HttpCall(HttpMethod.POST, url, body, allHeaders, timeoutOrDefault(timeout)));
+		return submit(new HttpCall(HttpMethod.POST, url, body, allHeaders, timeoutOrDefault(timeout)).to(recipient));
 	}
 
 	private Duration timeoutOrDefault(Duration timeout) {
@@ -274,7 +289,7 @@
 		this.pools
 			.computeIfAbsent(call.address(),
 					(address) -> new HttpConnectionPool(address, GROUP.next(), this.connectTimeout, this.idlePermits,
-							this.maximumCallsPerAddress))
+							this.maximumCallsPerRecipient))
 			.send(call);
 	}
 
--- a/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
+++ b/monsoonrelay-adapters/src/test/java/org/monsoonrelay/adapters/http/JsonHttpClientTests.java
@@ -58,11 +58,11 @@
 	 * clients.
 	 */
 	@Nested
-	class ALimitPerAddress {
+	class ALimitPerRecipient {
 
 		private static final int CONNECTIONS = 3;
 
-		private final JsonHttpClient limited = JsonHttpClient.limitedPerAddress(LONG_TIMEOUT, LONG_TIMEOUT,
+		private final JsonHttpClient limited = JsonHttpClient.limitedPerRecipient(LONG_TIMEOUT, LONG_TIMEOUT,
 				CONCURRENT_EXCHANGES, CONNECTIONS);
 
 		private CompletableFuture<JsonHttpClient.Response> post(RawServer server, Duration timeout) {
@@ -86,6 +86,28 @@
 			}
 		}
 
+		// Guards against workers behind one address that have to share the connections of
+		// one.
+		@Test
+		void letsExchangesWithOtherRecipientsAtTheSameAddressGoOn() throws IOException {
+			CountDownLatch answered = new CountDownLatch(1);
+			try (RawServer server = new RawServer((connection) -> {
+				if (connection.read().contains("/silent")) {
+					await(answered);
+				}
+				connection.write(RawServer.answer(""));
+			})) {
+				String url = server.address().url();
+				for (int i = 0; i < 2 * CONNECTIONS; i++) {
+					this.limited.post("first", url + "/silent", new byte[0], Map.of(), LONG_TIMEOUT);
+				}
+				assertThat(
+						this.limited.post("second", url + "/", new byte[0], Map.of(), LONG_TIMEOUT).join().isSuccess())
+					.isTrue();
+				answered.countDown();
+			}
+		}
+
 		@Test
 		void letsExchangesWithOtherAddressesGoOn() throws IOException {
 			CountDownLatch answered = new CountDownLatch(1);
